The whole path, thin: apply a file, form groups, serve callers

Cause: nothing existed. The path had to run end to end as separate processes before anything is built on it.

Ruled out: permits sent by watchers to every entry node of a region. At 50 groups and 113 nodes a region that is 5,650 messages a second, 50 for each node, against a budget of 3 KB/s. Requests go to the group's home nodes instead, and a permit stays with the node whose own probes proved it.

Change: ten packages, two binaries, stand-ins for the platform, engines and plain services, two example files, `make demo`, `make test`.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+SEED ?= 1
+DURATION_S ?= 60
+
+.PHONY: demo test lint format soak bench-capacity clean
+
+$(STAMP): requirements.txt constraints.txt $(wildcard packages/*/pyproject.toml) standins/pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt hatchling editables
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-build-isolation -c constraints.txt -r requirements.txt
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python bench/demo.py
+
+test: lint
+	HYPOTHESIS_PROFILE=ci $(BIN)/pytest
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/lint-imports
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+soak: $(STAMP)
+	$(BIN)/python bench/soak.py --seed $(SEED) --duration-s $(DURATION_S)
+
+bench-capacity: $(STAMP)
+	$(BIN)/python bench/capacity.py
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,238 @@
+"""Processes for the demonstration, the soak and the benches."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import attrs
+
+from fordhatch.config import hash_key
+
+BIN = Path(sys.executable).parent
+SHARED_KEY = "a-shared-key-for-tests-only"
+OPERATOR_TOKEN = "operator-token-for-tests-only"
+READY_LIMIT_S = 20.0
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that are free now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind(("127.0.0.1", 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+@attrs.define(eq=False)
+class Child:
+    """One process that was started here."""
+
+    name: str
+    process: asyncio.subprocess.Process
+    url: str
+    frozen: bool = False
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal, by the process's own id."""
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+            self.frozen = number == signal.SIGSTOP
+
+    async def kill(self) -> None:
+        """End the process at once."""
+        self.send(signal.SIGKILL)
+        await self.process.wait()
+
+
+@attrs.define(eq=False)
+class NodeChild(Child):
+    """An entry node's process."""
+
+    operators_url: str = ""
+    peers: str = ""
+
+
+@attrs.define(eq=False)
+class Fleet:
+    """A platform, nodes and backend servers as separate processes."""
+
+    directory: Path
+    children: dict[str, Child] = attrs.field(factory=dict)
+    arguments: dict[str, list[str]] = attrs.field(factory=dict)
+    session: aiohttp.ClientSession | None = None
+
+    @classmethod
+    def from_directory(cls, directory: Path | None = None) -> Fleet:
+        """Return an empty fleet whose logs go to a directory."""
+        return cls(directory or Path(tempfile.mkdtemp(prefix="fordhatch-")))
+
+    async def __aenter__(self) -> Fleet:
+        timeout = aiohttp.ClientTimeout(total=60.0)
+        connector = aiohttp.TCPConnector(limit=0)
+        self.session = aiohttp.ClientSession(timeout=timeout, connector=connector)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for child in self.children.values():
+            if child.process.returncode is None:
+                child.send(signal.SIGCONT)
+                await child.kill()
+        await self.session.close()
+
+    async def _spawn(self, name: str, command: list[str]) -> asyncio.subprocess.Process:
+        self.arguments[name] = command
+        with (self.directory / f"{name}.log").open("ab") as log:
+            return await asyncio.create_subprocess_exec(
+                *command,
+                stdout=log,
+                stderr=log,
+                env={**os.environ, "PYTHONHASHSEED": "0"},
+            )
+
+    async def start_platform(self, **options: object) -> Child:
+        """Start the stand-in for the platform."""
+        port = free_ports(1)[0]
+        command = [str(BIN / "fordhatch-standin"), "platform", f"--port={port}"]
+        command += _flags(options)
+        child = Child(
+            "platform",
+            await self._spawn("platform", command),
+            f"http://127.0.0.1:{port}",
+        )
+        self.children["platform"] = child
+        await self.wait_http(f"{child.url}/counts")
+        return child
+
+    async def start_backend(self, kind: str, name: str, **options: object) -> Child:
+        """Start a model engine or a plain service."""
+        port = free_ports(1)[0]
+        command = [str(BIN / "fordhatch-standin"), kind, f"--port={port}"]
+        command += [f"--instance-id={name}", f"--platform-url={self.platform.url}"]
+        command += _flags(options)
+        child = Child(
+            name, await self._spawn(name, command), f"http://127.0.0.1:{port}"
+        )
+        self.children[name] = child
+        return child
+
+    async def start_nodes(
+        self,
+        count: int,
+        region: str,
+        zones: list[str],
+        timing: dict[str, float] | None = None,
+    ) -> list[NodeChild]:
+        """Start entry nodes that know each other as seeds."""
+        ports = free_ports(3 * count)
+        peers = [f"127.0.0.1:{port}" for port in ports[2::3]]
+        nodes = []
+        for index in range(count):
+            callers, operators, own = ports[3 * index : 3 * index + 3]
+            settings = {
+                "node_id": f"node-{index + 1}",
+                "region": region,
+                "zone": zones[index % len(zones)],
+                "callers": {"host": "127.0.0.1", "port": callers},
+                "operators": {"host": "127.0.0.1", "port": operators},
+                "peers": {"host": "127.0.0.1", "port": own},
+                "shared_key": SHARED_KEY,
+                "operator_tokens": {"ops": hash_key(OPERATOR_TOKEN)},
+                "platform_url": self.platform.url,
+                "seeds": peers[:3],
+                "timing": timing or {},
+            }
+            nodes.append(await self.start_node(settings))
+        return nodes
+
+    async def start_node(self, settings: dict[str, Any]) -> NodeChild:
+        """Start one entry node from its settings."""
+        name = settings["node_id"]
+        path = self.directory / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        process = await self._spawn(name, [str(BIN / "fordhatchd"), str(path)])
+        child = NodeChild(
+            name,
+            process,
+            f"http://127.0.0.1:{settings['callers']['port']}",
+            operators_url=f"http://127.0.0.1:{settings['operators']['port']}",
+            peers=f"127.0.0.1:{settings['peers']['port']}",
+        )
+        self.children[name] = child
+        return child
+
+    async def restart(self, name: str) -> None:
+        """Start a process that has ended again, with the same arguments."""
+        child = self.children[name]
+        child.process = await self._spawn(name, self.arguments[name])
+        child.frozen = False
+
+    @property
+    def platform(self) -> Child:
+        """The stand-in for the platform."""
+        return self.children["platform"]
+
+    async def wait_http(self, url: str, limit_s: float = READY_LIMIT_S) -> None:
+        """Wait until a URL answers with success."""
+        deadline_s = asyncio.get_running_loop().time() + limit_s
+        while True:
+            try:
+                async with self.session.get(url) as reply:
+                    if reply.ok:
+                        return
+            except (aiohttp.ClientError, OSError):
+                pass
+            if asyncio.get_running_loop().time() > deadline_s:
+                raise TimeoutError(f"{url} did not become ready")
+            await asyncio.sleep(0.05)
+
+    async def post(self, url: str, body: Any) -> Any:
+        """Post JSON and return the JSON answer."""
+        async with self.session.post(url, json=body) as reply:
+            return await reply.json()
+
+    async def get(self, url: str) -> Any:
+        """Return a JSON answer."""
+        async with self.session.get(url) as reply:
+            return await reply.json()
+
+    async def read(self, node: NodeChild, path: str) -> Any:
+        """Read back from a node's operators' interface."""
+        headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+        async with self.session.get(
+            node.operators_url + path, headers=headers
+        ) as reply:
+            return await reply.json()
+
+    async def apply(
+        self, node: NodeChild, declared: dict[str, Any], base: int, apply_id: str
+    ) -> tuple[int, Any]:
+        """Apply an operators' file through a node."""
+        headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+        query = {"base_revision": str(base), "apply_id": apply_id}
+        url = f"{node.operators_url}/config"
+        async with self.session.put(
+            url, json=declared, params=query, headers=headers
+        ) as reply:
+            return reply.status, await reply.json()
+
+
+def _flags(options: dict[str, object]) -> list[str]:
+    flags = []
+    for key, value in options.items():
+        name = "--" + key.replace("_", "-")
+        if value is True:
+            flags.append(name)
+        elif value is not False:
+            flags.append(f"{name}={value}")
+    return flags
--- /dev/null
+++ b/packages/cli/src/fordhatch/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line for operators."""
--- /dev/null
+++ b/packages/cli/src/fordhatch/cli/main.py
@@ -0,0 +1,266 @@
+"""``fordhatch``: the operators' command line.
+
+Exit status: 0 done, 1 the file has mistakes, 2 wrong usage, 3 another operator's
+file was accepted first, 4 a node or the platform could not be reached or refused,
+5 the outcome is not known (repeat the same command).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import os
+import sys
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Annotated, Any, Literal, TypeVar
+
+from cyclopts import App, Parameter
+from result import Result
+
+from fordhatch.config import (
+    OPERATORS_SCHEMA,
+    OperatorsFile,
+    describe_changes,
+    schema_text,
+)
+from fordhatch.core import Failure, Ran, ResultCode
+
+from ._client import OperatorClient
+from ._table import print_json, print_table
+
+EXIT_MISTAKES = 1
+EXIT_CONFLICT = 3
+EXIT_REFUSED = 4
+EXIT_UNKNOWN = 5
+
+EPILOGUE = """Examples:
+
+fordhatch validate examples/pruitt.json
+fordhatch diff examples/pruitt.json
+fordhatch apply examples/pruitt.json --base 3
+fordhatch get groups --json
+fordhatch status
+"""
+
+T = TypeVar("T")
+
+app = App(
+    name="fordhatch",
+    help="Apply declarative files and read back what is in force.",
+    help_epilogue=EPILOGUE,
+)
+
+Url = Annotated[str, Parameter(env_var="FORDHATCH_URL", help="Operators' address.")]
+Token = Annotated[str, Parameter(env_var="FORDHATCH_TOKEN", help="Operator's token.")]
+AsJson = Annotated[bool, Parameter(name="--json", help="Print JSON.")]
+
+DEFAULT_URL = "http://127.0.0.1:7002"
+
+COLUMNS = {
+    "services": (
+        "name",
+        "kind",
+        "region",
+        "version",
+        "declared",
+        "formed",
+        "serving",
+    ),
+    "groups": (
+        "group_id",
+        "service",
+        "state",
+        "serving",
+        "epoch",
+        "version",
+        "fabric_domain",
+        "members",
+    ),
+    "instances": (
+        "instance_id",
+        "address",
+        "zone",
+        "fabric_domain",
+        "accelerator",
+        "state",
+        "group_id",
+    ),
+    "nodes": ("node_id", "address", "region", "zone", "state", "incarnation"),
+}
+"""Columns of each table."""
+
+
+def _run(work: Coroutine[Any, Any, Result[T, Failure]]) -> T:
+    done = asyncio.run(work)
+    if done.is_err():
+        _fail(done.unwrap_err())
+    return done.unwrap()
+
+
+def _fail(failure: Failure) -> None:
+    print(
+        f"fordhatch: {failure.message} "
+        f"(code {int(failure.code)} {failure.code.name}, ran={failure.ran.value})",
+        file=sys.stderr,
+    )
+    if failure.code is ResultCode.CONFIG_CONFLICT:
+        sys.exit(EXIT_CONFLICT)
+    if failure.code is ResultCode.CONFIG_INVALID:
+        sys.exit(EXIT_MISTAKES)
+    sys.exit(EXIT_UNKNOWN if failure.ran is Ran.MAYBE else EXIT_REFUSED)
+
+
+def _read_file(path: Path) -> bytes:
+    try:
+        return path.read_bytes()
+    except OSError as error:
+        print(f"fordhatch: {error}", file=sys.stderr)
+        sys.exit(EXIT_MISTAKES)
+
+
+def _check(path: Path) -> bytes:
+    """Return a file's bytes, or end with all its mistakes."""
+    content = _read_file(path)
+    read = OperatorsFile.from_json(content)
+    if read.is_err():
+        for mistake in read.unwrap_err():
+            print(f"{path}: {mistake}", file=sys.stderr)
+        sys.exit(EXIT_MISTAKES)
+    return content
+
+
+@app.command
+def validate(file: Path) -> None:
+    """Check a file in full, without any node."""
+    _check(file)
+    print(f"{file}: valid")
+
+
+@app.command
+def schema() -> None:
+    """Print the JSON Schema of operators' files."""
+    print(schema_text(OPERATORS_SCHEMA))
+
+
+@app.command(name="hash-key")
+def hash_key_command() -> None:
+    """Read a key or token from standard input and print the form that files hold."""
+    secret = sys.stdin.readline().rstrip("\n")
+    print("sha256:" + hashlib.sha256(secret.encode()).hexdigest())
+
+
+@app.command
+def diff(file: Path, *, url: Url = DEFAULT_URL, token: Token = "") -> None:
+    """Show what applying a file would change."""
+    content = _check(file)
+    now = _run(OperatorClient(url, token).get("/config"))
+    lines = describe_changes(now["config"], json.loads(content))
+    print(f"base revision {now['revision']}, {len(lines)} changes")
+    for line in lines:
+        print(line)
+
+
+@app.command
+def apply(
+    file: Path,
+    *,
+    base: int | None = None,
+    apply_id: str | None = None,
+    url: Url = DEFAULT_URL,
+    token: Token = "",
+    json: AsJson = False,
+) -> None:
+    """Apply a file as a whole.
+
+    Parameters
+    ----------
+    file
+        The file; it replaces the whole declared state.
+    base
+        Revision that the file was written against; the one in force by default.
+        Another operator's file accepted since then makes the apply fail.
+    apply_id
+        Names this apply; repeating it with the same name is harmless.
+    """
+    content = _check(file)
+    client = OperatorClient(url, token)
+    if base is None:
+        base = _run(client.get("/config"))["revision"]
+    name = apply_id or f"apply-{os.urandom(10).hex()}"
+    done = _run(client.put("/config", content, base_revision=base, apply_id=name))
+    if json:
+        print_json(done)
+        return
+    print(f"accepted as revision {done['revision']}, {len(done['changes'])} changes")
+
+
+@app.command
+def get(
+    what: Literal["config", "services", "groups", "instances", "nodes"],
+    *,
+    min_revision: int = 0,
+    url: Url = DEFAULT_URL,
+    token: Token = "",
+    json: AsJson = False,
+) -> None:
+    """Read back what is in force.
+
+    Parameters
+    ----------
+    what
+        What to read.
+    min_revision
+        Wait until at least this revision is in force on the node asked.
+    """
+    client = OperatorClient(url, token)
+    found = _run(client.get(f"/{what}", min_revision=min_revision))
+    if json or what == "config":
+        print_json(found)
+        return
+    print(f"revision {found['revision']}")
+    print_table(COLUMNS[what], found[what])
+
+
+@app.command
+def audit(*, url: Url = DEFAULT_URL, token: Token = "", json: AsJson = False) -> None:
+    """Show who applied what, when, on which revision, and what came of it."""
+    found = _run(OperatorClient(url, token).get("/audit"))
+    if json:
+        print_json(found)
+        return
+    rows = [{**row, "changes": len(row["changes"])} for row in found["audit"]]
+    columns = ("at", "operator", "base_revision", "revision", "changes", "outcome")
+    print_table(columns, rows)
+
+
+@app.command
+def status(
+    *,
+    min_revision: int = 0,
+    url: Url = DEFAULT_URL,
+    token: Token = "",
+    json: AsJson = False,
+) -> None:
+    """Show on how many nodes the declared state is in force, and what serves."""
+    client = OperatorClient(url, token)
+    found = _run(client.get("/status", min_revision=min_revision))
+    if json:
+        print_json(found)
+        return
+    print(
+        f"revision {found['revision']} in force on {found['nodes_in_force']} of "
+        f"{found['nodes_known']} nodes, {found['nodes_ready']} ready, "
+        f"{'converged' if found['converged'] else 'not converged'}"
+    )
+    print_table(COLUMNS["services"], found["services"])
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/config/src/fordhatch/config/_changes.py
@@ -0,0 +1,44 @@
+"""Differences between two documents, one line each."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+LONGEST_VALUE = 60
+"""Characters of a value shown in a change."""
+
+
+def describe_changes(old: object, new: object) -> list[str]:
+    """Return what changed, as ``path: old -> new`` lines in path order.
+
+    Named objects in lists are matched by name, so that a moved entry is no change.
+
+    Args:
+        old: The earlier document; None where there was none.
+        new: The later document.
+    """
+    before = dict(_flatten(old, "$"))
+    after = dict(_flatten(new, "$"))
+    lines = []
+    for path in sorted(before.keys() | after.keys()):
+        was, now = before.get(path, "(none)"), after.get(path, "(none)")
+        if was != now:
+            lines.append(f"{path}: {was} -> {now}")
+    return lines
+
+
+def _flatten(value: object, path: str) -> Iterator[tuple[str, str]]:
+    if isinstance(value, dict):
+        for key, inner in value.items():
+            yield from _flatten(inner, f"{path}.{key}")
+    elif isinstance(value, list):
+        for index, inner in enumerate(value):
+            yield from _flatten(inner, f"{path}[{_label(inner, index)}]")
+    elif value is not None:
+        yield path, str(value)[:LONGEST_VALUE]
+
+
+def _label(value: object, index: int) -> str:
+    if isinstance(value, dict) and "name" in value:
+        return str(value["name"])
+    return str(value) if isinstance(value, str) else str(index)
--- /dev/null
+++ b/packages/config/src/fordhatch/config/_operators_file.py
@@ -0,0 +1,222 @@
+"""Operators' files: the whole declared state."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable
+
+import attrs
+from result import Err, Ok, Result
+
+from fordhatch.core import ResultCode, structure
+
+from ._schema import OPERATORS_SCHEMA, Mistake, parse_document
+
+
+@attrs.frozen
+class Policy:
+    """How the planner weighs its two measures."""
+
+    stranded_weight: float = 0.3
+    """0 weighs only group downtime, 1 only stranded accelerators."""
+
+
+@attrs.frozen
+class ModelVersion:
+    """One version of a model's weights."""
+
+    name: str
+    shard_bytes: int
+
+
+@attrs.frozen
+class Model:
+    """A model with its versions and adapters."""
+
+    name: str
+    versions: list[ModelVersion]
+    adapters: list[str] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class ModelService:
+    """Replica groups that serve one version of a model."""
+
+    name: str
+    model: str
+    version: str
+    accelerator: str
+    group_size: int
+    groups: int
+    region: str
+    adapters: list[str] = attrs.field(factory=list)
+    importance: int = 50
+    max_running: int = 16
+    max_groups: int = 0
+    """Replicas that idle accelerators may add up to; below ``groups`` means none."""
+
+    @property
+    def most_groups(self) -> int:
+        """The most replicas that the file allows."""
+        return max(self.groups, self.max_groups)
+
+
+@attrs.frozen
+class PlainService:
+    """A plain service beside the model engines."""
+
+    name: str
+    region: str
+    runners: int
+    max_running: int = 32
+
+
+@attrs.frozen
+class Route:
+    """Requests that may run at most once."""
+
+    method: str
+    path_prefix: str
+
+
+@attrs.frozen
+class Application:
+    """What callers name: a service, perhaps with an adapter."""
+
+    name: str
+    service: str
+    adapter: str = ""
+    not_repeatable: list[Route] = attrs.field(factory=list)
+
+    def may_repeat(self, method: str, path: str) -> bool:
+        """Return whether a request on this path may run more than once."""
+        return not any(
+            route.method == method and path.startswith(route.path_prefix)
+            for route in self.not_repeatable
+        )
+
+
+@attrs.frozen
+class Workspace:
+    """A customer, with its keys, share and limits."""
+
+    name: str
+    api_keys: list[str]
+    applications: list[str]
+    weight: float = 1.0
+    priority: int = 5
+    max_concurrent: int = 256
+
+
+@attrs.frozen
+class OperatorsFile:
+    """The declared state, checked as a whole."""
+
+    format: int
+    models: list[Model]
+    model_services: list[ModelService]
+    plain_services: list[PlainService]
+    applications: list[Application]
+    workspaces: list[Workspace]
+    policy: Policy = Policy()
+
+    @classmethod
+    def from_json(cls, content: bytes) -> Result[OperatorsFile, list[Mistake]]:
+        """Read and check an operators' file.
+
+        Args:
+            content: Bytes of the file.
+
+        Returns:
+            The declared state, or every mistake with its path.
+        """
+        parsed = parse_document(content, OPERATORS_SCHEMA)
+        if parsed.is_err():
+            return parsed
+        declared = structure(parsed.unwrap(), cls)
+        mistakes = [*_duplicates(declared), *_dangling(declared)]
+        return Err(mistakes) if mistakes else Ok(declared)
+
+    def application(self, name: str) -> Application | None:
+        """Return an application by name."""
+        return next((a for a in self.applications if a.name == name), None)
+
+    def service(self, name: str) -> ModelService | PlainService | None:
+        """Return a service of either kind by name."""
+        every = [*self.model_services, *self.plain_services]
+        return next((s for s in every if s.name == name), None)
+
+    def workspace_of(self, key_hash: str) -> Workspace | None:
+        """Return the workspace that an API key's hash belongs to."""
+        return next((w for w in self.workspaces if key_hash in w.api_keys), None)
+
+    def shard_bytes(self, service: ModelService) -> int:
+        """Return what one member of the service's groups loads."""
+        model = next(m for m in self.models if m.name == service.model)
+        version = next(v for v in model.versions if v.name == service.version)
+        return version.shard_bytes
+
+
+def digest_of(content: bytes) -> str:
+    """Return the name under which a file is kept in the object store."""
+    return hashlib.sha256(content).hexdigest()
+
+
+def _duplicates(declared: OperatorsFile) -> Iterable[Mistake]:
+    services = [*declared.model_services, *declared.plain_services]
+    named = {
+        "$.models": [m.name for m in declared.models],
+        "$.model_services": [s.name for s in services],
+        "$.applications": [a.name for a in declared.applications],
+        "$.workspaces": [w.name for w in declared.workspaces],
+        "$.workspaces[*].api_keys": [
+            key for w in declared.workspaces for key in w.api_keys
+        ],
+    }
+    for path, names in named.items():
+        for name in sorted({n for n in names if names.count(n) > 1}):
+            yield _invalid(path, f"{name!r} appears more than once")
+
+
+def _dangling(declared: OperatorsFile) -> Iterable[Mistake]:
+    models = {m.name: m for m in declared.models}
+    for index, service in enumerate(declared.model_services):
+        yield from _check_model(models, service, f"$.model_services[{index}]")
+    for index, app in enumerate(declared.applications):
+        yield from _check_application(declared, app, f"$.applications[{index}]")
+    known = {a.name for a in declared.applications}
+    for index, workspace in enumerate(declared.workspaces):
+        for name in workspace.applications:
+            if name not in known:
+                path = f"$.workspaces[{index}].applications"
+                yield _invalid(path, f"no application {name!r}")
+
+
+def _check_model(
+    models: dict[str, Model], service: ModelService, path: str
+) -> Iterable[Mistake]:
+    model = models.get(service.model)
+    if model is None:
+        yield _invalid(f"{path}.model", f"no model {service.model!r}")
+        return
+    if service.version not in [v.name for v in model.versions]:
+        yield _invalid(f"{path}.version", f"no version {service.version!r}")
+    for adapter in service.adapters:
+        if adapter not in model.adapters:
+            yield _invalid(f"{path}.adapters", f"no adapter {adapter!r}")
+
+
+def _check_application(
+    declared: OperatorsFile, app: Application, path: str
+) -> Iterable[Mistake]:
+    service = declared.service(app.service)
+    if service is None:
+        yield _invalid(f"{path}.service", f"no service {app.service!r}")
+        return
+    adapters = service.adapters if isinstance(service, ModelService) else []
+    if app.adapter and app.adapter not in adapters:
+        yield _invalid(f"{path}.adapter", f"{app.service!r} has no {app.adapter!r}")
+
+
+def _invalid(path: str, message: str) -> Mistake:
+    return Mistake(path, ResultCode.SETTING_INVALID, message)
--- /dev/null
+++ b/packages/core/src/fordhatch/core/__init__.py
@@ -0,0 +1,30 @@
+"""Time, results, logging, metrics and invariants shared by every package."""
+
+from __future__ import annotations
+
+from . import _metrics as metrics
+from ._codes import CODE_TABLE, CodeInfo, Failure, Ran, ResultCode, code_table_markdown
+from ._invariant import InvariantGuard
+from ._log import configure_logging, format_line, log_event
+from ._structure import StructureError, new_id, structure, unstructure
+from ._timer import TaskSet, Timer
+
+__all__ = [
+    "CODE_TABLE",
+    "CodeInfo",
+    "Failure",
+    "InvariantGuard",
+    "Ran",
+    "ResultCode",
+    "StructureError",
+    "TaskSet",
+    "Timer",
+    "code_table_markdown",
+    "configure_logging",
+    "format_line",
+    "log_event",
+    "metrics",
+    "new_id",
+    "structure",
+    "unstructure",
+]
--- /dev/null
+++ b/packages/core/src/fordhatch/core/_log.py
@@ -0,0 +1,61 @@
+"""One key=value line on standard error for each event, through eliot."""
+
+from __future__ import annotations
+
+import json
+import sys
+import time
+from typing import TextIO
+
+import eliot
+
+_ELIOT_FIELDS = ("task_uuid", "task_level", "timestamp", "message_type")
+
+
+def log_event(event: str, **fields: object) -> None:
+    """Log one event.
+
+    Args:
+        event: Name of the event; every name stands in ``docs/LOGS.md``.
+        **fields: Facts of the event, never secrets or prompts.
+    """
+    eliot.log_message(message_type=event, **fields)
+
+
+def configure_logging(node_id: str, stream: TextIO = sys.stderr) -> None:
+    """Send every event as one key=value line to ``stream``.
+
+    Args:
+        node_id: Written into every line.
+        stream: Where the lines go.
+    """
+
+    def write(message: dict[str, object]) -> None:
+        stream.write(format_line(node_id, message) + "\n")
+        stream.flush()
+
+    eliot.add_destinations(write)
+
+
+def format_line(node_id: str, message: dict[str, object]) -> str:
+    """Return the key=value line for an eliot message."""
+    moment_s = float(message.get("timestamp", 0.0))  # type: ignore[arg-type]
+    stamp = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(moment_s))
+    parts = [
+        f"time={stamp}.{int(moment_s % 1 * 1000):03d}Z",
+        f"node={node_id}",
+        f"event={message.get('message_type', 'traceback')}",
+    ]
+    parts.extend(
+        f"{key}={_format_value(value)}"
+        for key, value in message.items()
+        if key not in _ELIOT_FIELDS
+    )
+    return " ".join(parts)
+
+
+def _format_value(value: object) -> str:
+    text = str(value)
+    if text and not any(c in ' "=\n\\' for c in text):
+        return text
+    return json.dumps(text)
--- /dev/null
+++ b/packages/core/src/fordhatch/core/_timer.py
@@ -0,0 +1,119 @@
+"""The timer service: the only place where time is read or waited for."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import attrs
+
+from ._log import log_event
+
+
+@attrs.define
+class Timer:
+    """Monotonic time, wall time and periodic ticks for one process.
+
+    Every part subscribes here instead of sleeping on its own, so that tests can
+    run the whole program on a virtual event-loop clock.
+    """
+
+    rng: random.Random = attrs.field(factory=random.Random)
+    """Source of jitter; seeded in tests."""
+    wall_clock: Callable[[], float] = time.time
+    """Wall-clock seconds since the epoch; only for records, never for decisions."""
+
+    @classmethod
+    def from_seed(cls, seed: int | str) -> Timer:
+        """Return a timer whose jitter is reproducible."""
+        return cls(rng=random.Random(seed))
+
+    def now_s(self) -> float:
+        """Return monotonic seconds on the event loop's clock."""
+        return asyncio.get_running_loop().time()
+
+    def wall_s(self) -> float:
+        """Return wall-clock seconds since the epoch."""
+        return self.wall_clock()
+
+    async def sleep(self, duration_s: float) -> None:
+        """Wait for ``duration_s`` seconds."""
+        await asyncio.sleep(duration_s)
+
+    def jittered(self, duration_s: float, fraction: float = 0.2) -> float:
+        """Return ``duration_s`` spread evenly by plus or minus ``fraction``."""
+        return duration_s * (1.0 + fraction * (2.0 * self.rng.random() - 1.0))
+
+    async def ticks(
+        self, interval_s: float, *, fraction: float = 0.2
+    ) -> AsyncIterator[float]:
+        """Yield the monotonic time at once and then about every ``interval_s``.
+
+        Args:
+            interval_s: Mean time between ticks, in seconds.
+            fraction: Jitter as a share of the interval.
+
+        Yields:
+            Monotonic seconds at each tick.
+        """
+        while True:
+            yield self.now_s()
+            await self.sleep(self.jittered(interval_s, fraction))
+
+    async def every(
+        self, interval_s: float, step: Callable[[], Awaitable[object]], *, name: str
+    ) -> None:
+        """Run ``step`` on every tick; a step that raises is logged, not fatal.
+
+        Args:
+            interval_s: Mean time between steps, in seconds.
+            step: The coroutine function to run.
+            name: Names the part in the log.
+        """
+        async for _ in self.ticks(interval_s):
+            try:
+                await step()
+            except asyncio.CancelledError:
+                raise
+            except Exception as error:
+                log_event("step_failed", part=name, error=repr(error))
+
+
+@attrs.define
+class TaskSet:
+    """Background tasks of one part, ended together."""
+
+    _tasks: set[asyncio.Task[object]] = attrs.field(factory=set)
+
+    def spawn(self, coroutine: Awaitable[object], name: str) -> asyncio.Task[object]:
+        """Start a task and keep it until it ends."""
+        task = asyncio.ensure_future(coroutine)
+        task.set_name(name)  # type: ignore[attr-defined]
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    def _ended(self, task: asyncio.Task[object]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            log_event("task_failed", part=task.get_name(), error=repr(error))
+
+    async def drain(self, timeout_s: float = 5.0) -> None:
+        """Wait until the tasks have ended by themselves, then cancel the rest."""
+        if self._tasks:
+            await asyncio.wait(set(self._tasks), timeout=timeout_s)
+        await self.close()
+
+    async def close(self) -> None:
+        """Cancel every task and wait until all have ended."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/packages/daemon/src/fordhatch/daemon/__init__.py
@@ -0,0 +1,8 @@
+"""The daemon that every entry instance runs."""
+
+from __future__ import annotations
+
+from ._daemon import Daemon
+from ._node import Node
+
+__all__ = ["Daemon", "Node"]
--- /dev/null
+++ b/packages/protocol/src/fordhatch/protocol/_pool.py
@@ -0,0 +1,149 @@
+"""Connections to other nodes, opened when first needed and closed when idle."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import attrs
+from result import Err, Ok, Result
+
+from fordhatch.core import Failure, ResultCode, TaskSet, Timer, log_event, metrics
+
+from ._codec import FrameError
+from ._link import CONNECT_TIMEOUT_S, HANDSHAKE_TIMEOUT_S, Channel, Handler, Link
+
+IDLE_CLOSE_S = 60.0
+"""A connection unused for this long is closed."""
+
+
+@attrs.define(eq=False)
+class PeerPool:
+    """Listens for other nodes and keeps one connection to each that is in use."""
+
+    node_id: str
+    shared_key: bytes
+    timer: Timer
+    handler: Handler | None = None
+    _links: dict[str, Link] = attrs.field(factory=dict)
+    _locks: dict[str, asyncio.Lock] = attrs.field(factory=dict)
+    _incoming: set[Link] = attrs.field(factory=set)
+    _tasks: TaskSet = attrs.field(factory=TaskSet)
+    _server: asyncio.Server | None = None
+
+    async def listen(self, host: str, port: int) -> int:
+        """Accept connections from other nodes.
+
+        Args:
+            host: Address to listen on.
+            port: Port; 0 takes any free one.
+
+        Returns:
+            The port in use.
+        """
+        self._server = await asyncio.start_server(self._accept, host, port)
+        self._tasks.spawn(
+            self.timer.every(IDLE_CLOSE_S / 4, self._close_idle, name="idle-links"),
+            "idle-links",
+        )
+        return self._server.sockets[0].getsockname()[1]
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        link = Link(reader, writer, self.node_id, self.shared_key, self.handler, False)
+        try:
+            await asyncio.wait_for(link.handshake(), HANDSHAKE_TIMEOUT_S)
+        except (FrameError, OSError, EOFError, TimeoutError) as error:
+            metrics.FRAMES_REFUSED.labels("handshake").inc()
+            log_event("peer_refused", reason=repr(error))
+            writer.close()
+            return
+        self._incoming.add(link)
+        try:
+            await link.run()
+        finally:
+            self._incoming.discard(link)
+
+    async def open(self, address: str, message: object) -> Result[Channel, Failure]:
+        """Send a request to a node.
+
+        Args:
+            address: ``host:port`` of the node.
+            message: The request.
+
+        Returns:
+            The channel on which answers arrive. A failure here has ``ran`` no:
+            the message was never sent.
+        """
+        link = await self._connected(address)
+        if link is None:
+            return Err(Failure.from_code(ResultCode.PEER_UNREACHABLE, address))
+        link.last_used_s = self.timer.now_s()
+        channel = link.open()
+        sent = await channel.send(message)
+        if sent.is_err():
+            return Err(sent.unwrap_err())
+        return Ok(channel)
+
+    async def request(
+        self, address: str, message: object, timeout_s: float
+    ) -> Result[Any, Failure]:
+        """Send a request that has exactly one answer and return it."""
+        opened = await self.open(address, message)
+        if opened.is_err():
+            return opened
+        channel = opened.unwrap()
+        try:
+            return await channel.receive(timeout_s)
+        finally:
+            await channel.close()
+
+    async def _connected(self, address: str) -> Link | None:
+        lock = self._locks.setdefault(address, asyncio.Lock())
+        async with lock:
+            link = self._links.get(address)
+            if link is not None and link.alive:
+                return link
+            link = await self._connect(address)
+            if link is not None:
+                self._links[address] = link
+            return link
+
+    async def _connect(self, address: str) -> Link | None:
+        host, _, port = address.rpartition(":")
+        try:
+            reader, writer = await asyncio.wait_for(
+                asyncio.open_connection(host, int(port)), CONNECT_TIMEOUT_S
+            )
+        except (OSError, TimeoutError):
+            return None
+        # Requests flow one way on a connection: only the accepting side serves.
+        link = Link(reader, writer, self.node_id, self.shared_key, None, True)
+        try:
+            await asyncio.wait_for(link.handshake(), HANDSHAKE_TIMEOUT_S)
+        except (FrameError, OSError, EOFError, TimeoutError) as error:
+            log_event("handshake_failed", address=address, error=repr(error))
+            writer.close()
+            return None
+        self._tasks.spawn(link.run(), f"link-{address}")
+        return link
+
+    async def _close_idle(self) -> None:
+        limit_s = self.timer.now_s() - IDLE_CLOSE_S
+        for address, link in list(self._links.items()):
+            if not link.alive or (link.last_used_s < limit_s and not link.busy):
+                await link.close()
+                del self._links[address]
+
+    def links(self) -> int:
+        """Return the number of open connections."""
+        return len(self._links) + len(self._incoming)
+
+    async def close(self) -> None:
+        """Close the listener and every connection."""
+        if self._server is not None:
+            self._server.close()
+        for link in [*self._links.values(), *self._incoming]:
+            await link.close()
+        await self._tasks.close()
