Claims know which start of a node holds them; tokens rise whatever the view says

A claim named its holder by node name only, so a holder that was killed and started again within seconds held up a repeat until its deadline. A claim write whose first answer was lost and which was then sent again met its own row and took it for a conflict. And a new member's fencing token came from the planner's view of the instance, not from its row: a view without the row would have given a token that does not rise.

Ruled out: shorter waits (they answer "in progress" where "unknown" is final).

Change: node records carry the start of their process, claims too; a conflict with one's own write is a success; tokens are taken from the row and the engine's report.

Conclusion: the guards hold on their own, not by what callers hand them.

--- a/packages/daemon/src/fordhatch/daemon/_node.py
+++ b/packages/daemon/src/fordhatch/daemon/_node.py
@@ -153,13 +153,15 @@
         """
         timing = settings.timing
         platform, engines, pool = edges.platform, edges.engines, edges.pool
+        started = int(timer.wall_s() * 10)
         own = NodeRecord(
             settings.node_id,
             str(settings.peers),
             settings.region,
             settings.zone,
-            int(timer.wall_s() * 10),
+            started,
             ALIVE,
+            started,
         )
         membership = Membership.from_record(
             own,
--- a/packages/daemon/tests/test_at_most_once.py
+++ b/packages/daemon/tests/test_at_most_once.py
@@ -260,3 +260,48 @@
         assert runs(site) == 1
 
     virtual(scenario)
+
+
+def test_holder_that_started_anew_does_not_hold_up_a_repeat(virtual) -> None:
+    async def scenario(site) -> None:
+        await small_site(site)
+        site.engines.servers["yard-1:80"].faults.delay_s = 30.0
+        asking = asyncio.ensure_future(site.ask(plain_request(site)))
+        await site.until(lambda: runs(site) == 1)
+        name = claim(site)["node"]
+        await site.kill_node([n.settings.node_id for n in site.nodes].index(name))
+        await site.add_node(int(name.removeprefix("node-")))
+        await site.until(lambda: site.nodes[-1].confirmed() is None)
+        await asyncio.sleep(2.0)
+        started_s = asyncio.get_running_loop().time()
+        failure = (await site.ask(plain_request(site), 0)).unwrap_err()
+        assert failure.code is ResultCode.OUTCOME_UNKNOWN
+        assert asyncio.get_running_loop().time() - started_s < 2.0
+        assert runs(site) == 1
+        asking.cancel()
+
+    virtual(scenario)
+
+
+def test_engine_that_restarted_proves_nothing(virtual) -> None:
+    """An engine that forgot the request must not be taken for one that never saw it."""
+
+    async def scenario(site) -> None:
+        await small_site(site)
+        request = site.request("estimate", key="e-1", repeatable=False, tokens=500)
+        asking = asyncio.ensure_future(site.ask(request))
+        await site.until(lambda: runs(site) == 1)
+        address = claim(site)["target"]["address"]
+        holder = claim(site)["node"]
+        index = [n.settings.node_id for n in site.nodes].index(holder)
+        await site.kill_node(index)
+        engine = site.engines.servers[address]
+        engine.seen.clear()
+        engine.boot_id += "'"
+        failure = (await site.ask(request, 0)).unwrap_err()
+        assert failure.code is ResultCode.OUTCOME_UNKNOWN
+        await asyncio.sleep(5.0)
+        assert runs(site) == 1
+        asking.cancel()
+
+    virtual(scenario)
--- a/packages/groups/src/fordhatch/groups/_state.py
+++ b/packages/groups/src/fordhatch/groups/_state.py
@@ -228,7 +228,7 @@
             epoch=1,
             state=ACTIVE,
             generation=self.generation + 1,
-            members=[self._member(views[name]) for name in decision.members],
+            members=[self._member(name, views) for name in decision.members],
             fabric_domain=first.fabric_domain,
             model=service.model,
             version=service.version,
@@ -250,7 +250,7 @@
             epoch=1,
             state=ACTIVE,
             generation=self.generation + 1,
-            members=[self._member(views[decision.instance_id])],
+            members=[self._member(decision.instance_id, views)],
             max_running=decision.service.max_running,
         )
         return Change(group, self._bind(group))
@@ -262,7 +262,7 @@
         old = self.groups[decision.group_id]
         members = list(old.members)
         for rank, name in decision.replacements.items():
-            members[rank] = self._member(views[name])
+            members[rank] = self._member(name, views)
         for rank, member in enumerate(members):
             if rank not in decision.replacements:
                 # Survivors get a new token too: the epoch of their order changes.
@@ -314,13 +314,13 @@
         old = self.groups[group_id]
         return Change(attrs.evolve(old, generation=self.generation + 1, **fields))
 
-    def _member(self, view: InstanceView) -> Member:
-        place = view.instance
+    def _member(self, name: str, views: dict[str, InstanceView]) -> Member:
+        place = views[name].instance
         return Member(
             place.instance_id,
             place.address,
             place.zone,
-            view.next_token,
+            self._next_token(name, views),
             place.checks_orders,
         )
 
--- a/packages/protocol/src/fordhatch/protocol/_messages.py
+++ b/packages/protocol/src/fordhatch/protocol/_messages.py
@@ -84,6 +84,8 @@
     incarnation: int
     state: str
     """``alive``, ``suspect``, ``leaving`` or ``dead``."""
+    started: int = 0
+    """Changes with every start of the node's process."""
 
 
 @message(11)
--- a/packages/routing/src/fordhatch/routing/_batcher.py
+++ b/packages/routing/src/fordhatch/routing/_batcher.py
@@ -120,8 +120,9 @@
             if not conflicts:
                 outcomes.update({w.key: ClaimOutcome(UNKNOWN) for w in left})
                 break
+            by_key = {w.key: w for w in left}
             for key, row in conflicts.items():
-                outcomes[key] = ClaimOutcome(CONFLICT, row)
+                outcomes[key] = _judge_conflict(by_key[key], row)
             left = [w for w in left if w.key not in conflicts]
         return outcomes
 
@@ -148,6 +149,14 @@
     )
 
 
+def _judge_conflict(write: ClaimWrite, row: Row) -> ClaimOutcome:
+    """Tell a real conflict from one with this write's own earlier effect."""
+    if row.value is None or write.value is None:
+        return ClaimOutcome(CONFLICT, row)
+    is_own = row.value["write_id"] == write.value["write_id"]
+    return ClaimOutcome(WRITTEN if is_own else CONFLICT, row)
+
+
 def _judge(write: ClaimWrite, row: Row) -> ClaimOutcome:
     """Tell from a row read back whether a write took effect."""
     if write.value is None:
--- a/packages/routing/src/fordhatch/routing/_claims.py
+++ b/packages/routing/src/fordhatch/routing/_claims.py
@@ -28,7 +28,7 @@
     metrics,
     new_id,
 )
-from fordhatch.membership import MembershipTable, rendezvous_rank
+from fordhatch.membership import DEAD, MembershipTable, rendezvous_rank
 from fordhatch.platform import ObjectStore, Row, TableService
 from fordhatch.protocol import PeerPool
 from fordhatch.protocol.messages import Answer, ClaimsCommitted, CommitClaims
@@ -205,6 +205,7 @@
             "state": RUNNING,
             "digest": key.request_digest,
             "node": self.node_id,
+            "started": self.nodes.own.started,
             "expires_at": self.timer.wall_s() + self.expiry_s,
             "target": attrs.asdict(target),
         }
@@ -333,8 +334,14 @@
         return Ok(present)
 
     def _holder_lives(self, present: Present) -> bool:
-        name = str(present.row.value["node"])
-        return any(node.node_id == name for node in self.nodes.not_dead())
+        """Return whether the process that took the claim may still be running."""
+        value = present.row.value
+        record = self.nodes.find(str(value["node"]))
+        if record is None or record.state == DEAD:
+            return False
+        started = int(value["started"])
+        # A node that started anew under the same name knows nothing of the claim.
+        return record.started == started
 
     async def reopen(self, key: ClaimKey, present: Present) -> bool:
         """Delete a claim whose request is proved never to have run.
