--- /dev/null
+++ b/packages/core/tests/test_docs_tables.py
@@ -0,0 +1,53 @@
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+from fordhatch.core import format_line, metrics
+
+ROOT = Path(__file__).parents[3]
+EVENT = re.compile(r'log_event\(\s*"(\w+)"')
+SECRET_FIELDS = re.compile(r"\b(body|prompt|api_key|token_text|headers|content)=")
+
+
+def sources() -> list[str]:
+    return [p.read_text() for p in ROOT.glob("packages/*/src/**/*.py")]
+
+
+def test_every_log_event_stands_in_the_table() -> None:
+    in_code = {name for text in sources() for name in EVENT.findall(text)}
+    table = (ROOT / "docs" / "LOGS.md").read_text()
+    in_docs = set(re.findall(r"^\| `(\w+)` \|", table, re.MULTILINE))
+    assert in_docs == in_code
+
+
+def test_every_metric_stands_in_the_table() -> None:
+    in_code = {
+        metric.name + ("_total" if metric.type == "counter" else "")
+        for metric in metrics.REGISTRY.collect()
+    }
+    table = (ROOT / "docs" / "METRICS.md").read_text()
+    in_docs = set(re.findall(r"^\| `(\w+)` \|", table, re.MULTILINE))
+    assert in_docs == in_code
+
+
+def test_no_log_event_carries_a_secret_or_a_prompt() -> None:
+    for text in sources():
+        for call in re.findall(r"log_event\((.*?)\n\s*\)", text, re.DOTALL):
+            assert not SECRET_FIELDS.search(call), call
+
+
+def test_a_log_line_is_one_line_of_pairs() -> None:
+    message = {
+        "timestamp": 0.5,
+        "message_type": "group_seen",
+        "task_uuid": "u",
+        "task_level": [1],
+        "group": "g-1",
+        "unfit": 'gpu 1="x"\n',
+    }
+    line = format_line("node-1", message)
+    assert line == (
+        "time=1970-01-01T00:00:00.500Z node=node-1 event=group_seen group=g-1 "
+        'unfit="gpu 1=\\"x\\"\\n"'
+    )
--- a/packages/daemon/src/fordhatch/daemon/_callers.py
+++ b/packages/daemon/src/fordhatch/daemon/_callers.py
@@ -72,8 +72,9 @@
         self, request: Request, response: HTTPResponse
     ) -> None:
         """Let kept-alive connections move to other nodes."""
-        if self.node.leaving and response is not None:
-            response.headers["Connection"] = "close"
+        if self.node.leaving and request.stream is not None:
+            # The library writes the header itself, from this field.
+            request.stream.keep_alive = False
 
     async def ready(self, request: Request) -> HTTPResponse:
         """Tell the balancer whether to send requests here."""
