--- a/bench/guards.py
+++ b/bench/guards.py
@@ -144,7 +144,7 @@
         "routing/_desk.py",
         "        if not self.queue.push(entry):\n",
         "        if not self.queue.push(entry) and False:\n",
-        f"{TESTS}/test_answers.py -k overload",
+        "packages/routing/tests/test_queues.py -k full_desk",
     ),
     Guard(
         "a permit needs every member",
@@ -209,6 +209,27 @@
         "            gone = True\n",
         f"{TESTS}/test_groups_under_failure.py -k outlives",
     ),
+    Guard(
+        "orders wait until old permits have lapsed",
+        "groups/_orders.py",
+        "            if not ranks or not self._may_start(group.row):\n",
+        "            if not ranks:\n",
+        f"{TESTS}/test_groups_under_failure.py -k old_permit",
+    ),
+    Guard(
+        "a straggler ends the permit and is replaced",
+        "groups/_watcher.py",
+        "                states[name] = STRAGGLER\n",
+        "                pass\n",
+        f"{TESTS}/test_groups_under_failure.py -k straggler_is_replaced",
+    ),
+    Guard(
+        "short slowness is forgiven",
+        "groups/_watcher.py",
+        "            if watch.slow[name] >= STRAGGLER_PROBES:\n",
+        "            if watch.slow[name] >= 1:\n",
+        f"{TESTS}/test_groups_under_failure.py -k forgiven",
+    ),
     Guard(
         "flapping instances are chosen last",
         "groups/_planner.py",
--- a/packages/daemon/tests/test_at_most_once.py
+++ b/packages/daemon/tests/test_at_most_once.py
@@ -305,3 +305,35 @@
         assert runs(site) == 1
 
     virtual(scenario)
+
+
+def test_plain_holder_frozen_between_claim_and_dispatch_runs_it_once(virtual) -> None:
+    """A plain service cannot be asked, so a repeat gets a final answer instead."""
+
+    async def scenario(site) -> None:
+        await small_site(site)
+        thaw = asyncio.Event()
+        frozen: list[str] = []
+
+        async def freeze_first(step: str) -> None:
+            if step.startswith("call") and not frozen:
+                frozen.append(step)
+                await thaw.wait()
+
+        site.engines.before = freeze_first
+        first = asyncio.ensure_future(site.ask(plain_request(site), 0))
+        await site.until(lambda: bool(frozen))
+        holder = claim(site)["node"]
+        for node in site.nodes:
+            node.membership.table.entries.pop(holder, None)
+        awake = next(
+            i for i, n in enumerate(site.nodes) if n.settings.node_id != holder
+        )
+        failure = (await site.ask(plain_request(site), awake)).unwrap_err()
+        assert failure.code is ResultCode.OUTCOME_UNKNOWN
+        assert runs(site) == 0
+        thaw.set()
+        await asyncio.wait({first}, timeout=20.0)
+        assert runs(site) == 1
+
+    virtual(scenario)
--- a/packages/daemon/tests/test_groups_under_failure.py
+++ b/packages/daemon/tests/test_groups_under_failure.py
@@ -8,7 +8,7 @@
 import pytest
 from memory_site import REGION, small_site
 
-from fordhatch.groups import group_prefix, homes_of, instance_prefix
+from fordhatch.groups import Repair, group_prefix, homes_of, instance_prefix
 from fordhatch_standins import MemoryEngines
 
 
@@ -422,3 +422,76 @@
         check_rows(site)
 
     virtual(scenario)
+
+
+class RepairOnce:
+    """A policy that rebuilds a group under its permits, once."""
+
+    def __init__(self, group_id: str, spare: str) -> None:
+        self.decisions = [Repair(group_id, {1: spare})]
+
+    def decide(self, view, declared, region) -> list:
+        decisions, self.decisions = self.decisions, []
+        return decisions
+
+
+def test_orders_wait_until_every_old_permit_has_lapsed(virtual) -> None:
+    async def scenario(site) -> None:
+        await small_site(site)
+        leader = site.planner()
+        leader.planner.policy = RepairOnce("estimator-llm-1", "gpu-9")
+        # Both homes stop looking, so that their permits last as long as they can.
+        for node in site.nodes:
+            for task in node.watcher._watches.values():
+                task.cancel()
+        early: list[bool] = []
+
+        async def note(step: str) -> None:
+            if step.startswith("order"):
+                early.append(("estimator-llm-1", 1) in held_epochs(site))
+
+        site.engines.before = note
+        await site.until(lambda: bool(early))
+        assert not any(early), "an order went out under a valid permit"
+
+    virtual(scenario)
+
+
+def held_epochs(site) -> set[tuple[str, int]]:
+    return {
+        (permit.group_id, permit.epoch)
+        for node in site.nodes
+        for permit in node.permits._permits.values()
+        if node.permits.valid(permit.group_id, permit.epoch)
+    }
+
+
+def test_straggler_is_replaced_and_others_are_not(virtual) -> None:
+    async def scenario(site) -> None:
+        await small_site(site)
+        row = site.nodes[0].groups.rows["estimator-llm-1"]
+        slow = row.members[2]
+        site.engines.servers[slow.address].faults.step_factor = 5.0
+        await site.until(lambda: (row.group_id, 2) in site.serving(), 60.0)
+        now = site.nodes[0].groups.rows[row.group_id]
+        assert now.members[2].instance_id != slow.instance_id
+        others = [m.instance_id for i, m in enumerate(row.members) if i != 2]
+        assert others == [m.instance_id for i, m in enumerate(now.members) if i != 2]
+        assert ("estimator-llm-2", 1) in site.serving()
+
+    virtual(scenario)
+
+
+def test_short_slowness_is_forgiven(virtual) -> None:
+    async def scenario(site) -> None:
+        await small_site(site)
+        row = site.nodes[0].groups.rows["estimator-llm-1"]
+        engine = site.engines.servers[row.members[2].address]
+        for _ in range(3):
+            engine.faults.step_factor = 5.0
+            await asyncio.sleep(4.0)
+            engine.faults.step_factor = 1.0
+            await asyncio.sleep(3.0)
+        assert (row.group_id, 1) in site.serving()
+
+    virtual(scenario)
--- a/packages/groups/src/fordhatch/groups/_planner.py
+++ b/packages/groups/src/fordhatch/groups/_planner.py
@@ -15,6 +15,7 @@
 
 from ._decisions import Decision, Dissolve, Repair
 from ._lease import CLOCK_RATE_MARGIN, PlannerLease
+from ._load_rate import LoadRate
 from ._map import GroupMap
 from ._measures import Gap, Measures
 from ._orders import OrderSender
@@ -68,6 +69,7 @@
     permit_s: float
     reports: ReportBook = attrs.field(factory=ReportBook)
     measures: Measures = attrs.field(factory=Measures)
+    load_rate: LoadRate = attrs.field(factory=LoadRate)
     instances: dict[str, InstanceView] = attrs.field(factory=dict)
     _listed_s: float = float("-inf")
     _probed_s: float = float("-inf")
@@ -100,6 +102,7 @@
             return
         await self._look()
         view = self.view()
+        self.load_rate.observe(view.present_groups(), view.now_s)
         declared = self.config.current.declared
         gap = Gap.from_view(view, declared, self.region)
         self.measures.add(gap, self.timer.now_s())
@@ -221,7 +224,7 @@
             group.drained_since_s = self._drained_since(row, now_s)
             groups[row.group_id] = group
             self._copy_states(group)
-        return RegionView(now_s, self.instances, groups)
+        return RegionView(now_s, self.instances, groups, self.load_rate.shard_load_s)
 
     def _drained_since(self, row: GroupRow, now_s: float) -> float:
         if row.state != DRAINING and not row.leaving:
--- a/packages/groups/src/fordhatch/groups/_policy.py
+++ b/packages/groups/src/fordhatch/groups/_policy.py
@@ -30,10 +30,11 @@
 """How long a group without replacements waits before its survivors are reused."""
 
 RELOCATE_AFTER_S = 15.0
-"""How long a group waits for a lost member before it is built anew elsewhere.
+"""How long a group waits at least before it is built anew elsewhere.
 
-About what the build itself takes: waiting longer than that costs more than building,
-building sooner wastes loads on members that come back (ski rental).
+It waits as long as the build itself would take behind the loads already going on:
+waiting longer costs more than building, building sooner wastes loads on members that
+come back (ski rental).
 """
 
 DRAIN_S = 20.0
@@ -283,8 +284,12 @@
 
     def _is_stuck(self, group: GroupView) -> bool:
         """Return whether a group has waited so long that another may replace it."""
-        broken = group.broken(self.view.now_s, self.policy.relocate_after_s)
-        return bool(broken) and group.row.group_id not in self.touched
+        if group.row.group_id in self.touched:
+            return False
+        if not group.broken(self.view.now_s, self.policy.relocate_after_s):
+            return False
+        build_s = self.view.build_s(group.row.size)
+        return bool(group.broken(self.view.now_s, build_s))
 
     def _drop_surplus(
         self, service: ModelService, active: list[GroupView], stuck: list[GroupView]
--- a/packages/groups/src/fordhatch/groups/_view.py
+++ b/packages/groups/src/fordhatch/groups/_view.py
@@ -108,6 +108,17 @@
     now_s: float
     instances: dict[str, InstanceView]
     groups: dict[str, GroupView]
+    shard_load_s: float = 0.0
+    """Time in which one shard more is loaded somewhere in the region; 0 unknown."""
+
+    def build_s(self, shards: int) -> float:
+        """Return how long loading so many more shards would take from now."""
+        loading = sum(
+            state == LOADING
+            for group in self.present_groups()
+            for state in group.states.values()
+        )
+        return (loading + shards) * self.shard_load_s
 
     def of_service(self, service: str) -> list[GroupView]:
         """Return the service's groups that are not dissolved."""
--- a/packages/routing/tests/test_queues.py
+++ b/packages/routing/tests/test_queues.py
@@ -114,6 +114,24 @@
     loop.close()
 
 
+def test_full_desk_refuses_without_waiting() -> None:
+    loop = looptime.new_event_loop(start=0.0, noop_cycles=0)
+
+    async def scenario() -> None:
+        desk = GroupDesk.from_limits(1, 1, 60.0, Timer.from_seed(1))
+        assert (await desk.enter("a", 1.0, 5, 60.0)).is_ok()
+        queued = asyncio.create_task(desk.enter("a", 1.0, 5, 60.0))
+        await asyncio.sleep(0)
+        failure = (await desk.enter("a", 1.0, 5, 60.0)).unwrap_err()
+        assert failure.code is ResultCode.OVERLOADED
+        assert loop.time() < 0.1
+        desk.leave(1.0)
+        assert (await queued).is_ok()
+
+    loop.run_until_complete(scenario())
+    loop.close()
+
+
 def test_retries_are_a_share_of_the_requests() -> None:
     budget = RetryBudget(0.2)
     spent = 0
