--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -10,19 +10,21 @@
 import asyncio
 import json
 import statistics
-import sys
 import time
 import tracemalloc
+from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
+from typing import Annotated, Any
 
 import attrs
 import msgpack
+from cyclopts import App, Parameter
 from demo import API_KEY, REGION, ZONES, declared_state
 from fleet import Fleet, NodeChild
 
 from fordhatch.config import OperatorsFile
 from fordhatch.core import Timer
+from fordhatch.engine import HttpEngineClient
 from fordhatch.groups import (
     GroupMap,
     GroupRow,
@@ -37,6 +39,8 @@
 from fordhatch.routing import CLAIM_SHARDS, ClaimBatcher, ClaimWrite
 from fordhatch_standins import MemoryPlatform
 
+app = App(name="bench-capacity", help="Slopes of what each role costs.")
+
 RESULTS = Path(__file__).parent / "results"
 MEASURE_S = 12.0
 """Length of one measurement at rest."""
@@ -357,18 +361,80 @@
     return row
 
 
-async def measure() -> dict[str, Any]:
-    """Run every measurement."""
-    found: dict[str, Any] = {
-        "state": [state(n) for n in ROW_COUNTS],
-        "planning": [planning(n) for n in INSTANCE_COUNTS],
-        "claims": [await claims(rate, CLAIM_OWNERS) for rate in CLAIM_RATES],
-    }
-    found["claims_without_owners"] = await claims(300, 340)
-    found["nodes"] = [await at_rest(n, 6) for n in NODE_COUNTS]
-    found["groups"] = [await at_rest(8, n) for n in GROUP_COUNTS]
-    found["load"] = await under_load(LOADS)
-    return found
+async def probe_bytes() -> dict[str, float]:
+    """Measure the bytes of one probe, request and answer, on a kept connection."""
+    counted = 0
+    async with Fleet.from_directory() as fleet:
+        await fleet.start_platform()
+        engine = await fleet.start_backend("engine", "gpu-1")
+        await fleet.wait_http(f"{engine.url}/status")
+        host, port = engine.url.removeprefix("http://").split(":")
+
+        async def relay(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal counted
+            while data := await reader.read(65536):
+                counted += len(data)
+                writer.write(data)
+
+        async def accept(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+            await asyncio.gather(relay(reader, far_writer), relay(far_reader, writer))
+
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        client = HttpEngineClient.from_defaults()
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        for _ in range(20):
+            (await client.status(address)).unwrap()
+        await client.close()
+        server.close()
+    row = {"probes": 20, "bytes_each": counted / 20}
+    say(f"probe: {json.dumps(row)}")
+    return row
+
+
+async def _claims_of_all() -> list[dict[str, float]]:
+    return [await claims(rate, CLAIM_OWNERS) for rate in CLAIM_RATES]
+
+
+async def _nodes() -> list[dict[str, float]]:
+    return [await at_rest(n, 6) for n in NODE_COUNTS]
+
+
+async def _groups() -> list[dict[str, float]]:
+    return [await at_rest(8, n) for n in GROUP_COUNTS]
+
+
+async def _state() -> list[dict[str, float]]:
+    return [state(n) for n in ROW_COUNTS]
+
+
+async def _planning() -> list[dict[str, float]]:
+    return [planning(n) for n in INSTANCE_COUNTS]
+
+
+SECTIONS: dict[str, Callable[[], Awaitable[Any]]] = {
+    "state": _state,
+    "planning": _planning,
+    "claims": _claims_of_all,
+    "claims_without_owners": lambda: claims(300, 340),
+    "probe": probe_bytes,
+    "nodes": _nodes,
+    "groups": _groups,
+    "load": lambda: under_load(LOADS),
+}
+"""Every measurement by name."""
+
+
+async def measure(only: str) -> dict[str, Any]:
+    """Run every measurement, or one and keep the others of the last run."""
+    if not only:
+        return {name: await run() for name, run in SECTIONS.items()}
+    kept = json.loads((RESULTS / "capacity.json").read_text())["measured"]
+    return {**kept, only: await SECTIONS[only]()}
 
 
 def fits(found: dict[str, Any]) -> dict[str, Fit]:
@@ -443,9 +509,10 @@
     return "\n".join(parts) + "\n"
 
 
-def main() -> None:
+@app.default
+def run(*, only: Annotated[str, Parameter(help="One section.")] = "") -> None:
     """Measure, fit and write."""
-    found = asyncio.run(measure())
+    found = asyncio.run(measure(only))
     lines = fits(found)
     RESULTS.mkdir(exist_ok=True)
     record = {"measured": found, "fits": {k: attrs.asdict(v) for k, v in lines.items()}}
@@ -456,4 +523,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    app()
--- a/packages/cli/src/fordhatch/cli/main.py
+++ b/packages/cli/src/fordhatch/cli/main.py
@@ -35,14 +35,17 @@
 EXIT_REFUSED = 4
 EXIT_UNKNOWN = 5
 
-EPILOGUE = """Examples:
-
-fordhatch validate examples/pruitt.json
-fordhatch diff examples/pruitt.json
-fordhatch apply examples/pruitt.json --base 3
-fordhatch get groups --json
-fordhatch status
-"""
+EPILOGUE = "\n\n".join(
+    (
+        "Examples:",
+        "fordhatch validate examples/pruitt.json",
+        "fordhatch diff examples/pruitt.json",
+        "fordhatch apply examples/pruitt.json --base 3",
+        "fordhatch get groups --json",
+        "fordhatch status",
+    )
+)
+"""Shown below the commands; blank lines keep each example on its own line."""
 
 T = TypeVar("T")
 
@@ -52,6 +55,8 @@
     help_epilogue=EPILOGUE,
 )
 
+app.register_install_completion_command()
+
 Url = Annotated[str, Parameter(env_var="FORDHATCH_URL", help="Operators' address.")]
 Token = Annotated[str, Parameter(env_var="FORDHATCH_TOKEN", help="Operator's token.")]
 AsJson = Annotated[bool, Parameter(name="--json", help="Print JSON.")]
--- a/packages/groups/src/fordhatch/groups/_orders.py
+++ b/packages/groups/src/fordhatch/groups/_orders.py
@@ -14,7 +14,7 @@
 RESEND_S = 1.0
 """Pause before an order is sent again."""
 
-MOST_LOADING = 16
+MOST_LOADING = 8
 """Shards that load at once; more would only share the weight store's rate."""
 
 _Sent = tuple[int, tuple[str, ...]]
