Take the building of parts out of the node's module

Cause: _node.py had grown to 520 lines, a third of it construction, and its constructor was 90 lines long. Ruled out: a dependency injection library. Change: _parts.py builds each part in a method of its own; _node.py keeps what nodes say to each other.

--- a/packages/daemon/src/fordhatch/daemon/_node.py
+++ b/packages/daemon/src/fordhatch/daemon/_node.py
@@ -2,45 +2,22 @@
 
 from __future__ import annotations
 
-import random
 from functools import singledispatchmethod
-from typing import Any, Protocol
+from typing import Any
 
 import attrs
 
-from fordhatch.config import (
-    HEAD_KEY,
-    ConfigApplier,
-    ConfigFollower,
-    Settings,
-)
+from fordhatch.config import HEAD_KEY, ConfigApplier, ConfigFollower, Settings
 from fordhatch.core import Failure, ResultCode, TaskSet, Timer, log_event, metrics
-from fordhatch.engine import EngineClient, HttpEngineClient
+from fordhatch.engine import EngineClient
 from fordhatch.groups import (
     GroupMap,
     GroupWatcher,
-    OrderSender,
     PermitBook,
     Planner,
-    PlannerLease,
-    RegionState,
-    RepairFirstPolicy,
     head_key,
 )
-from fordhatch.membership import (
-    ALIVE,
-    DEAD,
-    SUSPECT,
-    Membership,
-    OpenEndpoint,
-    open_udp_endpoint,
-)
-from fordhatch.platform import (
-    HttpPlatform,
-    InstanceList,
-    ObjectStore,
-    TableService,
-)
+from fordhatch.membership import DEAD, SUSPECT, Membership
 from fordhatch.protocol import Channel, PeerPool, to_refused
 from fordhatch.protocol.messages import (
     Accepted,
@@ -56,15 +33,9 @@
     StatusReply,
     VersionDigest,
 )
-from fordhatch.routing import (
-    AffinityChooser,
-    ClaimBatcher,
-    ClaimService,
-    EntryRouter,
-    HomeDispatcher,
-    LoadBook,
-    RetryBudget,
-)
+from fordhatch.routing import ClaimService, EntryRouter, HomeDispatcher
+
+from ._parts import Edges, PartsBuilder, Platform
 
 PULL_TIMEOUT_S = 3.0
 """How long another node may take to send what this one lacks."""
@@ -76,24 +47,6 @@
 """Time between passes of the claim cleaner, on the planner's node."""
 
 
-class Platform(TableService, ObjectStore, InstanceList, Protocol):
-    """All that the platform gives."""
-
-    async def close(self) -> None:
-        """Close the connections."""
-        ...
-
-
-@attrs.frozen
-class Edges:
-    """A node's edges to the world, one thin client each."""
-
-    platform: Platform
-    engines: EngineClient
-    pool: PeerPool
-    open_endpoint: OpenEndpoint
-
-
 @attrs.define(eq=False)
 class Node:
     """The state and parts of one entry node."""
@@ -130,14 +83,7 @@
             A node that has not been started.
         """
         timer = Timer.from_seed(settings.node_id)
-        key = settings.shared_key.encode()
-        edges = Edges(
-            HttpPlatform.from_url(settings.platform_url),
-            HttpEngineClient.from_defaults(),
-            PeerPool(settings.node_id, key, timer),
-            open_udp_endpoint,
-        )
-        return cls.from_edges(settings, timer, edges)
+        return cls.from_edges(settings, timer, Edges.from_settings(settings, timer))
 
     @classmethod
     def from_edges(cls, settings: Settings, timer: Timer, edges: Edges) -> Node:
@@ -151,74 +97,25 @@
         Returns:
             A node that has not been started.
         """
-        timing = settings.timing
-        platform, engines, pool = edges.platform, edges.engines, edges.pool
-        started = int(timer.wall_s() * 10)
-        own = NodeRecord(
-            settings.node_id,
-            str(settings.peers),
-            settings.region,
-            settings.zone,
-            started,
-            ALIVE,
-            started,
-        )
-        membership = Membership.from_record(
-            own,
-            timer,
-            settings.shared_key.encode(),
-            seeds=settings.seeds,
-            ping_interval_s=timing.ping_interval_s,
-            suspect_s=timing.suspect_s,
-            open_endpoint=edges.open_endpoint,
-        )
-        config = ConfigFollower(platform, timer)
-        groups = GroupMap()
-        permits = PermitBook(timer, timing.permit_s)
-        parts = _Parts(settings, timer, platform, engines, pool, membership)
-        watcher = parts.watcher(groups, permits)
-        planner = parts.planner(config, groups)
-        claims = parts.claims()
-        home = HomeDispatcher(
-            groups,
-            permits,
-            engines,
-            claims,
-            timer,
-            settings.limits.max_queued_per_group,
-            settings.limits.max_queue_wait_s,
-            watcher.last_status,
-        )
-        entry = EntryRouter(
-            settings.node_id,
-            config,
-            groups,
-            membership.table,
-            pool,
-            home,
-            claims,
-            engines,
-            AffinityChooser(random.Random(settings.node_id)),
-            LoadBook(timer),
-            RetryBudget(settings.limits.retry_budget_ratio),
-            timer,
-        )
+        build = PartsBuilder.from_edges(settings, timer, edges)
+        watcher, claims = build.watcher(), build.claims()
+        home = build.home(claims, watcher)
         node = cls(
             settings,
             timer,
-            platform,
-            engines,
-            pool,
-            membership,
-            config,
-            ConfigApplier(platform, platform, config, timer),
-            groups,
-            permits,
+            edges.platform,
+            edges.engines,
+            edges.pool,
+            build.membership,
+            build.config,
+            build.applier(),
+            build.groups,
+            build.permits,
             watcher,
-            planner,
+            build.planner(),
             claims,
             home,
-            entry,
+            build.entry(home, claims),
         )
         node._connect_parts()
         return node
@@ -447,74 +344,3 @@
         await self.engines.close()
         await self.platform.close()
         log_event("node_stopped")
-
-
-@attrs.define
-class _Parts:
-    """Builds the parts that need most of the others."""
-
-    settings: Settings
-    timer: Timer
-    platform: Platform
-    engines: EngineClient
-    pool: PeerPool
-    membership: Membership
-
-    def watcher(self, groups: GroupMap, permits: PermitBook) -> GroupWatcher:
-        return GroupWatcher(
-            self.settings.node_id,
-            self.settings.region,
-            groups,
-            self.membership.table,
-            self.engines,
-            permits,
-            self.timer,
-            self.settings.timing.probe_interval_s,
-            report=_nobody,
-            planner_of=str,
-        )
-
-    def planner(self, config: ConfigFollower, groups: GroupMap) -> Planner:
-        settings = self.settings
-        holder = f"{settings.node_id}/{self.membership.table.own.incarnation}"
-        lease = PlannerLease(
-            settings.region,
-            holder,
-            self.platform,
-            self.timer,
-            settings.timing.planner_lease_s,
-        )
-        return Planner(
-            settings.node_id,
-            settings.region,
-            RegionState(settings.region, self.platform),
-            lease,
-            OrderSender(self.engines, lease, self.timer),
-            self.platform,
-            self.engines,
-            config,
-            groups,
-            self.membership.table,
-            RepairFirstPolicy(),
-            self.timer,
-            settings.timing.permit_s,
-        )
-
-    def claims(self) -> ClaimService:
-        limits = self.settings.limits
-        return ClaimService(
-            self.settings.node_id,
-            self.settings.region,
-            self.platform,
-            self.platform,
-            ClaimBatcher(self.platform, self.timer),
-            self.pool,
-            self.membership.table,
-            self.timer,
-            limits.claim_expiry_s,
-            limits.max_stored_answer_bytes,
-        )
-
-
-async def _nobody(report: GroupReport) -> bool:
-    return False
