--- a/packages/daemon/tests/test_at_most_once.py
+++ b/packages/daemon/tests/test_at_most_once.py
@@ -247,6 +247,20 @@
     virtual(scenario)
 
 
+def test_cleaning_reaches_every_page(virtual) -> None:
+    async def scenario(site) -> None:
+        await small_site(site)
+        claims = site.nodes[0].claims
+        old = {"attempt_id": "a", "expires_at": 0.0}
+        for index in range(600):
+            site.platform.rows[f"claims/00/{index:04d}"] = (1, dict(old))
+        await claims.clean()
+        await asyncio.sleep(5.0)
+        assert not [key for key in site.platform.rows if key.startswith("claims/")]
+
+    virtual(scenario)
+
+
 def test_long_answers_go_to_the_object_store(virtual) -> None:
     async def scenario(site) -> None:
         await small_site(site)
--- a/packages/routing/src/fordhatch/routing/_claims.py
+++ b/packages/routing/src/fordhatch/routing/_claims.py
@@ -65,7 +65,10 @@
 """Longest time that settling a claim holds up its caller."""
 
 CLEAN_PAGE = 256
-"""Claim rows looked at in one pass of the cleaner."""
+"""Claim rows in one page of the cleaner."""
+
+CLEAN_PAGES = 16
+"""Pages in one pass of the cleaner; see ``docs/CAPACITY.md`` for the arithmetic."""
 
 
 @attrs.frozen
@@ -354,19 +357,33 @@
     # Cleaning.
 
     async def clean(self) -> None:
-        """Delete expired claims, a page at a time; any one node does it."""
+        """Delete expired claims, some pages at a time; any one node does it.
+
+        Rows are in the order of their hashes, so that expired ones are everywhere:
+        how many pages a pass reads sets how late the last of them goes.
+        """
+        for _ in range(CLEAN_PAGES):
+            if not await self._clean_page():
+                return
+
+    async def _clean_page(self) -> bool:
+        """Clean one page; returns whether there are more before the last row."""
         read = await self.table.scan(
             CLAIM_PREFIX, after=self._clean_after, limit=CLEAN_PAGE
         )
         if read.is_err():
-            return
+            return False
         rows = read.unwrap()
-        self._clean_after = rows[-1].key if len(rows) == CLEAN_PAGE else CLAIM_PREFIX
         now = self.timer.wall_s()
         for row in rows:
             if float(row.value["expires_at"]) < now:
                 write = ClaimWrite(row.key, str(row.value["attempt_id"]), None)
                 self._tasks.spawn(self.batcher.submit(write), "claim-clean")
+        if len(rows) < CLEAN_PAGE:
+            self._clean_after = CLAIM_PREFIX
+            return False
+        self._clean_after = rows[-1].key
+        return True
 
     async def close(self) -> None:
         """Wait for claims that are being settled, then stop."""
