A member that stays after all serves again; shorter reports to the planner

Cause: reading the policy: a group whose member had once said that it was leaving stayed out of service until a spare replaced the member, for ever where there was none. Found by reading, shown by test_member_that_stays_after_all_serves_again, red before.

Ruled out: forgetting the mark whenever no report says leaving (a missing report would put a leaving member back to work).

Change: the mark goes when the member is plainly ready; reports name only members that are not ready.

Conclusion: marks that are set need a way back.

--- a/packages/daemon/tests/test_groups_under_failure.py
+++ b/packages/daemon/tests/test_groups_under_failure.py
@@ -495,3 +495,17 @@
         assert (row.group_id, 1) in site.serving()
 
     virtual(scenario)
+
+
+def test_member_that_stays_after_all_serves_again(virtual) -> None:
+    async def scenario(site) -> None:
+        await small_site(site, engines=8)
+        row = site.nodes[0].groups.rows["estimator-llm-1"]
+        server = site.engines.servers[row.members[2].address]
+        server.faults.leaving = True
+        await asyncio.sleep(5.0)
+        assert (row.group_id, 1) not in site.serving()
+        server.faults.leaving = False
+        await site.until(lambda: (row.group_id, 1) in site.serving())
+
+    virtual(scenario)
--- a/packages/groups/src/fordhatch/groups/_policy.py
+++ b/packages/groups/src/fordhatch/groups/_policy.py
@@ -119,16 +119,19 @@
                 for m in group.row.members
                 if self._is_leaving(group, m.instance_id)
             ]
-            if set(leaving) - set(group.row.leaving):
-                self._decide(
-                    MarkLeaving(group.row.group_id, leaving), group.row.group_id
-                )
+            if leaving != group.row.leaving:
+                name = group.row.group_id
+                self._decide(MarkLeaving(name, leaving), name)
 
     def _is_leaving(self, group: GroupView, instance_id: str) -> bool:
         listed = self.view.instances.get(instance_id)
         if listed is not None and listed.instance.state == "leaving":
             return True
-        return group.states.get(instance_id) == IS_LEAVING
+        state = group.states.get(instance_id)
+        # Once marked, only a member that is plainly ready is staying after all.
+        return state == IS_LEAVING or (
+            instance_id in group.row.leaving and state != READY
+        )
 
     def _drained(self, group: GroupView) -> bool:
         waited_s = self.view.now_s - group.drained_since_s
--- a/packages/groups/src/fordhatch/groups/_reports.py
+++ b/packages/groups/src/fordhatch/groups/_reports.py
@@ -9,7 +9,7 @@
 from fordhatch.protocol.messages import GroupReport
 
 from ._rows import GroupRow
-from ._view import IS_LEAVING, LOST, UNKNOWN, GroupView
+from ._view import IS_LEAVING, LOST, READY, UNKNOWN, GroupView
 from ._watcher import REPORT_INTERVAL_S
 
 REPORT_VALID_S = 3 * REPORT_INTERVAL_S
@@ -66,7 +66,7 @@
             self.last_permitted_s[row.group_id] = now_s
         for member in row.members:
             name = member.instance_id
-            state = self._merge([r.member_states.get(name, UNKNOWN) for r in current])
+            state = self._merge([r.unfit_members.get(name, READY) for r in current])
             view.states[name] = state
             view.since_s[name] = self._since(row.group_id, name, state, now_s)
         return view
--- a/packages/groups/src/fordhatch/groups/_watcher.py
+++ b/packages/groups/src/fordhatch/groups/_watcher.py
@@ -188,12 +188,13 @@
     async def _report(
         self, row: GroupRow, states: dict[str, str], permitted: bool, watch: _Watch
     ) -> None:
+        unfit = {name: state for name, state in states.items() if state != READY}
         report = GroupReport(
             row.group_id,
             row.epoch,
             self.node_id,
             permitted,
-            states,
+            unfit,
             self.in_flight(row.group_id) if not row.serves else 0,
         )
         now_s, planner = self.timer.now_s(), self.planner_of()
@@ -201,7 +202,7 @@
         if unchanged and now_s - watch.reported_s < REPORT_INTERVAL_S:
             return
         if not unchanged:
-            summary = ",".join(f"{n}:{s}" for n, s in states.items() if s != READY)
+            summary = ",".join(f"{name}:{state}" for name, state in unfit.items())
             log_event(
                 "group_seen", group=row.group_id, epoch=row.epoch, unfit=summary or "-"
             )
--- a/packages/protocol/src/fordhatch/protocol/_messages.py
+++ b/packages/protocol/src/fordhatch/protocol/_messages.py
@@ -179,8 +179,8 @@
     watcher: str
     permitted: bool
     """Whether the watcher holds a permit for the group."""
-    member_states: dict[str, str]
-    """Probe state by instance."""
+    unfit_members: dict[str, str]
+    """Probe state of every member that is not ready, by instance."""
     in_flight: int = 0
     """Requests that the watcher has running on the group."""
 
