--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -22,7 +22,7 @@
 from demo import API_KEY, REGION, ZONES, declared_state
 from fleet import Fleet, NodeChild
 
-from fordhatch.config import OperatorsFile
+from fordhatch.config import OperatorsFile, hash_key
 from fordhatch.core import Timer
 from fordhatch.engine import HttpEngineClient
 from fordhatch.groups import (
@@ -56,6 +56,7 @@
 CLAIM_OWNERS = 3 * CLAIM_SHARDS
 """Claim owners in three regions."""
 INSTANCE_COUNTS = [48, 96, 200, 400]
+WORKSPACE_COUNTS = [10, 40, 160, 640]
 ROW_COUNTS = [50, 100, 200, 400]
 
 
@@ -268,6 +269,7 @@
         await batcher.submit(ClaimWrite(f"claims/{index}", f"a{index}", settled))
 
     tasks = []
+    used_s = time.process_time()
     for index in range(int(rate * duration_s)):
         tasks.append(asyncio.create_task(claim(index)))
         await asyncio.sleep(1 / rate)
@@ -277,6 +279,7 @@
         "owners": owners,
         "transactions_s": platform.writes / duration_s,
         "wait_p95_ms": 1000 * sorted(waits)[int(0.95 * len(waits))],
+        "core_percent": 100 * (time.process_time() - used_s) / duration_s,
     }
     say(f"claims: {json.dumps({k: round(v, 2) for k, v in row.items()})}")
     return row
@@ -361,6 +364,35 @@
     return row
 
 
+def configuration(workspaces: int) -> dict[str, float]:
+    """Measure what a file with so many workspaces takes to send, check and keep."""
+    document = declared_state()
+    first = document["workspaces"][0]
+    document["workspaces"] = [
+        {**first, "name": f"w-{n}", "api_keys": [hash_key(f"key {n}")]}
+        for n in range(workspaces)
+    ]
+    content = json.dumps(document).encode()
+    OperatorsFile.from_json(content).unwrap()
+    repeats = 5
+    started_s = time.process_time()
+    for _ in range(repeats):
+        OperatorsFile.from_json(content).unwrap()
+    check_ms = 1000 * (time.process_time() - started_s) / repeats
+    tracemalloc.start()
+    kept = OperatorsFile.from_json(content).unwrap()
+    used = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    row = {
+        "workspaces": len(kept.workspaces),
+        "file_kb": len(content) / 1e3,
+        "check_ms": check_ms,
+        "memory_kb": used / 1e3,
+    }
+    say(f"configuration: {json.dumps(row)}")
+    return row
+
+
 async def probe_bytes() -> dict[str, float]:
     """Measure the bytes of one probe, request and answer, on a kept connection."""
     counted = 0
@@ -412,6 +444,10 @@
     return [state(n) for n in ROW_COUNTS]
 
 
+async def _configuration() -> list[dict[str, float]]:
+    return [configuration(n) for n in WORKSPACE_COUNTS]
+
+
 async def _planning() -> list[dict[str, float]]:
     return [planning(n) for n in INSTANCE_COUNTS]
 
@@ -419,6 +455,7 @@
 SECTIONS: dict[str, Callable[[], Awaitable[Any]]] = {
     "state": _state,
     "planning": _planning,
+    "configuration": _configuration,
     "claims": _claims_of_all,
     "claims_without_owners": lambda: claims(300, 340),
     "probe": probe_bytes,
@@ -429,12 +466,12 @@
 """Every measurement by name."""
 
 
-async def measure(only: str) -> dict[str, Any]:
-    """Run every measurement, or one and keep the others of the last run."""
+async def measure(only: list[str]) -> dict[str, Any]:
+    """Run every measurement, or some and keep the others of the last run."""
     if not only:
         return {name: await run() for name, run in SECTIONS.items()}
     kept = json.loads((RESULTS / "capacity.json").read_text())["measured"]
-    return {**kept, only: await SECTIONS[only]()}
+    return {**kept, **{name: await SECTIONS[name]() for name in only}}
 
 
 def fits(found: dict[str, Any]) -> dict[str, Fit]:
@@ -463,6 +500,13 @@
         "planning ms by instances": line("planning", "instances", "pass_ms"),
         "group map KB by groups": line("state", "groups", "memory_kb"),
         "group rows on the wire KB by groups": line("state", "groups", "wire_kb"),
+        "file KB by workspaces": line("configuration", "workspaces", "file_kb"),
+        "ms to check a file by workspaces": line(
+            "configuration", "workspaces", "check_ms"
+        ),
+        "core % of all claim owners by claims/s": line(
+            "claims", "claims_s", "core_percent"
+        ),
         "claim transactions/s by claims/s (6 owners)": line(
             "claims", "claims_s", "transactions_s"
         ),
@@ -510,9 +554,14 @@
 
 
 @app.default
-def run(*, only: Annotated[str, Parameter(help="One section.")] = "") -> None:
+def run(
+    *,
+    only: Annotated[
+        list[str] | None, Parameter(help="Some sections.", consume_multiple=True)
+    ] = None,
+) -> None:
     """Measure, fit and write."""
-    found = asyncio.run(measure(only))
+    found = asyncio.run(measure(only or []))
     lines = fits(found)
     RESULTS.mkdir(exist_ok=True)
     record = {"measured": found, "fits": {k: attrs.asdict(v) for k, v in lines.items()}}
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import os
 import signal
@@ -23,39 +24,45 @@
 READY_LIMIT_S = 20.0
 
 
-_given: set[int] = set()
-"""Ranges handed out; their processes may not have bound them yet."""
+FIRST_PORT, LAST_PORT = 10_000, 32_000
+"""Below the ports that the kernel gives to outgoing connections, one of which could
+otherwise take a port between the look and the use."""
+
+_ports = itertools.cycle(range(FIRST_PORT, LAST_PORT))
+_start = os.getpid() * 97 % (LAST_PORT - FIRST_PORT)
+next(itertools.islice(_ports, _start, _start), None)
 
 
 def free_range(count: int) -> int:
-    """Return the first of ``count`` ports in a row that are free now."""
-    for first in range(20000, 32000, count):
-        if first in _given:
-            continue
-        sockets = [socket.socket() for _ in range(count)]
-        try:
-            for index, item in enumerate(sockets):
-                item.bind(("127.0.0.1", first + index))
-        except OSError:
+    """Return the first of ``count`` ports in a row that are free now.
+
+    No port is handed out twice by one process.
+    """
+    first, length = 0, 0
+    for port in itertools.islice(_ports, LAST_PORT - FIRST_PORT):
+        if not _is_free(port) or port == FIRST_PORT:
+            length = 0
             continue
-        else:
-            _given.add(first)
+        first = first if length else port
+        length += 1
+        if length == count:
             return first
-        finally:
-            for item in sockets:
-                item.close()
-    raise RuntimeError("no free range of ports")
+    raise RuntimeError("no free ports")
 
 
 def free_ports(count: int) -> list[int]:
     """Return ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
+    return [free_range(1) for _ in range(count)]
+
+
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as item:
+            try:
+                item.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+    return True
 
 
 @attrs.define(eq=False)
--- a/bench/groups.py
+++ b/bench/groups.py
@@ -452,6 +452,8 @@
     for index, label in enumerate(labels):
         values = [mean([r[index] for r in f.repairs]) for f in (ours, base)]
         _row(f"mean s, {label}", *values, None)
+    steps = [mean(f.step_ms) for f in (ours, base)]
+    print(f"planner's pass, real ms: {steps[0]:.2f} policy, {steps[1]:.2f} baseline")
     ahead = (
         ours.downtime_s < base.downtime_s
         if profile.weighs == "downtime"
