The planner and the watchers forget groups and instances that are gone

Ruled out: restarts as the remedy. Change: each pass drops what concerns groups and instances that are gone.

--- a/packages/groups/src/fordhatch/groups/_orders.py
+++ b/packages/groups/src/fordhatch/groups/_orders.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
+
 import attrs
 
 from fordhatch.core import TaskSet, Timer, log_event, metrics, new_id
@@ -96,6 +98,15 @@
         )
         self._tasks.spawn(self._send(member.address, order), "order")
 
+    def keep_only(self, instance_ids: Container[str], now_s: float) -> None:
+        """Drop what is known of instances that are gone, and waits that are over."""
+        for known in (self._acknowledged, self._last_sent_s):
+            for name in [n for n in known if n not in instance_ids]:
+                del known[name]
+        for group_id, until_s in list(self.not_before_s.items()):
+            if until_s < now_s:
+                del self.not_before_s[group_id]
+
     def release(self, view: InstanceView, row: InstanceRow) -> None:
         """Tell a free instance's engine that it belongs to no group."""
         if not self._paused(row.instance_id):
--- a/packages/groups/src/fordhatch/groups/_planner.py
+++ b/packages/groups/src/fordhatch/groups/_planner.py
@@ -110,6 +110,15 @@
         if not self.state.guard.tripped:
             await self._write(decisions, view)
         self._order(self.view())
+        self._forget()
+
+    def _forget(self) -> None:
+        """Drop what concerns groups and instances that are gone."""
+        present = {
+            r.group_id for r in self.state.groups.values() if r.state != DISSOLVED
+        }
+        self.reports.keep_only(present)
+        self.orders.keep_only(self.instances, self.timer.now_s())
 
     def _is_candidate(self) -> bool:
         near = [n.node_id for n in self.table.usable() if n.region == self.region]
--- a/packages/groups/src/fordhatch/groups/_reports.py
+++ b/packages/groups/src/fordhatch/groups/_reports.py
@@ -39,10 +39,13 @@
         by_watcher = self._seen.setdefault(report.group_id, {})
         by_watcher[report.watcher] = _Seen(report, now_s)
 
-    def forget(self, group_id: str) -> None:
-        """Drop all that is known of a group."""
-        self._seen.pop(group_id, None)
-        self.last_permitted_s.pop(group_id, None)
+    def keep_only(self, group_ids: Container[str]) -> None:
+        """Drop all that is known of other groups."""
+        for group_id in [g for g in self._seen if g not in group_ids]:
+            del self._seen[group_id]
+            self.last_permitted_s.pop(group_id, None)
+        for key in [k for k in self._states if k[0] not in group_ids]:
+            del self._states[key]
 
     def view(self, row: GroupRow, watchers: Container[str], now_s: float) -> GroupView:
         """Return the merged picture of a group.
--- a/packages/groups/src/fordhatch/groups/_watcher.py
+++ b/packages/groups/src/fordhatch/groups/_watcher.py
@@ -132,6 +132,9 @@
         for group_id in list(self._watches.keys() - mine):
             self._watches.pop(group_id).cancel()
             self.permits.withdraw(group_id)
+        watched = {m.instance_id for g in mine for m in self.groups.rows[g].members}
+        for name in [n for n in self.last_status if n not in watched]:
+            del self.last_status[name]
 
     def _is_home(self, row: GroupRow) -> bool:
         return any(n.node_id == self.node_id for n in homes_of(row, self.table))
