Dissolved group rows go after a while; nodes far behind drop groups that are gone

Cause: reading as a newcomer: a dissolved group's row stayed in the table for ever, and a new planner scans them all. Followers keep 256 dissolved rows; a node further behind than that would have kept a dissolved group for good, and once one of its instances served in another group its own invariant would have stopped it.

Ruled out: deleting the row when the group dissolves (a node that is behind would never hear of it).

Change: 128 dissolved rows stay, older ones are deleted along with decisions; whoever sends or scans a region's rows also names every group that is present, and what is not named is dropped.

Figures: test_dissolved_rows_do_not_pile_up: 80 groups dissolved, at most 6 rows left with 3 kept, and a node 161 changes behind ends with the two groups that are there.

Conclusion: the table's size follows the fleet's, not its age.

--- a/packages/groups/src/fordhatch/groups/_map.py
+++ b/packages/groups/src/fordhatch/groups/_map.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 from typing import Any
 
 import attrs
@@ -30,13 +30,21 @@
         """Call ``callback`` after every change."""
         self._subscribers.append(callback)
 
-    def adopt(self, region: str, generation: int, rows: Iterable[GroupRow]) -> bool:
+    def adopt(
+        self,
+        region: str,
+        generation: int,
+        rows: Iterable[GroupRow],
+        present: Container[str] | None = None,
+    ) -> bool:
         """Take all rows of a region that changed since the generation held.
 
         Args:
             region: The region.
             generation: The newest generation that ``rows`` include.
             rows: Changed rows; older ones than those held are ignored.
+            present: Every group of the region that is not dissolved, where known:
+                the row that dissolved a group may have been deleted meanwhile.
 
         Returns:
             Whether anything was new.
@@ -48,6 +56,8 @@
             if held is None or row.generation > held.generation:
                 self._replace(held, row)
         self.generations[region] = generation
+        if present is not None:
+            self._drop_absent(region, present)
         self._forget_dissolved(region)
         self._check_one_group_each()
         for callback in self._subscribers:
@@ -59,6 +69,12 @@
         if self.guard.check(rises, "group_epoch_rises", group=row.group_id):
             self.rows[row.group_id] = row
 
+    def _drop_absent(self, region: str, present: Container[str]) -> None:
+        for row in list(self.rows.values()):
+            held = row.region == region and row.state != DISSOLVED
+            if held and row.group_id not in present:
+                del self.rows[row.group_id]
+
     def _forget_dissolved(self, region: str) -> None:
         dissolved = [
             row
@@ -96,12 +112,13 @@
             for row in self.rows.values()
             if row.region == region and row.generation > generation
         ]
-        return GroupsReply(region, self.generations.get(region, 0), rows)
+        present = [r.group_id for r in self.present() if r.region == region]
+        return GroupsReply(region, self.generations.get(region, 0), rows, present)
 
     def adopt_reply(self, reply: GroupsReply) -> bool:
         """Take another node's answer."""
         rows = [GroupRow.from_value(value) for value in reply.rows]
-        return self.adopt(reply.region, reply.generation, rows)
+        return self.adopt(reply.region, reply.generation, rows, reply.present)
 
     async def observe_head(self, table: TableService, region: str, head: Row) -> bool:
         """Take a head row just read from the store and read what changed.
@@ -133,6 +150,9 @@
             return False
         rows = [GroupRow.from_value(r.value) for r in found.unwrap() if r.value]
         log_event("groups_read", region=region, generation=generation, rows=len(rows))
+        present = None
+        if not covered:
+            present = {row.group_id for row in rows if row.state != DISSOLVED}
         # Rows may be newer than the head that was read; claiming only the head's
         # generation makes the next read fetch them again, which is harmless.
-        return self.adopt(region, generation, rows)
+        return self.adopt(region, generation, rows, present)
--- a/packages/groups/src/fordhatch/groups/_state.py
+++ b/packages/groups/src/fordhatch/groups/_state.py
@@ -52,6 +52,12 @@
 )
 from ._view import InstanceView
 
+DISSOLVED_KEPT = 128
+"""Dissolved rows of a region that stay in the table, for nodes that are behind."""
+
+DELETED_AT_ONCE = 4
+"""Dissolved rows deleted along with a decision."""
+
 CHANGES_KEPT = 64
 """Changes that the head row names, so that followers need not scan."""
 
@@ -177,11 +183,22 @@
         checks: list[Check] = [
             VersionCheck(key, self._versions.get(key, 0)) for key in puts
         ]
+        deletes = tuple(row.key for row in self._outlived())
         checks.append(lease)
         checks.append(FieldCheck(CONFIG_HEAD_KEY, "revision", config_revision))
-        return Transaction(tuple(checks), puts), write_id
+        return Transaction(tuple(checks), puts, deletes), write_id
+
+    def _outlived(self) -> list[GroupRow]:
+        """Return dissolved rows that nobody needs any more, a few at a time."""
+        dissolved = [r for r in self.groups.values() if r.state == DISSOLVED]
+        dissolved.sort(key=lambda row: row.generation)
+        surplus = len(dissolved) - DISSOLVED_KEPT
+        return dissolved[: min(max(surplus, 0), DELETED_AT_ONCE)]
 
     def _apply(self, change: Change) -> None:
+        for row in self._outlived():
+            del self.groups[row.group_id]
+            self._versions.pop(row.key, None)
         self.generation = change.group.generation
         entry = [change.group.generation, change.group.group_id]
         self._changes = [*self._changes, entry][-CHANGES_KEPT:]
--- a/packages/groups/tests/test_fencing.py
+++ b/packages/groups/tests/test_fencing.py
@@ -9,7 +9,14 @@
 
 from fordhatch.config import OperatorsFile
 from fordhatch.core import ResultCode, Timer
-from fordhatch.groups import Dissolve, Form, InstanceView, PlannerLease, RegionState
+from fordhatch.groups import (
+    Dissolve,
+    Form,
+    GroupMap,
+    InstanceView,
+    PlannerLease,
+    RegionState,
+)
 from fordhatch.platform import Instance, Transaction
 from fordhatch_standins import MemoryPlatform
 
@@ -143,3 +150,38 @@
         assert again.instances == state.instances
 
     loop.run_until_complete(scenario())
+
+
+def test_dissolved_rows_do_not_pile_up_and_nodes_behind_notice(
+    loop, monkeypatch
+) -> None:
+    monkeypatch.setattr("fordhatch.groups._state.DISSOLVED_KEPT", 3)
+
+    async def scenario() -> None:
+        platform = MemoryPlatform()
+        lease, state = await prepared(platform)
+        names = list(views())
+        kept = await state.commit(form(names[4:]), views(), lease.check(), 1)
+        first = await state.commit(form(names[:4]), views(), lease.check(), 1)
+        behind = GroupMap()
+        head = (await platform.read(["groups-head/r"])).unwrap()["groups-head/r"]
+        await behind.observe_head(platform, "r", head)
+        assert len(behind.present()) == 2
+        group_id = first.unwrap().group_id
+        for _ in range(80):
+            gone = Dissolve(group_id, "test")
+            assert (await state.commit(gone, views(), lease.check(), 1)).is_ok()
+            again = await state.commit(form(names[:4]), views(), lease.check(), 1)
+            group_id = again.unwrap().group_id
+        rows = [key for key in platform.rows if key.startswith("groups/r/")]
+        assert len(rows) <= 3 + 3
+        head = (await platform.read(["groups-head/r"])).unwrap()["groups-head/r"]
+        await behind.observe_head(platform, "r", head)
+        present = {row.group_id for row in behind.present()}
+        assert present == {kept.unwrap().group_id, group_id}
+        assert not behind.guard.tripped
+        follower = GroupMap()
+        follower.adopt_reply(behind.changed_after("r", 0))
+        assert {r.group_id for r in follower.present()} == present
+
+    loop.run_until_complete(scenario())
--- a/packages/protocol/src/fordhatch/protocol/_messages.py
+++ b/packages/protocol/src/fordhatch/protocol/_messages.py
@@ -167,6 +167,8 @@
     region: str
     generation: int
     rows: list[dict[str, Any]]
+    present: list[str]
+    """Every group that is not dissolved: what is not named here is gone."""
 
 
 @message(24)
