Homes of groups are worked out once for each change of membership

Cause: reading the hot path: every request and every watcher, twice a second, hashed every group against every node of the region. With 4 to 32 nodes that did not show in the slopes.

Ruled out: watching less often (requests pay too).

Change: what depends on the membership records alone is kept until one of them changes.

Conclusion: slopes at small sizes hide what grows with the product of two of them.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -34,8 +34,11 @@
     Member,
     RegionView,
     RepairFirstPolicy,
+    homes_of,
 )
+from fordhatch.membership import MembershipTable
 from fordhatch.platform import Instance
+from fordhatch.protocol.messages import NodeRecord
 from fordhatch.routing import CLAIM_SHARDS, ClaimBatcher, ClaimWrite
 from fordhatch_standins import MemoryPlatform
 
@@ -56,6 +59,7 @@
 CLAIM_OWNERS = 3 * CLAIM_SHARDS
 """Claim owners in three regions."""
 INSTANCE_COUNTS = [48, 96, 200, 400]
+HOME_NODE_COUNTS = [42, 85, 170, 340]
 WORKSPACE_COUNTS = [10, 40, 160, 640]
 ROW_COUNTS = [50, 100, 200, 400]
 
@@ -364,6 +368,33 @@
     return row
 
 
+def homes(nodes: int) -> dict[str, float]:
+    """Measure finding the homes of 50 groups among so many nodes in 3 regions."""
+    own = NodeRecord("node-0", "h:0", REGION, "z0", 1, "alive")
+    table = MembershipTable(own)
+    for n in range(1, nodes):
+        region = REGION if n % 3 == 0 else f"other-{n % 3}"
+        table.merge(
+            NodeRecord(f"node-{n}", f"h:{n}", region, f"z{n % 4}", 1, "alive"), 0.0
+        )
+    rows = [
+        group_row(n, [f"gpu-{n}-{r}" for r in range(GROUP_SIZE)]) for n in range(50)
+    ]
+    spent_ms = []
+    for _ in range(21):
+        started_s = time.process_time()
+        for row in rows:
+            homes_of(row, table)
+        spent_ms.append(1000 * (time.process_time() - started_s))
+    row = {
+        "nodes": nodes,
+        "after_a_change_ms": spent_ms[0],
+        "known_ms": statistics.fmean(spent_ms[1:]),
+    }
+    say(f"homes: {json.dumps(row)}")
+    return row
+
+
 def configuration(workspaces: int) -> dict[str, float]:
     """Measure what a file with so many workspaces takes to send, check and keep."""
     document = declared_state()
@@ -448,6 +479,10 @@
     return [configuration(n) for n in WORKSPACE_COUNTS]
 
 
+async def _homes() -> list[dict[str, float]]:
+    return [homes(n) for n in HOME_NODE_COUNTS]
+
+
 async def _planning() -> list[dict[str, float]]:
     return [planning(n) for n in INSTANCE_COUNTS]
 
@@ -456,6 +491,7 @@
     "state": _state,
     "planning": _planning,
     "configuration": _configuration,
+    "homes": _homes,
     "claims": _claims_of_all,
     "claims_without_owners": lambda: claims(300, 340),
     "probe": probe_bytes,
@@ -500,6 +536,12 @@
         "planning ms by instances": line("planning", "instances", "pass_ms"),
         "group map KB by groups": line("state", "groups", "memory_kb"),
         "group rows on the wire KB by groups": line("state", "groups", "wire_kb"),
+        "ms for the homes of 50 groups after a change by nodes": line(
+            "homes", "nodes", "after_a_change_ms"
+        ),
+        "ms for the homes of 50 groups, known, by nodes": line(
+            "homes", "nodes", "known_ms"
+        ),
         "file KB by workspaces": line("configuration", "workspaces", "file_kb"),
         "ms to check a file by workspaces": line(
             "configuration", "workspaces", "check_ms"
--- a/packages/groups/src/fordhatch/groups/_watcher.py
+++ b/packages/groups/src/fordhatch/groups/_watcher.py
@@ -43,9 +43,17 @@
     Two nodes that differ over this do no harm: a permit rests on the holder's
     own probes, and an engine's answer names its group and epoch.
     """
+    zone = row.members[0].zone if row.members else ""
+    # Every request and every watcher asks this for every group; the answer changes
+    # only when a node does.
+    return table.derived(
+        ("homes", row.group_id, zone), lambda: _find_homes(row, zone, table)
+    )
+
+
+def _find_homes(row: GroupRow, zone: str, table: MembershipTable) -> list[NodeRecord]:
     nodes = table.usable()
     near = [node for node in nodes if node.region == row.region]
-    zone = row.members[0].zone if row.members else ""
     return choose_nodes(f"group|{row.group_id}", near or nodes, HOMES, zone=zone)
 
 
--- a/packages/membership/src/fordhatch/membership/_table.py
+++ b/packages/membership/src/fordhatch/membership/_table.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Hashable
+from typing import Any, TypeVar
+
 import attrs
 
 from fordhatch.core import log_event, metrics
 from fordhatch.protocol.messages import NodeRecord
 
+T = TypeVar("T")
+
 ALIVE = "alive"
 SUSPECT = "suspect"
 LEAVING = "leaving"
@@ -40,6 +45,19 @@
 
     own: NodeRecord
     entries: dict[str, Entry] = attrs.field(factory=dict)
+    _derived: dict[Hashable, Any] = attrs.field(factory=dict)
+    """What was worked out from the records; forgotten with every change."""
+
+    def derived(self, key: Hashable, work_out: Callable[[], T]) -> T:
+        """Return something that depends on the records alone.
+
+        Args:
+            key: Names it.
+            work_out: Called when it is not known since the last change.
+        """
+        if key not in self._derived:
+            self._derived[key] = work_out()
+        return self._derived[key]
 
     def merge(self, record: NodeRecord, now_s: float) -> bool:
         """Take a record from anywhere.
@@ -59,6 +77,7 @@
         if known is None and record.state == DEAD:
             return False
         self.entries[record.node_id] = Entry(record, now_s)
+        self._derived.clear()
         before = known.record.state if known else "unknown"
         if before != record.state:
             log_event("node_state", peer=record.node_id, was=before, now=record.state)
@@ -75,6 +94,7 @@
 
     def declare(self, state: str) -> None:
         """Change what this node says of itself."""
+        self._derived.clear()
         self.own = attrs.evolve(
             self.own, state=state, incarnation=self.own.incarnation + 1
         )
@@ -121,6 +141,7 @@
                 self.merge(attrs.evolve(entry.record, state=DEAD), now_s)
             elif entry.record.state == DEAD and age_s > DEAD_KEPT_S:
                 del self.entries[node_id]
+                self._derived.clear()
 
 
 def _newer(record: NodeRecord, known: NodeRecord) -> bool:
--- a/packages/membership/tests/test_membership.py
+++ b/packages/membership/tests/test_membership.py
@@ -105,3 +105,21 @@
     node.declare(LEAVING)
     assert node.usable() == []
     assert attrs.evolve(node.own).state == LEAVING
+
+
+def test_what_was_derived_is_forgotten_with_every_change() -> None:
+    node = table()
+    changes = [
+        lambda: node.merge(record("a"), 0.0),
+        lambda: node.merge(record("a", state=SUSPECT), 1.0),
+        lambda: node.expire(10.0, suspect_s=3.0),
+        lambda: node.expire(10_000.0, suspect_s=3.0),
+        lambda: node.declare(LEAVING),
+    ]
+    for change in changes:
+        before = node.derived("names", lambda: [n.node_id for n in node.not_dead()])
+        assert node.derived("names", lambda: None) is before
+        change()
+        assert node.derived("names", lambda: "new") == "new"
+        node.derived("names", lambda: "new")
+        node._derived.clear()
