A fleet ends every process it ever started

Ruled out: ending processes by name (only those started here may be ended).

Change: every process that was started is kept and ended at the end; none is started after it.

Conclusion: "leaves nothing running" needs the list of what was started.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -102,6 +102,9 @@
     children: dict[str, Child] = attrs.field(factory=dict)
     arguments: dict[str, list[str]] = attrs.field(factory=dict)
     session: aiohttp.ClientSession | None = None
+    spawned: list[asyncio.subprocess.Process] = attrs.field(factory=list)
+    """Every process ever started, replaced ones included."""
+    closed: bool = False
 
     @classmethod
     def from_directory(cls, directory: Path | None = None) -> Fleet:
@@ -115,21 +118,26 @@
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        for child in self.children.values():
-            if child.process.returncode is None:
-                child.send(signal.SIGCONT)
-                await child.kill()
+        self.closed = True
+        for process in self.spawned:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
         await self.session.close()
 
     async def _spawn(self, name: str, command: list[str]) -> asyncio.subprocess.Process:
+        if self.closed:
+            raise RuntimeError("the fleet has ended")
         self.arguments[name] = command
         with (self.directory / f"{name}.log").open("ab") as log:
-            return await asyncio.create_subprocess_exec(
+            process = await asyncio.create_subprocess_exec(
                 *command,
                 stdout=log,
                 stderr=log,
                 env={**os.environ, "PYTHONHASHSEED": "0"},
             )
+        self.spawned.append(process)
+        return process
 
     async def start_platform(self, **options: object) -> Child:
         """Start the stand-in for the platform."""
