--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 .PHONY: demo test lint format soak bench-capacity bench-groups bench-routing bench-stale-reads prove-guards clean
 
-$(STAMP): requirements.txt constraints.txt $(wildcard packages/*/pyproject.toml) standins/pyproject.toml
+$(STAMP): requirements.txt constraints.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml standins/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt hatchling editables
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-build-isolation -c constraints.txt -r requirements.txt
--- /dev/null
+++ b/packages/catalog/src/fordhatch/catalog/__init__.py
@@ -0,0 +1,48 @@
+"""What is declared and what is there: routes, services, workspaces, backend servers."""
+
+from __future__ import annotations
+
+from ._backends import (
+    BackendServer,
+    BackendState,
+    GroupMembership,
+    MemberState,
+)
+from ._calls import AnswerFields, CallFields, RefusalKind
+from ._configuration import (
+    Configuration,
+    EngineProfile,
+    Limits,
+    ModelProfile,
+    Route,
+    RouteKind,
+    RouteTarget,
+    Service,
+    Workspace,
+)
+from ._group_names import group_name, model_of_group
+from ._node_settings import NodeSettings, StoreLimits, SystemBounds
+
+__all__ = [
+    "AnswerFields",
+    "BackendServer",
+    "BackendState",
+    "CallFields",
+    "Configuration",
+    "EngineProfile",
+    "GroupMembership",
+    "Limits",
+    "MemberState",
+    "ModelProfile",
+    "NodeSettings",
+    "RefusalKind",
+    "Route",
+    "RouteKind",
+    "RouteTarget",
+    "Service",
+    "StoreLimits",
+    "SystemBounds",
+    "Workspace",
+    "group_name",
+    "model_of_group",
+]
--- a/packages/core/src/fordhatch/core/__init__.py
+++ b/packages/core/src/fordhatch/core/__init__.py
@@ -5,7 +5,8 @@
 from . import _metrics as metrics
 from ._codes import CODE_TABLE, CodeInfo, Failure, Ran, ResultCode, code_table_markdown
 from ._invariant import InvariantGuard
-from ._log import configure_logging, format_line, log_event
+from ._line_writer import LineWriter
+from ._log import configure_line_log, configure_logging, format_line, log_event
 from ._structure import StructureError, new_id, structure, unstructure
 from ._timer import TaskSet, Timer
 
@@ -14,12 +15,14 @@
     "CodeInfo",
     "Failure",
     "InvariantGuard",
+    "LineWriter",
     "Ran",
     "ResultCode",
     "StructureError",
     "TaskSet",
     "Timer",
     "code_table_markdown",
+    "configure_line_log",
     "configure_logging",
     "format_line",
     "log_event",
--- a/packages/core/src/fordhatch/core/_codes.py
+++ b/packages/core/src/fordhatch/core/_codes.py
@@ -44,9 +44,11 @@
     BACKEND_ERROR = 209
     NO_CONFIG = 210
     CLIENT_GONE = 211
+    CONFIGURATION_STALE = 212
     STORE_UNAVAILABLE = 300
     STORE_OUTCOME_UNKNOWN = 301
     STORE_CONFLICT = 302
+    STORE_HISTORY_GONE = 303
     CONFIG_INVALID = 400
     CONFIG_CONFLICT = 401
     REVISION_NOT_REACHED = 402
@@ -124,6 +126,9 @@
     ResultCode.NO_CONFIG: _row(
         503, Ran.NO, "The node has not confirmed a configuration yet."
     ),
+    ResultCode.CONFIGURATION_STALE: _row(
+        503, Ran.NO, "The node's configuration was not confirmed for too long."
+    ),
     ResultCode.CLIENT_GONE: _row(499, Ran.MAYBE, "The caller closed its connection."),
     ResultCode.STORE_UNAVAILABLE: _row(
         503, Ran.NO, "The platform's store cannot be reached; nothing was decided."
@@ -134,6 +139,9 @@
     ResultCode.STORE_CONFLICT: _row(
         409, Ran.NO, "Another writer changed a row that the transaction relied on."
     ),
+    ResultCode.STORE_HISTORY_GONE: _row(
+        503, Ran.NO, "The store no longer knows what changed; read it whole."
+    ),
     ResultCode.CONFIG_INVALID: _row(400, Ran.NO, "The operators' file has mistakes."),
     ResultCode.CONFIG_CONFLICT: _row(
         409, Ran.NO, "Another operator's file was accepted on the same base revision."
--- a/packages/core/src/fordhatch/core/_log.py
+++ b/packages/core/src/fordhatch/core/_log.py
@@ -9,6 +9,8 @@
 
 import eliot
 
+from ._line_writer import LineWriter
+
 _ELIOT_FIELDS = ("task_uuid", "task_level", "timestamp", "message_type")
 
 
@@ -37,6 +39,15 @@
     eliot.add_destinations(write)
 
 
+def configure_line_log(node_id: str, writer: LineWriter) -> None:
+    """Send every event as one key=value line to a writer that never waits."""
+
+    def write(message: dict[str, object]) -> None:
+        writer.write(format_line(node_id, message))
+
+    eliot.add_destinations(write)
+
+
 def format_line(node_id: str, message: dict[str, object]) -> str:
     """Return the key=value line for an eliot message."""
     moment_s = float(message.get("timestamp", 0.0))  # type: ignore[arg-type]
--- a/packages/core/src/fordhatch/core/_metrics.py
+++ b/packages/core/src/fordhatch/core/_metrics.py
@@ -27,6 +27,12 @@
     ["service"],
     registry=REGISTRY,
 )
+ANSWERS = Counter(
+    "fordhatch_answers_total",
+    "Answers to callers by outcome.",
+    ["outcome"],
+    registry=REGISTRY,
+)
 IN_FLIGHT = Gauge(
     "fordhatch_requests_in_flight", "Callers' requests now open.", registry=REGISTRY
 )
--- a/packages/core/tests/test_docs_tables.py
+++ b/packages/core/tests/test_docs_tables.py
@@ -6,16 +6,19 @@
 from fordhatch.core import format_line, metrics
 
 ROOT = Path(__file__).parents[3]
-EVENT = re.compile(r'log_event\(\s*"(\w+)"')
+EVENT = re.compile(r'log_event\(\s*"(\w+)"(?:\s+if[^,]*else\s+"(\w+)")?')
+WRITTEN_BY_HAND = {"lines_dropped"}  # the line writer can't log through itself
 SECRET_FIELDS = re.compile(r"\b(body|prompt|api_key|token_text|headers|content)=")
 
 
 def sources() -> list[str]:
-    return [p.read_text() for p in ROOT.glob("packages/*/src/**/*.py")]
+    found = [*ROOT.glob("packages/*/src/**/*.py"), *ROOT.glob("platform/**/*.py")]
+    return [p.read_text() for p in found]
 
 
 def test_every_log_event_stands_in_the_table() -> None:
-    in_code = {name for text in sources() for name in EVENT.findall(text)}
+    pairs = [pair for text in sources() for pair in EVENT.findall(text)]
+    in_code = {name for pair in pairs for name in pair if name} | WRITTEN_BY_HAND
     table = (ROOT / "docs" / "LOGS.md").read_text()
     in_docs = set(re.findall(r"^\| `(\w+)` \|", table, re.MULTILINE))
     assert in_docs == in_code
--- /dev/null
+++ b/packages/node/src/fordhatch/node/_node.py
@@ -0,0 +1,258 @@
+"""A node on the users' platform: every part put together."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import attrs
+from aiohttp import web
+
+from fordhatch.adapter import (
+    READY_PATH,
+    BackendClient,
+    DecodeError,
+    RowKey,
+    StoreClient,
+    decode_settings,
+)
+from fordhatch.catalog import NodeSettings
+from fordhatch.core import TaskSet, Timer, log_event, metrics
+from fordhatch.placement import Planner, PlannerLease
+from fordhatch.registry import SHARED_TABLE, StoreView, node_key
+from fordhatch.serving import (
+    Admission,
+    BackendHealth,
+    CallerServer,
+    ExchangeClient,
+    GroupProgress,
+    HeadChoice,
+    HttpServer,
+    NodeState,
+    PlainCalls,
+    RepeatBudget,
+    StallWatch,
+    StreamCalls,
+)
+
+METRICS_PORT = 9464
+"""Port of the metrics page on every node; the deploy file names it as well."""
+
+METRICS_PATH = "/metrics"
+
+REGISTER_RETRY_S = 0.5
+"""Pause between tries to write the node's own row."""
+
+SETTINGS_LOOK_S = 1.0
+"""How often the settings file is compared: it may change without a signal."""
+
+LISTEN_AFTER_TERM_S = 3.2
+"""A leaving node still accepts connections for this long: the balancer asks once a
+second and takes a node out after two misses."""
+
+TERM_POLL_S = 0.05
+"""How often a leaving node looks whether its last request has ended."""
+
+GRACE_RESERVE_S = 0.6
+"""A leaving node ends this much before it would be killed."""
+
+FORGET_S = 5.0
+"""How often records of backend servers that are gone are dropped."""
+
+
+@attrs.define(eq=False)
+class Node:
+    """One node, from its settings."""
+
+    settings: NodeSettings
+    timer: Timer
+    store: StoreClient
+    backends: BackendClient
+    exchange: ExchangeClient
+    view: StoreView
+    state: NodeState
+    budget: RepeatBudget
+    health: BackendHealth
+    stalls: StallWatch
+    lease: PlannerLease
+    planner: Planner
+    callers: CallerServer
+    _servers: list[HttpServer] = attrs.field(factory=list)
+    _tasks: TaskSet = attrs.field(factory=TaskSet)
+
+    @classmethod
+    def from_settings(cls, settings: NodeSettings) -> Node:
+        """Build a node that has not been started; a running loop is needed."""
+        timer = Timer.from_seed(settings.node_name)
+        store = StoreClient.from_address(settings.store.address)
+        backends = BackendClient.create()
+        exchange = ExchangeClient.from_timer(timer)
+        view = StoreView.from_store(store, timer)
+        state = NodeState(settings.bounds, view, timer)
+        health = BackendHealth(timer)
+        budget = RepeatBudget(
+            settings.bounds, timer, lambda: len(view.shared.node_names)
+        )
+        stalls = StallWatch(
+            settings.node_name, timer, store, backends, view.directory, view.shared
+        )
+        admission = Admission.from_state(state, timer)
+        lease = PlannerLease(
+            settings.node_name,
+            store,
+            timer,
+            lambda: view.shared.node_names,
+            lambda: state.is_leaving,
+        )
+        planner = Planner.create(
+            view,
+            lease,
+            store,
+            backends,
+            timer,
+            settings.bounds,
+            is_first_start=settings.is_first_start,
+            has_traffic=lambda: state.has_served,
+        )
+        choice = HeadChoice(settings.zone, view.directory, health, stalls, timer.rng)
+        streams = StreamCalls.create(
+            view.directory,
+            timer=timer,
+            health=health,
+            progress=GroupProgress(timer),
+            stalls=stalls,
+            choice=choice,
+            budget=budget,
+            exchange=exchange,
+            admission=admission,
+        )
+        plain = PlainCalls(
+            settings.zone,
+            timer,
+            timer.rng,
+            view.directory,
+            health,
+            budget,
+            exchange,
+            admission,
+        )
+        callers = CallerServer(state, admission, budget, streams, plain, timer)
+        return cls(
+            settings,
+            timer,
+            store,
+            backends,
+            exchange,
+            view,
+            state,
+            budget,
+            health,
+            stalls,
+            lease,
+            planner,
+            callers,
+        )
+
+    async def start(self) -> None:
+        """Listen and start every part."""
+        log_event(
+            "node_started",
+            zone=self.settings.zone,
+            region=self.settings.region,
+            first_start=self.settings.is_first_start,
+        )
+        self.view.start()
+        await self._listen(self.settings.ready_address, self._answer_ready)
+        metrics_address = f"{self.settings.instance_address}:{METRICS_PORT}"
+        await self._listen(metrics_address, self._answer_metrics)
+        await self._listen(self.settings.caller_address, self.callers.handle)
+        self._tasks.spawn(self._register(), "register")
+        self._tasks.spawn(self.lease.run(), "lease")
+        self._tasks.spawn(self.planner.run(), "planner")
+        every = self.timer.every
+        self._tasks.spawn(every(FORGET_S, self._forget_gone, name="forget"), "forget")
+        log_event("listening", callers=self.settings.caller_address)
+
+    async def _listen(self, address: str, handler: object) -> None:
+        self._servers.append(await HttpServer.listen(address, handler))
+
+    async def _register(self) -> None:
+        row = RowKey(SHARED_TABLE, node_key(self.settings.node_name))
+        value = self.settings.instance_address.encode()
+        while True:
+            written = await self.store.write({}, {row: value}, timeout_s=1.0)
+            if written.is_ok():
+                return
+            log_event("node_not_registered", error=written.err().message)
+            await self.timer.sleep(self.timer.jittered(REGISTER_RETRY_S))
+
+    async def _forget_gone(self) -> None:
+        self.health.keep_only(set(self.view.directory.backends))
+
+    async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
+        if request.raw_path != READY_PATH:
+            return web.Response(status=404)
+        return web.Response(status=200 if self.state.is_ready() else 503)
+
+    async def _answer_metrics(self, request: web.BaseRequest) -> web.Response:
+        if request.raw_path != METRICS_PATH:
+            return web.Response(status=404)
+        return web.Response(body=metrics.render_metrics(), content_type="text/plain")
+
+    # Settings that change.
+
+    async def watch_settings(self, path: Path, content: str) -> None:
+        """Take changes of the settings file until cancelled."""
+        while True:
+            await self.timer.sleep(SETTINGS_LOOK_S)
+            content = self.reload(path, content)
+
+    def reload(self, path: Path, content: str) -> str:
+        """Take the settings file if it differs; returns the content in force."""
+        try:
+            found = path.read_text()
+        except OSError as error:
+            log_event("settings_unreadable", error=repr(error))
+            return content
+        if found == content:
+            return content
+        try:
+            self._apply(decode_settings(found))
+        except DecodeError as error:
+            log_event("settings_refused", error=str(error))
+        return found
+
+    def _apply(self, settings: NodeSettings) -> None:
+        """Take the bounds of new settings; addresses hold until the next start."""
+        self.settings = settings
+        self.state.bounds = settings.bounds
+        self.budget.bounds = settings.bounds
+        self.planner.take_bounds(settings.bounds)
+        log_event("settings_reloaded")
+
+    # The end.
+
+    async def leave(self) -> None:
+        """Take no new callers, finish what was taken on, hand the duty on."""
+        began_s = self.timer.now_s()
+        self.state.is_leaving = True
+        self.callers.leaving_since_s = began_s
+        log_event("node_leaving", in_flight=self.state.in_flight)
+        await self.lease.release()
+        await self.timer.sleep(LISTEN_AFTER_TERM_S)
+        self._servers[-1].stop_listening()
+        last_s = began_s + self.settings.bounds.grace_s - GRACE_RESERVE_S
+        while self.state.in_flight and self.timer.now_s() < last_s:
+            await self.timer.sleep(TERM_POLL_S)
+        log_event("node_left", in_flight=self.state.in_flight)
+
+    async def close(self) -> None:
+        """End every part."""
+        for server in self._servers:
+            await server.close()
+        await self._tasks.close()
+        await self.planner.close()
+        await self.stalls.close()
+        await self.view.close()
+        await self.exchange.close()
+        await self.backends.close()
+        await self.store.close()
--- /dev/null
+++ b/packages/placement/src/fordhatch/placement/_dissolutions.py
@@ -0,0 +1,165 @@
+"""Takes groups apart so that their members may join others."""
+
+from __future__ import annotations
+
+import attrs
+from result import Result
+
+from fordhatch.adapter import GroupOrder, OrderKind, OrderReply
+from fordhatch.catalog import BackendServer, MemberState
+from fordhatch.core import Failure, ResultCode, Timer, log_event
+from fordhatch.registry import BackendDirectory, ReplicaGroup
+
+from ._loss_check import LossCheck
+from ._order_desk import OrderDesk
+
+STALL_MARGIN_S = 1.0
+"""Added to the time after which a head without its members is broken."""
+
+CLOSE_LIMIT_S = 6.0
+"""How long a head that is closed may take to finish its requests."""
+
+_OTHER_BACKEND = 421
+
+Key = tuple[str, int]
+
+
+@attrs.define(eq=False)
+class Dissolution:
+    """One group that is being taken apart."""
+
+    members: dict[int, BackendServer]
+    reason: str
+    began_s: float
+    free_at_s: float
+    """Even a head that nobody reaches is broken by then."""
+    finishes_work: bool
+    head_has_left: bool = False
+
+
+@attrs.define(eq=False)
+class Dissolutions:
+    """Groups that are being taken apart.
+
+    Members may join another group only when the head no longer serves: it has left
+    the group, or has ended, or is broken for certain because its members left it
+    long enough ago.
+    """
+
+    desk: OrderDesk
+    losses: LossCheck
+    directory: BackendDirectory
+    timer: Timer
+    stall_s: float
+    active: dict[Key, Dissolution] = attrs.field(factory=dict)
+    released: set[Key] = attrs.field(factory=set)
+    """Groups whose members may join others."""
+
+    def begin(
+        self, group: ReplicaGroup, reason: str, *, finishes_work: bool = False
+    ) -> None:
+        """Begin to take a group apart, unless that is under way.
+
+        Args:
+            group: The group.
+            reason: For the log.
+            finishes_work: Whether the head first finishes its requests.
+        """
+        known = self.active.get(group.key)
+        if known is not None:
+            known.finishes_work = known.finishes_work and finishes_work
+            return
+        if group.key in self.released:
+            return
+        now_s = self.timer.now_s()
+        free_at_s = now_s + self.stall_s + STALL_MARGIN_S
+        self.active[group.key] = Dissolution(
+            dict(group.members), reason, now_s, free_at_s, finishes_work
+        )
+        log_event(
+            "group_dissolving",
+            group=group.name,
+            epoch=group.epoch,
+            members=len(group.members),
+            reason=reason,
+        )
+
+    def step(self) -> None:
+        """Send the orders that are due and release what may be released."""
+        for key, dissolution in list(self.active.items()):
+            if self._may_release(key, dissolution):
+                del self.active[key]
+                self.released.add(key)
+                took_s = self.timer.now_s() - dissolution.began_s
+                log_event(
+                    "group_released",
+                    group=key[0],
+                    epoch=key[1],
+                    took_s=round(took_s, 3),
+                )
+            else:
+                self._order(key, dissolution)
+
+    def _may_release(self, key: Key, dissolution: Dissolution) -> bool:
+        if dissolution.head_has_left:
+            return True
+        head = dissolution.members.get(0)
+        if head is None or self._is_out_of_reach(head):
+            ended = head is not None and head.backend_id in self.losses.refused
+            return ended or self.timer.now_s() >= dissolution.free_at_s
+        listed = self.directory.backends[head.backend_id]
+        return listed.membership is None or listed.membership.key != key
+
+    def _is_out_of_reach(self, head: BackendServer) -> bool:
+        listed = head.backend_id in self.directory.backends
+        return not listed or head.backend_id in self.losses.dead
+
+    def _order(self, key: Key, dissolution: Dissolution) -> None:
+        head = dissolution.members.get(0)
+        if head is None:
+            self._order_members_to_leave(key, dissolution)
+            return
+        if dissolution.finishes_work and self._must_finish(key, dissolution, head):
+            self.desk.send(head, GroupOrder(OrderKind.CLOSE, *key))
+            return
+
+        def on_reply(got: Result[OrderReply, Failure]) -> None:
+            if _proves_left(got):
+                dissolution.head_has_left = True
+
+        self.desk.send(head, GroupOrder(OrderKind.LEAVE, *key), on_reply)
+        if self._is_out_of_reach(head):
+            self._order_members_to_leave(key, dissolution)
+
+    def _must_finish(
+        self, key: Key, dissolution: Dissolution, head: BackendServer
+    ) -> bool:
+        listed = self.directory.backends.get(head.backend_id)
+        if listed is None or listed.membership is None or listed.membership.key != key:
+            return False
+        if self.timer.now_s() - dissolution.began_s > CLOSE_LIMIT_S:
+            return False
+        return listed.membership.state in (MemberState.OPEN, MemberState.CLOSING)
+
+    def _order_members_to_leave(self, key: Key, dissolution: Dissolution) -> None:
+        """Without its members a head that is out of reach breaks by itself."""
+        for rank, member in dissolution.members.items():
+            if rank != 0 and member.backend_id not in self.losses.dead:
+                self.desk.send(member, GroupOrder(OrderKind.LEAVE, *key))
+
+    def is_held(self, key: Key) -> bool:
+        """Return whether the members of a group must not move yet."""
+        return key in self.active
+
+    def forget(self) -> None:
+        """Forget everything; another planner goes on."""
+        self.active.clear()
+        self.released.clear()
+
+
+def _proves_left(got: Result[OrderReply, Failure]) -> bool:
+    """Return whether an answer to a leave shows that the head serves no longer."""
+    if got.is_ok():
+        reply = got.unwrap()
+        return reply.is_accepted or reply.status == _OTHER_BACKEND
+    return got.unwrap_err().code is ResultCode.BACKEND_REFUSED
--- /dev/null
+++ b/packages/placement/src/fordhatch/placement/_formations.py
@@ -0,0 +1,112 @@
+"""Groups that are being formed."""
+
+from __future__ import annotations
+
+import attrs
+
+from fordhatch.adapter import GroupOrder, OrderKind
+from fordhatch.catalog import MemberState, group_name
+from fordhatch.core import Timer, log_event
+from fordhatch.registry import BackendDirectory, ReplicaGroup
+
+from ._layout import GroupPlan
+from ._order_desk import OrderDesk
+
+JOIN_SLACK_S = 2.0
+"""A group that is not ready this long after its time is given up."""
+
+LOAD_SLACK_FACTOR = 3.0
+"""Loads slow each other down; up to this factor on the load time is waited for."""
+
+Key = tuple[str, int]
+
+
+@attrs.define(eq=False)
+class Formation:
+    """One group on its way."""
+
+    plan: GroupPlan
+    began_s: float
+    give_up_s: float
+
+    @property
+    def member_ids(self) -> tuple[str, ...]:
+        """The members by rank."""
+        return tuple(m.backend_id for m in self.plan.members)
+
+
+@attrs.define(eq=False)
+class Formations:
+    """Sends joins until every member is ready, then opens the head."""
+
+    desk: OrderDesk
+    directory: BackendDirectory
+    timer: Timer
+    active: dict[Key, Formation] = attrs.field(factory=dict)
+
+    def begin(self, plan: GroupPlan, epoch: int) -> None:
+        """Begin to form a group under an epoch that no group has had."""
+        key = (group_name(plan.model.name, epoch), epoch)
+        now_s = self.timer.now_s()
+        wait_s = plan.ready_in_s
+        if plan.loads:
+            wait_s *= LOAD_SLACK_FACTOR
+        self.active[key] = Formation(plan, now_s, now_s + wait_s + JOIN_SLACK_S)
+        log_event(
+            "group_forming",
+            group=key[0],
+            epoch=epoch,
+            domain=plan.members[0].domain,
+            members=",".join(m.backend_id for m in plan.members),
+            ready_in_s=round(plan.ready_in_s, 2),
+            loads=plan.loads,
+        )
+
+    def step(self, groups: dict[Key, ReplicaGroup]) -> list[Key]:
+        """Send the joins that are due.
+
+        Args:
+            groups: The groups as they are reported.
+
+        Returns:
+            Formations that took too long.
+        """
+        late = []
+        for key, formation in self.active.items():
+            if self.timer.now_s() > formation.give_up_s:
+                late.append(key)
+                continue
+            self._order_joins(key, formation, groups.get(key))
+        return late
+
+    def _order_joins(
+        self, key: Key, formation: Formation, group: ReplicaGroup | None
+    ) -> None:
+        joined = {m.backend_id for m in group.members.values()} if group else set()
+        order = GroupOrder(
+            OrderKind.JOIN,
+            *key,
+            model=formation.plan.model.name,
+            members=formation.member_ids,
+        )
+        for member in formation.plan.members:
+            if member.backend_id not in joined:
+                self.desk.send(member, order)
+
+    def open(self, group: ReplicaGroup) -> None:
+        """Order the head of a complete group to serve."""
+        head = group.head
+        if head.membership.state is MemberState.READY:
+            self.desk.send(head, GroupOrder(OrderKind.OPEN, *group.key))
+
+    def opened(self, key: Key) -> None:
+        """Take a group that serves off the list."""
+        formation = self.active.pop(key, None)
+        if formation is None:
+            return
+        took_s = self.timer.now_s() - formation.began_s
+        log_event("group_opened", group=key[0], epoch=key[1], took_s=round(took_s, 3))
+
+    def member_ids(self) -> set[str]:
+        """Return the backend servers that are spoken for."""
+        return {m for f in self.active.values() for m in f.member_ids}
--- /dev/null
+++ b/packages/placement/src/fordhatch/placement/_planner_lease.py
@@ -0,0 +1,151 @@
+"""The lease that makes one node the planner."""
+
+from __future__ import annotations
+
+import json
+import math
+from collections.abc import Callable
+
+import attrs
+
+from fordhatch.adapter import Row, RowKey, StoreClient
+from fordhatch.core import Timer, log_event, metrics
+
+LEASE_TABLE = "fordhatch-lease"
+"""A table of its own, that nobody follows: each renewal would wake every node."""
+
+LEASE_ROW = RowKey(LEASE_TABLE, "planner")
+
+LEASE_S = 1.6
+"""How long a lease holds after the sending of its last renewal."""
+
+RENEW_S = 0.45
+"""Time between renewals: three may fail before the lease ends."""
+
+MARGIN_S = 0.2
+"""The holder stops this much before others may take over."""
+
+CALL_TIMEOUT_S = 0.8
+"""Longest wait for the store."""
+
+CANDIDATES = 2
+"""Nodes that look at the lease often; the others look rarely, which is enough if the
+candidates are lost too."""
+
+CANDIDATE_LOOK_S = 0.45
+OTHER_LOOK_S = 2.5
+
+
+@attrs.define(eq=False)
+class PlannerLease:
+    """This node's side of the lease.
+
+    Only the store's row versions decide: whoever replaces the version that it saw
+    last is the holder. Time is measured on this node's own steady clock.
+    """
+
+    node_name: str
+    store: StoreClient
+    timer: Timer
+    node_names: Callable[[], set[str]]
+    """Names of the known nodes, for the order of candidates."""
+    is_leaving: Callable[[], bool]
+    epoch_base: int = 0
+    """The row's version at this node's last renewal; epochs that are derived from it
+    are higher than those of every earlier holder."""
+    _version: int = 0
+    _seen_s: float = -math.inf
+    _valid_until_s: float = -math.inf
+    _was_holder: bool = False
+
+    def is_held(self) -> bool:
+        """Return whether this node may plan now."""
+        return self.timer.now_s() < self._valid_until_s
+
+    async def run(self) -> None:
+        """Renew, or look and take over, until cancelled."""
+        while True:
+            if self.is_held():
+                await self._renew()
+                await self.timer.sleep(RENEW_S)
+            else:
+                self._note_loss()
+                await self._look()
+                await self.timer.sleep(self.timer.jittered(self._look_interval_s()))
+
+    def _look_interval_s(self) -> float:
+        names = sorted(self.node_names() | {self.node_name})
+        first = self.node_name in names[:CANDIDATES] or self._version == 0
+        return CANDIDATE_LOOK_S if first else OTHER_LOOK_S
+
+    def _note_loss(self) -> None:
+        if self._was_holder:
+            self._was_holder = False
+            metrics.PLANNER_LEADER.set(0)
+            log_event("planner_lost", version=self._version)
+
+    async def _look(self) -> None:
+        page = await self.store.read(LEASE_TABLE, limit=1, timeout_s=CALL_TIMEOUT_S)
+        if page.is_err() or self.is_leaving():
+            return
+        row = next(iter(page.unwrap().rows), None)
+        version = row.version if row is not None else 0
+        now_s = self.timer.now_s()
+        if version != self._version or self._seen_s == -math.inf:
+            self._version = version
+            self._seen_s = now_s
+        expired = now_s - self._seen_s >= LEASE_S
+        if version == 0 or expired or _is_released(row):
+            await self._write("taken")
+
+    async def _renew(self) -> None:
+        await self._write("renewed")
+
+    async def _write(self, what: str) -> None:
+        sent_s = self.timer.now_s()
+        value = json.dumps({"holder": self.node_name}).encode()
+        written = await self.store.write(
+            {LEASE_ROW: self._version}, {LEASE_ROW: value}, timeout_s=CALL_TIMEOUT_S
+        )
+        if written.is_err():
+            # The write may take effect later; the next look shows its version, and
+            # then this node waits like any other.
+            return
+        result = written.unwrap()
+        if not result.is_committed:
+            self._lost_race(result.conflicts)
+            return
+        self._version = result.version
+        self.epoch_base = result.version
+        self._seen_s = self.timer.now_s()
+        self._valid_until_s = sent_s + LEASE_S - MARGIN_S
+        if not self._was_holder:
+            self._was_holder = True
+            metrics.PLANNER_LEADER.set(1)
+            log_event("planner_became", version=result.version, how=what)
+
+    def _lost_race(self, conflicts: tuple[Row, ...]) -> None:
+        self._valid_until_s = -math.inf
+        self._version = next((row.version for row in conflicts), 0)
+        self._seen_s = self.timer.now_s()
+
+    async def release(self) -> None:
+        """Give the lease up, so that another node takes over at once."""
+        if not self.is_held():
+            return
+        self._valid_until_s = -math.inf
+        value = json.dumps({"holder": ""}).encode()
+        await self.store.write(
+            {LEASE_ROW: self._version}, {LEASE_ROW: value}, timeout_s=CALL_TIMEOUT_S
+        )
+        log_event("planner_released", version=self._version)
+
+
+def _is_released(row: Row | None) -> bool:
+    if row is None:
+        return True
+    try:
+        return json.loads(row.value).get("holder") == ""
+    except (ValueError, AttributeError) as error:
+        log_event("lease_unreadable", error=repr(error))
+        return False
--- /dev/null
+++ b/packages/registry/src/fordhatch/registry/_shared_rows.py
@@ -0,0 +1,125 @@
+"""The system's own rows in the store: nodes, the planner's lease, suspicions."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Sequence
+
+import attrs
+
+from fordhatch.adapter import Row
+from fordhatch.core import log_event
+
+SHARED_TABLE = "fordhatch"
+"""The system's own table."""
+
+LEASE_KEY = "planner"
+"""The row that says which node plans."""
+
+_NODE_PREFIX = "node/"
+_SUSPICION_PREFIX = "suspect/"
+
+
+def node_key(node_name: str) -> str:
+    """Return the key of a node's row."""
+    return f"{_NODE_PREFIX}{node_name}"
+
+
+def suspicion_key(group: str, epoch: int) -> str:
+    """Return the key of the row that says that a group stands still."""
+    return f"{_SUSPICION_PREFIX}{group}/{epoch}"
+
+
+@attrs.frozen
+class Suspicion:
+    """A node saw that a group makes no progress."""
+
+    group: str
+    epoch: int
+    node_name: str
+    silent_members: tuple[str, ...] = ()
+    """Members that did not answer the node's probes."""
+
+    def to_bytes(self) -> bytes:
+        """Return the row's value."""
+        return json.dumps(attrs.asdict(self)).encode()
+
+    @classmethod
+    def from_bytes(cls, value: bytes) -> Suspicion:
+        """Return the suspicion in a row's value.
+
+        Raises:
+            ValueError, TypeError, KeyError: If the row is malformed.
+        """
+        data = json.loads(value)
+        return cls(
+            str(data["group"]),
+            int(data["epoch"]),
+            str(data["node_name"]),
+            tuple(map(str, data["silent_members"])),
+        )
+
+
+@attrs.define(eq=False)
+class SharedRows:
+    """The system's own rows as this node last saw them."""
+
+    lease: Row | None = None
+    node_names: set[str] = attrs.field(factory=set)
+    suspicions: dict[tuple[str, int], Suspicion] = attrs.field(factory=dict)
+    _subscribers: list[Callable[[], None]] = attrs.field(factory=list)
+
+    def subscribe(self, call: Callable[[], None]) -> None:
+        """Call back after every change."""
+        self._subscribers.append(call)
+
+    def observe_snapshot(self, rows: Sequence[Row]) -> None:
+        """Take every row of the table."""
+        self.lease = None
+        self.node_names.clear()
+        self.suspicions.clear()
+        self.observe_changes(rows)
+
+    def observe_changes(self, rows: Sequence[Row]) -> None:
+        """Take changed rows, in order."""
+        for row in rows:
+            self._take(row)
+        for call in self._subscribers:
+            call()
+
+    def _take(self, row: Row) -> None:
+        key = row.row_key.key
+        if key == LEASE_KEY:
+            self.lease = None if row.is_removed else row
+        elif key.startswith(_NODE_PREFIX):
+            self._take_node(key.removeprefix(_NODE_PREFIX), row)
+        elif key.startswith(_SUSPICION_PREFIX):
+            self._take_suspicion(key, row)
+
+    def _take_node(self, name: str, row: Row) -> None:
+        if row.is_removed:
+            self.node_names.discard(name)
+        else:
+            self.node_names.add(name)
+
+    def _take_suspicion(self, key: str, row: Row) -> None:
+        group, _, epoch = key.removeprefix(_SUSPICION_PREFIX).rpartition("/")
+        if not epoch.isdigit():
+            log_event("shared_row_unreadable", key=key, error="no epoch")
+            return
+        if row.is_removed:
+            self.suspicions.pop((group, int(epoch)), None)
+            return
+        try:
+            found = Suspicion.from_bytes(row.value)
+        except (ValueError, TypeError, KeyError) as error:
+            log_event("shared_row_unreadable", key=key, error=repr(error))
+            return
+        self.suspicions[found.group, found.epoch] = found
+        log_event(
+            "group_suspected",
+            group=found.group,
+            epoch=found.epoch,
+            by=found.node_name,
+            silent=",".join(found.silent_members),
+        )
--- /dev/null
+++ b/packages/serving/src/fordhatch/serving/__init__.py
@@ -0,0 +1,36 @@
+"""The way of a request from the caller to a backend server and back."""
+
+from __future__ import annotations
+
+from ._admission import Admission
+from ._backend_health import BackendHealth
+from ._caller_server import CallerServer
+from ._exchange import ExchangeClient
+from ._group_progress import GroupProgress
+from ._head_choice import HeadChoice
+from ._http_server import HttpServer
+from ._node_state import NodeState
+from ._plain_call import PlainCalls
+from ._repeat_budget import RepeatBudget
+from ._request import Reply, ServedRequest
+from ._route_table import RouteTable
+from ._stall_watch import StallWatch
+from ._stream_call import StreamCalls
+
+__all__ = [
+    "Admission",
+    "BackendHealth",
+    "CallerServer",
+    "ExchangeClient",
+    "GroupProgress",
+    "HeadChoice",
+    "HttpServer",
+    "NodeState",
+    "PlainCalls",
+    "RepeatBudget",
+    "Reply",
+    "RouteTable",
+    "ServedRequest",
+    "StallWatch",
+    "StreamCalls",
+]
--- /dev/null
+++ b/packages/serving/src/fordhatch/serving/_admission.py
@@ -0,0 +1,129 @@
+"""Decides whether a request is served at all, and where it goes."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+from multidict import CIMultiDictProxy
+from result import Err, Ok, Result
+
+from fordhatch.adapter import caller_fields, client_headers
+from fordhatch.catalog import Configuration, Route, Workspace
+from fordhatch.core import Failure, ResultCode, Timer
+
+from ._node_state import NodeState
+from ._request import ServedRequest
+from ._route_table import RouteTable, choose_service
+
+REFUSE_CERTAIN_S = 1.5
+"""A node whose configuration was not confirmed for this long doesn't say that a
+route or key is unknown: a newer configuration may know it. It is below the two
+seconds within which a configuration is in force everywhere."""
+
+
+@attrs.define(eq=False)
+class Admission:
+    """Checks route, key and freshness."""
+
+    state: NodeState
+    timer: Timer
+    rng: random.Random
+    _routes: RouteTable = attrs.field(factory=RouteTable)
+
+    @classmethod
+    def from_state(cls, state: NodeState, timer: Timer) -> Admission:
+        """Build the admission of a node; it follows the configuration."""
+        admission = cls(state, timer, timer.rng)
+        state.view.configuration.subscribe(admission._configured)
+        return admission
+
+    def _configured(self, configuration: Configuration) -> None:
+        self._routes = RouteTable.from_configuration(configuration)
+
+    def max_body_bytes(self) -> int:
+        """Return the longest body that the configuration allows."""
+        current = self.state.view.configuration.current
+        return current.limits.max_body_bytes if current is not None else 0
+
+    def find_route(self, host: str, target: str) -> Result[Route, Failure]:
+        """Return the route of a request, or why it is not served."""
+        stopped = self.state.why_not()
+        if stopped is not None:
+            return Err(stopped)
+        route = self._routes.find(host, target)
+        if route is None:
+            return Err(self._certain(ResultCode.NOT_FOUND))
+        return Ok(route)
+
+    def admit(
+        self,
+        route: Route,
+        *,
+        method: str,
+        target: str,
+        headers: CIMultiDictProxy[str],
+        body: bytes,
+        arrived_s: float,
+    ) -> Result[ServedRequest, Failure]:
+        """Return the request as it will be served, or why it is not.
+
+        Args:
+            route: The request's route, from ``find_route``.
+            method: HTTP method.
+            target: Path and query as sent.
+            headers: The caller's headers.
+            body: The complete body.
+            arrived_s: When the request's head was read, in monotonic seconds.
+        """
+        fields = caller_fields(headers)
+        known = self._workspace(route, fields.api_keys)
+        if known.is_err():
+            return Err(known.unwrap_err())
+        service = choose_service(route, self.rng)
+        if service is None:
+            return Err(Failure.from_code(ResultCode.NO_GROUP_READY))
+        wait_s = route.timeout_s
+        if fields.deadline_s is not None:
+            wait_s = min(wait_s, fields.deadline_s)
+        return Ok(
+            ServedRequest(
+                fields=fields,
+                route=route,
+                service=service,
+                workspace=known.unwrap(),
+                method=method,
+                target=target,
+                headers=client_headers(headers.items()),
+                body=body,
+                arrived_s=arrived_s,
+                ends_s=arrived_s + wait_s,
+            )
+        )
+
+    def _workspace(
+        self, route: Route, api_keys: tuple[str, ...]
+    ) -> Result[Workspace | None, Failure]:
+        by_key = self.state.view.configuration.current.workspace_by_key
+        if by_key is None:
+            return Ok(None)
+        workspace = by_key.get(api_keys[0]) if len(api_keys) == 1 else None
+        if workspace is None and not route.is_public:
+            return Err(self._certain(ResultCode.UNAUTHENTICATED))
+        return Ok(workspace)
+
+    def _certain(self, code: ResultCode) -> Failure:
+        """Return a final refusal if this node knows it for certain."""
+        if self.state.view.configuration_age_s() > REFUSE_CERTAIN_S:
+            return Failure.from_code(ResultCode.CONFIGURATION_STALE, retry_after_s=0.2)
+        return Failure.from_code(code)
+
+    def still_allowed(self, request: ServedRequest) -> Failure | None:
+        """Return why a request that has waited may no longer be sent, or None."""
+        stopped = self.state.why_not()
+        if stopped is not None:
+            return stopped
+        if request.route.is_public or request.workspace is None:
+            return None
+        known = self._workspace(request.route, request.fields.api_keys)
+        return known.err()
--- /dev/null
+++ b/packages/serving/src/fordhatch/serving/_caller_server.py
@@ -0,0 +1,237 @@
+"""Reads callers' requests and writes their answers."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import attrs
+from aiohttp import web
+from multidict import CIMultiDict
+from result import Err, Ok, Result
+from yarl import URL
+
+from fordhatch.adapter import caller_fields, refusal_headers
+from fordhatch.core import Failure, Ran, ResultCode, Timer, log_event, metrics
+
+from ._admission import Admission
+from ._node_state import NodeState
+from ._plain_call import PlainCalls
+from ._repeat_budget import RepeatBudget
+from ._request import ServedRequest
+from ._stream_call import StreamCalls
+
+LATE_TERM_S = 4.5
+"""Requests that come later than this after the signal to stop are refused: they may
+not be complete before the process must end."""
+
+
+@attrs.define(eq=False)
+class CallerReply:
+    """The answer to one request of a caller."""
+
+    http_request: web.BaseRequest
+    state: NodeState
+    response: web.StreamResponse | None = None
+    outcome: str = ""
+    """What the caller got, for logs and metrics."""
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether any byte of the answer has gone out."""
+        return self.response is not None
+
+    async def refuse(self, failure: Failure) -> None:
+        """Answer with the system's own failure."""
+        request_id = caller_fields(self.http_request.headers).request_id
+        headers = refusal_headers(request_id, failure.retry_after_s)
+        body = json.dumps(failure.to_json()).encode()
+        self.outcome = failure.code.name.lower()
+        await self._send(
+            web.Response(
+                status=failure.http_status,
+                headers=headers,
+                body=body,
+                content_type="application/json",
+            )
+        )
+
+    async def whole(
+        self, status: int, headers: list[tuple[str, str]], body: bytes
+    ) -> None:
+        """Answer with a backend server's complete answer."""
+        self.outcome = f"status_{status}"
+        response = web.Response(status=status, headers=CIMultiDict(headers), body=body)
+        await self._send(response)
+
+    async def _send(self, response: web.Response) -> None:
+        self.response = response
+        self._mark_last(response)
+        await response.prepare(self.http_request)
+        await response.write_eof()
+
+    async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Begin an answer whose body follows in pieces."""
+        self.response = web.StreamResponse(status=status, headers=CIMultiDict(headers))
+        self.response.enable_chunked_encoding()
+        self._mark_last(self.response)
+        await self.response.prepare(self.http_request)
+
+    def _mark_last(self, response: web.StreamResponse) -> None:
+        if self.state.is_leaving:
+            response.force_close()
+
+    async def write(self, piece: bytes) -> None:
+        """Pass on a piece of the body."""
+        await self.response.write(piece)
+
+    async def end(self) -> None:
+        """End an answer that is complete."""
+        self.outcome = "complete"
+        await self.response.write_eof()
+
+    def abort(self) -> None:
+        """Break off an answer so that it can't be taken for a complete one."""
+        self.outcome = "aborted"
+        transport = self.http_request.transport
+        if transport is not None:
+            transport.abort()
+
+
+@attrs.define(eq=False)
+class CallerServer:
+    """Handles every request at the callers' address."""
+
+    state: NodeState
+    admission: Admission
+    budget: RepeatBudget
+    streams: StreamCalls
+    plain: PlainCalls
+    timer: Timer
+    leaving_since_s: float = 0.0
+
+    async def handle(self, http_request: web.BaseRequest) -> web.StreamResponse:
+        """Serve one request of a caller."""
+        arrived_s = self.timer.now_s()
+        reply = CallerReply(http_request, self.state)
+        self.state.in_flight += 1
+        self.state.has_served = True
+        metrics.IN_FLIGHT.inc()
+        try:
+            await self._serve(http_request, reply, arrived_s)
+        except ConnectionError as error:
+            # The caller has left; nobody waits for an answer.
+            reply.outcome = "caller_gone"
+            log_event("caller_gone", error=repr(error))
+        except asyncio.CancelledError:
+            reply.outcome = "caller_gone"
+            raise
+        finally:
+            self.state.in_flight -= 1
+            metrics.IN_FLIGHT.dec()
+            metrics.ANSWERS.labels(reply.outcome).inc()
+        return reply.response if reply.response is not None else web.Response()
+
+    async def _serve(
+        self, http_request: web.BaseRequest, reply: CallerReply, arrived_s: float
+    ) -> None:
+        checked = self._check_head(http_request)
+        if checked.is_err():
+            await self._refuse(http_request, reply, checked.unwrap_err())
+            return
+        target = checked.unwrap()
+        found = self.admission.find_route(http_request.headers["Host"], target)
+        if found.is_err():
+            await self._refuse(http_request, reply, found.unwrap_err())
+            return
+        body = await self._read_body(http_request)
+        if body.is_err():
+            await self._refuse(http_request, reply, body.unwrap_err())
+            return
+        admitted = self.admission.admit(
+            found.unwrap(),
+            method=http_request.method,
+            target=target,
+            headers=http_request.headers,
+            body=body.unwrap(),
+            arrived_s=arrived_s,
+        )
+        if admitted.is_err():
+            await self._refuse(http_request, reply, admitted.unwrap_err())
+            return
+        await self._dispatch(admitted.unwrap(), reply)
+
+    def _check_head(self, http_request: web.BaseRequest) -> Result[str, Failure]:
+        target = http_request.raw_path
+        if "Host" not in http_request.headers or not target.startswith("/"):
+            return Err(Failure.from_code(ResultCode.BAD_REQUEST, "host or path"))
+        if URL(f"http://x{target}", encoded=True).raw_path_qs != target:
+            # It could not be passed on unchanged.
+            return Err(Failure.from_code(ResultCode.BAD_REQUEST, "path"))
+        if self.state.is_leaving:
+            leaving_s = self.timer.now_s() - self.leaving_since_s
+            if leaving_s > LATE_TERM_S:
+                return Err(
+                    Failure.from_code(ResultCode.SHUTTING_DOWN, retry_after_s=0.1)
+                )
+        return Ok(target)
+
+    async def _read_body(self, http_request: web.BaseRequest) -> Result[bytes, Failure]:
+        if not http_request.can_read_body:
+            return Ok(b"")
+        if http_request.headers.get("Expect", "").lower() == "100-continue":
+            http_request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        limit = self.admission.max_body_bytes()
+        pieces: list[bytes] = []
+        size = 0
+        try:
+            async for piece in http_request.content.iter_any():
+                pieces.append(piece)
+                size += len(piece)
+                if size > limit:
+                    return Err(Failure.from_code(ResultCode.BODY_TOO_LARGE))
+        except web.RequestPayloadError as error:
+            return Err(Failure.from_code(ResultCode.BAD_REQUEST, repr(error)))
+        return Ok(b"".join(pieces))
+
+    async def _refuse(
+        self, http_request: web.BaseRequest, reply: CallerReply, failure: Failure
+    ) -> None:
+        log_event(
+            "request_refused",
+            code=failure.code.name,
+            host=http_request.headers.get("Host", ""),
+            version=self.state.view.configuration.version,
+            age_s=round(self.state.view.configuration_age_s(), 3),
+        )
+        await reply.refuse(failure)
+
+    async def _dispatch(self, request: ServedRequest, reply: CallerReply) -> None:
+        service = self.state.view.configuration.current.services.get(request.service)
+        if service is None:
+            failure = Failure.from_code(
+                ResultCode.NO_GROUP_READY, ran=Ran.NO, retry_after_s=0.2
+            )
+            await reply.refuse(failure)
+            return
+        self.budget.count_first(request.service)
+        if service.engine is not None:
+            await self.streams.serve(request, reply, service.engine)
+        else:
+            await self.plain.serve(request, reply)
+        self._log(request, reply)
+
+    def _log(self, request: ServedRequest, reply: CallerReply) -> None:
+        now_s = self.timer.now_s()
+        log_event(
+            "request_done",
+            request=request.fields.request_id,
+            route=request.route.name,
+            workspace=request.workspace.name if request.workspace else "",
+            outcome=reply.outcome,
+            arrivals=request.arrivals,
+            ran_at=",".join(request.ran_at),
+            took_s=round(now_s - request.arrived_s, 3),
+            left_s=round(request.left_s(now_s), 3),
+            version=self.state.view.configuration.version,
+        )
--- /dev/null
+++ b/packages/serving/src/fordhatch/serving/_exchange.py
@@ -0,0 +1,243 @@
+"""One send of a request to one backend server."""
+
+from __future__ import annotations
+
+import asyncio
+from enum import Enum
+from typing import Self
+
+import aiohttp
+import attrs
+from aiohttp.base_protocol import BaseProtocol
+from aiohttp.connector import Connection
+from multidict import CIMultiDict
+from result import Err, Ok, Result
+from yarl import URL
+
+from fordhatch.adapter import decode_answer, encode_call
+from fordhatch.catalog import AnswerFields, BackendServer, RefusalKind
+from fordhatch.core import Timer
+
+from ._request import ServedRequest
+
+CONNECT_TIMEOUT_S = 0.25
+"""Backend servers are some milliseconds away; one that has not accepted by then is
+silent, and nothing has been sent to it."""
+
+READ_BUFFER_BYTES = 64 * 1024
+"""Largest piece that is read at once."""
+
+
+class SendProblem(Enum):
+    """Why a send brought no usable answer."""
+
+    NOT_SENT = "not_sent"
+    """No connection: the request has not run."""
+    REFUSED = "refused"
+    """The backend server says that it has not run the request."""
+    OTHER_BACKEND = "other_backend"
+    """Another backend server has the address; the request has not run."""
+    BROKEN = "broken"
+    """The connection broke or the answer was not one: it may have run."""
+    SILENT = "silent"
+    """No answer in time: it may have run."""
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the request may have been executed."""
+        return self in (SendProblem.BROKEN, SendProblem.SILENT)
+
+
+@attrs.frozen
+class SendFailure:
+    """A send that failed, with the detail for the log."""
+
+    problem: SendProblem
+    detail: str = ""
+
+
+class _TrackedResponse(aiohttp.ClientResponse):
+    """Remembers its connection, which the library gives back at the body's end."""
+
+    protocol: BaseProtocol
+
+    async def start(self, connection: Connection) -> Self:
+        """Read the head of the answer from its connection."""
+        self.protocol = connection.protocol
+        return await super().start(connection)
+
+
+@attrs.define(eq=False)
+class BackendAnswer:
+    """An answer whose head was read; the body follows."""
+
+    backend: BackendServer
+    fields: AnswerFields
+    _response: _TrackedResponse
+
+    @property
+    def status(self) -> int:
+        """The HTTP status."""
+        return self._response.status
+
+    @property
+    def headers(self) -> list[tuple[str, str]]:
+        """The headers as they came."""
+        return list(self._response.headers.items())
+
+    async def read_piece(self) -> bytes:
+        """Return the next bytes of the body; empty at its complete end.
+
+        Raises:
+            aiohttp.ClientError, OSError: If the body broke off.
+        """
+        piece = await self._response.content.readany()
+        if not piece:
+            self._check_end()
+        return piece
+
+    async def read_all(self) -> bytes:
+        """Return the complete body.
+
+        Raises:
+            aiohttp.ClientError, OSError: If the body broke off.
+        """
+        body = await self._response.content.read()
+        self._check_end()
+        return body
+
+    def _check_end(self) -> None:
+        # The library takes the end of a connection for the end of a body without
+        # a length, also where the connection was reset.
+        error = self._response.protocol.exception()
+        if isinstance(error, OSError):
+            raise aiohttp.ClientPayloadError(f"reset: {error!r}")
+
+    def close(self) -> None:
+        """Close the connection; an unfinished request is cancelled by it."""
+        self._response.close()
+
+
+@attrs.define(eq=False)
+class ExchangeClient:
+    """Sends requests to backend servers, each on a connection of its own.
+
+    A connection for each request costs a round trip, but no answer can ever belong
+    to another request, and no kept connection can break under a request that must
+    not be repeated.
+    """
+
+    timer: Timer
+    _session: aiohttp.ClientSession
+
+    @classmethod
+    def from_timer(cls, timer: Timer) -> ExchangeClient:
+        """Return a client; a running event loop is needed."""
+        connector = aiohttp.TCPConnector(limit=0, force_close=True)
+        session = aiohttp.ClientSession(
+            connector=connector,
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=(
+                "User-Agent",
+                "Accept",
+                "Accept-Encoding",
+                "Content-Type",
+            ),
+            response_class=_TrackedResponse,
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+            read_bufsize=READ_BUFFER_BYTES,
+            max_line_size=32 * 1024,
+            max_field_size=32 * 1024,
+        )
+        # Never let the library send a request again by itself.
+        session._retry_connection = False
+        return cls(timer, session)
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._session.close()
+
+    async def send(
+        self,
+        request: ServedRequest,
+        backend: BackendServer,
+        *,
+        head_timeout_s: float,
+        urgency: int | None = None,
+        last_event_id: str | None = None,
+    ) -> Result[BackendAnswer, SendFailure]:
+        """Send a request and wait for the head of the answer.
+
+        Args:
+            request: The request.
+            backend: The only backend server that may run it.
+            head_timeout_s: Longest wait for the head.
+            urgency: Rank among the requests that wait there, 0 is first.
+            last_event_id: The stream goes on after this event.
+        """
+        headers = self._headers(request, backend, urgency, last_event_id)
+        try:
+            async with asyncio.timeout(head_timeout_s):
+                response = await self._start(request, backend, headers)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            return Err(SendFailure(SendProblem.NOT_SENT, repr(error)))
+        except TimeoutError:
+            request.arrived_at(backend.backend_id, may_have_run=True)
+            return Err(SendFailure(SendProblem.SILENT, f"no head in {head_timeout_s}"))
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            request.arrived_at(backend.backend_id, may_have_run=True)
+            return Err(SendFailure(SendProblem.BROKEN, repr(error)))
+        return self._judge(request, backend, response)
+
+    def _headers(
+        self,
+        request: ServedRequest,
+        backend: BackendServer,
+        urgency: int | None,
+        last_event_id: str | None,
+    ) -> CIMultiDict[str]:
+        workspace = request.workspace.name if request.workspace is not None else None
+        return encode_call(
+            request.headers,
+            backend_id=backend.backend_id,
+            workspace=workspace,
+            left_s=request.left_s(self.timer.now_s()),
+            urgency=urgency,
+            last_event_id=last_event_id,
+        )
+
+    async def _start(
+        self,
+        request: ServedRequest,
+        backend: BackendServer,
+        headers: CIMultiDict[str],
+    ) -> aiohttp.ClientResponse:
+        url = URL(f"http://{backend.address}{request.target}", encoded=True)
+        return await self._session.request(
+            request.method,
+            url,
+            headers=headers,
+            data=request.body or None,
+            allow_redirects=False,
+        )
+
+    def _judge(
+        self,
+        request: ServedRequest,
+        backend: BackendServer,
+        response: aiohttp.ClientResponse,
+    ) -> Result[BackendAnswer, SendFailure]:
+        fields = decode_answer(response.status, response.headers)
+        if fields.refusal is not RefusalKind.NONE:
+            response.close()
+            request.arrived_at(backend.backend_id, may_have_run=False)
+            other = fields.refusal is RefusalKind.OTHER_BACKEND
+            problem = SendProblem.OTHER_BACKEND if other else SendProblem.REFUSED
+            return Err(SendFailure(problem, fields.backend_at_fault))
+        request.arrived_at(backend.backend_id, may_have_run=True)
+        foreign = fields.request_id != request.fields.request_id
+        if foreign or fields.has_encoding or not fields.is_signed:
+            response.close()
+            return Err(SendFailure(SendProblem.BROKEN, "not the answer that is due"))
+        return Ok(BackendAnswer(backend, fields, response))
--- /dev/null
+++ b/packages/serving/src/fordhatch/serving/_http_server.py
@@ -0,0 +1,61 @@
+"""An HTTP listener of the process."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import attrs
+from aiohttp import web
+
+KEEP_ALIVE_S = 120.0
+"""Callers reuse connections that were idle for four fifths of a limit that the
+configuration sets and may raise; nothing is closed before any usual limit."""
+
+MAX_HEADER_BYTES = 32 * 1024
+"""Longest line of a request's head: twice what configurations allow, so that the
+configured limit decides."""
+
+BACKLOG = 1024
+"""Connections that may wait to be accepted, so that a burst is not dropped."""
+
+HttpHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+@attrs.define(eq=False)
+class HttpServer:
+    """Serves one address with one handler."""
+
+    _server: web.Server
+    _listener: asyncio.Server
+
+    @classmethod
+    async def listen(cls, address: str, handler: HttpHandler) -> HttpServer:
+        """Start to serve ``address`` (``host:port``)."""
+        server = web.Server(
+            handler,
+            handler_cancellation=True,
+            access_log=None,
+            auto_decompress=False,
+            keepalive_timeout=KEEP_ALIVE_S,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+        )
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        listener = await loop.create_server(server, host, int(port), backlog=BACKLOG)
+        return cls(server, listener)
+
+    @property
+    def connections(self) -> int:
+        """Number of open connections."""
+        return len(self._server.connections)
+
+    def stop_listening(self) -> None:
+        """Accept no new connections; the open ones go on."""
+        self._listener.close()
+
+    async def close(self) -> None:
+        """Close the listener and every connection."""
+        self._listener.close()
+        await self._server.shutdown(0.1)
--- /dev/null
+++ b/packages/serving/src/fordhatch/serving/_plain_call.py
@@ -0,0 +1,194 @@
+"""Calls to plain services: one request, one complete answer."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Collection
+
+import aiohttp
+import attrs
+from result import Err, Ok, Result
+
+from fordhatch.adapter import answer_headers
+from fordhatch.catalog import BackendServer
+from fordhatch.core import Failure, Ran, ResultCode, Timer, log_event
+from fordhatch.registry import BackendDirectory
+
+from ._admission import Admission
+from ._backend_health import BackendHealth
+from ._exchange import BackendAnswer, ExchangeClient, SendFailure, SendProblem
+from ._repeat_budget import RepeatBudget
+from ._request import Reply, ServedRequest
+
+MOST_SENDS = 4
+"""Sends of one request at the most, refusals and failed connections included."""
+
+RETRY_AFTER_S = 0.15
+"""When a caller may come back whose request no backend server would take."""
+
+REPEAT_GOAL_SHARE = 0.6
+"""Share of the route's goal after which a repeatable request that has no answer
+goes to another backend server: the second answer may still be on time."""
+
+OTHER_ZONE_COST = 0.5
+"""What another availability zone counts against a backend server, in requests in
+flight."""
+
+_SERVER_ERROR = 500
+
+
+@attrs.frozen
+class WholeAnswer:
+    """A complete answer of a backend server."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+@attrs.define(eq=False)
+class PlainCalls:
+    """Serves requests of plain services."""
+
+    zone: str
+    timer: Timer
+    rng: random.Random
+    directory: BackendDirectory
+    health: BackendHealth
+    budget: RepeatBudget
+    exchange: ExchangeClient
+    admission: Admission
+
+    async def serve(self, request: ServedRequest, reply: Reply) -> None:
+        """Serve one request; the reply has its final answer afterwards."""
+        tried: list[str] = []
+        failed_answer: WholeAnswer | None = None
+        problem = SendFailure(SendProblem.NOT_SENT, "no backend server")
+        for _ in range(MOST_SENDS):
+            backend = self._choose(request.service, tried)
+            if backend is None or not self._may_send(request):
+                break
+            tried.append(backend.backend_id)
+            got = await self._send(request, backend, tried)
+            if got.is_err():
+                problem = got.unwrap_err()
+                continue
+            failed_answer = got.unwrap()
+            if failed_answer.status < _SERVER_ERROR:
+                break
+        if failed_answer is not None:
+            await reply.whole(
+                failed_answer.status, failed_answer.headers, failed_answer.body
+            )
+            return
+        await reply.refuse(self._failure(request, problem))
+
+    def _may_send(self, request: ServedRequest) -> bool:
+        if request.left_s(self.timer.now_s()) <= 0:
+            return False
+        if self.admission.still_allowed(request) is not None:
+            return False
+        if request.ran_at and not request.route.is_repeatable:
+            return False
+        ran = sum(b in self.directory.backends for b in request.ran_at)
+        if ran >= request.route.attempts:
+            return False
+        return request.arrivals == 0 or self.budget.spend(request.service)
+
+    def _choose(self, service: str, tried: Collection[str]) -> BackendServer | None:
+        backends = [
+            b for b in self.directory.plain(service) if b.backend_id not in tried
+        ]
+        sound = [b for b in backends if not self.health.is_avoided(b.backend_id)]
+        return min(sound or backends, key=self._cost, default=None)
+
+    def _cost(self, backend: BackendServer) -> float:
+        cost = float(self.health.in_flight[backend.backend_id])
+        if backend.zone != self.zone:
+            cost += OTHER_ZONE_COST
+        return cost + self.rng.random() * 0.1
+
+    def _answer_timeout_s(
+        self, request: ServedRequest, backend: BackendServer, tried: Collection[str]
+    ) -> float:
+        left_s = request.left_s(self.timer.now_s())
+        is_last = len(request.ran_at) + 1 >= request.route.attempts
+        if not request.route.is_repeatable or is_last:
+            return left_s
+        if self._choose(request.service, tried) is None:
+            return left_s
+        usual_s = 3.0 * self.health.typical_s(backend.backend_id)
+        patience_s = max(REPEAT_GOAL_SHARE * request.route.goal_s, usual_s)
+        return min(left_s, patience_s)
+
+    async def _send(
+        self, request: ServedRequest, backend: BackendServer, tried: Collection[str]
+    ) -> Result[WholeAnswer, SendFailure]:
+        began_s = self.timer.now_s()
+        timeout_s = self._answer_timeout_s(request, backend, tried)
+        self.health.in_flight[backend.backend_id] += 1
+        try:
+            got = await self._exchange(request, backend, timeout_s)
+        finally:
+            self.health.in_flight[backend.backend_id] -= 1
+        took_s = self.timer.now_s() - began_s
+        if got.is_ok() and got.unwrap().status < _SERVER_ERROR:
+            self.health.succeeded(backend.backend_id, took_s)
+            return got
+        self.health.failed(backend.backend_id)
+        _log_failed(request, backend, got, took_s)
+        return got
+
+    async def _exchange(
+        self, request: ServedRequest, backend: BackendServer, timeout_s: float
+    ) -> Result[WholeAnswer, SendFailure]:
+        ends_s = self.timer.now_s() + timeout_s
+        sent = await self.exchange.send(request, backend, head_timeout_s=timeout_s)
+        if sent.is_err():
+            return Err(sent.unwrap_err())
+        answer = sent.unwrap()
+        try:
+            async with asyncio.timeout(max(ends_s - self.timer.now_s(), 0.0)):
+                body = await answer.read_all()
+        except TimeoutError:
+            return Err(SendFailure(SendProblem.SILENT, "body not complete in time"))
+        except (aiohttp.ClientError, OSError) as error:
+            return Err(SendFailure(SendProblem.BROKEN, repr(error)))
+        finally:
+            answer.close()
+        return Ok(_whole(answer, body))
+
+    def _failure(self, request: ServedRequest, problem: SendFailure) -> Failure:
+        if not request.ran_at:
+            stopped = self.admission.still_allowed(request)
+            return stopped or Failure.from_code(
+                ResultCode.BACKEND_REFUSED,
+                problem.detail,
+                ran=Ran.NO,
+                retry_after_s=RETRY_AFTER_S,
+            )
+        if request.left_s(self.timer.now_s()) <= 0:
+            return Failure.from_code(ResultCode.DEADLINE_EXCEEDED)
+        return Failure.from_code(ResultCode.BACKEND_LOST, problem.detail)
+
+
+def _whole(answer: BackendAnswer, body: bytes) -> WholeAnswer:
+    return WholeAnswer(answer.status, answer_headers(answer.headers), body)
+
+
+def _log_failed(
+    request: ServedRequest,
+    backend: BackendServer,
+    got: Result[WholeAnswer, SendFailure],
+    took_s: float,
+) -> None:
+    failure = got.err()
+    log_event(
+        "send_failed",
+        request=request.fields.request_id,
+        backend=backend.backend_id,
+        problem=failure.problem.value if failure else "error_status",
+        detail=failure.detail if failure else got.unwrap().status,
+        took_s=round(took_s, 3),
+    )
--- /dev/null
+++ b/packages/serving/src/fordhatch/serving/_repeat_budget.py
@@ -0,0 +1,63 @@
+"""Keeps the sends beyond the first of each request within the system's budget."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+
+import attrs
+
+from fordhatch.catalog import SystemBounds
+from fordhatch.core import Timer
+
+SAFETY_SHARE = 0.85
+"""Share of the budget that is used: sends are counted where they arrive, a little
+later, and nodes learn of each other with a delay."""
+
+
+@attrs.define
+class _Window:
+    firsts: deque[float] = attrs.field(factory=deque)
+    repeats: deque[float] = attrs.field(factory=deque)
+
+    def trim(self, before_s: float) -> None:
+        for moments in (self.firsts, self.repeats):
+            while moments and moments[0] < before_s:
+                moments.popleft()
+
+
+@attrs.define(eq=False)
+class RepeatBudget:
+    """This node's share of the budget for repeats, by service.
+
+    The ratio counts this node's own requests; the slack, which is one number for the
+    whole system, is divided among the nodes.
+    """
+
+    bounds: SystemBounds
+    timer: Timer
+    node_count: Callable[[], int]
+    _windows: dict[str, _Window] = attrs.field(factory=dict)
+
+    def _window(self, service: str) -> _Window:
+        window = self._windows.setdefault(service, _Window())
+        window.trim(self.timer.now_s() - self.bounds.retry_window_s)
+        return window
+
+    def count_first(self, service: str) -> None:
+        """Count a caller's request."""
+        self._window(service).firsts.append(self.timer.now_s())
+
+    def allowed(self, service: str) -> float:
+        """Return how many repeats this node may have sent within the window."""
+        earned = self.bounds.retry_budget_ratio * len(self._window(service).firsts)
+        slack = self.bounds.retry_slack / max(self.node_count(), 1)
+        return SAFETY_SHARE * (earned + slack)
+
+    def spend(self, service: str) -> bool:
+        """Take one repeat; returns False where none is left."""
+        window = self._window(service)
+        if len(window.repeats) + 1 > self.allowed(service):
+            return False
+        window.repeats.append(self.timer.now_s())
+        return True
