--- a/packages/placement/src/fordhatch/placement/__init__.py
+++ b/packages/placement/src/fordhatch/placement/__init__.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
-from ._layout import GroupPlan, choose_group, target_counts
+from ._conversion import Conversion, choose_conversion
+from ._layout import GroupPlan, Layout, choose_group
 from ._load_budget import LoadBudget
 from ._planner import Planner
 from ._planner_lease import PlannerLease
 
 __all__ = [
+    "Conversion",
     "GroupPlan",
+    "Layout",
     "LoadBudget",
     "Planner",
     "PlannerLease",
+    "choose_conversion",
     "choose_group",
-    "target_counts",
 ]
--- a/packages/placement/src/fordhatch/placement/_layout.py
+++ b/packages/placement/src/fordhatch/placement/_layout.py
@@ -29,105 +29,119 @@
     """Members that must load the weights from the weight store."""
 
 
-def target_counts(profile: EngineProfile, backends: int) -> dict[str, float]:
-    """Return how many groups of each model the backend servers make, by work.
-
-    Args:
-        profile: The service's engine.
-        backends: Backend servers of the service.
-
-    Returns:
-        Number of groups by model, not rounded.
-    """
-    total = sum(m.share for m in profile.models) or 1.0
-    return {
-        m.name: max(m.share / total * backends / m.size, 0.01) for m in profile.models
-    }
-
-
-def join_time_s(
-    backend: BackendServer, model: ModelProfile, last_model: Mapping[str, str]
-) -> float:
-    """Return how long a backend server needs to join a group of a model."""
-    if last_model.get(backend.backend_id) == model.name:
-        return REJOIN_S
-    if model.name in backend.staged_models:
-        return model.warm_s
-    return model.load_s
+@attrs.define
+class Layout:
+    """The groups of one service as the planner counts them."""
+
+    profile: EngineProfile
+    last_model: Mapping[str, str]
+    """Model of each backend server's last group."""
+    counts: Counter[str] = attrs.field(factory=Counter)
+    """Groups by model, those that are being formed included."""
+    spread: Counter[tuple[str, str]] = attrs.field(factory=Counter)
+    """Groups by domain and model."""
+    backends: int = 0
+    """Backend servers that are in a group or could be."""
+
+    def add(self, model: str, domain: str) -> None:
+        """Count a group."""
+        self.counts[model] += 1
+        self.spread[domain, model] += 1
+
+    def target(self, model: ModelProfile) -> float:
+        """Return how many groups of a model its share of the work calls for."""
+        total = sum(m.share for m in self.profile.models) or 1.0
+        return max(model.share / total * self.backends / model.size, 0.01)
+
+    def need(self, model: ModelProfile, change: int = 0) -> float:
+        """Return what one more group of a model is worth.
+
+        Args:
+            model: The model.
+            change: Groups more or fewer than there are now.
+        """
+        count = self.counts[model.name] + change
+        return self.target(model) / max(count + 0.5, 0.5)
+
+    def join_time_s(self, backend: BackendServer, model: ModelProfile) -> float:
+        """Return how long a backend server needs to join a group of a model."""
+        if self.last_model.get(backend.backend_id) == model.name:
+            return REJOIN_S
+        if model.name in backend.staged_models:
+            return model.warm_s
+        return model.load_s
+
+    def must_load(self, backend: BackendServer, model: ModelProfile) -> bool:
+        """Return whether joining a group of a model means a load of its weights."""
+        known = self.last_model.get(backend.backend_id) == model.name
+        return not known and model.name not in backend.staged_models
+
+
+def by_domain(backends: Iterable[BackendServer]) -> dict[str, list[BackendServer]]:
+    """Return the backend servers of each fabric domain."""
+    found: dict[str, list[BackendServer]] = {}
+    for backend in backends:
+        found.setdefault(backend.domain, []).append(backend)
+    return found
 
 
 def choose_group(
-    profile: EngineProfile,
+    layout: Layout,
     free: Iterable[BackendServer],
-    counts: Counter[str],
-    last_model: Mapping[str, str],
     *,
-    groups_in_domain: Mapping[tuple[str, str], int],
-    may_load: bool,
-    load_factor: float = 1.0,
     is_first_layout: bool = False,
+    only_model: str | None = None,
 ) -> GroupPlan | None:
     """Return the most useful group that can be formed from free backend servers.
 
     Args:
-        profile: The service's engine.
+        layout: The groups that there are.
         free: Backend servers that are in no group.
-        counts: Groups by model, those that are being formed included.
-        last_model: Model of each backend server's last group.
-        groups_in_domain: Groups by domain and model, to spread them.
-        may_load: Whether members may load weights from the weight store.
-        load_factor: Factor on the time of such loads.
-        is_first_layout: Nothing serves yet: fill whole domains, large groups first,
-            so that no domain is left with too few for a group.
+        is_first_layout: Nothing serves yet and loads are quick: members may load,
+            and whole domains are filled, large groups first, so that no domain is
+            left with too few for a group.
+        only_model: Consider no other model.
 
     Returns:
-        The group, or None where none can be formed.
+        The group, or None where none can be formed without loads. Where loads are
+        needed, weights are staged first: that leaves the backend server free.
     """
-    by_domain: dict[str, list[BackendServer]] = {}
-    for backend in free:
-        by_domain.setdefault(backend.domain, []).append(backend)
-    total = sum(len(found) for found in by_domain.values())
-    total += sum(counts[m.name] * m.size for m in profile.models)
-    targets = target_counts(profile, total)
-    models = profile.models
+    models = layout.profile.models
     if is_first_layout:
-        models = _below_target(profile, counts, targets) or models
+        models = _below_target(layout) or models
     best: tuple[float, int, GroupPlan] | None = None
-    for domain, backends in sorted(by_domain.items()):
+    for domain, backends in sorted(by_domain(free).items()):
         for model in models:
-            plan = _plan(model, backends, last_model, load_factor)
-            if plan is None or (plan.loads and not may_load):
+            if only_model not in (None, model.name):
+                continue
+            plan = _plan(layout, model, backends)
+            if plan is None or (plan.loads and not is_first_layout):
                 continue
-            need = targets[model.name] / (counts[model.name] + 0.5)
-            gain = need * HORIZON_S / (HORIZON_S + plan.ready_in_s)
-            spread = -groups_in_domain.get((domain, model.name), 0)
+            gain = layout.need(model) * HORIZON_S / (HORIZON_S + plan.ready_in_s)
+            spread = -layout.spread[domain, model.name]
             if best is None or (gain, spread) > best[:2]:
                 best = gain, spread, plan
     return best[2] if best is not None else None
 
 
-def _below_target(
-    profile: EngineProfile, counts: Counter[str], targets: Mapping[str, float]
-) -> tuple[ModelProfile, ...]:
+def _below_target(layout: Layout) -> tuple[ModelProfile, ...]:
     """Return the model with the largest groups of those that lack some."""
-    lacking = [m for m in profile.models if counts[m.name] < int(targets[m.name] + 0.5)]
+    lacking = [
+        m
+        for m in layout.profile.models
+        if layout.counts[m.name] < int(layout.target(m) + 0.5)
+    ]
     lacking.sort(key=lambda m: m.size, reverse=True)
     return tuple(lacking[:1])
 
 
 def _plan(
-    model: ModelProfile,
-    backends: list[BackendServer],
-    last_model: Mapping[str, str],
-    load_factor: float,
+    layout: Layout, model: ModelProfile, backends: list[BackendServer]
 ) -> GroupPlan | None:
     if len(backends) < model.size:
         return None
-    timed = sorted(
-        backends, key=lambda b: (join_time_s(b, model, last_model), b.backend_id)
-    )
+    timed = sorted(backends, key=lambda b: (layout.join_time_s(b, model), b.backend_id))
     members = tuple(timed[: model.size])
-    times = [join_time_s(b, model, last_model) for b in members]
-    loads = sum(t >= model.load_s > model.warm_s for t in times)
-    ready_in_s = max(times) * (load_factor if loads else 1.0)
+    ready_in_s = max(layout.join_time_s(b, model) for b in members)
+    loads = sum(layout.must_load(b, model) for b in members)
     return GroupPlan(model, members, ready_in_s, loads)
--- a/packages/placement/src/fordhatch/placement/_planner.py
+++ b/packages/placement/src/fordhatch/placement/_planner.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
 from collections.abc import Callable
 
 import attrs
@@ -13,6 +12,8 @@
     BackendServer,
     BackendState,
     EngineProfile,
+    MemberState,
+    ModelProfile,
     Service,
     SystemBounds,
     model_of_group,
@@ -20,14 +21,16 @@
 from fordhatch.core import TaskSet, Timer, log_event
 from fordhatch.registry import SHARED_TABLE, ReplicaGroup, StoreView, suspicion_key
 
+from ._conversion import Conversion, choose_conversion
 from ._dissolutions import Dissolutions
-from ._formations import Formations
+from ._formations import LOAD_SLACK_FACTOR, Formations
 from ._groups_seen import GroupCondition, GroupSeen, judge
-from ._layout import choose_group
+from ._layout import GroupPlan, Layout, choose_group
 from ._load_budget import LoadBudget
 from ._loss_check import LossCheck
 from ._order_desk import OrderDesk
 from ._planner_lease import PlannerLease
+from ._staging import Staging
 
 STEP_S = 0.05
 """Time between steps of the planner; also the longest delay that it adds."""
@@ -42,6 +45,12 @@
 """At the first start of the whole system, loads before the first request are quick
 and unlimited; traffic begins 12 s after the instances or later."""
 
+SETTLED_S = 3.0
+"""A group is not given up for another sooner than this after it opened."""
+
+CONVERSION_LIMIT_S = 8.0
+"""Heads that are closed for a conversion finish their requests within this time."""
+
 FILLED_AFTER_S = 0.6
 """At the first start, groups are laid out when no backend server has appeared for
 this long: they register within about two seconds of each other."""
@@ -68,10 +77,14 @@
     formations: Formations
     dissolutions: Dissolutions
     loads: LoadBudget
+    staging: Staging
     last_model: dict[str, str] = attrs.field(factory=dict)
     """Model of each backend server's last group."""
     _members_seen: dict[Key, dict[int, BackendServer]] = attrs.field(factory=dict)
     _odd_since_s: dict[Key, float] = attrs.field(factory=dict)
+    _serving_since_s: dict[Key, float] = attrs.field(factory=dict)
+    _conversion: Conversion | None = None
+    _conversion_since_s: float = 0.0
     _clearing: set[Key] = attrs.field(factory=set)
     _led: bool = False
     _led_since_s: float = 0.0
@@ -99,6 +112,7 @@
         desk = OrderDesk(backends, timer)
         losses = LossCheck(backends, timer)
         directory = view.directory
+        loads = LoadBudget(timer, bounds.load_window_s)
         return cls(
             view,
             lease,
@@ -111,7 +125,8 @@
             losses,
             Formations(desk, directory, timer),
             Dissolutions(desk, losses, directory, timer, bounds.stall_s),
-            LoadBudget(timer, bounds.load_window_s),
+            loads,
+            Staging(desk, loads, timer),
         )
 
     async def run(self) -> None:
@@ -142,13 +157,15 @@
         self.dissolutions.forget()
         self.losses.forget()
         self.desk.forget()
+        self.staging.forget()
+        self._conversion = None
         self._odd_since_s.clear()
 
     def _watch_models(self) -> None:
         for backend in self.view.directory.backends.values():
-            if backend.membership is not None:
-                model = model_of_group(backend.membership.group)
-                self.last_model[backend.backend_id] = model
+            place = backend.membership
+            if place is not None and place.state is not MemberState.JOINING:
+                self.last_model[backend.backend_id] = model_of_group(place.group)
 
     def _are_loads_free(self) -> bool:
         uptime_s = self.timer.now_s() - self._started_s
@@ -168,33 +185,34 @@
         directory = self.view.directory
         groups = directory.groups(service.name)
         self._check_suspicions(groups)
-        counts: Counter[str] = Counter()
-        spread: Counter[tuple[str, str]] = Counter()
-        busy = self.formations.member_ids()
+        layout = Layout(service.engine, self.last_model)
+        busy: set[str] = set()
+        kept: list[ReplicaGroup] = []
         for key, group in groups.items():
             if key in self.dissolutions.released:
                 continue
-            ids = {m.backend_id for m in group.members.values()}
-            if self.dissolutions.is_held(key):
-                busy |= ids
-                continue
-            if not self._tend(service.engine, group):
-                busy |= ids
-                continue
-            busy |= ids
-            counts[group.model] += 1
-            if group.head is not None:
-                spread[group.head.domain, group.model] += 1
+            busy |= {m.backend_id for m in group.members.values()}
+            held = self.dissolutions.is_held(key)
+            if not held and self._tend(service.engine, group):
+                layout.add(group.model, group.head.domain if group.head else "")
+                kept.append(group)
         for key in self.formations.step(groups):
             self._give_up(key, groups.get(key))
         for key, formation in self.formations.active.items():
             if key not in groups:
-                counts[formation.plan.model.name] += 1
-                domain = formation.plan.members[0].domain
-                spread[domain, formation.plan.model.name] += 1
+                layout.add(formation.plan.model.name, formation.plan.members[0].domain)
         self.dissolutions.step()
-        free = self._free(service, busy)
-        self._form(service.engine, free, counts, spread)
+        usable = self._usable(service)
+        layout.backends = len(usable)
+        busy |= self.formations.member_ids()
+        free = [b for b in usable if b.backend_id not in busy]
+        free = self._form(layout, free)
+        self._convert(layout, free, kept)
+        grouped = [b for b in usable if b.backend_id in busy]
+        if not self._is_still_filling():
+            self.staging.step(
+                layout, free, grouped, are_loads_free=self._are_loads_free()
+            )
 
     # Groups that are there.
 
@@ -208,6 +226,7 @@
         self._remember(group)
         match seen.condition:
             case GroupCondition.SERVING:
+                self._serving_since_s.setdefault(group.key, self.timer.now_s())
                 self.formations.opened(group.key)
             case GroupCondition.COMPLETE:
                 self.formations.open(group)
@@ -217,7 +236,7 @@
             case GroupCondition.INCOMPLETE:
                 return self._tend_incomplete(group, seen)
             case GroupCondition.FORMING:
-                return self._tend_forming(group, seen)
+                return self._tend_forming(group, seen, model)
             case GroupCondition.CLOSING:
                 return self._is_patient(group.key)
         return True
@@ -259,7 +278,9 @@
         self.dissolutions.begin(whole, reason, finishes_work=finishes_work)
         self.formations.active.pop(group.key, None)
 
-    def _tend_forming(self, group: ReplicaGroup, seen: GroupSeen) -> bool:
+    def _tend_forming(
+        self, group: ReplicaGroup, seen: GroupSeen, model: ModelProfile
+    ) -> bool:
         if group.key in self.formations.active:
             lost = any(
                 m in self.losses.dead
@@ -269,12 +290,16 @@
                 return True
             self._dissolve(group, "member lost while forming")
             return False
-        return self._is_patient(group.key) or self._dissolve_odd(group)
+        patience_s = TAKEOVER_GRACE_S
+        if seen.missing == 0:
+            # An earlier planner's group, on its way: loads take their time.
+            patience_s += LOAD_SLACK_FACTOR * model.load_s
+        return self._is_patient(group.key, patience_s) or self._dissolve_odd(group)
 
-    def _is_patient(self, key: Key) -> bool:
+    def _is_patient(self, key: Key, patience_s: float = TAKEOVER_GRACE_S) -> bool:
         """Return whether a group that another planner left may still come right."""
         since_s = self._odd_since_s.setdefault(key, self.timer.now_s())
-        return self.timer.now_s() - since_s < TAKEOVER_GRACE_S
+        return self.timer.now_s() - since_s < patience_s
 
     def _dissolve_odd(self, group: ReplicaGroup) -> bool:
         self._dissolve(group, "left over from an earlier planner")
@@ -326,13 +351,11 @@
 
     # New groups.
 
-    def _free(self, service: Service, busy: set[str]) -> list[BackendServer]:
+    def _usable(self, service: Service) -> list[BackendServer]:
         return [
             b
             for b in self.view.directory.of_service(service.name)
-            if b.backend_id not in busy
-            and b.backend_id not in self.losses.dead
-            and b.state is BackendState.READY
+            if b.backend_id not in self.losses.dead and b.state is BackendState.READY
         ]
 
     def _is_still_filling(self) -> bool:
@@ -345,36 +368,66 @@
         quiet_s = now_s - self._newest_s
         return self._are_loads_free() and quiet_s < FILLED_AFTER_S
 
-    def _form(
-        self,
-        profile: EngineProfile,
-        free: list[BackendServer],
-        counts: Counter[str],
-        spread: Counter[tuple[str, str]],
-    ) -> None:
+    def _form(self, layout: Layout, free: list[BackendServer]) -> list[BackendServer]:
+        """Form what can be formed; returns who is still free."""
         if self._is_still_filling():
-            return
-        unpaced = self._are_loads_free()
+            return free
+        first = self._are_loads_free()
+        free = self._finish_conversion(layout, free)
         while free:
-            plan = choose_group(
-                profile,
-                free,
-                counts,
-                self.last_model,
-                groups_in_domain=spread,
-                may_load=True,
-                is_first_layout=unpaced,
-            )
+            plan = choose_group(layout, free, is_first_layout=first)
             if plan is None:
-                return
-            paced = plan.loads and not unpaced
-            if paced and not self.loads.take(profile.loads_per_s, plan.loads):
-                return
-            self.formations.begin(plan, self._next_epoch())
-            taken = {m.backend_id for m in plan.members}
-            free = [b for b in free if b.backend_id not in taken]
-            counts[plan.model.name] += 1
-            spread[plan.members[0].domain, plan.model.name] += 1
+                break
+            free = self._begin(layout, plan, free)
+        return free
+
+    def _finish_conversion(
+        self, layout: Layout, free: list[BackendServer]
+    ) -> list[BackendServer]:
+        """Form the group that others were given up for, once all have let go.
+
+        Until then nobody else gets their members; returns who else is free.
+        """
+        pending = self._conversion
+        if pending is None:
+            return free
+        waited_s = self.timer.now_s() - self._conversion_since_s
+        held = any(self.dissolutions.is_held(g.key) for g in pending.donors)
+        if held and waited_s < CONVERSION_LIMIT_S:
+            donated = pending.member_ids()
+            return [b for b in free if b.backend_id not in donated]
+        self._conversion = None
+        plan = choose_group(layout, free, only_model=pending.model.name)
+        return self._begin(layout, plan, free) if plan is not None else free
+
+    def _begin(
+        self, layout: Layout, plan: GroupPlan, free: list[BackendServer]
+    ) -> list[BackendServer]:
+        self.formations.begin(plan, self._next_epoch())
+        layout.add(plan.model.name, plan.members[0].domain)
+        taken = {m.backend_id for m in plan.members}
+        return [b for b in free if b.backend_id not in taken]
+
+    def _convert(
+        self, layout: Layout, free: list[BackendServer], kept: list[ReplicaGroup]
+    ) -> None:
+        """Give up groups for one that is worth more, one conversion at a time."""
+        if self.dissolutions.active or self.formations.active:
+            return
+        serving = [g for g in kept if self._is_settled(g)]
+        found = choose_conversion(layout, free, serving)
+        if found is None:
+            return
+        self._conversion = found
+        self._conversion_since_s = self.timer.now_s()
+        for group in found.donors:
+            reason = f"makes room for {found.model.name}"
+            self._dissolve(group, reason, finishes_work=True)
+
+    def _is_settled(self, group: ReplicaGroup) -> bool:
+        """Return whether a group has served long enough to be given up."""
+        since_s = self._serving_since_s.get(group.key)
+        return since_s is not None and self.timer.now_s() - since_s > SETTLED_S
 
     def _next_epoch(self) -> int:
         """Return an epoch above every epoch of earlier planners and of this one."""
@@ -394,8 +447,9 @@
         self.dissolutions.released &= reported
         for key in set(self._members_seen) - kept:
             del self._members_seen[key]
-        for key in set(self._odd_since_s) - kept:
-            del self._odd_since_s[key]
+        for since in (self._odd_since_s, self._serving_since_s):
+            for key in set(since) - kept:
+                del since[key]
         members = {
             m.backend_id
             for found in (
