--- /dev/null
+++ b/packages/placement/src/fordhatch/placement/_group_builder.py
@@ -0,0 +1,117 @@
+"""Decides on new groups, and on groups that give way to others."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+
+from fordhatch.catalog import BackendServer
+from fordhatch.core import Timer
+from fordhatch.registry import ReplicaGroup
+
+from ._conversion import Conversion, choose_conversion
+from ._dissolutions import Dissolutions
+from ._formations import Formations
+from ._group_care import GroupCare
+from ._layout import GroupPlan, Layout, choose_group
+
+CONVERSION_LIMIT_S = 8.0
+"""Heads that are closed for a conversion finish their requests within this time."""
+
+
+@attrs.define(eq=False)
+class GroupBuilder:
+    """Forms groups from free backend servers, one conversion at a time."""
+
+    care: GroupCare
+    formations: Formations
+    dissolutions: Dissolutions
+    timer: Timer
+    next_epoch: Callable[[], int]
+    """Returns an epoch that no group has had."""
+    _conversion: Conversion | None = None
+    _conversion_since_s: float = 0.0
+
+    def step(
+        self,
+        layout: Layout,
+        free: list[BackendServer],
+        kept: list[ReplicaGroup],
+        *,
+        is_first_layout: bool,
+    ) -> list[BackendServer]:
+        """Form what is useful; returns who is still free.
+
+        Args:
+            layout: The groups that there are.
+            free: Backend servers that are in no group.
+            kept: Groups that are there to stay.
+            is_first_layout: Nothing serves yet; loads are quick.
+        """
+        free = self._finish_conversion(layout, free)
+        if not is_first_layout:
+            free = self._convert(layout, free, kept)
+        return self._form(layout, free, is_first_layout)
+
+    def forget(self) -> None:
+        """Forget what is under way; another planner goes on."""
+        self._conversion = None
+
+    def _form(
+        self, layout: Layout, free: list[BackendServer], is_first_layout: bool
+    ) -> list[BackendServer]:
+        while free:
+            plan = choose_group(layout, free, is_first_layout=is_first_layout)
+            if plan is None:
+                break
+            free = self._begin(layout, plan, free)
+        return free
+
+    def _finish_conversion(
+        self, layout: Layout, free: list[BackendServer]
+    ) -> list[BackendServer]:
+        """Form the group that others were given up for, once all have let go.
+
+        Until then nobody else gets their members; returns who else is free.
+        """
+        pending = self._conversion
+        if pending is None:
+            return free
+        waited_s = self.timer.now_s() - self._conversion_since_s
+        held = any(self.dissolutions.is_held(g.key) for g in pending.donors)
+        if held and waited_s < CONVERSION_LIMIT_S:
+            return [b for b in free if b.domain != pending.domain]
+        self._conversion = None
+        there = [b for b in free if b.domain == pending.domain]
+        plan = choose_group(layout, there, only_model=pending.model.name)
+        return self._begin(layout, plan, free) if plan is not None else free
+
+    def _begin(
+        self, layout: Layout, plan: GroupPlan, free: list[BackendServer]
+    ) -> list[BackendServer]:
+        self.formations.begin(plan, self.next_epoch())
+        layout.add(plan.model.name, plan.members[0].domain)
+        taken = {m.backend_id for m in plan.members}
+        return [b for b in free if b.backend_id not in taken]
+
+    def _convert(
+        self, layout: Layout, free: list[BackendServer], kept: list[ReplicaGroup]
+    ) -> list[BackendServer]:
+        """Give up groups for one that is worth more, one conversion at a time.
+
+        Returns:
+            Who is free for other groups meanwhile.
+        """
+        if self._conversion is not None:
+            return free
+        serving = [g for g in kept if self.care.is_settled(g)]
+        found = choose_conversion(layout, free, serving)
+        if found is None:
+            return free
+        self._conversion = found
+        self._conversion_since_s = self.timer.now_s()
+        for group in found.donors:
+            reason = f"makes room for {found.model.name}"
+            self.care.dissolve(group, reason, finishes_work=True)
+        return [b for b in free if b.domain != found.domain]
--- a/packages/placement/src/fordhatch/placement/_staging.py
+++ b/packages/placement/src/fordhatch/placement/_staging.py
@@ -26,6 +26,15 @@
     until_s: float
 
 
+@attrs.frozen
+class _Wish:
+    """A load that would be useful."""
+
+    backend: BackendServer
+    model: ModelProfile
+    value: float
+
+
 @attrs.define(eq=False)
 class Staging:
     """Loads of weights onto hosts that are under way."""
@@ -56,8 +65,16 @@
         """
         self._forget_done(layout.profile, [*free, *grouped])
         self._sizes = Counter(b.domain for b in [*free, *grouped])
-        for backends in by_domain(free).values():
-            self._stage_free(layout, backends, are_loads_free)
+        wishes = [
+            wish
+            for backends in by_domain(free).values()
+            for wish in self._wishes(layout, backends)
+        ]
+        # Loads beyond those that fit at once slow all others down, so that no group
+        # would be complete for long: the most useful go first, one after the other.
+        for wish in sorted(wishes, key=lambda w: w.value, reverse=True):
+            if are_loads_free or len(self._active) < layout.profile.loads_at_once:
+                self._order(layout.profile, wish.backend, wish.model, are_loads_free)
         for backend in grouped:
             self._stage_other(layout, backend, are_loads_free)
 
@@ -81,21 +98,18 @@
             if done or load.until_s < now_s:
                 del self._active[backend_id]
 
-    def _stage_free(
-        self, layout: Layout, backends: list[BackendServer], are_loads_free: bool
-    ) -> None:
-        """Stage what brings free backend servers of one domain closest to a group."""
+    def _wishes(self, layout: Layout, backends: list[BackendServer]) -> list[_Wish]:
+        """Return the loads that bring free backend servers of a domain to a group."""
+        found = []
         for backend in backends:
-            if backend.backend_id in self._active:
-                continue
-            model = self._most_useful(layout, backend, backends)
-            if model is not None:
-                self._order(layout.profile, backend, model, are_loads_free)
+            if backend.backend_id not in self._active:
+                found.extend(self._best_wish(layout, backend, backends))
+        return found
 
-    def _most_useful(
+    def _best_wish(
         self, layout: Layout, backend: BackendServer, others: list[BackendServer]
-    ) -> ModelProfile | None:
-        best: tuple[float, ModelProfile] | None = None
+    ) -> list[_Wish]:
+        wishes = []
         for model in self._useful_models(layout, backend):
             prepared = sum(
                 b is not backend
@@ -103,10 +117,8 @@
                 for b in others
             )
             lacking = max(model.size - prepared, 1)
-            value = layout.need(model) / lacking
-            if best is None or value > best[0]:
-                best = value, model
-        return best[1] if best is not None else None
+            wishes.append(_Wish(backend, model, layout.need(model) / lacking))
+        return sorted(wishes, key=lambda w: w.value)[-1:]
 
     def _is_loading(self, backend: BackendServer, model: ModelProfile) -> bool:
         load = self._active.get(backend.backend_id)
--- a/standins/src/fordhatch_standins/wire/_engine_fleet.py
+++ b/standins/src/fordhatch_standins/wire/_engine_fleet.py
@@ -82,6 +82,11 @@
         if len(self._begun) > self.loads_per_s * self.window_s * self.over + 3:
             self._violate(f"{len(self._begun)} loads within {self.window_s} s")
 
+    def loads_running(self) -> int:
+        """Return the loads of weights that are under way."""
+        now_s = asyncio.get_running_loop().time()
+        return sum(e.loading_until_s > now_s for e in self.engines.values())
+
     def _violate(self, what: str) -> None:
         self.violations.append(what)
 
--- a/standins/src/fordhatch_standins/wire/_engine_model.py
+++ b/standins/src/fordhatch_standins/wire/_engine_model.py
@@ -59,7 +59,8 @@
     """Whether the store hears of it."""
     ready_as: set[tuple[str, int, tuple[str, ...]]] = attrs.field(factory=set)
     """Every group, epoch and list under which it has been ready."""
-    _timer: asyncio.TimerHandle | None = None
+    loading_until_s: float = 0.0
+    """End of the load of weights that is under way, if any."""
 
     def entry(self) -> bytes:
         """Return its entry in the store."""
@@ -116,9 +117,14 @@
             return REJOIN_S
         if model in self.staged:
             return self.models[model].warm_s
-        self.on_load(self)
+        self._begin_load(model)
         return self.models[model].load_s
 
+    def _begin_load(self, model: str) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self.loading_until_s = now_s + self.models[model].load_s
+        self.on_load(self)
+
     def _later(self, delay_s: float, call: Callable, *args: object) -> None:
         asyncio.get_running_loop().call_later(delay_s, call, *args)
 
@@ -139,7 +145,7 @@
     def _stage(self, model: str) -> int:
         if model in self.staged:
             return DONE
-        self.on_load(self)
+        self._begin_load(model)
         self._later(self.models[model].load_s, self._is_staged, model)
         return BEGUN
 
