Slow groups are seen by the pauses of their streams; latency histograms

Cause: a slow member makes its whole group slow, and nodes went on sending there as long as few requests were in flight. Plain services were chosen without regard to their speed.

Ruled out: asking for reports (a probe has a price and the report lags).

Change: the pause between two events against what the engine's formula says gives a smoothed slowness for each head; the choice multiplies by its square and forgets it after four seconds without a sample. Plain services count by their usual answer time. Histograms of answers and first events, gauges of groups, stranded backend servers and the age of the configuration.

--- a/packages/core/src/fordhatch/core/_metrics.py
+++ b/packages/core/src/fordhatch/core/_metrics.py
@@ -33,6 +33,51 @@
     ["outcome"],
     registry=REGISTRY,
 )
+ANSWER_SECONDS = Histogram(
+    "fordhatch_answer_seconds",
+    "Time from a request's arrival to the end of its answer.",
+    ["kind"],
+    buckets=(0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0),
+    registry=REGISTRY,
+)
+FIRST_EVENT_SECONDS = Histogram(
+    "fordhatch_first_event_seconds",
+    "Time from a request's arrival to the first event of its stream.",
+    buckets=(0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 6.0),
+    registry=REGISTRY,
+)
+REPEATS = Counter(
+    "fordhatch_repeats_total",
+    "Sends beyond the first of a request: sent, or refused for want of budget.",
+    ["outcome"],
+    registry=REGISTRY,
+)
+CONFIGURATION_AGE_SECONDS = Gauge(
+    "fordhatch_configuration_age_seconds",
+    "Age of the last confirmation of the configuration.",
+    registry=REGISTRY,
+)
+CONFIGURATION_VERSION = Gauge(
+    "fordhatch_configuration_version",
+    "Version of the configuration in force.",
+    registry=REGISTRY,
+)
+OPEN_GROUPS = Gauge(
+    "fordhatch_open_groups",
+    "Groups that take requests, as this node sees them.",
+    registry=REGISTRY,
+)
+STRANDED_BACKENDS = Gauge(
+    "fordhatch_stranded_backends",
+    "Backend servers of engines that are in no group, as this node sees them.",
+    registry=REGISTRY,
+)
+GROUP_FORMING_SECONDS = Histogram(
+    "fordhatch_group_forming_seconds",
+    "Time from the planner's decision to form a group until it serves.",
+    buckets=(0.5, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0, 20.0, 40.0),
+    registry=REGISTRY,
+)
 IN_FLIGHT = Gauge(
     "fordhatch_requests_in_flight", "Callers' requests now open.", registry=REGISTRY
 )
--- a/packages/node/src/fordhatch/node/_node.py
+++ b/packages/node/src/fordhatch/node/_node.py
@@ -252,8 +252,19 @@
     async def _answer_metrics(self, request: web.BaseRequest) -> web.Response:
         if request.raw_path != METRICS_PATH:
             return web.Response(status=404)
+        self._measure()
         return web.Response(body=metrics.render_metrics(), content_type="text/plain")
 
+    def _measure(self) -> None:
+        """Bring the gauges up to date, just before they are read."""
+        view = self.view
+        metrics.CONFIGURATION_VERSION.set(view.configuration.version)
+        metrics.CONFIGURATION_AGE_SECONDS.set(view.configuration_age_s())
+        backends = view.directory.backends.values()
+        metrics.OPEN_GROUPS.set(sum(b.is_open_head for b in backends))
+        engines = [b for b in backends if b.domain]
+        metrics.STRANDED_BACKENDS.set(sum(b.membership is None for b in engines))
+
     # Settings that change.
 
     async def watch_settings(self, path: Path, content: str) -> None:
--- a/packages/placement/src/fordhatch/placement/_formations.py
+++ b/packages/placement/src/fordhatch/placement/_formations.py
@@ -6,7 +6,7 @@
 
 from fordhatch.adapter import GroupOrder, OrderKind
 from fordhatch.catalog import MemberState, group_name
-from fordhatch.core import Timer, log_event
+from fordhatch.core import Timer, log_event, metrics
 from fordhatch.registry import BackendDirectory, ReplicaGroup
 
 from ._layout import GroupPlan
@@ -105,6 +105,7 @@
         if formation is None:
             return
         took_s = self.timer.now_s() - formation.began_s
+        metrics.GROUP_FORMING_SECONDS.observe(took_s)
         log_event("group_opened", group=key[0], epoch=key[1], took_s=round(took_s, 3))
 
     def member_ids(self) -> set[str]:
--- a/packages/serving/src/fordhatch/serving/_backend_health.py
+++ b/packages/serving/src/fordhatch/serving/_backend_health.py
@@ -15,11 +15,25 @@
 """Longest time that failures in a row keep a backend server avoided."""
 
 
+SMOOTHING = 0.3
+"""Weight of the newest observation in averages: about five count."""
+
+SLOW_FROM = 1.6
+"""A head that takes this many times longer between events than the engine's formula
+says is slow; the formula leaves out the prompts that are read in between."""
+
+SLOW_FOR_S = 4.0
+"""How long an observation of slowness counts: a slow backend server gets few requests
+and would otherwise never be seen to have recovered."""
+
+
 @attrs.define
 class _Record:
     failures: int = 0
     avoid_until_s: float = 0.0
     typical_s: float = 0.0
+    slowness: float = 1.0
+    slowness_seen_s: float = 0.0
 
 
 @attrs.define(eq=False)
@@ -43,7 +57,7 @@
         record = self._records.setdefault(backend_id, _Record())
         record.failures = 0
         record.avoid_until_s = 0.0
-        weight = 0.3 if record.typical_s else 1.0
+        weight = SMOOTHING if record.typical_s else 1.0
         record.typical_s += weight * (took_s - record.typical_s)
 
     def is_avoided(self, backend_id: str) -> bool:
@@ -56,6 +70,22 @@
         record = self._records.get(backend_id)
         return record.typical_s if record is not None else 0.0
 
+    def note_pause(self, backend_id: str, pause_s: float, expected_s: float) -> None:
+        """Note the time between two events of a stream, and what it should be."""
+        record = self._records.setdefault(backend_id, _Record())
+        ratio = pause_s / max(expected_s, 0.001)
+        record.slowness += SMOOTHING * (ratio - record.slowness)
+        record.slowness_seen_s = self.timer.now_s()
+
+    def slowness(self, backend_id: str) -> float:
+        """Return how many times slower than usual a head is; 1 for one that is not."""
+        record = self._records.get(backend_id)
+        if record is None or record.slowness < SLOW_FROM:
+            return 1.0
+        if self.timer.now_s() - record.slowness_seen_s > SLOW_FOR_S:
+            return 1.0
+        return record.slowness
+
     def keep_only(self, backend_ids: set[str]) -> None:
         """Forget backend servers that are gone."""
         for backend_id in set(self._records) - backend_ids:
--- a/packages/serving/src/fordhatch/serving/_caller_server.py
+++ b/packages/serving/src/fordhatch/serving/_caller_server.py
@@ -225,6 +225,8 @@
 
     def _log(self, request: ServedRequest, reply: CallerReply) -> None:
         now_s = self.timer.now_s()
+        took_s = now_s - request.arrived_s
+        metrics.ANSWER_SECONDS.labels(request.route.kind.value).observe(took_s)
         log_event(
             "request_done",
             request=request.fields.request_id,
@@ -233,7 +235,7 @@
             outcome=reply.outcome,
             arrivals=request.arrivals,
             ran_at=",".join(request.ran_at),
-            took_s=round(now_s - request.arrived_s, 3),
+            took_s=round(took_s, 3),
             left_s=round(request.left_s(now_s), 3),
             version=self.state.view.configuration.version,
         )
--- a/packages/serving/src/fordhatch/serving/_head_choice.py
+++ b/packages/serving/src/fordhatch/serving/_head_choice.py
@@ -50,7 +50,10 @@
         return min(candidates, key=self._cost)
 
     def _cost(self, head: BackendServer) -> float:
-        cost = float(self.health.in_flight[head.backend_id])
+        cost = 1.0 + self.health.in_flight[head.backend_id]
         if head.zone != self.zone:
             cost += OTHER_ZONE_COST
+        # A slow group makes streams late even when it is empty: the square keeps
+        # all but the last requests away from it.
+        cost *= self.health.slowness(head.backend_id) ** 2
         return cost + self.rng.random() * 0.1
--- a/packages/serving/src/fordhatch/serving/_plain_call.py
+++ b/packages/serving/src/fordhatch/serving/_plain_call.py
@@ -35,6 +35,10 @@
 """What another availability zone counts against a backend server, in requests in
 flight."""
 
+LEAST_USUAL_S = 0.05
+"""Backend servers that usually answer faster than this, or whose usual time is not
+known yet, count as equally fast."""
+
 _SERVER_ERROR = 500
 
 
@@ -104,10 +108,11 @@
         return min(sound or backends, key=self._cost, default=None)
 
     def _cost(self, backend: BackendServer) -> float:
-        cost = float(self.health.in_flight[backend.backend_id])
+        cost = 1.0 + self.health.in_flight[backend.backend_id]
         if backend.zone != self.zone:
             cost += OTHER_ZONE_COST
-        return cost + self.rng.random() * 0.1
+        usual_s = max(self.health.typical_s(backend.backend_id), LEAST_USUAL_S)
+        return cost * usual_s + self.rng.random() * 0.1 * LEAST_USUAL_S
 
     def _answer_timeout_s(
         self, request: ServedRequest, backend: BackendServer, tried: Collection[str]
--- a/packages/serving/src/fordhatch/serving/_stream_call.py
+++ b/packages/serving/src/fordhatch/serving/_stream_call.py
@@ -10,7 +10,7 @@
 
 from fordhatch.adapter import answer_headers
 from fordhatch.catalog import BackendServer, EngineProfile
-from fordhatch.core import Failure, Ran, ResultCode, Timer, log_event
+from fordhatch.core import Failure, Ran, ResultCode, Timer, log_event, metrics
 from fordhatch.registry import BackendDirectory
 
 from ._admission import Admission
@@ -135,7 +135,10 @@
                 repeats = request.arrivals > 0
                 if repeats and not self.budget.spend(request.service):
                     log_event("budget_spent", request=request.fields.request_id)
+                    metrics.REPEATS.labels("refused").inc()
                     return None
+                if repeats:
+                    metrics.REPEATS.labels("sent").inc()
                 return head
             left_s = until_s - self.timer.now_s()
             if left_s <= 0 or not await self._wait_for_change(left_s):
@@ -289,11 +292,13 @@
         self, stream: _Stream, head: BackendServer, answer: BackendAnswer
     ) -> None:
         splitter = EventSplitter()
+        last_s: float | None = None
         while True:
             piece = await self._next_piece(stream, head, answer)
             if not piece:
                 break
             self.progress.advanced(head.backend_id)
+            last_s = self._note_pause(stream, head, last_s)
             await self._pass_on_piece(stream, answer, splitter, piece)
         if splitter.has_rest:
             raise _Broken(SendProblem.BROKEN, "ended within an event")
@@ -301,6 +306,20 @@
             await stream.reply.begin(answer.status, answer_headers(answer.headers))
         await stream.reply.end()
 
+    def _note_pause(
+        self, stream: _Stream, head: BackendServer, last_s: float | None
+    ) -> float:
+        now_s = self.timer.now_s()
+        if last_s is None:
+            metrics.FIRST_EVENT_SECONDS.observe(now_s - stream.request.arrived_s)
+            return now_s
+        profile = stream.profile
+        model = profile.model(stream.model)
+        if model is not None:
+            expected_s = profile.pass_s(profile.slots // 2) * model.pace
+            self.health.note_pause(head.backend_id, now_s - last_s, expected_s)
+        return now_s
+
     async def _pass_on_piece(
         self,
         stream: _Stream,
--- a/packages/serving/tests/test_parts.py
+++ b/packages/serving/tests/test_parts.py
@@ -136,6 +136,18 @@
     assert not health.is_avoided("i")
 
 
+def test_a_slow_head_is_seen_by_its_pauses_and_forgotten_after_a_while() -> None:
+    clock = HandClock()
+    health = BackendHealth(clock)
+    for _ in range(10):
+        health.note_pause("slow", 0.24, 0.06)
+        health.note_pause("sound", 0.07, 0.06)
+    assert health.slowness("slow") > 3
+    assert health.slowness("sound") == 1.0
+    clock.at_s += 5
+    assert health.slowness("slow") == 1.0
+
+
 def test_silence_is_measured_over_all_streams_of_a_head() -> None:
     clock = HandClock()
     progress = GroupProgress(clock)
