--- a/packages/placement/src/fordhatch/placement/_dissolutions.py
+++ b/packages/placement/src/fordhatch/placement/_dissolutions.py
@@ -7,7 +7,7 @@
 
 from fordhatch.adapter import GroupOrder, OrderKind, OrderReply
 from fordhatch.catalog import BackendServer, MemberState
-from fordhatch.core import Failure, ResultCode, Timer, log_event
+from fordhatch.core import Failure, Timer, log_event
 from fordhatch.registry import BackendDirectory, ReplicaGroup
 
 from ._loss_check import LossCheck
@@ -43,8 +43,8 @@
     """Groups that are being taken apart.
 
     Members may join another group only when the head no longer serves: it has left
-    the group, or has ended, or is broken for certain because its members left it
-    long enough ago.
+    the group, or has ended, or is broken for certain because a member is known to have
+    left it long enough ago.
     """
 
     desk: OrderDesk
@@ -103,12 +103,34 @@
         if dissolution.head_has_left:
             return True
         head = dissolution.members.get(0)
+        if head is not None and self._has_ended(head):
+            return True
+        if self._is_forgotten(dissolution):
+            return True
         if head is None or self._is_out_of_reach(head):
-            ended = head is not None and head.backend_id in self.losses.refused
-            return ended or self._must_be_broken(dissolution)
+            return self._must_be_broken(dissolution)
         listed = self.directory.backends[head.backend_id]
         return listed.membership is None or listed.membership.key != key
 
+    def _has_ended(self, head: BackendServer) -> bool:
+        """Return whether another start of a backend server has the head's address.
+
+        A refused connection proves nothing: a partition may refuse them as well.
+        """
+        if head.backend_id in self.losses.replaced:
+            return True
+        return any(
+            b.address == head.address and b.backend_id != head.backend_id
+            for b in self.directory.backends.values()
+        )
+
+    def _is_forgotten(self, dissolution: Dissolution) -> bool:
+        """Return whether no member is registered any more: nobody can move."""
+        return not any(
+            m.backend_id in self.directory.backends
+            for m in dissolution.members.values()
+        )
+
     def _must_be_broken(self, dissolution: Dissolution) -> bool:
         if dissolution.short_since_s is None:
             return False
@@ -167,9 +189,10 @@
         for rank, member in dissolution.members.items():
             if rank == 0:
                 continue
-            if member.backend_id in self.losses.dead:
+            if member.backend_id in self.losses.replaced:
                 self._is_short(dissolution)
             else:
+                # Who does not answer may only be out of reach, and at work.
                 self.desk.send(member, GroupOrder(OrderKind.LEAVE, *key), on_reply)
 
     def _is_short(self, dissolution: Dissolution) -> None:
@@ -192,7 +215,7 @@
 
 def _proves_left(got: Result[OrderReply, Failure]) -> bool:
     """Return whether an answer to a leave shows that the head serves no longer."""
-    if got.is_ok():
-        reply = got.unwrap()
-        return reply.is_accepted or reply.status == _OTHER_BACKEND
-    return got.unwrap_err().code is ResultCode.BACKEND_REFUSED
+    if got.is_err():
+        return False
+    reply = got.unwrap()
+    return reply.is_accepted or reply.status == _OTHER_BACKEND
--- a/packages/placement/src/fordhatch/placement/_loss_check.py
+++ b/packages/placement/src/fordhatch/placement/_loss_check.py
@@ -30,9 +30,9 @@
     timer: Timer
     dead: set[str] = attrs.field(factory=set)
     """Did not answer when asked, though still listed perhaps."""
-    refused: set[str] = attrs.field(factory=set)
-    """Nothing listens at their address, or another backend server does: that start
-    of them has ended for certain."""
+    replaced: set[str] = attrs.field(factory=set)
+    """Another backend server answers at their address: that start of them has ended
+    for certain."""
     _answered_s: dict[str, float] = attrs.field(factory=dict)
     """When the probe was sent that was answered last."""
     _asking: set[str] = attrs.field(factory=set)
@@ -70,10 +70,9 @@
             self.dead.discard(backend_id)
             return
         self.dead.add(backend_id)
-        ended = found.is_ok() or found.err().code is ResultCode.BACKEND_REFUSED
-        if ended:
-            self.refused.add(backend_id)
-        log_event("backend_lost", backend=backend_id, ended=ended)
+        if found.is_ok():
+            self.replaced.add(backend_id)
+        log_event("backend_lost", backend=backend_id, replaced=found.is_ok())
         self._tasks.spawn(self._recheck(backend), f"recheck-{backend_id}")
 
     async def _probe(self, backend: BackendServer) -> Result[bool, Failure]:
@@ -88,21 +87,21 @@
     async def _recheck(self, backend: BackendServer) -> None:
         """Ask again later: whoever was only out of reach may be used again."""
         await self.timer.sleep(RECHECK_S)
-        if backend.backend_id in self.dead and backend.backend_id not in self.refused:
+        if backend.backend_id in self.dead and backend.backend_id not in self.replaced:
             self.dead.discard(backend.backend_id)
             self.ask(backend)
 
     def keep_only(self, backend_ids: set[str]) -> None:
         """Forget backend servers that nobody speaks of any more."""
         self.dead &= backend_ids
-        self.refused &= backend_ids
+        self.replaced &= backend_ids
         for backend_id in set(self._answered_s) - backend_ids:
             del self._answered_s[backend_id]
 
     def forget(self) -> None:
         """Forget every finding."""
         self.dead.clear()
-        self.refused.clear()
+        self.replaced.clear()
         self._answered_s.clear()
 
     async def close(self) -> None:
--- a/packages/placement/tests/test_planner.py
+++ b/packages/placement/tests/test_planner.py
@@ -8,6 +8,7 @@
 from planning_site import Site, play, standard_site
 
 from fordhatch.adapter import GroupOrder, OrderKind
+from fordhatch.registry import SHARED_TABLE, Suspicion, suspicion_key
 from fordhatch_standins.wire import EngineModel
 
 KINDS = [
@@ -89,6 +90,28 @@
     play(scenario)
 
 
+@pytest.mark.parametrize("model", ["big", "small"])
+def test_members_that_are_only_out_of_the_planners_reach_are_not_free(model) -> None:
+    """Whoever the planner can't reach may serve others all the while."""
+
+    async def scenario(site: Site) -> None:
+        await standard_site(site, nodes=1)
+        planner = site.planner()
+        head, _ = head_and_member(site, model)
+        place = head.place
+        planner.backends.is_cut = True
+        suspicion = Suspicion(place.group, place.epoch, "n9")
+        key = suspicion_key(place.group, place.epoch)
+        site.store.put(SHARED_TABLE, key, suspicion.to_bytes())
+        await site.watch(12)
+        assert head.place is place
+        assert (place.group, place.epoch) not in planner.planner.dissolutions.released
+        planner.backends.is_cut = False
+        await site.watch(12)
+
+    play(scenario)
+
+
 def test_a_group_goes_on_when_a_member_is_only_out_of_the_stores_reach() -> None:
     async def scenario(site: Site) -> None:
         await standard_site(site, domains=1)
--- a/packages/serving/src/fordhatch/serving/_caller_server.py
+++ b/packages/serving/src/fordhatch/serving/_caller_server.py
@@ -21,9 +21,9 @@
 from ._request import ServedRequest
 from ._stream_call import StreamCalls
 
-LATE_TERM_S = 4.5
+LATE_TERM_S = 3.0
 """Requests that come later than this after the signal to stop are refused: they may
-not be complete before the process must end."""
+not be complete before the process must end. The balancer sends none by then."""
 
 
 @attrs.define(eq=False)
