Nodes behind the first candidates look at the lease the more rarely the more there are

Ruled out: the relays (the followers' calls are those of one reader). Change: the time between looks grows by half a second for each node that comes before.

--- a/packages/placement/src/fordhatch/placement/_planner_lease.py
+++ b/packages/placement/src/fordhatch/placement/_planner_lease.py
@@ -33,7 +33,15 @@
 candidates are lost too, and saves calls."""
 
 CANDIDATE_LOOK_S = 0.45
+"""Time between looks of the first candidates."""
+
 OTHER_LOOK_S = 2.5
+"""Shortest time between looks of the others."""
+
+LOOK_S_PER_RANK = 0.5
+"""Added to that time for each node that comes before: the looks of all nodes together
+then grow with the logarithm of their number, and those of the first few are enough
+when the candidates are lost."""
 
 
 @attrs.define(eq=False)
@@ -74,9 +82,10 @@
                 await self.timer.sleep(self.timer.jittered(self._look_interval_s()))
 
     def _look_interval_s(self) -> float:
-        names = sorted(self.node_names() | {self.node_name})
-        first = self.node_name in names[:CANDIDATES] or self._version == 0
-        return CANDIDATE_LOOK_S if first else OTHER_LOOK_S
+        rank = sorted(self.node_names() | {self.node_name}).index(self.node_name)
+        if rank < CANDIDATES or self._version == 0:
+            return CANDIDATE_LOOK_S
+        return max(OTHER_LOOK_S, LOOK_S_PER_RANK * rank)
 
     def _note_loss(self) -> None:
         if self._was_holder:
--- a/packages/placement/tests/test_planner.py
+++ b/packages/placement/tests/test_planner.py
@@ -377,3 +377,18 @@
         assert site.working() > 0
 
     play(scenario, seed)
+
+
+def test_looks_at_the_lease_hardly_grow_with_the_nodes() -> None:
+    async def scenario(site: Site) -> None:
+        for index in range(40):
+            site.add_node(f"n{index:02d}")
+        await site.watch(2)
+        leases = [n.lease for n in site.nodes.values()]
+        for lease in leases:
+            lease.node_names = lambda: set(site.nodes)
+        rates = [1 / lease._look_interval_s() for lease in leases]
+        assert sum(rates) < 2 / 0.45 + 2 * 4 + 1
+        assert max(1 / rate for rate in rates[:6]) < 3
+
+    play(scenario)
