Figures without a name get one; a node keeps the settings text that it has read

Cause: reading the change as a newcomer: times after which callers may come back and the random part of choices stood as bare numbers; SIGHUP compared the settings file with the text of the start and took the same change again at every signal.

Change: named constants; the node remembers the text that it read last. A test changes the file to good, bad and missing.

--- a/packages/node/src/fordhatch/node/_daemon.py
+++ b/packages/node/src/fordhatch/node/_daemon.py
@@ -54,9 +54,10 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     node = Node.from_settings(settings)
-    loop.add_signal_handler(signal.SIGHUP, lambda: node.reload(path, content))
+    node.settings_text = content
+    loop.add_signal_handler(signal.SIGHUP, lambda: node.reload(path))
     await node.start()
-    watch = asyncio.ensure_future(node.watch_settings(path, content))
+    watch = asyncio.ensure_future(node.watch_settings(path))
     await stop.wait()
     await node.leave()
     watch.cancel()
--- a/packages/node/src/fordhatch/node/_node.py
+++ b/packages/node/src/fordhatch/node/_node.py
@@ -97,6 +97,8 @@
     lease: PlannerLease
     planner: Planner
     callers: CallerServer
+    settings_text: str = ""
+    """The settings file as it was last read."""
     _servers: list[HttpServer] = attrs.field(factory=list)
     _tasks: TaskSet = attrs.field(factory=TaskSet)
 
@@ -267,26 +269,26 @@
 
     # Settings that change.
 
-    async def watch_settings(self, path: Path, content: str) -> None:
+    async def watch_settings(self, path: Path) -> None:
         """Take changes of the settings file until cancelled."""
         while True:
             await self.timer.sleep(SETTINGS_LOOK_S)
-            content = self.reload(path, content)
+            self.reload(path)
 
-    def reload(self, path: Path, content: str) -> str:
-        """Take the settings file if it differs; returns the content in force."""
+    def reload(self, path: Path) -> None:
+        """Take the settings file if it has changed."""
         try:
             found = path.read_text()
         except OSError as error:
             log_event("settings_unreadable", error=repr(error))
-            return content
-        if found == content:
-            return content
+            return
+        if found == self.settings_text:
+            return
+        self.settings_text = found
         try:
             self._apply(decode_settings(found))
         except DecodeError as error:
             log_event("settings_refused", error=str(error))
-        return found
 
     def _apply(self, settings: NodeSettings) -> None:
         """Take the bounds of new settings; addresses hold until the next start."""
--- a/packages/node/tests/test_node_process.py
+++ b/packages/node/tests/test_node_process.py
@@ -20,7 +20,9 @@
     OPERATOR_TABLE,
     READY_PATH,
     SETTINGS_VARIABLE,
+    decode_settings,
 )
+from fordhatch.node import Node
 from fordhatch_standins.wire import (
     ScriptedBackend,
     StoreModel,
@@ -126,3 +128,19 @@
     assert b"code=502" in errors
     assert b"zone: expected text" in errors
     assert b"bounds.revoke-ms: expected a number" in errors
+
+
+async def test_changed_settings_are_taken_and_bad_ones_left(tmp_path: Path) -> None:
+    path = tmp_path / "node.toml"
+    path.write_text(BOUNDS)
+    node = Node.from_settings(decode_settings(BOUNDS))
+    node.settings_text = BOUNDS
+    path.write_text(BOUNDS.replace("revoke-ms = 5000", "revoke-ms = 4000"))
+    node.reload(path)
+    assert node.state.bounds.revoke_s == 4.0
+    path.write_text(BOUNDS.replace("revoke-ms = 5000", "revoke-ms = -1"))
+    node.reload(path)
+    path.unlink()
+    node.reload(path)
+    assert node.state.bounds.revoke_s == 4.0
+    await node.close()
--- a/packages/serving/src/fordhatch/serving/_admission.py
+++ b/packages/serving/src/fordhatch/serving/_admission.py
@@ -12,7 +12,7 @@
 from fordhatch.catalog import Configuration, Route, Workspace
 from fordhatch.core import Failure, ResultCode, Timer
 
-from ._node_state import NodeState
+from ._node_state import RETRY_AFTER_S, NodeState
 from ._request import ServedRequest
 from ._route_table import RouteTable, choose_service
 
@@ -115,7 +115,9 @@
     def _certain(self, code: ResultCode) -> Failure:
         """Return a final refusal if this node knows it for certain."""
         if self.state.view.configuration_age_s() > REFUSE_CERTAIN_S:
-            return Failure.from_code(ResultCode.CONFIGURATION_STALE, retry_after_s=0.2)
+            return Failure.from_code(
+                ResultCode.CONFIGURATION_STALE, retry_after_s=RETRY_AFTER_S
+            )
         return Failure.from_code(code)
 
     def still_allowed(self, request: ServedRequest) -> Failure | None:
--- a/packages/serving/src/fordhatch/serving/_backend_health.py
+++ b/packages/serving/src/fordhatch/serving/_backend_health.py
@@ -27,6 +27,10 @@
 and would otherwise never be seen to have recovered."""
 
 
+TIE_SHARE = 0.1
+"""Random part of a choice's cost, in requests in flight: equals take turns."""
+
+
 @attrs.define
 class _Record:
     failures: int = 0
--- a/packages/serving/src/fordhatch/serving/_caller_server.py
+++ b/packages/serving/src/fordhatch/serving/_caller_server.py
@@ -15,7 +15,7 @@
 from fordhatch.core import Failure, Ran, ResultCode, Timer, log_event, metrics
 
 from ._admission import Admission
-from ._node_state import NodeState
+from ._node_state import RETRY_AFTER_S, NodeState
 from ._plain_call import PlainCalls
 from ._repeat_budget import RepeatBudget
 from ._request import ServedRequest
@@ -174,7 +174,9 @@
             leaving_s = self.timer.now_s() - self.leaving_since_s
             if leaving_s > LATE_TERM_S:
                 return Err(
-                    Failure.from_code(ResultCode.SHUTTING_DOWN, retry_after_s=0.1)
+                    Failure.from_code(
+                        ResultCode.SHUTTING_DOWN, retry_after_s=RETRY_AFTER_S
+                    )
                 )
         return Ok(target)
 
@@ -212,7 +214,7 @@
         service = self.state.view.configuration.current.services.get(request.service)
         if service is None:
             failure = Failure.from_code(
-                ResultCode.NO_GROUP_READY, ran=Ran.NO, retry_after_s=0.2
+                ResultCode.NO_GROUP_READY, ran=Ran.NO, retry_after_s=RETRY_AFTER_S
             )
             await reply.refuse(failure)
             return
--- a/packages/serving/src/fordhatch/serving/_head_choice.py
+++ b/packages/serving/src/fordhatch/serving/_head_choice.py
@@ -10,7 +10,7 @@
 from fordhatch.catalog import BackendServer
 from fordhatch.registry import BackendDirectory
 
-from ._backend_health import BackendHealth
+from ._backend_health import TIE_SHARE, BackendHealth
 from ._stall_watch import StallWatch
 
 OTHER_ZONE_COST = 0.3
@@ -56,4 +56,4 @@
         # A slow group makes streams late even when it is empty: the square keeps
         # all but the last requests away from it.
         cost *= self.health.slowness(head.backend_id) ** 2
-        return cost + self.rng.random() * 0.1
+        return cost + self.rng.random() * TIE_SHARE
--- a/packages/serving/src/fordhatch/serving/_plain_call.py
+++ b/packages/serving/src/fordhatch/serving/_plain_call.py
@@ -16,7 +16,7 @@
 from fordhatch.registry import BackendDirectory
 
 from ._admission import Admission
-from ._backend_health import BackendHealth
+from ._backend_health import TIE_SHARE, BackendHealth
 from ._exchange import BackendAnswer, ExchangeClient, SendFailure, SendProblem
 from ._repeat_budget import RepeatBudget
 from ._request import Reply, ServedRequest
@@ -112,7 +112,7 @@
         if backend.zone != self.zone:
             cost += OTHER_ZONE_COST
         usual_s = max(self.health.typical_s(backend.backend_id), LEAST_USUAL_S)
-        return cost * usual_s + self.rng.random() * 0.1 * LEAST_USUAL_S
+        return cost * usual_s + self.rng.random() * TIE_SHARE * LEAST_USUAL_S
 
     def _answer_timeout_s(
         self, request: ServedRequest, backend: BackendServer, tried: Collection[str]
