Closing a set of tasks repeats the cancellation until every task has ended

Ruled out: load (the machine was idle). Not caught in the act: the stack shows the wait, not the task.

Change: TaskSet.close cancels again every 0.1 s until all have ended, and never waits for itself. A test with a task that ignores its first cancellation would not end on the code before.

--- a/packages/core/src/fordhatch/core/_timer.py
+++ b/packages/core/src/fordhatch/core/_timer.py
@@ -12,6 +12,9 @@
 
 from ._log import log_event
 
+CANCEL_AGAIN_S = 0.1
+"""A task that has not ended this long after its cancellation is cancelled again."""
+
 RESTART_PAUSE_S = 0.2
 """Pause before a part that failed is started again."""
 
@@ -131,9 +134,14 @@
         await self.close()
 
     async def close(self) -> None:
-        """Cancel every task and wait until all have ended."""
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
+        """Cancel every task and wait until all have ended.
+
+        A task may miss a cancellation that comes at the moment at which what it
+        waits for is done (``asyncio.wait_for`` swallows it), so it is repeated.
+        """
+        pending = self._tasks - {asyncio.current_task()}
         with contextlib.suppress(asyncio.CancelledError):
-            await asyncio.gather(*tasks, return_exceptions=True)
+            while pending:
+                for task in pending:
+                    task.cancel()
+                _, pending = await asyncio.wait(pending, timeout=CANCEL_AGAIN_S)
