--- a/packages/placement/src/fordhatch/placement/_dissolutions.py
+++ b/packages/placement/src/fordhatch/placement/_dissolutions.py
@@ -11,7 +11,7 @@
 from fordhatch.registry import BackendDirectory, ReplicaGroup
 
 from ._loss_check import LossCheck
-from ._order_desk import OrderDesk
+from ._order_desk import OnReply, OrderDesk
 
 STALL_MARGIN_S = 1.0
 """Added to the time after which a head without its members is broken."""
@@ -31,10 +31,11 @@
     members: dict[int, BackendServer]
     reason: str
     began_s: float
-    free_at_s: float
-    """Even a head that nobody reaches is broken by then."""
     finishes_work: bool
     head_has_left: bool = False
+    short_since_s: float | None = None
+    """Since when the group lacks a member for certain. A head that nobody reaches is
+    broken some time after that."""
 
 
 @attrs.define(eq=False)
@@ -71,10 +72,8 @@
             return
         if group.key in self.released:
             return
-        now_s = self.timer.now_s()
-        free_at_s = now_s + self.stall_s + STALL_MARGIN_S
         self.active[group.key] = Dissolution(
-            dict(group.members), reason, now_s, free_at_s, finishes_work
+            dict(group.members), reason, self.timer.now_s(), finishes_work
         )
         log_event(
             "group_dissolving",
@@ -106,10 +105,16 @@
         head = dissolution.members.get(0)
         if head is None or self._is_out_of_reach(head):
             ended = head is not None and head.backend_id in self.losses.refused
-            return ended or self.timer.now_s() >= dissolution.free_at_s
+            return ended or self._must_be_broken(dissolution)
         listed = self.directory.backends[head.backend_id]
         return listed.membership is None or listed.membership.key != key
 
+    def _must_be_broken(self, dissolution: Dissolution) -> bool:
+        if dissolution.short_since_s is None:
+            return False
+        short_s = self.timer.now_s() - dissolution.short_since_s
+        return short_s >= self.stall_s + STALL_MARGIN_S
+
     def _is_out_of_reach(self, head: BackendServer) -> bool:
         listed = head.backend_id in self.directory.backends
         return not listed or head.backend_id in self.losses.dead
@@ -120,17 +125,28 @@
             self._order_members_to_leave(key, dissolution)
             return
         if dissolution.finishes_work and self._must_finish(key, dissolution, head):
-            self.desk.send(head, GroupOrder(OrderKind.CLOSE, *key))
+            self.desk.send(head, GroupOrder(OrderKind.CLOSE, *key), self._asker(head))
             return
+        ask = self._asker(head)
 
         def on_reply(got: Result[OrderReply, Failure]) -> None:
             if _proves_left(got):
                 dissolution.head_has_left = True
+            ask(got)
 
         self.desk.send(head, GroupOrder(OrderKind.LEAVE, *key), on_reply)
         if self._is_out_of_reach(head):
             self._order_members_to_leave(key, dissolution)
 
+    def _asker(self, head: BackendServer) -> OnReply:
+        """Return what asks a head for a sign of life if it leaves an order unanswered."""
+
+        def on_reply(got: Result[OrderReply, Failure]) -> None:
+            if got.is_err():
+                self.losses.ask(head)
+
+        return on_reply
+
     def _must_finish(
         self, key: Key, dissolution: Dissolution, head: BackendServer
     ) -> bool:
@@ -143,9 +159,26 @@
 
     def _order_members_to_leave(self, key: Key, dissolution: Dissolution) -> None:
         """Without its members a head that is out of reach breaks by itself."""
+
+        def on_reply(got: Result[OrderReply, Failure]) -> None:
+            if got.is_ok() and got.unwrap().is_accepted:
+                self._is_short(dissolution)
+
         for rank, member in dissolution.members.items():
-            if rank != 0 and member.backend_id not in self.losses.dead:
-                self.desk.send(member, GroupOrder(OrderKind.LEAVE, *key))
+            if rank == 0:
+                continue
+            if member.backend_id in self.losses.dead:
+                self._is_short(dissolution)
+            else:
+                self.desk.send(member, GroupOrder(OrderKind.LEAVE, *key), on_reply)
+
+    def _is_short(self, dissolution: Dissolution) -> None:
+        if dissolution.short_since_s is None:
+            dissolution.short_since_s = self.timer.now_s()
+
+    def member_ids(self) -> set[str]:
+        """Return the backend servers that must not join another group yet."""
+        return {m.backend_id for d in self.active.values() for m in d.members.values()}
 
     def is_held(self, key: Key) -> bool:
         """Return whether the members of a group must not move yet."""
--- a/packages/placement/src/fordhatch/placement/_groups_seen.py
+++ b/packages/placement/src/fordhatch/placement/_groups_seen.py
@@ -58,8 +58,9 @@
     if head_state is MemberState.BROKEN:
         return GroupCondition.INCOMPLETE
     if missing > 0:
-        joining = states <= {MemberState.JOINING, MemberState.READY}
-        return GroupCondition.FORMING if joining else GroupCondition.INCOMPLETE
+        # Members of an open group other than the head report that they are ready.
+        on_its_way = MemberState.JOINING in states or head_state is MemberState.READY
+        return GroupCondition.FORMING if on_its_way else GroupCondition.INCOMPLETE
     if head_state is MemberState.CLOSING:
         return GroupCondition.CLOSING
     if any(m.state is BackendState.DRAINING for m in members):
--- a/packages/placement/src/fordhatch/placement/_layout.py
+++ b/packages/placement/src/fordhatch/placement/_layout.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 import attrs
 
@@ -106,16 +106,28 @@
         The group, or None where none can be formed without loads. Where loads are
         needed, weights are staged first: that leaves the backend server free.
     """
-    models = layout.profile.models
+    domains = sorted(by_domain(free).items())
     if is_first_layout:
-        models = _below_target(layout) or models
+        for model in _below_target(layout):
+            found = _best_plan(layout, domains, (model,), may_load=True)
+            if found is not None:
+                return found
+    models = tuple(m for m in layout.profile.models if only_model in (None, m.name))
+    return _best_plan(layout, domains, models, may_load=is_first_layout)
+
+
+def _best_plan(
+    layout: Layout,
+    domains: Sequence[tuple[str, list[BackendServer]]],
+    models: Sequence[ModelProfile],
+    *,
+    may_load: bool,
+) -> GroupPlan | None:
     best: tuple[float, int, GroupPlan] | None = None
-    for domain, backends in sorted(by_domain(free).items()):
+    for domain, backends in domains:
         for model in models:
-            if only_model not in (None, model.name):
-                continue
             plan = _plan(layout, model, backends)
-            if plan is None or (plan.loads and not is_first_layout):
+            if plan is None or (plan.loads and not may_load):
                 continue
             gain = layout.need(model) * HORIZON_S / (HORIZON_S + plan.ready_in_s)
             spread = -layout.spread[domain, model.name]
@@ -124,15 +136,15 @@
     return best[2] if best is not None else None
 
 
-def _below_target(layout: Layout) -> tuple[ModelProfile, ...]:
-    """Return the model with the largest groups of those that lack some."""
+def _below_target(layout: Layout) -> list[ModelProfile]:
+    """Return the models that lack groups, those with the largest groups first."""
     lacking = [
         m
         for m in layout.profile.models
         if layout.counts[m.name] < int(layout.target(m) + 0.5)
     ]
     lacking.sort(key=lambda m: m.size, reverse=True)
-    return tuple(lacking[:1])
+    return lacking
 
 
 def _plan(
--- a/packages/placement/src/fordhatch/placement/_planner.py
+++ b/packages/placement/src/fordhatch/placement/_planner.py
@@ -204,7 +204,7 @@
         self.dissolutions.step()
         usable = self._usable(service)
         layout.backends = len(usable)
-        busy |= self.formations.member_ids()
+        busy |= self.formations.member_ids() | self.dissolutions.member_ids()
         free = [b for b in usable if b.backend_id not in busy]
         free = self._form(layout, free)
         self._convert(layout, free, kept)
--- a/packages/placement/src/fordhatch/placement/_staging.py
+++ b/packages/placement/src/fordhatch/placement/_staging.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable, Sequence
 
 import attrs
@@ -33,6 +34,8 @@
     loads: LoadBudget
     timer: Timer
     _active: dict[str, _Load] = attrs.field(factory=dict)
+    _sizes: Counter[str] = attrs.field(factory=Counter)
+    """Backend servers by domain."""
 
     def step(
         self,
@@ -52,11 +55,22 @@
             are_loads_free: Nothing serves yet, and loads are quick and not counted.
         """
         self._forget_done(layout.profile, [*free, *grouped])
+        self._sizes = Counter(b.domain for b in [*free, *grouped])
         for backends in by_domain(free).values():
             self._stage_free(layout, backends, are_loads_free)
         for backend in grouped:
             self._stage_other(layout, backend, are_loads_free)
 
+    def _useful_models(
+        self, layout: Layout, backend: BackendServer
+    ) -> list[ModelProfile]:
+        """Return the models to load whose groups the domain is large enough for."""
+        return [
+            m
+            for m in layout.profile.models
+            if layout.must_load(backend, m) and self._sizes[backend.domain] >= m.size
+        ]
+
     def _forget_done(
         self, profile: EngineProfile, backends: Sequence[BackendServer]
     ) -> None:
@@ -82,9 +96,7 @@
         self, layout: Layout, backend: BackendServer, others: list[BackendServer]
     ) -> ModelProfile | None:
         best: tuple[float, ModelProfile] | None = None
-        for model in layout.profile.models:
-            if not layout.must_load(backend, model):
-                continue
+        for model in self._useful_models(layout, backend):
             prepared = sum(
                 b is not backend
                 and (not layout.must_load(b, model) or self._is_loading(b, model))
@@ -108,7 +120,7 @@
             return
         if not are_loads_free and len(self._active) >= profile.loads_at_once:
             return
-        others = [m for m in profile.models if layout.must_load(backend, m)]
+        others = self._useful_models(layout, backend)
         known = layout.last_model.get(backend.backend_id)
         staged_other = any(m != known for m in backend.staged_models)
         if not others or staged_other or known is None:
--- /dev/null
+++ b/packages/placement/tests/planning_site.py
@@ -0,0 +1,224 @@
+"""A site of engines, store and planners on a virtual clock."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections.abc import Awaitable, Callable
+
+import attrs
+import looptime
+
+from fordhatch.adapter import CONFIGURATION_KEY, OPERATOR_TABLE, decode_settings
+from fordhatch.core import TaskSet, Timer
+from fordhatch.placement import Planner, PlannerLease
+from fordhatch.registry import StoreView
+from fordhatch_standins.wire import (
+    EngineFleet,
+    MemoryBackendClient,
+    MemoryStoreClient,
+    ModelTimes,
+    StoreModel,
+)
+
+MODELS = {"big": ModelTimes(4, 16.0, 1.6), "small": ModelTimes(2, 12.0, 1.1)}
+SHARES = {"big": 0.67, "small": 0.33}
+PACES = {"big": 1.0, "small": 0.6}
+
+BOUNDS = """
+node-name = "n"
+ip = "10.0.0.1"
+zone = "z1"
+region = "r"
+port-range = [1,2]
+heartbeat-ms = 1200
+[listen]
+front = "10.0.0.1:1"
+ready = "10.0.0.1:2"
+[limits]
+memory-mb = 300
+max-fds = 4100
+[bounds]
+stable-ms = 3000
+drain-ms = 2000
+grace-s = 8
+config-apply-ms = 2000
+outer-ms = 5000
+strict-revoke = true
+revoke-ms = 5000
+retry-budget-ratio = 0.2
+retry-window-s = 10
+retry-slack = 136
+stall-ms = 5000
+ceiling-window-s = 5
+ceiling-over = 1.1
+pass-ms = 120
+[platform]
+address = "10.0.0.9:1"
+writes-per-s = 400
+reads-per-s = 2000
+row-bytes = 65536
+history-s = 20
+"""
+
+
+def engine_configuration() -> bytes:
+    models = [
+        {
+            "name": name,
+            "size": times.size,
+            "share": SHARES[name],
+            "pace": PACES[name],
+            "load-s": times.load_s,
+            "warm-s": times.warm_s,
+        }
+        for name, times in MODELS.items()
+    ]
+    engine = {
+        "slots": 13,
+        "stride": 5,
+        "step_ms": 6.07,
+        "per_seq_ms": 0.482,
+        "read_per_s": 46000.0,
+        "loads-per-s": 4.0,
+        "loads_at_once": 6,
+        "keeps": 1,
+        "form-ms": 300.0,
+        "models": models,
+    }
+    service = {"name": "llm", "max-conns": 100, "engine": engine}
+    return json.dumps({"version": 1, "routes": [], "services": [service]}).encode()
+
+
+@attrs.define(eq=False)
+class PlanningNode:
+    """The parts of a node that plan."""
+
+    name: str
+    store: MemoryStoreClient
+    backends: MemoryBackendClient
+    view: StoreView
+    lease: PlannerLease
+    planner: Planner
+    is_leaving: bool = False
+    _tasks: TaskSet = attrs.field(factory=TaskSet)
+
+    @classmethod
+    def start(cls, site: Site, name: str, *, is_first_start: bool) -> PlanningNode:
+        timer = Timer.from_seed(name)
+        store = MemoryStoreClient(site.store, name)
+        backends = MemoryBackendClient(site.fleet)
+        view = StoreView.from_store(store, timer)
+        lease = PlannerLease(
+            name, store, timer, lambda: set(site.nodes), lambda: node.is_leaving
+        )
+        planner = Planner.create(
+            view,
+            lease,
+            store,
+            backends,
+            timer,
+            decode_settings(BOUNDS).bounds,
+            is_first_start=is_first_start,
+            has_traffic=lambda: site.fleet.is_counting_loads,
+        )
+        node = cls(name, store, backends, view, lease, planner)
+        view.start()
+        node._tasks.spawn(lease.run(), "lease")
+        node._tasks.spawn(planner.run(), "planner")
+        return node
+
+    async def kill(self) -> None:
+        """End without a word."""
+        await self._tasks.close()
+        await self.planner.close()
+        await self.view.close()
+
+
+@attrs.define(eq=False)
+class Site:
+    """Engines in domains, a store, and a few planning nodes."""
+
+    rng: random.Random
+    store: StoreModel = attrs.field(factory=StoreModel)
+    fleet: EngineFleet = attrs.field(init=False)
+    nodes: dict[str, PlanningNode] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self.fleet = EngineFleet(self.store, MODELS, self.rng)
+        self.store.put(OPERATOR_TABLE, CONFIGURATION_KEY, engine_configuration())
+
+    def add_node(self, name: str, *, is_first_start: bool = False) -> PlanningNode:
+        self.nodes[name] = PlanningNode.start(self, name, is_first_start=is_first_start)
+        return self.nodes[name]
+
+    def planner(self) -> PlanningNode | None:
+        """Return the node that has the lease; there is never more than one."""
+        holders = [n for n in self.nodes.values() if n.lease.is_held()]
+        assert len(holders) <= 1, [n.name for n in holders]
+        return holders[0] if holders else None
+
+    def working(self) -> int:
+        return sum(self.fleet.working_groups().values())
+
+    async def until(self, holds: Callable[[], bool], limit_s: float) -> float:
+        """Wait until something holds; returns how long that took."""
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        while not holds():
+            self.check()
+            assert loop.time() - began_s < limit_s, "not in time"
+            await asyncio.sleep(0.02)
+        return loop.time() - began_s
+
+    def check(self) -> None:
+        """Assert what must hold at all times."""
+        self.planner()
+        self.fleet.check_serving()
+        assert not self.fleet.violations, self.fleet.violations
+
+    async def watch(self, duration_s: float) -> None:
+        """Let time pass and check all the while."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + duration_s
+        while loop.time() < end_s:
+            self.check()
+            await asyncio.sleep(0.02)
+
+    async def close(self) -> None:
+        for node in self.nodes.values():
+            await node.kill()
+
+
+def play(scenario: Callable[[Site], Awaitable[None]], seed: int = 1) -> None:
+    """Run a scenario on a virtual clock."""
+
+    async def whole() -> None:
+        site = Site(random.Random(seed))
+        try:
+            await scenario(site)
+            site.check()
+        finally:
+            await site.close()
+
+    loop = looptime.new_event_loop()
+    try:
+        loop.run_until_complete(whole())
+    finally:
+        loop.close()
+
+
+async def standard_site(site: Site, domains: int = 2, nodes: int = 2) -> None:
+    """Start nodes and full domains of eight, and wait for their groups.
+
+    Everything has settled afterwards, hosts have their weights staged, and loads
+    count from now on.
+    """
+    for index in range(domains * 8):
+        site.fleet.add(f"d{index // 8}")
+    for index in range(nodes):
+        site.add_node(f"n{index}", is_first_start=True)
+    await site.until(lambda: site.working() >= domains * 2, 60)
+    await site.watch(60)
+    site.fleet.is_counting_loads = True
--- /dev/null
+++ b/packages/placement/tests/test_planner.py
@@ -0,0 +1,258 @@
+"""Whole planners against engines in memory; the fleet checks every order."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from planning_site import Site, play, standard_site
+
+from fordhatch.adapter import GroupOrder, OrderKind
+from fordhatch_standins.wire import EngineModel
+
+
+KINDS = "kill kill kill add add add drain cut node orders store calm".split()
+
+
+def engines_of(site: Site, model: str) -> list[EngineModel]:
+    return [
+        e
+        for e in site.fleet.engines.values()
+        if not e.is_dead and e.place is not None and e.place.model == model
+    ]
+
+
+def head_and_member(site: Site, model: str) -> tuple[EngineModel, EngineModel]:
+    head = next(e for e in engines_of(site, model) if e.place.rank == 0)
+    return head, site.fleet.engines[head.place.members[1]]
+
+
+def test_every_engine_serves_at_the_first_start() -> None:
+    async def scenario(site: Site) -> None:
+        for index in range(48):
+            site.fleet.add(f"d{index // 8}")
+        site.add_node("n0", is_first_start=True)
+        await site.until(lambda: site.working() >= 16, 25)
+        assert site.fleet.working_groups() == {"big": 8, "small": 8}
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("model", ["big", "small"])
+def test_a_group_that_lost_a_member_is_replaced_without_loads(model: str) -> None:
+    async def scenario(site: Site) -> None:
+        await standard_site(site)
+        before = site.working()
+        loads = site.fleet.loads
+        _, member = head_and_member(site, model)
+        site.fleet.kill(member)
+        assert site.working() == before - 1
+        spare = site.fleet.add(member.domain)
+        spare.staged = [model]
+        site.fleet._publish(spare)
+        took_s = await site.until(lambda: site.working() >= before, 8)
+        # The entry lapses after 3.6 s; probes, leaving, joining and opening follow.
+        assert took_s < 3.6 + 2.6
+        assert site.fleet.loads - loads <= 8
+
+    play(scenario)
+
+
+def test_members_of_a_dark_head_wait_until_it_must_be_broken() -> None:
+    async def scenario(site: Site) -> None:
+        await standard_site(site, domains=1)
+        spare = site.fleet.add("d0")
+        spare.staged = ["small"]
+        site.fleet._publish(spare)
+        head, member = head_and_member(site, "small")
+        # Cut off from store and nodes, but alive: its callers may still reach it.
+        site.fleet.cut_from_store(head)
+        head.address = "nowhere:1"
+        old = member.place.group
+        await site.until(
+            lambda: member.place is not None and member.place.group != old, 20
+        )
+        assert head.place.state == "broken"
+
+    play(scenario)
+
+
+def test_a_group_goes_on_when_a_member_is_only_out_of_the_stores_reach() -> None:
+    async def scenario(site: Site) -> None:
+        await standard_site(site, domains=1)
+        before = {e.place.group for e in engines_of(site, "big")}
+        _, member = head_and_member(site, "big")
+        site.fleet.cut_from_store(member)
+        await site.watch(10)
+        assert {e.place.group for e in engines_of(site, "big")} == before
+
+    play(scenario)
+
+
+def test_a_draining_member_is_replaced_after_its_group_has_closed() -> None:
+    async def scenario(site: Site) -> None:
+        await standard_site(site)
+        _, member = head_and_member(site, "small")
+        group = member.place.group
+        site.fleet.drain(member)
+        await site.until(
+            lambda: all(
+                e.place is None or e.place.group != group
+                for e in site.fleet.engines.values()
+                if e is not member
+            ),
+            6,
+        )
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("how", ["kill", "freeze", "turned_away", "release"])
+def test_another_node_plans_within_seconds(how: str) -> None:
+    async def scenario(site: Site) -> None:
+        await standard_site(site, domains=1)
+        first = site.planner()
+        match how:
+            case "kill":
+                del site.nodes[first.name]
+                await first.kill()
+            case "freeze":
+                first.store.is_frozen = True
+            case "turned_away":
+                site.store.faults.turned_away.add(first.name)
+            case "release":
+                first.is_leaving = True
+                await first.lease.release()
+        took_s = await site.until(lambda: site.planner() not in (None, first), 6)
+        assert took_s < 3.5
+
+    play(scenario)
+
+
+def test_a_new_planner_keeps_groups_that_serve_or_are_on_their_way() -> None:
+    async def scenario(site: Site) -> None:
+        await standard_site(site)
+        groups = {
+            e.place.group for e in site.fleet.engines.values() if e.place is not None
+        }
+        first = site.planner()
+        del site.nodes[first.name]
+        await first.kill()
+        await site.watch(10)
+        assert groups == {
+            e.place.group for e in site.fleet.engines.values() if e.place is not None
+        }
+
+    play(scenario)
+
+
+def test_a_load_that_an_earlier_planner_began_is_not_begun_again() -> None:
+    """A member that still loads has not served the model: it is no quick member."""
+
+    async def scenario(site: Site) -> None:
+        for _ in range(2):
+            site.fleet.add("d0")
+        site.add_node("n0", is_first_start=True)
+        site.add_node("n1")
+        await site.until(
+            lambda: any(e.place is not None for e in site.fleet.engines.values()), 10
+        )
+        await asyncio.sleep(1)
+        first = site.planner()
+        del site.nodes[first.name]
+        await first.kill()
+        site.fleet.is_counting_loads = True
+        await site.until(lambda: site.working() == 1, 25)
+        assert site.fleet.loads == 2
+
+    play(scenario)
+
+
+def test_loads_stay_below_the_ceiling_when_many_empty_engines_come() -> None:
+    async def scenario(site: Site) -> None:
+        await standard_site(site, domains=1)
+        for index in range(64):
+            site.fleet.add(f"e{index // 8}")
+        await site.watch(30)
+        assert site.fleet.loads > 64
+
+    play(scenario)
+
+
+def test_an_order_that_is_carried_out_late_takes_nobody_away() -> None:
+    async def scenario(site: Site) -> None:
+        await standard_site(site, domains=1)
+        head, member = head_and_member(site, "big")
+        old = head.place
+        stale = GroupOrder(
+            OrderKind.JOIN, old.group, old.epoch - 1, old.model, old.members
+        )
+        assert member.take(stale) == 412
+        stale_leave = GroupOrder(OrderKind.LEAVE, "other", old.epoch - 1)
+        assert member.take(stale_leave) == 409
+        assert member.place.group == old.group
+
+    play(scenario)
+
+
+def test_without_the_store_nothing_is_ordered() -> None:
+    async def scenario(site: Site) -> None:
+        await standard_site(site, domains=1)
+        _, member = head_and_member(site, "small")
+        site.store.faults.is_down = True
+        await asyncio.sleep(3)
+        assert site.planner() is None
+        places = {n: e.place for n, e in site.fleet.engines.items()}
+        site.fleet.kill(member)
+        await site.watch(10)
+        assert places == {n: e.place for n, e in site.fleet.engines.items()}
+        site.store.faults.is_down = False
+        await site.until(lambda: site.planner() is not None, 5)
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_random_troubles_never_break_the_rules(seed: int) -> None:
+    """Losses, drains, cuts, late and lost orders, dying planners, store outages."""
+
+    async def trouble(site: Site, step: int) -> None:
+        rng = site.rng
+        living = [e for e in site.fleet.engines.values() if not e.is_dead]
+        kind = rng.choice(KINDS)
+        match kind:
+            case "kill":
+                site.fleet.kill(rng.choice(living))
+            case "add":
+                site.fleet.add(f"d{rng.randrange(4)}")
+            case "drain":
+                leaving = rng.choice(living)
+                site.fleet.drain(leaving)
+                await asyncio.sleep(2.5)
+                site.fleet.kill(leaving)
+            case "cut":
+                site.fleet.cut_from_store(rng.choice(living))
+            case "node":
+                planner = site.planner()
+                if planner is not None:
+                    del site.nodes[planner.name]
+                    await planner.kill()
+                    site.add_node(f"n{step + 10}")
+            case "orders":
+                site.fleet.faults.late_share = rng.choice([0.0, 0.35])
+                site.fleet.faults.lost_share = rng.choice([0.0, 0.3])
+            case "store":
+                site.store.faults.is_down = True
+                await site.watch(rng.uniform(0.5, 4.0))
+                site.store.faults.is_down = False
+
+    async def scenario(site: Site) -> None:
+        await standard_site(site, domains=4, nodes=3)
+        for step in range(25):
+            await trouble(site, step)
+            await site.watch(site.rng.uniform(0.2, 3.0))
+        site.fleet.faults.late_share = site.fleet.faults.lost_share = 0.0
+        await site.watch(25)
+        assert site.working() > 0
+
+    play(scenario, seed)
--- /dev/null
+++ b/packages/registry/tests/test_store_view.py
@@ -0,0 +1,172 @@
+"""What a node believes of the store, on a virtual clock."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import looptime
+import pytest
+
+from fordhatch.adapter import BACKENDS_TABLE, CONFIGURATION_KEY, OPERATOR_TABLE
+from fordhatch.core import Timer
+from fordhatch.registry import StoreView
+from fordhatch_standins.wire import MemoryStoreClient, StoreModel
+
+
+def run(scenario) -> None:
+    loop = looptime.new_event_loop()
+    try:
+        loop.run_until_complete(scenario())
+    finally:
+        loop.close()
+
+
+def configuration(version: int) -> bytes:
+    return json.dumps({"version": version, "routes": [], "services": []}).encode()
+
+
+def backend(**changes: object) -> bytes:
+    entry = {"service": "a", "address": "10.0.0.1:80", "state": "ready", **changes}
+    return json.dumps(entry).encode()
+
+
+async def started(model: StoreModel) -> StoreView:
+    client = MemoryStoreClient(model, "n1")
+    view = StoreView.from_store(client, Timer.from_seed(1))
+    view.start()
+    await asyncio.sleep(0.1)
+    return view
+
+
+def test_a_configuration_is_in_force_within_milliseconds() -> None:
+    async def scenario() -> None:
+        model = StoreModel()
+        view = await started(model)
+        model.put(OPERATOR_TABLE, CONFIGURATION_KEY, configuration(4))
+        await asyncio.sleep(0.05)
+        assert view.configuration.version == 4
+        await view.close()
+
+    run(scenario)
+
+
+def test_a_version_never_falls_in_the_life_of_a_process() -> None:
+    async def scenario() -> None:
+        model = StoreModel()
+        view = await started(model)
+        for version in (8, 5):
+            model.put(OPERATOR_TABLE, CONFIGURATION_KEY, configuration(version))
+            await asyncio.sleep(0.05)
+        assert view.configuration.version == 8
+        await view.close()
+
+    run(scenario)
+
+
+def test_an_unreadable_configuration_leaves_the_one_before_in_force() -> None:
+    async def scenario() -> None:
+        model = StoreModel()
+        view = await started(model)
+        model.put(OPERATOR_TABLE, CONFIGURATION_KEY, configuration(4))
+        model.put(OPERATOR_TABLE, CONFIGURATION_KEY, b"{")
+        await asyncio.sleep(0.05)
+        assert view.configuration.version == 4
+        await view.close()
+
+    run(scenario)
+
+
+def test_age_counts_from_the_sending_of_the_last_answered_call() -> None:
+    async def scenario() -> None:
+        model = StoreModel()
+        view = await started(model)
+        await asyncio.sleep(5)
+        assert view.configuration_age_s() < 2.0
+        model.faults.is_silent = True
+        await asyncio.sleep(3)
+        assert view.configuration_age_s() > 3.0
+        model.faults.is_silent = False
+        await asyncio.sleep(2)
+        assert view.configuration_age_s() < 2.0
+        await view.close()
+
+    run(scenario)
+
+
+def test_changes_in_a_forgotten_history_are_found_by_reading_whole() -> None:
+    async def scenario() -> None:
+        model = StoreModel()
+        view = await started(model)
+        model.put(BACKENDS_TABLE, "i-1", backend())
+        await asyncio.sleep(0.2)
+        model.faults.mutes_watches = True
+        model.remove(BACKENDS_TABLE, "i-1")
+        model.put(BACKENDS_TABLE, "i-2", backend())
+        await asyncio.sleep(0.5)
+        model.forget_history()
+        model.faults.mutes_watches = False
+        await asyncio.sleep(0.3)
+        assert set(view.directory.backends) == {"i-2"}
+        await view.close()
+
+    run(scenario)
+
+
+def test_a_table_longer_than_a_page_is_read_whole() -> None:
+    async def scenario() -> None:
+        model = StoreModel()
+        for index in range(1203):
+            model.put(BACKENDS_TABLE, f"i-{index:05d}", backend())
+        view = await started(model)
+        assert len(view.directory.backends) == 1203
+        await view.close()
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("returns", [True, False])
+def test_entries_that_lapsed_in_an_outage_get_two_seconds(returns) -> None:
+    async def scenario() -> None:
+        model = StoreModel()
+        model.put(BACKENDS_TABLE, "i-1", backend())
+        view = await started(model)
+        model.faults.is_down = True
+        await asyncio.sleep(3)
+        model.remove(BACKENDS_TABLE, "i-1")
+        model.faults.is_down = False
+        await asyncio.sleep(1.5)
+        assert "i-1" in view.directory.backends
+        if returns:
+            model.put(BACKENDS_TABLE, "i-1", backend())
+        await asyncio.sleep(1.5)
+        assert ("i-1" in view.directory.backends) is returns
+        await view.close()
+
+    run(scenario)
+
+
+def test_a_removal_in_quiet_times_counts_at_once() -> None:
+    async def scenario() -> None:
+        model = StoreModel()
+        model.put(BACKENDS_TABLE, "i-1", backend())
+        view = await started(model)
+        await asyncio.sleep(1)
+        model.remove(BACKENDS_TABLE, "i-1")
+        await asyncio.sleep(0.1)
+        assert not view.directory.backends
+        await view.close()
+
+    run(scenario)
+
+
+def test_a_malformed_entry_does_not_hide_the_others() -> None:
+    async def scenario() -> None:
+        model = StoreModel()
+        model.put(BACKENDS_TABLE, "i-1", b"{}")
+        model.put(BACKENDS_TABLE, "i-2", backend())
+        view = await started(model)
+        assert set(view.directory.backends) == {"i-2"}
+        await view.close()
+
+    run(scenario)
--- a/packages/serving/src/fordhatch/serving/_caller_server.py
+++ b/packages/serving/src/fordhatch/serving/_caller_server.py
@@ -47,14 +47,16 @@
         headers = refusal_headers(request_id, failure.retry_after_s)
         body = json.dumps(failure.to_json()).encode()
         self.outcome = failure.code.name.lower()
-        await self._send(
-            web.Response(
-                status=failure.http_status,
-                headers=headers,
-                body=body,
-                content_type="application/json",
-            )
+        response = web.Response(
+            status=failure.http_status,
+            headers=headers,
+            body=body,
+            content_type="application/json",
         )
+        if failure.code is ResultCode.BAD_REQUEST:
+            # What follows on this connection may not be a request either.
+            response.force_close()
+        await self._send(response)
 
     async def whole(
         self, status: int, headers: list[tuple[str, str]], body: bytes
--- a/packages/serving/src/fordhatch/serving/_http_server.py
+++ b/packages/serving/src/fordhatch/serving/_http_server.py
@@ -46,6 +46,12 @@
         listener = await loop.create_server(server, host, int(port), backlog=BACKLOG)
         return cls(server, listener)
 
+    @property
+    def address(self) -> str:
+        """The address in use, ``host:port``."""
+        host, port = self._listener.sockets[0].getsockname()
+        return f"{host}:{port}"
+
     @property
     def connections(self) -> int:
         """Number of open connections."""
--- a/packages/serving/src/fordhatch/serving/_stream_call.py
+++ b/packages/serving/src/fordhatch/serving/_stream_call.py
@@ -294,19 +294,35 @@
             if not piece:
                 break
             self.progress.advanced(head.backend_id)
-            try:
-                fresh = [e for e in splitter.feed(piece) if stream.order.accept(e)]
-            except StreamError as error:
-                raise _Broken(SendProblem.BROKEN, str(error)) from error
-            if fresh:
-                await self._write(stream, answer, b"".join(e.raw for e in fresh))
-                stream.events += len(fresh)
+            await self._pass_on_piece(stream, answer, splitter, piece)
         if splitter.has_rest:
             raise _Broken(SendProblem.BROKEN, "ended within an event")
         if not stream.reply.has_begun:
             await stream.reply.begin(answer.status, answer_headers(answer.headers))
         await stream.reply.end()
 
+    async def _pass_on_piece(
+        self,
+        stream: _Stream,
+        answer: BackendAnswer,
+        splitter: EventSplitter,
+        piece: bytes,
+    ) -> None:
+        fresh: list[bytes] = []
+        problem: StreamError | None = None
+        try:
+            for event in splitter.feed(piece):
+                if stream.order.accept(event):
+                    fresh.append(event.raw)
+        except StreamError as error:
+            problem = error
+        # What was accepted counts as passed on, also where the next event is wrong.
+        if fresh:
+            await self._write(stream, answer, b"".join(fresh))
+            stream.events += len(fresh)
+        if problem is not None:
+            raise _Broken(SendProblem.BROKEN, str(problem)) from problem
+
     async def _write(
         self, stream: _Stream, answer: BackendAnswer, events: bytes
     ) -> None:
--- /dev/null
+++ b/packages/serving/tests/serving_site.py
@@ -0,0 +1,215 @@
+"""A node's request path over loopback, with backend servers that tests script."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+
+import aiohttp
+import attrs
+from multidict import CIMultiDictProxy
+from planning_site import BOUNDS, engine_configuration
+
+from fordhatch.adapter import (
+    BACKENDS_TABLE,
+    CONFIGURATION_KEY,
+    OPERATOR_TABLE,
+    BackendClient,
+    decode_settings,
+)
+from fordhatch.core import Timer
+from fordhatch.registry import StoreView
+from fordhatch.serving import (
+    Admission,
+    BackendHealth,
+    CallerServer,
+    ExchangeClient,
+    GroupProgress,
+    HeadChoice,
+    HttpServer,
+    NodeState,
+    PlainCalls,
+    RepeatBudget,
+    StallWatch,
+    StreamCalls,
+)
+from fordhatch_standins.wire import MemoryStoreClient, ScriptedBackend, StoreModel
+
+KEY = "n2ctnfzs"
+CALL_HEADERS = {"Host": "app.example", "X-Deadline-Ms": "3000", "Api-Key": KEY}
+STREAM_HEADERS = {**CALL_HEADERS, "X-Model": "small", "X-Token-Count": "100,50"}
+
+
+def route(prefix: str, kind: str, service: str, **changes: object) -> dict:
+    return {
+        "name": prefix,
+        "host": "app.example",
+        "prefix": prefix,
+        "kind": kind,
+        "timeout-ms": 2000,
+        "goal-ms": 400,
+        "service": service,
+        "attempts": 2,
+        **changes,
+    }
+
+
+def configuration(version: int = 1, **changes: object) -> bytes:
+    engine_service = json.loads(engine_configuration())["services"][0]
+    data = {
+        "version": version,
+        "routes": [
+            route("/get/", "idempotent", "app"),
+            route("/once/", "non_idempotent", "app", attempts=1),
+            route("/open/", "idempotent", "app", public=True),
+            route("/stream/", "streaming", "llm", resumable=True),
+            route("/single/", "streaming", "llm", resumable=False),
+        ],
+        "services": [{"name": "app", "max-conns": 100}, engine_service],
+        "tenants": [{"name": "hule", "api-keys": [KEY]}],
+        "limits": {"max-body-bytes": 100_000},
+        **changes,
+    }
+    return json.dumps(data).encode()
+
+
+@attrs.frozen
+class Got:
+    """An answer as the caller has it."""
+
+    status: int
+    headers: CIMultiDictProxy[str]
+    body: bytes
+
+
+@attrs.define(eq=False)
+class ServingSite:
+    """One node's callers' address."""
+
+    model: StoreModel
+    view: StoreView
+    state: NodeState
+    server: HttpServer
+    callers: CallerServer
+    exchange: ExchangeClient
+    backends: BackendClient
+    address: str
+    session: aiohttp.ClientSession
+    scripted: list[ScriptedBackend] = attrs.field(factory=list)
+    _requests: int = 0
+
+    @classmethod
+    async def start(cls) -> ServingSite:
+        model = StoreModel()
+        model.put(OPERATOR_TABLE, CONFIGURATION_KEY, configuration())
+        timer = Timer.from_seed(1)
+        store = MemoryStoreClient(model, "n1")
+        view = StoreView.from_store(store, timer)
+        bounds = decode_settings(BOUNDS).bounds
+        state = NodeState(bounds, view, timer)
+        health = BackendHealth(timer)
+        budget = RepeatBudget(bounds, timer, lambda: 1)
+        backends = BackendClient.create()
+        exchange = ExchangeClient.from_timer(timer)
+        stalls = StallWatch("n1", timer, store, backends, view.directory, view.shared)
+        admission = Admission.from_state(state, timer)
+        choice = HeadChoice("z1", view.directory, health, stalls, timer.rng)
+        streams = StreamCalls.create(
+            view.directory,
+            timer=timer,
+            health=health,
+            progress=GroupProgress(timer),
+            stalls=stalls,
+            choice=choice,
+            budget=budget,
+            exchange=exchange,
+            admission=admission,
+        )
+        plain = PlainCalls(
+            "z1",
+            timer,
+            timer.rng,
+            view.directory,
+            health,
+            budget,
+            exchange,
+            admission,
+        )
+        callers = CallerServer(state, admission, budget, streams, plain, timer)
+        server = await HttpServer.listen("127.0.0.1:0", callers.handle)
+        view.start()
+        await asyncio.sleep(0.05)
+        return cls(
+            model,
+            view,
+            state,
+            server,
+            callers,
+            exchange,
+            backends,
+            server.address,
+            aiohttp.ClientSession(),
+        )
+
+    async def add_backend(
+        self,
+        script: Callable,
+        *,
+        group: str = "",
+        backend_id: str = "",
+        **changes: object,
+    ) -> ScriptedBackend:
+        """Start a backend server: a plain one, or the open head of a group."""
+        backend = ScriptedBackend(script)
+        self.scripted.append(backend)
+        entry: dict[str, object] = {
+            "service": "llm" if group else "app",
+            "address": await backend.start(),
+            "zone": "z1",
+            "state": "ready",
+        }
+        if group:
+            place = {"name": group, "epoch": 1, "rank": 0, "state": "open"}
+            entry["group"] = place
+        entry.update(changes)
+        name = backend_id or f"i-{len(self.scripted)}"
+        self.model.put(BACKENDS_TABLE, name, json.dumps(entry).encode())
+        await asyncio.sleep(0.1)
+        return backend
+
+    async def ask(
+        self, path: str, *, method: str = "POST", body: bytes = b"", **headers: str
+    ) -> Got:
+        """Send a request and read its answer whole."""
+        self._requests += 1
+        usual = STREAM_HEADERS if path.startswith("/s") else CALL_HEADERS
+        sent = {**usual, "X-Attempt-Id": f"r{self._requests}", **headers}
+        url = f"http://{self.address}{path}"
+        async with self.session.request(
+            method, url, headers=sent, data=body
+        ) as response:
+            body = await response.read()
+            return Got(response.status, response.headers, body)
+
+    async def raw(self, data: bytes) -> bytes:
+        """Send bytes on a connection of their own; returns all that comes back."""
+        host, _, port = self.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(data)
+        try:
+            async with asyncio.timeout(1.0):
+                return await reader.read()
+        except TimeoutError:
+            return b""
+        finally:
+            writer.close()
+
+    async def close(self) -> None:
+        await self.session.close()
+        await self.server.close()
+        for backend in self.scripted:
+            await backend.close()
+        await self.view.close()
+        await self.exchange.close()
+        await self.backends.close()
--- /dev/null
+++ b/packages/serving/tests/test_door.py
@@ -0,0 +1,146 @@
+"""Who is let in: malformed requests, keys, routes, freshness, leaving."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from serving_site import KEY, configuration
+
+from fordhatch.adapter import CONFIGURATION_KEY, OPERATOR_TABLE
+from fordhatch_standins.wire import http_answer
+
+HEAD = f"Host: app.example\r\nX-Attempt-Id: r1\r\nApi-Key: {KEY}\r\n"
+
+
+async def answers(request, writer) -> None:
+    writer.write(http_answer(request, b"ok"))
+
+
+MALFORMED = {
+    "chunk size with a prefix": f"POST /once/ HTTP/1.1\r\n{HEAD}"
+    "Transfer-Encoding: chunked\r\n\r\n0x0\r\n\r\n",
+    "space before the colon": f"POST /once/ HTTP/1.1\r\n{HEAD}"
+    "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
+    "a NUL in a header": f"POST /once/ HTTP/1.1\r\n{HEAD}X-A: a\0b\r\n\r\n",
+    "two hosts": f"POST /once/ HTTP/1.1\r\n{HEAD}Host: other\r\n\r\n",
+    "length and chunks": f"POST /once/ HTTP/1.1\r\n{HEAD}Content-Length: 5\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "two lengths": f"POST /once/ HTTP/1.1\r\n{HEAD}Content-Length: 5\r\n"
+    "Content-Length: 6\r\n\r\nabcdef",
+    "a signed length": f"POST /once/ HTTP/1.1\r\n{HEAD}Content-Length: +5\r\n\r\nabcde",
+    "a folded header": f"POST /once/ HTTP/1.1\r\n{HEAD}X-A: a\r\n b\r\n\r\n",
+    "a name with a space": f"POST /once/ HTTP/1.1\r\n{HEAD}X A: a\r\n\r\n",
+    "no version": f"POST /once/\r\n{HEAD}\r\n",
+    "a space in the path": f"POST /once/ x HTTP/1.1\r\n{HEAD}\r\n",
+    "an unknown coding": f"POST /once/ HTTP/1.1\r\n{HEAD}"
+    "Transfer-Encoding: gzip, identity\r\n\r\n",
+    "no host": "POST /once/ HTTP/1.1\r\nX-Attempt-Id: r1\r\n\r\n",
+    "a path of another form": f"POST http://app.example/once/ HTTP/1.1\r\n{HEAD}\r\n",
+}
+
+
+@pytest.mark.parametrize("name", MALFORMED)
+async def test_malformed_requests_reach_nobody(site, name) -> None:
+    backend = await site.add_backend(answers)
+    smuggled = f"POST /once/2 HTTP/1.1\r\n{HEAD}Content-Length: 0\r\n\r\n"
+    got = await site.raw((MALFORMED[name] + smuggled).encode())
+    assert not got.startswith(b"HTTP/1.1 2")
+    assert backend.seen == []
+
+
+async def test_a_chunked_body_passes_whole(site) -> None:
+    backend = await site.add_backend(answers)
+    got = await site.raw(
+        f"POST /once/ HTTP/1.1\r\n{HEAD}Connection: close\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n".encode()
+    )
+    assert got.startswith(b"HTTP/1.1 200")
+    assert backend.seen[0].body == b"abcde"
+
+
+async def test_a_body_beyond_the_limit_is_refused(site) -> None:
+    backend = await site.add_backend(answers)
+    got = await site.ask("/once/1", body=b"x" * 100_001)
+    assert got.status == 413
+    assert backend.seen == []
+
+
+@pytest.mark.parametrize("key", ["", "wrong", KEY.upper()])
+async def test_an_unknown_key_is_refused(site, key) -> None:
+    backend = await site.add_backend(answers)
+    got = await site.ask("/once/1", **{"Api-Key": key})
+    assert got.status == 401
+    assert backend.seen == []
+
+
+async def test_two_keys_are_none(site) -> None:
+    backend = await site.add_backend(answers)
+    got = await site.raw(
+        f"POST /once/ HTTP/1.1\r\n{HEAD}Api-Key: {KEY}\r\n"
+        "Connection: close\r\nContent-Length: 0\r\n\r\n".encode()
+    )
+    assert got.startswith(b"HTTP/1.1 401")
+    assert backend.seen == []
+
+
+async def test_an_unknown_path_is_refused(site) -> None:
+    got = await site.ask("/none/1")
+    assert got.status == 404
+
+
+async def test_before_the_first_configuration_nothing_is_denied_for_good(site) -> None:
+    site.view.configuration.current = None
+    got = await site.ask("/once/1")
+    assert got.status == 503
+    assert "Retry-After" in got.headers
+
+
+async def test_a_removed_key_is_refused_at_once(site) -> None:
+    backend = await site.add_backend(answers)
+    assert (await site.ask("/once/1")).status == 200
+    site.model.put(
+        OPERATOR_TABLE, CONFIGURATION_KEY, configuration(version=2, tenants=[])
+    )
+    await asyncio.sleep(0.1)
+    assert (await site.ask("/once/1")).status == 401
+    assert len(backend.seen) == 1
+
+
+async def test_without_confirmation_keys_are_used_no_longer_than_allowed(site) -> None:
+    backend = await site.add_backend(answers)
+    site.model.faults.is_down = True
+    site.view.operators.confirmed_s -= 3.0
+    assert (await site.ask("/once/1")).status == 200
+    assert not site.state.is_ready()
+    site.view.operators.confirmed_s -= 2.0
+    got = await site.ask("/once/1")
+    assert got.status == 503
+    assert float(got.headers["Retry-After"]) < 1
+    assert len(backend.seen) == 1
+
+
+async def test_a_node_out_of_touch_denies_nothing_for_good(site) -> None:
+    site.model.faults.is_down = True
+    site.view.operators.confirmed_s -= 1.8
+    assert (await site.ask("/none/1")).status == 503
+    assert (await site.ask("/once/1", **{"Api-Key": "new"})).status == 503
+
+
+async def test_a_leaving_node_serves_on_and_closes_connections(site) -> None:
+    await site.add_backend(answers)
+    site.state.is_leaving = True
+    site.callers.leaving_since_s = asyncio.get_running_loop().time()
+    got = await site.ask("/once/1")
+    assert got.status == 200
+    assert got.headers["Connection"] == "close"
+    assert not site.state.is_ready()
+
+
+async def test_a_node_about_to_end_refuses_what_it_could_not_finish(site) -> None:
+    backend = await site.add_backend(answers)
+    site.state.is_leaving = True
+    site.callers.leaving_since_s = asyncio.get_running_loop().time() - 5
+    got = await site.ask("/once/1")
+    assert got.status == 503
+    assert backend.seen == []
--- /dev/null
+++ b/packages/serving/tests/test_parts.py
@@ -0,0 +1,157 @@
+"""The small parts of the request path, each by itself."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+import pytest
+from planning_site import BOUNDS, engine_configuration
+from serving_site import configuration
+
+from fordhatch.adapter import decode_configuration, decode_settings
+from fordhatch.catalog import RouteTarget
+from fordhatch.serving import BackendHealth, RepeatBudget, RouteTable
+from fordhatch.serving._events import EventOrder, EventSplitter, StreamError
+from fordhatch.serving._group_progress import GroupProgress, silence_s
+from fordhatch.serving._route_table import choose_service
+
+
+@attrs.define
+class HandClock:
+    """A timer that tests move by hand."""
+
+    at_s: float = 100.0
+
+    def now_s(self) -> float:
+        return self.at_s
+
+
+def test_only_whole_events_pass() -> None:
+    splitter = EventSplitter()
+    assert splitter.feed(b"id: 1\ndata: a\n") == []
+    events = splitter.feed(b"\nid: 2\r\ndata: b\r\n\r\nid: 3\nda")
+    assert [e.number for e in events] == [1, 2]
+    assert (
+        b"".join(e.raw for e in events) == b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"
+    )
+    assert splitter.has_rest
+
+
+def test_events_go_out_once_and_in_order() -> None:
+    order = EventOrder.from_last_event_id("")
+    events = EventSplitter().feed(b"".join(b"id: %d\n\n" % n for n in (1, 2, 2, 1, 3)))
+    assert [order.accept(e) for e in events] == [True, True, False, False, True]
+
+
+def test_a_missing_event_ends_the_run() -> None:
+    order = EventOrder.from_last_event_id("4")
+    (event,) = EventSplitter().feed(b"id: 6\n\n")
+    with pytest.raises(StreamError):
+        order.accept(event)
+
+
+@pytest.mark.parametrize(
+    ("host", "target", "name"),
+    [
+        ("app.example", "/get/1?x=/once/", "/get/"),
+        ("APP.example:8080", "/once/", "/once/"),
+        ("app.example", "/get", None),
+        ("app.example", "/gets/", None),
+        ("other.example", "/get/1", None),
+        ("app.example", "/%67et/1", None),
+    ],
+)
+def test_the_longest_prefix_of_the_host_decides(host, target, name) -> None:
+    table = RouteTable.from_configuration(decode_configuration(configuration()))
+    found = table.find(host, target)
+    assert (found.prefix if found else None) == name
+
+
+def test_longer_prefixes_go_first() -> None:
+    current = decode_configuration(configuration())
+    inner = attrs.evolve(current.routes[0], prefix="/get/inner/")
+    table = RouteTable.from_configuration(
+        attrs.evolve(current, routes=(*current.routes, inner))
+    )
+    assert table.find("app.example", "/get/inner/1").prefix == "/get/inner/"
+
+
+def test_a_target_without_weight_gets_nothing() -> None:
+    current = decode_configuration(configuration())
+    split = attrs.evolve(
+        current.routes[0], targets=(RouteTarget("a", 0), RouteTarget("b", 1))
+    )
+    rng = random.Random(1)
+    assert {choose_service(split, rng) for _ in range(200)} == {"b"}
+    none = attrs.evolve(split, targets=(RouteTarget("a", 0),))
+    assert choose_service(none, rng) is None
+
+
+def budget(clock: HandClock, nodes: int = 9) -> RepeatBudget:
+    return RepeatBudget(decode_settings(BOUNDS).bounds, clock, lambda: nodes)
+
+
+def test_nodes_together_stay_within_the_budget() -> None:
+    clock = HandClock()
+    spent = 0
+    for _ in range(9):
+        one = budget(clock)
+        for _ in range(20):
+            one.count_first("s")
+        while one.spend("s"):
+            spent += 1
+    assert 0 < spent <= 0.2 * 180 + 136
+
+
+def test_the_budget_comes_back_with_its_window() -> None:
+    clock = HandClock()
+    one = budget(clock)
+    while one.spend("s"):
+        pass
+    clock.at_s += 9.9
+    assert not one.spend("s")
+    clock.at_s += 0.2
+    assert one.spend("s")
+
+
+def test_services_have_budgets_of_their_own() -> None:
+    one = budget(HandClock())
+    while one.spend("s"):
+        pass
+    assert one.spend("other")
+
+
+def test_failures_in_a_row_keep_a_backend_avoided_longer() -> None:
+    clock = HandClock()
+    health = BackendHealth(clock)
+    for _ in range(3):
+        health.failed("i")
+    clock.at_s += 1.5
+    assert health.is_avoided("i")
+    clock.at_s += 1.0
+    assert not health.is_avoided("i")
+    health.failed("i")
+    health.succeeded("i", 0.1)
+    assert not health.is_avoided("i")
+
+
+def test_silence_is_measured_over_all_streams_of_a_head() -> None:
+    clock = HandClock()
+    progress = GroupProgress(clock)
+    progress.began("h")
+    clock.at_s += 0.3
+    progress.began("h")
+    assert progress.silent_for_s("h") == pytest.approx(0.3)
+    progress.advanced("h")
+    assert progress.silent_for_s("h") == 0.0
+    progress.ended("h")
+    progress.ended("h")
+    assert progress.silent_for_s("h") == 0.0
+
+
+def test_a_working_group_is_never_called_silent_within_a_pass() -> None:
+    services = decode_configuration(engine_configuration()).services
+    engine = services["llm"].engine
+    for model in engine.models:
+        assert silence_s(engine, model.name) > engine.pass_s(engine.slots) * model.pace
--- /dev/null
+++ b/packages/serving/tests/test_plain_calls.py
@@ -0,0 +1,227 @@
+"""Plain calls over real connections: at most once, whole answers, true refusals."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from fordhatch_standins.wire import http_answer
+
+
+async def answers(request, writer) -> None:
+    writer.write(http_answer(request, b"whole body"))
+
+
+async def breaks(request, writer) -> None:
+    writer.transport.abort()
+
+
+async def hangs(request, writer) -> None:
+    await asyncio.sleep(60)
+
+
+async def fails(request, writer) -> None:
+    writer.write(http_answer(request, b"oh no", status=500))
+
+
+async def refuses(request, writer) -> None:
+    writer.write(http_answer(request, b"", status=503, headers={"X-Not-Executed": "1"}))
+
+
+async def is_another(request, writer) -> None:
+    writer.write(http_answer(request, b"", status=421))
+
+
+async def answers_another(request, writer) -> None:
+    writer.write(http_answer(request, b"someone else's", request_id="other"))
+
+
+async def cuts_off(request, writer) -> None:
+    whole = http_answer(request, b"whole body")
+    writer.write(whole[:-4])
+    await writer.drain()
+    writer.transport.abort()
+
+
+async def resets_without_length(request, writer) -> None:
+    head = (
+        f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {request.request_id}\r\n"
+        "X-Server-Seal: s\r\nConnection: close\r\n\r\n"
+    )
+    writer.write(head.encode() + b"half a")
+    await writer.drain()
+    await asyncio.sleep(0.05)
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+async def ends_without_length(request, writer) -> None:
+    head = (
+        f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {request.request_id}\r\n"
+        "X-Server-Seal: s\r\nConnection: close\r\n\r\n"
+    )
+    writer.write(head.encode() + b"whole body")
+    await writer.drain()
+
+
+async def encodes(request, writer) -> None:
+    writer.write(http_answer(request, b"x", headers={"Content-Encoding": "gzip"}))
+
+
+async def is_unsigned(request, writer) -> None:
+    raw = http_answer(request, b"x").replace(b"X-Server-Seal", b"X-Other")
+    writer.write(raw)
+
+
+async def says_nonsense(request, writer) -> None:
+    writer.write(b"\x00\x01 what is this\r\n\r\n")
+
+
+async def adds_an_answer(request, writer) -> None:
+    writer.write(http_answer(request, b"whole body"))
+    writer.write(http_answer(request, b"too much", request_id="other"))
+
+
+MAY_HAVE_RUN = [
+    breaks,
+    answers_another,
+    cuts_off,
+    resets_without_length,
+    encodes,
+    is_unsigned,
+    says_nonsense,
+]
+HAS_NOT_RUN = [refuses, is_another]
+
+
+async def test_an_answer_passes_unchanged(site) -> None:
+    backend = await site.add_backend(answers)
+    got = await site.ask("/once/a//b?q=%20x&&y", body=b"\x00body")
+    assert (got.status, got.body) == (200, b"whole body")
+    assert got.headers["X-Server-Seal"]
+    (seen,) = backend.seen
+    assert seen.target == "/once/a//b?q=%20x&&y"
+    assert seen.body == b"\x00body"
+    assert seen.headers["x-tenant"] == "hule"
+    assert seen.headers["x-expect-instance"] == "i-1"
+    assert 0 < int(seen.headers["x-deadline-ms"]) <= 2000
+    assert "api-key" not in seen.headers
+
+
+@pytest.mark.parametrize("script", [ends_without_length, adds_an_answer])
+async def test_odd_but_whole_answers_pass(site, script) -> None:
+    await site.add_backend(script)
+    for _ in range(3):
+        got = await site.ask("/once/1")
+        assert (got.status, got.body) == (200, b"whole body")
+
+
+@pytest.mark.parametrize("script", MAY_HAVE_RUN)
+async def test_what_may_have_run_is_not_sent_again(site, script) -> None:
+    first = await site.add_backend(script)
+    second = await site.add_backend(script)
+    got = await site.ask("/once/1")
+    assert len(first.seen) + len(second.seen) == 1
+    assert got.status == 502
+    assert "X-Server-Seal" not in got.headers
+
+
+@pytest.mark.parametrize("script", MAY_HAVE_RUN)
+async def test_what_may_be_repeated_goes_to_another(site, script) -> None:
+    await site.add_backend(script, zone="z1")
+    good = await site.add_backend(answers, zone="z2")
+    got = await site.ask("/get/1", method="GET")
+    assert (got.status, got.body) == (200, b"whole body")
+    assert len(good.seen) == 1
+
+
+@pytest.mark.parametrize("script", HAS_NOT_RUN)
+async def test_what_has_not_run_goes_to_another(site, script) -> None:
+    await site.add_backend(script, zone="z1")
+    good = await site.add_backend(answers, zone="z2")
+    got = await site.ask("/once/1")
+    assert got.status == 200
+    assert len(good.seen) == 1
+
+
+@pytest.mark.parametrize("script", HAS_NOT_RUN)
+async def test_a_refusal_is_true_and_says_when_to_come_back(site, script) -> None:
+    await site.add_backend(script)
+    got = await site.ask("/once/1")
+    assert got.status == 503
+    assert float(got.headers["Retry-After"]) < 1
+
+
+async def test_nobody_listening_means_not_run(site) -> None:
+    gone = await site.add_backend(answers, zone="z1")
+    await gone.close()
+    good = await site.add_backend(answers, zone="z2")
+    got = await site.ask("/once/1")
+    assert got.status == 200
+    assert len(good.seen) == 1
+
+
+async def test_a_failure_of_the_backend_passes_with_its_signature(site) -> None:
+    await site.add_backend(fails)
+    got = await site.ask("/once/1")
+    assert (got.status, got.body) == (500, b"oh no")
+    assert got.headers["X-Server-Seal"]
+
+
+async def test_no_more_backends_run_a_request_than_the_route_allows(site) -> None:
+    backends = [await site.add_backend(fails) for _ in range(4)]
+    got = await site.ask("/get/1", method="GET")
+    assert got.status == 500
+    assert sum(len(b.seen) for b in backends) == 2
+
+
+async def test_a_silent_backend_costs_a_repeatable_call_little(site) -> None:
+    await site.add_backend(hangs, zone="z1")
+    await site.add_backend(answers, zone="z2")
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    got = await site.ask("/get/1", method="GET")
+    assert got.status == 200
+    assert loop.time() - began_s < 1.5
+
+
+async def test_the_final_answer_comes_at_the_routes_timeout(site) -> None:
+    await site.add_backend(hangs)
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    got = await site.ask("/once/1")
+    assert got.status == 504
+    assert 1.9 < loop.time() - began_s < 2.4
+
+
+async def test_a_caller_that_leaves_ends_the_work(site) -> None:
+    backend = await site.add_backend(hangs)
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.2):
+            await site.ask("/once/1")
+    await asyncio.sleep(0.3)
+    assert backend.left == ["r1"]
+
+
+async def test_leaving_backends_get_nothing(site) -> None:
+    leaving = await site.add_backend(answers, state="draining")
+    got = await site.ask("/once/1")
+    assert got.status == 503
+    assert not leaving.seen
+
+
+async def test_the_callers_own_names_for_system_headers_do_not_pass(site) -> None:
+    backend = await site.add_backend(answers)
+    await site.ask(
+        "/open/1",
+        method="GET",
+        **{"X-Tenant": "root", "X-Expect-Instance": "i-9", "Api-Key": "wrong"},
+    )
+    headers = backend.seen[0].headers
+    assert "x-tenant" not in headers
+    assert headers["x-expect-instance"] == "i-1"
+    assert "api-key" not in headers
--- /dev/null
+++ b/packages/serving/tests/test_stream_calls.py
@@ -0,0 +1,206 @@
+"""Streams over real connections: whole events, in order, over several groups."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import aiohttp
+import pytest
+
+from fordhatch.adapter import BACKENDS_TABLE
+from fordhatch_standins.wire import SIGNATURE, http_answer
+
+ALL = b"".join(b"id: %d\ndata: t%d\n\n" % (n, n) for n in range(1, 7))
+
+
+def head(request, *, chunked: bool = True) -> bytes:
+    coding = "Transfer-Encoding: chunked\r\n" if chunked else "Connection: close\r\n"
+    return (
+        f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {request.request_id}\r\n"
+        f"X-Server-Seal: {SIGNATURE}\r\nContent-Type: text/event-stream\r\n{coding}\r\n"
+    ).encode()
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def events(first: int, last: int) -> bytes:
+    return b"".join(b"id: %d\ndata: t%d\n\n" % (n, n) for n in range(first, last + 1))
+
+
+def first_due(request) -> int:
+    return int(request.headers.get("last-event-id", 0)) + 1
+
+
+async def streams(request, writer) -> None:
+    writer.write(head(request))
+    for number in range(first_due(request), 7):
+        writer.write(chunk(events(number, number)))
+        await writer.drain()
+        await asyncio.sleep(0.005)
+    writer.write(b"0\r\n\r\n")
+
+
+async def breaks_within_an_event(request, writer) -> None:
+    writer.write(head(request) + chunk(events(1, 3) + b"id: 4\ndata: t"))
+    await writer.drain()
+    await asyncio.sleep(0.05)
+    writer.transport.abort()
+
+
+async def ends_within_an_event(request, writer) -> None:
+    writer.write(head(request, chunked=False) + events(1, 2) + b"id: 3\nda")
+    await writer.drain()
+
+
+async def falls_silent(request, writer) -> None:
+    writer.write(head(request) + chunk(events(1, 2)))
+    await writer.drain()
+    await asyncio.sleep(60)
+
+
+async def never_begins(request, writer) -> None:
+    await asyncio.sleep(60)
+
+
+async def skips_an_event(request, writer) -> None:
+    writer.write(head(request) + chunk(events(1, 2) + events(4, 6)) + b"0\r\n\r\n")
+
+
+async def refuses(request, writer) -> None:
+    writer.write(http_answer(request, b"", status=503, headers={"X-Not-Executed": "1"}))
+
+
+async def fails(request, writer) -> None:
+    writer.write(http_answer(request, b"", status=500))
+
+
+BROKEN = [
+    breaks_within_an_event,
+    ends_within_an_event,
+    falls_silent,
+    never_begins,
+    skips_an_event,
+    fails,
+]
+
+
+async def test_a_stream_passes_unchanged(site) -> None:
+    await site.add_backend(streams, group="small.1")
+    got = await site.ask("/stream/1")
+    assert (got.status, got.body) == (200, ALL)
+    assert got.headers["X-Server-Seal"] == SIGNATURE
+
+
+@pytest.mark.parametrize("script", BROKEN)
+async def test_a_broken_stream_goes_on_at_another_group(site, script) -> None:
+    bad = await site.add_backend(script, group="small.1", zone="z1")
+    good = await site.add_backend(streams, group="small.2", zone="z2")
+    got = await site.ask("/stream/1")
+    assert (got.status, got.body) == (200, ALL)
+    assert (len(bad.seen), len(good.seen)) == (1, 1)
+    resumed = good.seen[0].headers
+    assert resumed["x-attempt-id"] == bad.seen[0].headers["x-attempt-id"]
+
+
+async def test_a_stream_of_the_callers_goes_on_where_it_was(site) -> None:
+    await site.add_backend(streams, group="small.1")
+    got = await site.ask("/stream/1", **{"Last-Event-Id": "4"})
+    assert got.body == events(5, 6)
+
+
+@pytest.mark.parametrize(
+    "script", [breaks_within_an_event, ends_within_an_event, skips_an_event]
+)
+async def test_a_broken_stream_never_looks_complete(site, script) -> None:
+    await site.add_backend(script, group="small.1")
+    with pytest.raises(aiohttp.ClientPayloadError):
+        await site.ask("/stream/1")
+
+
+@pytest.mark.parametrize("script", [breaks_within_an_event, fails])
+async def test_what_may_not_be_resumed_runs_once(site, script) -> None:
+    first = await site.add_backend(script, group="small.1")
+    second = await site.add_backend(script, group="small.2")
+    if script is fails:
+        assert (await site.ask("/single/1")).status == 500
+    else:
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await site.ask("/single/1")
+    assert len(first.seen) + len(second.seen) == 1
+
+
+async def test_a_group_that_refuses_is_passed_over(site) -> None:
+    await site.add_backend(refuses, group="small.1", zone="z1")
+    await site.add_backend(streams, group="small.2", zone="z2")
+    got = await site.ask("/single/1")
+    assert got.body == ALL
+
+
+async def test_groups_of_other_models_are_not_asked(site) -> None:
+    other = await site.add_backend(streams, group="big.1")
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    got = await site.ask("/stream/1")
+    assert got.status == 503
+    assert float(got.headers["Retry-After"]) < 1
+    # Refused within a quarter of the route's goal, so that it may still be on time.
+    assert loop.time() - began_s < 0.1 + 0.05
+    assert not other.seen
+
+
+async def test_a_request_waits_a_moment_for_a_group_that_opens(site) -> None:
+    asked = asyncio.ensure_future(site.ask("/stream/1"))
+    await asyncio.sleep(0.02)
+    await site.add_backend(streams, group="small.1")
+    got = await asked
+    # Whoever came just before the group opened is served, or told to come back.
+    assert got.status in (200, 503)
+
+
+async def test_heads_that_are_not_open_get_nothing(site) -> None:
+    place = {"name": "small.1", "epoch": 1, "rank": 0, "state": "ready"}
+    closed = await site.add_backend(streams, group="small.1")
+    row = site.model.rows[BACKENDS_TABLE, "", "i-1"]
+    entry = {**json.loads(row.value), "group": place}
+    site.model.put(BACKENDS_TABLE, "i-1", json.dumps(entry).encode())
+    await asyncio.sleep(0.1)
+    assert (await site.ask("/stream/1")).status == 503
+    assert not closed.seen
+
+
+async def test_a_caller_that_leaves_ends_its_run(site) -> None:
+    backend = await site.add_backend(falls_silent, group="small.1")
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.2):
+            await site.ask("/stream/1")
+    await asyncio.sleep(0.3)
+    assert backend.left == ["r1"]
+
+
+async def test_a_stream_that_is_too_long_is_broken_off_at_its_timeout(site) -> None:
+    await site.add_backend(falls_silent, group="small.1")
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    with pytest.raises(aiohttp.ClientPayloadError):
+        await site.ask("/stream/1")
+    assert 1.9 < loop.time() - began_s < 2.4
+
+
+async def test_others_are_told_of_a_group_that_lost_a_member(site) -> None:
+    await site.add_backend(falls_silent, group="small.1", zone="z1")
+    dead = {"name": "small.1", "epoch": 1, "rank": 1, "state": "ready"}
+    member = await site.add_backend(never_begins, group="small.1", backend_id="i-m")
+    row = site.model.rows[BACKENDS_TABLE, "", "i-m"]
+    entry = {**json.loads(row.value), "group": dead}
+    site.model.put(BACKENDS_TABLE, "i-m", json.dumps(entry).encode())
+    await member.close()
+    await site.add_backend(streams, group="small.2", zone="z2")
+    got = await site.ask("/stream/1")
+    assert got.body == ALL
+    async with asyncio.timeout(3):
+        while ("small.1", 1) not in site.view.shared.suspicions:
+            await asyncio.sleep(0.02)
+    assert "i-m" in site.view.shared.suspicions["small.1", 1].silent_members
--- /dev/null
+++ b/standins/src/fordhatch_standins/wire/_memory_clients.py
@@ -0,0 +1,146 @@
+"""Clients of the stand-ins in memory, shaped like those of the wire."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+
+import attrs
+from result import Err, Ok, Result
+
+from fordhatch.adapter import (
+    Changes,
+    GroupOrder,
+    OrderReply,
+    Row,
+    RowKey,
+    RowPage,
+    WriteResult,
+)
+from fordhatch.core import Failure, Ran, ResultCode
+
+from ._engine_fleet import EngineFleet
+from ._engine_model import BEGUN, DONE
+from ._store_model import StoredRow, StoreModel
+
+STORE_S = 0.004
+ORDER_S = 0.002
+
+
+def _row(row: StoredRow) -> Row:
+    table, part, key = row.name
+    return Row(RowKey(table, key, part), row.version, row.value, row.is_removed)
+
+
+def _name(row: RowKey) -> tuple[str, str, str]:
+    return row.table, row.part, row.key
+
+
+@attrs.define(eq=False)
+class MemoryStoreClient:
+    """What ``StoreClient`` does, on a model."""
+
+    model: StoreModel
+    node_name: str
+    is_frozen: bool = False
+    """The node's process stands still: no call of it ends."""
+
+    async def _reach(self, timeout_s: float) -> Failure | None:
+        self.model.calls += 1
+        await asyncio.sleep(STORE_S)
+        faults = self.model.faults
+        if self.is_frozen or faults.is_silent:
+            await asyncio.sleep(timeout_s)
+            return Failure.from_code(ResultCode.STORE_UNAVAILABLE)
+        if faults.is_down or self.node_name in faults.turned_away:
+            return Failure.from_code(ResultCode.STORE_UNAVAILABLE)
+        return None
+
+    async def read(
+        self, table: str, *, first_key: str = "", limit: int = 500, timeout_s: float
+    ) -> Result[RowPage, Failure]:
+        """Read rows of a table."""
+        failure = await self._reach(timeout_s)
+        if failure is not None:
+            return Err(failure)
+        rows = self.model.page(table, first_key, limit + 1)
+        shown = tuple(_row(r) for r in rows[:limit])
+        return Ok(RowPage(shown, len(rows) > limit, self.model.version))
+
+    async def watch(
+        self, table: str, after_version: int, *, wait_s: float, timeout_s: float
+    ) -> Result[Changes, Failure]:
+        """Wait for changes of a table."""
+        failure = await self._reach(timeout_s)
+        if failure is not None:
+            return Err(failure)
+        found = await self.model.changes(table, after_version, wait_s)
+        failure = await self._reach(timeout_s)
+        if failure is not None:
+            return Err(failure)
+        if found is None:
+            return Err(Failure.from_code(ResultCode.STORE_HISTORY_GONE))
+        version = max([after_version, *(r.version for r in found)])
+        return Ok(Changes(tuple(map(_row, found)), version))
+
+    async def write(
+        self,
+        expected: Mapping[RowKey, int],
+        puts: Mapping[RowKey, bytes],
+        removes: tuple[RowKey, ...] = (),
+        *,
+        timeout_s: float,
+    ) -> Result[WriteResult, Failure]:
+        """Change rows together or not at all."""
+        failure = await self._reach(timeout_s)
+        if failure is not None:
+            return Err(failure)
+        version, conflicts = self.model.transact(
+            {_name(k): v for k, v in expected.items()},
+            {_name(k): v for k, v in puts.items()},
+            tuple(map(_name, removes)),
+        )
+        if self.model.faults.lost_answers > 0:
+            self.model.faults.lost_answers -= 1
+            return Err(
+                Failure.from_code(ResultCode.STORE_OUTCOME_UNKNOWN, ran=Ran.MAYBE)
+            )
+        rows = tuple(map(_row, conflicts))
+        return Ok(WriteResult(bool(version), version, rows))
+
+
+@attrs.define(eq=False)
+class MemoryBackendClient:
+    """What ``BackendClient`` does, on a fleet of engines."""
+
+    fleet: EngineFleet
+    is_cut: bool = False
+    """This node reaches no backend server."""
+
+    async def order(
+        self, address: str, backend_id: str, order: GroupOrder, *, timeout_s: float
+    ) -> Result[OrderReply, Failure]:
+        """Send an order."""
+        await asyncio.sleep(ORDER_S)
+        engine = self.fleet.at(address)
+        if self.is_cut or engine is None:
+            await asyncio.sleep(timeout_s)
+            return Err(Failure.from_code(ResultCode.BACKEND_LOST, ran=Ran.NO))
+        if engine.backend_id != backend_id:
+            return Ok(OrderReply(421, is_begun=False, is_done=False))
+        status = self.fleet.order(engine, order)
+        if status is None:
+            await asyncio.sleep(timeout_s)
+            return Err(Failure.from_code(ResultCode.BACKEND_LOST, ran=Ran.MAYBE))
+        return Ok(OrderReply(status, status == BEGUN, status == DONE))
+
+    async def is_alive(
+        self, address: str, backend_id: str, *, timeout_s: float
+    ) -> Result[bool, Failure]:
+        """Ask for a sign of life."""
+        await asyncio.sleep(ORDER_S)
+        engine = self.fleet.at(address)
+        if self.is_cut or engine is None:
+            await asyncio.sleep(timeout_s)
+            return Err(Failure.from_code(ResultCode.BACKEND_LOST))
+        return Ok(engine.backend_id == backend_id)
--- /dev/null
+++ b/standins/src/fordhatch_standins/wire/_scripted_backend.py
@@ -0,0 +1,105 @@
+"""A backend server whose every answer a test writes byte by byte."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import attrs
+
+REPORT_PATH = "/v1/report"
+"""Reports need no script: whoever listens is alive."""
+
+SIGNATURE = "3e1b.07.5a2.600.0.c9f2a4d1"
+
+
+@attrs.frozen
+class SeenRequest:
+    """A request as it arrived."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def request_id(self) -> str:
+        """The caller's id of this try."""
+        return self.headers["x-attempt-id"]
+
+
+Script = Callable[[SeenRequest, asyncio.StreamWriter], Awaitable[None]]
+
+
+def http_answer(
+    request: SeenRequest,
+    body: bytes,
+    *,
+    status: int = 200,
+    request_id: str | None = None,
+    headers: dict[str, str] | None = None,
+) -> bytes:
+    """Return a complete signed answer with a length."""
+    fields = {
+        "X-Attempt-Id": request_id or request.request_id,
+        "X-Server-Seal": SIGNATURE,
+        "Content-Length": str(len(body)),
+        **(headers or {}),
+    }
+    lines = [f"HTTP/1.1 {status} X", *(f"{k}: {v}" for k, v in fields.items())]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+@attrs.define(eq=False)
+class ScriptedBackend:
+    """Listens on loopback, notes every request and runs the script for it."""
+
+    script: Script
+    seen: list[SeenRequest] = attrs.field(factory=list)
+    left: list[str] = attrs.field(factory=list)
+    """Requests whose connection the other side closed before the script ended."""
+    _server: asyncio.Server | None = None
+
+    async def start(self) -> str:
+        """Listen; returns ``host:port``."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            request = await _read(reader)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+            return
+        if request.target == REPORT_PATH:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+            writer.close()
+            return
+        self.seen.append(request)
+        work = asyncio.ensure_future(self.script(request, writer))
+        gone = asyncio.ensure_future(reader.read(1))
+        await asyncio.wait([work, gone], return_when=asyncio.FIRST_COMPLETED)
+        if not work.done():
+            self.left.append(request.request_id)
+            work.cancel()
+        gone.cancel()
+        writer.close()
+
+    async def close(self) -> None:
+        """Stop listening."""
+        self._server.close()
+
+
+async def _read(reader: asyncio.StreamReader) -> SeenRequest:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    first, *lines = head.strip().split("\r\n")
+    method, target, _ = first.split(" ")
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        headers[name.lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return SeenRequest(method, target, headers, body)
--- /dev/null
+++ b/standins/src/fordhatch_standins/wire/_store_http.py
@@ -0,0 +1,97 @@
+"""The stand-in store on its published wire."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from aiohttp import web
+
+from ._store_model import Name, StoredRow, StoreModel
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+def store_handler(model: StoreModel) -> Handler:
+    """Return a handler that serves a model of the store over HTTP."""
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        model.calls += 1
+        if model.faults.is_silent:
+            await asyncio.sleep(3600)
+        if model.faults.is_down:
+            return web.Response(status=503)
+        match (request.method, request.path):
+            case ("GET", "/v1/rows-get"):
+                return _get(model, request.query)
+            case ("GET", "/v1/rows-feed"):
+                return await _feed(model, request.query)
+            case ("POST", "/v1/rows-tx"):
+                return _transact(model, request, await request.read())
+        return web.Response(status=404)
+
+    return handle
+
+
+def _answer(status: int, **fields: Any) -> web.Response:
+    return web.Response(
+        status=status, body=json.dumps(fields), content_type="application/json"
+    )
+
+
+def _shown(row: StoredRow) -> dict[str, object]:
+    table, part, key = row.name
+    shown: dict[str, object] = {
+        "table": table,
+        "part": part,
+        "key": key,
+        "ver": row.version,
+    }
+    if row.is_removed:
+        shown["removed"] = True
+    else:
+        shown["value"] = base64.b64encode(row.value).decode()
+    return shown
+
+
+def _get(model: StoreModel, query: Any) -> web.Response:
+    limit = min(int(query.get("limit", 500)), 500)
+    rows = model.page(query["table"], query.get("from", ""), limit + 1)
+    return _answer(
+        200,
+        rows=[_shown(row) for row in rows[:limit]],
+        **{"has-more": len(rows) > limit, "ver": model.version, "now-ms": 1},
+    )
+
+
+async def _feed(model: StoreModel, query: Any) -> web.Response:
+    wait_s = int(query.get("wait-ms", 0)) / 1000
+    found = await model.changes(query["table"], int(query["after"]), wait_s)
+    if found is None:
+        return _answer(410)
+    rows = [_shown(row) for row in found]
+    return _answer(200, rows=rows, **{"ver": model.version, "now-ms": 1})
+
+
+def _transact(model: StoreModel, request: web.BaseRequest, raw: bytes) -> web.Response:
+    body = json.loads(raw)
+    expected = {_name(row): row["ver"] for row in body.get("expected-rev", ())}
+    puts = {
+        _name(row): base64.b64decode(row["value"]) for row in body.get("set-keys", ())
+    }
+    removes = tuple(_name(row) for row in body.get("remove", ()))
+    version, conflicts = model.transact(expected, puts, removes)
+    if model.faults.lost_answers > 0:
+        model.faults.lost_answers -= 1
+        request.transport.abort()
+        return web.Response(status=503)
+    if not version:
+        return _answer(412, rows=[_shown(row) for row in conflicts])
+    return _answer(200, **{"ver": version, "now-ms": 1})
+
+
+def _name(row: dict[str, Any]) -> Name:
+    return row["table"], row.get("part", ""), row["key"]
--- /dev/null
+++ b/standins/src/fordhatch_standins/wire/_store_model.py
@@ -0,0 +1,134 @@
+"""The platform's metadata store in memory."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+
+import attrs
+
+Name = tuple[str, str, str]
+"""Table, part and key of a row."""
+
+
+@attrs.define
+class StoreFaults:
+    """What goes wrong with the store."""
+
+    is_down: bool = False
+    """Every call is refused, and nothing is done."""
+    is_silent: bool = False
+    """No call is answered, and nothing is done."""
+    turned_away: set[str] = attrs.field(factory=set)
+    """Nodes whose calls are refused while others are served."""
+    lost_answers: int = 0
+    """So many of the next writes are done and not answered."""
+    mutes_watches: bool = False
+    """Watches hear nothing of changes."""
+
+
+@attrs.frozen
+class StoredRow:
+    """A row, or the note that it was removed."""
+
+    name: Name
+    version: int
+    value: bytes
+    is_removed: bool = False
+
+
+@attrs.define(eq=False)
+class StoreModel:
+    """Rows, their history, and a counter that rises with each transaction."""
+
+    rows: dict[Name, StoredRow] = attrs.field(factory=dict)
+    version: int = 0
+    history: deque[StoredRow] = attrs.field(factory=deque)
+    first_version: int = 0
+    """Changes up to this version are no longer known."""
+    faults: StoreFaults = attrs.field(factory=StoreFaults)
+    calls: int = 0
+    _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def put(self, table: str, key: str, value: bytes) -> int:
+        """Write one row, as an operator or backend server does."""
+        return self.apply({(table, "", key): value}, ())
+
+    def remove(self, table: str, key: str) -> int:
+        """Remove one row."""
+        return self.apply({}, ((table, "", key),))
+
+    def apply(self, puts: dict[Name, bytes], removes: tuple[Name, ...]) -> int:
+        """Change rows together; returns the version of the change."""
+        self.version += 1
+        for name, value in puts.items():
+            self._record(StoredRow(name, self.version, value))
+        for name in removes:
+            if name in self.rows:
+                self._record(StoredRow(name, self.version, b"", is_removed=True))
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return self.version
+
+    def _record(self, row: StoredRow) -> None:
+        self.history.append(row)
+        if row.is_removed:
+            del self.rows[row.name]
+        else:
+            self.rows[row.name] = row
+
+    def forget_history(self) -> None:
+        """Drop the history: watches from before must read the table whole."""
+        self.history.clear()
+        self.first_version = self.version
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def transact(
+        self,
+        expected: dict[Name, int],
+        puts: dict[Name, bytes],
+        removes: tuple[Name, ...],
+    ) -> tuple[int, list[StoredRow]]:
+        """Apply a transaction if every expectation holds.
+
+        Returns:
+            The new version and no rows, or 0 and the rows that differ.
+        """
+        current = [self._current(name) for name in expected]
+        if any(row.version != expected[row.name] for row in current):
+            return 0, current
+        return self.apply(puts, removes), []
+
+    def _current(self, name: Name) -> StoredRow:
+        return self.rows.get(name, StoredRow(name, 0, b"", is_removed=True))
+
+    def page(self, table: str, first_key: str, limit: int) -> list[StoredRow]:
+        """Return rows of a table's empty part from a key on."""
+        found = [
+            row
+            for name, row in self.rows.items()
+            if name[:2] == (table, "") and name[2] >= first_key
+        ]
+        found.sort(key=lambda row: row.name[2])
+        return found[:limit]
+
+    async def changes(
+        self, table: str, after: int, wait_s: float
+    ) -> list[StoredRow] | None:
+        """Return the changes of a table after a version; None if they are forgotten."""
+        try:
+            async with asyncio.timeout(wait_s):
+                while True:
+                    if after < self.first_version:
+                        return None
+                    found = [
+                        row
+                        for row in self.history
+                        if row.version > after and row.name[0] == table
+                    ]
+                    if found and not self.faults.mutes_watches:
+                        return found
+                    await self._changed.wait()
+        except TimeoutError:
+            return []
--- /dev/null
+++ b/tests/adapter/test_headers.py
@@ -0,0 +1,115 @@
+from __future__ import annotations
+
+import pytest
+from multidict import CIMultiDict
+
+from fordhatch.adapter import (
+    answer_headers,
+    caller_fields,
+    client_headers,
+    decode_answer,
+    encode_call,
+    refusal_headers,
+)
+from fordhatch.catalog import RefusalKind
+
+CALL = CIMultiDict(
+    [
+        ("Host", "ficu95.example"),
+        ("X-Attempt-Id", "9c41"),
+        ("X-Model", "m"),
+        ("X-Token-Count", "1460,80"),
+        ("X-Prompt-Prefix", "5c1e:800"),
+        ("X-Deadline-Ms", "8000"),
+        ("Api-Key", "secret"),
+        ("X-Tenant", "somebody-else"),
+        ("X-Expect-Instance", "i-0"),
+        ("X-Urgency-Class", "0"),
+        ("Connection", "keep-alive, X-Hop, X-Model"),
+        ("X-Hop", "1"),
+        ("Transfer-Encoding", "chunked"),
+        ("X-Own", "stays"),
+    ]
+)
+
+
+def test_a_call_is_read() -> None:
+    fields = caller_fields(CALL)
+    assert fields.request_id == "9c41"
+    assert fields.deadline_s == 8.0
+    assert fields.api_keys == ("secret",)
+    assert (fields.prompt_tokens, fields.max_output_tokens) == (1460, 80)
+
+
+@pytest.mark.parametrize("text", ["", "-5", "soon", "1e3"])
+def test_a_deadline_that_is_no_number_is_none(text: str) -> None:
+    assert caller_fields(CIMultiDict({"X-Deadline-Ms": text})).deadline_s is None
+
+
+def test_only_what_may_go_on_goes_on() -> None:
+    names = {name.lower() for name, _ in client_headers(CALL.items())}
+    assert names == {
+        "host",
+        "x-attempt-id",
+        # Named by Connection, but the backend server must see what the caller sent.
+        "x-model",
+        "x-token-count",
+        "x-prompt-prefix",
+        "x-own",
+    }
+
+
+def test_the_system_sets_its_own_headers() -> None:
+    sent = encode_call(
+        client_headers(CALL.items()),
+        backend_id="i-7",
+        workspace="hule",
+        left_s=1.2345,
+        urgency=2,
+        last_event_id="12",
+    )
+    assert sent["X-Expect-Instance"] == "i-7"
+    assert sent.getall("X-Tenant") == ["hule"]
+    assert sent["X-Deadline-Ms"] == "1234"
+    assert sent["X-Urgency-Class"] == "2"
+    assert sent["Last-Event-Id"] == "12"
+    assert "Api-Key" not in sent
+
+
+def test_without_workspace_none_is_claimed() -> None:
+    sent = encode_call(
+        client_headers(CALL.items()), backend_id="i", workspace=None, left_s=1
+    )
+    assert "X-Tenant" not in sent
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "refusal"),
+    [
+        (503, {"X-Not-Executed": "1"}, RefusalKind.NOT_EXECUTED),
+        (421, {}, RefusalKind.OTHER_BACKEND),
+        (503, {}, RefusalKind.NONE),
+        (500, {"X-Server-Seal": "s"}, RefusalKind.NONE),
+    ],
+)
+def test_only_a_proof_counts_as_not_run(status, headers, refusal) -> None:
+    assert decode_answer(status, CIMultiDict(headers)).refusal is refusal
+
+
+def test_an_encoded_body_is_noticed() -> None:
+    found = decode_answer(200, CIMultiDict({"Content-Encoding": "gzip"}))
+    assert found.has_encoding
+
+
+def test_answers_lose_the_headers_of_their_connection() -> None:
+    kept = answer_headers(
+        [("Connection", "close"), ("X-Server-Seal", "s"), ("Content-Length", "3")]
+    )
+    assert kept == [("X-Server-Seal", "s")]
+
+
+def test_a_refusal_says_when_to_come_back() -> None:
+    assert refusal_headers("9c41", 0.25) == {
+        "X-Attempt-Id": "9c41",
+        "Retry-After": "0.250",
+    }
--- /dev/null
+++ b/tests/adapter/test_store_client.py
@@ -0,0 +1,103 @@
+"""The store's client against the stand-in, over real connections."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest_asyncio
+from aiohttp import web
+
+from fordhatch.adapter import RowKey, StoreClient
+from fordhatch.core import Ran, ResultCode
+from fordhatch_standins.wire import StoreModel, store_handler
+
+KEY = RowKey("own", "k")
+
+
+@pytest_asyncio.fixture
+async def store() -> AsyncIterator[tuple[StoreModel, StoreClient]]:
+    model = StoreModel()
+    server = web.Server(store_handler(model))
+    loop = asyncio.get_running_loop()
+    listener = await loop.create_server(server, "127.0.0.1", 0)
+    host, port = listener.sockets[0].getsockname()
+    client = StoreClient.from_address(f"{host}:{port}")
+    yield model, client
+    await client.close()
+    listener.close()
+    await server.shutdown(0.1)
+
+
+async def test_rows_come_in_pages(store) -> None:
+    model, client = store
+    for index in range(7):
+        model.put("own", f"k{index}", b"v%d" % index)
+    first = (await client.read("own", limit=5, timeout_s=1)).unwrap()
+    assert [r.row_key.key for r in first.rows] == ["k0", "k1", "k2", "k3", "k4"]
+    assert first.has_more
+    rest = (await client.read("own", first_key="k4\0", timeout_s=1)).unwrap()
+    assert [r.value for r in rest.rows] == [b"v5", b"v6"]
+    assert not rest.has_more
+    assert rest.version == 7
+
+
+async def test_a_watch_hears_of_changes_and_removals(store) -> None:
+    model, client = store
+    model.put("own", "k", b"1")
+    watch = asyncio.ensure_future(client.watch("own", 1, wait_s=2, timeout_s=3))
+    await asyncio.sleep(0.02)
+    model.remove("own", "k")
+    changes = (await watch).unwrap()
+    assert [(r.row_key.key, r.is_removed) for r in changes.rows] == [("k", True)]
+    assert changes.version == 2
+
+
+async def test_a_watch_without_changes_confirms_the_version(store) -> None:
+    model, client = store
+    model.put("other", "k", b"1")
+    changes = (await client.watch("own", 0, wait_s=0.01, timeout_s=1)).unwrap()
+    assert changes.rows == ()
+    assert changes.version == 1
+
+
+async def test_a_forgotten_history_is_told_apart(store) -> None:
+    model, client = store
+    model.put("own", "k", b"1")
+    model.forget_history()
+    failed = await client.watch("own", 0, wait_s=0.01, timeout_s=1)
+    assert failed.unwrap_err().code is ResultCode.STORE_HISTORY_GONE
+
+
+async def test_a_write_holds_only_under_its_condition(store) -> None:
+    _, client = store
+    made = (await client.write({KEY: 0}, {KEY: b"a"}, timeout_s=1)).unwrap()
+    assert made.is_committed
+    again = (await client.write({KEY: 0}, {KEY: b"b"}, timeout_s=1)).unwrap()
+    assert not again.is_committed
+    assert [(r.version, r.value) for r in again.conflicts] == [(made.version, b"a")]
+    removed = await client.write({KEY: made.version}, {}, (KEY,), timeout_s=1)
+    assert removed.unwrap().is_committed
+
+
+async def test_a_refused_write_has_not_run(store) -> None:
+    model, client = store
+    model.faults.is_down = True
+    failure = (await client.write({}, {KEY: b"a"}, timeout_s=1)).unwrap_err()
+    assert failure.ran is Ran.NO
+    assert not model.rows
+
+
+async def test_a_write_without_answer_may_have_run(store) -> None:
+    model, client = store
+    model.faults.lost_answers = 1
+    failure = (await client.write({}, {KEY: b"a"}, timeout_s=1)).unwrap_err()
+    assert failure.ran is Ran.MAYBE
+    assert len(model.rows) == 1
+
+
+async def test_a_silent_store_ends_the_call(store) -> None:
+    model, client = store
+    model.faults.is_silent = True
+    failed = await client.read("own", timeout_s=0.05)
+    assert failed.unwrap_err().code is ResultCode.STORE_UNAVAILABLE
--- /dev/null
+++ b/tests/test_wire_names.py
@@ -0,0 +1,30 @@
+"""Only the adapter and the stand-ins know the platform's names."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+ROOT = Path(__file__).parents[1]
+
+WIRE_NAMES = re.compile(
+    r"x-attempt-id|x-deadline-ms|x-server-seal|x-expect-instance|x-not-executed"
+    r"|x-weight-versions|x-prompt-prefix|x-token-count|x-urgency-class|x-tenant"
+    r"|last-event-id|rows-(tx|get|feed|parts)|cold-left-ms|expected-rev|set-keys"
+    r"|timeout-ms|goal-ms|max-gap-ms|api-keys|close-mode|kv-capacity|revoke-ms"
+    r"|fleetbench",
+    re.IGNORECASE,
+)
+
+
+def test_the_platforms_names_stay_at_the_boundary() -> None:
+    found = []
+    for path in [*ROOT.glob("packages/*/src/**/*.py"), *ROOT.glob("deploy/*.py")]:
+        for number, line in enumerate(path.read_text().splitlines(), 1):
+            if WIRE_NAMES.search(line):
+                found.append(f"{path.relative_to(ROOT)}:{number}: {line.strip()}")
+    assert not found, "\n".join(found)
+
+
+def test_the_adapter_does_not_hide_the_standard_library() -> None:
+    assert not (ROOT / "platform" / "__init__.py").exists()
