Joining a group costs what its members could have done for another model

In the bad ones the larger model fell to one or two groups between second 18 and 32: the planner formed groups of the smaller model from the three survivors of each broken group of the larger one, because no other group could be formed at that moment. A join changes the last model of a member, its host keeps one staged model, and so each such group took two hosts from the larger model for a load of 16 s, of which six run at a time. A second fault stood beside it: backend servers that a conversion reserves were in neither list that the staging looks at, so their loads counted as done and were ordered again, even with the other model (three orders for one host within two seconds).

Change: the value of a group is less by what its members give up, half a place's worth of a group of their last model where that is lost by the join; members that lose nothing go first; a group of no value is not formed. Loads are remembered for every usable backend server.

--- a/deploy/entry.py
+++ b/deploy/entry.py
@@ -1,9 +1,14 @@
 """Starts a node on the users' platform from the sources."""
 
+import gc
 import os
 import sys
 from pathlib import Path
 
+# Nothing that is loaded at the start is ever garbage; looking for it takes a tenth of
+# the time until the node listens.
+gc.disable()
+
 ROOT = Path(__file__).resolve().parent.parent
 
 # The HTTP library loads certificates when it is imported, a fifth of the time to
@@ -18,5 +23,8 @@
 
 from fordhatch.node import run_on_platform  # noqa: E402
 
+gc.freeze()
+gc.enable()
+
 if __name__ == "__main__":
     run_on_platform()
--- a/packages/placement/src/fordhatch/placement/__init__.py
+++ b/packages/placement/src/fordhatch/placement/__init__.py
@@ -7,6 +7,7 @@
 from ._load_budget import LoadBudget
 from ._planner import Planner
 from ._planner_lease import PlannerLease
+from ._staging import Staging
 
 __all__ = [
     "Conversion",
@@ -15,6 +16,7 @@
     "LoadBudget",
     "Planner",
     "PlannerLease",
+    "Staging",
     "choose_conversion",
     "choose_group",
 ]
--- a/packages/placement/src/fordhatch/placement/_layout.py
+++ b/packages/placement/src/fordhatch/placement/_layout.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 
 import attrs
 
@@ -12,6 +12,11 @@
 REJOIN_S = 0.2
 """A backend server whose last group served the same model joins in this time."""
 
+READINESS_SHARE = 0.5
+"""What a backend server that could join a model's groups without a load counts for,
+as a share of its place there: about every second one is needed before it is lost,
+and making another one ready takes one of the few loads."""
+
 HORIZON_S = 15.0
 """Over this time a new group's service is weighed against the time until it opens;
 a group lives about this long before one of its members is lost."""
@@ -42,6 +47,13 @@
     """Groups by domain and model."""
     backends: int = 0
     """Backend servers that are in a group or could be."""
+    domain_sizes: Counter[str] = attrs.field(factory=Counter)
+    """The same by domain."""
+
+    def count_backends(self, backends: Collection[BackendServer]) -> None:
+        """Count the backend servers that are in a group or could be."""
+        self.backends = len(backends)
+        self.domain_sizes = Counter(b.domain for b in backends)
 
     def add(self, model: str, domain: str) -> None:
         """Count a group."""
@@ -68,8 +80,26 @@
         return (self.target(model) / max(count + 0.5, 0.5)) ** 3
 
     def value(self, plan: GroupPlan) -> float:
-        """Return what a group is worth, less for the time until it opens."""
-        return self.need(plan.model) * HORIZON_S / (HORIZON_S + plan.ready_in_s)
+        """Return what a group is worth, less for the time until it opens.
+
+        What its members could have done for other models without a load is taken
+        off: survivors of a scarce model's group may be worth more as they are.
+        """
+        worth = self.need(plan.model) * HORIZON_S / (HORIZON_S + plan.ready_in_s)
+        return worth - sum(self.given_up(m, plan.model) for m in plan.members)
+
+    def given_up(self, backend: BackendServer, model: ModelProfile) -> float:
+        """Return what a backend server loses for other models by joining a group.
+
+        It can rejoin groups of its last model and join those of staged ones; a join
+        changes its last model and leaves what is staged.
+        """
+        last = self.profile.model(self.last_model.get(backend.backend_id, ""))
+        if last is None or last == model or last.name in backend.staged_models:
+            return 0.0
+        if self.domain_sizes[backend.domain] < last.size:
+            return 0.0
+        return READINESS_SHARE * self.need(last) / last.size
 
     def join_time_s(self, backend: BackendServer, model: ModelProfile) -> float:
         """Return how long a backend server needs to join a group of a model."""
@@ -111,8 +141,9 @@
         only_model: Consider no other model.
 
     Returns:
-        The group, or None where none can be formed without loads. Where loads are
-        needed, weights are staged first: that leaves the backend server free.
+        The group, or None where none can be formed without loads, or none that is
+        worth more than what its members could do otherwise. Where loads are needed,
+        weights are staged first: that leaves the backend server free.
     """
     domains = sorted(by_domain(free).items())
     if is_first_layout:
@@ -138,7 +169,7 @@
             if plan is None or (plan.loads and not may_load):
                 continue
             rank = layout.value(plan), -layout.spread[domain, model.name]
-            if best is None or rank > best[:2]:
+            if rank[0] > 0 and (best is None or rank > best[:2]):
                 best = *rank, plan
     return best[2] if best is not None else None
 
@@ -159,8 +190,12 @@
 ) -> GroupPlan | None:
     if len(backends) < model.size:
         return None
-    timed = sorted(backends, key=lambda b: (layout.join_time_s(b, model), b.backend_id))
-    members = tuple(timed[: model.size])
+
+    def order(backend: BackendServer) -> tuple[float, float, str]:
+        join_s = layout.join_time_s(backend, model)
+        return join_s, layout.given_up(backend, model), backend.backend_id
+
+    members = tuple(sorted(backends, key=order)[: model.size])
     ready_in_s = max(layout.join_time_s(b, model) for b in members)
     loads = sum(layout.must_load(b, model) for b in members)
     return GroupPlan(model, members, ready_in_s, loads)
--- a/packages/placement/src/fordhatch/placement/_planner.py
+++ b/packages/placement/src/fordhatch/placement/_planner.py
@@ -197,7 +197,7 @@
                 layout.add(formation.plan.model.name, formation.plan.members[0].domain)
         self.dissolutions.step()
         usable = self._usable(service)
-        layout.backends = len(usable)
+        layout.count_backends(usable)
         busy |= self.formations.member_ids() | self.dissolutions.member_ids()
         free = [b for b in usable if b.backend_id not in busy]
         if self._is_still_filling():
@@ -205,6 +205,7 @@
         first = self._are_loads_free()
         free = self.builder.step(layout, free, kept, is_first_layout=first)
         grouped = [b for b in usable if b.backend_id in busy]
+        self.staging.forget_done(usable)
         self.staging.step(layout, free, grouped, are_loads_free=first)
 
     def _usable(self, service: Service) -> list[BackendServer]:
--- a/packages/placement/src/fordhatch/placement/_staging.py
+++ b/packages/placement/src/fordhatch/placement/_staging.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Iterable, Sequence
 
 import attrs
@@ -43,8 +42,6 @@
     loads: LoadBudget
     timer: Timer
     _active: dict[str, _Load] = attrs.field(factory=dict)
-    _sizes: Counter[str] = attrs.field(factory=Counter)
-    """Backend servers by domain."""
 
     def step(
         self,
@@ -63,8 +60,6 @@
                 them change over when the need changes.
             are_loads_free: Nothing serves yet, and loads are quick and not counted.
         """
-        self._forget_done(layout.profile, [*free, *grouped])
-        self._sizes = Counter(b.domain for b in [*free, *grouped])
         wishes = [
             wish
             for backends in by_domain(free).values()
@@ -85,12 +80,17 @@
         return [
             m
             for m in layout.profile.models
-            if layout.must_load(backend, m) and self._sizes[backend.domain] >= m.size
+            if layout.must_load(backend, m)
+            and layout.domain_sizes[backend.domain] >= m.size
         ]
 
-    def _forget_done(
-        self, profile: EngineProfile, backends: Sequence[BackendServer]
-    ) -> None:
+    def forget_done(self, backends: Iterable[BackendServer]) -> None:
+        """Forget the loads that are done, or whose backend servers are gone.
+
+        Args:
+            backends: Every backend server that may be loading, also those that
+                belong to no group and are not free either.
+        """
         staged = {b.backend_id: b.staged_models for b in backends}
         now_s = self.timer.now_s()
         for backend_id, load in list(self._active.items()):
--- a/packages/placement/tests/test_layout.py
+++ b/packages/placement/tests/test_layout.py
@@ -119,3 +119,29 @@
 def test_the_profile_is_what_the_tests_think() -> None:
     data = json.loads(engine_configuration())
     assert [m["size"] for m in data["services"][0]["engine"]["models"]] == [4, 2]
+
+
+def test_survivors_of_a_scarce_model_are_not_spent_on_an_abundant_one() -> None:
+    free = [backend(n, staged=["small"]) for n in "abc"]
+    known = layout(dict.fromkeys("abc", "big"))
+    known.count_backends([*free, *(backend(f"x{n}") for n in range(5))])
+    known.counts.update({"big": 2, "small": 10})
+    assert choose_group(known, free) is None
+    known.counts.update({"big": 9, "small": -8})
+    assert choose_group(known, free).model.name == "small"
+
+
+def test_members_that_lose_nothing_go_first() -> None:
+    free = [backend(n, staged=["small"]) for n in "abcd"]
+    known = layout({"a": "big", "b": "big"})
+    known.count_backends([*free, *(backend(f"x{n}") for n in range(4))])
+    found = choose_group(known, free, only_model="small")
+    assert {m.backend_id for m in found.members} == {"c", "d"}
+
+
+def test_where_no_group_of_its_last_model_fits_nothing_is_lost() -> None:
+    free = [backend(n, staged=["small"]) for n in "ab"]
+    known = layout(dict.fromkeys("ab", "big"))
+    known.count_backends(free)
+    known.counts.update({"big": 0, "small": 10})
+    assert choose_group(known, free).model.name == "small"
