--- a/packages/catalog/src/fordhatch/catalog/_configuration.py
+++ b/packages/catalog/src/fordhatch/catalog/_configuration.py
@@ -73,6 +73,12 @@
     """Time to load the weights from the weight store."""
     warm_s: float
     """Time to load the weights when they are staged on the host."""
+    wanted_groups: int | None = None
+    """Groups that are declared; None where the share decides."""
+    most_groups: int | None = None
+    """Groups beyond which no more are formed; None where there is no limit."""
+    weight: float = 1.0
+    """What the waits of this model's callers count for, beside others'."""
 
 
 @attrs.frozen
@@ -141,6 +147,10 @@
     name: str
     priority: int | None = None
     """Goes before the route's priority where it is set."""
+    applications: frozenset[str] | None = None
+    """Routes that it may use; None where every route is open to it."""
+    max_concurrent: int | None = None
+    """Most open requests at one node; None where there is no limit."""
 
 
 @attrs.frozen
--- a/packages/catalog/src/fordhatch/catalog/_node_settings.py
+++ b/packages/catalog/src/fordhatch/catalog/_node_settings.py
@@ -58,13 +58,17 @@
     instance_address: str
     caller_address: str
     ready_address: str
-    port_range: tuple[int, int]
-    """Free ports for traffic between nodes."""
+    peer_address: str
+    """Where other nodes reach this one, ``host:port``."""
     is_first_start: bool
     """Whether the whole system starts for the first time."""
     heartbeat_s: float
     """Time between the heartbeats of backend servers."""
     memory_mb: float
     max_descriptors: int
+    cores: float
+    """Processor cores that the node may use."""
+    link_mbps: float
+    """Rate of its link, in megabits a second."""
     bounds: SystemBounds
     store: StoreLimits
--- /dev/null
+++ b/packages/chat/src/fordhatch/chat/_chat_server.py
@@ -0,0 +1,422 @@
+"""The callers' address of fordhatch's own interface: chat completions, plain calls."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import secrets
+from collections import Counter
+
+import attrs
+from aiohttp import web
+from result import Err, Ok, Result
+
+from fordhatch.adapter import model_call_headers
+from fordhatch.catalog import CallFields, Route, RouteKind, Workspace
+from fordhatch.config import (
+    Application,
+    DeclaredConfiguration,
+    Limits,
+    ModelService,
+    hash_key,
+    model_name,
+)
+from fordhatch.core import Failure, ResultCode, Timer, log_event
+from fordhatch.serving import RequestPath, ServedRequest
+
+from ._chat_body import ChatBody, bad_request
+from ._claim_rows import Claim, ClaimKey
+from ._claims import ClaimService, Ticket
+from ._replies import (
+    CallReply,
+    ChatReply,
+    RecordedReply,
+    replay,
+)
+
+CHAT_PATH = "/v1/chat/completions"
+"""Path of chat completions, also in the operators' routes."""
+
+MODELS_PATH = "/v1/models"
+
+READY_PATH = "/ready"
+"""Where a balancer asks whether the node takes callers."""
+
+SERVICES_PREFIX = "/services/"
+"""Plain services are called below ``/services/<application>``."""
+
+KEY_HEADER = "Idempotency-Key"
+
+LONGEST_KEY = 255
+"""Longest idempotency key."""
+
+LIMIT_RETRY_AFTER_S = 1.0
+"""When a workspace at its limit may come back: requests take about as long."""
+
+_BEARER = "Bearer "
+
+_PASSED_HEADERS = ("Content-Type", "Accept")
+"""Callers' headers that plain services see."""
+
+Reply = ChatReply | CallReply
+
+
+@attrs.frozen
+class _Asked:
+    """What every request of a caller says, checked."""
+
+    key_hash: str
+    configuration: DeclaredConfiguration
+    workspace: Workspace
+    timeout_s: float
+    idempotency_key: str
+    may_repeat: bool
+
+
+@attrs.define(eq=False, repr=False)
+class ChatServer:
+    """Checks callers' requests and passes them on to the request path."""
+
+    path: RequestPath
+    claims: ClaimService
+    limits: Limits
+    timer: Timer
+    _by_workspace: Counter[str] = attrs.field(factory=Counter)
+
+    async def handle(self, http_request: web.BaseRequest) -> web.StreamResponse:
+        """Serve one request of a caller."""
+        state = self.path.state
+        reply = CallReply(http_request, state)
+        with state.counted(reply):
+            served = await self._route(http_request, reply)
+            reply.outcome = served.outcome
+            return served.response or web.Response()
+        return web.Response()
+
+    async def _route(self, http_request: web.BaseRequest, plain: CallReply) -> Reply:
+        path, method = http_request.path, http_request.method
+        if path == READY_PATH and method == "GET":
+            await plain.whole(*self._ready())
+            return plain
+        if path == MODELS_PATH and method == "GET":
+            return await self._models(http_request, plain)
+        if path == CHAT_PATH and method == "POST":
+            return await self._chat(http_request)
+        if path.startswith(SERVICES_PREFIX):
+            return await self._call(http_request, plain)
+        await plain.refuse(Failure.from_code(ResultCode.NOT_FOUND))
+        return plain
+
+    def _ready(self) -> tuple[int, list[tuple[str, str]], bytes]:
+        state = self.path.state
+        failure = state.why_not()
+        if state.is_leaving:
+            failure = Failure.from_code(ResultCode.SHUTTING_DOWN)
+        body = {"ready": True, "revision": state.view.configuration.version}
+        if failure is not None:
+            body = failure.to_json()
+        status = failure.http_status if failure is not None else 200
+        kind = [("Content-Type", "application/json")]
+        return status, kind, json.dumps(body).encode()
+
+    async def _models(self, http_request: web.BaseRequest, reply: CallReply) -> Reply:
+        """List the applications of the workspace that are served by models."""
+        asked = self._check(http_request)
+        if asked.is_err():
+            await reply.refuse(asked.unwrap_err())
+            return reply
+        checked = asked.unwrap()
+        declared = checked.configuration.declared
+        data = [
+            {"id": a.name, "object": "model", "owned_by": checked.workspace.name}
+            for a in declared.applications
+            if a.name in checked.workspace.applications
+            and isinstance(declared.service(a.service), ModelService)
+        ]
+        body = json.dumps({"object": "list", "data": data}).encode()
+        await reply.whole(200, [("Content-Type", "application/json")], body)
+        return reply
+
+    # Checks.
+
+    def _check(self, http_request: web.BaseRequest) -> Result[_Asked, Failure]:
+        """Check what is the same for every kind of request."""
+        stopped = self.path.state.why_not()
+        if stopped is not None:
+            return Err(stopped)
+        header = http_request.headers.get("Authorization", "")
+        if not header.startswith(_BEARER):
+            return Err(Failure.from_code(ResultCode.UNAUTHENTICATED))
+        key_hash = hash_key(header.removeprefix(_BEARER).strip())
+        known = self.path.admission.authenticate(_ANY_ROUTE, (key_hash,))
+        if known.is_err():
+            return known
+        timeout = self._timeout_s(http_request)
+        if timeout.is_err():
+            return timeout
+        key = http_request.headers.get(KEY_HEADER, "")
+        if len(key) > LONGEST_KEY:
+            return Err(bad_request(f"{KEY_HEADER} is longer than {LONGEST_KEY}"))
+        mark = http_request.headers.get("X-Repeatable", "true").lower()
+        if mark not in ("true", "false"):
+            return Err(bad_request("X-Repeatable must be true or false"))
+        configuration = self.path.state.view.configuration.current
+        return Ok(
+            _Asked(
+                key_hash,
+                configuration,
+                known.unwrap(),
+                timeout.unwrap(),
+                key,
+                mark == "true",
+            )
+        )
+
+    def _timeout_s(self, http_request: web.BaseRequest) -> Result[float, Failure]:
+        asked = http_request.headers.get("X-Timeout-S")
+        if asked is None:
+            return Ok(self.limits.default_timeout_s)
+        try:
+            timeout_s = float(asked)
+        except ValueError:
+            return Err(bad_request("X-Timeout-S is not a number"))
+        if not 0 < timeout_s <= self.limits.max_timeout_s:
+            text = (
+                f"X-Timeout-S must be above 0 and at most {self.limits.max_timeout_s:g}"
+            )
+            return Err(bad_request(text))
+        return Ok(timeout_s)
+
+    def _application(
+        self, asked: _Asked, name: str, *, is_model: bool
+    ) -> Result[Application, Failure]:
+        declared = asked.configuration.declared
+        application = declared.application(name)
+        if application is None:
+            return Err(Failure.from_code(ResultCode.UNKNOWN_MODEL, f"no {name!r}"))
+        if application.name not in asked.workspace.applications:
+            return Err(Failure.from_code(ResultCode.FORBIDDEN))
+        service = declared.service(application.service)
+        if isinstance(service, ModelService) is not is_model:
+            return Err(Failure.from_code(ResultCode.UNKNOWN_MODEL, f"no {name!r}"))
+        return Ok(application)
+
+    async def _body(self, http_request: web.BaseRequest) -> Result[bytes, Failure]:
+        body = bytearray()
+        async for piece in http_request.content.iter_any():
+            body += piece
+            if len(body) > self.limits.max_body_bytes:
+                return Err(Failure.from_code(ResultCode.BODY_TOO_LARGE))
+        return Ok(bytes(body))
+
+    # Chat completions.
+
+    async def _chat(self, http_request: web.BaseRequest) -> Reply:
+        arrived_s = self.timer.now_s()
+        request_id = f"req-{secrets.token_hex(10)}"
+        reply = ChatReply(http_request, self.path.state, request_id=request_id)
+        built = await self._chat_request(http_request, reply, arrived_s)
+        if built.is_err():
+            await self._refuse(reply, built.unwrap_err())
+            return reply
+        request, asked = built.unwrap()
+        return await self._serve(request, asked, reply)
+
+    async def _chat_request(
+        self, http_request: web.BaseRequest, reply: ChatReply, arrived_s: float
+    ) -> Result[tuple[ServedRequest, _Asked], Failure]:
+        checked = self._check(http_request)
+        if checked.is_err():
+            return checked
+        asked = checked.unwrap()
+        content = await self._body(http_request)
+        if content.is_err():
+            return content
+        parsed = ChatBody.from_json(content.unwrap())
+        if parsed.is_err():
+            return parsed
+        body = parsed.unwrap()
+        found = self._application(asked, body.application, is_model=True)
+        if found.is_err():
+            return found
+        application = found.unwrap()
+        reply.application = application.name
+        reply.is_streamed = body.is_streamed
+        service = asked.configuration.declared.service(application.service)
+        fields = CallFields(
+            reply.request_id,
+            asked.timeout_s,
+            (asked.key_hash,),
+            model=self._model(service),
+            prompt_tokens=body.prompt_tokens,
+            max_output_tokens=body.max_tokens,
+        )
+        admitted = self.path.admission.admit(
+            _route(asked, application, "POST", CHAT_PATH),
+            fields,
+            method="POST",
+            target=CHAT_PATH,
+            headers=[
+                *model_call_headers(fields),
+                ("Content-Type", "application/json"),
+            ],
+            body=body.for_engine(application.adapter),
+            arrived_s=arrived_s,
+        )
+        return admitted.map(lambda request: (request, asked))
+
+    def _model(self, service: ModelService) -> str:
+        """Return the version to ask for: an earlier one while the new one forms."""
+        wanted = model_name(service)
+        directory = self.path.state.view.directory
+        serving = directory.served_models(service.accelerator)
+        if wanted in serving:
+            return wanted
+        earlier = [m for m in serving if m.partition("@")[0] == service.model]
+        return max(earlier, default=wanted)
+
+    # Plain services.
+
+    async def _call(self, http_request: web.BaseRequest, reply: CallReply) -> Reply:
+        arrived_s = self.timer.now_s()
+        built = await self._call_request(http_request, arrived_s)
+        if built.is_err():
+            await self._refuse(reply, built.unwrap_err())
+            return reply
+        request, asked = built.unwrap()
+        return await self._serve(request, asked, reply)
+
+    async def _call_request(
+        self, http_request: web.BaseRequest, arrived_s: float
+    ) -> Result[tuple[ServedRequest, _Asked], Failure]:
+        checked = self._check(http_request)
+        if checked.is_err():
+            return checked
+        asked = checked.unwrap()
+        rest = http_request.raw_path.removeprefix(SERVICES_PREFIX)
+        name, _, target = rest.partition("/")
+        found = self._application(asked, name, is_model=False)
+        if found.is_err():
+            return found
+        body = await self._body(http_request)
+        if body.is_err():
+            return body
+        target = f"/{target}"
+        fields = CallFields(
+            f"req-{secrets.token_hex(10)}", asked.timeout_s, (asked.key_hash,)
+        )
+        route = _route(asked, found.unwrap(), http_request.method, target)
+        passed = [
+            (name, http_request.headers[name])
+            for name in _PASSED_HEADERS
+            if name in http_request.headers
+        ]
+        admitted = self.path.admission.admit(
+            route,
+            fields,
+            method=http_request.method,
+            target=target,
+            headers=[*model_call_headers(fields), *passed],
+            body=body.unwrap(),
+            arrived_s=arrived_s,
+        )
+        return admitted.map(lambda request: (request, asked))
+
+    # Serving.
+
+    async def _serve(
+        self, request: ServedRequest, asked: _Asked, reply: Reply
+    ) -> Reply:
+        name, most = asked.workspace.name, asked.workspace.max_concurrent
+        if most is not None and self._by_workspace[name] >= most:
+            failure = Failure.from_code(
+                ResultCode.WORKSPACE_LIMIT, retry_after_s=LIMIT_RETRY_AFTER_S
+            )
+            await self._refuse(reply, failure)
+            return reply
+        self._by_workspace[name] += 1
+        try:
+            if asked.idempotency_key:
+                await self._serve_once(request, asked, reply)
+            else:
+                await self.path.dispatch.serve(request, reply)
+        finally:
+            self._by_workspace[name] -= 1
+        return reply
+
+    async def _serve_once(
+        self, request: ServedRequest, asked: _Asked, reply: Reply
+    ) -> None:
+        digest = hashlib.sha256(request.body + request.target.encode()).hexdigest()
+        key = ClaimKey(asked.workspace.name, asked.idempotency_key, digest)
+        taken = await self.claims.take(key)
+        if taken.is_err():
+            await self._refuse(reply, taken.unwrap_err())
+        elif isinstance(taken.unwrap(), Ticket):
+            # It goes on when its caller leaves: a repeat then finds the answer.
+            work = self._run_claimed(request, taken.unwrap(), reply)
+            await asyncio.shield(self.claims.finish(work, "claimed"))
+        else:
+            await self._repeat(request, key, taken.unwrap(), reply)
+
+    async def _run_claimed(
+        self, request: ServedRequest, ticket: Ticket, reply: Reply
+    ) -> None:
+        recorded = RecordedReply(reply)
+        await self.path.dispatch.serve(request, recorded)
+        if recorded.stored is not None:
+            await self.claims.settle(ticket, recorded.stored)
+        elif request.ran_at:
+            await self.claims.mark_lost(ticket)
+        else:
+            await self.claims.release(ticket)
+
+    async def _repeat(
+        self, request: ServedRequest, key: ClaimKey, claim: Claim, reply: Reply
+    ) -> None:
+        if claim.request_digest != key.request_digest:
+            await self._refuse(reply, Failure.from_code(ResultCode.KEY_REUSED))
+            return
+        left_s = request.left_s(self.timer.now_s())
+        settled = await self.claims.wait(key, claim, left_s)
+        if settled.is_err():
+            await self._refuse(reply, settled.unwrap_err())
+        elif settled.unwrap() is None:
+            # The one before has proved not to have run.
+            failure = Failure.from_code(
+                ResultCode.IN_PROGRESS, retry_after_s=LIMIT_RETRY_AFTER_S
+            )
+            await self._refuse(reply, failure)
+        elif settled.unwrap().answer is None:
+            await self._refuse(reply, Failure.from_code(ResultCode.OUTCOME_UNKNOWN))
+        else:
+            reply.is_replayed = True
+            await replay(settled.unwrap().answer, reply)
+
+    async def _refuse(self, reply: Reply, failure: Failure) -> None:
+        log_event(
+            "request_failed",
+            code=int(failure.code),
+            ran=failure.ran.value,
+            version=self.path.state.view.configuration.version,
+            age_s=round(self.path.state.view.configuration_age_s(), 3),
+        )
+        await reply.refuse(failure)
+
+
+_ANY_ROUTE = Route("", "", "/", RouteKind.NON_IDEMPOTENT, (), 0.0, 0.0, 1, 0)
+"""Every route of this interface needs an API key."""
+
+
+def _route(asked: _Asked, application: Application, method: str, target: str) -> Route:
+    """Return an application's route as it is for one request."""
+    routes = asked.configuration.routes
+    route = next(r for r in routes if r.name == application.name)
+    route = attrs.evolve(route, timeout_s=asked.timeout_s)
+    if asked.may_repeat and application.may_repeat(method, target):
+        return route
+    kind = route.kind
+    if kind is RouteKind.IDEMPOTENT:
+        kind = RouteKind.NON_IDEMPOTENT
+    return attrs.evolve(route, kind=kind, is_resumable=False, attempts=1)
--- a/packages/cli/src/fordhatch/cli/_table.py
+++ b/packages/cli/src/fordhatch/cli/_table.py
@@ -36,7 +36,7 @@
 
 
 def _format(name: str, value: Any) -> str:
-    if name == "at":
+    if name == "at_s":
         return time.strftime("%Y-%m-%d %H:%M:%SZ", time.gmtime(value))
     if isinstance(value, bool):
         return "yes" if value else "no"
--- a/packages/cli/src/fordhatch/cli/main.py
+++ b/packages/cli/src/fordhatch/cli/main.py
@@ -28,6 +28,7 @@
 from fordhatch.core import Failure, Ran, ResultCode
 
 from ._client import OperatorClient
+from ._explain import LogLine, explain, read_lines
 from ._table import print_json, print_table
 
 EXIT_MISTAKES = 1
@@ -41,8 +42,9 @@
         "fordhatch validate examples/pruitt.json",
         "fordhatch diff examples/pruitt.json",
         "fordhatch apply examples/pruitt.json --base 3",
-        "fordhatch get groups --json",
+        "fordhatch get groups --output json",
         "fordhatch status",
+        "fordhatch explain 9c41d07be2a35f68 node-*.log",
     )
 )
 """Shown below the commands; blank lines keep each example on its own line."""
@@ -59,40 +61,36 @@
 
 Url = Annotated[str, Parameter(env_var="FORDHATCH_URL", help="Operators' address.")]
 Token = Annotated[str, Parameter(env_var="FORDHATCH_TOKEN", help="Operator's token.")]
-AsJson = Annotated[bool, Parameter(name="--json", help="Print JSON.")]
+Output = Annotated[
+    Literal["table", "json"],
+    Parameter(name=("--output", "-o"), help="A table for people, JSON for programs."),
+]
 
 DEFAULT_URL = "http://127.0.0.1:7002"
 
 COLUMNS = {
-    "services": (
-        "name",
-        "kind",
-        "region",
-        "version",
-        "declared",
-        "formed",
-        "serving",
-    ),
+    "services": ("name", "kind", "version", "declared", "formed", "serving"),
     "groups": (
-        "group_id",
+        "group",
         "service",
+        "model",
         "state",
         "serving",
         "epoch",
-        "version",
-        "fabric_domain",
+        "domain",
         "members",
     ),
-    "instances": (
-        "instance_id",
+    "backends": (
+        "backend",
+        "service",
         "address",
         "zone",
-        "fabric_domain",
-        "accelerator",
+        "domain",
         "state",
-        "group_id",
+        "staged",
+        "group",
     ),
-    "nodes": ("node_id", "address", "region", "zone", "state", "incarnation"),
+    "nodes": ("node", "address", "zone", "answers", "ready", "planner", "revision"),
 }
 """Columns of each table."""
 
@@ -175,7 +173,7 @@
     apply_id: str | None = None,
     url: Url = DEFAULT_URL,
     token: Token = "",
-    json: AsJson = False,
+    output: Output = "table",
 ) -> None:
     """Apply a file as a whole.
 
@@ -195,7 +193,7 @@
         base = _run(client.get("/config"))["revision"]
     name = apply_id or f"apply-{os.urandom(10).hex()}"
     done = _run(client.put("/config", content, base_revision=base, apply_id=name))
-    if json:
+    if output == "json":
         print_json(done)
         return
     print(f"accepted as revision {done['revision']}, {len(done['changes'])} changes")
@@ -203,12 +201,12 @@
 
 @app.command
 def get(
-    what: Literal["config", "services", "groups", "instances", "nodes"],
+    what: Literal["config", "services", "groups", "backends", "nodes"],
     *,
     min_revision: int = 0,
     url: Url = DEFAULT_URL,
     token: Token = "",
-    json: AsJson = False,
+    output: Output = "table",
 ) -> None:
     """Read back what is in force.
 
@@ -221,7 +219,7 @@
     """
     client = OperatorClient(url, token)
     found = _run(client.get(f"/{what}", min_revision=min_revision))
-    if json or what == "config":
+    if output == "json" or what == "config":
         print_json(found)
         return
     print(f"revision {found['revision']}")
@@ -229,29 +227,79 @@
 
 
 @app.command
-def audit(*, url: Url = DEFAULT_URL, token: Token = "", json: AsJson = False) -> None:
+def audit(
+    *, url: Url = DEFAULT_URL, token: Token = "", output: Output = "table"
+) -> None:
     """Show who applied what, when, on which revision, and what came of it."""
-    found = _run(OperatorClient(url, token).get("/audit"))
-    if json:
-        print_json(found)
+    client = OperatorClient(url, token)
+    records: list[dict[str, Any]] = []
+    after = ""
+    while True:
+        page = _run(client.get("/audit", after=after))
+        records.extend(page["audit"])
+        after = page["next"]
+        if not after:
+            break
+    if output == "json":
+        print_json(records)
         return
-    rows = [{**row, "changes": len(row["changes"])} for row in found["audit"]]
-    columns = ("at", "operator", "base_revision", "revision", "changes", "outcome")
+    rows = [{**row, "changes": len(row["changes"])} for row in records]
+    rows.sort(key=lambda row: row["at_s"])
+    columns = ("at_s", "operator", "base_revision", "revision", "changes", "outcome")
     print_table(columns, rows)
 
 
+@app.command(name="explain")
+def explain_command(
+    request_id: str, logs: list[Path], *, output: Output = "table"
+) -> None:
+    """Show what collected logs say of a request, and where to look next.
+
+    Parameters
+    ----------
+    request_id
+        The id of the caller's try.
+    logs
+        Log files of every node.
+    """
+    lines: list[LogLine] = []
+    for path in logs:
+        lines.extend(read_lines(_read_file(path).decode(errors="replace").splitlines()))
+    found = explain(request_id, lines)
+    if found is None:
+        print(f"fordhatch: no event of request {request_id}", file=sys.stderr)
+        sys.exit(EXIT_MISTAKES)
+    if output == "json":
+        print_json(found.to_json())
+        return
+    print(f"request {request_id}: {found.outcome}")
+    for title, events in (
+        ("its own events", found.own),
+        (
+            "what happened to the groups and backend servers it was sent to",
+            found.related,
+        ),
+        ("what happened to its node", found.node),
+    ):
+        print(f"\n{title}:")
+        for line in events:
+            print(f"  {line}")
+    if found.advice:
+        print(f"\n{found.advice}")
+
+
 @app.command
 def status(
     *,
     min_revision: int = 0,
     url: Url = DEFAULT_URL,
     token: Token = "",
-    json: AsJson = False,
+    output: Output = "table",
 ) -> None:
     """Show on how many nodes the declared state is in force, and what serves."""
     client = OperatorClient(url, token)
     found = _run(client.get("/status", min_revision=min_revision))
-    if json:
+    if output == "json":
         print_json(found)
         return
     print(
--- /dev/null
+++ b/packages/cli/tests/test_explain.py
@@ -0,0 +1,52 @@
+"""From a request's id to its cause."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+from fordhatch.cli import explain, read_lines
+
+FORDHATCH = Path(sys.executable).parent / "fordhatch"
+
+LOG = r"""
+time=2026-01-02T01:20:22.000Z node=n1 event=backend_seen backend=i-9 group=m.7
+  3.3 n1 time=2026-01-02T01:20:23.100Z node=n1 event=group_silent group=m.7 head=i-1
+time=2026-01-02T01:20:23.050Z node=n2 event=store_lost table=op reason="status 503"
+time=2026-01-02T01:20:23.000Z node=n1 event=relay_failed reader=n3 problem="too old"
+time=2026-01-02T01:20:23.200Z node=n1 event=send_failed request=r1 backend=i-1 group=m.7
+time=2026-01-02T01:20:23.300Z node=n2 event=group_dissolving group=m.7 reason="a \"b\""
+time=2026-01-02T01:20:23.400Z node=n1 event=request_done request=r1 outcome=backend_lost
+time=2026-01-02T01:20:23.500Z node=n1 event=request_done request=r2 outcome=complete
+time=2026-01-02T01:25:23.300Z node=n2 event=group_dissolving group=m.7 reason=late
+not a line of the log
+"""
+
+
+def test_what_a_request_met_is_found_on_every_node() -> None:
+    found = explain("r1", read_lines(LOG.splitlines()))
+    assert [line.event for line in found.own] == ["send_failed", "request_done"]
+    assert [line.event for line in found.related] == [
+        "group_silent",
+        "group_dissolving",
+    ]
+    assert found.related[1].fields["reason"] == 'a "b"'
+    assert [line.event for line in found.node] == ["relay_failed"]
+    assert found.outcome == "backend_lost"
+    assert "may have run" in found.advice
+
+
+def test_a_request_that_nobody_knows_is_said_to_be_unknown() -> None:
+    assert explain("r3", read_lines(LOG.splitlines())) is None
+
+
+def test_the_command_reads_files_and_prints_json(tmp_path: Path) -> None:
+    path = tmp_path / "node.log"
+    path.write_text(LOG)
+    command = [FORDHATCH, "explain", "r1", str(path), "--output", "json"]
+    done = subprocess.run(command, capture_output=True, text=True, check=True)
+    assert json.loads(done.stdout)["outcome"] == "backend_lost"
+    command = [FORDHATCH, "explain", "r3", str(path)]
+    assert subprocess.run(command, capture_output=True, check=False).returncode == 1
--- a/packages/config/src/fordhatch/config/__init__.py
+++ b/packages/config/src/fordhatch/config/__init__.py
@@ -1,15 +1,24 @@
-"""Node settings and operators' files, and which revision is in force."""
+"""Node settings and operators' files, and how a file is accepted."""
 
 from __future__ import annotations
 
 from ._apply import Applied, ApplyRequest, ConfigApplier
+from ._audit import AuditRecord, read_audit
 from ._changes import describe_changes
-from ._follower import HEAD_KEY, ConfigFollower, ConfigInForce
+from ._declared_configuration import (
+    DECLARED_ROW,
+    DECLARED_TABLE,
+    DeclaredConfiguration,
+    Head,
+    decode_declared,
+    model_name,
+)
 from ._operators_file import (
+    Accelerator,
     Application,
     Model,
     ModelService,
-    ModelVersion,
+    ModelTimes,
     OperatorsFile,
     PlainService,
     Policy,
@@ -18,33 +27,40 @@
     digest_of,
 )
 from ._schema import OPERATORS_SCHEMA, SETTINGS_SCHEMA, Mistake, schema_text
-from ._settings import Address, Limits, Settings, Timing, hash_key
+from ._settings import Address, Limits, Retries, Settings, Timing, hash_key
 
 __all__ = [
-    "HEAD_KEY",
+    "DECLARED_ROW",
+    "DECLARED_TABLE",
     "OPERATORS_SCHEMA",
     "SETTINGS_SCHEMA",
+    "Accelerator",
     "Address",
     "Application",
     "Applied",
     "ApplyRequest",
+    "AuditRecord",
     "ConfigApplier",
-    "ConfigFollower",
-    "ConfigInForce",
+    "DeclaredConfiguration",
+    "Head",
     "Limits",
     "Mistake",
     "Model",
     "ModelService",
-    "ModelVersion",
+    "ModelTimes",
     "OperatorsFile",
     "PlainService",
     "Policy",
+    "Retries",
     "Route",
     "Settings",
     "Timing",
     "Workspace",
+    "decode_declared",
     "describe_changes",
     "digest_of",
     "hash_key",
+    "model_name",
+    "read_audit",
     "schema_text",
 ]
--- a/packages/config/src/fordhatch/config/_apply.py
+++ b/packages/config/src/fordhatch/config/_apply.py
@@ -3,23 +3,19 @@
 from __future__ import annotations
 
 import json
-from typing import Any
 
 import attrs
 from result import Err, Ok, Result
 
+from fordhatch.adapter import DecodeError, Row, RowKey, StoreClient
 from fordhatch.core import Failure, Ran, ResultCode, Timer, log_event
-from fordhatch.platform import ObjectStore, Row, TableService, Transaction, VersionCheck
 
+from ._audit import AuditRecord, accepted_key, refused_key
 from ._changes import describe_changes
-from ._follower import HEAD_KEY, ConfigFollower
+from ._declared_configuration import DECLARED_TABLE, HEAD_KEY, Head
 from ._operators_file import OperatorsFile, digest_of
 
-AUDIT_PREFIX = "audit/accepted/"
-"""Audit rows of accepted files, by revision."""
-
-AUDIT_REFUSED_PREFIX = "audit/refused/"
-"""Audit rows of files that lost a race, by time and apply identifier."""
+HEAD_ROW = RowKey(DECLARED_TABLE, HEAD_KEY)
 
 ATTEMPTS = 4
 """How often a transaction with a lost answer is tried or read back."""
@@ -27,6 +23,12 @@
 RETRY_PAUSE_S = 0.3
 """Pause before reading back after a lost answer."""
 
+CALL_TIMEOUT_S = 2.0
+"""Longest wait for the store; a slow one answers within some hundred milliseconds."""
+
+RETRY_AFTER_S = 2.0
+"""When an operator may come back after trouble of the store."""
+
 
 @attrs.frozen
 class ApplyRequest:
@@ -49,14 +51,14 @@
     changes: list[str]
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ConfigApplier:
     """Accepts operators' files on any node."""
 
-    table: TableService
-    objects: ObjectStore
-    follower: ConfigFollower
+    store: StoreClient
     timer: Timer
+    row_bytes: int
+    """Longest value that a row of the store takes."""
 
     async def apply(self, request: ApplyRequest) -> Result[Applied, Failure]:
         """Accept a file if nobody changed the state since its base revision.
@@ -72,137 +74,126 @@
         if parsed.is_err():
             text = "; ".join(str(m) for m in parsed.unwrap_err())
             return Err(Failure.from_code(ResultCode.CONFIG_INVALID, text))
-        digest = digest_of(request.content)
-        stored = await self.objects.put(f"configs-{digest}", request.content)
-        if stored.is_err():
-            # An object without a head row that names it is not in force.
-            failure = Failure.from_code(
-                ResultCode.STORE_UNAVAILABLE, retry_after_s=2.0, ran=Ran.NO
-            )
-            return Err(failure)
-        return await self._move_head(request, digest)
-
-    async def _move_head(
-        self, request: ApplyRequest, digest: str
-    ) -> Result[Applied, Failure]:
         uncertain = False
         for attempt in range(ATTEMPTS):
             if attempt:
                 await self.timer.sleep(self.timer.jittered(RETRY_PAUSE_S * attempt))
-            audit_key = _audit_key(request.base_revision + 1)
-            read = await self.table.read([HEAD_KEY, audit_key])
-            if read.is_err():
-                continue
-            rows = read.unwrap()
-            settled = self._already_settled(request, rows[HEAD_KEY], rows[audit_key])
-            if settled is not None:
-                await self._record_refusal(request, settled)
-                return settled
-            changes = await self._changes(request, rows[HEAD_KEY])
-            transaction = self._transaction(request, rows[HEAD_KEY], digest, changes)
-            done = await self.table.transact(transaction)
-            if done.is_ok() and done.unwrap().committed:
-                return Ok(self._accepted(request, digest, changes))
-            uncertain |= done.is_err() and done.unwrap_err().ran is Ran.MAYBE
-        code = ResultCode.CONFIG_OUTCOME_UNKNOWN
-        if not uncertain:
-            code = ResultCode.STORE_UNAVAILABLE
-        return Err(Failure.from_code(code, retry_after_s=2.0))
-
-    def _already_settled(
-        self, request: ApplyRequest, head: Row, audit: Row
-    ) -> Result[Applied, Failure] | None:
-        if audit.value is not None and audit.value["apply_id"] == request.apply_id:
-            return Ok(
-                Applied(
-                    int(audit.value["revision"]),
-                    str(audit.value["digest"]),
-                    list(audit.value["changes"]),
-                )
-            )
-        head_revision = int(head.value["revision"]) if head.value else 0
-        if head_revision == request.base_revision:
-            return None
-        if audit.value is None:
-            text = f"the head is at revision {head_revision}, not at the base"
-        else:
-            text = (
-                f"revision {audit.value['revision']} was applied by "
-                f"{audit.value['operator']} at {audit.value['at']}; "
-                f"the head is at revision {head_revision}"
-            )
-        return Err(Failure.from_code(ResultCode.CONFIG_CONFLICT, text))
-
-    async def _changes(self, request: ApplyRequest, head: Row) -> list[str]:
-        before: Any = None
-        if head.value is not None:
-            content = await self.objects.get(f"configs-{head.value['digest']}")
-            if content.is_ok() and content.unwrap() is not None:
-                before = json.loads(content.unwrap())
-        return describe_changes(before, json.loads(request.content))
-
-    def _transaction(
-        self, request: ApplyRequest, head: Row, digest: str, changes: list[str]
-    ) -> Transaction:
-        revision = request.base_revision + 1
-        record = {
-            "revision": revision,
-            "digest": digest,
-            "apply_id": request.apply_id,
-            "operator": request.operator,
-            "at": self.timer.wall_s(),
-        }
-        audit = {
-            **record,
-            "base_revision": request.base_revision,
-            "changes": changes,
-            "outcome": "accepted",
-        }
-        audit_key = _audit_key(revision)
-        checks = (VersionCheck(HEAD_KEY, head.version), VersionCheck(audit_key, 0))
-        return Transaction(checks, {HEAD_KEY: record, audit_key: audit})
-
-    def _accepted(
-        self, request: ApplyRequest, digest: str, changes: list[str]
-    ) -> Applied:
-        revision = request.base_revision + 1
+            tried = await self._try(request)
+            if tried.is_ok() or tried.unwrap_err().code in _FINAL:
+                return tried
+            uncertain |= tried.unwrap_err().ran is Ran.MAYBE
+        code = ResultCode.STORE_UNAVAILABLE
+        if uncertain:
+            code = ResultCode.CONFIG_OUTCOME_UNKNOWN
+        return Err(Failure.from_code(code, retry_after_s=RETRY_AFTER_S))
+
+    async def _try(self, request: ApplyRequest) -> Result[Applied, Failure]:
+        """Read what is there and, if the base still holds, write the next revision."""
+        read = await self._read(request.base_revision + 1)
+        if read.is_err():
+            return Err(read.unwrap_err())
+        row, head, audit = read.unwrap()
+        if audit is not None and audit.apply_id == request.apply_id:
+            return Ok(Applied(audit.revision, audit.digest, list(audit.changes)))
+        revision = head.revision if head is not None else 0
+        if revision != request.base_revision:
+            failure = _conflict(audit, revision)
+            await self._record_refusal(request, failure)
+            return Err(failure)
+        return await self._write(request, row, head)
+
+    async def _read(
+        self, revision: int
+    ) -> Result[tuple[Row | None, Head | None, AuditRecord | None], Failure]:
+        """Return the head's row, the head, and the audit of a revision, if any."""
+        heads = await self.store.read(DECLARED_TABLE, limit=1, timeout_s=CALL_TIMEOUT_S)
+        if heads.is_err():
+            return Err(heads.unwrap_err())
+        row = next(iter(heads.unwrap().rows), None)
+        key = accepted_key(revision)
+        audits = await self.store.read(
+            key.table, first_key=key.key, limit=1, timeout_s=CALL_TIMEOUT_S
+        )
+        if audits.is_err():
+            return Err(audits.unwrap_err())
+        found = next((r for r in audits.unwrap().rows if r.row_key == key), None)
+        try:
+            head = Head.from_bytes(row.value) if row is not None else None
+            audit = AuditRecord.from_bytes(found.value) if found is not None else None
+        except DecodeError as error:
+            return Err(Failure.from_code(ResultCode.INTERNAL, str(error), ran=Ran.NO))
+        return Ok((row, head, audit))
+
+    async def _write(
+        self, request: ApplyRequest, row: Row | None, head: Head | None
+    ) -> Result[Applied, Failure]:
+        before = json.loads(head.content) if head is not None else None
+        changes = describe_changes(before, json.loads(request.content))
+        new = Head(
+            request.base_revision + 1,
+            digest_of(request.content),
+            request.apply_id,
+            request.operator,
+            self.timer.wall_s(),
+            request.content,
+        )
+        value = new.to_bytes()
+        audit_value = AuditRecord.from_head(new, changes).to_bytes()
+        if max(len(value), len(audit_value)) > self.row_bytes:
+            text = f"the file is longer than {self.row_bytes} bytes when compressed"
+            return Err(Failure.from_code(ResultCode.CONFIG_INVALID, text))
+        audit_key = accepted_key(new.revision)
+        written = await self.store.write(
+            {HEAD_ROW: row.version if row is not None else 0, audit_key: 0},
+            {HEAD_ROW: value, audit_key: audit_value},
+            timeout_s=CALL_TIMEOUT_S,
+        )
+        if written.is_err():
+            return Err(written.unwrap_err())
+        if not written.unwrap().is_committed:
+            # Somebody else was faster; the next look says who.
+            return Err(Failure.from_code(ResultCode.STORE_CONFLICT))
         log_event(
             "config_accepted",
-            revision=revision,
+            revision=new.revision,
             operator=request.operator,
             changes=len(changes),
         )
-        return Applied(revision, digest, changes)
-
-    async def _record_refusal(
-        self, request: ApplyRequest, settled: Result[Applied, Failure]
-    ) -> None:
-        if settled.is_ok():
-            return
-        at = self.timer.wall_s()
-        row = {
-            "revision": None,
-            "digest": digest_of(request.content),
-            "apply_id": request.apply_id,
-            "operator": request.operator,
-            "at": at,
-            "base_revision": request.base_revision,
-            "changes": [],
-            "outcome": settled.unwrap_err().message,
-        }
-        key = f"{AUDIT_REFUSED_PREFIX}{at:017.3f}-{request.apply_id}"
-        await self.table.transact(Transaction(puts={key: row}))
-
-    async def audit(self) -> Result[list[dict[str, Any]], Failure]:
-        """Return the audit trail in time order."""
-        rows = []
-        for prefix in (AUDIT_PREFIX, AUDIT_REFUSED_PREFIX):
-            read = await self.table.scan(prefix)
-            if read.is_err():
-                return read
-            rows.extend(row.value for row in read.unwrap())
-        return Ok(sorted(rows, key=lambda row: row["at"]))
-
-
-def _audit_key(revision: int) -> str:
-    return f"{AUDIT_PREFIX}{revision:010d}"
+        return Ok(Applied(new.revision, new.digest, changes))
+
+    async def _record_refusal(self, request: ApplyRequest, failure: Failure) -> None:
+        at_s = self.timer.wall_s()
+        record = AuditRecord(
+            revision=0,
+            digest=digest_of(request.content),
+            apply_id=request.apply_id,
+            operator=request.operator,
+            at_s=at_s,
+            base_revision=request.base_revision,
+            changes=(),
+            outcome=failure.message,
+        )
+        key = refused_key(at_s, request.apply_id)
+        written = await self.store.write(
+            {}, {key: record.to_bytes()}, timeout_s=CALL_TIMEOUT_S
+        )
+        if written.is_err():
+            log_event("audit_not_written", error=written.err().message)
+
+
+_FINAL = (
+    ResultCode.CONFIG_CONFLICT,
+    ResultCode.CONFIG_INVALID,
+    ResultCode.INTERNAL,
+)
+"""Failures that another try doesn't change."""
+
+
+def _conflict(audit: AuditRecord | None, head_revision: int) -> Failure:
+    text = f"the head is at revision {head_revision}, not at the base"
+    if audit is not None:
+        text = (
+            f"revision {audit.revision} was applied by {audit.operator}; "
+            f"the head is at revision {head_revision}"
+        )
+    return Failure.from_code(ResultCode.CONFIG_CONFLICT, text)
--- /dev/null
+++ b/packages/config/src/fordhatch/config/_audit.py
@@ -0,0 +1,122 @@
+"""The audit trail: who applied what, when, on which revision, and what came of it."""
+
+from __future__ import annotations
+
+import json
+import zlib
+
+import attrs
+from result import Err, Ok, Result
+
+from fordhatch.adapter import DecodeError, RowKey, StoreClient
+from fordhatch.core import Failure, log_event
+
+from ._declared_configuration import Head
+
+AUDIT_TABLE = "fordhatch-audit"
+"""The table of the audit trail; nobody follows it."""
+
+ACCEPTED_PREFIX = "accepted/"
+"""Rows of accepted files, by revision."""
+
+REFUSED_PREFIX = "refused/"
+"""Rows of files that lost a race, by time and apply identifier."""
+
+MOST_CHANGES = 200
+"""Changes that a record names; a whole new file has hundreds."""
+
+READ_TIMEOUT_S = 2.0
+"""Longest wait for a page of the trail."""
+
+
+def accepted_key(revision: int) -> RowKey:
+    """Return the row of an accepted revision."""
+    return RowKey(AUDIT_TABLE, f"{ACCEPTED_PREFIX}{revision:010d}")
+
+
+def refused_key(at_s: float, apply_id: str) -> RowKey:
+    """Return the row of a refused apply."""
+    return RowKey(AUDIT_TABLE, f"{REFUSED_PREFIX}{at_s:017.3f}-{apply_id}")
+
+
+@attrs.frozen
+class AuditRecord:
+    """One apply and what came of it."""
+
+    revision: int
+    """0 where the file was refused."""
+    digest: str
+    apply_id: str
+    operator: str
+    at_s: float
+    base_revision: int
+    changes: tuple[str, ...]
+    outcome: str
+    content: str = ""
+    """The accepted file; empty where it was refused."""
+
+    @classmethod
+    def from_head(cls, head: Head, changes: list[str]) -> AuditRecord:
+        """Return the record of a file that is being accepted."""
+        named = tuple(changes[:MOST_CHANGES])
+        if len(changes) > MOST_CHANGES:
+            named = (*named, f"and {len(changes) - MOST_CHANGES} more")
+        return cls(
+            head.revision,
+            head.digest,
+            head.apply_id,
+            head.operator,
+            head.at_s,
+            head.revision - 1,
+            named,
+            "accepted",
+            head.content.decode(),
+        )
+
+    def to_bytes(self) -> bytes:
+        """Return the row's value."""
+        return zlib.compress(json.dumps(attrs.asdict(self)).encode())
+
+    @classmethod
+    def from_bytes(cls, value: bytes) -> AuditRecord:
+        """Return the record in a row's value.
+
+        Raises:
+            DecodeError: If the row is malformed.
+        """
+        try:
+            fields = json.loads(zlib.decompress(value))
+            return cls(**{**fields, "changes": tuple(fields["changes"])})
+        except (zlib.error, ValueError, TypeError, KeyError) as error:
+            raise DecodeError([repr(error)]) from error
+
+
+async def read_audit(
+    store: StoreClient, after_key: str, limit: int
+) -> Result[tuple[list[AuditRecord], str], Failure]:
+    """Return a page of the audit trail.
+
+    Args:
+        store: The platform's store.
+        after_key: Where the page before ended; empty for the first page.
+        limit: Most records of the page.
+
+    Returns:
+        The records, accepted ones first, each kind in order; and where the page
+        ends, empty if nothing follows.
+    """
+    first_key = after_key + "\0" if after_key else ""
+    page = await store.read(
+        AUDIT_TABLE, first_key=first_key, limit=limit, timeout_s=READ_TIMEOUT_S
+    )
+    if page.is_err():
+        return Err(page.unwrap_err())
+    rows = page.unwrap().rows
+    records = []
+    for row in rows:
+        try:
+            records.append(AuditRecord.from_bytes(row.value))
+        except DecodeError as error:
+            log_event("audit_unreadable", key=row.row_key.key, error=str(error))
+    end = rows[-1].row_key.key if rows and page.unwrap().has_more else ""
+    return Ok((records, end))
--- a/packages/config/src/fordhatch/config/_operators_file.py
+++ b/packages/config/src/fordhatch/config/_operators_file.py
@@ -8,9 +8,10 @@
 import attrs
 from result import Err, Ok, Result
 
-from fordhatch.core import ResultCode, structure
+from fordhatch.core import ResultCode
 
 from ._schema import OPERATORS_SCHEMA, Mistake, parse_document
+from ._structure import structure
 
 
 @attrs.frozen
@@ -22,20 +23,56 @@
 
 
 @attrs.frozen
-class ModelVersion:
-    """One version of a model's weights."""
+class Model:
+    """A model with its versions and adapters."""
 
     name: str
-    shard_bytes: int
+    versions: list[str]
+    adapters: list[str] = attrs.field(factory=list)
 
 
 @attrs.frozen
-class Model:
-    """A model with its versions and adapters."""
+class ModelTimes:
+    """What one kind of accelerator needs to load a model's weights."""
+
+    model: str
+    load_s: float
+    """From the weight store."""
+    warm_s: float
+    """From the instance's own host."""
+    pace: float = 1.0
+    """Factor on the accelerator's times for this model."""
+
+
+@attrs.frozen
+class Accelerator:
+    """A kind of backend server that runs model engines, with its usual times.
+
+    Backend servers register under its name.
+    """
 
     name: str
-    versions: list[ModelVersion]
-    adapters: list[str] = attrs.field(factory=list)
+    models: list[ModelTimes]
+    max_running: int = 16
+    """Requests that run on one replica at once."""
+    step_s: float = 0.006
+    """Time of a token step."""
+    per_sequence_s: float = 0.0005
+    """What each running request adds to a step."""
+    read_tokens_per_s: float = 46_000.0
+    """Prompt tokens read in a second."""
+    form_s: float = 0.3
+    """Time between the order to open a group and its first request."""
+    loads_per_s: float = 4.0
+    """Loads that the weight store lets begin in a second."""
+    loads_at_once: int = 6
+    """Loads beyond this slow each other down."""
+    staged_models_kept: int = 1
+    """Models that a host keeps staged."""
+
+    def times(self, model: str) -> ModelTimes | None:
+        """Return what a model needs here, or None where it can't run."""
+        return next((m for m in self.models if m.model == model), None)
 
 
 @attrs.frozen
@@ -48,10 +85,8 @@
     accelerator: str
     group_size: int
     groups: int
-    region: str
     adapters: list[str] = attrs.field(factory=list)
     importance: int = 50
-    max_running: int = 16
     max_groups: int = 0
     """Replicas that idle accelerators may add up to; below ``groups`` means none."""
 
@@ -66,9 +101,8 @@
     """A plain service beside the model engines."""
 
     name: str
-    region: str
-    runners: int
-    max_running: int = 32
+    max_connections: int = 100
+    """Connections that one backend server takes from all nodes together."""
 
 
 @attrs.frozen
@@ -114,6 +148,7 @@
 
     format: int
     models: list[Model]
+    accelerators: list[Accelerator]
     model_services: list[ModelService]
     plain_services: list[PlainService]
     applications: list[Application]
@@ -150,11 +185,9 @@
         """Return the workspace that an API key's hash belongs to."""
         return next((w for w in self.workspaces if key_hash in w.api_keys), None)
 
-    def shard_bytes(self, service: ModelService) -> int:
-        """Return what one member of the service's groups loads."""
-        model = next(m for m in self.models if m.name == service.model)
-        version = next(v for v in model.versions if v.name == service.version)
-        return version.shard_bytes
+    def accelerator(self, name: str) -> Accelerator | None:
+        """Return a kind of accelerator by name."""
+        return next((a for a in self.accelerators if a.name == name), None)
 
 
 def digest_of(content: bytes) -> str:
@@ -164,8 +197,15 @@
 
 def _duplicates(declared: OperatorsFile) -> Iterable[Mistake]:
     services = [*declared.model_services, *declared.plain_services]
+    served = [f"{s.accelerator}/{s.model}@{s.version}" for s in declared.model_services]
+    registered = [
+        *(a.name for a in declared.accelerators),
+        *(s.name for s in declared.plain_services),
+    ]
     named = {
         "$.models": [m.name for m in declared.models],
+        "$.accelerators": registered,
+        "$.model_services[*].version": served,
         "$.model_services": [s.name for s in services],
         "$.applications": [a.name for a in declared.applications],
         "$.workspaces": [w.name for w in declared.workspaces],
@@ -181,7 +221,9 @@
 def _dangling(declared: OperatorsFile) -> Iterable[Mistake]:
     models = {m.name: m for m in declared.models}
     for index, service in enumerate(declared.model_services):
-        yield from _check_model(models, service, f"$.model_services[{index}]")
+        path = f"$.model_services[{index}]"
+        yield from _check_model(models, service, path)
+        yield from _check_accelerator(declared, service, path)
     for index, app in enumerate(declared.applications):
         yield from _check_application(declared, app, f"$.applications[{index}]")
     known = {a.name for a in declared.applications}
@@ -199,13 +241,24 @@
     if model is None:
         yield _invalid(f"{path}.model", f"no model {service.model!r}")
         return
-    if service.version not in [v.name for v in model.versions]:
+    if service.version not in model.versions:
         yield _invalid(f"{path}.version", f"no version {service.version!r}")
     for adapter in service.adapters:
         if adapter not in model.adapters:
             yield _invalid(f"{path}.adapters", f"no adapter {adapter!r}")
 
 
+def _check_accelerator(
+    declared: OperatorsFile, service: ModelService, path: str
+) -> Iterable[Mistake]:
+    accelerator = declared.accelerator(service.accelerator)
+    if accelerator is None:
+        yield _invalid(f"{path}.accelerator", f"no {service.accelerator!r}")
+    elif accelerator.times(service.model) is None:
+        text = f"{service.accelerator!r} does not run {service.model!r}"
+        yield _invalid(f"{path}.accelerator", text)
+
+
 def _check_application(
     declared: OperatorsFile, app: Application, path: str
 ) -> Iterable[Mistake]:
--- a/packages/config/src/fordhatch/config/_settings.py
+++ b/packages/config/src/fordhatch/config/_settings.py
@@ -8,9 +8,23 @@
 import attrs
 from result import Err, Ok, Result
 
-from fordhatch.core import ResultCode, structure
+from fordhatch.catalog import NodeSettings, StoreLimits, SystemBounds
+from fordhatch.core import ResultCode
 
 from ._schema import SETTINGS_SCHEMA, Mistake, parse_document
+from ._structure import structure
+
+HEARTBEAT_S = 1.2
+"""Time between heartbeats of backend servers, as on the users' platform."""
+
+LINK_MBPS = 1000.0
+"""All nodes of such a deployment are taken to be alike."""
+
+LOAD_WINDOW_S = 5.0
+"""Window in which loads of weights are counted."""
+
+PASS_ON_S = 0.2
+"""An event that takes longer than this through a node counts as late."""
 
 
 @attrs.frozen
@@ -27,46 +41,45 @@
 
 @attrs.frozen
 class Limits:
-    """Bounds on what callers may ask for."""
+    """Bounds on what callers may ask for, and of the store."""
 
     max_body_bytes: int = 2 * 1024 * 1024
     """Longest request body."""
-    max_queued_per_group: int = 64
-    """Requests that may wait for one group."""
-    max_queue_wait_s: float = 1.5
-    """Longest wait for a slot; whoever would wait longer is refused at once."""
     default_timeout_s: float = 60.0
     """Deadline of a request that names none."""
     max_timeout_s: float = 600.0
     """Longest deadline a caller may ask for."""
-    retry_budget_ratio: float = 0.2
-    """Retries per first attempt, over a sliding window."""
     claim_expiry_s: float = 86400.0
     """How long an idempotency key is remembered."""
-    max_stored_answer_bytes: int = 16 * 1024
-    """Longer answers go to the object store instead of the claim row."""
+    row_bytes: int = 65536
+    """Longest value that a row of the store takes."""
+
+
+@attrs.frozen
+class Retries:
+    """The budget for repeats, over all nodes."""
+
+    ratio: float = 0.2
+    """Repeats for each request."""
+    slack: float = 100.0
+    """Repeats besides the ratio in each window."""
+    window_s: float = 10.0
 
 
 @attrs.frozen
 class Timing:
-    """Intervals and time limits between the nodes and towards the platform."""
-
-    ping_interval_s: float = 1.0
-    """Time between failure detection pings."""
-    suspect_s: float = 3.0
-    """How long a silent node stays suspect before it counts as dead."""
-    probe_interval_s: float = 1.0
-    """Time between probes of a group's members."""
-    permit_s: float = 2.5
-    """How long a permit lasts after the probe that proved it was sent."""
-    store_poll_interval_s: float = 3.0
-    """Time between reads of the head rows."""
-    plan_interval_s: float = 0.5
-    """Time between passes of the planner."""
-    planner_lease_s: float = 6.0
-    """Time-to-live of the planner's lease."""
-    confirm_s: float = 8.0
-    """How long a configuration counts as confirmed by the store."""
+    """Times that the whole system keeps to."""
+
+    config_apply_s: float = 8.0
+    """An accepted file is in force everywhere within this time, as the users' plan
+    asks; a removed API key is refused everywhere within it as well."""
+    outage_s: float = 120.0
+    """How long a node that can confirm its configuration with nobody goes on beyond
+    that: long outages of the store must not end the service."""
+    drain_s: float = 3.0
+    """A backend server that leaves gets no new work later than this."""
+    stall_s: float = 5.0
+    """A group that lost a member stands still this long, then breaks."""
     drain_grace_s: float = 5.0
     """How long a leaving node still takes new requests, for the balancer."""
     drain_limit_s: float = 600.0
@@ -77,19 +90,17 @@
 class Settings:
     """Everything a node learns from its settings file."""
 
-    node_id: str
+    node_name: str
     region: str
     zone: str
     callers: Address
     operators: Address
     peers: Address
-    shared_key: str
+    store: Address
     operator_tokens: dict[str, str]
     """SHA-256 of each operator's token, by the operator's name."""
-    platform_url: str
-    seeds: list[str] = attrs.field(factory=list)
-    """Addresses of nodes to ask first."""
     limits: Limits = Limits()
+    retries: Retries = Retries()
     timing: Timing = Timing()
 
     @classmethod
@@ -109,6 +120,47 @@
         mistakes = _contradictions(settings)
         return Err(mistakes) if mistakes else Ok(settings)
 
+    def to_node_settings(self) -> NodeSettings:
+        """Return what the parts that every node has learn from these settings."""
+        return NodeSettings(
+            node_name=self.node_name,
+            zone=self.zone,
+            region=self.region,
+            instance_address=self.callers.host,
+            caller_address=str(self.callers),
+            ready_address=str(self.callers),
+            peer_address=str(self.peers),
+            # Loads count from the first moment: nobody gives them away here.
+            is_first_start=False,
+            heartbeat_s=HEARTBEAT_S,
+            memory_mb=0.0,
+            max_descriptors=0,
+            cores=1.0,
+            link_mbps=LINK_MBPS,
+            bounds=self._bounds(),
+            store=StoreLimits(str(self.store), 0.0, 0.0, self.limits.row_bytes, 0.0),
+        )
+
+    def _bounds(self) -> SystemBounds:
+        timing, retries = self.timing, self.retries
+        return SystemBounds(
+            stable_s=timing.drain_s,
+            drain_s=timing.drain_s,
+            grace_s=timing.drain_limit_s,
+            config_apply_s=timing.config_apply_s,
+            outer_s=timing.outage_s,
+            is_revocation_strict=False,
+            revoke_s=timing.config_apply_s,
+            retry_budget_ratio=retries.ratio,
+            retry_window_s=retries.window_s,
+            retry_slack=retries.slack,
+            stall_s=timing.stall_s,
+            is_fence_required=False,
+            load_window_s=LOAD_WINDOW_S,
+            load_over=1.0,
+            pass_on_s=PASS_ON_S,
+        )
+
     def operator_of(self, token: str) -> str | None:
         """Return whose token this is, in time that does not depend on it."""
         digest = hash_key(token)
@@ -122,16 +174,14 @@
 def _contradictions(settings: Settings) -> list[Mistake]:
     timing, limits = settings.timing, settings.limits
     mistakes = []
-    if timing.permit_s <= timing.probe_interval_s:
-        mistakes.append(_invalid("$.timing.permit_s", "must exceed probe_interval_s"))
-    if timing.planner_lease_s < 4 * timing.plan_interval_s:
-        mistakes.append(
-            _invalid("$.timing.planner_lease_s", "must be at least 4 plan intervals")
-        )
     if limits.default_timeout_s > limits.max_timeout_s:
         mistakes.append(
             _invalid("$.limits.default_timeout_s", "must not exceed max_timeout_s")
         )
+    if timing.drain_grace_s >= timing.drain_limit_s:
+        mistakes.append(
+            _invalid("$.timing.drain_grace_s", "must be below drain_limit_s")
+        )
     return mistakes
 
 
--- a/packages/core/src/fordhatch/core/__init__.py
+++ b/packages/core/src/fordhatch/core/__init__.py
@@ -7,7 +7,6 @@
 from ._invariant import InvariantGuard
 from ._line_writer import LineWriter
 from ._log import configure_line_log, configure_logging, format_line, log_event
-from ._structure import StructureError, new_id, structure, unstructure
 from ._timer import TaskSet, Timer
 
 __all__ = [
@@ -18,7 +17,6 @@
     "LineWriter",
     "Ran",
     "ResultCode",
-    "StructureError",
     "TaskSet",
     "Timer",
     "code_table_markdown",
@@ -27,7 +25,4 @@
     "format_line",
     "log_event",
     "metrics",
-    "new_id",
-    "structure",
-    "unstructure",
 ]
--- a/packages/core/src/fordhatch/core/_line_writer.py
+++ b/packages/core/src/fordhatch/core/_line_writer.py
@@ -23,7 +23,7 @@
 """Time in which lines gather into one write."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class LineWriter:
     """Hands lines to a thread that writes them to a file descriptor.
 
--- a/packages/core/src/fordhatch/core/_metrics.py
+++ b/packages/core/src/fordhatch/core/_metrics.py
@@ -8,25 +8,6 @@
 REGISTRY = CollectorRegistry()
 """The registry behind ``/metrics``."""
 
-REQUESTS = Counter(
-    "fordhatch_requests_total",
-    "Callers' requests by final result code.",
-    ["service", "code"],
-    registry=REGISTRY,
-)
-FIRST_TOKEN_SECONDS = Histogram(
-    "fordhatch_first_token_seconds",
-    "Time from a request's arrival to its first token.",
-    ["service"],
-    buckets=(0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.7, 2.5, 5.0, 10.0),
-    registry=REGISTRY,
-)
-TOKENS = Counter(
-    "fordhatch_tokens_total",
-    "Tokens passed on to callers.",
-    ["service"],
-    registry=REGISTRY,
-)
 ANSWERS = Counter(
     "fordhatch_answers_total",
     "Answers to callers by outcome.",
@@ -81,12 +62,6 @@
 IN_FLIGHT = Gauge(
     "fordhatch_requests_in_flight", "Callers' requests now open.", registry=REGISTRY
 )
-ATTEMPTS = Counter(
-    "fordhatch_attempts_total",
-    "Dispatches to backend servers by outcome.",
-    ["outcome"],
-    registry=REGISTRY,
-)
 CLAIMS = Counter(
     "fordhatch_claims_total",
     "Claims of idempotency keys by outcome.",
@@ -95,8 +70,8 @@
 )
 STORE_OPERATIONS = Counter(
     "fordhatch_store_operations_total",
-    "Operations on the platform's store by kind and outcome.",
-    ["kind", "outcome"],
+    "Calls to the platform's store by HTTP method and status.",
+    ["method", "status"],
     registry=REGISTRY,
 )
 PEER_MESSAGES = Counter(
@@ -117,32 +92,6 @@
     ["reason"],
     registry=REGISTRY,
 )
-CONFIG_REVISION = Gauge(
-    "fordhatch_config_revision", "Configuration revision in force.", registry=REGISTRY
-)
-NODES_ALIVE = Gauge(
-    "fordhatch_nodes_alive", "Nodes seen alive, this one included.", registry=REGISTRY
-)
-PERMITS = Gauge(
-    "fordhatch_permits", "Groups this node may serve now.", registry=REGISTRY
-)
-PROBES = Counter(
-    "fordhatch_probes_total",
-    "Probes of backend servers by outcome.",
-    ["outcome"],
-    registry=REGISTRY,
-)
-GROUP_DOWNTIME_SECONDS = Counter(
-    "fordhatch_group_downtime_seconds_total",
-    "Seconds that declared groups were not serving, summed over groups.",
-    ["service"],
-    registry=REGISTRY,
-)
-STRANDED_ACCELERATOR_SECONDS = Counter(
-    "fordhatch_stranded_accelerator_seconds_total",
-    "Seconds that healthy accelerators sat in no serving group.",
-    registry=REGISTRY,
-)
 PLANNER_LEADER = Gauge(
     "fordhatch_planner_leader",
     "1 while this node plans for its region.",
--- a/packages/core/tests/test_docs_tables.py
+++ b/packages/core/tests/test_docs_tables.py
@@ -47,6 +47,8 @@
     for call in calls:
         named = {keyword.arg for keyword in call.keywords}
         assert not named & SECRET_FIELDS, ast.unparse(call)
+        # Each line begins with these; a second one would hide who has logged it.
+        assert not named & {"node", "time", "event"}, ast.unparse(call)
 
 
 def test_a_log_line_is_one_line_of_pairs() -> None:
--- a/packages/daemon/src/fordhatch/daemon/__init__.py
+++ b/packages/daemon/src/fordhatch/daemon/__init__.py
@@ -1,9 +1,7 @@
-"""The daemon that every entry instance runs."""
+"""The daemon of fordhatch's own interface."""
 
 from __future__ import annotations
 
 from ._daemon import Daemon
-from ._node import Node
-from ._parts import Edges
 
-__all__ = ["Daemon", "Edges", "Node"]
+__all__ = ["Daemon"]
--- a/packages/daemon/src/fordhatch/daemon/_daemon.py
+++ b/packages/daemon/src/fordhatch/daemon/_daemon.py
@@ -1,74 +1,98 @@
-"""The daemon's life: start, serve, drain, stop."""
+"""A node with fordhatch's own edges: its callers and its operators."""
 
 from __future__ import annotations
 
 import asyncio
-import signal
 
 import attrs
 from sanic import Sanic
 
-from fordhatch.config import Address, Settings
-from fordhatch.core import log_event
+from fordhatch.chat import ChatServer, ClaimService
+from fordhatch.config import DECLARED_ROW, Address, Settings
+from fordhatch.core import TaskSet, Timer, log_event
+from fordhatch.node import Clients, Node, close_in_time, stop_event
+from fordhatch.operators import OperatorsApp
+from fordhatch.serving import HttpServer
 
-from ._callers import CallersApp
-from ._node import Node
-from ._operators import OperatorsApp
+CLEAN_INTERVAL_S = 10.0
+"""Time between passes of the claim cleaner, on the planner's node."""
 
-DRAIN_POLL_S = 0.05
-"""How often a leaving daemon looks whether its last request has ended."""
 
-
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Daemon:
-    """A node with its two HTTP interfaces."""
+    """A node and its two HTTP interfaces."""
 
+    settings: Settings
     node: Node
-    callers: CallersApp
+    claims: ClaimService
+    callers: ChatServer
     operators: OperatorsApp
+    _tasks: TaskSet = attrs.field(factory=TaskSet)
 
     @classmethod
     def from_settings(cls, settings: Settings) -> Daemon:
-        """Build a daemon that has not been started."""
-        node = Node.from_settings(settings)
-        return cls(node, CallersApp.from_node(node), OperatorsApp.from_node(node))
+        """Build a daemon that has not been started; a running loop is needed."""
+        node_settings = settings.to_node_settings()
+        timer = Timer.from_seed(settings.node_name)
+        clients = Clients.from_settings(node_settings, timer)
+        return cls.from_clients(settings, timer, clients)
+
+    @classmethod
+    def from_clients(cls, settings: Settings, timer: Timer, clients: Clients) -> Daemon:
+        """Build a daemon on clients of one's own.
+
+        Args:
+            settings: The checked settings.
+            timer: The process's timer.
+            clients: How the node reaches others; closed with the daemon.
+        """
+        node = Node.create(settings.to_node_settings(), timer, clients, DECLARED_ROW)
+        claims = ClaimService(
+            settings.node_name,
+            node.start_id,
+            clients.store,
+            clients.pool,
+            lambda: node.view.shared.nodes,
+            timer,
+            settings.limits.claim_expiry_s,
+            settings.limits.row_bytes,
+        )
+        callers = ChatServer(node.path, claims, settings.limits, timer)
+        operators = OperatorsApp.from_node(node, settings)
+        return cls(settings, node, claims, callers, operators)
+
+    async def start(self) -> None:
+        """Start the node's parts; nothing listens yet."""
+        await self.node.start()
+        clean = self.node.timer.every(CLEAN_INTERVAL_S, self._clean, name="clean")
+        self._tasks.spawn(clean, "clean")
+
+    async def _clean(self) -> None:
+        if self.node.lease.is_held():
+            await self.claims.clean()
 
     async def run(self) -> None:
         """Serve until a signal to stop arrives, then drain."""
-        stop = asyncio.Event()
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stop.set)
-        await self.node.start()
-        settings = self.node.settings
-        callers = await _listen(self.callers.app, settings.callers)
-        operators = await _listen(self.operators.app, settings.operators)
-        log_event(
-            "listening",
-            callers=str(settings.callers),
-            operators=str(settings.operators),
+        stop = stop_event()
+        await self.start()
+        operators = await _listen(self.operators.app, self.settings.operators)
+        callers = await HttpServer.listen(
+            str(self.settings.callers), self.callers.handle
         )
+        log_event("listening", callers=str(self.settings.callers))
         await stop.wait()
-        await self._drain(callers)
+        await self.node.leave(
+            callers.stop_listening,
+            listen_for_s=self.settings.timing.drain_grace_s,
+        )
         operators.close()
-        await self.node.close()
+        await close_in_time(callers.close, self.close)
 
-    async def _drain(self, callers: asyncio.Server) -> None:
-        """Take part in no new work, but finish all that was taken on."""
-        timing = self.node.settings.timing
-        timer = self.node.timer
-        await self.node.leave()
-        # The balancer needs a moment to see that the node is not ready; what it
-        # sends until then is still served.
-        await timer.sleep(timing.drain_grace_s)
-        callers.close()
-        deadline_s = timer.now_s() + timing.drain_limit_s
-        while self._in_flight() and timer.now_s() < deadline_s:
-            await timer.sleep(DRAIN_POLL_S)
-        log_event("drained", left=self._in_flight())
-
-    def _in_flight(self) -> int:
-        return self.callers.open_requests + self.node.home.total_in_flight()
+    async def close(self) -> None:
+        """End every part."""
+        await self._tasks.close()
+        await self.claims.close()
+        await self.node.close()
 
 
 async def _listen(app: Sanic, address: Address) -> asyncio.Server:
--- a/packages/daemon/src/fordhatch/daemon/main.py
+++ b/packages/daemon/src/fordhatch/daemon/main.py
@@ -5,11 +5,10 @@
 import sys
 from pathlib import Path
 
-import uvloop
 from cyclopts import App
 
 from fordhatch.config import SETTINGS_SCHEMA, Settings, schema_text
-from fordhatch.core import configure_logging
+from fordhatch.node import run_logged, run_on_platform
 
 from ._daemon import Daemon
 
@@ -38,8 +37,18 @@
         for mistake in read.unwrap_err():
             print(f"fordhatchd: {settings}: {mistake}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
-    configure_logging(read.unwrap().node_id)
-    uvloop.run(Daemon.from_settings(read.unwrap()).run())
+    checked = read.unwrap()
+
+    async def life() -> None:
+        await Daemon.from_settings(checked).run()
+
+    run_logged(checked.node_name, life)
+
+
+@app.command
+def on_platform() -> None:
+    """Run a node with the settings file that the platform names."""
+    run_on_platform()
 
 
 @app.command
--- /dev/null
+++ b/packages/daemon/tests/own_site.py
@@ -0,0 +1,240 @@
+"""Daemons in one process: real HTTP for callers, everything behind them in memory."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import attrs
+
+from fordhatch.adapter import Row, RowKey
+from fordhatch.chat import CHAT_PATH, CLAIM_TABLE, Claim
+from fordhatch.config import Applied, ApplyRequest, ConfigApplier, Settings, hash_key
+from fordhatch.core import Failure, Timer
+from fordhatch.daemon import Daemon
+from fordhatch.node import Clients
+from fordhatch.serving import HttpServer
+from fordhatch_standins import (
+    Backends,
+    EngineFleet,
+    EnginePace,
+    MemoryBackendClient,
+    MemoryExchange,
+    MemoryNetwork,
+    MemoryStoreClient,
+    ModelTimes,
+    PlainService,
+    StoredRow,
+    StoreModel,
+    answer_text,
+)
+
+EXAMPLE = Path(__file__).parents[3] / "examples" / "pruitt.json"
+API_KEY = "savannah-depot-example-key"
+OTHER_KEY = "houston-depot-example-key"
+MODEL = "estimator@2026-11"
+BILL = "/services/yard/billing/17"
+ZONES = ("mobile-yard", "savannah-yard", "houston-yard")
+WAIT_LIMIT_S = 20.0
+
+
+def declared(groups: int = 2, **service: Any) -> dict[str, Any]:
+    """Return the example file with a few quick groups."""
+    document = json.loads(EXAMPLE.read_text())
+    document["model_services"][0].update({"groups": groups, **service})
+    accelerator = document["accelerators"][0]
+    accelerator["models"][0].update({"load_s": 0.2, "warm_s": 0.1})
+    accelerator["form_s"] = 0.05
+    return document
+
+
+def settings(index: int) -> Settings:
+    """Return the settings of a node."""
+    document = {
+        "node_name": f"node-{index}",
+        "region": "gulf-south",
+        "zone": ZONES[index % 3],
+        "callers": {"host": "127.0.0.1", "port": 0},
+        "operators": {"host": "127.0.0.1", "port": 0},
+        "peers": {"host": "n", "port": 7000 + index},
+        "store": {"host": "127.0.0.1", "port": 1},
+        "operator_tokens": {"ops": hash_key("token")},
+    }
+    return Settings.from_json(json.dumps(document).encode()).unwrap()
+
+
+@attrs.define(eq=False, repr=False)
+class OwnNode:
+    """A daemon with its callers' listener."""
+
+    daemon: Daemon
+    store: MemoryStoreClient
+    exchange: MemoryExchange
+    server: HttpServer
+
+    @property
+    def name(self) -> str:
+        return self.daemon.settings.node_name
+
+    async def kill(self) -> None:
+        """End without a word: nothing is handed over or settled."""
+        self.store.is_frozen = True
+        await self.daemon.claims._tasks.close()
+        await self.server.close()
+        await self.daemon.close()
+
+
+@attrs.frozen
+class Got:
+    """An answer as its caller has it."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def error(self) -> dict[str, Any]:
+        return json.loads(self.body)["error"]
+
+    @property
+    def text(self) -> str:
+        return json.loads(self.body)["choices"][0]["message"]["content"]
+
+
+@attrs.define(eq=False, repr=False)
+class OwnSite:
+    """A few daemons, engines of one domain and one plain service."""
+
+    model: StoreModel
+    backends: Backends
+    network: MemoryNetwork = attrs.field(factory=MemoryNetwork)
+    nodes: list[OwnNode] = attrs.field(factory=list)
+    plain: PlainService | None = None
+    revision: int = 0
+    session: aiohttp.ClientSession | None = None
+
+    @classmethod
+    async def start(cls, nodes: int = 3, engines: int = 9) -> OwnSite:
+        rng = random.Random(1)
+        model = StoreModel()
+        times = {MODEL: ModelTimes(4, 0.2, 0.1)}
+        fleet = EngineFleet(model, times, rng, form_s=0.05, service="a100")
+        pace = EnginePace(step_s=0.001, per_sequence_s=0.0)
+        site = cls(model, Backends(model, fleet, pace, rng))
+        site.session = aiohttp.ClientSession()
+        for _ in range(engines):
+            site.backends.add_engine("fabric-1", ZONES[0])
+        site.plain = site.backends.add_plain("yard-app", ZONES[0])
+        for index in range(nodes):
+            await site.add_node(index)
+        await site.apply(declared())
+        await site.until(lambda: len(fleet.check_serving()) == 2)
+        await site.until(lambda: all(_sees_groups(n) for n in site.nodes))
+        return site
+
+    async def add_node(self, index: int) -> OwnNode:
+        checked = settings(index)
+        timer = Timer.from_seed(index)
+        store = MemoryStoreClient(self.model, checked.node_name)
+        exchange = MemoryExchange(self.backends, timer)
+        pool = self.network.pool(checked.node_name, str(checked.peers))
+        clients = Clients(
+            store, MemoryBackendClient(self.backends.fleet), exchange, pool
+        )
+        daemon = Daemon.from_clients(checked, timer, clients)
+        server = await HttpServer.listen("127.0.0.1:0", daemon.callers.handle)
+        await daemon.start()
+        node = OwnNode(daemon, store, exchange, server)
+        self.nodes.append(node)
+        return node
+
+    async def apply(self, document: dict[str, Any]) -> None:
+        done = await self.try_apply(document, self.revision, f"a{self.revision}")
+        self.revision = done.revision
+        await self.until(
+            lambda: all(
+                n.daemon.node.view.configuration.version >= self.revision
+                for n in self.nodes
+            )
+        )
+
+    async def try_apply(
+        self, document: dict[str, Any], base: int, name: str, node: int = 0
+    ) -> Applied | Failure:
+        store = self.nodes[node].store
+        applier = ConfigApplier(store, self.nodes[node].daemon.node.timer, 65536)
+        request = ApplyRequest(json.dumps(document).encode(), base, name, f"op-{name}")
+        done = await applier.apply(request)
+        return done.unwrap() if done.is_ok() else done.unwrap_err()
+
+    async def until(self, holds: Callable[[], bool]) -> None:
+        """Wait until something holds; fails only if it never does."""
+        async with asyncio.timeout(WAIT_LIMIT_S):
+            while not holds():
+                await asyncio.sleep(0.005)
+
+    async def post(
+        self, path: str, body: bytes, node: int = 0, key: str = API_KEY, **headers: str
+    ) -> Got:
+        sent = {"Authorization": f"Bearer {key}", **headers}
+        url = f"http://{self.nodes[node].server.address}{path}"
+        async with self.session.post(url, data=body, headers=sent) as reply:
+            return Got(reply.status, dict(reply.headers), await reply.read())
+
+    async def chat(
+        self, text: str, node: int = 0, *, tokens: int = 30, **headers: str
+    ) -> Got:
+        return await self.post(CHAT_PATH, chat_body(text, tokens), node, **headers)
+
+    async def bill(self, key: str = "k", text: str = "bill", node: int = 0) -> Got:
+        headers = {"Idempotency-Key": key} if key else {}
+        body = json.dumps({"text": text}).encode()
+        return await self.post(BILL, body, node, **headers)
+
+    def plain_runs(self) -> int:
+        return sum(self.backends.plain_runs.values())
+
+    def model_runs(self) -> int:
+        return sum(self.backends.fleet.runs.values())
+
+    def claims(self) -> list[Claim]:
+        rows = [r for n, r in self.model.rows.items() if n[0] == CLAIM_TABLE]
+        return [Claim.from_row(_as_row(r)) for r in rows]
+
+    def holder(self) -> OwnNode:
+        (claim,) = self.claims()
+        return next(n for n in self.nodes if n.name == claim.node_name)
+
+    async def close(self) -> None:
+        for node in self.nodes:
+            await node.server.close()
+            await node.daemon.close()
+        await self.session.close()
+        assert self.backends.fleet.violations == []
+
+
+def chat_body(text: str, tokens: int = 30, **fields: Any) -> bytes:
+    message = {"role": "user", "content": text}
+    body = {"model": "estimates", "messages": [message], "max_tokens": tokens}
+    return json.dumps({**body, **fields}).encode()
+
+
+def expected_text(text: str, tokens: int = 30) -> str:
+    events = -(-tokens // 5)
+    body = chat_body(text)
+    return "".join(answer_text(body, index) for index in range(events))
+
+
+def _sees_groups(node: OwnNode) -> bool:
+    directory = node.daemon.node.view.directory
+    return len(list(directory.open_heads("a100", MODEL))) == 2
+
+
+def _as_row(stored: StoredRow) -> Row:
+    table, part, key = stored.name
+    return Row(RowKey(table, key, part), stored.version, stored.value)
--- a/packages/node/src/fordhatch/node/__init__.py
+++ b/packages/node/src/fordhatch/node/__init__.py
@@ -1,8 +1,21 @@
-"""A node on the users' platform: every part put together, and its life."""
+"""A node: every part put together, its life, and its edge on the users' platform."""
 
 from __future__ import annotations
 
-from ._daemon import run_on_platform
+from ._clients import Clients
+from ._daemon import close_in_time, run_logged, run_on_platform, stop_event
 from ._node import Node
+from ._platform_edge import PlatformEdge, render
+from ._settings_watch import SettingsWatch
 
-__all__ = ["Node", "run_on_platform"]
+__all__ = [
+    "Clients",
+    "Node",
+    "PlatformEdge",
+    "SettingsWatch",
+    "close_in_time",
+    "render",
+    "run_logged",
+    "run_on_platform",
+    "stop_event",
+]
--- a/packages/node/src/fordhatch/node/_node.py
+++ b/packages/node/src/fordhatch/node/_node.py
@@ -1,73 +1,32 @@
-"""A node on the users' platform: every part put together."""
+"""A node: every part put together, and its life. Its edges stand before it."""
 
 from __future__ import annotations
 
 import secrets
-from pathlib import Path
+from collections.abc import Callable
 
 import attrs
-from aiohttp import web
-
-from fordhatch.adapter import (
-    READY_PATH,
-    BackendClient,
-    DecodeError,
-    RowKey,
-    StoreClient,
-    decode_settings,
-)
+
 from fordhatch.catalog import NodeSettings
-from fordhatch.core import Failure, ResultCode, TaskSet, Timer, log_event, metrics
-from fordhatch.placement import Planner, PlannerLease
+from fordhatch.core import Failure, ResultCode, TaskSet, Timer, log_event
+from fordhatch.placement import HolderNews, Planner, PlannerLease
 from fordhatch.protocol import Channel, PeerPool, to_refused
-from fordhatch.protocol.messages import WatchTable
+from fordhatch.protocol.messages import QueryStatus, StatusReply, WatchTables
 from fordhatch.registry import (
-    SECRET_KEY,
-    SHARED_TABLE,
+    OPERATORS_ROW,
+    ConfigurationRow,
     NodeAddress,
     ReaderChoice,
+    RelayClient,
     RelayServer,
-    RelaySource,
+    SharedRows,
     StoreSource,
     StoreView,
-    node_key,
-    node_value,
-)
-from fordhatch.serving import (
-    Admission,
-    BackendHealth,
-    CallerServer,
-    ExchangeClient,
-    GroupProgress,
-    HeadChoice,
-    HttpServer,
-    NodeState,
-    PlainCalls,
-    RepeatBudget,
-    StallWatch,
-    StreamCalls,
 )
+from fordhatch.serving import NodeState, RequestPath
 
-METRICS_PORT = 9464
-"""Port of the metrics page on every node; the deploy file names it as well."""
-
-METRICS_PATH = "/metrics"
-
-REGISTER_TIMEOUT_S = 1.0
-"""Longest wait for the store to take the node's own row."""
-
-SECRET_BYTES = 32
-"""Length of the key that nodes share."""
-
-REGISTER_RETRY_S = 0.5
-"""Pause between tries to write the node's own row."""
-
-SETTINGS_LOOK_S = 1.0
-"""How often the settings file is compared: it may change without a signal."""
-
-LISTEN_AFTER_TERM_S = 3.2
-"""A leaving node still accepts connections for this long: the balancer asks once a
-second and takes a node out after two misses."""
+from ._clients import Clients
+from ._registration import Registration
 
 TERM_POLL_S = 0.05
 """How often a leaving node looks whether its last request has ended."""
@@ -78,103 +37,93 @@
 FORGET_S = 5.0
 """How often records of backend servers that are gone are dropped."""
 
+ASK_HOLDER_TIMEOUT_S = 0.3
+"""Longest wait for the planner's node; others answer within milliseconds."""
 
-@attrs.define(eq=False)
+START_ID_BYTES = 8
+"""Length of the name of a node's start: enough never to come twice."""
+
+TELL_CALLS_S = 10.0
+"""How often the calls to the store are summed up in the log."""
+
+
+@attrs.define(eq=False, repr=False)
 class Node:
-    """One node, from its settings."""
+    """The parts that every node has, whoever its callers and operators are."""
 
     settings: NodeSettings
     timer: Timer
-    store: StoreClient
-    pool: PeerPool
-    backends: BackendClient
-    exchange: ExchangeClient
+    clients: Clients
     view: StoreView
+    relay: RelayServer
     state: NodeState
-    budget: RepeatBudget
-    health: BackendHealth
-    stalls: StallWatch
+    path: RequestPath
     lease: PlannerLease
     planner: Planner
-    callers: CallerServer
-    settings_text: str = ""
-    """The settings file as it was last read."""
-    _servers: list[HttpServer] = attrs.field(factory=list)
+    start_id: str
+    """Names this start of the node; a restarted one has another."""
     _tasks: TaskSet = attrs.field(factory=TaskSet)
 
     @classmethod
-    def from_settings(cls, settings: NodeSettings) -> Node:
-        """Build a node that has not been started; a running loop is needed."""
-        timer = Timer.from_seed(settings.node_name)
-        store = StoreClient.from_address(settings.store.address)
-        backends = BackendClient.create()
-        exchange = ExchangeClient.from_timer(timer)
-        pool = PeerPool(settings.node_name, b"", timer)
-        view = _view(settings, store, pool, timer)
+    def create(
+        cls,
+        settings: NodeSettings,
+        timer: Timer,
+        clients: Clients,
+        configuration_row: ConfigurationRow = OPERATORS_ROW,
+    ) -> Node:
+        """Build a node that has not been started.
+
+        Args:
+            settings: The node's settings.
+            timer: The node's timer.
+            clients: How it reaches others; closed with the node.
+            configuration_row: Where its configuration lies.
+        """
+        view, relay = _view(settings, clients, timer, configuration_row)
         state = NodeState(settings.bounds, view, timer)
-        health = BackendHealth(timer)
-        budget = RepeatBudget(settings.bounds, timer, lambda: len(view.shared.nodes))
-        stalls = StallWatch(settings.node_name, timer, store, view.shared)
-        admission = Admission.from_state(state, timer)
+        path = RequestPath.create(
+            node_name=settings.node_name,
+            zone=settings.zone,
+            state=state,
+            store=clients.store,
+            exchange=clients.exchange,
+            timer=timer,
+        )
         lease = PlannerLease(
             settings.node_name,
-            store,
+            clients.store,
             timer,
             lambda: set(view.shared.nodes),
             lambda: state.is_leaving,
+            lambda name: _ask_holder(clients.pool, view, name),
         )
         planner = Planner.create(
             view,
             lease,
-            store,
-            backends,
+            clients.store,
+            clients.backends,
             timer,
             settings.bounds,
             is_first_start=settings.is_first_start,
             has_traffic=lambda: state.has_served,
         )
-        choice = HeadChoice(settings.zone, view.directory, health, stalls, timer.rng)
-        streams = StreamCalls.create(
-            view.directory,
-            timer=timer,
-            health=health,
-            progress=GroupProgress(timer),
-            stalls=stalls,
-            choice=choice,
-            budget=budget,
-            exchange=exchange,
-            admission=admission,
-        )
-        plain = PlainCalls(
-            settings.zone,
-            timer,
-            timer.rng,
-            view.directory,
-            health,
-            budget,
-            exchange,
-            admission,
-        )
-        callers = CallerServer(state, admission, budget, streams, plain, timer)
+        start_id = secrets.token_hex(START_ID_BYTES)
         return cls(
             settings,
             timer,
-            store,
-            pool,
-            backends,
-            exchange,
+            clients,
             view,
+            relay,
             state,
-            budget,
-            health,
-            stalls,
+            path,
             lease,
             planner,
-            callers,
+            start_id,
         )
 
     async def start(self) -> None:
-        """Listen and start every part."""
+        """Start every part."""
         log_event(
             "node_started",
             zone=self.settings.zone,
@@ -183,160 +132,133 @@
         )
         await self._listen_for_nodes()
         self.view.start()
-        await self._listen(self.settings.ready_address, self._answer_ready)
-        metrics_address = f"{self.settings.instance_address}:{METRICS_PORT}"
-        await self._listen(metrics_address, self._answer_metrics)
-        await self._listen(self.settings.caller_address, self.callers.handle)
-        self._tasks.spawn(self._register(), "register")
+        self._tasks.spawn(self._registration().run(), "register")
         keep, every = self.timer.keep, self.timer.every
         self._tasks.spawn(keep(self.lease.run, name="lease"), "lease")
         self._tasks.spawn(keep(self.planner.run, name="planner"), "planner")
         self._tasks.spawn(every(FORGET_S, self._forget_gone, name="forget"), "forget")
-        log_event("listening", callers=self.settings.caller_address)
-
-    async def _listen(self, address: str, handler: object) -> None:
-        self._servers.append(await HttpServer.listen(address, handler))
+        tell = every(TELL_CALLS_S, self._tell_calls, name="tell-calls")
+        self._tasks.spawn(tell, "tell-calls")
+
+    def _registration(self) -> Registration:
+        return Registration(
+            self.settings,
+            self.start_id,
+            self.clients.store,
+            self.view.shared,
+            self.timer,
+        )
 
     async def _listen_for_nodes(self) -> None:
-        shared = self.view.shared
-        relay = RelayServer(self.view.followers)
-
-        async def serve(message: object, channel: Channel) -> None:
-            if isinstance(message, WatchTable):
-                await relay.serve(message, channel)
-            else:
-                failure = Failure.from_code(ResultCode.PEER_REFUSED)
-                await channel.send(to_refused(failure))
+        shared, pool = self.view.shared, self.clients.pool
 
         def take_secret() -> None:
-            self.pool.shared_key = shared.secret
+            pool.shared_key = shared.secret
 
-        self.pool.handler = serve
+        pool.handler = self._answer_node
         shared.subscribe(take_secret)
-        port = self.settings.port_range[0]
-        await self.pool.listen(self.settings.instance_address, port)
-
-    async def _register(self) -> None:
-        """Write the node's own row, and the shared secret if there is none."""
-        own = RowKey(SHARED_TABLE, node_key(self.settings.node_name))
-        port = self.settings.port_range[0]
-        address = f"{self.settings.instance_address}:{port}"
-        value = node_value(address, self.settings.zone)
-        await self._write_until_done({}, {own: value})
-        secret = RowKey(SHARED_TABLE, SECRET_KEY)
-        if not self.view.shared.secret:
-            proposal = secrets.token_bytes(SECRET_BYTES)
-            await self._write_until_done({secret: 0}, {secret: proposal})
-
-    async def _write_until_done(
-        self, expected: dict[RowKey, int], puts: dict[RowKey, bytes]
-    ) -> None:
-        while True:
-            written = await self.store.write(
-                expected, puts, timeout_s=REGISTER_TIMEOUT_S
-            )
-            if written.is_ok():
-                return
-            log_event("node_not_registered", error=written.err().message)
-            await self.timer.sleep(self.timer.jittered(REGISTER_RETRY_S))
+        host, _, port = self.settings.peer_address.rpartition(":")
+        await pool.listen(host, int(port))
+
+    async def _answer_node(self, message: object, channel: Channel) -> None:
+        """Answer another node."""
+        match message:
+            case WatchTables():
+                await self.relay.serve(message, channel)
+            case QueryStatus():
+                await channel.send(self.status())
+            case _:
+                failure = Failure.from_code(ResultCode.PEER_REFUSED)
+                await channel.send(to_refused(failure))
+
+    def status(self) -> StatusReply:
+        """Return what this node tells others of itself."""
+        return StatusReply(
+            self.settings.node_name,
+            self.start_id,
+            self.view.configuration.version,
+            self.state.is_ready(),
+            self.lease.is_held(),
+            self.lease.version,
+        )
 
     async def _forget_gone(self) -> None:
-        backends = self.view.directory.backends
-        self.health.keep_only(set(backends))
-        places = {b.membership.key for b in backends.values() if b.membership}
-        self.stalls.keep_only(places)
-
-    async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
-        if request.raw_path != READY_PATH:
-            return web.Response(status=404)
-        return web.Response(status=200 if self.state.is_ready() else 503)
-
-    async def _answer_metrics(self, request: web.BaseRequest) -> web.Response:
-        if request.raw_path != METRICS_PATH:
-            return web.Response(status=404)
-        self._measure()
-        return web.Response(body=metrics.render_metrics(), content_type="text/plain")
-
-    def _measure(self) -> None:
-        """Bring the gauges up to date, just before they are read."""
-        view = self.view
-        metrics.CONFIGURATION_VERSION.set(view.configuration.version)
-        metrics.CONFIGURATION_AGE_SECONDS.set(view.configuration_age_s())
-        backends = view.directory.backends.values()
-        metrics.OPEN_GROUPS.set(sum(b.is_open_head for b in backends))
-        engines = [b for b in backends if b.domain]
-        metrics.STRANDED_BACKENDS.set(sum(b.membership is None for b in engines))
-
-    # Settings that change.
-
-    async def watch_settings(self, path: Path) -> None:
-        """Take changes of the settings file until cancelled."""
-        while True:
-            await self.timer.sleep(SETTINGS_LOOK_S)
-            self.reload(path)
-
-    def reload(self, path: Path) -> None:
-        """Take the settings file if it has changed."""
-        try:
-            found = path.read_text()
-        except OSError as error:
-            log_event("settings_unreadable", error=repr(error))
-            return
-        if found == self.settings_text:
-            return
-        self.settings_text = found
-        try:
-            self._apply(decode_settings(found))
-        except DecodeError as error:
-            log_event("settings_refused", error=str(error))
-
-    def _apply(self, settings: NodeSettings) -> None:
+        self.path.forget_gone()
+
+    async def _tell_calls(self) -> None:
+        calls = self.clients.store.calls
+        log_event("store_calls", **{k.replace(" ", "_"): n for k, n in calls.items()})
+
+    def take_settings(self, settings: NodeSettings) -> None:
         """Take the bounds of new settings; addresses hold until the next start."""
         self.settings = settings
         self.state.bounds = settings.bounds
-        self.budget.bounds = settings.bounds
+        self.path.budget.bounds = settings.bounds
         self.planner.take_bounds(settings.bounds)
         log_event("settings_reloaded")
 
-    # The end.
+    async def leave(
+        self, stop_listening: Callable[[], None], *, listen_for_s: float
+    ) -> None:
+        """Take no new callers, finish what was taken on, hand the duty on.
 
-    async def leave(self) -> None:
-        """Take no new callers, finish what was taken on, hand the duty on."""
-        began_s = self.timer.now_s()
-        self.state.is_leaving = True
-        self.callers.leaving_since_s = began_s
+        Args:
+            stop_listening: Closes the callers' listener; open connections go on.
+            listen_for_s: How long callers may still arrive, in seconds.
+        """
+        self.state.leave()
         log_event("node_leaving", in_flight=self.state.in_flight)
         await self.lease.release()
-        await self.timer.sleep(LISTEN_AFTER_TERM_S)
-        self._servers[-1].stop_listening()
-        last_s = began_s + self.settings.bounds.grace_s - GRACE_RESERVE_S
+        self._tasks.spawn(self._registration().withdraw(), "withdraw")
+        await self.timer.sleep(listen_for_s)
+        stop_listening()
+        grace_s = self.settings.bounds.grace_s - GRACE_RESERVE_S
+        last_s = self.state.leaving_since_s + grace_s
         while self.state.in_flight and self.timer.now_s() < last_s:
             await self.timer.sleep(TERM_POLL_S)
         log_event("node_left", in_flight=self.state.in_flight)
 
     async def close(self) -> None:
         """End every part."""
-        for server in self._servers:
-            await server.close()
         await self._tasks.close()
         await self.planner.close()
-        await self.stalls.close()
+        await self.path.close()
         await self.view.close()
-        await self.pool.close()
-        await self.exchange.close()
-        await self.backends.close()
-        await self.store.close()
+        await self.clients.close()
+
+
+async def _ask_holder(
+    pool: PeerPool, view: StoreView, node_name: str
+) -> HolderNews | None:
+    """Ask the node that has the planner's lease whether it goes on renewing it."""
+    address = view.shared.nodes.get(node_name)
+    if address is None:
+        return None
+    asked = await pool.request(address.address, QueryStatus(), ASK_HOLDER_TIMEOUT_S)
+    reply = asked.ok()
+    if not isinstance(reply, StatusReply):
+        return None
+    return HolderNews(reply.is_planner, reply.lease_version)
 
 
 def _view(
-    settings: NodeSettings, store: StoreClient, pool: PeerPool, timer: Timer
-) -> StoreView:
-    """Return the node's view of the store, which other nodes may read for it."""
+    settings: NodeSettings,
+    clients: Clients,
+    timer: Timer,
+    configuration_row: ConfigurationRow,
+) -> tuple[StoreView, RelayServer]:
+    """Return the node's view of the store, and what passes it on to others."""
+    shared = SharedRows(timer)
 
     def nodes() -> dict[str, NodeAddress]:
-        return view.shared.nodes if view.shared.secret else {}
+        return shared.nodes if shared.secret else {}
 
     choice = ReaderChoice(settings.node_name, settings.zone, nodes, timer)
-    source = RelaySource(StoreSource(store), pool, choice)
-    view = StoreView.from_source(source, timer)
-    return view
+    view = StoreView.create(
+        StoreSource(clients.store),
+        timer,
+        shared=shared,
+        configuration_row=configuration_row,
+        relay=RelayClient(clients.pool, choice, timer),
+    )
+    return view, RelayServer(view.followers, choice)
--- /dev/null
+++ b/packages/node/src/fordhatch/node/_platform_edge.py
@@ -0,0 +1,74 @@
+"""Where callers, the balancer and the metrics' reader of the platform meet a node."""
+
+from __future__ import annotations
+
+import attrs
+from aiohttp import web
+
+from fordhatch.adapter import READY_PATH
+from fordhatch.core import log_event, metrics
+from fordhatch.serving import CallerServer, HttpServer
+
+from ._node import Node
+
+METRICS_PORT = 9464
+"""Port of the metrics page on every node; the deploy file names it as well."""
+
+METRICS_PATH = "/metrics"
+
+
+@attrs.define(eq=False, repr=False)
+class PlatformEdge:
+    """The listeners of a node on the platform."""
+
+    node: Node
+    callers: CallerServer
+    _servers: list[HttpServer] = attrs.field(factory=list)
+
+    @classmethod
+    def from_node(cls, node: Node) -> PlatformEdge:
+        """Return the edge of a node; it does not listen yet."""
+        return cls(node, CallerServer.from_path(node.path, node.timer))
+
+    async def listen(self) -> None:
+        """Listen at the addresses of the settings."""
+        settings = self.node.settings
+        await self._listen(settings.ready_address, self._answer_ready)
+        metrics_address = f"{settings.instance_address}:{METRICS_PORT}"
+        await self._listen(metrics_address, self._answer_metrics)
+        await self._listen(settings.caller_address, self.callers.handle)
+        log_event("listening", callers=settings.caller_address)
+
+    async def _listen(self, address: str, handler: object) -> None:
+        self._servers.append(await HttpServer.listen(address, handler))
+
+    def stop_listening(self) -> None:
+        """Accept no new connections of callers."""
+        self._servers[-1].stop_listening()
+
+    async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
+        if request.raw_path != READY_PATH:
+            return web.Response(status=404)
+        return web.Response(status=200 if self.node.state.is_ready() else 503)
+
+    async def _answer_metrics(self, request: web.BaseRequest) -> web.Response:
+        if request.raw_path != METRICS_PATH:
+            return web.Response(status=404)
+        return web.Response(body=render(self.node), content_type="text/plain")
+
+    async def close(self) -> None:
+        """Close every listener and connection."""
+        for server in self._servers:
+            await server.close()
+
+
+def render(node: Node) -> bytes:
+    """Return the metrics page, its gauges brought up to date."""
+    view = node.view
+    metrics.CONFIGURATION_VERSION.set(view.configuration.version)
+    metrics.CONFIGURATION_AGE_SECONDS.set(view.configuration_age_s())
+    backends = view.directory.backends.values()
+    metrics.OPEN_GROUPS.set(sum(b.is_open_head for b in backends))
+    engines = [b for b in backends if b.domain]
+    metrics.STRANDED_BACKENDS.set(sum(b.membership is None for b in engines))
+    return metrics.render_metrics()
--- /dev/null
+++ b/packages/node/src/fordhatch/node/_registration.py
@@ -0,0 +1,83 @@
+"""A node's own row, by which other nodes find it, and the secret that they share."""
+
+from __future__ import annotations
+
+import secrets
+
+import attrs
+
+from fordhatch.adapter import RowKey, StoreClient
+from fordhatch.catalog import NodeSettings
+from fordhatch.core import Timer, log_event
+from fordhatch.registry import (
+    SECRET_KEY,
+    SHARED_TABLE,
+    SharedRows,
+    node_key,
+    node_value,
+)
+
+REGISTER_TIMEOUT_S = 1.0
+"""Longest wait for the store to take the node's own row."""
+
+SECRET_BYTES = 32
+"""Length of the key that nodes share."""
+
+MBPS_PER_CORE = 100.0
+"""A link of this rate carries what a whole core can hand out of the tables."""
+
+LEAST_WEIGHT = 0.01
+"""A node that carries next to nothing is still asked when all others are lost."""
+
+REGISTER_RETRY_S = 0.5
+"""Pause between tries to write the node's own row."""
+
+
+@attrs.define(eq=False, repr=False)
+class Registration:
+    """Writes what the other nodes must know of this one."""
+
+    settings: NodeSettings
+    start_id: str
+    store: StoreClient
+    shared: SharedRows
+    timer: Timer
+
+    async def run(self) -> None:
+        """Write the node's own row, and the shared secret if there is none."""
+        own = RowKey(SHARED_TABLE, node_key(self.settings.node_name))
+        value = node_value(
+            self.settings.peer_address,
+            self.settings.zone,
+            _weight(self.settings),
+            self.start_id,
+        )
+        await self._write_until_done({}, {own: value})
+        secret = RowKey(SHARED_TABLE, SECRET_KEY)
+        if not self.shared.secret:
+            proposal = secrets.token_bytes(SECRET_BYTES)
+            await self._write_until_done({secret: 0}, {secret: proposal})
+
+    async def withdraw(self) -> None:
+        """Remove the node's own row: others ask somebody else from now on."""
+        own = RowKey(SHARED_TABLE, node_key(self.settings.node_name))
+        removed = await self.store.write({}, {}, (own,), timeout_s=REGISTER_TIMEOUT_S)
+        if removed.is_err():
+            log_event("node_not_withdrawn", error=removed.err().message)
+
+    async def _write_until_done(
+        self, expected: dict[RowKey, int], puts: dict[RowKey, bytes]
+    ) -> None:
+        while True:
+            written = await self.store.write(
+                expected, puts, timeout_s=REGISTER_TIMEOUT_S
+            )
+            if written.is_ok():
+                return
+            log_event("node_not_registered", error=written.err().message)
+            await self.timer.sleep(self.timer.jittered(REGISTER_RETRY_S))
+
+
+def _weight(settings: NodeSettings) -> float:
+    """Return how much a node can carry for others."""
+    return max(min(settings.cores, settings.link_mbps / MBPS_PER_CORE), LEAST_WEIGHT)
--- /dev/null
+++ b/packages/operators/src/fordhatch/operators/_reader.py
@@ -0,0 +1,209 @@
+"""What operators read back: the state in force, as one node sees it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+import attrs
+from result import Ok, Result
+
+from fordhatch.catalog import BackendServer
+from fordhatch.config import (
+    DeclaredConfiguration,
+    ModelService,
+    model_name,
+    read_audit,
+)
+from fordhatch.core import Failure
+from fordhatch.node import Node
+from fordhatch.protocol.messages import QueryStatus, StatusReply
+from fordhatch.registry import ReplicaGroup
+
+STATUS_TIMEOUT_S = 1.5
+"""How long another node may take to tell what it has in force."""
+
+STATUS_AT_ONCE = 32
+"""Nodes that are asked at the same time."""
+
+AUDIT_PAGE = 200
+"""Records of the audit trail in one answer."""
+
+Found = Result[dict[str, Any], Failure]
+
+
+@attrs.define(eq=False, repr=False)
+class Reader:
+    """Answers every reading call from a node's view."""
+
+    node: Node
+
+    @property
+    def _configuration(self) -> DeclaredConfiguration | None:
+        return self.node.view.configuration.current
+
+    async def config(self) -> Found:
+        """Return the declared state in force."""
+        current = self._configuration
+        if current is None:
+            return Ok({"digest": None, "config": None})
+        declared = json.loads(current.head.content)
+        return Ok({"digest": current.head.digest, "config": declared})
+
+    async def services(self) -> Found:
+        """Return each service with its declared and serving groups."""
+        return Ok({"services": self._services()})
+
+    def _services(self) -> list[dict[str, Any]]:
+        current = self._configuration
+        if current is None:
+            return []
+        declared = current.declared
+        models = [self._model_service(s) for s in declared.model_services]
+        plain = [self._plain_service(s.name) for s in declared.plain_services]
+        return [*models, *plain]
+
+    def _model_service(self, service: ModelService) -> dict[str, Any]:
+        groups = [
+            g
+            for g in self.node.view.directory.groups(service.accelerator).values()
+            if g.model == model_name(service)
+        ]
+        return {
+            "name": service.name,
+            "kind": "model",
+            "version": service.version,
+            "declared": service.groups,
+            "formed": len(groups),
+            "serving": sum(_is_serving(g) for g in groups),
+        }
+
+    def _plain_service(self, name: str) -> dict[str, Any]:
+        directory = self.node.view.directory
+        return {
+            "name": name,
+            "kind": "plain",
+            "version": "",
+            "declared": 1,
+            "formed": len(directory.of_service(name)),
+            "serving": len(directory.plain(name)),
+        }
+
+    async def groups(self) -> Found:
+        """Return every group that some backend server reports a place in."""
+        current = self._configuration
+        accelerators = current.declared.accelerators if current else []
+        directory = self.node.view.directory
+        found = [
+            _group(accelerator.name, group)
+            for accelerator in accelerators
+            for group in directory.groups(accelerator.name).values()
+        ]
+        return Ok({"groups": sorted(found, key=lambda g: g["group"])})
+
+    async def backends(self) -> Found:
+        """Return every registered backend server and what it belongs to."""
+        listed = self.node.view.directory.backends.values()
+        found = [_backend(b) for b in sorted(listed, key=lambda b: b.backend_id)]
+        return Ok({"backends": found})
+
+    async def nodes(self) -> Found:
+        """Return every registered node, and what those that answer say."""
+        replies = {reply.node_name: reply for reply in await self._ask_nodes()}
+        found = []
+        for name, address in sorted(self.node.view.shared.nodes.items()):
+            reply = replies.get(name)
+            found.append(
+                {
+                    "node": name,
+                    "address": address.address,
+                    "zone": address.zone,
+                    "answers": reply is not None,
+                    "ready": reply is not None and reply.is_ready,
+                    "planner": reply is not None and reply.is_planner,
+                    "revision": reply.configuration_version if reply else 0,
+                }
+            )
+        return Ok({"nodes": found})
+
+    async def audit(self, after_key: str = "") -> Found:
+        """Return a page of the audit trail."""
+        page = await read_audit(self.node.clients.store, after_key, AUDIT_PAGE)
+        if page.is_err():
+            return page
+        records, end = page.unwrap()
+        rows = [attrs.asdict(r) for r in records]
+        for row in rows:
+            del row["content"]
+        return Ok({"audit": rows, "next": end})
+
+    async def status(self) -> Found:
+        """Return how far the declared state is in force."""
+        replies = await self._ask_nodes()
+        revision = self.node.view.configuration.version
+        services = self._services()
+        converged = all(s["serving"] >= s["declared"] for s in services)
+        return Ok(
+            {
+                "nodes_known": len(self.node.view.shared.nodes),
+                "nodes_answering": len(replies),
+                "nodes_in_force": sum(
+                    r.configuration_version >= revision for r in replies
+                ),
+                "nodes_ready": sum(r.is_ready for r in replies),
+                "planners": [r.node_name for r in replies if r.is_planner],
+                "converged": bool(services) and converged,
+                "services": services,
+            }
+        )
+
+    async def _ask_nodes(self) -> list[StatusReply]:
+        gate = asyncio.Semaphore(STATUS_AT_ONCE)
+
+        async def ask(address: str) -> StatusReply | None:
+            async with gate:
+                pool = self.node.clients.pool
+                reply = await pool.request(address, QueryStatus(), STATUS_TIMEOUT_S)
+            found = reply.ok()
+            return found if isinstance(found, StatusReply) else None
+
+        others = [
+            n.address
+            for n in self.node.view.shared.nodes.values()
+            if n.name != self.node.settings.node_name
+        ]
+        replies = await asyncio.gather(*(ask(address) for address in others))
+        return [self.node.status(), *(r for r in replies if r is not None)]
+
+
+def _is_serving(group: ReplicaGroup) -> bool:
+    return group.head is not None and group.head.is_open_head
+
+
+def _group(service: str, group: ReplicaGroup) -> dict[str, Any]:
+    head = group.head
+    return {
+        "group": group.name,
+        "service": service,
+        "model": group.model,
+        "state": head.membership.state if head is not None else "headless",
+        "serving": _is_serving(group),
+        "epoch": group.epoch,
+        "domain": next(iter(group.members.values())).domain,
+        "members": [b.backend_id for _, b in sorted(group.members.items())],
+    }
+
+
+def _backend(backend: BackendServer) -> dict[str, Any]:
+    place = backend.membership
+    return {
+        "backend": backend.backend_id,
+        "service": backend.service,
+        "address": backend.address,
+        "zone": backend.zone,
+        "domain": backend.domain,
+        "state": backend.state,
+        "staged": list(backend.staged_models),
+        "group": place.group if place is not None else "",
+    }
--- a/packages/placement/src/fordhatch/placement/_dissolutions.py
+++ b/packages/placement/src/fordhatch/placement/_dissolutions.py
@@ -24,7 +24,7 @@
 Key = tuple[str, int]
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Dissolution:
     """One group that is being taken apart."""
 
@@ -38,7 +38,7 @@
     broken some time after that."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Dissolutions:
     """Groups that are being taken apart.
 
--- a/packages/placement/src/fordhatch/placement/_formations.py
+++ b/packages/placement/src/fordhatch/placement/_formations.py
@@ -21,7 +21,7 @@
 Key = tuple[str, int]
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Formation:
     """One group on its way."""
 
@@ -35,7 +35,7 @@
         return tuple(m.backend_id for m in self.plan.members)
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Formations:
     """Sends joins until every member is ready, then opens the head."""
 
--- a/packages/placement/src/fordhatch/placement/_group_builder.py
+++ b/packages/placement/src/fordhatch/placement/_group_builder.py
@@ -20,7 +20,7 @@
 """Heads that are closed for a conversion finish their requests within this time."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class GroupBuilder:
     """Forms groups from free backend servers, one conversion at a time."""
 
--- a/packages/placement/src/fordhatch/placement/_group_care.py
+++ b/packages/placement/src/fordhatch/placement/_group_care.py
@@ -29,7 +29,7 @@
 Key = tuple[str, int]
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class GroupCare:
     """What the planner remembers of each group, and what it does about it."""
 
@@ -50,8 +50,7 @@
         """Do what a group needs; returns whether it counts as a group."""
         model = layout.profile.model(group.model)
         if model is None:
-            self.dissolve(group, "model is not declared", finishes_work=True)
-            return False
+            return self._tend_retired(layout, group)
         seen = judge(group, model, self.losses.dead)
         self._remember(group)
         match seen.condition:
@@ -70,6 +69,20 @@
                 return self._is_patient(group.key)
         return True
 
+    def _tend_retired(self, layout: Layout, group: ReplicaGroup) -> bool:
+        """Let a group whose model is no longer declared serve until it is replaced.
+
+        Its members stage what is declared meanwhile, and change over group by group.
+        """
+        head = group.head
+        serves = head is not None and head.membership.state is MemberState.OPEN
+        if serves and layout.lacks_groups() and layout.profile.staged_models_kept:
+            self._serving_since_s.setdefault(group.key, self.timer.now_s())
+            self._remember(group)
+            return True
+        self.dissolve(group, "model is not declared", finishes_work=True)
+        return False
+
     def _tend_leaving(
         self, layout: Layout, group: ReplicaGroup, model: ModelProfile
     ) -> bool:
--- a/packages/placement/src/fordhatch/placement/_layout.py
+++ b/packages/placement/src/fordhatch/placement/_layout.py
@@ -17,6 +17,10 @@
 as a share of its place there: about every second one is needed before it is lost,
 and making another one ready takes one of the few loads."""
 
+LEAST_TARGET = 0.01
+"""Groups wanted of a model that nobody asks for: more than none, so that a group of
+it is formed before backend servers stand idle."""
+
 HORIZON_S = 15.0
 """Over this time a new group's service is weighed against the time until it opens;
 a group lives about this long before one of its members is lost."""
@@ -61,9 +65,22 @@
         self.spread[domain, model] += 1
 
     def target(self, model: ModelProfile) -> float:
-        """Return how many groups of a model its share of the work calls for."""
+        """Return how many groups of a model are wanted.
+
+        Either so many are declared, or its share of the work decides.
+        """
+        if model.wanted_groups is not None:
+            return max(float(model.wanted_groups), LEAST_TARGET)
         total = sum(m.share for m in self.profile.models) or 1.0
-        return max(model.share / total * self.backends / model.size, 0.01)
+        return max(model.share / total * self.backends / model.size, LEAST_TARGET)
+
+    def lacks_groups(self) -> bool:
+        """Return whether some declared model has fewer groups than are wanted."""
+        return any(self.lacks(m) for m in self.profile.models)
+
+    def lacks(self, model: ModelProfile) -> bool:
+        """Return whether a model has fewer groups than are wanted."""
+        return self.counts[model.name] < int(self.target(model) + 0.5)
 
     def need(self, model: ModelProfile, change: int = 0) -> float:
         """Return what one more group of a model is worth.
@@ -77,7 +94,9 @@
             change: Groups more or fewer than there are now.
         """
         count = self.counts[model.name] + change
-        return (self.target(model) / max(count + 0.5, 0.5)) ** 3
+        if model.most_groups is not None and count >= model.most_groups:
+            return 0.0
+        return model.weight * (self.target(model) / max(count + 0.5, 0.5)) ** 3
 
     def value(self, plan: GroupPlan) -> float:
         """Return what a group is worth, less for the time until it opens.
@@ -176,11 +195,7 @@
 
 def _below_target(layout: Layout) -> list[ModelProfile]:
     """Return the models that lack groups, those with the largest groups first."""
-    lacking = [
-        m
-        for m in layout.profile.models
-        if layout.counts[m.name] < int(layout.target(m) + 0.5)
-    ]
+    lacking = [m for m in layout.profile.models if layout.lacks(m)]
     lacking.sort(key=lambda m: m.size, reverse=True)
     return lacking
 
--- a/packages/placement/src/fordhatch/placement/_load_budget.py
+++ b/packages/placement/src/fordhatch/placement/_load_budget.py
@@ -13,7 +13,7 @@
 sent, and an earlier planner may have sent some."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class LoadBudget:
     """Loads that this planner has begun within the window."""
 
--- a/packages/placement/src/fordhatch/placement/_loss_check.py
+++ b/packages/placement/src/fordhatch/placement/_loss_check.py
@@ -22,7 +22,7 @@
 a newer reason to ask."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class LossCheck:
     """Findings about backend servers that someone missed."""
 
--- a/packages/placement/src/fordhatch/placement/_order_desk.py
+++ b/packages/placement/src/fordhatch/placement/_order_desk.py
@@ -20,7 +20,7 @@
 OnReply = Callable[[Result[OrderReply, Failure]], None]
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class OrderDesk:
     """Orders in flight; the same order is not sent again too soon.
 
--- a/packages/placement/src/fordhatch/placement/_planner.py
+++ b/packages/placement/src/fordhatch/placement/_planner.py
@@ -51,7 +51,7 @@
 Key = tuple[str, int]
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Planner:
     """Keeps as many groups open as the backend servers allow."""
 
@@ -139,7 +139,8 @@
             return
         self._led = True
         self.view.backends.gather_s = PLANNER_GATHER_S
-        if not self._are_loads_free():
+        if not self._are_loads_free() and not self.lease.is_first_holder:
+            # An earlier planner may just have used the whole window.
             configuration = self.view.configuration.current
             for service in configuration.engine_services() if configuration else ():
                 self.loads.fill(service.engine.loads_per_s)
@@ -182,7 +183,11 @@
         layout = Layout(service.engine, self.last_model)
         busy: set[str] = set()
         kept: list[ReplicaGroup] = []
-        for key, group in groups.items():
+        # Groups of models that are no longer declared come last: whether they are
+        # still needed depends on the others.
+        declared = sorted(groups.values(), key=lambda g: not _is_declared(service, g))
+        for group in declared:
+            key = group.key
             if key in self.dissolutions.released:
                 continue
             busy |= {m.backend_id for m in group.members.values()}
@@ -255,3 +260,7 @@
         await self.desk.close()
         await self.losses.close()
         await self.care.close()
+
+
+def _is_declared(service: Service, group: ReplicaGroup) -> bool:
+    return service.engine.model(group.model) is not None
--- a/packages/placement/src/fordhatch/placement/_planner_lease.py
+++ b/packages/placement/src/fordhatch/placement/_planner_lease.py
@@ -4,7 +4,7 @@
 
 import json
 import math
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import attrs
 
@@ -44,7 +44,16 @@
 when the candidates are lost."""
 
 
-@attrs.define(eq=False)
+@attrs.frozen
+class HolderNews:
+    """What a node says of the lease."""
+
+    is_holder: bool
+    version: int
+    """Of the lease's row at that node's last renewal."""
+
+
+@attrs.define(eq=False, repr=False)
 class PlannerLease:
     """This node's side of the lease.
 
@@ -58,6 +67,9 @@
     node_names: Callable[[], set[str]]
     """Names of the known nodes, for the order of candidates."""
     is_leaving: Callable[[], bool]
+    ask: Callable[[str], Awaitable[HolderNews | None]] | None = None
+    """Asks a node for its renewals, which costs no call to the store; returns None
+    where it doesn't answer."""
     epoch_base: int = 0
     """The row's version at this node's last renewal; epochs that are derived from it
     are higher than those of every earlier holder."""
@@ -65,6 +77,15 @@
     _seen_s: float = -math.inf
     _valid_until_s: float = -math.inf
     _was_holder: bool = False
+    _holder: str = ""
+    """The node that had the lease at the last look."""
+    is_first_holder: bool = False
+    """Whether nobody had ever had the lease when this node took it."""
+
+    @property
+    def version(self) -> int:
+        """The row's version as this node knows it."""
+        return self._version
 
     def is_held(self) -> bool:
         """Return whether this node may plan now."""
@@ -78,7 +99,8 @@
                 await self.timer.sleep(RENEW_S)
             else:
                 self._note_loss()
-                await self._look()
+                if not await self._holder_renews():
+                    await self._look()
                 await self.timer.sleep(self.timer.jittered(self._look_interval_s()))
 
     def _look_interval_s(self) -> float:
@@ -93,6 +115,23 @@
             metrics.PLANNER_LEADER.set(0)
             log_event("planner_lost", version=self._version)
 
+    async def _holder_renews(self) -> bool:
+        """Return whether the holder says that it goes on renewing.
+
+        Its word only postpones the next look at the store: who takes over replaces
+        the version that it knows, and fails if there is a newer one.
+        """
+        if self.ask is None or self._holder in ("", self.node_name):
+            return False
+        news = await self.ask(self._holder)
+        if news is None or not news.is_holder:
+            return False
+        now_s = self.timer.now_s()
+        if news.version > self._version:
+            self._version = news.version
+            self._seen_s = now_s
+        return now_s - self._seen_s < LEASE_S
+
     async def _look(self) -> None:
         page = await self.store.read(LEASE_TABLE, limit=1, timeout_s=CALL_TIMEOUT_S)
         if page.is_err() or self.is_leaving():
@@ -105,6 +144,7 @@
             self._seen_s = now_s
         expired = now_s - self._seen_s >= LEASE_S
         holder = _holder(row)
+        self._holder = holder or ""
         # An earlier start of this very node can't plan any more.
         if version == 0 or expired or holder in ("", self.node_name):
             await self._write("taken")
@@ -114,6 +154,7 @@
 
     async def _write(self, what: str) -> None:
         sent_s = self.timer.now_s()
+        replaced = self._version
         value = json.dumps({"holder": self.node_name}).encode()
         written = await self.store.write(
             {LEASE_ROW: self._version}, {LEASE_ROW: value}, timeout_s=CALL_TIMEOUT_S
@@ -132,10 +173,12 @@
         self._valid_until_s = sent_s + LEASE_S - MARGIN_S
         if not self._was_holder:
             self._was_holder = True
+            self.is_first_holder = replaced == 0
             metrics.PLANNER_LEADER.set(1)
             log_event("planner_became", version=result.version, how=what)
 
     def _lost_race(self, conflicts: tuple[Row, ...]) -> None:
+        self._holder = ""
         self._valid_until_s = -math.inf
         self._version = next((row.version for row in conflicts), 0)
         self._seen_s = self.timer.now_s()
--- a/packages/placement/src/fordhatch/placement/_staging.py
+++ b/packages/placement/src/fordhatch/placement/_staging.py
@@ -34,7 +34,7 @@
     value: float
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Staging:
     """Loads of weights onto hosts that are under way."""
 
--- a/packages/placement/tests/test_planner.py
+++ b/packages/placement/tests/test_planner.py
@@ -3,13 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 import pytest
-from planning_site import Site, play, standard_site
-
-from fordhatch.adapter import GroupOrder, OrderKind
+from planning_site import Site, engine_configuration, play, standard_site
+
+from fordhatch.adapter import (
+    CONFIGURATION_KEY,
+    OPERATOR_TABLE,
+    GroupOrder,
+    OrderKind,
+)
 from fordhatch.registry import SHARED_TABLE, Suspicion, suspicion_key
-from fordhatch_standins.wire import EngineModel
+from fordhatch_standins import EngineModel
 
 KINDS = [
     "kill",
@@ -316,6 +322,24 @@
     play(scenario)
 
 
+def test_groups_of_a_model_that_is_no_longer_declared_give_way_one_by_one() -> None:
+    async def scenario(site: Site) -> None:
+        await standard_site(site, domains=2, nodes=1)
+        data = json.loads(engine_configuration())
+        site.fleet.models = {**site.fleet.models, "newer": site.fleet.models["big"]}
+        models = data["services"][0]["engine"]["models"]
+        models[0]["name"] = "newer"
+        data["version"] = 2
+        site.store.put(OPERATOR_TABLE, CONFIGURATION_KEY, json.dumps(data).encode())
+        while site.fleet.working_groups().get("newer", 0) < 2:
+            working = site.fleet.working_groups()
+            assert working.get("big", 0) + working.get("newer", 0) >= 1, working
+            await site.watch(0.2)
+        await site.until(lambda: "big" not in site.fleet.working_groups(), 120)
+
+    play(scenario)
+
+
 def test_without_the_store_nothing_is_ordered() -> None:
     async def scenario(site: Site) -> None:
         await standard_site(site, domains=1)
--- a/packages/protocol/src/fordhatch/protocol/_codec.py
+++ b/packages/protocol/src/fordhatch/protocol/_codec.py
@@ -4,12 +4,11 @@
 
 import hashlib
 import hmac
+import zlib
 from typing import Any
 
 import attrs
-import cattrs
 import msgpack
-from cattrs import UnstructureStrategy
 
 from ._messages import MESSAGE_BY_TAG, TAG_BY_MESSAGE
 
@@ -19,29 +18,22 @@
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 """Longest frame that a node accepts."""
 
-MAX_DATAGRAM_BYTES = 1400
-"""Longest datagram; below the usual path limit."""
 
-_converter = cattrs.Converter(unstruct_strat=UnstructureStrategy.AS_TUPLE)
+COMPRESSED = b"\xc1"
+"""First byte of a compressed body; no msgpack value begins with it."""
 
+COMPRESS_FROM_BYTES = 2048
+"""Shorter bodies are sent as they are: a table of backend servers shrinks to a tenth,
+which counts on links of 10 Mbit/s, a single change hardly does."""
 
-class FrameError(Exception):
-    """A frame was malformed, too long or not authenticated."""
-
-
-def _require(kind: type) -> None:
-    def structure(value: object, _: object) -> object:
-        if kind is float and type(value) is int:
-            return float(value)
-        if type(value) is not kind:
-            raise FrameError(f"expected {kind.__name__}")
-        return value
+COMPRESS_LEVEL = 1
+"""The quickest; higher levels save a few bytes in a hundred."""
 
-    _converter.register_structure_hook(kind, structure)
+_UNPACK_ERRORS = (zlib.error, msgpack.UnpackException, msgpack.exceptions.ExtraData)
 
 
-for _kind in (int, float, str, bool, bytes):
-    _require(_kind)
+class FrameError(Exception):
+    """A frame was malformed, too long or not authenticated."""
 
 
 def derive_key(shared_key: bytes, *parts: bytes) -> bytes:
@@ -62,8 +54,11 @@
     Returns:
         msgpack bytes of ``[channel, tag, fields]``.
     """
-    fields = _converter.unstructure(message)
-    return msgpack.packb([channel, TAG_BY_MESSAGE[type(message)], fields])
+    fields = attrs.astuple(message)  # type: ignore[arg-type]
+    body = msgpack.packb([channel, TAG_BY_MESSAGE[type(message)], fields])
+    if len(body) < COMPRESS_FROM_BYTES:
+        return body
+    return COMPRESSED + zlib.compress(body, COMPRESS_LEVEL)
 
 
 def decode(body: bytes) -> tuple[int, Any]:
@@ -73,17 +68,23 @@
         FrameError: If the body is not a well-formed message.
     """
     try:
+        if body[:1] == COMPRESSED:
+            body = _decompressed(body[1:])
         channel, tag, fields = msgpack.unpackb(body)
-        cls = MESSAGE_BY_TAG[tag]
-        if len(fields) > len(attrs.fields(cls)):
-            raise FrameError("too many fields")
-        return int(channel), _converter.structure(fields, cls)
-    except FrameError:
-        raise
-    except Exception as error:
+        return int(channel), MESSAGE_BY_TAG[tag](*fields)
+    except (*_UNPACK_ERRORS, KeyError, TypeError, ValueError) as error:
         raise FrameError(repr(error)) from error
 
 
+def _decompressed(data: bytes) -> bytes:
+    """Return a compressed body, within the limit of a frame."""
+    unpacker = zlib.decompressobj()
+    body = unpacker.decompress(data, MAX_FRAME_BYTES)
+    if unpacker.unconsumed_tail or not unpacker.eof:
+        raise FrameError("compressed frame too long or cut off")
+    return body
+
+
 def seal(key: bytes, sequence: int, body: bytes) -> bytes:
     """Return the authentication code of a frame at its place in the stream."""
     mac = hashlib.blake2b(key=key, digest_size=MAC_BYTES)
@@ -100,21 +101,3 @@
     """
     if not hmac.compare_digest(seal(key, sequence, body), mac):
         raise FrameError("authentication failed")
-
-
-def encode_datagram(key: bytes, message: object) -> bytes:
-    """Return a sealed datagram."""
-    body = encode(0, message)
-    return seal(key, 0, body) + body
-
-
-def decode_datagram(key: bytes, data: bytes) -> Any:
-    """Return the message of a sealed datagram.
-
-    Raises:
-        FrameError: If it is malformed or not authenticated.
-    """
-    if not MAC_BYTES < len(data) <= MAX_DATAGRAM_BYTES * 4:
-        raise FrameError("datagram length")
-    verify(key, 0, data[MAC_BYTES:], data[:MAC_BYTES])
-    return decode(data[MAC_BYTES:])[1]
--- a/packages/protocol/src/fordhatch/protocol/_link.py
+++ b/packages/protocol/src/fordhatch/protocol/_link.py
@@ -75,7 +75,7 @@
     return Ok(message)
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Channel:
     """One request with its answers inside a link."""
 
@@ -86,9 +86,9 @@
     """Set when the other side closed the channel or the link broke."""
 
     @property
-    def peer_id(self) -> str:
+    def peer_name(self) -> str:
         """The node at the other end."""
-        return self.link.peer_id
+        return self.link.peer_name
 
     async def send(self, message: object) -> Result[None, Failure]:
         """Send a message to the other side, if it still listens."""
@@ -120,17 +120,17 @@
         self._inbox.put_nowait(message)
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Link:
     """An authenticated connection; one task reads it."""
 
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
-    node_id: str
+    node_name: str
     shared_key: bytes
     handler: Handler | None
     is_client: bool
-    peer_id: str = ""
+    peer_name: str = ""
     last_used_s: float = 0.0
     alive: bool = False
     _send_key: bytes = b""
@@ -153,14 +153,14 @@
             FrameError: If the other side is a stranger or speaks another version.
         """
         nonce = secrets.token_bytes(16)
-        hello = Hello(PROTOCOL_VERSION, self.node_id, nonce)
+        hello = Hello(PROTOCOL_VERSION, self.node_name, nonce)
         self._write_raw(encode(0, hello))
         theirs = await self._read_plain(Hello)
         if theirs.version != PROTOCOL_VERSION:
             raise FrameError(f"protocol version {theirs.version}")
-        self.peer_id = theirs.node_id
+        self.peer_name = theirs.node_name
         ours_first = [nonce, theirs.nonce] if self.is_client else [theirs.nonce, nonce]
-        names = [self.node_id.encode(), theirs.node_id.encode()]
+        names = [self.node_name.encode(), theirs.node_name.encode()]
         if not self.is_client:
             names.reverse()
         session = derive_key(self.shared_key, b"session", *ours_first, *names)
@@ -240,7 +240,7 @@
                 self._dispatch(*decode(body))
         except FrameError as error:
             metrics.FRAMES_REFUSED.labels("stream").inc()
-            log_event("frame_refused", peer=self.peer_id, reason=str(error))
+            log_event("frame_refused", peer=self.peer_name, reason=str(error))
         except (OSError, EOFError):
             pass
         finally:
--- a/packages/protocol/src/fordhatch/protocol/_messages.py
+++ b/packages/protocol/src/fordhatch/protocol/_messages.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 """Raised when a message changes in a way that older nodes cannot read."""
 
 MESSAGE_BY_TAG: dict[int, type] = {}
@@ -19,6 +19,10 @@
 C = TypeVar("C", bound=type)
 
 
+class FieldError(TypeError):
+    """A field of a message has another type than it must have."""
+
+
 def message(tag: int) -> Callable[[C], C]:
     """Register a message class under its number."""
 
@@ -31,252 +35,80 @@
     return register
 
 
-@message(1)
-@attrs.frozen
-class Hello:
-    """First frame of each side: who speaks, which version, and a nonce."""
-
-    version: int
-    node_id: str
-    nonce: bytes
-
-
-@message(2)
-@attrs.frozen
-class Proof:
-    """Proves knowledge of the shared key for both nonces."""
-
-    mac: bytes
-
-
-@message(3)
-@attrs.frozen
-class Close:
-    """Ends a channel; on a request in progress it cancels the work."""
-
-
-@message(4)
-@attrs.frozen
-class Refused:
-    """A request failed; mirrors ``fordhatch.core.Failure``."""
-
-    code: int
-    text: str
-    ran: str
-    retry_after_s: float | None = None
-
-
-@message(5)
-@attrs.frozen
-class Accepted:
-    """A request without an answer of its own was taken."""
-
-
-@message(10)
-@attrs.frozen
-class NodeRecord:
-    """What a node says of itself; a higher incarnation replaces a lower one."""
-
-    node_id: str
-    address: str
-    region: str
-    zone: str
-    incarnation: int
-    state: str
-    """``alive``, ``suspect``, ``leaving`` or ``dead``."""
-    started: int = 0
-    """Changes with every start of the node's process."""
-
-
-@message(11)
-@attrs.frozen
-class VersionDigest:
-    """The newest versions a node holds; whoever is behind pulls."""
-
-    config_revision: int = 0
-    group_generations: dict[str, int] = attrs.field(factory=dict)
-    """Generation of the group rows by region."""
-    planners: dict[str, tuple[int, str]] = attrs.field(factory=dict)
-    """Fencing token and node of the planner by region."""
-
-
-@message(12)
-@attrs.frozen
-class Ping:
-    """Failure detection probe, with membership news and versions."""
-
-    sequence: int
-    sender: NodeRecord
-    digest: VersionDigest
-    news: list[NodeRecord]
-
-
-@message(13)
-@attrs.frozen
-class Ack:
-    """Answer to a ping."""
-
-    sequence: int
-    sender: NodeRecord
-    digest: VersionDigest
-    news: list[NodeRecord]
-
-
-@message(14)
-@attrs.frozen
-class PingRequest:
-    """Asks a third node to ping ``target`` and pass its answer back."""
-
-    sequence: int
-    sender: NodeRecord
-    target: str
-
-
-@message(20)
-@attrs.frozen
-class PullConfig:
-    """Asks for the configuration in force if newer than ``after_revision``."""
+def _exactly(*kinds: type) -> Any:
+    """Return a field that takes values of these very types."""
 
-    after_revision: int
+    def check(_: object, attribute: attrs.Attribute, value: object) -> None:
+        if type(value) not in kinds:
+            found = type(value).__name__
+            raise FieldError(f"{attribute.name}: unexpected {found}")
 
+    return attrs.field(validator=check)
 
-@message(21)
-@attrs.frozen
-class ConfigReply:
-    """The configuration in force; empty content when there is nothing newer."""
-
-    revision: int
-    digest: str
-    content: bytes
-
-
-@message(22)
-@attrs.frozen
-class PullGroups:
-    """Asks for the group rows of a region if newer than ``after_generation``."""
-
-    region: str
-    after_generation: int
-
-
-@message(23)
-@attrs.frozen
-class GroupsReply:
-    """Group rows changed after the generation that was named."""
-
-    region: str
-    generation: int
-    rows: list[dict[str, Any]]
-    present: list[str]
-    """Every group that is not dissolved: what is not named here is gone."""
 
+def _number(value: object) -> object:
+    return float(value) if type(value) is int else value
 
-@message(24)
-@attrs.frozen
-class GroupReport:
-    """A watcher tells the planner what it sees of one group."""
 
-    group_id: str
-    epoch: int
-    watcher: str
-    permitted: bool
-    """Whether the watcher holds a permit for the group."""
-    unfit_members: dict[str, str]
-    """Probe state of every member that is not ready, by instance."""
-    in_flight: int = 0
-    """Requests that the watcher has running on the group."""
+def _seconds(**options: Any) -> Any:
+    """Return a field for a duration; whole numbers are taken as well."""
 
+    def check(_: object, attribute: attrs.Attribute, value: object) -> None:
+        if type(value) is not float and (value is not None or not options):
+            raise FieldError(f"{attribute.name}: expected a number")
 
-@message(30)
-@attrs.frozen
-class Dispatch:
-    """A caller's request, forwarded to a home node of the chosen group."""
-
-    request_id: str
-    group_id: str
-    epoch: int
-    workspace: str
-    weight: float
-    """Share of the workspace in fair queueing."""
-    priority: int
-    method: str
-    path: str
-    headers: dict[str, str]
-    body: bytes
-    streamed: bool
-    """Whether a token stream is wanted from a model engine."""
-    timeout_s: float
-    """Time left until the caller's deadline."""
-    resume_from: int
-    """Number of tokens that were already delivered."""
-    delivered: str
-    """Text of those tokens."""
-    repeatable: bool
-    idempotency_key: str
-    request_digest: str
-    adapter: str = ""
-
-
-@message(31)
-@attrs.frozen
-class Piece:
-    """One token of an answer."""
+    return attrs.field(converter=_number, validator=check, **options)
 
-    index: int
-    text: str
 
+def _versions(_: object, attribute: attrs.Attribute, value: object) -> None:
+    if type(value) is not dict:
+        raise FieldError(f"{attribute.name}: expected a map")
+    for key, number in value.items():
+        if (type(key), type(number)) != (str, int):
+            raise FieldError(f"{attribute.name}: unexpected entry")
 
-@message(32)
-@attrs.frozen
-class Finished:
-    """The finish mark of a streamed answer, with its total length in tokens."""
 
-    reason: str
-    tokens: int
-    cached_tokens: int
+def _rows(_: object, attribute: attrs.Attribute, value: object) -> None:
+    if not isinstance(value, list):
+        raise FieldError(f"{attribute.name}: expected a list")
+    for row in value:
+        if tuple(map(type, row)) != (str, int, bytes, bool):
+            raise FieldError(f"{attribute.name}: unexpected row")
 
 
-@message(33)
+@message(1)
 @attrs.frozen
-class Answer:
-    """A whole answer of a plain service, or a stored one."""
+class Hello:
+    """First frame of each side: who speaks, which version, and a nonce."""
 
-    status: int
-    headers: dict[str, str]
-    body: bytes
-    replayed: bool = False
+    version: int = _exactly(int)
+    node_name: str = _exactly(str)
+    nonce: bytes = _exactly(bytes)
 
 
-@message(34)
+@message(2)
 @attrs.frozen
-class LoadHint:
-    """Work at a group as its home node knows it."""
+class Proof:
+    """Proves knowledge of the shared key for both nonces."""
 
-    group_id: str
-    in_flight: int
-    queued: int
-    capacity: int
-    mean_service_s: float
-    """Mean time that a request runs on the group; 0 when unknown."""
+    mac: bytes = _exactly(bytes)
 
 
-@message(40)
+@message(3)
 @attrs.frozen
-class CommitClaims:
-    """Asks a claim owner to write claim rows in its next batch."""
-
-    rows: list[dict[str, Any]]
-    """Each with ``key``, ``attempt_id`` and ``value``, as in a claim write."""
+class Close:
+    """Ends a channel; on a request in progress it cancels the work."""
 
 
-@message(41)
+@message(4)
 @attrs.frozen
-class ClaimsCommitted:
-    """Outcome for each claim row, in order: ``written``, ``conflict``, ``unknown``."""
+class Refused:
+    """A request failed; mirrors ``fordhatch.core.Failure``."""
 
-    outcomes: list[str]
-    rows: list[dict[str, Any] | None]
-    """The row in the way, for conflicts."""
+    code: int = _exactly(int)
+    text: str = _exactly(str)
+    ran: str = _exactly(str)
+    retry_after_s: float | None = _seconds(default=None)
 
 
 @message(50)
@@ -290,23 +122,27 @@
 class StatusReply:
     """What a node has in force."""
 
-    node_id: str
-    config_revision: int
-    planner_region: str
-    permits: list[str]
-    ready: bool
+    node_name: str = _exactly(str)
+    start_id: str = _exactly(str)
+    """Names this start of the node."""
+    configuration_version: int = _exactly(int)
+    is_ready: bool = _exactly(bool)
+    is_planner: bool = _exactly(bool)
+    lease_version: int = _exactly(int)
+    """Of the planner's lease, as the node knows it."""
 
 
-@message(60)
+@message(62)
 @attrs.frozen
-class WatchTable:
-    """Asks a node for changes of a table of the store that it follows."""
+class WatchTables:
+    """Asks a node for changes of tables of the store that it follows."""
 
-    table: str
-    after_version: int
-    """Changes after this version; -1 asks for the whole table."""
-    wait_s: float
+    after_versions: dict[str, int] = attrs.field(validator=_versions)
+    """By table: changes after this version; -1 asks for the whole table."""
+    wait_s: float = _seconds()
     """How long the answer may wait for a change."""
+    as_first: bool = _exactly(bool)
+    """Whether the node is asked as the one that reads for the whole system."""
 
 
 @message(61)
@@ -314,16 +150,33 @@
 class TableChanges:
     """Rows of a table that changed, or all of them."""
 
-    version: int
+    table: str = _exactly(str)
+    version: int = _exactly(int)
     """Up to this version nothing else changed."""
-    age_s: float
+    age_s: float = _seconds()
     """How long ago, at the sending of this, the store was asked that confirmed it."""
-    is_whole: bool
+    is_whole: bool = _exactly(bool)
     """Whether these are all rows and not only those that changed."""
-    rows: list[tuple[str, int, bytes, bool]]
+    rows: list[list[str | int | bytes | bool]] = attrs.field(validator=_rows)
     """Key, version, value, and whether the row was removed."""
 
 
-for _cls in MESSAGE_BY_TAG.values():
-    # The codec needs the classes themselves, not their names in annotations.
-    attrs.resolve_types(_cls)
+def _to_changes(values: object) -> object:
+    """Return the changes of each table, whose fields come as lists."""
+    if not isinstance(values, list):
+        return values
+    return [v if isinstance(v, TableChanges) else TableChanges(*v) for v in values]
+
+
+@message(63)
+@attrs.frozen
+class TablesChanged:
+    """What has changed in each of the tables that were asked for."""
+
+    tables: list[TableChanges] = attrs.field(
+        converter=_to_changes,
+        validator=attrs.validators.deep_iterable(
+            attrs.validators.instance_of(TableChanges),
+            attrs.validators.instance_of(list),
+        ),
+    )
--- a/packages/protocol/src/fordhatch/protocol/_pool.py
+++ b/packages/protocol/src/fordhatch/protocol/_pool.py
@@ -17,11 +17,11 @@
 """A connection unused for this long is closed."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class PeerPool:
     """Listens for other nodes and keeps one connection to each that is in use."""
 
-    node_id: str
+    node_name: str
     shared_key: bytes
     timer: Timer
     handler: Handler | None = None
@@ -51,7 +51,9 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        link = Link(reader, writer, self.node_id, self.shared_key, self.handler, False)
+        link = Link(
+            reader, writer, self.node_name, self.shared_key, self.handler, False
+        )
         try:
             await asyncio.wait_for(link.handshake(), HANDSHAKE_TIMEOUT_S)
         except (FrameError, OSError, EOFError, TimeoutError) as error:
@@ -119,7 +121,7 @@
         except (OSError, TimeoutError):
             return None
         # Requests flow one way on a connection: only the accepting side serves.
-        link = Link(reader, writer, self.node_id, self.shared_key, None, True)
+        link = Link(reader, writer, self.node_name, self.shared_key, None, True)
         try:
             await asyncio.wait_for(link.handshake(), HANDSHAKE_TIMEOUT_S)
         except (FrameError, OSError, EOFError, TimeoutError) as error:
--- a/packages/registry/src/fordhatch/registry/__init__.py
+++ b/packages/registry/src/fordhatch/registry/__init__.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 from ._backend_directory import BackendDirectory, ReplicaGroup
-from ._configuration_in_force import ConfigurationInForce
+from ._configuration_in_force import (
+    OPERATORS_ROW,
+    ConfigurationInForce,
+    ConfigurationRow,
+)
 from ._followers import BACKENDS_GATHER_S, StoreView
 from ._reader_choice import NodeAddress, ReaderChoice
-from ._relay import RelayServer, RelaySource
+from ._relay import RelayClient, RelayServer
 from ._shared_rows import (
     SECRET_KEY,
     SHARED_TABLE,
@@ -16,24 +20,28 @@
     node_value,
     suspicion_key,
 )
+from ._table_copy import TableCopy
 from ._table_follower import TableFollower
 from ._table_source import StoreSource, TableSource, TableUpdate
 
 __all__ = [
     "BACKENDS_GATHER_S",
+    "OPERATORS_ROW",
     "SECRET_KEY",
     "SHARED_TABLE",
     "BackendDirectory",
     "ConfigurationInForce",
+    "ConfigurationRow",
     "NodeAddress",
     "ReaderChoice",
+    "RelayClient",
     "RelayServer",
-    "RelaySource",
     "ReplicaGroup",
     "SharedRows",
     "StoreSource",
     "StoreView",
     "Suspicion",
+    "TableCopy",
     "TableFollower",
     "TableSource",
     "TableUpdate",
--- a/packages/registry/src/fordhatch/registry/_backend_directory.py
+++ b/packages/registry/src/fordhatch/registry/_backend_directory.py
@@ -45,7 +45,7 @@
         return self.members.get(0)
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class BackendDirectory:
     """Every backend server that is registered now."""
 
@@ -62,15 +62,12 @@
         """Call back after every change."""
         self._subscribers.append(call)
 
-    def observe_snapshot(self, rows: Sequence[Row], *, after_outage: bool) -> None:
-        """Take every row of the table.
+    def outage_ended(self) -> None:
+        """Note that the store was away: missing entries get a grace from now on."""
+        self._outage_ended_s = self.timer.now_s()
 
-        Args:
-            rows: All rows.
-            after_outage: The store was away; missing entries get a grace.
-        """
-        if after_outage:
-            self._outage_ended_s = self.timer.now_s()
+    def observe_snapshot(self, rows: Sequence[Row]) -> None:
+        """Take every row of the table."""
         present = {row.row_key.key for row in rows}
         for backend_id in set(self.backends) - present:
             if self._is_after_outage():
@@ -149,6 +146,14 @@
             if model_of_group(backend.membership.group) == model:
                 yield backend
 
+    def served_models(self, service: str) -> set[str]:
+        """Return the models that some group of a service serves now."""
+        return {
+            model_of_group(b.membership.group)
+            for b in self.of_service(service)
+            if b.is_open_head and b.state is BackendState.READY
+        }
+
     def groups(self, service: str) -> dict[tuple[str, int], ReplicaGroup]:
         """Return the groups of a service, by name and epoch."""
         found: dict[tuple[str, int], ReplicaGroup] = {}
--- a/packages/registry/src/fordhatch/registry/_configuration_in_force.py
+++ b/packages/registry/src/fordhatch/registry/_configuration_in_force.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable, Sequence
 
 import attrs
 
 from fordhatch.adapter import (
     CONFIGURATION_KEY,
+    OPERATOR_TABLE,
     DecodeError,
     Row,
     decode_configuration,
@@ -16,12 +18,30 @@
 from fordhatch.core import log_event
 
 
-@attrs.define(eq=False)
+@attrs.frozen
+class ConfigurationRow:
+    """The row that holds the newest configuration, and how it is read."""
+
+    table: str
+    key: str
+    decode: Callable[[bytes], Configuration]
+    """Raises ``DecodeError`` with every mistake."""
+
+
+OPERATORS_ROW = ConfigurationRow(
+    OPERATOR_TABLE, CONFIGURATION_KEY, decode_configuration
+)
+"""Where the platform's operators write their configuration."""
+
+
+@attrs.define(eq=False, repr=False)
 class ConfigurationInForce:
     """Holds one configuration; its version never falls in the life of a process."""
 
+    source: ConfigurationRow = OPERATORS_ROW
     current: Configuration | None = None
     _subscribers: list[Callable[[Configuration], None]] = attrs.field(factory=list)
+    _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     @property
     def version(self) -> int:
@@ -33,14 +53,14 @@
         self._subscribers.append(call)
 
     def observe(self, rows: Sequence[Row]) -> None:
-        """Take the configuration from rows of the operators' table."""
+        """Take the configuration from rows of its table."""
         for row in rows:
-            if row.row_key.key == CONFIGURATION_KEY and not row.is_removed:
+            if row.row_key.key == self.source.key and not row.is_removed:
                 self._take(row)
 
     def _take(self, row: Row) -> None:
         try:
-            found = decode_configuration(row.value)
+            found = self.source.decode(row.value)
         except DecodeError as error:
             # An unreadable configuration must not end what is served now.
             log_event("configuration_unreadable", row=row.version, error=str(error))
@@ -56,5 +76,17 @@
             services=len(found.services),
         )
         self.current = found
+        self._changed.set()
+        self._changed = asyncio.Event()
         for call in self._subscribers:
             call(found)
+
+    async def wait_for(self, version: int, timeout_s: float) -> bool:
+        """Wait until at least a version is in force; returns whether it is."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                while self.version < version:
+                    await self._changed.wait()
+        except TimeoutError:
+            return False
+        return True
--- a/packages/registry/src/fordhatch/registry/_followers.py
+++ b/packages/registry/src/fordhatch/registry/_followers.py
@@ -2,16 +2,24 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 import attrs
 
-from fordhatch.adapter import BACKENDS_TABLE, OPERATOR_TABLE
+from fordhatch.adapter import BACKENDS_TABLE
 from fordhatch.core import TaskSet, Timer
 
 from ._backend_directory import BackendDirectory
-from ._configuration_in_force import ConfigurationInForce
+from ._configuration_in_force import (
+    OPERATORS_ROW,
+    ConfigurationInForce,
+    ConfigurationRow,
+)
+from ._relay import RelayClient
 from ._shared_rows import SHARED_TABLE, SharedRows
 from ._table_follower import TableFollower
 from ._table_source import TableSource, TableUpdate
+from ._tables_follower import TablesFollower
 
 CONFIGURATION_WAIT_S = 0.3
 """The longest wait for a change of the configuration: what is known is confirmed
@@ -21,8 +29,9 @@
 BACKENDS_WAIT_S = 0.3
 """The longest wait for a change of a backend server."""
 
-SHARED_WAIT_S = 0.3
-"""The longest wait for a change of the system's own rows."""
+SHARED_WAIT_S = 1.0
+"""The longest wait for a change of the system's own rows; nothing is decided by how
+old they are, and changes come at once."""
 
 BACKENDS_GATHER_S = 0.05
 """Pause in which changes of backend servers gather; every call to the store has its
@@ -32,7 +41,7 @@
 """How often lapsed entries are looked through."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class StoreView:
     """The configuration, the backend servers and the system's own rows."""
 
@@ -43,19 +52,37 @@
     operators: TableFollower
     backends: TableFollower
     own: TableFollower
+    tables: TablesFollower
     _tasks: TaskSet = attrs.field(factory=TaskSet)
 
     @classmethod
-    def from_source(cls, source: TableSource, timer: Timer) -> StoreView:
-        """Build a view that has not been started."""
-        configuration = ConfigurationInForce()
+    def create(
+        cls,
+        source: TableSource,
+        timer: Timer,
+        *,
+        shared: SharedRows | None = None,
+        configuration_row: ConfigurationRow = OPERATORS_ROW,
+        relay: RelayClient | None = None,
+    ) -> StoreView:
+        """Build a view that has not been started.
+
+        Args:
+            source: The store.
+            timer: The node's timer.
+            shared: Filled with the system's own rows.
+            configuration_row: Where the configuration lies.
+            relay: Asks other nodes; without it the store alone is asked.
+        """
+        shared = shared if shared is not None else SharedRows(timer)
+        configuration = ConfigurationInForce(configuration_row)
         directory = BackendDirectory(timer)
-        shared = SharedRows()
 
         def take_backends(update: TableUpdate) -> None:
+            if backends.is_after_outage():
+                directory.outage_ended()
             if update.is_whole:
-                after_outage = backends.is_after_outage()
-                directory.observe_snapshot(update.rows, after_outage=after_outage)
+                directory.observe_snapshot(update.rows)
             else:
                 directory.observe_changes(update.rows)
 
@@ -66,7 +93,7 @@
                 shared.observe_changes(update.rows)
 
         operators = TableFollower(
-            OPERATOR_TABLE,
+            configuration_row.table,
             source,
             timer,
             lambda update: configuration.observe(update.rows),
@@ -80,19 +107,30 @@
             BACKENDS_WAIT_S,
             BACKENDS_GATHER_S,
         )
-        own = TableFollower(SHARED_TABLE, source, timer, take_shared, SHARED_WAIT_S)
-        return cls(timer, configuration, directory, shared, operators, backends, own)
+        own = TableFollower(
+            SHARED_TABLE,
+            source,
+            timer,
+            take_shared,
+            SHARED_WAIT_S,
+            BACKENDS_GATHER_S,
+            must_be_fresh=False,
+        )
+        followers = {f.table: f for f in (operators, backends, own)}
+        tables = TablesFollower(followers, timer, relay)
+        return cls(
+            timer, configuration, directory, shared, operators, backends, own, tables
+        )
 
     @property
-    def followers(self) -> dict[str, TableFollower]:
+    def followers(self) -> Mapping[str, TableFollower]:
         """The followers by table."""
-        return {f.table: f for f in (self.operators, self.backends, self.own)}
+        return self.tables.followers
 
     def start(self) -> None:
         """Begin to follow every table."""
-        for follower in self.followers.values():
-            name = f"follow-{follower.table}"
-            self._tasks.spawn(self.timer.keep(follower.run, name=name), name)
+        keep = self.timer.keep
+        self._tasks.spawn(keep(self.tables.run, name="tables"), "tables")
         self._tasks.spawn(
             self.timer.every(EXPIRE_INTERVAL_S, self._expire, name="expire"), "expire"
         )
