--- a/packages/registry/src/fordhatch/registry/_reader_choice.py
+++ b/packages/registry/src/fordhatch/registry/_reader_choice.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+import math
+from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 import xxhash
@@ -12,11 +13,25 @@
 AVOID_FIRST_S = 2.0
 """How long a node that failed is not asked."""
 
+AVOID_BEHIND_S = 0.5
+"""How long a node is not asked whose knowledge was too old: it may have found a better
+source by then."""
+
 AVOID_MOST_S = 60.0
 """Longest such time, for nodes that fail again and again: their rows in the store
 outlive them."""
 
 
+DUTY_S = 2.0
+"""How long a node goes on reading for others after it was last asked to; they ask
+several times a second."""
+
+
+SETTLED_S = 5.0
+"""A node that has just started is not asked before others: it has no history of the
+tables, so that whoever changes to it needs them whole."""
+
+
 @attrs.frozen
 class NodeAddress:
     """A node that may be asked."""
@@ -25,6 +40,10 @@
     address: str
     """``host:port`` for traffic between nodes."""
     zone: str
+    weight: float = 1.0
+    """How much it can carry, beside others: processor and link, whichever is less."""
+    seen_s: float = -math.inf
+    """When its row was first seen as it is, in monotonic seconds."""
 
 
 @attrs.define
@@ -33,13 +52,13 @@
     failures: int
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ReaderChoice:
     """Rendezvous hashing over the nodes that are not known to have failed.
 
     One node reads for the whole system, one in each availability zone reads from it
-    for the nodes of its zone. Whoever finds that all before it have failed reads for
-    itself, and the others find it in turn.
+    for the nodes of its zone. Whoever finds that one has failed asks the next, and
+    that one takes the duty on because it is asked: it may not have noticed itself.
     """
 
     own_name: str
@@ -48,41 +67,76 @@
     timer: Timer
     _avoided: dict[str, _Avoided] = attrs.field(factory=dict)
     _last: str = ""
+    _reads_store_until_s: float = -math.inf
+    _reads_for_zone_until_s: float = -math.inf
 
     def choose(self) -> NodeAddress | None:
         """Return the node to ask, or None where this node asks the store itself."""
         nodes = self.nodes()
         if self.own_name not in nodes:
             return None
-        whole = self._first(nodes.values(), "")
-        near = [n for n in nodes.values() if n.zone == self.own_zone]
-        zone = self._first(near, self.own_zone)
-        found = whole if zone == self.own_name else zone
-        if self.own_name in (whole, found):
+        found = self._find(nodes)
+        if found == self.own_name:
             found = ""
         self._note(found)
         return nodes[found] if found else None
 
-    def _first(self, nodes: object, salt: str) -> str:
+    def _find(self, nodes: Mapping[str, NodeAddress]) -> str:
+        """Return the name of the node to ask; the own one stands for the store."""
+        now_s = self.timer.now_s()
+        whole = self._first(nodes.values(), "")
+        if self.own_name == whole or now_s < self._reads_store_until_s:
+            return self.own_name
+        if now_s < self._reads_for_zone_until_s:
+            return whole
+        near = [n for n in nodes.values() if n.zone == self.own_zone]
+        zone = self._first(near, self.own_zone)
+        return whole if zone == self.own_name else zone
+
+    def asked(self, *, as_first: bool) -> None:
+        """Take on the duty for which another node asks this one.
+
+        Args:
+            as_first: It is asked to read for the whole system, not for a zone.
+        """
+        until_s = self.timer.now_s() + DUTY_S
+        if as_first:
+            self._reads_store_until_s = until_s
+        else:
+            self._reads_for_zone_until_s = until_s
+
+    def _first(self, nodes: Iterable[NodeAddress], salt: str) -> str:
         """Return the node that comes first for a purpose, this one if all failed."""
         now_s = self.timer.now_s()
-        ranked = sorted(
-            (n.name for n in nodes),  # type: ignore[attr-defined]
-            key=lambda name: xxhash.xxh64_intdigest(f"{salt}/{name}".encode()),
-        )
-        for name in ranked:
-            avoided = self._avoided.get(name)
-            if name == self.own_name or avoided is None or avoided.until_s <= now_s:
-                return name
-        return self.own_name
+        usable = [n for n in nodes if self._is_usable(n.name, now_s)]
+        settled = [n for n in usable if now_s - n.seen_s >= SETTLED_S]
+        ranked = max(settled or usable, key=lambda n: _score(n, salt), default=None)
+        return ranked.name if ranked is not None else self.own_name
+
+    def _is_usable(self, name: str, now_s: float) -> bool:
+        avoided = self._avoided.get(name)
+        return name == self.own_name or avoided is None or avoided.until_s <= now_s
 
     def _note(self, found: str) -> None:
         if found != self._last:
             self._last = found
-            log_event("reader_chosen", node=found or "the store")
-
-    def failed(self, node: NodeAddress) -> None:
-        """Ask others for a while."""
+            log_event("reader_chosen", reader=found or "the store")
+
+    def is_first(self, node: NodeAddress) -> bool:
+        """Return whether a node reads for the whole system, as far as is known."""
+        return node.name == self._first(self.nodes().values(), "")
+
+    def failed(self, node: NodeAddress, *, is_only_behind: bool = False) -> None:
+        """Ask others for a while.
+
+        Args:
+            node: The node that was asked.
+            is_only_behind: It answered, but its knowledge was too old.
+        """
+        if is_only_behind:
+            until_s = self.timer.now_s() + self.timer.jittered(AVOID_BEHIND_S)
+            self._avoided[node.name] = _Avoided(until_s, 0)
+            return
         known = self._avoided.get(node.name)
         if known is not None and known.until_s > self.timer.now_s():
             # Another table has found the same.
@@ -95,3 +149,10 @@
     def answered(self, node: NodeAddress) -> None:
         """Forget that a node has failed."""
         self._avoided.pop(node.name, None)
+
+
+def _score(node: NodeAddress, salt: str) -> float:
+    """Return a node's score for a purpose, by weighted rendezvous hashing."""
+    digest = xxhash.xxh64_intdigest(f"{salt}/{node.name}".encode())
+    share = (digest + 1) / (2**64 + 1)
+    return -node.weight / math.log(share)
--- a/packages/registry/src/fordhatch/registry/_shared_rows.py
+++ b/packages/registry/src/fordhatch/registry/_shared_rows.py
@@ -8,7 +8,7 @@
 import attrs
 
 from fordhatch.adapter import Row
-from fordhatch.core import log_event
+from fordhatch.core import Timer, log_event
 
 from ._reader_choice import NodeAddress
 
@@ -27,14 +27,17 @@
     return f"{_NODE_PREFIX}{node_name}"
 
 
-def node_value(address: str, zone: str) -> bytes:
+def node_value(address: str, zone: str, weight: float, start_id: str) -> bytes:
     """Return the value of a node's row.
 
     Args:
         address: ``host:port`` for traffic between nodes.
         zone: The node's availability zone.
+        weight: How much it can carry, beside others.
+        start_id: Names this start of the node, so that each start is seen.
     """
-    return json.dumps({"address": address, "zone": zone}).encode()
+    fields = {"address": address, "zone": zone, "weight": weight, "start": start_id}
+    return json.dumps(fields).encode()
 
 
 def suspicion_key(group: str, epoch: int) -> str:
@@ -66,10 +69,11 @@
         return cls(str(data["group"]), int(data["epoch"]), str(data["node_name"]))
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class SharedRows:
     """The system's own rows as this node last saw them."""
 
+    timer: Timer
     nodes: dict[str, NodeAddress] = attrs.field(factory=dict)
     """Every node that has registered, also those that are gone since."""
     secret: bytes = b""
@@ -83,9 +87,14 @@
 
     def observe_snapshot(self, rows: Sequence[Row]) -> None:
         """Take every row of the table."""
+        before = dict(self.nodes)
         self.nodes.clear()
         self.suspicions.clear()
         self.observe_changes(rows)
+        for name, node in before.items():
+            found = self.nodes.get(name)
+            if found is not None and attrs.evolve(found, seen_s=node.seen_s) == node:
+                self.nodes[name] = node
 
     def observe_changes(self, rows: Sequence[Row]) -> None:
         """Take changed rows, in order."""
@@ -109,7 +118,13 @@
             return
         try:
             data = json.loads(row.value)
-            found = NodeAddress(name, str(data["address"]), str(data["zone"]))
+            found = NodeAddress(
+                name,
+                str(data["address"]),
+                str(data["zone"]),
+                float(data["weight"]),
+                self.timer.now_s(),
+            )
         except (ValueError, TypeError, KeyError) as error:
             log_event("shared_row_unreadable", key=row.row_key.key, error=repr(error))
             return
--- a/packages/registry/src/fordhatch/registry/_table_copy.py
+++ b/packages/registry/src/fordhatch/registry/_table_copy.py
@@ -16,7 +16,7 @@
 At the design size, 1,200 backend servers, this covers more than a minute."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class TableCopy:
     """Rows by key, and the changes in order."""
 
@@ -30,19 +30,41 @@
 
     def take(self, update: TableUpdate) -> None:
         """Take an update from a source."""
-        if update.is_whole:
+        if update.is_whole and self.version == NOTHING:
             self.rows = {row.row_key.key: row for row in update.rows}
-            self._history.clear()
             self._first_version = update.version
+            changes: list[Row] = []
+        elif update.is_whole:
+            changes = self._differences(update)
         else:
-            for row in update.rows:
-                self._take_change(row)
-        moved = update.is_whole or bool(update.rows)
+            changes = list(update.rows)
+        is_first = self.version == NOTHING
+        for row in changes:
+            self._take_change(row)
         self.version = max(self.version, update.version)
-        if moved:
+        if changes or is_first:
             self._changed.set()
             self._changed = asyncio.Event()
 
+    def _differences(self, update: TableUpdate) -> list[Row]:
+        """Return a whole table as changes, so that others need not read it whole."""
+        present = {row.row_key.key for row in update.rows}
+        gone = [
+            attrs.evolve(row, version=update.version, value=b"", is_removed=True)
+            for key, row in self.rows.items()
+            if key not in present
+        ]
+        changed = [
+            # A change that was missed has an earlier version than what others have;
+            # it counts from now on.
+            row
+            if row.version > self.version
+            else attrs.evolve(row, version=update.version)
+            for row in update.rows
+            if row != self.rows.get(row.row_key.key)
+        ]
+        return sorted([*changed, *gone], key=lambda row: row.version)
+
     def _take_change(self, row: Row) -> None:
         self._history.append(row)
         if len(self._history) > HISTORY_ROWS:
@@ -59,14 +81,10 @@
         rows = [row for row in self._history if row.version > version]
         return TableUpdate(rows, self.version, is_whole=False)
 
-    async def wait(self, version: int, wait_s: float) -> TableUpdate:
-        """Return what changed after a version, as soon as something has."""
-        try:
-            async with asyncio.timeout(wait_s):
-                while True:
-                    found = self.after(version)
-                    if found.rows or found.is_whole:
-                        return found
-                    await self._changed.wait()
-        except TimeoutError:
-            return self.after(version)
+    async def until_after(self, version: int) -> None:
+        """Wait until something has changed after a version."""
+        while True:
+            found = self.after(version)
+            if found.rows or found.is_whole:
+                return
+            await self._changed.wait()
--- a/packages/registry/src/fordhatch/registry/_table_follower.py
+++ b/packages/registry/src/fordhatch/registry/_table_follower.py
@@ -19,16 +19,16 @@
 """Longest pause between failed calls, so that the return of the store is seen well
 within the second or two that entries take to come back."""
 
-OUTAGE_AFTER_S = 0.5
-"""Calls that fail for this long mean that the store is away, and not a single
-answer lost."""
+OUTAGE_AFTER_S = 1.2
+"""If nothing was confirmed for this long, the store was away, and not a single
+answer lost: entries lapse after three heartbeats, which is longer."""
 
 OnUpdate = Callable[[TableUpdate], None]
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class TableFollower:
-    """Keeps up with a table by one full read and then by its changes."""
+    """What a node knows of one table, and how old that is."""
 
     table: str
     source: TableSource
@@ -39,6 +39,8 @@
     """How long the store may hold a watch without changes."""
     gather_s: float = 0.0
     """Pause between watches in which changes gather; saves calls."""
+    must_be_fresh: bool = True
+    """Whether anything is decided by the age of what is known."""
     copy: TableCopy = attrs.field(factory=TableCopy)
     confirmed_s: float = -math.inf
     """When the store was asked that last confirmed the copy: what is known is at
@@ -60,42 +62,53 @@
         """Return the age of what is known, in seconds."""
         return self.timer.now_s() - self.confirmed_s
 
-    async def run(self) -> None:
-        """Follow the table until cancelled."""
-        must_read = True
+    async def follow(self) -> None:
+        """Follow the table at the store until cancelled."""
         while True:
+            if not await self.refresh(self.wait_s):
+                await self.timer.sleep(self._pause_s())
+            elif self.gather_s:
+                await self.timer.sleep(self.gather_s)
+
+    async def refresh(self, wait_s: float = 0.0) -> bool:
+        """Ask the store once for what has changed; returns whether it answered.
+
+        Args:
+            wait_s: How long the store may wait for a change.
+        """
+        sent_s = self.timer.now_s()
+        after = self.copy.version
+        got = await self.source.update(self.table, after, wait_s)
+        if got.is_err() and got.err().code is ResultCode.STORE_HISTORY_GONE:
+            log_event("store_history_gone", table=self.table, after=after)
             sent_s = self.timer.now_s()
-            after = NOTHING if must_read else self.copy.version
-            got = await self.source.update(self.table, after, self.wait_s)
-            if got.is_ok():
-                self._take(got.unwrap(), sent_s)
-                must_read = False
-                if self.gather_s:
-                    await self.timer.sleep(self.gather_s)
-                continue
-            must_read = True
-            failure = got.unwrap_err()
-            if failure.code is ResultCode.STORE_HISTORY_GONE:
-                log_event("store_history_gone", table=self.table, after=after)
-                continue
-            # A full read after trouble also finds what a silent watch has missed.
-            self._failed(failure)
-            await self.timer.sleep(self._pause_s())
+            got = await self.source.update(self.table, NOTHING, 0.0)
+        if got.is_err():
+            self.failed(got.unwrap_err())
+            return False
+        self.take(got.unwrap(), sent_s)
+        return True
 
     def _pause_s(self) -> float:
         pause_s = RETRY_FIRST_S * 2 ** min(self._failures - 1, 8)
         return self.timer.jittered(min(pause_s, RETRY_MOST_S))
 
-    def _take(self, update: TableUpdate, sent_s: float) -> None:
+    def take(self, update: TableUpdate, sent_s: float) -> None:
+        """Take an update.
+
+        Args:
+            update: What the store or another node has answered.
+            sent_s: When it was asked, in monotonic seconds. Time passes between the
+                request and the moment that the age speaks of, so counting from the
+                request errs on the safe side, also after a freeze.
+        """
         if update.is_whole and update.version < self.copy.version:
             # A node that is behind: what is known here is newer.
             return
-        # Time passes between the request and the moment that the age speaks of, so
-        # counting from the request errs on the safe side, also after a freeze.
-        self.confirmed_s = max(self.confirmed_s, sent_s - update.age_s)
         if update.is_whole or update.rows:
             self.on_update(update)
         self.copy.take(update)
+        self.confirmed_s = max(self.confirmed_s, sent_s - update.age_s)
         self._succeeded()
 
     def _succeeded(self) -> None:
@@ -108,7 +121,8 @@
         self._failing_since_s = None
         self._failures = 0
 
-    def _failed(self, failure: Failure) -> None:
+    def failed(self, failure: Failure) -> None:
+        """Note that the store did not answer."""
         self._failures += 1
         if self._failing_since_s is None:
             self._failing_since_s = self.timer.now_s()
@@ -116,6 +130,4 @@
 
     def is_after_outage(self) -> bool:
         """Return whether the update that is being taken ends an outage."""
-        if self._failing_since_s is None:
-            return False
-        return self.timer.now_s() - self._failing_since_s >= OUTAGE_AFTER_S
+        return self.is_loaded and self.age_s() >= OUTAGE_AFTER_S
--- a/packages/registry/src/fordhatch/registry/_table_source.py
+++ b/packages/registry/src/fordhatch/registry/_table_source.py
@@ -52,7 +52,7 @@
         ...
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class StoreSource:
     """The store itself."""
 
--- a/packages/serving/src/fordhatch/serving/__init__.py
+++ b/packages/serving/src/fordhatch/serving/__init__.py
@@ -5,7 +5,8 @@
 from ._admission import Admission
 from ._backend_health import BackendHealth
 from ._caller_server import CallerServer
-from ._exchange import ExchangeClient
+from ._dispatch import Dispatch
+from ._exchange import BackendAnswer, ExchangeClient, SendFailure, SendProblem
 from ._group_progress import GroupProgress
 from ._head_choice import HeadChoice
 from ._http_server import HttpServer
@@ -13,14 +14,17 @@
 from ._plain_call import PlainCalls
 from ._repeat_budget import RepeatBudget
 from ._request import Reply, ServedRequest
+from ._request_path import RequestPath
 from ._route_table import RouteTable
 from ._stall_watch import StallWatch
 from ._stream_call import StreamCalls
 
 __all__ = [
     "Admission",
+    "BackendAnswer",
     "BackendHealth",
     "CallerServer",
+    "Dispatch",
     "ExchangeClient",
     "GroupProgress",
     "HeadChoice",
@@ -29,7 +33,10 @@
     "PlainCalls",
     "RepeatBudget",
     "Reply",
+    "RequestPath",
     "RouteTable",
+    "SendFailure",
+    "SendProblem",
     "ServedRequest",
     "StallWatch",
     "StreamCalls",
--- a/packages/serving/src/fordhatch/serving/_admission.py
+++ b/packages/serving/src/fordhatch/serving/_admission.py
@@ -5,11 +5,9 @@
 import random
 
 import attrs
-from multidict import CIMultiDictProxy
 from result import Err, Ok, Result
 
-from fordhatch.adapter import caller_fields, client_headers
-from fordhatch.catalog import Configuration, Route, Workspace
+from fordhatch.catalog import CallFields, Configuration, Route, Workspace
 from fordhatch.core import Failure, ResultCode, Timer
 
 from ._node_state import RETRY_AFTER_S, NodeState
@@ -22,7 +20,7 @@
 seconds within which a configuration is in force everywhere."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Admission:
     """Checks route, key and freshness."""
 
@@ -59,25 +57,26 @@
     def admit(
         self,
         route: Route,
+        fields: CallFields,
         *,
         method: str,
         target: str,
-        headers: CIMultiDictProxy[str],
+        headers: list[tuple[str, str]],
         body: bytes,
         arrived_s: float,
     ) -> Result[ServedRequest, Failure]:
         """Return the request as it will be served, or why it is not.
 
         Args:
-            route: The request's route, from ``find_route``.
+            route: The request's route, from ``find_route`` or the edge's own table.
+            fields: What the request says about itself.
             method: HTTP method.
             target: Path and query as sent.
-            headers: The caller's headers.
+            headers: The headers that go on to the backend server.
             body: The complete body.
             arrived_s: When the request's head was read, in monotonic seconds.
         """
-        fields = caller_fields(headers)
-        known = self._workspace(route, fields.api_keys)
+        known = self.authenticate(route, fields.api_keys)
         if known.is_err():
             return Err(known.unwrap_err())
         service = choose_service(route, self.rng)
@@ -94,16 +93,25 @@
                 workspace=known.unwrap(),
                 method=method,
                 target=target,
-                headers=client_headers(headers.items()),
+                headers=headers,
                 body=body,
                 arrived_s=arrived_s,
                 ends_s=arrived_s + wait_s,
             )
         )
 
-    def _workspace(
+    def authenticate(
         self, route: Route, api_keys: tuple[str, ...]
     ) -> Result[Workspace | None, Failure]:
+        """Return the workspace that the API keys of a request lead to.
+
+        Args:
+            route: The request's route.
+            api_keys: Every key that was sent; a proper request has at most one.
+
+        Returns:
+            The workspace, None where the route needs none, or the refusal.
+        """
         by_key = self.state.view.configuration.current.workspace_by_key
         if by_key is None:
             return Ok(None)
@@ -127,5 +135,5 @@
             return stopped
         if request.route.is_public or request.workspace is None:
             return None
-        known = self._workspace(request.route, request.fields.api_keys)
+        known = self.authenticate(request.route, request.fields.api_keys)
         return known.err()
--- a/packages/serving/src/fordhatch/serving/_backend_health.py
+++ b/packages/serving/src/fordhatch/serving/_backend_health.py
@@ -40,7 +40,7 @@
     slowness_seen_s: float = 0.0
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class BackendHealth:
     """Requests in flight, failures and usual answer times by backend server."""
 
--- a/packages/serving/src/fordhatch/serving/_caller_server.py
+++ b/packages/serving/src/fordhatch/serving/_caller_server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 
 import attrs
@@ -11,22 +10,20 @@
 from result import Err, Ok, Result
 from yarl import URL
 
-from fordhatch.adapter import caller_fields, refusal_headers
-from fordhatch.core import Failure, Ran, ResultCode, Timer, log_event, metrics
+from fordhatch.adapter import caller_fields, client_headers, refusal_headers
+from fordhatch.core import Failure, ResultCode, Timer, log_event
 
 from ._admission import Admission
+from ._dispatch import Dispatch
 from ._node_state import RETRY_AFTER_S, NodeState
-from ._plain_call import PlainCalls
-from ._repeat_budget import RepeatBudget
-from ._request import ServedRequest
-from ._stream_call import StreamCalls
+from ._request_path import RequestPath
 
 LATE_TERM_S = 3.0
 """Requests that come later than this after the signal to stop are refused: they may
 not be complete before the process must end. The balancer sends none by then."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class CallerReply:
     """The answer to one request of a caller."""
 
@@ -92,7 +89,7 @@
         self.outcome = "complete"
         await self.response.write_eof()
 
-    def abort(self) -> None:
+    async def abort(self) -> None:
         """Break off an answer so that it can't be taken for a complete one."""
         self.outcome = "aborted"
         transport = self.http_request.transport
@@ -100,38 +97,26 @@
             transport.abort()
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class CallerServer:
     """Handles every request at the callers' address."""
 
     state: NodeState
     admission: Admission
-    budget: RepeatBudget
-    streams: StreamCalls
-    plain: PlainCalls
+    dispatch: Dispatch
     timer: Timer
-    leaving_since_s: float = 0.0
+
+    @classmethod
+    def from_path(cls, path: RequestPath, timer: Timer) -> CallerServer:
+        """Return the callers' edge of a request path."""
+        return cls(path.state, path.admission, path.dispatch, timer)
 
     async def handle(self, http_request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request of a caller."""
         arrived_s = self.timer.now_s()
         reply = CallerReply(http_request, self.state)
-        self.state.in_flight += 1
-        self.state.has_served = True
-        metrics.IN_FLIGHT.inc()
-        try:
+        with self.state.counted(reply):
             await self._serve(http_request, reply, arrived_s)
-        except ConnectionError as error:
-            # The caller has left; nobody waits for an answer.
-            reply.outcome = "caller_gone"
-            log_event("caller_gone", error=repr(error))
-        except asyncio.CancelledError:
-            reply.outcome = "caller_gone"
-            raise
-        finally:
-            self.state.in_flight -= 1
-            metrics.IN_FLIGHT.dec()
-            metrics.ANSWERS.labels(reply.outcome).inc()
         return reply.response if reply.response is not None else web.Response()
 
     async def _serve(
@@ -152,16 +137,17 @@
             return
         admitted = self.admission.admit(
             found.unwrap(),
+            caller_fields(http_request.headers),
             method=http_request.method,
             target=target,
-            headers=http_request.headers,
+            headers=client_headers(http_request.headers.items()),
             body=body.unwrap(),
             arrived_s=arrived_s,
         )
         if admitted.is_err():
             await self._refuse(http_request, reply, admitted.unwrap_err())
             return
-        await self._dispatch(admitted.unwrap(), reply)
+        await self.dispatch.serve(admitted.unwrap(), reply)
 
     def _check_head(self, http_request: web.BaseRequest) -> Result[str, Failure]:
         target = http_request.raw_path
@@ -171,7 +157,7 @@
             # It could not be passed on unchanged.
             return Err(Failure.from_code(ResultCode.BAD_REQUEST, "path"))
         if self.state.is_leaving:
-            leaving_s = self.timer.now_s() - self.leaving_since_s
+            leaving_s = self.timer.now_s() - self.state.leaving_since_s
             if leaving_s > LATE_TERM_S:
                 return Err(
                     Failure.from_code(
@@ -209,35 +195,3 @@
             age_s=round(self.state.view.configuration_age_s(), 3),
         )
         await reply.refuse(failure)
-
-    async def _dispatch(self, request: ServedRequest, reply: CallerReply) -> None:
-        service = self.state.view.configuration.current.services.get(request.service)
-        if service is None:
-            failure = Failure.from_code(
-                ResultCode.NO_GROUP_READY, ran=Ran.NO, retry_after_s=RETRY_AFTER_S
-            )
-            await reply.refuse(failure)
-            return
-        self.budget.count_first(request.service)
-        if service.engine is not None:
-            await self.streams.serve(request, reply, service.engine)
-        else:
-            await self.plain.serve(request, reply)
-        self._log(request, reply)
-
-    def _log(self, request: ServedRequest, reply: CallerReply) -> None:
-        now_s = self.timer.now_s()
-        took_s = now_s - request.arrived_s
-        metrics.ANSWER_SECONDS.labels(request.route.kind.value).observe(took_s)
-        log_event(
-            "request_done",
-            request=request.fields.request_id,
-            route=request.route.name,
-            workspace=request.workspace.name if request.workspace else "",
-            outcome=reply.outcome,
-            arrivals=request.arrivals,
-            ran_at=",".join(request.ran_at),
-            took_s=round(took_s, 3),
-            left_s=round(request.left_s(now_s), 3),
-            version=self.state.view.configuration.version,
-        )
--- /dev/null
+++ b/packages/serving/src/fordhatch/serving/_dispatch.py
@@ -0,0 +1,57 @@
+"""Hands an admitted request to the part that serves it, and accounts for it."""
+
+from __future__ import annotations
+
+import attrs
+
+from fordhatch.core import Failure, Ran, ResultCode, Timer, log_event, metrics
+
+from ._node_state import RETRY_AFTER_S, NodeState
+from ._plain_call import PlainCalls
+from ._repeat_budget import RepeatBudget
+from ._request import Reply, ServedRequest
+from ._stream_call import StreamCalls
+
+
+@attrs.define(eq=False, repr=False)
+class Dispatch:
+    """The one way from an admitted request to a backend server."""
+
+    state: NodeState
+    budget: RepeatBudget
+    streams: StreamCalls
+    plain: PlainCalls
+    timer: Timer
+
+    async def serve(self, request: ServedRequest, reply: Reply) -> None:
+        """Serve one request; the reply has its final answer afterwards."""
+        service = self.state.view.configuration.current.services.get(request.service)
+        if service is None:
+            failure = Failure.from_code(
+                ResultCode.NO_GROUP_READY, ran=Ran.NO, retry_after_s=RETRY_AFTER_S
+            )
+            await reply.refuse(failure)
+            return
+        self.budget.count_first(request.service)
+        if service.engine is not None:
+            await self.streams.serve(request, reply, service.engine)
+        else:
+            await self.plain.serve(request, reply)
+        self._log(request, reply)
+
+    def _log(self, request: ServedRequest, reply: Reply) -> None:
+        now_s = self.timer.now_s()
+        took_s = now_s - request.arrived_s
+        metrics.ANSWER_SECONDS.labels(request.route.kind.value).observe(took_s)
+        log_event(
+            "request_done",
+            request=request.fields.request_id,
+            route=request.route.name,
+            workspace=request.workspace.name if request.workspace else "",
+            outcome=reply.outcome,
+            arrivals=request.arrivals,
+            ran_at=",".join(request.ran_at),
+            took_s=round(took_s, 3),
+            left_s=round(request.left_s(now_s), 3),
+            version=self.state.view.configuration.version,
+        )
--- a/packages/serving/src/fordhatch/serving/_exchange.py
+++ b/packages/serving/src/fordhatch/serving/_exchange.py
@@ -67,7 +67,7 @@
         return await super().start(connection)
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class BackendAnswer:
     """An answer whose head was read; the body follows."""
 
@@ -118,7 +118,7 @@
         self._response.close()
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ExchangeClient:
     """Sends requests to backend servers, each on a connection of its own.
 
--- a/packages/serving/src/fordhatch/serving/_group_progress.py
+++ b/packages/serving/src/fordhatch/serving/_group_progress.py
@@ -31,7 +31,7 @@
     streams: int = 0
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class GroupProgress:
     """Progress by head, over all of this node's streams there."""
 
--- a/packages/serving/src/fordhatch/serving/_head_choice.py
+++ b/packages/serving/src/fordhatch/serving/_head_choice.py
@@ -18,7 +18,7 @@
 bytes between zones cost a little, waiting costs more."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class HeadChoice:
     """Least requests in flight, as far as this node knows."""
 
--- a/packages/serving/src/fordhatch/serving/_http_server.py
+++ b/packages/serving/src/fordhatch/serving/_http_server.py
@@ -22,7 +22,7 @@
 HttpHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class HttpServer:
     """Serves one address with one handler."""
 
--- a/packages/serving/src/fordhatch/serving/_plain_call.py
+++ b/packages/serving/src/fordhatch/serving/_plain_call.py
@@ -51,7 +51,7 @@
     body: bytes
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class PlainCalls:
     """Serves requests of plain services."""
 
--- a/packages/serving/src/fordhatch/serving/_repeat_budget.py
+++ b/packages/serving/src/fordhatch/serving/_repeat_budget.py
@@ -15,6 +15,11 @@
 later, and nodes learn of each other with a delay."""
 
 
+START_SHARE = 0.3
+"""Share of the slack that a node has at its start; it grows to the whole within one
+window. An earlier start of the node may just have used its share."""
+
+
 @attrs.define
 class _Window:
     firsts: deque[float] = attrs.field(factory=deque)
@@ -26,7 +31,7 @@
                 moments.popleft()
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class RepeatBudget:
     """This node's share of the budget for repeats, by service.
 
@@ -38,6 +43,8 @@
     timer: Timer
     node_count: Callable[[], int]
     _windows: dict[str, _Window] = attrs.field(factory=dict)
+    _started_s: float | None = None
+    _node_counts: deque[tuple[float, int]] = attrs.field(factory=deque)
 
     def _window(self, service: str) -> _Window:
         window = self._windows.setdefault(service, _Window())
@@ -51,8 +58,30 @@
     def allowed(self, service: str) -> float:
         """Return how many repeats this node may have sent within the window."""
         earned = self.bounds.retry_budget_ratio * len(self._window(service).firsts)
-        slack = self.bounds.retry_slack / max(self.node_count(), 1)
-        return SAFETY_SHARE * (earned + slack)
+        slack = self.bounds.retry_slack / self._most_nodes()
+        return SAFETY_SHARE * (earned + slack * self._window_share())
+
+    def _most_nodes(self) -> int:
+        """Return the most nodes that there were within the window.
+
+        A node that leaves has used its share, and others may not use it again.
+        """
+        now_s = self.timer.now_s()
+        while self._node_counts and self._node_counts[0][0] < (
+            now_s - self.bounds.retry_window_s
+        ):
+            self._node_counts.popleft()
+        self._node_counts.append((now_s, max(self.node_count(), 1)))
+        return max(count for _, count in self._node_counts)
+
+    def _window_share(self) -> float:
+        """Return the share of the slack that this node may use by now."""
+        now_s = self.timer.now_s()
+        if self._started_s is None:
+            self._started_s = now_s
+        uptime_s = now_s - self._started_s
+        grown = (1.0 - START_SHARE) * uptime_s / self.bounds.retry_window_s
+        return min(START_SHARE + grown, 1.0)
 
     def spend(self, service: str) -> bool:
         """Take one repeat; returns False where none is left."""
--- a/packages/serving/src/fordhatch/serving/_request.py
+++ b/packages/serving/src/fordhatch/serving/_request.py
@@ -10,7 +10,7 @@
 from fordhatch.core import Failure
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ServedRequest:
     """A request that was admitted."""
 
@@ -55,6 +55,9 @@
 class Reply(Protocol):
     """Where the answer goes."""
 
+    outcome: str
+    """What the caller got, for logs and metrics."""
+
     @property
     def has_begun(self) -> bool:
         """Whether any byte of the answer has gone out."""
@@ -82,6 +85,6 @@
         """End an answer that is complete."""
         ...
 
-    def abort(self) -> None:
+    async def abort(self) -> None:
         """Break off an answer so that it can't be taken for a complete one."""
         ...
--- /dev/null
+++ b/packages/serving/src/fordhatch/serving/_request_path.py
@@ -0,0 +1,94 @@
+"""Every part between an admitted request and a backend server, put together."""
+
+from __future__ import annotations
+
+import attrs
+
+from fordhatch.adapter import StoreClient
+from fordhatch.core import Timer
+
+from ._admission import Admission
+from ._backend_health import BackendHealth
+from ._dispatch import Dispatch
+from ._exchange import ExchangeClient
+from ._group_progress import GroupProgress
+from ._head_choice import HeadChoice
+from ._node_state import NodeState
+from ._plain_call import PlainCalls
+from ._repeat_budget import RepeatBudget
+from ._stall_watch import StallWatch
+from ._stream_call import StreamCalls
+
+
+@attrs.define(eq=False, repr=False)
+class RequestPath:
+    """One node's request path; its edges for callers stand before it."""
+
+    state: NodeState
+    admission: Admission
+    dispatch: Dispatch
+    budget: RepeatBudget
+    health: BackendHealth
+    stalls: StallWatch
+
+    @classmethod
+    def create(
+        cls,
+        *,
+        node_name: str,
+        zone: str,
+        state: NodeState,
+        store: StoreClient,
+        exchange: ExchangeClient,
+        timer: Timer,
+    ) -> RequestPath:
+        """Put the path of a node together.
+
+        Args:
+            node_name: The node's name, for what it tells the others.
+            zone: The node's availability zone; groups there go first.
+            state: The node's condition and its view of the store.
+            store: Where silent groups are told of.
+            exchange: Sends requests to backend servers.
+            timer: The node's timer.
+        """
+        view = state.view
+        health = BackendHealth(timer)
+        budget = RepeatBudget(state.bounds, timer, lambda: len(view.shared.nodes))
+        stalls = StallWatch(node_name, timer, store, view.shared)
+        admission = Admission.from_state(state, timer)
+        choice = HeadChoice(zone, view.directory, health, stalls, timer.rng)
+        streams = StreamCalls.create(
+            view.directory,
+            timer=timer,
+            health=health,
+            progress=GroupProgress(timer),
+            stalls=stalls,
+            choice=choice,
+            budget=budget,
+            exchange=exchange,
+            admission=admission,
+        )
+        plain = PlainCalls(
+            zone,
+            timer,
+            timer.rng,
+            view.directory,
+            health,
+            budget,
+            exchange,
+            admission,
+        )
+        dispatch = Dispatch(state, budget, streams, plain, timer)
+        return cls(state, admission, dispatch, budget, health, stalls)
+
+    def forget_gone(self) -> None:
+        """Drop what is remembered of backend servers and groups that are gone."""
+        backends = self.state.view.directory.backends
+        self.health.keep_only(set(backends))
+        places = {b.membership.key for b in backends.values() if b.membership}
+        self.stalls.keep_only(places)
+
+    async def close(self) -> None:
+        """End what is under way."""
+        await self.stalls.close()
--- a/packages/serving/src/fordhatch/serving/_route_table.py
+++ b/packages/serving/src/fordhatch/serving/_route_table.py
@@ -9,7 +9,7 @@
 from fordhatch.catalog import Configuration, Route
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class RouteTable:
     """Routes by host, the longest prefix first."""
 
--- a/packages/serving/src/fordhatch/serving/_stall_watch.py
+++ b/packages/serving/src/fordhatch/serving/_stall_watch.py
@@ -20,10 +20,15 @@
 """A group that the planner has found to be alive is not reported again sooner: it is
 slow, or out of this node's reach alone."""
 
+TELL_SPREAD_S = 0.1
+"""Nodes that see the same group fall silent tell of it within this time, each at a
+moment of its own: the first one's word reaches the others in a few milliseconds, and
+spares their calls to the store."""
+
 Key = tuple[str, int]
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class StallWatch:
     """Silent groups, as this node and the others have seen them."""
 
@@ -59,6 +64,9 @@
         self._tasks.spawn(self._tell(Suspicion(*key, self.node_name)), f"tell-{key[0]}")
 
     async def _tell(self, suspicion: Suspicion) -> None:
+        await self.timer.sleep(self.timer.rng.random() * TELL_SPREAD_S)
+        if (suspicion.group, suspicion.epoch) in self.shared.suspicions:
+            return
         row = RowKey(SHARED_TABLE, suspicion_key(suspicion.group, suspicion.epoch))
         written = await self.store.write(
             {row: 0}, {row: suspicion.to_bytes()}, timeout_s=WRITE_TIMEOUT_S
--- a/packages/serving/src/fordhatch/serving/_stream_call.py
+++ b/packages/serving/src/fordhatch/serving/_stream_call.py
@@ -57,7 +57,7 @@
         self.failure = SendFailure(problem, detail)
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class _Stream:
     """One caller's stream over all of its runs."""
 
@@ -74,7 +74,7 @@
         return self.request.fields.model
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class StreamCalls:
     """Serves requests of model engines."""
 
@@ -377,7 +377,7 @@
             left_s=round(request.left_s(self.timer.now_s()), 3),
         )
         if stream.reply.has_begun:
-            stream.reply.abort()
+            await stream.reply.abort()
             return
         await stream.reply.refuse(self._failure(request, problem))
 
--- a/packages/serving/tests/test_parts.py
+++ b/packages/serving/tests/test_parts.py
@@ -107,6 +107,8 @@
 def test_the_budget_comes_back_with_its_window() -> None:
     clock = HandClock()
     one = budget(clock)
+    one.allowed("s")
+    clock.at_s += 20.0
     while one.spend("s"):
         pass
     clock.at_s += 9.9
@@ -115,6 +117,33 @@
     assert one.spend("s")
 
 
+def test_a_restarted_node_does_not_use_its_share_again() -> None:
+    clock = HandClock()
+    spent = 0
+    for start in range(2):
+        for _ in range(9):
+            one = budget(clock)
+            one.allowed("s")
+            clock.at_s += 20.0 if start == 0 else 0.0
+            while one.spend("s"):
+                spent += 1
+            clock.at_s -= 20.0 if start == 0 else 0.0
+    assert spent <= 136 * 1.15
+
+
+def test_who_has_left_still_counts_within_the_window() -> None:
+    clock = HandClock()
+    nodes = [9]
+    one = RepeatBudget(decode_settings(BOUNDS).bounds, clock, lambda: nodes[0])
+    one.allowed("s")
+    clock.at_s += 20.0
+    before = one.allowed("s")
+    nodes[0] = 3
+    assert one.allowed("s") == before
+    clock.at_s += 11.0
+    assert one.allowed("s") > 2 * before
+
+
 def test_services_have_budgets_of_their_own() -> None:
     one = budget(HandClock())
     while one.spend("s"):
--- a/packages/serving/tests/test_plain_calls.py
+++ b/packages/serving/tests/test_plain_calls.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from fordhatch_standins.wire import http_answer
+from fordhatch_standins import http_answer
 
 
 async def answers(request, writer) -> None:
--- a/packages/serving/tests/test_stream_calls.py
+++ b/packages/serving/tests/test_stream_calls.py
@@ -11,7 +11,7 @@
 from fordhatch.adapter import BACKENDS_TABLE, RowKey
 from fordhatch.registry import SHARED_TABLE, Suspicion, suspicion_key
 from fordhatch.serving._stream_call import HOLD_GOAL_SHARE
-from fordhatch_standins.wire import SIGNATURE, http_answer
+from fordhatch_standins import SIGNATURE, http_answer
 
 ALL = b"".join(b"id: %d\ndata: t%d\n\n" % (n, n) for n in range(1, 7))
 
--- /dev/null
+++ b/standins/src/fordhatch_standins/_backend_http.py
@@ -0,0 +1,238 @@
+"""Backend servers on their published wire: orders, reports, requests."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Any
+
+import attrs
+from aiohttp import web
+
+from fordhatch.adapter import GroupOrder, OrderKind, caller_fields
+
+from ._backends import Backends
+from ._calls import BackendCall, CutOff, NotExecuted
+from ._engine_work import EngineWork
+from ._plain_service import PlainService
+from ._scripted_backend import SIGNATURE
+
+ORDER_PATH = "/v1/order"
+REPORT_PATH = "/v1/report"
+HEALTH_PATH = "/health"
+
+_OK, _BAD, _OTHER, _FULL = 200, 400, 421, 503
+_USUAL_URGENCY = 5
+
+
+@attrs.define(eq=False, repr=False)
+class BackendListeners:
+    """A port for each backend server, all in this process."""
+
+    backends: Backends
+    host: str
+    _listeners: dict[str, asyncio.Server] = attrs.field(factory=dict)
+    _connections: dict[str, set[asyncio.BaseTransport]] = attrs.field(factory=dict)
+
+    async def listen(self, port: int) -> str:
+        """Open a port; returns its address, at which a backend server may be added."""
+        address = f"{self.host}:{port}"
+        open_now: set[asyncio.BaseTransport] = set()
+        self._connections[address] = open_now
+
+        async def handle(request: web.BaseRequest) -> web.StreamResponse:
+            transport = request.transport
+            open_now.add(transport)
+            try:
+                return await self._answer(address, request)
+            finally:
+                open_now.discard(transport)
+
+        server = web.Server(handle, handler_cancellation=True, access_log=None)
+        loop = asyncio.get_running_loop()
+        self._listeners[address] = await loop.create_server(server, self.host, port)
+        return address
+
+    def cut_off(self, address: str) -> None:
+        """Close the port and break every connection, as a crash does."""
+        self._listeners.pop(address).close()
+        for transport in list(self._connections[address]):
+            transport.abort()
+
+    async def _answer(
+        self, address: str, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        plain = self.backends.plain.get(address)
+        work = self.backends.work_at(address)
+        if plain is None and work is None:
+            request.transport.abort()
+            return web.Response()
+        wanted = request.headers.get("X-Expect-Instance", "")
+        own = plain.backend_id if plain is not None else work.engine.backend_id
+        if wanted and wanted != own:
+            return _refusal(request, _OTHER, own)
+        if request.path == REPORT_PATH:
+            return web.json_response({"busy": False, "seq": 1})
+        if request.path == HEALTH_PATH:
+            return web.Response(headers={"X-Runner-Id": own})
+        if request.path == ORDER_PATH:
+            return self._order(work, await request.json())
+        call = _call(request, own, await request.read())
+        if plain is not None:
+            return await _serve_plain(plain, call, request)
+        return await _serve_stream(work, call, request)
+
+    def _order(self, work: EngineWork | None, body: dict[str, Any]) -> web.Response:
+        try:
+            order = _decode_order(body)
+        except (KeyError, ValueError):
+            return web.Response(status=_BAD)
+        if work is None:
+            return web.Response(status=_BAD)
+        status = self.backends.fleet.order(work.engine, order)
+        return web.Response(status=status or _FULL)
+
+
+def _decode_order(body: dict[str, Any]) -> GroupOrder:
+    return GroupOrder(
+        OrderKind(body["op"]),
+        str(body.get("group", "")),
+        int(body.get("epoch", 0)),
+        str(body.get("model", "")),
+        tuple(body.get("members", ())),
+    )
+
+
+def _call(request: web.BaseRequest, backend_id: str, body: bytes) -> BackendCall:
+    fields = caller_fields(request.headers)
+    last = fields.last_event_id
+    return BackendCall(
+        request_id=fields.request_id,
+        backend_id=backend_id,
+        method=request.method,
+        target=request.raw_path,
+        body=body,
+        left_s=fields.deadline_s or 0.0,
+        model=fields.model,
+        prompt_tokens=fields.prompt_tokens,
+        output_tokens=fields.max_output_tokens,
+        urgency=int(request.headers.get("X-Urgency-Class", _USUAL_URGENCY)),
+        last_event=int(last) if last.isdigit() else -1,
+    )
+
+
+def _headers(request: web.BaseRequest) -> dict[str, str]:
+    return {
+        "X-Attempt-Id": request.headers.get("X-Attempt-Id", ""),
+        "X-Server-Seal": SIGNATURE,
+    }
+
+
+def _refusal(request: web.BaseRequest, status: int, at_fault: str) -> web.Response:
+    headers = {**_headers(request), "X-Not-Executed": "1", "At-Server": at_fault}
+    return web.Response(status=status, headers=headers)
+
+
+async def _serve_plain(
+    server: PlainService, call: BackendCall, request: web.BaseRequest
+) -> web.StreamResponse:
+    try:
+        body = await server.serve(call)
+    except NotExecuted as refusal:
+        return _refusal(request, refusal.status, refusal.at_fault)
+    except CutOff:
+        request.transport.abort()
+        return web.Response()
+    return web.Response(
+        status=_OK,
+        body=body,
+        headers=_headers(request),
+        content_type="application/json",
+    )
+
+
+async def _serve_stream(
+    work: EngineWork, call: BackendCall, request: web.BaseRequest
+) -> web.StreamResponse:
+    response = web.StreamResponse(
+        headers={**_headers(request), "Content-Type": "text/event-stream"}
+    )
+    response.enable_chunked_encoding()
+    try:
+        await _pass_on(work.serve(call), response, request)
+    except NotExecuted as refusal:
+        return _refusal(request, refusal.status, refusal.at_fault)
+    except CutOff:
+        request.transport.abort()
+    return response
+
+
+async def _pass_on(
+    events: AsyncIterator[bytes],
+    response: web.StreamResponse,
+    request: web.BaseRequest,
+) -> None:
+    async for event in events:
+        if not response.prepared:
+            await response.prepare(request)
+        await response.write(event)
+    await response.write_eof()
+
+
+def control_handler(backends: Backends, listeners: BackendListeners) -> Any:
+    """Return what lets a test bring about faults and read back what ran.
+
+    ``GET /counts``; ``POST /act`` with ``do`` (``kill``, ``drain``, ``add``,
+    ``slow``, ``fail_store``, ``heal_store``) and its fields.
+    """
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == "/counts":
+            return web.json_response(_counts(backends))
+        if request.path == "/act":
+            await _act(backends, listeners, await request.json())
+            return web.json_response({"done": True})
+        return web.Response(status=404)
+
+    return handle
+
+
+def _counts(backends: Backends) -> dict[str, Any]:
+    engines = backends.fleet.engines.values()
+    return {
+        "runs": {**backends.fleet.runs, **backends.plain_runs},
+        "contents": dict(backends.plain_contents),
+        "violations": list(backends.fleet.violations),
+        "engines": [e.backend_id for e in engines if not e.is_dead],
+        "groups": {e.place.group: list(e.place.members) for e in engines if e.serves},
+    }
+
+
+async def _act(
+    backends: Backends, listeners: BackendListeners, body: dict[str, Any]
+) -> None:
+    engine = backends.fleet.engines.get(body.get("backend", ""))
+    match body["do"]:
+        case "kill":
+            backends.fleet.kill(engine)
+            listeners.cut_off(engine.address)
+        case "drain":
+            backends.fleet.drain(engine)
+        case "slow":
+            engine.slow_factor = float(body["factor"])
+        case "add":
+            address = await listeners.listen(int(body["port"]))
+            backends.add_engine(body["domain"], body["zone"], address)
+        case "fail_store":
+            backends.store.faults.is_down = body.get("how") != "silent"
+            backends.store.faults.is_silent = body.get("how") == "silent"
+        case "heal_store":
+            backends.store.faults.is_down = False
+            backends.store.faults.is_silent = False
+        case "lose_answers":
+            backends.store.faults.lost_answers = int(body["count"])
+        case "late_orders":
+            backends.fleet.faults.late_share = float(body["share"])
+        case "lose_calls":
+            for plain in backends.plain.values():
+                plain.lost_share = float(body["share"])
--- a/standins/src/fordhatch_standins/wire/_engine_fleet.py
+++ b/standins/src/fordhatch_standins/_engine_fleet.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections import deque
+from collections import Counter, deque
 
 import attrs
 
@@ -28,7 +28,7 @@
     """Orders that are not answered and are carried out seconds later."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class EngineFleet:
     """Engines by id; every order and request is checked here."""
 
@@ -41,6 +41,12 @@
     stall_s: float = 5.0
     lapse_s: float = 3.6
     form_s: float = 0.3
+    service: str = "llm"
+    """The service under which engines register."""
+    began_s: dict[str, float] = attrs.field(factory=dict)
+    """When each request began to run, by its id."""
+    runs: Counter[str] = attrs.field(factory=Counter)
+    """How often each request has run."""
     engines: dict[str, EngineModel] = attrs.field(factory=dict)
     faults: FleetFaults = attrs.field(factory=FleetFaults)
     violations: list[str] = attrs.field(factory=list)
@@ -49,19 +55,20 @@
     _begun: deque[float] = attrs.field(factory=deque)
     _made: int = 0
 
-    def add(self, domain: str, zone: str = "z1") -> EngineModel:
+    def add(self, domain: str, zone: str = "z1", address: str = "") -> EngineModel:
         """Start an empty engine in a domain."""
         self._made += 1
         name = f"i-{self._made:04d}"
         engine = EngineModel(
             name,
-            f"10.0.0.{self._made}:80",
+            address or f"10.{self._made >> 8}.0.{self._made & 255}:80",
             zone,
             domain,
             self.models,
             self.form_s,
             self._publish,
             self._count_load,
+            service=self.service,
         )
         self.engines[name] = engine
         self._publish(engine)
@@ -93,6 +100,7 @@
     def kill(self, engine: EngineModel) -> None:
         """End an engine without a word; its entry lapses later."""
         engine.is_dead = True
+        engine.note_move()
         loop = asyncio.get_running_loop()
         loop.call_later(self.lapse_s, self._lapse, engine)
         self._break_group_of(engine)
@@ -165,6 +173,24 @@
             )
         head.stand_still(self.stall_s)
 
+    def begin_run(self, engine: EngineModel, request_id: str) -> None:
+        """Note that a request begins to run; its group must be complete."""
+        self.runs[request_id] += 1
+        self.began_s[request_id] = asyncio.get_running_loop().time()
+        self._check_group(engine)
+
+    def _check_group(self, head: EngineModel) -> None:
+        place = head.place
+        size = self.models[place.model].size
+        key = (place.group, place.epoch, place.members)
+        ready = [m for m in place.members if key in self.engines[m].ready_as]
+        if len(place.members) != size or len(ready) != size:
+            self._violate(f"{place.group} is open with {len(ready)} of {size}")
+
+    def members(self, head: EngineModel) -> list[EngineModel]:
+        """Return the members of a head's group."""
+        return [self.engines[m] for m in head.place.members]
+
     def check_serving(self) -> list[EngineModel]:
         """Check every open head as if a request began there; returns the heads."""
         heads = []
@@ -173,11 +199,7 @@
             if engine.is_dead or place is None or place.state != "open":
                 continue
             heads.append(engine)
-            size = self.models[place.model].size
-            key = (place.group, place.epoch, place.members)
-            ready = [m for m in place.members if key in self.engines[m].ready_as]
-            if len(place.members) != size or len(ready) != size:
-                self._violate(f"{place.group} is open with {len(ready)} of {size}")
+            self._check_group(engine)
         return heads
 
     def working_groups(self) -> dict[str, int]:
--- a/standins/src/fordhatch_standins/wire/_engine_model.py
+++ b/standins/src/fordhatch_standins/_engine_model.py
@@ -35,7 +35,7 @@
     state: str = "joining"
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class EngineModel:
     """An engine: its place, what is staged on its host, and its orders."""
 
@@ -61,6 +61,11 @@
     """Every group, epoch and list under which it has been ready."""
     loading_until_s: float = 0.0
     """End of the load of weights that is under way, if any."""
+    slow_factor: float = 1.0
+    """How many times slower than usual it works."""
+    is_still: bool = False
+    """As a head: a member is missing, and nothing moves."""
+    _moved: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def entry(self) -> bytes:
         """Return its entry in the store."""
@@ -107,6 +112,7 @@
             return TOO_OLD
         self.highest_epoch = order.epoch
         rank = order.members.index(self.backend_id)
+        self.note_move()
         self.place = Place(order.group, order.epoch, rank, order.model, order.members)
         self._later(self._join_time_s(order.model), self._joined, self.place)
         self.on_change(self)
@@ -160,6 +166,7 @@
             return UNFIT
         if order.kind is OrderKind.LEAVE:
             self.place = None
+            self.note_move()
         elif order.kind is OrderKind.CLOSE:
             place.state = "ready"
         elif place.state == "open":
@@ -175,15 +182,34 @@
     def _opened(self, place: Place) -> None:
         if self.place is place and not self.is_dead and place.state == "ready":
             place.state = "open"
+            self.is_still = False
             self.on_change(self)
 
+    @property
+    def serves(self) -> bool:
+        """Whether it takes requests now, as the head of an open group."""
+        place = self.place
+        is_head = place is not None and place.rank == 0 and place.state == "open"
+        return is_head and not self.is_dead
+
     def stand_still(self, stall_s: float) -> None:
         """Break, as a head does some time after it has lost a member."""
         place = self.place
         if place is not None and place.state == "open":
+            self.is_still = True
             self._later(stall_s, self._broke, place)
 
     def _broke(self, place: Place) -> None:
         if self.place is place and not self.is_dead and place.state == "open":
             place.state = "broken"
+            self.note_move()
             self.on_change(self)
+
+    def note_move(self) -> None:
+        """Wake whatever waits for this engine to go on, or to break."""
+        self._moved.set()
+        self._moved = asyncio.Event()
+
+    async def until_moved(self) -> None:
+        """Wait until the engine goes on, breaks or ends."""
+        await self._moved.wait()
--- a/standins/src/fordhatch_standins/wire/_scripted_backend.py
+++ b/standins/src/fordhatch_standins/_scripted_backend.py
@@ -50,7 +50,7 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ScriptedBackend:
     """Listens on loopback, notes every request and runs the script for it."""
 
--- a/tests/adapter/test_store_client.py
+++ b/tests/adapter/test_store_client.py
@@ -10,7 +10,7 @@
 
 from fordhatch.adapter import RowKey, StoreClient
 from fordhatch.core import Ran, ResultCode
-from fordhatch_standins.wire import StoreModel, store_handler
+from fordhatch_standins import StoreModel, store_handler
 
 KEY = RowKey("own", "k")
 
