--- a/packages/placement/src/fordhatch/placement/_conversion.py
+++ b/packages/placement/src/fordhatch/placement/_conversion.py
@@ -63,7 +63,9 @@
     groups: Sequence[ReplicaGroup],
 ) -> tuple[float, Conversion] | None:
     quick = [b for b in free if not layout.must_load(b, model)]
-    donors = [g for g in groups if g.model != model.name]
+    donors = [
+        g for g in groups if g.model != model.name and _may_give(layout, g, model)
+    ]
     plan = choose_group(layout, free)
     instead = layout.value(plan) if plan is not None else 0.0
     best: tuple[float, Conversion] | None = None
@@ -83,6 +85,15 @@
     return best
 
 
+def _may_give(layout: Layout, group: ReplicaGroup, model: ModelProfile) -> bool:
+    """Return whether a group may give way to a model.
+
+    One whose own model is no longer declared is worth nothing by itself: it only
+    gives way to a model that lacks groups, or it would go to whatever is staged.
+    """
+    return layout.profile.model(group.model) is not None or layout.lacks(model)
+
+
 def _loss(layout: Layout, groups: Sequence[ReplicaGroup]) -> float:
     """Return what the groups are worth that would be given up."""
     loss = 0.0
--- a/packages/placement/src/fordhatch/placement/_group_builder.py
+++ b/packages/placement/src/fordhatch/placement/_group_builder.py
@@ -106,6 +106,10 @@
         if self._conversion is not None:
             return free
         serving = [g for g in kept if self.care.is_settled(g)]
+        if self.formations.active:
+            # A new version takes over group by group: the next one only gives way
+            # when the one before has been replaced.
+            serving = [g for g in serving if layout.profile.model(g.model) is not None]
         found = choose_conversion(layout, free, serving)
         if found is None:
             return free
--- a/packages/placement/src/fordhatch/placement/_planner.py
+++ b/packages/placement/src/fordhatch/placement/_planner.py
@@ -181,6 +181,7 @@
         groups = directory.groups(service.name)
         self.care.check_suspicions(groups)
         layout = Layout(service.engine, self.last_model)
+        layout.count_backends(self._usable(service))
         busy: set[str] = set()
         kept: list[ReplicaGroup] = []
         # Groups of models that are no longer declared come last: whether they are
@@ -201,6 +202,7 @@
             if key not in groups:
                 layout.add(formation.plan.model.name, formation.plan.members[0].domain)
         self.dissolutions.step()
+        # Whoever was just found to be lost must not be counted on.
         usable = self._usable(service)
         layout.count_backends(usable)
         busy |= self.formations.member_ids() | self.dissolutions.member_ids()
--- a/packages/placement/src/fordhatch/placement/_staging.py
+++ b/packages/placement/src/fordhatch/placement/_staging.py
@@ -134,10 +134,15 @@
             return
         others = self._useful_models(layout, backend)
         known = layout.last_model.get(backend.backend_id)
-        staged_other = any(m != known for m in backend.staged_models)
-        if not others or staged_other or known is None:
+        if not others or known is None:
             return
-        self._order(profile, backend, max(others, key=layout.need), are_loads_free)
+        wanted = max(others, key=layout.need)
+        has_other = any(m != known for m in backend.staged_models)
+        # A host whose own model is no longer declared makes room for what is lacking.
+        is_retired = profile.model(known) is None
+        if has_other and not (is_retired and layout.lacks(wanted)):
+            return
+        self._order(profile, backend, wanted, are_loads_free)
 
     def _order(
         self,
--- a/packages/placement/tests/test_planner.py
+++ b/packages/placement/tests/test_planner.py
@@ -327,6 +327,8 @@
         await standard_site(site, domains=2, nodes=1)
         data = json.loads(engine_configuration())
         site.fleet.models = {**site.fleet.models, "newer": site.fleet.models["big"]}
+        for engine in site.fleet.engines.values():
+            engine.models = site.fleet.models
         models = data["services"][0]["engine"]["models"]
         models[0]["name"] = "newer"
         data["version"] = 2
