--- /dev/null
+++ b/standins/src/fordhatch_lab/_experiment.py
@@ -0,0 +1,142 @@
+"""What an experiment plays: sizes, load and faults."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import attrs
+
+from fordhatch_standins import EnginePace, ModelTimes
+
+
+@attrs.frozen
+class LabModel:
+    """A model with the members of a group and its share of the work."""
+
+    name: str
+    size: int
+    share: float
+    pace: float
+    load_s: float
+    warm_s: float
+
+
+@attrs.frozen
+class RequestClass:
+    """One kind of request, as on the users' sheets."""
+
+    name: str
+    model: str
+    per_s: float
+    prompt_tokens: int
+    output_tokens: int
+    goal_s: float
+    gap_s: float
+    deadline_s: float
+    worth: float
+    late_worth: float
+
+
+MODELS = (
+    LabModel("m0", 4, 0.67, 1.0, 16.0, 1.6),
+    LabModel("m1", 2, 0.33, 0.6, 12.0, 1.1),
+)
+"""The models of today's deployments."""
+
+CLASSES = (
+    RequestClass("summary", "m0", 14.6, 1420, 135, 0.5, 0.3, 8.0, 3.0, 0.76),
+    RequestClass("check", "m1", 42.5, 674, 135, 0.3, 0.2, 6.0, 1.7, 0.41),
+    RequestClass("code", "m0", 10.6, 1960, 25, 0.5, 0.3, 6.0, 1.9, 0.49),
+)
+"""The streams of today's deployments, for 48 backend servers."""
+
+
+@attrs.frozen
+class Experiment:
+    """One day in virtual time."""
+
+    nodes: int = 9
+    zones: int = 3
+    domains: int = 6
+    per_domain: int = 8
+    seed: int = 1
+    warm_up_s: float = 45.0
+    """Groups form and weights are staged before anything is measured."""
+    duration_s: float = 30.0
+    load: float = 1.0
+    """Factor on the load that today's deployments have for their size."""
+    loss_every_s: float = 3.0
+    """Mean time between losses of a member of some group; 0 for none."""
+    empty_every_s: float = 3.0
+    """Mean time between empty backend servers that come; 0 for none."""
+    dark_domain_at_s: float = 0.0
+    """When a whole domain ends; 0 for never."""
+    planner_dies_at_s: float = 0.0
+    """When the planner's node ends; 0 for never."""
+    models: tuple[LabModel, ...] = MODELS
+    classes: tuple[RequestClass, ...] = CLASSES
+
+    @property
+    def size(self) -> int:
+        """Number of engines at the start."""
+        return self.domains * self.per_domain
+
+    @property
+    def load_factor(self) -> float:
+        """Factor on the arrivals of the classes, which are those of 48 engines."""
+        return self.load * self.size / 48.0
+
+    def model_times(self) -> dict[str, ModelTimes]:
+        """Return the models as the stand-in engines need them."""
+        return {m.name: ModelTimes(m.size, m.load_s, m.warm_s) for m in self.models}
+
+    def pace(self) -> EnginePace:
+        """Return the pace of the stand-in engines."""
+        return EnginePace(model_factor={m.name: m.pace for m in self.models})
+
+    def configuration(self) -> bytes:
+        """Return the operators' configuration as it lies in the store."""
+        engine: dict[str, Any] = {
+            "slots": 13,
+            "stride": 5,
+            "step_ms": 6.07,
+            "per_seq_ms": 0.482,
+            "read_per_s": 46000.0,
+            "loads-per-s": 4.0 * max(self.size / 48.0, 1.0),
+            "loads_at_once": max(6 * self.size // 48, 6),
+            "keeps": 1,
+            "form-ms": 300.0,
+            "models": [_model(m) for m in self.models],
+        }
+        services = [{"name": "llm", "max-conns": 400, "engine": engine}]
+        routes = [_route(c) for c in self.classes]
+        return json.dumps(
+            {"version": 1, "routes": routes, "services": services}
+        ).encode()
+
+
+def _model(model: LabModel) -> dict[str, Any]:
+    return {
+        "name": model.name,
+        "size": model.size,
+        "share": model.share,
+        "pace": model.pace,
+        "load-s": model.load_s,
+        "warm-s": model.warm_s,
+    }
+
+
+def _route(one: RequestClass) -> dict[str, Any]:
+    return {
+        "name": one.name,
+        "host": "lab",
+        "prefix": f"/{one.name}/",
+        "kind": "streaming",
+        "resumable": True,
+        "service": "llm",
+        "attempts": 2,
+        "timeout-ms": int(one.deadline_s * 1000),
+        "goal-ms": int(one.goal_s * 1000),
+        "max-gap-ms": int(one.gap_s * 1000),
+    }
--- /dev/null
+++ b/standins/src/fordhatch_lab/_lab_site.py
@@ -0,0 +1,150 @@
+"""Nodes, engines and the store of an experiment, in one process."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import attrs
+
+from fordhatch.adapter import CONFIGURATION_KEY, OPERATOR_TABLE
+from fordhatch.catalog import NodeSettings, StoreLimits, SystemBounds
+from fordhatch.core import Timer
+from fordhatch.node import Clients, Node
+from fordhatch_standins import (
+    Backends,
+    EngineFleet,
+    MemoryBackendClient,
+    MemoryExchange,
+    MemoryNetwork,
+    MemoryStoreClient,
+    StoreModel,
+)
+
+from ._experiment import Experiment
+
+BOUNDS = SystemBounds(
+    stable_s=3.0,
+    drain_s=2.0,
+    grace_s=8.0,
+    config_apply_s=2.0,
+    outer_s=5.0,
+    is_revocation_strict=True,
+    revoke_s=5.0,
+    retry_budget_ratio=0.2,
+    retry_window_s=10.0,
+    retry_slack=136.0,
+    stall_s=5.0,
+    is_fence_required=False,
+    load_window_s=5.0,
+    load_over=1.1,
+    pass_on_s=0.12,
+)
+"""The bounds of today's deployments."""
+
+
+@attrs.define(eq=False, repr=False)
+class LabNode:
+    """One node with its clients."""
+
+    node: Node
+    store: MemoryStoreClient
+
+
+@attrs.define(eq=False, repr=False)
+class LabSite:
+    """Everything that an experiment runs."""
+
+    experiment: Experiment
+    rng: random.Random
+    store: StoreModel
+    backends: Backends
+    network: MemoryNetwork = attrs.field(factory=MemoryNetwork)
+    nodes: list[LabNode] = attrs.field(factory=list)
+    gone_calls: Counter[str] = attrs.field(factory=Counter)
+    """Calls to the store of nodes that have ended."""
+
+    @classmethod
+    def create(cls, experiment: Experiment) -> LabSite:
+        """Build a site that has not been started."""
+        rng = random.Random(experiment.seed)
+        store = StoreModel()
+        store.put(OPERATOR_TABLE, CONFIGURATION_KEY, experiment.configuration())
+        scale = max(experiment.size / 48.0, 1.0)
+        fleet = EngineFleet(
+            store, experiment.model_times(), rng, loads_per_s=4.0 * scale
+        )
+        return cls(
+            experiment, rng, store, Backends(store, fleet, experiment.pace(), rng)
+        )
+
+    async def start(self) -> None:
+        """Start engines and nodes."""
+        for index in range(self.experiment.size):
+            self.add_engine(index // self.experiment.per_domain)
+        for index in range(self.experiment.nodes):
+            await self._add_node(index)
+
+    def add_engine(self, domain: int) -> None:
+        """Start an empty engine in a domain."""
+        zone = f"z{domain % self.experiment.zones}"
+        self.backends.add_engine(f"d{domain}", zone)
+
+    async def _add_node(self, index: int) -> None:
+        name = f"n{index:03d}"
+        timer = Timer.from_seed(f"{self.experiment.seed}/{name}")
+        address = f"10.250.{index >> 8}.{index & 255}:7000"
+        settings = NodeSettings(
+            node_name=name,
+            zone=f"z{index % self.experiment.zones}",
+            region="r",
+            instance_address=address,
+            caller_address=address,
+            ready_address=address,
+            peer_address=address,
+            is_first_start=True,
+            heartbeat_s=1.2,
+            memory_mb=300.0,
+            max_descriptors=4100,
+            cores=1.07,
+            link_mbps=1000.0,
+            bounds=BOUNDS,
+            store=StoreLimits(address, 400.0, 2000.0, 65536, 20.0),
+        )
+        store = MemoryStoreClient(self.store, name)
+        clients = Clients(
+            store,
+            MemoryBackendClient(self.backends.fleet),
+            MemoryExchange(self.backends, timer),
+            self.network.pool(name, address),
+        )
+        node = Node.create(settings, timer, clients)
+        await node.start()
+        self.nodes.append(LabNode(node, store))
+
+    def planner(self) -> LabNode | None:
+        """Return the node that plans."""
+        return next((n for n in self.nodes if n.node.lease.is_held()), None)
+
+    async def kill_planner(self) -> None:
+        """End the planner's node without a word."""
+        victim = self.planner()
+        if victim is None:
+            return
+        self.nodes.remove(victim)
+        self.network.drop(victim.node.settings.peer_address)
+        victim.store.is_frozen = True
+        self.gone_calls.update(victim.store.calls)
+        await victim.node.close()
+
+    def store_calls(self) -> Counter[str]:
+        """Return the calls to the store so far, by kind and table."""
+        calls = Counter(self.gone_calls)
+        for one in self.nodes:
+            calls.update(one.store.calls)
+        return calls
+
+    async def close(self) -> None:
+        """End every part."""
+        for one in self.nodes:
+            await one.node.close()
--- /dev/null
+++ b/standins/src/fordhatch_lab/_run.py
@@ -0,0 +1,136 @@
+"""Plays an experiment in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import attrs
+import looptime
+
+from fordhatch.core import TaskSet
+
+from ._experiment import Experiment
+from ._lab_load import LabLoad
+from ._lab_site import LabSite
+from ._measures import Measures
+
+SAMPLE_S = 0.5
+"""Time between looks at the groups."""
+
+HEAL_LIMIT_S = 20.0
+"""A loss that no backend server can make up for is not waited for any longer."""
+
+
+def run_experiment(experiment: Experiment) -> Measures:
+    """Play an experiment; the same one gives the same requests and faults."""
+    began_s = time.process_time()
+    loop = looptime.new_event_loop()
+    try:
+        measures = loop.run_until_complete(_Play.of(experiment).run())
+    finally:
+        loop.close()
+    measures.processor_s = time.process_time() - began_s
+    return measures
+
+
+@attrs.define(eq=False, repr=False)
+class _Play:
+    """One run."""
+
+    experiment: Experiment
+    site: LabSite
+    measures: Measures = attrs.field(factory=Measures)
+    is_over: bool = False
+    _healing: TaskSet = attrs.field(factory=TaskSet)
+
+    @classmethod
+    def of(cls, experiment: Experiment) -> _Play:
+        return cls(experiment, LabSite.create(experiment))
+
+    async def run(self) -> Measures:
+        experiment, site = self.experiment, self.site
+        await site.start()
+        await asyncio.sleep(experiment.warm_up_s)
+        site.backends.fleet.is_counting_loads = True
+        calls = site.store_calls()
+        messages, sent = site.network.messages, site.network.payload_bytes
+        load = LabLoad(site, site.rng)
+        tasks = [asyncio.ensure_future(t) for t in self._tasks()]
+        await load.run(experiment.duration_s)
+        self.is_over = True
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks)
+        await self._healing.close()
+        measures = self.measures
+        measures.outcomes = load.outcomes
+        measures.store_calls = site.store_calls() - calls
+        measures.peer_messages = site.network.messages - messages
+        measures.peer_bytes = site.network.payload_bytes - sent
+        measures.violations = list(site.backends.fleet.violations)
+        measures.duration_s = experiment.duration_s
+        measures.nodes = experiment.nodes
+        await site.close()
+        return measures
+
+    def _tasks(self) -> list:
+        experiment = self.experiment
+        tasks = [self._sample()]
+        if experiment.loss_every_s:
+            tasks.append(self._lose(experiment.loss_every_s))
+        if experiment.empty_every_s:
+            tasks.append(self._come(experiment.empty_every_s))
+        if experiment.dark_domain_at_s:
+            tasks.append(self._darken(experiment.dark_domain_at_s))
+        if experiment.planner_dies_at_s:
+            tasks.append(self._end_planner(experiment.planner_dies_at_s))
+        return tasks
+
+    async def _sample(self) -> None:
+        fleet = self.site.backends.fleet
+        loop = asyncio.get_running_loop()
+        while True:
+            working = fleet.working_groups()
+            self.measures.groups.append((loop.time(), working))
+            living = sum(not e.is_dead for e in fleet.engines.values())
+            used = sum(n * fleet.models[m].size for m, n in working.items())
+            self.measures.stranded.append((loop.time(), living - used))
+            await asyncio.sleep(SAMPLE_S)
+
+    async def _lose(self, mean_s: float) -> None:
+        rng, fleet = self.site.rng, self.site.backends.fleet
+        while True:
+            await asyncio.sleep(rng.uniform(0.5, 1.5) * mean_s)
+            grouped = [e for e in fleet.engines.values() if e.place and not e.is_dead]
+            if grouped:
+                before = sum(fleet.working_groups().values())
+                fleet.kill(rng.choice(grouped))
+                self._healing.spawn(self._time_healing(before), "healing")
+
+    async def _time_healing(self, before: int) -> None:
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        while loop.time() - began_s < HEAL_LIMIT_S and not self.is_over:
+            working = sum(self.site.backends.fleet.working_groups().values())
+            if working >= before:
+                self.measures.healing_s.append(loop.time() - began_s)
+                return
+            await asyncio.sleep(0.05)
+
+    async def _come(self, mean_s: float) -> None:
+        rng = self.site.rng
+        while True:
+            await asyncio.sleep(rng.uniform(0.5, 1.5) * mean_s)
+            self.site.add_engine(rng.randrange(self.experiment.domains))
+
+    async def _darken(self, at_s: float) -> None:
+        await asyncio.sleep(at_s)
+        fleet = self.site.backends.fleet
+        for engine in list(fleet.engines.values()):
+            if engine.domain == "d0" and not engine.is_dead:
+                fleet.kill(engine)
+
+    async def _end_planner(self, at_s: float) -> None:
+        await asyncio.sleep(at_s)
+        await self.site.kill_planner()
--- /dev/null
+++ b/standins/src/fordhatch_lab/main.py
@@ -0,0 +1,180 @@
+"""``fordhatch-lab``: experiments in virtual time, and reports on them."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Literal
+
+import attrs
+from cyclopts import App
+
+from ._experiment import Experiment
+from ._measures import Measures
+from ._run import run_experiment
+
+app = App(
+    name="fordhatch-lab",
+    help="Real nodes in virtual time before stand-ins, under load and faults.",
+)
+
+NODES_PER_DOMAIN = 1.5
+"""Nodes for each domain of eight engines, as today's deployments have them."""
+
+SIZES = (9, 18, 36, 72)
+"""Numbers of nodes in a report; engines and load grow with them."""
+
+LOSSES_S = (12.0, 6.0, 3.0, 1.5)
+"""Times between losses in a report, at the smallest size."""
+
+
+def _sized(nodes: int, seed: int, **changes: object) -> Experiment:
+    domains = max(round(nodes / NODES_PER_DOMAIN), 1)
+    zones = 3 if nodes < 150 else 12  # noqa: PLR2004
+    faults = 48.0 / (domains * 8)
+    return attrs.evolve(
+        Experiment(nodes=nodes, domains=domains, zones=zones, seed=seed),
+        loss_every_s=3.0 * faults,
+        empty_every_s=3.0 * faults,
+        **changes,
+    )
+
+
+def _show(measures: Measures) -> None:
+    for name, value in measures.summary().items():
+        print(f"{name:22} {value:g}")
+    print(f"{'calls':22} {dict(measures.store_calls.most_common())}")
+    for text in measures.violations:
+        print(f"VIOLATION: {text}")
+
+
+@app.command
+def run(
+    *,
+    nodes: int = 9,
+    seed: int = 1,
+    duration_s: float = 30.0,
+    load: float = 1.0,
+    loss_every_s: float = 3.0,
+    empty_every_s: float = 3.0,
+    dark_domain_at_s: float = 0.0,
+    planner_dies_at_s: float = 0.0,
+    output: Literal["table", "json"] = "table",
+) -> None:
+    """Play one experiment.
+
+    Parameters
+    ----------
+    nodes
+        Entry nodes; engines and load follow.
+    seed
+        Seed of requests and faults.
+    duration_s
+        Virtual seconds under load.
+    load
+        Factor on the usual load.
+    loss_every_s
+        Mean time between losses of members; 0 for none.
+    empty_every_s
+        Mean time between empty engines that come; 0 for none.
+    dark_domain_at_s
+        When a whole domain ends; 0 for never.
+    planner_dies_at_s
+        When the planner's node ends; 0 for never.
+    output
+        A table for people, JSON for programs.
+    """
+    experiment = _sized(nodes, seed, duration_s=duration_s, load=load)
+    experiment = attrs.evolve(
+        experiment,
+        loss_every_s=loss_every_s,
+        empty_every_s=empty_every_s,
+        dark_domain_at_s=dark_domain_at_s,
+        planner_dies_at_s=planner_dies_at_s,
+    )
+    measures = run_experiment(experiment)
+    if output == "json":
+        print(json.dumps(measures.summary(), indent=2))
+    else:
+        _show(measures)
+
+
+@app.command
+def sweep(
+    over: Literal["nodes", "losses", "load"] = "nodes",
+    *,
+    values: list[float] | None = None,
+    seed: int = 1,
+    duration_s: float = 20.0,
+) -> None:
+    """Play a series of experiments and print their table.
+
+    Parameters
+    ----------
+    over
+        What is varied.
+    values
+        Its values.
+    seed
+        Seed of requests and faults.
+    duration_s
+        Virtual seconds under load.
+    """
+    from ._report import table  # noqa: PLC0415
+
+    rows = _series(over, values, seed, duration_s)
+    print(table(over, rows))
+
+
+def _series(
+    over: str, values: list[float] | None, seed: int, duration_s: float
+) -> list[tuple[float, Measures]]:
+    usual = {"nodes": SIZES, "losses": LOSSES_S, "load": (0.5, 1.0, 2.0, 4.0)}
+    rows = []
+    for value in values or usual[over]:
+        match over:
+            case "nodes":
+                experiment = _sized(int(value), seed, duration_s=duration_s)
+            case "losses":
+                experiment = _sized(9, seed, duration_s=duration_s)
+                experiment = attrs.evolve(experiment, loss_every_s=value)
+            case _:
+                experiment = _sized(9, seed, duration_s=duration_s, load=value)
+        rows.append((value, run_experiment(experiment)))
+    return rows
+
+
+@app.command
+def report(
+    folder: Path = Path("lab-report"), *, seed: int = 1, duration_s: float = 20.0
+) -> None:
+    """Play the usual series and write tables and plots into a folder.
+
+    Parameters
+    ----------
+    folder
+        Where ``report.md`` and its pictures go.
+    seed
+        Seed of requests and faults.
+    duration_s
+        Virtual seconds under load, for each experiment.
+    """
+    from ._report import plot, table  # noqa: PLC0415
+
+    folder.mkdir(parents=True, exist_ok=True)
+    parts = ["# Experiments in virtual time\n"]
+    for over in ("nodes", "losses", "load"):
+        rows = _series(over, None, seed, duration_s)
+        plot(over, rows, folder / f"{over}.png")
+        parts.append(f"## By {over}\n\n{table(over, rows)}\n![{over}]({over}.png)\n")
+    (folder / "report.md").write_text("\n".join(parts))
+    print(f"written to {folder / 'report.md'}")
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/tests/test_lab.py
@@ -0,0 +1,39 @@
+"""The emulator shows what it is asked for, and the same again."""
+
+from __future__ import annotations
+
+import attrs
+
+from fordhatch_lab import Experiment, run_experiment
+
+SMALL = Experiment(
+    nodes=3,
+    domains=2,
+    warm_up_s=30.0,
+    duration_s=4.0,
+    loss_every_s=1.5,
+    empty_every_s=0.0,
+)
+
+
+def test_an_experiment_serves_its_callers_and_is_the_same_again() -> None:
+    first, again = run_experiment(SMALL), run_experiment(SMALL)
+    assert first.violations == []
+    assert first.served() > 0.9
+    assert 0.0 < first.worst_window() <= first.worth() <= 1.0
+    assert first.summary() == again.summary()
+
+
+def test_without_losses_nothing_is_late() -> None:
+    calm = run_experiment(attrs.evolve(SMALL, loss_every_s=0.0))
+    assert calm.served() == 1.0
+    assert calm.worth() > 0.99
+    assert calm.healing_s == []
+
+
+def test_calls_to_the_store_do_not_grow_with_the_nodes() -> None:
+    calm = attrs.evolve(SMALL, loss_every_s=0.0)
+    few = run_experiment(calm)
+    many = run_experiment(attrs.evolve(calm, nodes=12))
+    calls = [sum(m.store_calls.values()) for m in (few, many)]
+    assert calls[1] < 1.5 * calls[0]
