The last run that a route allows is not left because it is slow

A run before its first event was not counted, so a third seemed possible. Change: the run at hand counts when it is decided whether to leave it. Test red before. `fordhatch explain` shows a fact that many nodes have logged once, with their number.

--- a/packages/cli/src/fordhatch/cli/_explain.py
+++ b/packages/cli/src/fordhatch/cli/_explain.py
@@ -177,11 +177,30 @@
 
 def _related(own: list[LogLine], every: list[LogLine]) -> list[LogLine]:
     failed = [line for line in own if line.event == "send_failed"]
-    found = []
-    for line in every:
-        if line.event in RELATED_EVENTS and any(_touches(line, f) for f in failed):
-            found.append(line)
-    return found
+    related = [
+        line
+        for line in every
+        if line.event in RELATED_EVENTS and any(_touches(line, f) for f in failed)
+    ]
+    return _merged(related)
+
+
+def _merged(lines: list[LogLine]) -> list[LogLine]:
+    """Return each fact once, with the number of nodes that logged it."""
+    first: dict[tuple[tuple[str, str], ...], LogLine] = {}
+    nodes: dict[tuple[tuple[str, str], ...], set[str]] = {}
+    for line in lines:
+        facts = tuple(
+            (name, value)
+            for name, value in line.fields.items()
+            if name not in ("time", "node")
+        )
+        first.setdefault(facts, line)
+        nodes.setdefault(facts, set()).add(line.node)
+    return [
+        LogLine({**line.fields, "seen_by_nodes": str(len(nodes[facts]))})
+        for facts, line in first.items()
+    ]
 
 
 def _touches(line: LogLine, failed: LogLine) -> bool:
--- a/packages/cli/tests/test_explain.py
+++ b/packages/cli/tests/test_explain.py
@@ -18,6 +18,7 @@
 time=2026-01-02T01:20:23.000Z node=n1 event=relay_failed reader=n3 problem="too old"
 time=2026-01-02T01:20:23.200Z node=n1 event=send_failed request=r1 backend=i-1 group=m.7
 time=2026-01-02T01:20:23.300Z node=n2 event=group_dissolving group=m.7 reason="a \"b\""
+time=2026-01-02T01:20:23.301Z node=n3 event=group_dissolving group=m.7 reason="a \"b\""
 time=2026-01-02T01:20:23.400Z node=n1 event=request_done request=r1 outcome=backend_lost
 time=2026-01-02T01:20:23.500Z node=n1 event=request_done request=r2 outcome=complete
 time=2026-01-02T01:25:23.300Z node=n2 event=group_dissolving group=m.7 reason=late
@@ -33,6 +34,8 @@
         "group_dissolving",
     ]
     assert found.related[1].fields["reason"] == 'a "b"'
+    # Two nodes have logged the same: it is one fact.
+    assert [line.fields["seen_by_nodes"] for line in found.related] == ["1", "2"]
     assert [line.event for line in found.node] == ["relay_failed"]
     assert found.outcome == "backend_lost"
     assert "may have run" in found.advice
--- a/packages/serving/src/fordhatch/serving/_stream_call.py
+++ b/packages/serving/src/fordhatch/serving/_stream_call.py
@@ -260,17 +260,24 @@
             waited_s = now_s - waiting_since_s
             if silent_s >= limit_s:
                 self.stalls.silent(head)
-                self._leave_if_possible(stream, f"silent for {silent_s:.3f}")
+                self._leave_if_possible(stream, head, f"silent for {silent_s:.3f}")
             elif waited_s >= PATIENCE * limit_s:
-                self._leave_if_possible(stream, f"waited for {waited_s:.3f}")
+                self._leave_if_possible(stream, head, f"waited for {waited_s:.3f}")
 
-    def _leave_if_possible(self, stream: _Stream, detail: str) -> None:
-        """Break off a silent run, but only if another group may take over."""
+    def _leave_if_possible(
+        self, stream: _Stream, head: BackendServer, detail: str
+    ) -> None:
+        """Break off a silent run, but only if another group may take over.
+
+        The run that is left counts for the route's attempts, also before its first
+        event: the last one that is allowed may be slow, and still be whole.
+        """
         request = stream.request
         if not request.route.is_repeatable:
             return
         other = self.choice.choose(request.service, stream.model, stream.tried)
-        ran = sum(b in self.directory.backends for b in request.ran_at)
+        runs = {*request.ran_at, head.backend_id}
+        ran = sum(b in self.directory.backends for b in runs)
         if other is not None and ran < request.route.attempts:
             raise _Broken(SendProblem.SILENT, detail)
 
--- a/packages/serving/tests/test_stream_calls.py
+++ b/packages/serving/tests/test_stream_calls.py
@@ -107,6 +107,26 @@
     assert resumed["x-attempt-id"] == bad.seen[0].headers["x-attempt-id"]
 
 
+async def test_the_last_run_that_is_allowed_is_not_left_because_it_is_slow(
+    site,
+) -> None:
+    runs = []
+
+    async def breaks_and_then_is_slow(request, writer) -> None:
+        runs.append(request)
+        if len(runs) == 1:
+            await breaks_within_an_event(request, writer)
+            return
+        await asyncio.sleep(0.9)
+        await streams(request, writer)
+
+    for number in range(3):
+        await site.add_backend(breaks_and_then_is_slow, group=f"small.{number}")
+    got = await site.ask("/stream/1")
+    assert (got.status, got.body) == (200, ALL)
+    assert len(runs) == 2
+
+
 async def test_a_stream_of_the_callers_goes_on_where_it_was(site) -> None:
     await site.add_backend(streams, group="small.1")
     got = await site.ask("/stream/1", **{"Last-Event-Id": "4"})
