--- a/bench/soak.py
+++ b/bench/soak.py
@@ -10,21 +10,19 @@
 
 import asyncio
 import contextlib
-import hashlib
-import json
 import random
 import signal
 import sys
 import time
-from collections import Counter
-from typing import Annotated, Any
+from typing import Annotated
 
 import aiohttp
 import attrs
 from cyclopts import App, Parameter
-from demo import chat_body, expected
-from fleet import API_KEY, ZONES, Fleet, NodeChild, declared_state
+from fleet import ZONES, Fleet, NodeChild, declared_state
 from loopback_proxy import LoopbackProxy
+from soak_callers import Callers
+from soak_ledger import Ledger
 
 NODES = 4
 ENGINES = 10
@@ -37,25 +35,6 @@
 app = App(name="soak", help="Random faults on separate processes.")
 
 
-@attrs.define
-class Ledger:
-    """What callers and operators saw, and every broken promise."""
-
-    outcomes: Counter[str] = attrs.field(factory=Counter)
-    faults: Counter[str] = attrs.field(factory=Counter)
-    violations: list[str] = attrs.field(factory=list)
-    once: set[str] = attrs.field(factory=set)
-    """Contents of requests that may run once at most."""
-    not_run: set[str] = attrs.field(factory=set)
-    """Contents of requests whose every answer said that they had not run."""
-    times: list[str] = attrs.field(factory=list)
-
-    def violate(self, text: str) -> None:
-        """Record a broken promise."""
-        print(f"VIOLATION: {text}", flush=True)
-        self.violations.append(text)
-
-
 @attrs.define(eq=False, repr=False)
 class Soak:
     """One run."""
@@ -84,90 +63,11 @@
         await self._apply()
         await self.fleet.until_converged(self.fleet.nodes[0], NODES)
 
-    # Callers.
-
     def _node(self) -> NodeChild:
         """Return a node as a balancer would: one that is not known to be gone."""
         able = [n for n in self.fleet.nodes if n.name not in self._busy]
         return self.rng.choice(able or self.fleet.nodes)
 
-    async def caller(self, number: int) -> None:
-        """Send requests of every kind until the run stops."""
-        connector = aiohttp.TCPConnector(limit=0)
-        timeout = aiohttp.ClientTimeout(total=30.0)
-        async with aiohttp.ClientSession(
-            connector=connector, timeout=timeout
-        ) as session:
-            count = 0
-            while not self.is_stopping:
-                count += 1
-                text = f"caller {number} request {count}"
-                kind = self.rng.randrange(3)
-                if kind == 0:
-                    await self._chat(session, text, stream=True)
-                elif kind == 1:
-                    await self._chat(session, text, stream=False)
-                else:
-                    await self._bill(session, text, has_key=self.rng.random() < 0.7)
-                await asyncio.sleep(self.rng.random() * 0.1)
-
-    async def _send(
-        self,
-        session: aiohttp.ClientSession,
-        path: str,
-        body: dict[str, Any],
-        headers: dict[str, str],
-    ) -> tuple[int, str]:
-        """Return status and body; status 0 where the connection broke."""
-        sent = {"Authorization": f"Bearer {API_KEY}", "X-Timeout-S": "15", **headers}
-        url = self._node().url + path
-        try:
-            async with session.post(url, json=body, headers=sent) as reply:
-                return reply.status, await reply.text()
-        except (aiohttp.ClientError, TimeoutError, OSError):
-            return 0, ""
-
-    async def _chat(
-        self, session: aiohttp.ClientSession, text: str, *, stream: bool
-    ) -> None:
-        body = chat_body(text, stream=stream)
-        status, content = await self._send(session, "/v1/chat/completions", body, {})
-        if status != 200:
-            self.ledger.outcomes[f"chat {status}"] += 1
-            return
-        answer = _streamed_text(content) if stream else _whole_text(content)
-        if answer is None:
-            self.ledger.outcomes["chat broken off"] += 1
-            return
-        self.ledger.outcomes["chat whole"] += 1
-        if answer != expected(text):
-            self.ledger.violate(f"wrong answer to {text!r}: {answer[:80]!r}")
-
-    async def _bill(
-        self, session: aiohttp.ClientSession, text: str, *, has_key: bool
-    ) -> None:
-        body = {"text": text}
-        content = hashlib.sha256(json.dumps(body).encode()).hexdigest()
-        headers = {"Idempotency-Key": text} if has_key else {}
-        self.ledger.once.add(content)
-        said_not_run = True
-        for _ in range(ATTEMPTS if has_key else 1):
-            status, answer = await self._send(
-                session, "/services/yard/billing/1", body, headers
-            )
-            if status == 200:
-                said_not_run = False
-                self.ledger.outcomes["bill whole"] += 1
-                if json.loads(answer)["body"] != content:
-                    self.ledger.violate(f"answer of another request to {text!r}")
-                break
-            ran = json.loads(answer)["error"]["ran"] if status else "maybe"
-            said_not_run &= ran == "no"
-            self.ledger.outcomes[f"bill {status} {ran}"] += 1
-            await asyncio.sleep(0.2)
-        if said_not_run:
-            self.ledger.not_run.add(content)
-
     # The operator.
 
     async def operator(self) -> None:
@@ -321,6 +221,9 @@
             return
         await self.fleet.act("kill", backend=await self._engine())
         await asyncio.sleep(self.rng.uniform(0.2, 4.0))
+        await self._bring_another()
+
+    async def _bring_another(self) -> None:
         port = self.fleet.spare_port + self._added
         self._added += 1
         zone = self.rng.choice(ZONES)
@@ -334,9 +237,7 @@
         await asyncio.sleep(4.0)
         if name in (await self.fleet.counts())["engines"]:
             await self.fleet.act("kill", backend=name)
-        port = self.fleet.spare_port + self._added
-        self._added += 1
-        await self.fleet.act("add", port=port, domain="fabric-0", zone=ZONES[0])
+        await self._bring_another()
 
     async def _slow_engine(self) -> None:
         name = await self._engine()
@@ -358,7 +259,8 @@
 
     async def run(self, duration_s: float) -> None:
         """Run for a while, heal everything, and check the rest."""
-        work = [asyncio.ensure_future(self.caller(n)) for n in range(CALLERS)]
+        callers = Callers(self._node, lambda: self.is_stopping, self.ledger, self.rng)
+        work = [asyncio.ensure_future(callers.run(n)) for n in range(CALLERS)]
         work.append(asyncio.ensure_future(self.operator()))
         faults = asyncio.ensure_future(self.faults())
         await asyncio.sleep(duration_s)
@@ -406,20 +308,6 @@
             )
 
 
-def _whole_text(content: str) -> str | None:
-    return json.loads(content)["choices"][0]["message"]["content"]
-
-
-def _streamed_text(content: str) -> str | None:
-    """Return the text of a streamed answer; None if it is not complete."""
-    lines = content.split("\n\n")
-    if "data: [DONE]" not in lines:
-        return None
-    chunks = [json.loads(x[6:]) for x in lines if x.startswith("data: {")]
-    deltas = [c["choices"][0]["delta"] for c in chunks if "choices" in c]
-    return "".join(d.get("content", "") for d in deltas)
-
-
 async def soak(seed: int, duration_s: float) -> Ledger:
     """Run one seed; returns what was seen."""
     async with Fleet.create() as fleet:
--- a/packages/chat/src/fordhatch/chat/_chat_server.py
+++ b/packages/chat/src/fordhatch/chat/_chat_server.py
@@ -10,22 +10,16 @@
 
 import attrs
 from aiohttp import web
-from result import Err, Ok, Result
+from result import Result
 
 from fordhatch.adapter import model_call_headers
-from fordhatch.catalog import CallFields, Route, RouteKind, Workspace
-from fordhatch.config import (
-    Application,
-    DeclaredConfiguration,
-    Limits,
-    ModelService,
-    hash_key,
-    model_name,
-)
+from fordhatch.catalog import CallFields
+from fordhatch.config import Limits, ModelService, model_name
 from fordhatch.core import Failure, ResultCode, Timer, log_event
 from fordhatch.serving import RequestPath, ServedRequest
 
-from ._chat_body import ChatBody, bad_request
+from ._caller_checks import CallerChecks, CallerTerms, route_for
+from ._chat_body import ChatBody
 from ._claim_rows import Claim, ClaimKey
 from ._claims import ClaimService, Ticket
 from ._replies import (
@@ -46,44 +40,32 @@
 SERVICES_PREFIX = "/services/"
 """Plain services are called below ``/services/<application>``."""
 
-KEY_HEADER = "Idempotency-Key"
-
-LONGEST_KEY = 255
-"""Longest idempotency key."""
-
 LIMIT_RETRY_AFTER_S = 1.0
 """When a workspace at its limit may come back: requests take about as long."""
 
-_BEARER = "Bearer "
-
 _PASSED_HEADERS = ("Content-Type", "Accept")
 """Callers' headers that plain services see."""
 
 Reply = ChatReply | CallReply
 
 
-@attrs.frozen
-class _Asked:
-    """What every request of a caller says, checked."""
-
-    key_hash: str
-    configuration: DeclaredConfiguration
-    workspace: Workspace
-    timeout_s: float
-    idempotency_key: str
-    may_repeat: bool
-
-
 @attrs.define(eq=False, repr=False)
 class ChatServer:
     """Checks callers' requests and passes them on to the request path."""
 
     path: RequestPath
     claims: ClaimService
-    limits: Limits
+    checks: CallerChecks
     timer: Timer
     _by_workspace: Counter[str] = attrs.field(factory=Counter)
 
+    @classmethod
+    def create(
+        cls, path: RequestPath, claims: ClaimService, limits: Limits, timer: Timer
+    ) -> ChatServer:
+        """Return the callers' edge of a request path."""
+        return cls(path, claims, CallerChecks(path, limits), timer)
+
     async def handle(self, http_request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request of a caller."""
         state = self.path.state
@@ -122,7 +104,7 @@
 
     async def _models(self, http_request: web.BaseRequest, reply: CallReply) -> Reply:
         """List the applications of the workspace that are served by models."""
-        asked = self._check(http_request)
+        asked = self.checks.check(http_request)
         if asked.is_err():
             await reply.refuse(asked.unwrap_err())
             return reply
@@ -138,78 +120,6 @@
         await reply.whole(200, [("Content-Type", "application/json")], body)
         return reply
 
-    # Checks.
-
-    def _check(self, http_request: web.BaseRequest) -> Result[_Asked, Failure]:
-        """Check what is the same for every kind of request."""
-        stopped = self.path.state.why_not()
-        if stopped is not None:
-            return Err(stopped)
-        header = http_request.headers.get("Authorization", "")
-        if not header.startswith(_BEARER):
-            return Err(Failure.from_code(ResultCode.UNAUTHENTICATED))
-        key_hash = hash_key(header.removeprefix(_BEARER).strip())
-        known = self.path.admission.authenticate(_ANY_ROUTE, (key_hash,))
-        if known.is_err():
-            return known
-        timeout = self._timeout_s(http_request)
-        if timeout.is_err():
-            return timeout
-        key = http_request.headers.get(KEY_HEADER, "")
-        if len(key) > LONGEST_KEY:
-            return Err(bad_request(f"{KEY_HEADER} is longer than {LONGEST_KEY}"))
-        mark = http_request.headers.get("X-Repeatable", "true").lower()
-        if mark not in ("true", "false"):
-            return Err(bad_request("X-Repeatable must be true or false"))
-        configuration = self.path.state.view.configuration.current
-        return Ok(
-            _Asked(
-                key_hash,
-                configuration,
-                known.unwrap(),
-                timeout.unwrap(),
-                key,
-                mark == "true",
-            )
-        )
-
-    def _timeout_s(self, http_request: web.BaseRequest) -> Result[float, Failure]:
-        asked = http_request.headers.get("X-Timeout-S")
-        if asked is None:
-            return Ok(self.limits.default_timeout_s)
-        try:
-            timeout_s = float(asked)
-        except ValueError:
-            return Err(bad_request("X-Timeout-S is not a number"))
-        if not 0 < timeout_s <= self.limits.max_timeout_s:
-            text = (
-                f"X-Timeout-S must be above 0 and at most {self.limits.max_timeout_s:g}"
-            )
-            return Err(bad_request(text))
-        return Ok(timeout_s)
-
-    def _application(
-        self, asked: _Asked, name: str, *, is_model: bool
-    ) -> Result[Application, Failure]:
-        declared = asked.configuration.declared
-        application = declared.application(name)
-        if application is None:
-            return Err(Failure.from_code(ResultCode.UNKNOWN_MODEL, f"no {name!r}"))
-        if application.name not in asked.workspace.applications:
-            return Err(Failure.from_code(ResultCode.FORBIDDEN))
-        service = declared.service(application.service)
-        if isinstance(service, ModelService) is not is_model:
-            return Err(Failure.from_code(ResultCode.UNKNOWN_MODEL, f"no {name!r}"))
-        return Ok(application)
-
-    async def _body(self, http_request: web.BaseRequest) -> Result[bytes, Failure]:
-        body = bytearray()
-        async for piece in http_request.content.iter_any():
-            body += piece
-            if len(body) > self.limits.max_body_bytes:
-                return Err(Failure.from_code(ResultCode.BODY_TOO_LARGE))
-        return Ok(bytes(body))
-
     # Chat completions.
 
     async def _chat(self, http_request: web.BaseRequest) -> Reply:
@@ -225,19 +135,19 @@
 
     async def _chat_request(
         self, http_request: web.BaseRequest, reply: ChatReply, arrived_s: float
-    ) -> Result[tuple[ServedRequest, _Asked], Failure]:
-        checked = self._check(http_request)
+    ) -> Result[tuple[ServedRequest, CallerTerms], Failure]:
+        checked = self.checks.check(http_request)
         if checked.is_err():
             return checked
         asked = checked.unwrap()
-        content = await self._body(http_request)
+        content = await self.checks.body(http_request)
         if content.is_err():
             return content
         parsed = ChatBody.from_json(content.unwrap())
         if parsed.is_err():
             return parsed
         body = parsed.unwrap()
-        found = self._application(asked, body.application, is_model=True)
+        found = self.checks.application(asked, body.application, is_model=True)
         if found.is_err():
             return found
         application = found.unwrap()
@@ -253,7 +163,7 @@
             max_output_tokens=body.max_tokens,
         )
         admitted = self.path.admission.admit(
-            _route(asked, application, "POST", CHAT_PATH),
+            route_for(asked, application, "POST", CHAT_PATH),
             fields,
             method="POST",
             target=CHAT_PATH,
@@ -289,24 +199,24 @@
 
     async def _call_request(
         self, http_request: web.BaseRequest, arrived_s: float
-    ) -> Result[tuple[ServedRequest, _Asked], Failure]:
-        checked = self._check(http_request)
+    ) -> Result[tuple[ServedRequest, CallerTerms], Failure]:
+        checked = self.checks.check(http_request)
         if checked.is_err():
             return checked
         asked = checked.unwrap()
         rest = http_request.raw_path.removeprefix(SERVICES_PREFIX)
         name, _, target = rest.partition("/")
-        found = self._application(asked, name, is_model=False)
+        found = self.checks.application(asked, name, is_model=False)
         if found.is_err():
             return found
-        body = await self._body(http_request)
+        body = await self.checks.body(http_request)
         if body.is_err():
             return body
         target = f"/{target}"
         fields = CallFields(
             f"req-{secrets.token_hex(10)}", asked.timeout_s, (asked.key_hash,)
         )
-        route = _route(asked, found.unwrap(), http_request.method, target)
+        route = route_for(asked, found.unwrap(), http_request.method, target)
         passed = [
             (name, http_request.headers[name])
             for name in _PASSED_HEADERS
@@ -326,7 +236,7 @@
     # Serving.
 
     async def _serve(
-        self, request: ServedRequest, asked: _Asked, reply: Reply
+        self, request: ServedRequest, asked: CallerTerms, reply: Reply
     ) -> Reply:
         name, most = asked.workspace.name, asked.workspace.max_concurrent
         if most is not None and self._by_workspace[name] >= most:
@@ -346,7 +256,7 @@
         return reply
 
     async def _serve_once(
-        self, request: ServedRequest, asked: _Asked, reply: Reply
+        self, request: ServedRequest, asked: CallerTerms, reply: Reply
     ) -> None:
         digest = hashlib.sha256(request.body + request.target.encode()).hexdigest()
         key = ClaimKey(asked.workspace.name, asked.idempotency_key, digest)
@@ -403,20 +313,3 @@
             age_s=round(self.path.state.view.configuration_age_s(), 3),
         )
         await reply.refuse(failure)
-
-
-_ANY_ROUTE = Route("", "", "/", RouteKind.NON_IDEMPOTENT, (), 0.0, 0.0, 1, 0)
-"""Every route of this interface needs an API key."""
-
-
-def _route(asked: _Asked, application: Application, method: str, target: str) -> Route:
-    """Return an application's route as it is for one request."""
-    routes = asked.configuration.routes
-    route = next(r for r in routes if r.name == application.name)
-    route = attrs.evolve(route, timeout_s=asked.timeout_s)
-    if asked.may_repeat and application.may_repeat(method, target):
-        return route
-    kind = route.kind
-    if kind is RouteKind.IDEMPOTENT:
-        kind = RouteKind.NON_IDEMPOTENT
-    return attrs.evolve(route, kind=kind, is_resumable=False, attempts=1)
--- a/packages/daemon/src/fordhatch/daemon/_daemon.py
+++ b/packages/daemon/src/fordhatch/daemon/_daemon.py
@@ -57,7 +57,7 @@
             settings.limits.claim_expiry_s,
             settings.limits.row_bytes,
         )
-        callers = ChatServer(node.path, claims, settings.limits, timer)
+        callers = ChatServer.create(node.path, claims, settings.limits, timer)
         operators = OperatorsApp.from_node(node, settings)
         return cls(settings, node, claims, callers, operators)
 
