Soak waits for a restarted node and takes its ports at random

Ruled out: the node's own stop, which ended with 0 in every run in which it had answered once. Change: the soak waits until a restarted node answers; the first port is drawn at random.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -5,7 +5,7 @@
 import asyncio
 import itertools
 import json
-import os
+import secrets
 import signal
 import socket
 import sys
@@ -30,7 +30,7 @@
 otherwise take a port between the look and the use."""
 
 _ports = itertools.cycle(range(FIRST_PORT, LAST_PORT))
-_start = os.getpid() * 97 % (LAST_PORT - FIRST_PORT)
+_start = secrets.randbelow(LAST_PORT - FIRST_PORT)
 next(itertools.islice(_ports, _start, _start), None)
 
 
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -151,8 +151,7 @@
         node.send(signal.SIGKILL)
         await node.process.wait()
         await asyncio.sleep(self.rng.uniform(0.1, 2.0))
-        await self.fleet.restart(node)
-        self._busy.discard(node.name)
+        await self._start_again(node)
 
     async def _pause_node(self) -> None:
         node = self._take_node()
@@ -179,7 +178,12 @@
             status = await node.process.wait()
         if status not in (0, -signal.SIGKILL):
             self.ledger.violate(f"{node.name} ended with {status} after SIGTERM")
+        await self._start_again(node)
+
+    async def _start_again(self, node: NodeChild) -> None:
+        """Start a node; it may be chosen again once it takes signals itself."""
         await self.fleet.restart(node)
+        await self.fleet.until_answers(f"{node.operators_url}/metrics")
         self._busy.discard(node.name)
 
     async def _trouble_way(self) -> None:
--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -1,4 +1,4 @@
-"""The soak's callers: requests of every kind, and what must be true of their answers."""
+"""The soak's callers: requests of every kind, and what must hold for their answers."""
 
 from __future__ import annotations
 
