An outage of the store is what no node could confirm, not what reached one late

A node counted as an outage of the store any span of 1.2 s in which it had no confirmation. Since tables are passed on over two nodes, that age is passed in quiet times too (two waits at each hop), so that five of nine nodes took a plain removal for one that proves nothing, and kept the entry for the grace of 1.9 s and one look more. Change: every answer says for how long the store had confirmed the table without an outage, up to its confirmation; only a span in which no source confirmed anything counts. A return that brings no rows is noted as well, which it was not before.

--- a/packages/protocol/src/fordhatch/protocol/_messages.py
+++ b/packages/protocol/src/fordhatch/protocol/_messages.py
@@ -155,6 +155,8 @@
     """Up to this version nothing else changed."""
     age_s: float = _seconds()
     """How long ago, at the sending of this, the store was asked that confirmed it."""
+    steady_s: float = _seconds()
+    """For how long before that the store had confirmed it without an outage."""
     is_whole: bool = _exactly(bool)
     """Whether these are all rows and not only those that changed."""
     rows: list[list[str | int | bytes | bool]] = attrs.field(validator=_rows)
--- a/packages/protocol/tests/test_protocol.py
+++ b/packages/protocol/tests/test_protocol.py
@@ -23,7 +23,7 @@
 
 
 def changes(table: str = "servers", version: int = 4) -> TableChanges:
-    return TableChanges(table, version, 0.25, False, [["i-1", 4, b"x", False]])
+    return TableChanges(table, version, 0.25, 9.5, False, [["i-1", 4, b"x", False]])
 
 
 def status(name: str = "n1", version: int = 0) -> StatusReply:
@@ -37,7 +37,7 @@
 
 def test_long_messages_are_compressed_and_come_back_equal() -> None:
     rows = [[f"i-{n}", n, b'{"service": "llm"}' * 9, False] for n in range(200)]
-    answer = TablesChanged([TableChanges("servers", 4, 0.25, True, rows)])
+    answer = TablesChanged([TableChanges("servers", 4, 0.25, 9.5, True, rows)])
     body = encode(7, answer)
     assert len(body) < 8000
     assert decode(body) == (7, answer)
--- a/packages/registry/src/fordhatch/registry/_backend_directory.py
+++ b/packages/registry/src/fordhatch/registry/_backend_directory.py
@@ -53,7 +53,8 @@
     backends: dict[str, BackendServer] = attrs.field(factory=dict)
     version: int = 0
     """Rises with every change here."""
-    _outage_ended_s: float = -math.inf
+    outage_ended_s: float = -math.inf
+    """When an outage of the store was last found to have ended."""
     _lapsed: dict[str, float] = attrs.field(factory=dict)
     """Entries missing since an outage of the store, with the time to drop them."""
     _subscribers: list[Callable[[], None]] = attrs.field(factory=list)
@@ -62,10 +63,6 @@
         """Call back after every change."""
         self._subscribers.append(call)
 
-    def outage_ended(self) -> None:
-        """Note that the store was away: missing entries get a grace from now on."""
-        self._outage_ended_s = self.timer.now_s()
-
     def observe_snapshot(self, rows: Sequence[Row]) -> None:
         """Take every row of the table."""
         present = {row.row_key.key for row in rows}
@@ -90,7 +87,7 @@
         self._changed()
 
     def _is_after_outage(self) -> bool:
-        return self.timer.now_s() - self._outage_ended_s < AFTER_OUTAGE_S
+        return self.timer.now_s() - self.outage_ended_s < AFTER_OUTAGE_S
 
     def expire(self) -> None:
         """Drop the lapsed entries whose grace has ended."""
--- a/packages/registry/src/fordhatch/registry/_followers.py
+++ b/packages/registry/src/fordhatch/registry/_followers.py
@@ -79,8 +79,7 @@
         directory = BackendDirectory(timer)
 
         def take_backends(update: TableUpdate) -> None:
-            if backends.is_after_outage():
-                directory.outage_ended()
+            directory.outage_ended_s = backends.outage_ended_s
             if update.is_whole:
                 directory.observe_snapshot(update.rows)
             else:
--- a/packages/registry/src/fordhatch/registry/_relay.py
+++ b/packages/registry/src/fordhatch/registry/_relay.py
@@ -93,7 +93,14 @@
     rows = [
         [row.row_key.key, row.version, row.value, row.is_removed] for row in update.rows
     ]
-    return TableChanges(name, update.version, follower.age_s(), update.is_whole, rows)
+    return TableChanges(
+        name,
+        update.version,
+        follower.age_s(),
+        follower.steady_s(),
+        update.is_whole,
+        rows,
+    )
 
 
 @attrs.define(eq=False, repr=False)
@@ -164,4 +171,6 @@
         Row(RowKey(changes.table, key), version, value, is_removed)
         for key, version, value, is_removed in changes.rows
     ]
-    return TableUpdate(rows, changes.version, changes.is_whole, changes.age_s)
+    return TableUpdate(
+        rows, changes.version, changes.is_whole, changes.age_s, changes.steady_s
+    )
--- a/packages/registry/src/fordhatch/registry/_table_follower.py
+++ b/packages/registry/src/fordhatch/registry/_table_follower.py
@@ -20,8 +20,9 @@
 within the second or two that entries take to come back."""
 
 OUTAGE_AFTER_S = 1.2
-"""If nothing was confirmed for this long, the store was away, and not a single
-answer lost: entries lapse after three heartbeats, which is longer."""
+"""If the store confirmed nothing for this long, to any node that is known of, it was
+away, and not a single answer lost: entries lapse after three heartbeats, which is
+longer."""
 
 OnUpdate = Callable[[TableUpdate], None]
 
@@ -45,6 +46,11 @@
     confirmed_s: float = -math.inf
     """When the store was asked that last confirmed the copy: what is known is at
     least as new."""
+    steady_since_s: float = -math.inf
+    """Since when the store has confirmed the table without an outage, to this node or
+    to those that it got its knowledge from."""
+    outage_ended_s: float = -math.inf
+    """When this node last learned of the end of an outage of the store."""
     _failing_since_s: float | None = None
     _failures: int = 0
 
@@ -62,6 +68,10 @@
         """Return the age of what is known, in seconds."""
         return self.timer.now_s() - self.confirmed_s
 
+    def steady_s(self) -> float:
+        """Return for how long the store had confirmed the table without an outage."""
+        return self.confirmed_s - self.steady_since_s
+
     async def follow(self) -> None:
         """Follow the table at the store until cancelled."""
         while True:
@@ -105,12 +115,28 @@
         if update.is_whole and update.version < self.copy.version:
             # A node that is behind: what is known here is newer.
             return
+        self._confirm(sent_s - update.age_s, update.steady_s)
         if update.is_whole or update.rows:
             self.on_update(update)
         self.copy.take(update)
-        self.confirmed_s = max(self.confirmed_s, sent_s - update.age_s)
         self._succeeded()
 
+    def _confirm(self, confirmed_s: float, steady_s: float) -> None:
+        """Note a confirmation, and whether an outage lay before it.
+
+        Knowledge also ages while this node changes its reader, and a little at each
+        node that passes it on. Only a span in which the store confirmed nothing to
+        anybody is an outage, so that the source's steady time counts.
+        """
+        steady_since_s = confirmed_s - steady_s
+        if steady_since_s - self.confirmed_s < OUTAGE_AFTER_S:
+            self.steady_since_s = min(self.steady_since_s, steady_since_s)
+        else:
+            if self.is_loaded:
+                self.outage_ended_s = self.timer.now_s()
+            self.steady_since_s = steady_since_s
+        self.confirmed_s = max(self.confirmed_s, confirmed_s)
+
     def _succeeded(self) -> None:
         if self._failing_since_s is not None:
             log_event(
@@ -127,7 +153,3 @@
         if self._failing_since_s is None:
             self._failing_since_s = self.timer.now_s()
             log_event("store_lost", table=self.table, reason=failure.message)
-
-    def is_after_outage(self) -> bool:
-        """Return whether the update that is being taken ends an outage."""
-        return self.is_loaded and self.age_s() >= OUTAGE_AFTER_S
--- a/packages/registry/tests/test_store_view.py
+++ b/packages/registry/tests/test_store_view.py
@@ -8,9 +8,15 @@
 import looptime
 import pytest
 
-from fordhatch.adapter import BACKENDS_TABLE, CONFIGURATION_KEY, OPERATOR_TABLE
+from fordhatch.adapter import (
+    BACKENDS_TABLE,
+    CONFIGURATION_KEY,
+    OPERATOR_TABLE,
+    Row,
+    RowKey,
+)
 from fordhatch.core import Timer
-from fordhatch.registry import StoreSource, StoreView
+from fordhatch.registry import StoreSource, StoreView, TableUpdate
 from fordhatch_standins import MemoryStoreClient, StoreModel
 
 
@@ -170,3 +176,59 @@
         await view.close()
 
     run(scenario)
+
+
+def passed_on(
+    version: int, *rows: Row, age_s: float = 0.2, steady_s: float = 60.0
+) -> TableUpdate:
+    return TableUpdate(rows, version, is_whole=False, age_s=age_s, steady_s=steady_s)
+
+
+REMOVED = Row(RowKey(BACKENDS_TABLE, "i-1"), 12, b"", is_removed=True)
+
+
+async def fed_by_others() -> StoreView:
+    """Return a view that other nodes keep up to date, with one backend server."""
+    view = StoreView.create(
+        StoreSource(MemoryStoreClient(StoreModel(), "n1")), Timer.from_seed(1)
+    )
+    entry = Row(RowKey(BACKENDS_TABLE, "i-1"), 3, backend())
+    now_s = view.timer.now_s()
+    view.backends.take(TableUpdate([entry], 10, True, 0.2, 60.0), now_s)
+    return view
+
+
+def test_knowledge_that_was_passed_on_slowly_is_no_outage() -> None:
+    async def scenario() -> None:
+        view = await fed_by_others()
+        await asyncio.sleep(1.5)
+        # The last answer took its time over two nodes; the store was never away.
+        view.backends.take(passed_on(12, REMOVED), view.timer.now_s())
+        assert not view.directory.backends
+
+    run(scenario)
+
+
+def test_an_outage_that_another_node_saw_counts_here_too() -> None:
+    async def scenario() -> None:
+        view = await fed_by_others()
+        await asyncio.sleep(3)
+        # The return comes without rows; the removal follows with the next answer.
+        view.backends.take(passed_on(10, steady_s=0.1), view.timer.now_s())
+        await asyncio.sleep(0.3)
+        view.backends.take(passed_on(12, REMOVED, steady_s=0.4), view.timer.now_s())
+        assert set(view.directory.backends) == {"i-1"}
+
+    run(scenario)
+
+
+def test_an_outage_long_ago_is_not_counted_again() -> None:
+    async def scenario() -> None:
+        view = await fed_by_others()
+        await asyncio.sleep(3)
+        view.backends.take(passed_on(10, steady_s=0.1), view.timer.now_s())
+        await asyncio.sleep(1.4)
+        view.backends.take(passed_on(12, REMOVED, steady_s=1.5), view.timer.now_s())
+        assert not view.directory.backends
+
+    run(scenario)
