Stateful test kills engines inside the loop that it asks for the time

Cause: the rule called the fleet outside the loop, which raised 'no running event loop' as soon as an example killed an engine; the library then shrank that example for minutes. Found by the whole suite, which stood at this test. Ruled out: leaked tasks (none pending after a closed site; a trial of four sites in one process). Change: the rule runs in the loop.

--- a/packages/node/tests/test_stateful_site.py
+++ b/packages/node/tests/test_stateful_site.py
@@ -22,7 +22,7 @@
 from fordhatch.catalog import CallFields
 from fordhatch.core import Failure, Ran
 from fordhatch_lab import Experiment, LabModel, LabSite
-from fordhatch_standins import event_bytes
+from fordhatch_standins import EngineModel, event_bytes
 
 NODES, DOMAINS = 3, 2
 MODELS = (
@@ -141,7 +141,14 @@
     def engine_dies(self, index: int) -> None:
         living = [e for e in self.fleet.engines.values() if not e.is_dead]
         if len(living) > LEAST_ENGINES:
-            self.fleet.kill(living[index % len(living)])
+            self._kill(living[index % len(living)])
+
+    def _kill(self, engine: EngineModel) -> None:
+        async def kill() -> None:
+            # The fleet asks the running loop for the time.
+            self.fleet.kill(engine)
+
+        self.do(kill())
 
     @rule(domain=st.integers(0, DOMAINS - 1))
     def engine_comes(self, domain: int) -> None:
