A node's own silence is no outage of the store

Ruled out: raising the limit, since two failed readers in a row take 1.1 s by themselves and the age before adds to it. Change: an answer of the store counts as the end of an outage only where the store had failed to answer this node, or another node had nothing fresh either.

--- a/bench/platform_guards.py
+++ b/bench/platform_guards.py
@@ -132,10 +132,17 @@
     Guard(
         "CONFIG: a relayed confirmation carries its age",
         "registry/_table_follower.py",
-        "sent_s - update.age_s)",
-        "sent_s)",
+        "self._confirm(sent_s - update.age_s, ",
+        "self._confirm(sent_s, ",
         f"{REGISTRY}/test_relay.py -k nobodys_age",
     ),
+    Guard(
+        "DRAIN: knowledge that was passed on slowly is no outage",
+        "registry/_table_follower.py",
+        "steady_since_s = confirmed_s - (steady_s or 0.0)",
+        "steady_since_s = confirmed_s",
+        f"{REGISTRY}/test_store_view.py -k passed_on_slowly",
+    ),
     Guard(
         "DENIED: a node out of touch denies nothing for good",
         "serving/_admission.py",
--- a/packages/registry/src/fordhatch/registry/_relay.py
+++ b/packages/registry/src/fordhatch/registry/_relay.py
@@ -128,6 +128,9 @@
         if problem:
             log_event("relay_failed", reader=reader.name, problem=problem)
             self.choice.failed(reader, is_only_behind=is_old)
+            if is_old and got.is_ok():
+                for follower in followers.values():
+                    follower.found_stale()
             return False
         self.choice.answered(reader)
         for changes in got.unwrap().tables:
--- a/packages/registry/src/fordhatch/registry/_table_follower.py
+++ b/packages/registry/src/fordhatch/registry/_table_follower.py
@@ -51,6 +51,9 @@
     to those that it got its knowledge from."""
     outage_ended_s: float = -math.inf
     """When this node last learned of the end of an outage of the store."""
+    _was_away: bool = False
+    """Whether, since the last confirmation, the store failed to answer, or another
+    node was found to know nothing fresh either."""
     _failing_since_s: float | None = None
     _failures: int = 0
 
@@ -121,21 +124,26 @@
         self.copy.take(update)
         self._succeeded()
 
-    def _confirm(self, confirmed_s: float, steady_s: float) -> None:
+    def _confirm(self, confirmed_s: float, steady_s: float | None) -> None:
         """Note a confirmation, and whether an outage lay before it.
 
         Knowledge also ages while this node changes its reader, and a little at each
         node that passes it on. Only a span in which the store confirmed nothing to
-        anybody is an outage, so that the source's steady time counts.
+        anybody is an outage: another node's steady time tells, and without one, what
+        this node has met since its last confirmation.
         """
-        steady_since_s = confirmed_s - steady_s
-        if steady_since_s - self.confirmed_s < OUTAGE_AFTER_S:
-            self.steady_since_s = min(self.steady_since_s, steady_since_s)
-        else:
-            if self.is_loaded:
-                self.outage_ended_s = self.timer.now_s()
+        steady_since_s = confirmed_s - (steady_s or 0.0)
+        is_gap = steady_since_s - self.confirmed_s >= OUTAGE_AFTER_S
+        is_outage = is_gap and (steady_s is not None or self._was_away)
+        if not self.is_loaded:
+            self.steady_since_s = steady_since_s
+        elif is_outage:
+            self.outage_ended_s = self.timer.now_s()
             self.steady_since_s = steady_since_s
+        else:
+            self.steady_since_s = min(self.steady_since_s, steady_since_s)
         self.confirmed_s = max(self.confirmed_s, confirmed_s)
+        self._was_away = False
 
     def _succeeded(self) -> None:
         if self._failing_since_s is not None:
@@ -147,8 +155,13 @@
         self._failing_since_s = None
         self._failures = 0
 
+    def found_stale(self) -> None:
+        """Note that another node knows nothing fresh either."""
+        self._was_away = True
+
     def failed(self, failure: Failure) -> None:
         """Note that the store did not answer."""
+        self._was_away = True
         self._failures += 1
         if self._failing_since_s is None:
             self._failing_since_s = self.timer.now_s()
--- a/packages/registry/src/fordhatch/registry/_table_source.py
+++ b/packages/registry/src/fordhatch/registry/_table_source.py
@@ -34,9 +34,9 @@
     age_s: float = 0.0
     """How long before its sending the update was confirmed by the store; 0 for an
     answer of the store itself."""
-    steady_s: float = 0.0
-    """For how long before that confirmation the store is known to have confirmed the
-    table without an outage; 0 for an answer of the store itself."""
+    steady_s: float | None = None
+    """For how long before that confirmation another node knows that the store had
+    confirmed the table without an outage; None for an answer of the store itself."""
 
 
 class TableSource(Protocol):
--- a/packages/registry/tests/test_store_view.py
+++ b/packages/registry/tests/test_store_view.py
@@ -232,3 +232,25 @@
         assert not view.directory.backends
 
     run(scenario)
+
+
+def test_a_node_whose_readers_failed_learns_no_outage_from_the_store() -> None:
+    async def scenario() -> None:
+        view = await fed_by_others()
+        await asyncio.sleep(1.6)
+        # Nobody answered meanwhile; the store does, and was never away.
+        view.backends.take(TableUpdate([REMOVED], 12, False), view.timer.now_s())
+        assert not view.directory.backends
+
+    run(scenario)
+
+
+def test_a_node_that_found_others_stale_learns_the_outage_from_the_store() -> None:
+    async def scenario() -> None:
+        view = await fed_by_others()
+        await asyncio.sleep(2.0)
+        view.backends.found_stale()
+        view.backends.take(TableUpdate([REMOVED], 12, False), view.timer.now_s())
+        assert set(view.directory.backends) == {"i-1"}
+
+    run(scenario)
