Stateful test runs 50 examples of 20 steps again

Cause: the older stateful tests ran that many; the new one had been held to fewer for a slowness that was the shrinking of its own mistake. Before: 12 of 15 steps.

--- a/packages/node/tests/test_stateful_site.py
+++ b/packages/node/tests/test_stateful_site.py
@@ -246,6 +246,6 @@
 
 
 SiteMachine.TestCase.settings = settings(
-    derandomize=True, max_examples=12, stateful_step_count=15, deadline=None
+    derandomize=True, max_examples=50, stateful_step_count=20, deadline=None
 )
 TestSite = SiteMachine.TestCase
