A link between nodes that falls silent is dropped and opened anew

Cause: the pool kept a connection as long as it was not reset. A node would then have asked its reader over the dead link until the process ended, as each try renewed the link's time of last use.

Ruled out: the store's client and sends to backend servers: a call that times out closes its connection there.

Change: a request without an answer closes its link if nothing at all has come on it since the request was sent. Test red before: a_link_that_fell_silent_is_replaced_by_a_new_one. The soak silences open connections to the store as a fault of its own.

--- a/bench/loopback_proxy.py
+++ b/bench/loopback_proxy.py
@@ -23,6 +23,10 @@
     """Nothing comes back any more; connections stay open."""
     refuses: bool = False
     """New connections are reset at once."""
+    _opened: int = 0
+    """Connections that were ever opened."""
+    _silenced: int = 0
+    """The connections that were opened before this number are silent for good."""
     _writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
     _server: asyncio.Server | None = None
 
@@ -37,6 +41,10 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def silence_open(self) -> None:
+        """Let nothing more pass on the connections that are open; new ones work."""
+        self._silenced = self._opened
+
     def heal(self) -> None:
         """Let everything pass again."""
         self.delay_s = 0.0
@@ -54,10 +62,12 @@
             writer.transport.abort()
             return
         self._writers |= {writer, forth}
+        number = self._opened
+        self._opened += 1
         try:
             await asyncio.gather(
-                self._pass_on(reader, forth, is_request=True),
-                self._pass_on(back, writer, is_request=False),
+                self._pass_on(reader, forth, number, is_request=True),
+                self._pass_on(back, writer, number, is_request=False),
             )
         except OSError:
             pass
@@ -70,6 +80,7 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        number: int,
         *,
         is_request: bool,
     ) -> None:
@@ -77,7 +88,7 @@
             if self.delay_s:
                 await asyncio.sleep(self.delay_s)
             swallows = self.swallows_requests if is_request else self.swallows_answers
-            if not swallows:
+            if not swallows and number >= self._silenced:
                 writer.write(piece)
                 await writer.drain()
         if writer.can_write_eof():
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -111,6 +111,7 @@
             self._trouble_way,
             self._trouble_way,
             self._reset_way,
+            self._silence_way,
             self._trouble_store,
             self._lose_store_answers,
             self._kill_engine,
@@ -205,6 +206,9 @@
     async def _reset_way(self) -> None:
         self.rng.choice(self.proxies).reset_all()
 
+    async def _silence_way(self) -> None:
+        self.rng.choice(self.proxies).silence_open()
+
     async def _trouble_store(self) -> None:
         if not self._store_is_well:
             return
--- a/packages/protocol/src/fordhatch/protocol/_link.py
+++ b/packages/protocol/src/fordhatch/protocol/_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import secrets
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -10,7 +11,15 @@
 import attrs
 from result import Err, Ok, Result
 
-from fordhatch.core import Failure, Ran, ResultCode, TaskSet, log_event, metrics
+from fordhatch.core import (
+    Failure,
+    Ran,
+    ResultCode,
+    TaskSet,
+    Timer,
+    log_event,
+    metrics,
+)
 
 from ._codec import (
     MAC_BYTES,
@@ -129,9 +138,13 @@
     node_name: str
     shared_key: bytes
     handler: Handler | None
+    timer: Timer
     is_client: bool
     peer_name: str = ""
     last_used_s: float = 0.0
+    """When a request was last sent, in monotonic seconds."""
+    last_received_s: float = -math.inf
+    """When anything was last received, in monotonic seconds."""
     alive: bool = False
     _send_key: bytes = b""
     _receive_key: bytes = b""
@@ -236,6 +249,7 @@
                 mac, body = frame[:MAC_BYTES], frame[MAC_BYTES:]
                 verify(self._receive_key, self._received, body, mac)
                 self._received += 1
+                self.last_received_s = self.timer.now_s()
                 metrics.PEER_BYTES.labels("received").inc(len(frame) + LENGTH_BYTES)
                 self._dispatch(*decode(body))
         except FrameError as error:
--- a/packages/protocol/src/fordhatch/protocol/_pool.py
+++ b/packages/protocol/src/fordhatch/protocol/_pool.py
@@ -52,7 +52,13 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         link = Link(
-            reader, writer, self.node_name, self.shared_key, self.handler, False
+            reader,
+            writer,
+            self.node_name,
+            self.shared_key,
+            self.handler,
+            self.timer,
+            is_client=False,
         )
         try:
             await asyncio.wait_for(link.handshake(), HANDSHAKE_TIMEOUT_S)
@@ -96,10 +102,26 @@
         if opened.is_err():
             return opened
         channel = opened.unwrap()
+        sent_s = self.timer.now_s()
+        is_answered = False
         try:
-            return await channel.receive(timeout_s)
+            answer = await channel.receive(timeout_s)
+            is_answered = answer.is_ok()
+            return answer
         finally:
             await channel.close()
+            if not is_answered:
+                await self._drop_if_silent(channel.link, sent_s)
+
+    async def _drop_if_silent(self, link: Link, since_s: float) -> None:
+        """Close a link on which nothing has come since a request was sent.
+
+        A connection may go silent for good without a reset, while new ones to the
+        same node work.
+        """
+        if link.alive and link.last_received_s < since_s:
+            log_event("peer_link_silent", peer=link.peer_name)
+            await link.close()
 
     async def _connected(self, address: str) -> Link | None:
         lock = self._locks.setdefault(address, asyncio.Lock())
@@ -121,7 +143,15 @@
         except (OSError, TimeoutError):
             return None
         # Requests flow one way on a connection: only the accepting side serves.
-        link = Link(reader, writer, self.node_name, self.shared_key, None, True)
+        link = Link(
+            reader,
+            writer,
+            self.node_name,
+            self.shared_key,
+            None,
+            self.timer,
+            is_client=True,
+        )
         try:
             await asyncio.wait_for(link.handshake(), HANDSHAKE_TIMEOUT_S)
         except (FrameError, OSError, EOFError, TimeoutError) as error:
--- a/packages/protocol/tests/test_protocol.py
+++ b/packages/protocol/tests/test_protocol.py
@@ -8,6 +8,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from loopback_proxy import LoopbackProxy
 
 from fordhatch.core import Ran, ResultCode, Timer
 from fordhatch.protocol import FrameError, Link, PeerPool, decode, encode
@@ -190,6 +191,40 @@
     await client.close()
 
 
+async def test_a_link_that_fell_silent_is_replaced_by_a_new_one() -> None:
+    async def answer(message, channel) -> None:
+        await channel.send(status())
+
+    server, client, address = await pools(handler=answer)
+    proxy = LoopbackProxy(int(address.rpartition(":")[2]))
+    way = f"127.0.0.1:{await proxy.start()}"
+    assert (await client.request(way, QueryStatus(), 5.0)).is_ok()
+    proxy.silence_open()
+    lost = await client.request(way, QueryStatus(), 0.2)
+    assert lost.unwrap_err().code is ResultCode.DEADLINE_EXCEEDED
+    assert (await client.request(way, QueryStatus(), 5.0)).is_ok()
+    await client.close()
+    await server.close()
+    await proxy.close()
+
+
+async def test_a_late_answer_does_not_end_a_link_on_which_others_came() -> None:
+    async def answer(message, channel) -> None:
+        await channel.send(status())
+
+    server, client, address = await pools(handler=answer)
+    assert (await client.request(address, QueryStatus(), 5.0)).is_ok()
+    link = client._links[address]
+    late_sent_s = client.timer.now_s()
+    assert (await client.request(address, QueryStatus(), 5.0)).is_ok()
+    await client._drop_if_silent(link, late_sent_s)
+    assert link.alive
+    await client._drop_if_silent(link, client.timer.now_s() + 1.0)
+    assert not link.alive
+    await client.close()
+    await server.close()
+
+
 async def test_stranger_cannot_make_a_node_reserve_memory(monkeypatch) -> None:
     monkeypatch.setattr("fordhatch.protocol._pool.HANDSHAKE_TIMEOUT_S", 60.0)
     server, client, address = await pools()
