--- a/tests/adapter/test_store_client.py
+++ b/tests/adapter/test_store_client.py
@@ -7,6 +7,7 @@
 
 import pytest_asyncio
 from aiohttp import web
+from loopback_proxy import LoopbackProxy
 
 from fordhatch.adapter import RowKey, StoreClient
 from fordhatch.core import Ran, ResultCode
@@ -101,3 +102,33 @@
     model.faults.is_silent = True
     failed = await client.read("own", timeout_s=0.05)
     assert failed.unwrap_err().code is ResultCode.STORE_UNAVAILABLE
+
+
+async def test_connections_that_fell_silent_cost_one_call_only(store) -> None:
+    model, client = store
+    model.put("own", "k", b"1")
+    proxy = LoopbackProxy(int(client.address.rpartition(":")[2]))
+    through = StoreClient.from_address(f"127.0.0.1:{await proxy.start()}")
+    watches = [through.watch("own", 1, wait_s=0.1, timeout_s=5) for _ in range(3)]
+    assert all(got.is_ok() for got in await asyncio.gather(*watches))
+    proxy.silence_open()
+    lost = await through.read("own", timeout_s=0.2)
+    assert lost.unwrap_err().code is ResultCode.STORE_UNAVAILABLE
+    assert (await through.read("own", timeout_s=5)).is_ok()
+    await through.close()
+    await proxy.close()
+
+
+async def test_a_call_goes_on_when_another_has_found_its_connection_silent(
+    store,
+) -> None:
+    model, client = store
+    model.put("own", "k", b"1")
+    watch = asyncio.ensure_future(client.watch("own", 1, wait_s=5, timeout_s=6))
+    await asyncio.sleep(0.05)
+    first = client._session
+    client._leave(first)
+    assert (await client.read("own", timeout_s=5)).is_ok()
+    model.put("own", "k", b"2")
+    assert (await watch).is_ok()
+    assert first.closed
