Runs of a stream have a module of their own; one rule for a further run

What passes one run's events on is now _stream_run.py; which runs count for the attempts that a route allows stood three times (stream, silent stream, plain call) and is now ServedRequest.may_run and counted_runs.

--- a/packages/serving/src/fordhatch/serving/_plain_call.py
+++ b/packages/serving/src/fordhatch/serving/_plain_call.py
@@ -89,15 +89,10 @@
         await reply.refuse(self._failure(request, problem))
 
     def _may_send(self, request: ServedRequest) -> bool:
-        if request.left_s(self.timer.now_s()) <= 0:
+        if not request.may_run(self.directory.backends, self.timer.now_s()):
             return False
         if self.admission.still_allowed(request) is not None:
             return False
-        if request.ran_at and not request.route.is_repeatable:
-            return False
-        ran = sum(b in self.directory.backends for b in request.ran_at)
-        if ran >= request.route.attempts:
-            return False
         return request.arrivals == 0 or self.budget.spend(request.service)
 
     def _choose(self, service: str, tried: Collection[str]) -> BackendServer | None:
--- a/packages/serving/src/fordhatch/serving/_request.py
+++ b/packages/serving/src/fordhatch/serving/_request.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
 from typing import Protocol
 
 import attrs
@@ -47,6 +48,28 @@
             return self.workspace.priority
         return self.route.priority
 
+    def counted_runs(self, listed: Container[str], *also: str) -> int:
+        """Return how many runs count for the attempts that the route allows.
+
+        Args:
+            listed: Backend servers that are there; runs at others don't count.
+            also: Backend servers that may run it now.
+        """
+        return sum(b in listed for b in {*self.ran_at, *also})
+
+    def may_run(self, listed: Container[str], now_s: float) -> bool:
+        """Return whether it may be sent to a backend server, or to another one.
+
+        Args:
+            listed: Backend servers that are there.
+            now_s: Monotonic seconds.
+        """
+        if self.left_s(now_s) <= 0:
+            return False
+        if self.ran_at and not self.route.is_repeatable:
+            return False
+        return self.counted_runs(listed) < self.route.attempts
+
     def left_s(self, now_s: float) -> float:
         """Return the time until the final answer is due, in seconds."""
         return self.ends_s - now_s
--- a/packages/serving/src/fordhatch/serving/_request_path.py
+++ b/packages/serving/src/fordhatch/serving/_request_path.py
@@ -18,6 +18,7 @@
 from ._repeat_budget import RepeatBudget
 from ._stall_watch import StallWatch
 from ._stream_call import StreamCalls
+from ._stream_run import StreamRuns
 
 
 @attrs.define(eq=False, repr=False)
@@ -58,16 +59,17 @@
         stalls = StallWatch(node_name, timer, store, view.shared)
         admission = Admission.from_state(state, timer)
         choice = HeadChoice(zone, view.directory, health, stalls, timer.rng)
+        progress = GroupProgress(timer)
+        runs = StreamRuns(
+            timer, view.directory, health, progress, stalls, choice, exchange
+        )
         streams = StreamCalls.create(
             view.directory,
             timer=timer,
-            health=health,
-            progress=GroupProgress(timer),
-            stalls=stalls,
             choice=choice,
             budget=budget,
-            exchange=exchange,
             admission=admission,
+            runs=runs,
         )
         plain = PlainCalls(
             zone,
--- /dev/null
+++ b/packages/serving/src/fordhatch/serving/_stream_run.py
@@ -0,0 +1,275 @@
+"""One run of a stream at one group, passed on event by event."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+import attrs
+from result import Err, Ok, Result
+
+from fordhatch.adapter import answer_headers
+from fordhatch.catalog import BackendServer, EngineProfile
+from fordhatch.core import Timer, log_event, metrics
+from fordhatch.registry import BackendDirectory
+
+from ._backend_health import BackendHealth
+from ._events import EventOrder, EventSplitter, StreamError
+from ._exchange import BackendAnswer, ExchangeClient, SendFailure, SendProblem
+from ._group_progress import GroupProgress, silence_s
+from ._head_choice import HeadChoice
+from ._request import Reply, ServedRequest
+from ._stall_watch import StallWatch
+
+RESUMED_URGENCY = 0
+"""Streams that go on elsewhere are admitted first: their callers wait already."""
+
+PATIENCE = 4.0
+"""A single stream that is silent this many times longer than its group may be, while
+other streams of the group go on, is given up."""
+
+_OK = 200
+_SERVER_ERROR = 500
+
+
+class _Broken(Exception):  # noqa: N818
+    """A run ended before its stream was complete."""
+
+    def __init__(self, problem: SendProblem, detail: str) -> None:
+        super().__init__(detail)
+        self.failure = SendFailure(problem, detail)
+
+
+@attrs.define(eq=False, repr=False)
+class Stream:
+    """One caller's stream over all of its runs."""
+
+    request: ServedRequest
+    reply: Reply
+    order: EventOrder
+    profile: EngineProfile
+    tried: list[str] = attrs.field(factory=list)
+    """Heads that were sent the request, in order."""
+    last_problem: SendFailure | None = None
+    events: int = 0
+    """Events passed on so far."""
+
+    @property
+    def model(self) -> str:
+        """The model that the caller asks for."""
+        return self.request.fields.model
+
+
+@attrs.define(eq=False, repr=False)
+class StreamRuns:
+    """Sends a stream's request to a group and passes its events on."""
+
+    timer: Timer
+    directory: BackendDirectory
+    health: BackendHealth
+    progress: GroupProgress
+    stalls: StallWatch
+    choice: HeadChoice
+    exchange: ExchangeClient
+
+    async def run(
+        self, stream: Stream, head: BackendServer
+    ) -> Result[None, SendFailure]:
+        """Run a stream at a group; an error means that it is not complete."""
+        head_id = head.backend_id
+        began_s = self.timer.now_s()
+        events = stream.events
+        self.health.in_flight[head_id] += 1
+        self.progress.began(head_id)
+        try:
+            await self._pass_on(stream, head)
+            self.health.succeeded(head_id, self.timer.now_s() - began_s)
+            return Ok(None)
+        except _Broken as broken:
+            self._note(stream, head, broken.failure, began_s, events)
+            return Err(broken.failure)
+        finally:
+            self.progress.ended(head_id)
+            self.health.in_flight[head_id] -= 1
+
+    def _note(
+        self,
+        stream: Stream,
+        head: BackendServer,
+        failure: SendFailure,
+        began_s: float,
+        events: int,
+    ) -> None:
+        log_event(
+            "send_failed",
+            request=stream.request.fields.request_id,
+            backend=head.backend_id,
+            group=head.membership.group if head.membership else "",
+            problem=failure.problem.value,
+            detail=failure.detail,
+            events=stream.events - events,
+            took_s=round(self.timer.now_s() - began_s, 3),
+        )
+        if failure.problem is not SendProblem.REFUSED:
+            self.stalls.silent(head)
+        self.health.failed(head.backend_id)
+
+    async def _pass_on(self, stream: Stream, head: BackendServer) -> None:
+        answer = await self._open(stream, head)
+        try:
+            if answer.status != _OK:
+                await self._pass_on_whole(stream, answer)
+                return
+            await self._pass_on_events(stream, head, answer)
+        finally:
+            answer.close()
+
+    async def _open(self, stream: Stream, head: BackendServer) -> BackendAnswer:
+        """Send the request and wait for the answer's head as long as it makes sense."""
+        request = stream.request
+        resumed = stream.order.last is not None
+        send = asyncio.ensure_future(
+            self.exchange.send(
+                request,
+                head,
+                head_timeout_s=max(request.left_s(self.timer.now_s()), 0.001),
+                urgency=RESUMED_URGENCY if resumed else request.urgency,
+                last_event_id=str(stream.order.last) if resumed else None,
+            )
+        )
+        try:
+            await self._until_done(stream, head, send)
+        except _Broken:
+            request.arrived_at(head.backend_id, may_have_run=True)
+            raise
+        finally:
+            if not send.done():
+                send.cancel()
+        sent = send.result()
+        if sent.is_err():
+            failure = sent.unwrap_err()
+            raise _Broken(failure.problem, failure.detail)
+        return sent.unwrap()
+
+    async def _until_done(
+        self, stream: Stream, head: BackendServer, step: asyncio.Future[object]
+    ) -> None:
+        """Wait for the next step of a run; give up when the group stands still."""
+        limit_s = silence_s(stream.profile, stream.model)
+        waiting_since_s = self.timer.now_s()
+        while True:
+            left_s = stream.request.left_s(self.timer.now_s())
+            await asyncio.wait([step], timeout=max(min(limit_s, left_s), 0.0))
+            if step.done():
+                return
+            now_s = self.timer.now_s()
+            if stream.request.left_s(now_s) <= 0:
+                raise _Broken(SendProblem.SILENT, "out of time")
+            silent_s = self.progress.silent_for_s(head.backend_id)
+            waited_s = now_s - waiting_since_s
+            if silent_s >= limit_s:
+                self.stalls.silent(head)
+                self._leave_if_possible(stream, head, f"silent for {silent_s:.3f}")
+            elif waited_s >= PATIENCE * limit_s:
+                self._leave_if_possible(stream, head, f"waited for {waited_s:.3f}")
+
+    def _leave_if_possible(
+        self, stream: Stream, head: BackendServer, detail: str
+    ) -> None:
+        """Break off a silent run, but only if another group may take over.
+
+        The run that is left counts for the route's attempts, also before its first
+        event: the last one that is allowed may be slow, and still be whole.
+        """
+        request = stream.request
+        if not request.route.is_repeatable:
+            return
+        other = self.choice.choose(request.service, stream.model, stream.tried)
+        ran = request.counted_runs(self.directory.backends, head.backend_id)
+        if other is not None and ran < request.route.attempts:
+            raise _Broken(SendProblem.SILENT, detail)
+
+    async def _pass_on_whole(self, stream: Stream, answer: BackendAnswer) -> None:
+        """Pass on an answer that is no stream: a failure of the backend server."""
+        try:
+            async with asyncio.timeout(stream.request.left_s(self.timer.now_s())):
+                body = await answer.read_all()
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise _Broken(SendProblem.BROKEN, repr(error)) from error
+        can_repeat = stream.request.may_run(self.directory.backends, self.timer.now_s())
+        if stream.reply.has_begun or (answer.status >= _SERVER_ERROR and can_repeat):
+            raise _Broken(SendProblem.BROKEN, f"status {answer.status}")
+        await stream.reply.whole(answer.status, answer_headers(answer.headers), body)
+
+    async def _pass_on_events(
+        self, stream: Stream, head: BackendServer, answer: BackendAnswer
+    ) -> None:
+        splitter = EventSplitter()
+        last_s: float | None = None
+        while True:
+            piece = await self._next_piece(stream, head, answer)
+            if not piece:
+                break
+            self.progress.advanced(head.backend_id)
+            last_s = self._note_pause(stream, head, last_s)
+            await self._pass_on_piece(stream, answer, splitter, piece)
+        if splitter.has_rest:
+            raise _Broken(SendProblem.BROKEN, "ended within an event")
+        if not stream.reply.has_begun:
+            await stream.reply.begin(answer.status, answer_headers(answer.headers))
+        await stream.reply.end()
+
+    def _note_pause(
+        self, stream: Stream, head: BackendServer, last_s: float | None
+    ) -> float:
+        now_s = self.timer.now_s()
+        if last_s is None:
+            metrics.FIRST_EVENT_SECONDS.observe(now_s - stream.request.arrived_s)
+            return now_s
+        profile = stream.profile
+        model = profile.model(stream.model)
+        if model is not None:
+            expected_s = profile.pass_s(profile.slots // 2) * model.pace
+            self.health.note_pause(head.backend_id, now_s - last_s, expected_s)
+        return now_s
+
+    async def _pass_on_piece(
+        self,
+        stream: Stream,
+        answer: BackendAnswer,
+        splitter: EventSplitter,
+        piece: bytes,
+    ) -> None:
+        fresh: list[bytes] = []
+        problem: StreamError | None = None
+        try:
+            for event in splitter.feed(piece):
+                if stream.order.accept(event):
+                    fresh.append(event.raw)
+        except StreamError as error:
+            problem = error
+        # What was accepted counts as passed on, also where the next event is wrong.
+        if fresh:
+            await self._write(stream, answer, b"".join(fresh))
+            stream.events += len(fresh)
+        if problem is not None:
+            raise _Broken(SendProblem.BROKEN, str(problem)) from problem
+
+    async def _write(
+        self, stream: Stream, answer: BackendAnswer, events: bytes
+    ) -> None:
+        if not stream.reply.has_begun:
+            await stream.reply.begin(answer.status, answer_headers(answer.headers))
+        await stream.reply.write(events)
+
+    async def _next_piece(
+        self, stream: Stream, head: BackendServer, answer: BackendAnswer
+    ) -> bytes:
+        read = asyncio.ensure_future(answer.read_piece())
+        try:
+            await self._until_done(stream, head, read)
+            return read.result()
+        except (aiohttp.ClientError, OSError) as error:
+            raise _Broken(SendProblem.BROKEN, repr(error)) from error
+        finally:
+            read.cancel()
