GONE: the test of a caller that leaves waits for neither timeout nor deadline

The route's timeout of 2 s ended the work as well, so that the test stayed green without handler_cancellation. Its route now lasts ten minutes; the guard is red when taken out (test fails after its 20 s), and green with it.

--- a/packages/serving/tests/serving_site.py
+++ b/packages/serving/tests/serving_site.py
@@ -55,6 +55,7 @@
             route("/get/", "idempotent", "app"),
             route("/once/", "non_idempotent", "app", attempts=1),
             route("/twice/", "non_idempotent", "app", attempts=2),
+            route("/long/", "non_idempotent", "app", **{"timeout-ms": 600_000}),
             route("/open/", "idempotent", "app", public=True),
             route("/stream/", "streaming", "llm", resumable=True),
             route("/single/", "streaming", "llm", resumable=False),
--- a/packages/serving/tests/test_plain_calls.py
+++ b/packages/serving/tests/test_plain_calls.py
@@ -201,7 +201,8 @@
     backend = await site.add_backend(hangs)
     with pytest.raises(TimeoutError):
         async with asyncio.timeout(0.2):
-            await site.ask("/once/1")
+            # Neither the route nor the deadline ends the work.
+            await site.ask("/long/1", **{"X-Deadline-Ms": "600000"})
     await site.until(lambda: backend.left == ["r1"])
 
 
