Groups are told of as lost only if a member does not answer

Cause: at 58 and 79 nodes each node has one or two streams at a group, and a stream that waited 0.35 s for its first event, or whose answer was reset, made its node tell all others that the group stands still. While the planner was out of reach nobody withdrew the word.

Ruled out: too few groups (nine of twelve were open when all fell 'silent'), processor time of nodes (0.05 cores), the planner (it found the members alive and cleared).

Change: silence is what follows an event; a run without any waits as long as runs of its model usually do, times three. What it saw itself makes others go first, and excludes nothing. Another node's word holds for four seconds.

--- a/packages/node/src/fordhatch/node/_node.py
+++ b/packages/node/src/fordhatch/node/_node.py
@@ -87,6 +87,7 @@
             zone=settings.zone,
             state=state,
             store=clients.store,
+            backends=clients.backends,
             exchange=clients.exchange,
             timer=timer,
         )
--- a/packages/placement/src/fordhatch/placement/_group_care.py
+++ b/packages/placement/src/fordhatch/placement/_group_care.py
@@ -23,6 +23,11 @@
 SETTLED_S = 3.0
 """A group is not given up for another sooner than this after it opened."""
 
+UNLISTED_WORK_S = 1.2
+"""How long a head that is alive, but no longer listed, may go on with its streams:
+most of them end within a second. It gets nothing new, and backend servers that the
+store does not hear are often back soon."""
+
 WRITE_TIMEOUT_S = 1.0
 """Longest wait for the removal of a row."""
 
@@ -43,6 +48,7 @@
     _odd_since_s: dict[Key, float] = attrs.field(factory=dict)
     _suspected_since_s: dict[Key, float] = attrs.field(factory=dict)
     _serving_since_s: dict[Key, float] = attrs.field(factory=dict)
+    _headless_since_s: dict[Key, float] = attrs.field(factory=dict)
     _clearing: set[Key] = attrs.field(factory=set)
     _tasks: TaskSet = attrs.field(factory=TaskSet)
 
@@ -53,6 +59,8 @@
             return self._tend_retired(layout, group)
         seen = judge(group, model, self.losses.dead)
         self._remember(group)
+        if group.head is not None:
+            self._headless_since_s.pop(group.key, None)
         match seen.condition:
             case GroupCondition.SERVING:
                 self._serving_since_s.setdefault(group.key, self.timer.now_s())
@@ -134,14 +142,17 @@
 
         A backend server that the store does not hear is not listed, but the group
         goes on with it. The head is different: nobody may send to one that is not
-        listed.
+        listed, so that the group is given up when it has finished its streams.
         """
-        if group.head is None or group.head.backend_id in self.losses.dead:
-            return False
         known = self._members_seen.get(group.key, {})
-        absent = [m for rank, m in known.items() if rank not in group.members]
         if any(m.backend_id in self.losses.dead for m in known.values()):
             return False
+        absent = [m for rank, m in known.items() if rank not in group.members]
+        now_s = self.timer.now_s()
+        if group.head is None:
+            since_s = self._headless_since_s.setdefault(group.key, now_s)
+            if 0 not in known or now_s - since_s >= UNLISTED_WORK_S:
+                return False
         for member in absent:
             self.losses.ask(member)
         return bool(absent)
@@ -235,6 +246,7 @@
         """Forget what was seen while this node planned."""
         self._odd_since_s.clear()
         self._serving_since_s.clear()
+        self._headless_since_s.clear()
         self._suspected_since_s.clear()
 
     def keep_only(self, keys: set[Key]) -> set[str]:
@@ -244,6 +256,7 @@
             (self._members_seen, keys),
             (self._odd_since_s, keys),
             (self._serving_since_s, keys),
+            (self._headless_since_s, keys),
             (self._suspected_since_s, suspected),
         ):
             for key in set(known) - kept:
--- a/packages/placement/src/fordhatch/placement/_loss_check.py
+++ b/packages/placement/src/fordhatch/placement/_loss_check.py
@@ -5,17 +5,11 @@
 import math
 
 import attrs
-from result import Result
 
 from fordhatch.adapter import BackendClient
 from fordhatch.catalog import BackendServer
-from fordhatch.core import Failure, ResultCode, TaskSet, Timer, log_event
-
-PROBE_TIMEOUT_S = 0.15
-"""A report needs no slot and comes within milliseconds."""
-
-PROBES = 2
-"""Only who misses this many in a row is lost: a lost packet is no lost instance."""
+from fordhatch.core import TaskSet, Timer, log_event
+from fordhatch.registry import probe
 
 RECHECK_S = 3.0
 """How long a finding holds before the backend server is asked again, unless there is
@@ -62,7 +56,7 @@
         backend_id = backend.backend_id
         sent_s = self.timer.now_s()
         try:
-            found = await self._probe(backend)
+            found = await probe(self.backends, backend)
         finally:
             self._asking.discard(backend_id)
         if found.is_ok() and found.unwrap():
@@ -75,15 +69,6 @@
         log_event("backend_lost", backend=backend_id, replaced=found.is_ok())
         self._tasks.spawn(self._recheck(backend), f"recheck-{backend_id}")
 
-    async def _probe(self, backend: BackendServer) -> Result[bool, Failure]:
-        for _ in range(PROBES):
-            found = await self.backends.is_alive(
-                backend.address, backend.backend_id, timeout_s=PROBE_TIMEOUT_S
-            )
-            if found.is_ok() or found.err().code is ResultCode.BACKEND_REFUSED:
-                break
-        return found
-
     async def _recheck(self, backend: BackendServer) -> None:
         """Ask again later: whoever was only out of reach may be used again."""
         await self.timer.sleep(RECHECK_S)
--- a/packages/placement/tests/test_planner.py
+++ b/packages/placement/tests/test_planner.py
@@ -9,6 +9,7 @@
 from planning_site import Site, engine_configuration, play, standard_site
 
 from fordhatch.adapter import (
+    BACKENDS_TABLE,
     CONFIGURATION_KEY,
     OPERATOR_TABLE,
     GroupOrder,
@@ -16,6 +17,7 @@
 )
 from fordhatch.catalog import BackendServer
 from fordhatch.placement._group_builder import GroupBuilder
+from fordhatch.placement._group_care import UNLISTED_WORK_S
 from fordhatch.placement._layout import Layout
 from fordhatch.registry import SHARED_TABLE, Suspicion, suspicion_key
 from fordhatch_standins import EngineModel
@@ -360,6 +362,49 @@
     assert all(ended)
 
 
+def test_a_head_that_is_no_longer_listed_finishes_its_streams() -> None:
+    async def scenario(site: Site) -> None:
+        await standard_site(site, nodes=1)
+        before = site.working()
+        head, _ = head_and_member(site, "small")
+        place = head.place
+        site.store.remove(BACKENDS_TABLE, head.backend_id)
+        await site.watch(UNLISTED_WORK_S - 0.2)
+        assert head.place == place
+        await site.until(lambda: head.place is None, 3)
+        await site.until(lambda: site.working() >= before - 1, 5)
+
+    play(scenario)
+
+
+def test_a_group_whose_head_is_listed_again_soon_is_kept() -> None:
+    async def scenario(site: Site) -> None:
+        await standard_site(site, nodes=1)
+        head, _ = head_and_member(site, "small")
+        place = head.place
+        site.store.remove(BACKENDS_TABLE, head.backend_id)
+        await site.watch(0.6)
+        site.fleet._publish(head)
+        await site.watch(3)
+        assert head.place == place
+
+    play(scenario)
+
+
+def test_a_head_that_is_no_longer_listed_and_does_not_answer_is_not_waited_for() -> (
+    None
+):
+    async def scenario(site: Site) -> None:
+        await standard_site(site, nodes=1)
+        head, member = head_and_member(site, "small")
+        site.fleet.kill(head)
+        site.store.remove(BACKENDS_TABLE, head.backend_id)
+        took_s = await site.until(lambda: member.place is None, 8)
+        assert took_s < UNLISTED_WORK_S - 0.3
+
+    play(scenario)
+
+
 def test_without_the_store_nothing_is_ordered() -> None:
     async def scenario(site: Site) -> None:
         await standard_site(site, domains=1)
--- a/packages/registry/src/fordhatch/registry/__init__.py
+++ b/packages/registry/src/fordhatch/registry/__init__.py
@@ -9,6 +9,7 @@
     ConfigurationRow,
 )
 from ._followers import BACKENDS_GATHER_S, StoreView
+from ._liveness_probe import probe
 from ._reader_choice import NodeAddress, ReaderChoice
 from ._relay import RelayClient, RelayServer
 from ._shared_rows import (
@@ -47,5 +48,6 @@
     "TableUpdate",
     "node_key",
     "node_value",
+    "probe",
     "suspicion_key",
 ]
--- a/packages/serving/src/fordhatch/serving/_group_progress.py
+++ b/packages/serving/src/fordhatch/serving/_group_progress.py
@@ -15,6 +15,20 @@
 """A group that works ends a pass over its requests within its own time, a few prompts
 included; this many passes without an event are not explained by that."""
 
+FIRST_SILENCES = 1.5
+"""A run may wait for its first event at least for this many silences: it stands behind
+the prompts of others."""
+
+FIRST_FACTOR = 3.0
+"""Waits for the first event spread about this far above the usual one."""
+
+FIRST_MOST_S = 1.4
+"""Longest wait for the first event at a group from which nothing else comes; callers
+give up after two seconds."""
+
+FIRST_SMOOTHING = 0.1
+"""Weight of the newest wait in the usual one: about twenty count."""
+
 
 def silence_s(profile: EngineProfile, model: str) -> float:
     """Return how long a working group of a model may be silent, in seconds."""
@@ -25,43 +39,75 @@
     return max(SILENCE_FLOOR_S, SILENCE_PASSES * pass_s)
 
 
+@attrs.define(eq=False, repr=False)
+class RunProgress:
+    """One run of a stream at a head."""
+
+    head_id: str
+    began_s: float
+    is_flowing: bool = False
+    """Whether its first event has come."""
+
+
 @attrs.define
-class _Progress:
+class _HeadProgress:
     last_s: float
-    streams: int = 0
+    """When an event of any stream came last, in monotonic seconds."""
+    flowing: int = 0
+    """Runs whose first event has come."""
 
 
 @attrs.define(eq=False, repr=False)
 class GroupProgress:
-    """Progress by head, over all of this node's streams there."""
+    """Progress by head, over all of this node's streams there.
+
+    A run that waits for its first event may just stand in a queue; silence is only
+    what follows an event.
+    """
 
     timer: Timer
-    _by_head: dict[str, _Progress] = attrs.field(factory=dict)
+    _by_head: dict[str, _HeadProgress] = attrs.field(factory=dict)
+    _usual_first_s: dict[str, float] = attrs.field(factory=dict)
+    """Usual time to the first event by model."""
 
-    def began(self, head_id: str) -> None:
-        """Count a stream; silence is measured from the first one on."""
+    def began(self, head_id: str) -> RunProgress:
+        """Note a run that begins."""
+        return RunProgress(head_id, self.timer.now_s())
+
+    def advanced(self, run: RunProgress, model: str) -> None:
+        """Note an event of a run."""
         now_s = self.timer.now_s()
-        progress = self._by_head.setdefault(head_id, _Progress(now_s))
-        if progress.streams == 0:
-            progress.last_s = now_s
-        progress.streams += 1
-
-    def ended(self, head_id: str) -> None:
-        """Count a stream out."""
-        progress = self._by_head.get(head_id)
-        if progress is None:
+        head = self._by_head.setdefault(run.head_id, _HeadProgress(now_s))
+        head.last_s = now_s
+        if not run.is_flowing:
+            run.is_flowing = True
+            head.flowing += 1
+            self._note_first(model, now_s - run.began_s)
+
+    def _note_first(self, model: str, took_s: float) -> None:
+        usual_s = self._usual_first_s.get(model, took_s)
+        self._usual_first_s[model] = usual_s + FIRST_SMOOTHING * (took_s - usual_s)
+
+    def ended(self, run: RunProgress) -> None:
+        """Count a run out."""
+        if not run.is_flowing:
             return
-        progress.streams -= 1
-        if progress.streams <= 0:
-            del self._by_head[head_id]
-
-    def advanced(self, head_id: str) -> None:
-        """Note an event of any stream of a head."""
-        progress = self._by_head.get(head_id)
-        if progress is not None:
-            progress.last_s = self.timer.now_s()
+        head = self._by_head[run.head_id]
+        head.flowing -= 1
+        if head.flowing <= 0:
+            del self._by_head[run.head_id]
 
     def silent_for_s(self, head_id: str) -> float:
-        """Return how long nothing has come from a head, in seconds."""
-        progress = self._by_head.get(head_id)
-        return self.timer.now_s() - progress.last_s if progress is not None else 0.0
+        """Return how long nothing has come from a head that was sending, in seconds."""
+        head = self._by_head.get(head_id)
+        return self.timer.now_s() - head.last_s if head is not None else 0.0
+
+    def first_patience_s(self, profile: EngineProfile, model: str) -> float:
+        """Return how long a run may wait for its first event, in seconds.
+
+        Longer than usual is also what a group takes that has got much work at once;
+        how long that is shows in what other runs of the model have waited.
+        """
+        usual_s = self._usual_first_s.get(model, 0.0)
+        least_s = FIRST_SILENCES * silence_s(profile, model)
+        return min(max(least_s, FIRST_FACTOR * usual_s), FIRST_MOST_S)
--- a/packages/serving/src/fordhatch/serving/_head_choice.py
+++ b/packages/serving/src/fordhatch/serving/_head_choice.py
@@ -41,14 +41,17 @@
         heads = [
             head
             for head in self.directory.open_heads(service, model)
-            if head.backend_id not in tried and not self.stalls.is_suspect(head)
+            if head.backend_id not in tried and not self.stalls.is_lost(head)
         ]
-        sound = [h for h in heads if not self.health.is_avoided(h.backend_id)]
+        sound = [h for h in heads if not self._is_avoided(h)]
         candidates = sound or heads
         if not candidates:
             return None
         return min(candidates, key=self._cost)
 
+    def _is_avoided(self, head: BackendServer) -> bool:
+        return self.health.is_avoided(head.backend_id) or self.stalls.is_avoided(head)
+
     def _cost(self, head: BackendServer) -> float:
         cost = 1.0 + self.health.in_flight[head.backend_id]
         if head.zone != self.zone:
--- a/packages/serving/src/fordhatch/serving/_request_path.py
+++ b/packages/serving/src/fordhatch/serving/_request_path.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from fordhatch.adapter import StoreClient
+from fordhatch.adapter import BackendClient, StoreClient
 from fordhatch.core import Timer
 
 from ._admission import Admission
@@ -40,6 +40,7 @@
         zone: str,
         state: NodeState,
         store: StoreClient,
+        backends: BackendClient,
         exchange: ExchangeClient,
         timer: Timer,
     ) -> RequestPath:
@@ -49,14 +50,17 @@
             node_name: The node's name, for what it tells the others.
             zone: The node's availability zone; groups there go first.
             state: The node's condition and its view of the store.
-            store: Where silent groups are told of.
+            store: Where groups are told of that have lost a member.
+            backends: Asks the members of silent groups.
             exchange: Sends requests to backend servers.
             timer: The node's timer.
         """
         view = state.view
         health = BackendHealth(timer)
         budget = RepeatBudget(state.bounds, timer, lambda: len(view.shared.nodes))
-        stalls = StallWatch(node_name, timer, store, view.shared)
+        stalls = StallWatch(
+            node_name, timer, store, backends, view.shared, view.directory
+        )
         admission = Admission.from_state(state, timer)
         choice = HeadChoice(zone, view.directory, health, stalls, timer.rng)
         progress = GroupProgress(timer)
--- a/packages/serving/src/fordhatch/serving/_stall_watch.py
+++ b/packages/serving/src/fordhatch/serving/_stall_watch.py
@@ -1,13 +1,22 @@
-"""Tells the planner and the other nodes of groups that are silent."""
+"""Groups that are silent: avoided here, and told to the others if they are lost."""
 
 from __future__ import annotations
 
+import asyncio
+
 import attrs
 
-from fordhatch.adapter import RowKey, StoreClient
+from fordhatch.adapter import BackendClient, RowKey, StoreClient
 from fordhatch.catalog import BackendServer
 from fordhatch.core import TaskSet, Timer, log_event
-from fordhatch.registry import SHARED_TABLE, SharedRows, Suspicion, suspicion_key
+from fordhatch.registry import (
+    SHARED_TABLE,
+    BackendDirectory,
+    SharedRows,
+    Suspicion,
+    probe,
+    suspicion_key,
+)
 
 WRITE_TIMEOUT_S = 1.0
 """Longest wait for the row that tells the others."""
@@ -16,57 +25,103 @@
 """How long this node avoids a silent group by itself: it may be slow, and then
 others serve better, but it is not lost."""
 
-TELL_AGAIN_S = 4.0
-"""A group that the planner has found to be alive is not reported again sooner: it is
-slow, or out of this node's reach alone."""
+CHECK_AGAIN_S = 1.5
+"""A group whose members were asked is not asked about again sooner."""
+
+CHECK_SPREAD_S = 0.1
+"""Nodes that see the same group fall silent look into it within this time, each at a
+moment of its own: the first one's word spares the others theirs."""
 
-TELL_SPREAD_S = 0.1
-"""Nodes that see the same group fall silent tell of it within this time, each at a
-moment of its own: the first one's word reaches the others in a few milliseconds, and
-spares their calls to the store."""
+HOLD_S = 4.0
+"""How long a group counts as lost by another node's word: the planner takes it apart
+or finds it alive within a second, unless it is out of reach itself."""
 
 Key = tuple[str, int]
 
 
 @attrs.define(eq=False, repr=False)
 class StallWatch:
-    """Silent groups, as this node and the others have seen them."""
+    """Silent groups, as this node and the others have seen them.
+
+    Under load a group may be silent for longer than its pace explains. If every node
+    told of each such group, all would crowd into the remaining ones, which would fall
+    silent in turn. So only a group with a member that does not answer is told of.
+    """
 
     node_name: str
     timer: Timer
     store: StoreClient
+    backends: BackendClient
     shared: SharedRows
+    directory: BackendDirectory
     _avoided: dict[Key, float] = attrs.field(factory=dict)
-    _told_s: dict[Key, float] = attrs.field(factory=dict)
+    _checked_s: dict[Key, float] = attrs.field(factory=dict)
+    _lost_since_s: dict[Key, float] = attrs.field(factory=dict)
+    """When this node first looked at the word of another node, or its own."""
     _tasks: TaskSet = attrs.field(factory=TaskSet)
 
-    def is_suspect(self, head: BackendServer) -> bool:
-        """Return whether a head's group is thought to stand still."""
+    def is_lost(self, head: BackendServer) -> bool:
+        """Return whether some node has found that a head's group lacks a member."""
         if head.membership is None:
             return True
         key = head.membership.key
-        if key in self.shared.suspicions:
-            return True
+        if key not in self.shared.suspicions:
+            return False
+        now_s = self.timer.now_s()
+        return now_s - self._lost_since_s.setdefault(key, now_s) < HOLD_S
+
+    def is_avoided(self, head: BackendServer) -> bool:
+        """Return whether a head was silent lately, as far as this node knows."""
+        key = head.membership.key
         return self._avoided.get(key, 0.0) > self.timer.now_s()
 
     def silent(self, head: BackendServer) -> None:
-        """Take note that nothing comes from a head, and tell the planner."""
+        """Take note that nothing comes from a head; others go first for a while."""
+        if head.membership is None:
+            return
+        self._avoided[head.membership.key] = self.timer.now_s() + LOCAL_AVOID_S
+        self.check(head)
+
+    def check(self, head: BackendServer) -> None:
+        """Find out whether the group of a head has lost a member, and tell."""
         if head.membership is None:
             return
         key = head.membership.key
         now_s = self.timer.now_s()
-        self._avoided[key] = now_s + LOCAL_AVOID_S
-        told_s = self._told_s.get(key, -TELL_AGAIN_S)
-        if key in self.shared.suspicions or now_s - told_s < TELL_AGAIN_S:
+        checked_s = self._checked_s.get(key, -CHECK_AGAIN_S)
+        if key in self.shared.suspicions or now_s - checked_s < CHECK_AGAIN_S:
             return
-        self._told_s[key] = now_s
+        self._checked_s[key] = now_s
         log_event("group_silent", group=key[0], epoch=key[1], head=head.backend_id)
-        self._tasks.spawn(self._tell(Suspicion(*key, self.node_name)), f"tell-{key[0]}")
+        self._tasks.spawn(self._check(head), f"check-{key[0]}")
 
-    async def _tell(self, suspicion: Suspicion) -> None:
-        await self.timer.sleep(self.timer.rng.random() * TELL_SPREAD_S)
-        if (suspicion.group, suspicion.epoch) in self.shared.suspicions:
+    async def _check(self, head: BackendServer) -> None:
+        await self.timer.sleep(self.timer.rng.random() * CHECK_SPREAD_S)
+        key = head.membership.key
+        if key in self.shared.suspicions:
             return
+        members = self._members(head)
+        answers = await asyncio.gather(*(probe(self.backends, m) for m in members))
+        missed = [
+            m.backend_id
+            for m, answer in zip(members, answers, strict=True)
+            if answer.is_err() or not answer.unwrap()
+        ]
+        log_event(
+            "group_checked",
+            group=key[0],
+            epoch=key[1],
+            members=len(members),
+            missed=",".join(missed),
+        )
+        if missed and key not in self.shared.suspicions:
+            await self._tell(Suspicion(*key, self.node_name))
+
+    def _members(self, head: BackendServer) -> list[BackendServer]:
+        group = self.directory.groups(head.service).get(head.membership.key)
+        return list(group.members.values()) if group is not None else [head]
+
+    async def _tell(self, suspicion: Suspicion) -> None:
         row = RowKey(SHARED_TABLE, suspicion_key(suspicion.group, suspicion.epoch))
         written = await self.store.write(
             {row: 0}, {row: suspicion.to_bytes()}, timeout_s=WRITE_TIMEOUT_S
@@ -77,10 +132,10 @@
 
     def keep_only(self, groups: set[Key]) -> None:
         """Forget groups that are gone."""
-        for since in (self._avoided, self._told_s):
+        for since in (self._avoided, self._checked_s, self._lost_since_s):
             for key in set(since) - groups:
                 del since[key]
 
     async def close(self) -> None:
-        """Stop telling."""
+        """Stop asking and telling."""
         await self._tasks.close()
--- a/packages/serving/src/fordhatch/serving/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/_stream_run.py
@@ -16,7 +16,7 @@
 from ._backend_health import BackendHealth
 from ._events import EventOrder, EventSplitter, StreamError
 from ._exchange import BackendAnswer, ExchangeClient, SendFailure, SendProblem
-from ._group_progress import GroupProgress, silence_s
+from ._group_progress import GroupProgress, RunProgress, silence_s
 from ._head_choice import HeadChoice
 from ._request import Reply, ServedRequest
 from ._stall_watch import StallWatch
@@ -80,16 +80,16 @@
         began_s = self.timer.now_s()
         events = stream.events
         self.health.in_flight[head_id] += 1
-        self.progress.began(head_id)
+        progress = self.progress.began(head_id)
         try:
-            await self._pass_on(stream, head)
+            await self._pass_on(stream, head, progress)
             self.health.succeeded(head_id, self.timer.now_s() - began_s)
             return Ok(None)
         except _Broken as broken:
             self._note(stream, head, broken.failure, began_s, events)
             return Err(broken.failure)
         finally:
-            self.progress.ended(head_id)
+            self.progress.ended(progress)
             self.health.in_flight[head_id] -= 1
 
     def _note(
@@ -110,21 +110,33 @@
             events=stream.events - events,
             took_s=round(self.timer.now_s() - began_s, 3),
         )
-        if failure.problem is not SendProblem.REFUSED:
-            self.stalls.silent(head)
+        self._doubt(stream, head, failure.problem)
         self.health.failed(head.backend_id)
 
-    async def _pass_on(self, stream: Stream, head: BackendServer) -> None:
-        answer = await self._open(stream, head)
+    def _doubt(self, stream: Stream, head: BackendServer, problem: SendProblem) -> None:
+        """Look into a group whose run has failed, unless only time has run out."""
+        if problem is SendProblem.REFUSED:
+            return
+        if problem is not SendProblem.SILENT:
+            self.stalls.check(head)
+        elif stream.request.left_s(self.timer.now_s()) > 0:
+            self.stalls.silent(head)
+
+    async def _pass_on(
+        self, stream: Stream, head: BackendServer, progress: RunProgress
+    ) -> None:
+        answer = await self._open(stream, head, progress)
         try:
             if answer.status != _OK:
                 await self._pass_on_whole(stream, answer)
                 return
-            await self._pass_on_events(stream, head, answer)
+            await self._pass_on_events(stream, head, answer, progress)
         finally:
             answer.close()
 
-    async def _open(self, stream: Stream, head: BackendServer) -> BackendAnswer:
+    async def _open(
+        self, stream: Stream, head: BackendServer, progress: RunProgress
+    ) -> BackendAnswer:
         """Send the request and wait for the answer's head as long as it makes sense."""
         request = stream.request
         resumed = stream.order.last is not None
@@ -138,7 +150,7 @@
             )
         )
         try:
-            await self._until_done(stream, head, send)
+            await self._until_done(stream, head, progress, send)
         except _Broken:
             request.arrived_at(head.backend_id, may_have_run=True)
             raise
@@ -152,7 +164,11 @@
         return sent.unwrap()
 
     async def _until_done(
-        self, stream: Stream, head: BackendServer, step: asyncio.Future[object]
+        self,
+        stream: Stream,
+        head: BackendServer,
+        progress: RunProgress,
+        step: asyncio.Future[object],
     ) -> None:
         """Wait for the next step of a run; give up when the group stands still."""
         limit_s = silence_s(stream.profile, stream.model)
@@ -165,14 +181,26 @@
             now_s = self.timer.now_s()
             if stream.request.left_s(now_s) <= 0:
                 raise _Broken(SendProblem.SILENT, "out of time")
-            silent_s = self.progress.silent_for_s(head.backend_id)
+            silent_s = self._silent_s(stream, progress, limit_s)
             waited_s = now_s - waiting_since_s
-            if silent_s >= limit_s:
+            if silent_s > 0:
                 self.stalls.silent(head)
                 self._leave_if_possible(stream, head, f"silent for {silent_s:.3f}")
             elif waited_s >= PATIENCE * limit_s:
                 self._leave_if_possible(stream, head, f"waited for {waited_s:.3f}")
 
+    def _silent_s(self, stream: Stream, progress: RunProgress, limit_s: float) -> float:
+        """Return how long a group has been silent; 0 while that means nothing."""
+        silent_s = self.progress.silent_for_s(progress.head_id)
+        if silent_s >= limit_s:
+            return silent_s
+        if silent_s > 0:
+            # Other streams go on there.
+            return 0.0
+        waited_s = self.timer.now_s() - progress.began_s
+        patience_s = self.progress.first_patience_s(stream.profile, stream.model)
+        return waited_s if waited_s >= patience_s else 0.0
+
     def _leave_if_possible(
         self, stream: Stream, head: BackendServer, detail: str
     ) -> None:
@@ -202,15 +230,19 @@
         await stream.reply.whole(answer.status, answer_headers(answer.headers), body)
 
     async def _pass_on_events(
-        self, stream: Stream, head: BackendServer, answer: BackendAnswer
+        self,
+        stream: Stream,
+        head: BackendServer,
+        answer: BackendAnswer,
+        progress: RunProgress,
     ) -> None:
         splitter = EventSplitter()
         last_s: float | None = None
         while True:
-            piece = await self._next_piece(stream, head, answer)
+            piece = await self._next_piece(stream, head, answer, progress)
             if not piece:
                 break
-            self.progress.advanced(head.backend_id)
+            self.progress.advanced(progress, stream.model)
             last_s = self._note_pause(stream, head, last_s)
             await self._pass_on_piece(stream, answer, splitter, piece)
         if splitter.has_rest:
@@ -263,11 +295,15 @@
         await stream.reply.write(events)
 
     async def _next_piece(
-        self, stream: Stream, head: BackendServer, answer: BackendAnswer
+        self,
+        stream: Stream,
+        head: BackendServer,
+        answer: BackendAnswer,
+        progress: RunProgress,
     ) -> bytes:
         read = asyncio.ensure_future(answer.read_piece())
         try:
-            await self._until_done(stream, head, read)
+            await self._until_done(stream, head, progress, read)
             return read.result()
         except (aiohttp.ClientError, OSError) as error:
             raise _Broken(SendProblem.BROKEN, repr(error)) from error
--- a/packages/serving/tests/serving_site.py
+++ b/packages/serving/tests/serving_site.py
@@ -15,6 +15,7 @@
     BACKENDS_TABLE,
     CONFIGURATION_KEY,
     OPERATOR_TABLE,
+    BackendClient,
     decode_settings,
 )
 from fordhatch.core import Timer
@@ -87,9 +88,11 @@
     server: HttpServer
     callers: CallerServer
     exchange: ExchangeClient
+    backends: BackendClient
     address: str
     session: aiohttp.ClientSession
     scripted: list[ScriptedBackend] = attrs.field(factory=list)
+    listener: ScriptedBackend | None = None
     _requests: int = 0
 
     @classmethod
@@ -102,11 +105,13 @@
         bounds = decode_settings(BOUNDS).bounds
         state = NodeState(bounds, view, timer)
         exchange = ExchangeClient.from_timer(timer)
+        backends = BackendClient.create()
         path = RequestPath.create(
             node_name="n1",
             zone="z1",
             state=state,
             store=store,
+            backends=backends,
             exchange=exchange,
             timer=timer,
         )
@@ -120,6 +125,7 @@
             server,
             callers,
             exchange,
+            backends,
             server.address,
             aiohttp.ClientSession(),
         )
@@ -151,6 +157,16 @@
         await self.register(name, entry)
         return backend
 
+    async def start_listener(self) -> str:
+        """Start a backend server that only reports; returns its address."""
+
+        async def serves_nothing(request: object, writer: object) -> None:
+            raise AssertionError("a member got a request")
+
+        self.listener = ScriptedBackend(serves_nothing)
+        self.scripted.append(self.listener)
+        return await self.listener.start()
+
     async def register(self, name: str, entry: dict[str, object]) -> None:
         """Write an entry and wait until the node has seen it."""
         version = self.model.put(BACKENDS_TABLE, name, json.dumps(entry).encode())
@@ -196,3 +212,4 @@
             await backend.close()
         await self.view.close()
         await self.exchange.close()
+        await self.backends.close()
--- a/standins/src/fordhatch_standins/_scripted_backend.py
+++ b/standins/src/fordhatch_standins/_scripted_backend.py
@@ -58,6 +58,8 @@
     seen: list[SeenRequest] = attrs.field(factory=list)
     left: list[str] = attrs.field(factory=list)
     """Requests whose connection the other side closed before the script ended."""
+    reports: int = 0
+    """How often it was asked for its report."""
     _server: asyncio.Server | None = None
 
     async def start(self) -> str:
@@ -75,6 +77,7 @@
             writer.close()
             return
         if request.target == REPORT_PATH:
+            self.reports += 1
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
             writer.close()
             return
