An outage of the store costs calls of few nodes

Cause: while the store was away every node that had been asked to read, or had found two others behind, asked it for three tables several times a second.

Ruled out: leaving it to the first reader alone: a node that the store serves would not be found where the reader is turned away; longer pauses for all without another source: every node had fresh knowledge 2.45 s after the return instead of 0.6 s.

Change: while it is away the store is asked for one table, the configuration; who reads only because others asked looks the more rarely the more nodes there are, and meanwhile asks the node whose turn it is; those retry after 0.2 s (0.4 s); who is only behind is asked again after 0.25 s (0.5 s). Test red before: an_outage_of_the_store_costs_calls (721 calls of 30 nodes).

--- a/packages/registry/src/fordhatch/registry/_reader_choice.py
+++ b/packages/registry/src/fordhatch/registry/_reader_choice.py
@@ -13,7 +13,7 @@
 AVOID_FIRST_S = 2.0
 """How long a node that failed is not asked."""
 
-AVOID_BEHIND_S = 0.5
+AVOID_BEHIND_S = 0.25
 """How long a node is not asked whose knowledge was too old: it may have found a better
 source by then."""
 
@@ -105,12 +105,30 @@
         else:
             self._reads_for_zone_until_s = until_s
 
+    def whose_turn(self) -> NodeAddress | None:
+        """Return the node that reads for this one's zone, None where it is this one.
+
+        Nodes that are only behind count as well: what they lack, the store itself may
+        not give.
+        """
+        now_s = self.timer.now_s()
+        nodes = [n for n in self.nodes().values() if not self._is_gone(n.name, now_s)]
+        near = [n for n in nodes if n.zone == self.own_zone]
+        whole = _ranked(nodes, "", now_s)
+        zone = _ranked(near, self.own_zone, now_s)
+        if whole is None or zone is None:
+            return None
+        return None if self.own_name in (whole.name, zone.name) else zone
+
+    def _is_gone(self, name: str, now_s: float) -> bool:
+        avoided = self._avoided.get(name)
+        return avoided is not None and avoided.failures > 0 and avoided.until_s > now_s
+
     def _first(self, nodes: Iterable[NodeAddress], salt: str) -> str:
         """Return the node that comes first for a purpose, this one if all failed."""
         now_s = self.timer.now_s()
         usable = [n for n in nodes if self._is_usable(n.name, now_s)]
-        settled = [n for n in usable if now_s - n.seen_s >= SETTLED_S]
-        ranked = max(settled or usable, key=lambda n: _score(n, salt), default=None)
+        ranked = _ranked(usable, salt, now_s)
         return ranked.name if ranked is not None else self.own_name
 
     def _is_usable(self, name: str, now_s: float) -> bool:
@@ -151,6 +169,12 @@
         self._avoided.pop(node.name, None)
 
 
+def _ranked(nodes: list[NodeAddress], salt: str, now_s: float) -> NodeAddress | None:
+    """Return the node that comes first for a purpose, if there is any."""
+    settled = [n for n in nodes if now_s - n.seen_s >= SETTLED_S]
+    return max(settled or nodes, key=lambda n: _score(n, salt), default=None)
+
+
 def _score(node: NodeAddress, salt: str) -> float:
     """Return a node's score for a purpose, by weighted rendezvous hashing."""
     digest = xxhash.xxh64_intdigest(f"{salt}/{node.name}".encode())
--- a/packages/registry/src/fordhatch/registry/_table_follower.py
+++ b/packages/registry/src/fordhatch/registry/_table_follower.py
@@ -15,7 +15,7 @@
 RETRY_FIRST_S = 0.05
 """Pause after the first failed call."""
 
-RETRY_MOST_S = 0.4
+RETRY_MOST_S = 0.2
 """Longest pause between failed calls, so that the return of the store is seen well
 within the second or two that entries take to come back."""
 
@@ -67,6 +67,11 @@
         """Whether the table was read at all."""
         return self.copy.version != NOTHING
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether the store has not answered since it was last asked."""
+        return self._failing_since_s is not None
+
     def age_s(self) -> float:
         """Return the age of what is known, in seconds."""
         return self.timer.now_s() - self.confirmed_s
@@ -75,11 +80,21 @@
         """Return for how long the store had confirmed the table without an outage."""
         return self.confirmed_s - self.steady_since_s
 
-    async def follow(self) -> None:
-        """Follow the table at the store until cancelled."""
+    async def follow(
+        self, retry_most_s: float = RETRY_MOST_S, probe: TableFollower | None = None
+    ) -> None:
+        """Follow the table at the store until cancelled.
+
+        Args:
+            retry_most_s: Longest pause between failed calls.
+            probe: The table that is asked for while the store is away; this one waits
+                for it then. None for that table itself.
+        """
         while True:
             if not await self.refresh(self.wait_s):
-                await self.timer.sleep(self._pause_s())
+                await self.timer.sleep(self._pause_s(retry_most_s))
+                while probe is not None and probe.is_failing:
+                    await self.timer.sleep(RETRY_FIRST_S)
             elif self.gather_s:
                 await self.timer.sleep(self.gather_s)
 
@@ -102,9 +117,9 @@
         self.take(got.unwrap(), sent_s)
         return True
 
-    def _pause_s(self) -> float:
+    def _pause_s(self, most_s: float) -> float:
         pause_s = RETRY_FIRST_S * 2 ** min(self._failures - 1, 8)
-        return self.timer.jittered(min(pause_s, RETRY_MOST_S))
+        return self.timer.jittered(min(pause_s, most_s))
 
     def take(self, update: TableUpdate, sent_s: float) -> None:
         """Take an update.
--- a/packages/registry/src/fordhatch/registry/_tables_follower.py
+++ b/packages/registry/src/fordhatch/registry/_tables_follower.py
@@ -10,8 +10,9 @@
 
 from fordhatch.core import TaskSet, Timer
 
+from ._reader_choice import NodeAddress
 from ._relay import RelayClient
-from ._table_follower import TableFollower
+from ._table_follower import RETRY_MOST_S, TableFollower
 
 CHOICE_LOOK_S = 0.3
 """How often a node that asks the store looks whether another should do it."""
@@ -24,6 +25,13 @@
 """A store that did not answer is asked again by this node after this time; meanwhile
 the nodes that read for others find its return, and tell."""
 
+ELSEWHERE_AFTER_S = 0.7
+"""A node that reads the store confirms what it knows twice within this time."""
+
+NODES_PER_PROBE = 8
+"""While the store is away, so many nodes together ask it as often as one does by
+itself: what one of them finds reaches the others, and every call has its price."""
+
 NEXT_ROUND_S = 0.2
 """Pause after the nodes that were asked have failed: their place is found again in
 about as long."""
@@ -60,15 +68,52 @@
     async def _follow_store(self) -> None:
         """Follow every table at the store, as long as it is this node's turn."""
         tasks = TaskSet()
-        keep = self.timer.keep
+        retry_most_s = RETRY_MOST_S
+        if self._whose_turn() is not None:
+            retry_most_s *= self._spread()
+        probe, *others = self.followers.values()
         try:
-            for name, follower in self.followers.items():
-                tasks.spawn(keep(follower.follow, name=name), f"follow-{name}")
+            self._follow(tasks, probe, retry_most_s, None)
+            for follower in others:
+                self._follow(tasks, follower, retry_most_s, probe)
             while self.relay is None or self.relay.choice.choose() is None:
                 await self.timer.sleep(CHOICE_LOOK_S)
+                await self._look_elsewhere(probe)
         finally:
             await tasks.close()
 
+    def _whose_turn(self) -> NodeAddress | None:
+        return self.relay.choice.whose_turn() if self.relay is not None else None
+
+    async def _look_elsewhere(self, probe: TableFollower) -> None:
+        """Ask the node whose turn it is, while the store does not answer this one.
+
+        This node reads only because others have asked it to. It looks for the store
+        rarely, and another node may find its return first.
+        """
+        reader = self._whose_turn()
+        if reader is not None and probe.age_s() > ELSEWHERE_AFTER_S:
+            await self.relay.ask(reader, self.followers)
+
+    def _follow(
+        self,
+        tasks: TaskSet,
+        follower: TableFollower,
+        retry_most_s: float,
+        probe: TableFollower | None,
+    ) -> None:
+        async def follow() -> None:
+            await follower.follow(retry_most_s, probe)
+
+        kept = self.timer.keep(follow, name=follower.table)
+        tasks.spawn(kept, f"follow-{follower.table}")
+
+    def _spread(self) -> float:
+        """Return how many times more rarely each of many nodes looks for the store."""
+        if self.relay is None:
+            return 1.0
+        return max(len(self.relay.choice.nodes()) / NODES_PER_PROBE, 1.0)
+
     async def _after_failure(self) -> None:
         self._failed_in_row += 1
         if self._failed_in_row < MOST_ASKED:
@@ -79,7 +124,11 @@
         await self.timer.sleep(self.timer.jittered(NEXT_ROUND_S))
 
     async def _ask_store(self) -> None:
-        answered = await asyncio.gather(*(f.refresh() for f in self.followers.values()))
-        if not all(answered):
-            again_s = self.timer.jittered(STORE_AGAIN_S)
+        """Ask the store itself, for one table first: it may be away."""
+        probe, *others = self.followers.values()
+        answered = await probe.refresh()
+        if answered:
+            answered = all(await asyncio.gather(*(f.refresh() for f in others)))
+        if not answered:
+            again_s = self.timer.jittered(STORE_AGAIN_S * self._spread())
             self._store_from_s = self.timer.now_s() + again_s
--- a/standins/tests/test_lab.py
+++ b/standins/tests/test_lab.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import attrs
+import looptime
 
 from fordhatch_lab import Experiment, run_experiment
+from fordhatch_lab._lab_site import LabSite
 
 SMALL = Experiment(
     nodes=3,
@@ -37,3 +41,27 @@
     many = run_experiment(attrs.evolve(calm, nodes=12))
     calls = [sum(m.store_calls.values()) for m in (few, many)]
     assert calls[1] < 1.5 * calls[0]
+
+
+def test_an_outage_of_the_store_costs_calls_of_few_nodes_and_ends_for_all() -> None:
+    async def scenario() -> None:
+        site = LabSite.create(Experiment(nodes=30, domains=1))
+        await site.start()
+        await asyncio.sleep(20.0)
+        before = site.store_calls()
+        site.store.faults.is_down = True
+        await asyncio.sleep(6.0)
+        calls = site.store_calls() - before
+        # Each node by itself would ask for three tables five times a second.
+        assert calls.total() < 30 * 6.0 * 1.5
+        site.store.faults.is_down = False
+        await asyncio.sleep(1.2)
+        ages = [one.node.view.configuration_age_s() for one in site.nodes]
+        assert max(ages) < 1.6
+        await site.close()
+
+    loop = looptime.new_event_loop()
+    try:
+        loop.run_until_complete(scenario())
+    finally:
+        loop.close()
