Nodes that wait for the store hear of its return at once

A node that was behind answered at once, so that whoever asked it went on to the next, and came back to the one that hears first only every 0.6 s.

Ruled out: the first reader (fresh after 0.1 to 0.35 s); shorter pauses alone.

Change: a node that is behind holds a question for the usual 0.2 s and answers when it hears; that hold counts as the pause after a failure; nodes look for the store more rarely only where there are more than 40.

--- a/packages/registry/src/fordhatch/registry/_relay.py
+++ b/packages/registry/src/fordhatch/registry/_relay.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Mapping
 
 import attrs
@@ -57,10 +58,15 @@
             failure = Failure.from_code(ResultCode.PEER_REFUSED, "table not followed")
             await channel.send(to_refused(failure))
             return
-        is_old = any(
-            f.must_be_fresh and f.age_s() > READER_MOST_AGE_S for f in asked.values()
-        )
-        if not is_old:
+        old = [
+            f
+            for f in asked.values()
+            if f.must_be_fresh and f.age_s() > READER_MOST_AGE_S
+        ]
+        if old:
+            # The store may be away: whoever waits here hears of its return at once.
+            await _until_fresh(message, old)
+        else:
             await _until_changed(message, asked)
         tables = [
             _changes(name, follower, message.after_versions[name])
@@ -69,6 +75,14 @@
         await channel.send(TablesChanged(tables))
 
 
+async def _until_fresh(message: WatchTables, old: list[TableFollower]) -> None:
+    """Wait until every table is fresh, but not for longer than is wanted."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(min(message.wait_s, RELAY_WAIT_S)):
+            for follower in old:
+                await follower.until_younger(READER_MOST_AGE_S)
+
+
 async def _until_changed(
     message: WatchTables, asked: Mapping[str, TableFollower]
 ) -> None:
--- a/packages/registry/src/fordhatch/registry/_table_follower.py
+++ b/packages/registry/src/fordhatch/registry/_table_follower.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 from collections.abc import Callable
 
@@ -51,6 +52,8 @@
     to those that it got its knowledge from."""
     outage_ended_s: float = -math.inf
     """When this node last learned of the end of an outage of the store."""
+    _confirmed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    """Set at the next confirmation, and replaced by a new one then."""
     _was_away: bool = False
     """Whether, since the last confirmation, the store failed to answer, or another
     node was found to know nothing fresh either."""
@@ -80,6 +83,11 @@
         """Return for how long the store had confirmed the table without an outage."""
         return self.confirmed_s - self.steady_since_s
 
+    async def until_younger(self, age_s: float) -> None:
+        """Wait until what is known is younger than this."""
+        while self.age_s() > age_s:
+            await self._confirmed.wait()
+
     async def follow(
         self, retry_most_s: float = RETRY_MOST_S, probe: TableFollower | None = None
     ) -> None:
@@ -159,6 +167,8 @@
             self.steady_since_s = min(self.steady_since_s, steady_since_s)
         self.confirmed_s = max(self.confirmed_s, confirmed_s)
         self._was_away = False
+        self._confirmed.set()
+        self._confirmed = asyncio.Event()
 
     def _succeeded(self) -> None:
         if self._failing_since_s is not None:
--- a/packages/registry/src/fordhatch/registry/_tables_follower.py
+++ b/packages/registry/src/fordhatch/registry/_tables_follower.py
@@ -28,9 +28,10 @@
 ELSEWHERE_AFTER_S = 0.7
 """A node that reads the store confirms what it knows twice within this time."""
 
-NODES_PER_PROBE = 8
-"""While the store is away, so many nodes together ask it as often as one does by
-itself: what one of them finds reaches the others, and every call has its price."""
+NODES_PER_PROBE = 40
+"""While the store is away, more nodes than this look for it the more rarely: what one
+finds reaches the others, and every call has its price. At 79 nodes twice as many calls
+made nobody fresh any sooner, half as many made half of the nodes wait 0.6 s longer."""
 
 NEXT_ROUND_S = 0.2
 """Pause after the nodes that were asked have failed: their place is found again in
@@ -52,6 +53,7 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
+            asked_s = self.timer.now_s()
             reader = self.relay.choice.choose() if self.relay is not None else None
             if reader is None:
                 await self._follow_store()
@@ -60,7 +62,7 @@
                 # Changes gather meanwhile: a group that forms brings several.
                 await self.timer.sleep(self._gather_s())
             else:
-                await self._after_failure()
+                await self._after_failure(asked_s)
 
     def _gather_s(self) -> float:
         return max(f.gather_s for f in self.followers.values())
@@ -114,14 +116,22 @@
             return 1.0
         return max(len(self.relay.choice.nodes()) / NODES_PER_PROBE, 1.0)
 
-    async def _after_failure(self) -> None:
+    async def _after_failure(self, asked_s: float) -> None:
+        """Go on to the next node, and after some to the store itself.
+
+        Args:
+            asked_s: When the node was asked that failed. One that is only behind holds
+                the question for as long as a pause would be, in case it hears news.
+        """
         self._failed_in_row += 1
         if self._failed_in_row < MOST_ASKED:
             return
         self._failed_in_row = 0
         if self.timer.now_s() >= self._store_from_s:
             await self._ask_store()
-        await self.timer.sleep(self.timer.jittered(NEXT_ROUND_S))
+        pause_s = asked_s + self.timer.jittered(NEXT_ROUND_S) - self.timer.now_s()
+        if pause_s > 0:
+            await self.timer.sleep(pause_s)
 
     async def _ask_store(self) -> None:
         """Ask the store itself, for one table first: it may be away."""
