--- a/packages/registry/src/fordhatch/registry/_tables_follower.py
+++ b/packages/registry/src/fordhatch/registry/_tables_follower.py
@@ -30,8 +30,9 @@
 
 NODES_PER_PROBE = 40
 """While the store is away, more nodes than this look for it the more rarely: what one
-finds reaches the others, and every call has its price. At 79 nodes twice as many calls
-made nobody fresh any sooner, half as many made half of the nodes wait 0.6 s longer."""
+finds reaches the others, and every call has its price. In the emulator no limit made
+nobody of 79 nodes fresh any sooner, at half as many calls more; a limit of 15 made half
+of 30 nodes wait 0.6 s longer after the store's return."""
 
 NEXT_ROUND_S = 0.2
 """Pause after the nodes that were asked have failed: their place is found again in
