A node that has just started lets requests wait for its tables

Ruled out: the planner (heads stayed open), the relays (a first read goes to the store), decoding (the rows arrive late: 37.66 and 37.97 s after a start at 37.39 s).

Change: within two seconds of the first such request each waits up to 0.8 s for the tables and is then served; one that is still refused is told to come back after 0.6 s. A node that learns nothing refuses at once. Tests red before: a request waits for what a starting node must know; a node that learns nothing refuses at once (new).

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -226,10 +226,20 @@
             return reply.status, await reply.json()
 
     async def until_converged(self, node: NodeChild, nodes: int) -> None:
-        """Wait until the declared state is in force everywhere and served."""
-        async with asyncio.timeout(READY_LIMIT_S):
-            while True:
-                found = await self.read(node, "/status")
-                if found.get("converged") and found["nodes_in_force"] >= nodes:
-                    return
-                await asyncio.sleep(0.1)
+        """Wait until the declared state is in force everywhere and served.
+
+        Raises:
+            TimeoutError: If that never happens; it says what was found last.
+        """
+        found: dict[str, Any] = {}
+        try:
+            async with asyncio.timeout(READY_LIMIT_S):
+                while True:
+                    found = await self.read(node, "/status")
+                    if found.get("converged") and found["nodes_in_force"] >= nodes:
+                        return
+                    await asyncio.sleep(0.1)
+        except TimeoutError as error:
+            groups = await self.read(node, "/groups")
+            text = f"{found}, {groups}, logs in {self.directory}"
+            raise TimeoutError(f"not converged: {text}") from error
--- a/packages/serving/src/fordhatch/serving/_caller_server.py
+++ b/packages/serving/src/fordhatch/serving/_caller_server.py
@@ -127,6 +127,7 @@
             await self._refuse(http_request, reply, checked.unwrap_err())
             return
         target = checked.unwrap()
+        await self.state.until_loaded()
         found = self.admission.find_route(http_request.headers["Host"], target)
         if found.is_err():
             await self._refuse(http_request, reply, found.unwrap_err())
--- a/packages/serving/src/fordhatch/serving/_node_state.py
+++ b/packages/serving/src/fordhatch/serving/_node_state.py
@@ -27,6 +27,21 @@
 """When a caller may come back whose request this node can't serve: at once, as other
 nodes may well serve it; a little later spares them a burst."""
 
+START_HOLD_S = 0.8
+"""How long a request waits for what a node that has just started must know: reading
+the tables takes up to half a second on a link of 10 Mbit/s. When every node has just
+started, a caller that is refused comes back to another one like it."""
+
+STARTING_S = 2.0
+"""Requests wait only this long after the first one; later the store must be away."""
+
+START_LOOK_S = 0.02
+"""How often such a request looks whether the node knows enough."""
+
+START_RETRY_AFTER_S = 0.6
+"""When a caller may come back whose request came too early: tables that have not come
+after the wait take about as long again."""
+
 
 @attrs.define(eq=False, repr=False)
 class NodeState:
@@ -42,6 +57,8 @@
     """Whether any caller's request has come since the start."""
     in_flight: int = 0
     """Callers' requests that are open."""
+    _starting_since_s: float | None = None
+    """When the first request came that found the node without its tables."""
 
     def leave(self) -> None:
         """Note that the signal to stop has come."""
@@ -76,10 +93,29 @@
             return apply_s * FRESH_SHARE
         return min(self.bounds.revoke_s, apply_s) * FRESH_SHARE
 
+    def _is_loaded(self) -> bool:
+        is_configured = self.view.configuration.current is not None
+        return is_configured and self.view.backends.is_loaded
+
+    async def until_loaded(self) -> None:
+        """Wait a moment for the tables, if the node has just started."""
+        if self._is_loaded():
+            return
+        now_s = self.timer.now_s()
+        if self._starting_since_s is None:
+            self._starting_since_s = now_s
+        if now_s - self._starting_since_s > STARTING_S:
+            return
+        until_s = now_s + START_HOLD_S
+        while not self._is_loaded() and self.timer.now_s() < until_s:
+            await self.timer.sleep(START_LOOK_S)
+
     def why_not(self) -> Failure | None:
         """Return why no request may be served now, or None."""
-        if self.view.configuration.current is None or not self.view.backends.is_loaded:
-            return Failure.from_code(ResultCode.NO_CONFIG, retry_after_s=RETRY_AFTER_S)
+        if not self._is_loaded():
+            return Failure.from_code(
+                ResultCode.NO_CONFIG, retry_after_s=START_RETRY_AFTER_S
+            )
         if self.view.configuration_age_s() > self.fresh_s:
             return Failure.from_code(
                 ResultCode.CONFIGURATION_STALE, retry_after_s=RETRY_AFTER_S
--- a/packages/serving/tests/test_plain_calls.py
+++ b/packages/serving/tests/test_plain_calls.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 import struct
 
 import pytest
 
+from fordhatch.serving._node_state import START_RETRY_AFTER_S
 from fordhatch_standins import http_answer
 
 
@@ -206,6 +208,26 @@
     await site.until(lambda: backend.left == ["r1"])
 
 
+async def test_a_request_waits_for_what_a_starting_node_must_know(site) -> None:
+    await site.add_backend(answers)
+    known = site.view.configuration
+    current, known.current = known.current, None
+    asked = asyncio.ensure_future(site.ask("/get/1", method="GET"))
+    await site.until(lambda: site.state.in_flight == 1)
+    known.current = current
+    assert (await asked).status == 200
+
+
+async def test_a_node_that_learns_nothing_refuses_at_once_and_says_when_to_come_back(
+    site,
+) -> None:
+    site.view.configuration.current = None
+    site.state._starting_since_s = -math.inf
+    got = await site.ask("/get/1", method="GET")
+    assert got.status == 503
+    assert float(got.headers["Retry-After"]) == START_RETRY_AFTER_S
+
+
 async def test_leaving_backends_get_nothing(site) -> None:
     leaving = await site.add_backend(answers, state="draining")
     got = await site.ask("/once/1")
