--- a/packages/placement/tests/test_planner.py
+++ b/packages/placement/tests/test_planner.py
@@ -186,6 +186,41 @@
     play(scenario)
 
 
+def test_leftovers_of_two_broken_groups_make_one() -> None:
+    async def scenario(site: Site) -> None:
+        await standard_site(site, domains=1)
+        before = site.fleet.working_groups()["small"]
+        heads = [e for e in engines_of(site, "small") if e.place.rank == 0][:2]
+        for head in heads:
+            site.fleet.kill(site.fleet.engines[head.place.members[1]])
+        # A load alone would take 12 s.
+        await site.until(
+            lambda: site.fleet.working_groups().get("small", 0) >= before - 1, 8
+        )
+        assert len({head.place.group for head in heads}) == 1
+
+    play(scenario)
+
+
+def test_a_dark_domain_that_comes_back_serves_again() -> None:
+    async def scenario(site: Site) -> None:
+        await standard_site(site)
+        before = site.working()
+        gone = [e for e in site.fleet.engines.values() if e.domain == "d1"]
+        for engine in gone:
+            site.fleet.kill(engine)
+        await site.watch(8)
+        assert site.working() < before
+        for engine in gone:
+            back = site.fleet.add("d1")
+            back.staged = list(engine.staged)
+            site.fleet._publish(back)
+        took_s = await site.until(lambda: site.working() >= before, 30)
+        assert took_s < 6.0
+
+    play(scenario)
+
+
 @pytest.mark.parametrize("how", ["kill", "freeze", "turned_away", "release"])
 def test_another_node_plans_within_seconds(how: str) -> None:
     async def scenario(site: Site) -> None:
