A node that has just started finishes the reads that it has begun

Cause: as soon as the system's own rows told a starting node of others, it left the store for its reader after 0.3 s, and broke off reads that were under way: the configuration of 1,813 routes takes 0.4 s on a link of 10 Mbit/s. After the loss of all nodes the reader had nothing either, and the read began anew after two of them had failed.

Ruled out: asking the reader only later; both are asked now, and whichever answers first is taken.

Change: a node stays with the store until it has every table whole, as long as the store answers. Test red before: a_first_read_that_takes_long_is_not_broken_off (two reads).

--- a/packages/registry/src/fordhatch/registry/_tables_follower.py
+++ b/packages/registry/src/fordhatch/registry/_tables_follower.py
@@ -79,12 +79,23 @@
             self._follow(tasks, probe, retry_most_s, None)
             for follower in others:
                 self._follow(tasks, follower, retry_most_s, probe)
-            while self.relay is None or self.relay.choice.choose() is None:
+            while self._reads_store(probe):
                 await self.timer.sleep(CHOICE_LOOK_S)
                 await self._look_elsewhere(probe)
         finally:
             await tasks.close()
 
+    def _reads_store(self, probe: TableFollower) -> bool:
+        """Return whether this node goes on asking the store.
+
+        One that has just started first takes the tables whole, as long as the store
+        answers: they are on their way, and other nodes may have just started as well.
+        """
+        if self.relay is None or self.relay.choice.choose() is None:
+            return True
+        is_loaded = all(f.is_loaded for f in self.followers.values())
+        return not is_loaded and not probe.is_failing
+
     def _whose_turn(self) -> NodeAddress | None:
         return self.relay.choice.whose_turn() if self.relay is not None else None
 
--- a/packages/registry/tests/test_relay.py
+++ b/packages/registry/tests/test_relay.py
@@ -7,9 +7,10 @@
 
 import attrs
 import pytest_asyncio
+from result import Result
 
-from fordhatch.adapter import BACKENDS_TABLE
-from fordhatch.core import Timer
+from fordhatch.adapter import BACKENDS_TABLE, OPERATOR_TABLE
+from fordhatch.core import Failure, Timer
 from fordhatch.protocol import PeerPool
 from fordhatch.registry import (
     NodeAddress,
@@ -18,7 +19,10 @@
     RelayServer,
     StoreSource,
     StoreView,
+    TableUpdate,
 )
+from fordhatch.registry._table_source import NOTHING
+from fordhatch.registry._tables_follower import CHOICE_LOOK_S
 from fordhatch_standins import MemoryStoreClient, StoreModel
 
 ENTRY = b'{"service": "a", "address": "10.0.0.1:80", "state": "ready"}'
@@ -149,6 +153,37 @@
     assert choice.choose() is None
 
 
+@attrs.define(eq=False, repr=False)
+class SlowSource:
+    """A store behind a narrow link: whole tables take their time."""
+
+    source: StoreSource
+    begun: int = 0
+
+    async def update(
+        self, table: str, after_version: int, wait_s: float
+    ) -> Result[TableUpdate, Failure]:
+        if after_version == NOTHING and table == OPERATOR_TABLE:
+            self.begun += 1
+            await asyncio.sleep(2.0 * CHOICE_LOOK_S)
+        return await self.source.update(table, after_version, wait_s)
+
+
+async def test_a_first_read_that_takes_long_is_not_broken_off(site) -> None:
+    await site.start()
+    reader = await site.settle()
+    late = await site.add("late", site.addresses[reader].zone)
+    for follower in late.view.followers.values():
+        follower.source = SlowSource(follower.source)
+    # The others have nothing for it: they may have just started as well.
+    late.pool.shared_key = b"guess"
+    known = late.view.own
+    late.choice.nodes = lambda: site.addresses if known.is_loaded else {}
+    late.view.start()
+    await site.until(lambda n: all(f.is_loaded for f in n.view.followers.values()))
+    assert late.view.operators.source.begun == 1
+
+
 async def test_a_stranger_learns_nothing(site) -> None:
     stranger = await site.add("stranger", "z0")
     stranger.pool.shared_key = b"guess"
