--- a/packages/core/tests/test_line_writer.py
+++ b/packages/core/tests/test_line_writer.py
@@ -14,8 +14,12 @@
     writer.start()
     # Nobody reads: a write that waited would never return, and without a limit to what
     # may wait no line would ever be dropped. The thread may still take lines meanwhile.
-    while not writer.dropped:
+    for _ in range(100 * MAX_WAITING_LINES):
         writer.write("event=x " + "y" * 100)
+        if writer.dropped:
+            break
+    else:
+        raise AssertionError("no line was dropped")
     assert len(writer._lines) <= MAX_WAITING_LINES
 
 
