--- a/packages/placement/tests/planning_site.py
+++ b/packages/placement/tests/planning_site.py
@@ -16,6 +16,7 @@
 from fordhatch.registry import StoreSource, StoreView
 from fordhatch_standins import (
     EngineFleet,
+    EngineModel,
     MemoryBackendClient,
     MemoryStoreClient,
     ModelTimes,
@@ -222,3 +223,16 @@
     await site.until(lambda: site.working() >= domains * 2, 60)
     await site.watch(60)
     site.fleet.is_counting_loads = True
+
+
+def engines_of(site: Site, model: str) -> list[EngineModel]:
+    return [
+        e
+        for e in site.fleet.engines.values()
+        if not e.is_dead and e.place is not None and e.place.model == model
+    ]
+
+
+def head_and_member(site: Site, model: str) -> tuple[EngineModel, EngineModel]:
+    head = next(e for e in engines_of(site, model) if e.place.rank == 0)
+    return head, site.fleet.engines[head.place.members[1]]
--- a/packages/placement/tests/test_planner.py
+++ b/packages/placement/tests/test_planner.py
@@ -3,39 +3,23 @@
 from __future__ import annotations
 
 import asyncio
-import json
 
 import pytest
-from planning_site import Site, engine_configuration, play, standard_site
+from planning_site import (
+    Site,
+    head_and_member,
+    play,
+    standard_site,
+)
 
 from fordhatch.adapter import (
-    BACKENDS_TABLE,
-    CONFIGURATION_KEY,
-    OPERATOR_TABLE,
     GroupOrder,
     OrderKind,
 )
-from fordhatch.catalog import BackendServer
-from fordhatch.placement._group_builder import GroupBuilder
-from fordhatch.placement._group_care import UNLISTED_WORK_S
-from fordhatch.placement._layout import Layout
 from fordhatch.registry import SHARED_TABLE, Suspicion, suspicion_key
 from fordhatch_standins import EngineModel
 
 
-def engines_of(site: Site, model: str) -> list[EngineModel]:
-    return [
-        e
-        for e in site.fleet.engines.values()
-        if not e.is_dead and e.place is not None and e.place.model == model
-    ]
-
-
-def head_and_member(site: Site, model: str) -> tuple[EngineModel, EngineModel]:
-    head = next(e for e in engines_of(site, model) if e.place.rank == 0)
-    return head, site.fleet.engines[head.place.members[1]]
-
-
 def test_every_engine_serves_at_the_first_start() -> None:
     async def scenario(site: Site) -> None:
         for index in range(48):
@@ -47,26 +31,6 @@
     play(scenario)
 
 
-@pytest.mark.parametrize("model", ["big", "small"])
-def test_a_group_that_lost_a_member_is_replaced_without_loads(model: str) -> None:
-    async def scenario(site: Site) -> None:
-        await standard_site(site)
-        before = site.working()
-        loads = site.fleet.loads
-        _, member = head_and_member(site, model)
-        site.fleet.kill(member)
-        assert site.working() == before - 1
-        spare = site.fleet.add(member.domain)
-        spare.staged = [model]
-        site.fleet._publish(spare)
-        took_s = await site.until(lambda: site.working() >= before, 8)
-        # The entry lapses after 3.6 s; probes, leaving, joining and opening follow.
-        assert took_s < 3.6 + 2.6
-        assert site.fleet.loads - loads <= 8
-
-    play(scenario)
-
-
 def test_members_of_a_dark_head_wait_until_it_must_be_broken() -> None:
     async def scenario(site: Site) -> None:
         await standard_site(site, domains=1)
@@ -108,18 +72,6 @@
     play(scenario)
 
 
-def test_a_group_goes_on_when_a_member_is_only_out_of_the_stores_reach() -> None:
-    async def scenario(site: Site) -> None:
-        await standard_site(site, domains=1)
-        before = {e.place.group for e in engines_of(site, "big")}
-        _, member = head_and_member(site, "big")
-        site.fleet.cut_from_store(member)
-        await site.watch(10)
-        assert {e.place.group for e in engines_of(site, "big")} == before
-
-    play(scenario)
-
-
 def has_let_go(site: Site, group: str, but: EngineModel) -> bool:
     return all(
         e.place is None or e.place.group != group
@@ -186,41 +138,6 @@
     play(scenario)
 
 
-def test_leftovers_of_two_broken_groups_make_one() -> None:
-    async def scenario(site: Site) -> None:
-        await standard_site(site, domains=1)
-        before = site.fleet.working_groups()["small"]
-        heads = [e for e in engines_of(site, "small") if e.place.rank == 0][:2]
-        for head in heads:
-            site.fleet.kill(site.fleet.engines[head.place.members[1]])
-        # A load alone would take 12 s.
-        await site.until(
-            lambda: site.fleet.working_groups().get("small", 0) >= before - 1, 8
-        )
-        assert len({head.place.group for head in heads}) == 1
-
-    play(scenario)
-
-
-def test_a_dark_domain_that_comes_back_serves_again() -> None:
-    async def scenario(site: Site) -> None:
-        await standard_site(site)
-        before = site.working()
-        gone = [e for e in site.fleet.engines.values() if e.domain == "d1"]
-        for engine in gone:
-            site.fleet.kill(engine)
-        await site.watch(8)
-        assert site.working() < before
-        for engine in gone:
-            back = site.fleet.add("d1")
-            back.staged = list(engine.staged)
-            site.fleet._publish(back)
-        took_s = await site.until(lambda: site.working() >= before, 30)
-        assert took_s < 6.0
-
-    play(scenario)
-
-
 @pytest.mark.parametrize("how", ["kill", "freeze", "turned_away", "release"])
 def test_another_node_plans_within_seconds(how: str) -> None:
     async def scenario(site: Site) -> None:
@@ -347,99 +264,6 @@
     play(scenario)
 
 
-async def declare_newer_model(site: Site) -> None:
-    """Replace the larger model by one that no host has staged."""
-    data = json.loads(engine_configuration())
-    site.fleet.models = {**site.fleet.models, "newer": site.fleet.models["big"]}
-    for engine in site.fleet.engines.values():
-        engine.models = site.fleet.models
-    data["services"][0]["engine"]["models"][0]["name"] = "newer"
-    data["version"] = 2
-    site.store.put(OPERATOR_TABLE, CONFIGURATION_KEY, json.dumps(data).encode())
-    while site.fleet.working_groups().get("newer", 0) < 2:
-        working = site.fleet.working_groups()
-        assert working.get("big", 0) + working.get("newer", 0) >= 1, working
-        await site.watch(0.2)
-
-
-def test_groups_of_a_model_that_is_no_longer_declared_give_way_one_by_one() -> None:
-    async def scenario(site: Site) -> None:
-        await standard_site(site, domains=2, nodes=1)
-        await declare_newer_model(site)
-        await site.until(lambda: "big" not in site.fleet.working_groups(), 120)
-
-    play(scenario)
-
-
-def test_a_conversion_gets_the_members_that_were_given_up_for_it(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    ended: list[bool] = []
-    finish = GroupBuilder._finish_conversion
-
-    def spy(
-        self: GroupBuilder, layout: Layout, free: list[BackendServer]
-    ) -> list[BackendServer]:
-        pending, formations = self._conversion, len(self.formations.active)
-        left = finish(self, layout, free)
-        if pending is not None and self._conversion is None:
-            ended.append(len(self.formations.active) > formations)
-        return left
-
-    monkeypatch.setattr(GroupBuilder, "_finish_conversion", spy)
-
-    async def scenario(site: Site) -> None:
-        await standard_site(site, domains=2, nodes=1)
-        await declare_newer_model(site)
-
-    play(scenario)
-    assert ended
-    assert all(ended)
-
-
-def test_a_head_that_is_no_longer_listed_finishes_its_streams() -> None:
-    async def scenario(site: Site) -> None:
-        await standard_site(site, nodes=1)
-        before = site.working()
-        head, _ = head_and_member(site, "small")
-        place = head.place
-        site.store.remove(BACKENDS_TABLE, head.backend_id)
-        await site.watch(UNLISTED_WORK_S - 0.2)
-        assert head.place == place
-        await site.until(lambda: head.place is None, 3)
-        await site.until(lambda: site.working() >= before - 1, 5)
-
-    play(scenario)
-
-
-def test_a_group_whose_head_is_listed_again_soon_is_kept() -> None:
-    async def scenario(site: Site) -> None:
-        await standard_site(site, nodes=1)
-        head, _ = head_and_member(site, "small")
-        place = head.place
-        site.store.remove(BACKENDS_TABLE, head.backend_id)
-        await site.watch(0.6)
-        site.fleet._publish(head)
-        await site.watch(3)
-        assert head.place == place
-
-    play(scenario)
-
-
-def test_a_head_that_is_no_longer_listed_and_does_not_answer_is_not_waited_for() -> (
-    None
-):
-    async def scenario(site: Site) -> None:
-        await standard_site(site, nodes=1)
-        head, member = head_and_member(site, "small")
-        site.fleet.kill(head)
-        site.store.remove(BACKENDS_TABLE, head.backend_id)
-        took_s = await site.until(lambda: member.place is None, 8)
-        assert took_s < UNLISTED_WORK_S - 0.3
-
-    play(scenario)
-
-
 def test_without_the_store_nothing_is_ordered() -> None:
     async def scenario(site: Site) -> None:
         await standard_site(site, domains=1)
