The stand-in's store skips no change that comes as a watch ends

The error that now says what was seen last and the nodes' logs show that all followed one reader, and that a node's row was missing where it had been read from the store: the stand-in ended a watch without rows and named its present version, though a row had changed between the end of the wait and the answer. Whoever asked went on from there.

Ruled out: relays (the other nodes had the row), a lost write (one call, answered), groups (both open). Change: changes are looked up after the wait. Test red before: a_change_that_comes_as_a_watch_ends_is_not_skipped. No product code changes.

--- a/standins/src/fordhatch_standins/_store_model.py
+++ b/standins/src/fordhatch_standins/_store_model.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections import deque
 
 import attrs
@@ -119,18 +120,22 @@
         self, table: str, after: int, wait_s: float
     ) -> list[StoredRow] | None:
         """Return the changes of a table after a version; None if they are forgotten."""
-        try:
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_s):
-                while True:
-                    if after < self.first_version:
-                        return None
-                    found = [
-                        row
-                        for row in self.history
-                        if row.version > after and row.name[0] == table
-                    ]
-                    if found and not self.faults.mutes_watches:
-                        return found
+                while not self._has_news(table, after):
                     await self._changed.wait()
-        except TimeoutError:
-            return []
+        # Looked up after the wait: a change that came as it ended is not to be skipped,
+        # as whoever asked goes on from the store's present version.
+        if after < self.first_version:
+            return None
+        return [] if self.faults.mutes_watches else self._changed_rows(table, after)
+
+    def _has_news(self, table: str, after: int) -> bool:
+        if after < self.first_version:
+            return True
+        return not self.faults.mutes_watches and bool(self._changed_rows(table, after))
+
+    def _changed_rows(self, table: str, after: int) -> list[StoredRow]:
+        return [
+            row for row in self.history if row.version > after and row.name[0] == table
+        ]
--- a/tests/adapter/test_store_client.py
+++ b/tests/adapter/test_store_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import AsyncIterator
 
 import pytest_asyncio
@@ -132,3 +133,20 @@
     model.put("own", "k", b"2")
     assert (await watch).is_ok()
     assert first.closed
+
+
+def hold_the_loop(duration_s: float) -> None:
+    """Keep the loop from running, so that all that falls due comes in one turn."""
+    time.sleep(duration_s)
+
+
+async def test_a_change_that_comes_as_a_watch_ends_is_not_skipped() -> None:
+    model = StoreModel()
+    version = model.put("own", "k", b"1")
+    watch = asyncio.ensure_future(model.changes("own", version, wait_s=0.01))
+    await asyncio.sleep(0)
+    # Due after the end of the watch, and before the watch itself goes on.
+    asyncio.get_running_loop().call_later(0.011, model.put, "own", "k", b"2")
+    hold_the_loop(0.05)
+    found = await watch
+    assert [row.value for row in found] == [b"2"]
