--- a/bench/platform_guards.py
+++ b/bench/platform_guards.py
@@ -174,8 +174,8 @@
     Guard(
         "TWO: members wait until their head no longer serves",
         "placement/_planner.py",
-        " | self.dissolutions.member_ids()\n        free",
-        "\n        free",
+        "formations.member_ids() | self.dissolutions.member_ids()\n",
+        "formations.member_ids()\n",
         f"{PLACEMENT} -k dark_head",
     ),
     Guard(
