Callers reach a node's port before its libraries are loaded

Ruled out: loading less; nearly all of the time is aiohttp, attrs and asyncio, which the first request needs. Change: the entry script opens the callers' port from the settings first; the loop takes the socket over. Wrong settings are left to the node, which names every mistake. Test: the port is connected to at the first import of a package.

--- a/deploy/entry.py
+++ b/deploy/entry.py
@@ -21,10 +21,16 @@
     *map(str, sorted(ROOT.glob("packages/*/src"))),
 ]
 
+# Before the libraries are loaded: callers who come meanwhile wait instead of being
+# turned away by a closed port.
+from fordhatch_early import open_callers_port  # noqa: E402
+
+callers_port = open_callers_port()
+
 from fordhatch.node import run_on_platform  # noqa: E402
 
 gc.freeze()
 gc.enable()
 
 if __name__ == "__main__":
-    run_on_platform()
+    run_on_platform(callers_port)
--- a/packages/node/src/fordhatch/node/_daemon.py
+++ b/packages/node/src/fordhatch/node/_daemon.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import signal
+import socket
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -35,8 +36,12 @@
 """File descriptor of the log."""
 
 
-def run_on_platform() -> None:
-    """Run a node with the settings file that the platform names."""
+def run_on_platform(callers_port: socket.socket | None = None) -> None:
+    """Run a node with the settings file that the platform names.
+
+    Args:
+        callers_port: A socket that listens at the callers' address already.
+    """
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
     try:
         content = path.read_text()
@@ -49,7 +54,7 @@
         for mistake in error.mistakes:
             print(f"fordhatchd: code=502 {path}: {mistake}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
-    run_logged(settings.node_name, lambda: _run(settings, path, content))
+    run_logged(settings.node_name, lambda: _run(settings, path, content, callers_port))
 
 
 def run_logged(node_name: str, run: Callable[[], Awaitable[None]]) -> None:
@@ -87,7 +92,12 @@
     log_event("node_stopped")
 
 
-async def _run(settings: NodeSettings, path: Path, content: str) -> None:
+async def _run(
+    settings: NodeSettings,
+    path: Path,
+    content: str,
+    callers_port: socket.socket | None,
+) -> None:
     stop = stop_event()
     timer = Timer.from_seed(settings.node_name)
     clients = Clients.from_settings(settings, timer)
@@ -97,7 +107,7 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, settings_watch.reload)
     await node.start()
-    await edge.listen()
+    await edge.listen(callers_port)
     watching = asyncio.ensure_future(settings_watch.run())
     await stop.wait()
     await node.leave(edge.stop_listening, listen_for_s=LISTEN_AFTER_TERM_S)
--- a/packages/node/src/fordhatch/node/_platform_edge.py
+++ b/packages/node/src/fordhatch/node/_platform_edge.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import socket
+
 import attrs
 from aiohttp import web
 
 from fordhatch.adapter import READY_PATH
 from fordhatch.core import log_event, metrics
-from fordhatch.serving import CallerServer, HttpServer
+from fordhatch.serving import CallerServer, HttpHandler, HttpServer
 
 from ._node import Node
 
@@ -30,17 +32,27 @@
         """Return the edge of a node; it does not listen yet."""
         return cls(node, CallerServer.from_path(node.path, node.timer))
 
-    async def listen(self) -> None:
-        """Listen at the addresses of the settings."""
+    async def listen(self, callers_port: socket.socket | None = None) -> None:
+        """Listen at the addresses of the settings.
+
+        Args:
+            callers_port: A socket that listens at the callers' address already.
+        """
         settings = self.node.settings
         await self._listen(settings.ready_address, self._answer_ready)
         metrics_address = f"{settings.instance_address}:{METRICS_PORT}"
         await self._listen(metrics_address, self._answer_metrics)
-        await self._listen(settings.caller_address, self.callers.handle)
-        log_event("listening", callers=settings.caller_address)
-
-    async def _listen(self, address: str, handler: object) -> None:
-        self._servers.append(await HttpServer.listen(address, handler))
+        await self._listen(settings.caller_address, self.callers.handle, callers_port)
+        log_event(
+            "listening",
+            callers=settings.caller_address,
+            early=callers_port is not None,
+        )
+
+    async def _listen(
+        self, address: str, handler: HttpHandler, port: socket.socket | None = None
+    ) -> None:
+        self._servers.append(await HttpServer.listen(address, handler, port))
 
     def stop_listening(self) -> None:
         """Accept no new connections of callers."""
--- a/packages/node/tests/test_node_process.py
+++ b/packages/node/tests/test_node_process.py
@@ -120,6 +120,38 @@
         assert any(f"event={name} " in f"{line} " for line in events), name
 
 
+CONNECTS_AT_THE_FIRST_IMPORT = """
+import runpy, socket, sys
+class Finder:
+    def find_spec(self, name, path=None, target=None):
+        if name.startswith("fordhatch."):
+            socket.create_connection(("127.0.0.1", {port}), 5).close()
+            print("heard before", name)
+            sys.exit(0)
+sys.meta_path.insert(0, Finder())
+runpy.run_path({entry!r}, run_name="__main__")
+"""
+
+
+async def test_callers_reach_the_port_before_any_library_is_loaded(
+    tmp_path: Path,
+) -> None:
+    (front,) = free_ports(1)
+    path = tmp_path / "node.toml"
+    path.write_text(BOUNDS.replace("10.0.0.1:1", f"127.0.0.1:{front}"))
+    code = CONNECTS_AT_THE_FIRST_IMPORT.format(port=front, entry=str(ENTRY))
+    node = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-c",
+        code,
+        env={**os.environ, SETTINGS_VARIABLE: str(path)},
+        stdout=asyncio.subprocess.PIPE,
+    )
+    output, _ = await node.communicate()
+    assert node.returncode == 0
+    assert b"heard before" in output
+
+
 async def test_bad_settings_end_the_process_with_every_mistake(tmp_path: Path) -> None:
     path = tmp_path / "node.toml"
     path.write_text('zone = 7\n[bounds]\nrevoke-ms = "long"\n')
--- a/packages/serving/src/fordhatch/serving/__init__.py
+++ b/packages/serving/src/fordhatch/serving/__init__.py
@@ -9,7 +9,7 @@
 from ._exchange import BackendAnswer, ExchangeClient, SendFailure, SendProblem
 from ._group_progress import GroupProgress
 from ._head_choice import HeadChoice
-from ._http_server import HttpServer
+from ._http_server import HttpHandler, HttpServer
 from ._node_state import NodeState
 from ._plain_call import PlainCalls
 from ._repeat_budget import RepeatBudget
@@ -28,6 +28,7 @@
     "ExchangeClient",
     "GroupProgress",
     "HeadChoice",
+    "HttpHandler",
     "HttpServer",
     "NodeState",
     "PlainCalls",
--- a/packages/serving/src/fordhatch/serving/_http_server.py
+++ b/packages/serving/src/fordhatch/serving/_http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -30,8 +31,16 @@
     _listener: asyncio.Server
 
     @classmethod
-    async def listen(cls, address: str, handler: HttpHandler) -> HttpServer:
-        """Start to serve ``address`` (``host:port``)."""
+    async def listen(
+        cls, address: str, handler: HttpHandler, port: socket.socket | None = None
+    ) -> HttpServer:
+        """Start to serve an address.
+
+        Args:
+            address: ``host:port``.
+            handler: Answers every request.
+            port: A socket that listens there already; None to open one.
+        """
         server = web.Server(
             handler,
             handler_cancellation=True,
@@ -41,9 +50,12 @@
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
         )
-        host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
-        listener = await loop.create_server(server, host, int(port), backlog=BACKLOG)
+        if port is not None:
+            listener = await loop.create_server(server, sock=port, backlog=BACKLOG)
+            return cls(server, listener)
+        host, _, number = address.rpartition(":")
+        listener = await loop.create_server(server, host, int(number), backlog=BACKLOG)
         return cls(server, listener)
 
     @property
