Nodes serve on through an outage of the store that is one for all

While nobody reaches the store nothing can be accepted there. Ruled out: no limit at all where removal of keys is not strict: a node that is cut off alone would serve an old configuration for as long as the cut lasts. One other node's word: two of seven that are cut off together would agree. Strict removal stays as it was.

--- a/packages/node/src/fordhatch/node/_node.py
+++ b/packages/node/src/fordhatch/node/_node.py
@@ -26,6 +26,7 @@
 from fordhatch.serving import NodeState, RequestPath
 
 from ._clients import Clients
+from ._outage_survey import OutageSurvey
 from ._registration import Registration
 
 TERM_POLL_S = 0.05
@@ -137,6 +138,10 @@
         keep, every = self.timer.keep, self.timer.every
         self._tasks.spawn(keep(self.lease.run, name="lease"), "lease")
         self._tasks.spawn(keep(self.planner.run, name="planner"), "planner")
+        survey = OutageSurvey(
+            self.settings.node_name, self.view, self.clients.pool, self.timer
+        )
+        self._tasks.spawn(keep(survey.run, name="survey"), "survey")
         self._tasks.spawn(every(FORGET_S, self._forget_gone, name="forget"), "forget")
         tell = every(TELL_CALLS_S, self._tell_calls, name="tell-calls")
         self._tasks.spawn(tell, "tell-calls")
@@ -181,6 +186,7 @@
             self.state.is_ready(),
             self.lease.is_held(),
             self.lease.version,
+            self.view.configuration_age_s(),
         )
 
     async def _forget_gone(self) -> None:
--- a/packages/protocol/src/fordhatch/protocol/_messages.py
+++ b/packages/protocol/src/fordhatch/protocol/_messages.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 """Raised when a message changes in a way that older nodes cannot read."""
 
 MESSAGE_BY_TAG: dict[int, type] = {}
@@ -130,6 +130,8 @@
     is_planner: bool = _exactly(bool)
     lease_version: int = _exactly(int)
     """Of the planner's lease, as the node knows it."""
+    configuration_age_s: float = _seconds()
+    """How long ago the store was asked that confirmed what the node has in force."""
 
 
 @message(62)
--- a/packages/protocol/tests/test_protocol.py
+++ b/packages/protocol/tests/test_protocol.py
@@ -28,7 +28,7 @@
 
 
 def status(name: str = "n1", version: int = 0) -> StatusReply:
-    return StatusReply(name, "start", version, True, False, 7)
+    return StatusReply(name, "start", version, True, False, 7, 0.2)
 
 
 def test_nested_messages_come_back_equal() -> None:
--- a/packages/registry/src/fordhatch/registry/__init__.py
+++ b/packages/registry/src/fordhatch/registry/__init__.py
@@ -10,6 +10,7 @@
 )
 from ._followers import BACKENDS_GATHER_S, StoreView
 from ._liveness_probe import probe
+from ._outage_evidence import NodeWord, OutageEvidence, witnesses_needed
 from ._reader_choice import NodeAddress, ReaderChoice
 from ._relay import RelayClient, RelayServer
 from ._shared_rows import (
@@ -34,6 +35,8 @@
     "ConfigurationInForce",
     "ConfigurationRow",
     "NodeAddress",
+    "NodeWord",
+    "OutageEvidence",
     "ReaderChoice",
     "RelayClient",
     "RelayServer",
@@ -50,4 +53,5 @@
     "node_value",
     "probe",
     "suspicion_key",
+    "witnesses_needed",
 ]
--- a/packages/registry/src/fordhatch/registry/_followers.py
+++ b/packages/registry/src/fordhatch/registry/_followers.py
@@ -15,6 +15,7 @@
     ConfigurationInForce,
     ConfigurationRow,
 )
+from ._outage_evidence import OutageEvidence
 from ._relay import RelayClient
 from ._shared_rows import SHARED_TABLE, SharedRows
 from ._table_follower import TableFollower
@@ -53,6 +54,8 @@
     backends: TableFollower
     own: TableFollower
     tables: TablesFollower
+    evidence: OutageEvidence = attrs.field(factory=OutageEvidence)
+    """What the other nodes say of the store while this one does not reach it."""
     _tasks: TaskSet = attrs.field(factory=TaskSet)
 
     @classmethod
--- a/packages/serving/src/fordhatch/serving/_admission.py
+++ b/packages/serving/src/fordhatch/serving/_admission.py
@@ -10,15 +10,11 @@
 from fordhatch.catalog import CallFields, Configuration, Route, Workspace
 from fordhatch.core import Failure, ResultCode, Timer
 
+from ._knowledge import Knowledge
 from ._node_state import RETRY_AFTER_S, NodeState
 from ._request import ServedRequest
 from ._route_table import RouteTable, choose_service
 
-REFUSE_CERTAIN_S = 1.5
-"""A node whose configuration was not confirmed for this long doesn't say that a
-route or key is unknown: a newer configuration may know it. It is below the two
-seconds within which a configuration is in force everywhere."""
-
 
 @attrs.define(eq=False, repr=False)
 class Admission:
@@ -122,7 +118,7 @@
 
     def _certain(self, code: ResultCode) -> Failure:
         """Return a final refusal if this node knows it for certain."""
-        if self.state.view.configuration_age_s() > REFUSE_CERTAIN_S:
+        if self.state.knowledge() is not Knowledge.CERTAIN:
             return Failure.from_code(
                 ResultCode.CONFIGURATION_STALE, retry_after_s=RETRY_AFTER_S
             )
--- a/packages/serving/src/fordhatch/serving/_node_state.py
+++ b/packages/serving/src/fordhatch/serving/_node_state.py
@@ -12,17 +12,9 @@
 from fordhatch.core import Failure, ResultCode, Timer, log_event, metrics
 from fordhatch.registry import StoreView
 
+from ._knowledge import Knowledge, judge_knowledge
 from ._request import Reply
 
-FRESH_SHARE = 0.7
-"""Share of the time within which a removed API key must be refused everywhere, for
-which a confirmation of the configuration is good. The rest covers a store that
-notifies late, by about a second."""
-
-READY_SHARE = 0.5
-"""The node asks for no new callers when its confirmation is older than this share;
-the balancer needs about two seconds to notice."""
-
 RETRY_AFTER_S = 0.2
 """When a caller may come back whose request this node can't serve: at once, as other
 nodes may well serve it; a little later spares them a burst."""
@@ -85,13 +77,13 @@
             metrics.IN_FLIGHT.dec()
             metrics.ANSWERS.labels(reply.outcome).inc()
 
-    @property
-    def fresh_s(self) -> float:
-        """How old a confirmation of the configuration may be."""
-        apply_s = self.bounds.config_apply_s + self.bounds.outer_s
-        if not self.bounds.is_revocation_strict:
-            return apply_s * FRESH_SHARE
-        return min(self.bounds.revoke_s, apply_s) * FRESH_SHARE
+    def knowledge(self) -> Knowledge:
+        """Return what this node's knowledge of the configuration is good for."""
+        nodes = len(self.view.shared.nodes)
+        is_for_all = self.view.evidence.is_for_all(self.timer.now_s(), nodes)
+        return judge_knowledge(
+            self.view.configuration_age_s(), self.bounds, is_outage_for_all=is_for_all
+        )
 
     def _is_loaded(self) -> bool:
         is_configured = self.view.configuration.current is not None
@@ -116,7 +108,7 @@
             return Failure.from_code(
                 ResultCode.NO_CONFIG, retry_after_s=START_RETRY_AFTER_S
             )
-        if self.view.configuration_age_s() > self.fresh_s:
+        if self.knowledge() is Knowledge.STALE:
             return Failure.from_code(
                 ResultCode.CONFIGURATION_STALE, retry_after_s=RETRY_AFTER_S
             )
@@ -126,5 +118,4 @@
         """Return whether the balancer should send new callers here."""
         if self.is_leaving or self.why_not() is not None:
             return False
-        share = READY_SHARE / FRESH_SHARE
-        return self.view.configuration_age_s() <= self.fresh_s * share
+        return self.knowledge() is not Knowledge.AGEING
--- a/standins/src/fordhatch_lab/_experiment.py
+++ b/standins/src/fordhatch_lab/_experiment.py
@@ -74,6 +74,8 @@
     """When a whole domain ends; 0 for never."""
     planner_dies_at_s: float = 0.0
     """When the planner's node ends; 0 for never."""
+    is_revocation_strict: bool = True
+    """Whether a removed API key must be refused within a bound, come what may."""
     models: tuple[LabModel, ...] = MODELS
     classes: tuple[RequestClass, ...] = CLASSES
 
--- a/standins/src/fordhatch_lab/_lab_site.py
+++ b/standins/src/fordhatch_lab/_lab_site.py
@@ -108,7 +108,10 @@
             max_descriptors=4100,
             cores=1.07,
             link_mbps=1000.0,
-            bounds=BOUNDS,
+            bounds=attrs.evolve(
+                BOUNDS,
+                is_revocation_strict=self.experiment.is_revocation_strict,
+            ),
             store=StoreLimits(address, 400.0, 2000.0, 65536, 20.0),
         )
         store = MemoryStoreClient(self.store, name)
--- /dev/null
+++ b/standins/tests/test_outages.py
@@ -0,0 +1,97 @@
+"""Pattern: the store is away for seconds, for all nodes or for some of them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import looptime
+
+from fordhatch_lab import Experiment
+from fordhatch_lab._lab_site import LabNode, LabSite
+
+LENIENT = Experiment(nodes=7, domains=1, is_revocation_strict=False)
+
+
+def play(
+    experiment: Experiment, scenario: Callable[[LabSite], Awaitable[None]]
+) -> None:
+    async def run() -> None:
+        site = LabSite.create(experiment)
+        await site.start()
+        await asyncio.sleep(10.0)
+        await scenario(site)
+        await site.close()
+
+    loop = looptime.new_event_loop()
+    try:
+        loop.run_until_complete(run())
+    finally:
+        loop.close()
+
+
+def serving(site: LabSite) -> list[bool]:
+    return [one.node.state.why_not() is None for one in site.nodes]
+
+
+def test_all_nodes_serve_on_through_an_outage_for_all() -> None:
+    async def scenario(site: LabSite) -> None:
+        site.store.faults.is_down = True
+        for _ in range(24):
+            await asyncio.sleep(0.5)
+            assert all(serving(site))
+            assert all(one.node.state.is_ready() for one in site.nodes)
+        site.store.faults.is_down = False
+        for _ in range(20):
+            await asyncio.sleep(0.1)
+            assert all(serving(site))
+
+    play(LENIENT, scenario)
+
+
+def test_a_silent_store_is_an_outage_as_well() -> None:
+    async def scenario(site: LabSite) -> None:
+        site.store.faults.is_silent = True
+        for _ in range(20):
+            await asyncio.sleep(0.5)
+            assert all(serving(site))
+
+    play(LENIENT, scenario)
+
+
+def test_where_removal_is_strict_an_outage_stops_all() -> None:
+    async def scenario(site: LabSite) -> None:
+        site.store.faults.is_down = True
+        await asyncio.sleep(3.8)
+        assert not any(serving(site))
+
+    play(Experiment(nodes=7, domains=1), scenario)
+
+
+def test_nodes_that_are_cut_off_together_stop_and_the_others_go_on() -> None:
+    async def scenario(site: LabSite) -> None:
+        cut = {one.node.settings.peer_address for one in site.nodes[:2]}
+        site.network.cut = lambda a, b: (a in cut) is not (b in cut)
+        for one in site.nodes[:2]:
+            site.store.faults.turned_away.add(one.node.settings.node_name)
+        await asyncio.sleep(7.0)
+        assert serving(site) == [False, False, True, True, True, True, True]
+        assert not site.nodes[0].node.state.is_ready()
+
+    play(LENIENT, scenario)
+
+
+def test_nodes_that_the_store_turns_away_live_on_the_others_word() -> None:
+    async def scenario(site: LabSite) -> None:
+        for one in site.nodes[:3]:
+            site.store.faults.turned_away.add(one.node.settings.node_name)
+        for _ in range(20):
+            await asyncio.sleep(0.5)
+            assert all(serving(site))
+            assert max(map(age_s, site.nodes)) < 2.0
+
+    play(LENIENT, scenario)
+
+
+def age_s(one: LabNode) -> float:
+    return one.node.view.configuration_age_s()
