Nodes that start while entries lapse know the groups from the planner's records

Ruled out: patience of the planner alone: the nodes would still know few heads for 1.2 s. Change: the planner records each group that serves in the system's own table (one batched call a second at the most); a node takes recorded members that its first whole tables lack for 1.9 s, as a node that was there before does. Each member has been ready in that group and epoch, so no incomplete group can be opened on a record. Red without the change: test_groups_whose_entries_lapsed_serve_on_after_a_restart_of_all (heads known at 0.4 s after the return).

--- a/packages/placement/src/fordhatch/placement/_group_care.py
+++ b/packages/placement/src/fordhatch/placement/_group_care.py
@@ -207,6 +207,14 @@
         since_s = self._serving_since_s.get(group.key)
         return since_s is not None and self.timer.now_s() - since_s > SETTLED_S
 
+    def serving(self) -> list[ReplicaGroup]:
+        """Return the groups that serve, with the members they were seen with."""
+        return [
+            ReplicaGroup(*key, dict(self._members_seen[key]))
+            for key in self._serving_since_s
+            if key in self._members_seen and not self.dissolutions.is_held(key)
+        ]
+
     # Suspicions.
 
     def check_suspicions(self, groups: dict[Key, ReplicaGroup]) -> None:
--- a/packages/placement/src/fordhatch/placement/_planner.py
+++ b/packages/placement/src/fordhatch/placement/_planner.py
@@ -23,6 +23,7 @@
 from ._formations import Formations
 from ._group_builder import GroupBuilder
 from ._group_care import GroupCare
+from ._group_recorder import GroupRecorder
 from ._layout import Layout
 from ._load_budget import LoadBudget
 from ._loss_check import LossCheck
@@ -69,6 +70,7 @@
     loads: LoadBudget
     staging: Staging
     care: GroupCare
+    recorder: GroupRecorder
     builder: GroupBuilder = attrs.field(init=False)
     last_model: dict[str, str] = attrs.field(factory=dict)
     """Model of each backend server's last group."""
@@ -115,6 +117,7 @@
             loads,
             Staging(desk, loads, timer),
             care,
+            GroupRecorder(store, view.shared, timer),
         )
         planner.builder = GroupBuilder(
             care, formations, dissolutions, timer, planner.next_epoch
@@ -258,6 +261,7 @@
         reported = {
             b.membership.key for b in directory.backends.values() if b.membership
         }
+        self.recorder.step(self.care.serving(), reported)
         self.dissolutions.released &= reported
         kept = set(self.dissolutions.active) | set(self.formations.active) | reported
         members = self.care.keep_only(kept) | self.dissolutions.member_ids()
@@ -274,6 +278,7 @@
         await self.desk.close()
         await self.losses.close()
         await self.care.close()
+        await self.recorder.close()
 
 
 def _is_declared(service: Service, group: ReplicaGroup) -> bool:
--- a/packages/registry/src/fordhatch/registry/__init__.py
+++ b/packages/registry/src/fordhatch/registry/__init__.py
@@ -9,6 +9,7 @@
     ConfigurationRow,
 )
 from ._followers import BACKENDS_GATHER_S, StoreView
+from ._group_records import GroupRecord, record_key
 from ._liveness_probe import probe
 from ._outage_evidence import NodeWord, OutageEvidence, witnesses_needed
 from ._reader_choice import NodeAddress, ReaderChoice
@@ -34,6 +35,7 @@
     "BackendDirectory",
     "ConfigurationInForce",
     "ConfigurationRow",
+    "GroupRecord",
     "NodeAddress",
     "NodeWord",
     "OutageEvidence",
@@ -52,6 +54,7 @@
     "node_key",
     "node_value",
     "probe",
+    "record_key",
     "suspicion_key",
     "witnesses_needed",
 ]
--- a/packages/registry/src/fordhatch/registry/_backend_directory.py
+++ b/packages/registry/src/fordhatch/registry/_backend_directory.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 
 import attrs
 
@@ -98,6 +98,24 @@
         if due:
             self._changed()
 
+    def restore(self, members: Iterable[BackendServer]) -> None:
+        """Take members of recorded groups that are not listed, for a short time.
+
+        A node that has just started does not know whether entries have lapsed while
+        the store was away. Whoever is not listed within the grace is gone.
+
+        Args:
+            members: Members of groups that served when they were recorded.
+        """
+        until_s = self.timer.now_s() + LAPSE_GRACE_S
+        missing = [m for m in members if m.backend_id not in self.backends]
+        for member in missing:
+            self.backends[member.backend_id] = member
+            self._lapsed[member.backend_id] = until_s
+        if missing:
+            log_event("backends_restored", members=len(missing))
+            self._changed()
+
     def _lapse(self, backend_id: str) -> None:
         if backend_id in self.backends and backend_id not in self._lapsed:
             self._lapsed[backend_id] = self.timer.now_s() + LAPSE_GRACE_S
--- a/packages/registry/src/fordhatch/registry/_followers.py
+++ b/packages/registry/src/fordhatch/registry/_followers.py
@@ -15,6 +15,7 @@
     ConfigurationInForce,
     ConfigurationRow,
 )
+from ._group_records import members_of
 from ._outage_evidence import OutageEvidence
 from ._relay import RelayClient
 from ._shared_rows import SHARED_TABLE, SharedRows
@@ -81,18 +82,29 @@
         configuration = ConfigurationInForce(configuration_row)
         directory = BackendDirectory(timer)
 
+        unread = {BACKENDS_TABLE, SHARED_TABLE}
+
+        def read(table: str) -> None:
+            if table not in unread:
+                return
+            unread.discard(table)
+            if not unread:
+                directory.restore(members_of(shared.records.values()))
+
         def take_backends(update: TableUpdate) -> None:
             directory.outage_ended_s = backends.outage_ended_s
             if update.is_whole:
                 directory.observe_snapshot(update.rows)
             else:
                 directory.observe_changes(update.rows)
+            read(BACKENDS_TABLE)
 
         def take_shared(update: TableUpdate) -> None:
             if update.is_whole:
                 shared.observe_snapshot(update.rows)
             else:
                 shared.observe_changes(update.rows)
+            read(SHARED_TABLE)
 
         operators = TableFollower(
             configuration_row.table,
--- a/packages/registry/src/fordhatch/registry/_shared_rows.py
+++ b/packages/registry/src/fordhatch/registry/_shared_rows.py
@@ -1,4 +1,4 @@
-"""The system's own rows in the store: nodes, their shared secret, suspicions."""
+"""The system's own rows: nodes, their shared secret, suspicions, groups that serve."""
 
 from __future__ import annotations
 
@@ -10,6 +10,11 @@
 from fordhatch.adapter import Row
 from fordhatch.core import Timer, log_event
 
+from ._group_records import (
+    RECORD_PREFIX,
+    GroupRecord,
+    split_record_key,
+)
 from ._reader_choice import NodeAddress
 
 SHARED_TABLE = "fordhatch"
@@ -79,6 +84,8 @@
     secret: bytes = b""
     """With it nodes prove to each other that they belong to the system."""
     suspicions: dict[tuple[str, int], Suspicion] = attrs.field(factory=dict)
+    records: dict[tuple[str, int], GroupRecord] = attrs.field(factory=dict)
+    """Groups that serve, as the planner has recorded them."""
     _subscribers: list[Callable[[], None]] = attrs.field(factory=list)
 
     def subscribe(self, call: Callable[[], None]) -> None:
@@ -90,6 +97,7 @@
         before = dict(self.nodes)
         self.nodes.clear()
         self.suspicions.clear()
+        self.records.clear()
         self.observe_changes(rows)
         for name, node in before.items():
             found = self.nodes.get(name)
@@ -111,6 +119,21 @@
             self._take_node(key.removeprefix(_NODE_PREFIX), row)
         elif key.startswith(_SUSPICION_PREFIX):
             self._take_suspicion(key, row)
+        elif key.startswith(RECORD_PREFIX):
+            self._take_record(key, row)
+
+    def _take_record(self, key: str, row: Row) -> None:
+        group = split_record_key(key)
+        if group is None:
+            log_event("shared_row_unreadable", key=key, error="no epoch")
+            return
+        if row.is_removed:
+            self.records.pop(group, None)
+            return
+        try:
+            self.records[group] = GroupRecord.from_bytes(group, row.value)
+        except (ValueError, TypeError) as error:
+            log_event("shared_row_unreadable", key=key, error=repr(error))
 
     def _take_node(self, name: str, row: Row) -> None:
         if row.is_removed:
--- a/standins/src/fordhatch_lab/_lab_site.py
+++ b/standins/src/fordhatch_lab/_lab_site.py
@@ -90,7 +90,22 @@
         zone = f"z{domain % self.experiment.zones}"
         self.backends.add_engine(f"d{domain}", zone)
 
-    async def _add_node(self, index: int) -> None:
+    async def restart_all(self) -> None:
+        """End every node without a word, and start them again at their addresses."""
+        count = len(self.nodes)
+        for one in list(self.nodes):
+            await self._end(one)
+        for index in range(count):
+            await self._add_node(index, is_first_start=False)
+
+    async def _end(self, one: LabNode) -> None:
+        self.nodes.remove(one)
+        self.network.drop(one.node.settings.peer_address)
+        one.store.is_frozen = True
+        self.gone_calls.update(one.store.calls)
+        await one.node.close()
+
+    async def _add_node(self, index: int, *, is_first_start: bool = True) -> None:
         name = f"n{index:03d}"
         timer = Timer.from_seed(f"{self.experiment.seed}/{name}")
         address = f"10.250.{index >> 8}.{index & 255}:7000"
@@ -102,7 +117,7 @@
             caller_address=address,
             ready_address=address,
             peer_address=address,
-            is_first_start=True,
+            is_first_start=is_first_start,
             heartbeat_s=1.2,
             memory_mb=300.0,
             max_descriptors=4100,
@@ -132,13 +147,8 @@
     async def kill_planner(self) -> None:
         """End the planner's node without a word."""
         victim = self.planner()
-        if victim is None:
-            return
-        self.nodes.remove(victim)
-        self.network.drop(victim.node.settings.peer_address)
-        victim.store.is_frozen = True
-        self.gone_calls.update(victim.store.calls)
-        await victim.node.close()
+        if victim is not None:
+            await self._end(victim)
 
     def store_calls(self) -> Counter[str]:
         """Return the calls to the store so far, by kind and table."""
--- a/standins/src/fordhatch_standins/_engine_fleet.py
+++ b/standins/src/fordhatch_standins/_engine_fleet.py
@@ -113,6 +113,17 @@
         engine.is_listed = False
         asyncio.get_running_loop().call_later(self.lapse_s, self._lapse, engine)
 
+    def lapse_all(self) -> None:
+        """Drop the entries of all engines, as a store does that was away for long."""
+        for engine in self.engines.values():
+            self._lapse(engine)
+
+    def come_back(self, within_s: float) -> None:
+        """Have every living engine register again, each at a moment of its own."""
+        loop = asyncio.get_running_loop()
+        for engine in self.engines.values():
+            loop.call_later(self.rng.uniform(0.0, within_s), self._publish, engine)
+
     def drain(self, engine: EngineModel) -> None:
         """Announce that an engine will leave."""
         engine.state = "draining"
--- a/standins/tests/test_outages.py
+++ b/standins/tests/test_outages.py
@@ -10,6 +10,9 @@
 from fordhatch_lab import Experiment
 from fordhatch_lab._lab_site import LabNode, LabSite
 
+WARM_UP_S = 25.0
+"""Loads take up to 16 s; the groups are open by then."""
+
 LENIENT = Experiment(nodes=7, domains=1, is_revocation_strict=False)
 
 
@@ -19,7 +22,7 @@
     async def run() -> None:
         site = LabSite.create(experiment)
         await site.start()
-        await asyncio.sleep(10.0)
+        await asyncio.sleep(WARM_UP_S)
         await scenario(site)
         await site.close()
 
@@ -93,5 +96,60 @@
     play(LENIENT, scenario)
 
 
+def open_heads(one: LabNode) -> int:
+    directory = one.node.view.directory
+    return sum(b.is_open_head for b in directory.backends.values())
+
+
+def test_groups_whose_entries_lapsed_serve_on_after_a_restart_of_all() -> None:
+    """Pattern: all nodes are killed at the end of an outage in which entries lapse.
+
+    Heartbeats come every 1.2 s, so that the entries are back one by one within that
+    time of the store's return.
+    """
+
+    async def scenario(site: LabSite) -> None:
+        fleet = site.backends.fleet
+        heads = sum(fleet.working_groups().values())
+        assert heads > 0
+        site.store.faults.is_down = True
+        await asyncio.sleep(4.0)
+        fleet.lapse_all()
+        await site.restart_all()
+        await asyncio.sleep(0.5)
+        site.store.faults.is_down = False
+        fleet.come_back(within_s=1.2)
+        await asyncio.sleep(0.4)
+        assert [open_heads(one) for one in site.nodes] == [heads] * len(site.nodes)
+        await asyncio.sleep(4.0)
+        epochs = {e.place.epoch for e in fleet.engines.values() if e.place}
+        assert sum(fleet.working_groups().values()) == heads
+        assert max(epochs) < site.planner().node.lease.epoch_base * 1000
+        assert fleet.violations == []
+
+    play(LENIENT, scenario)
+
+
+def test_who_does_not_come_back_after_the_outage_is_replaced() -> None:
+    async def scenario(site: LabSite) -> None:
+        fleet = site.backends.fleet
+        site.store.faults.is_down = True
+        await asyncio.sleep(2.0)
+        fleet.lapse_all()
+        dead = next(e for e in fleet.engines.values() if e.place and e.place.rank == 1)
+        fleet.kill(dead)
+        await site.restart_all()
+        site.store.faults.is_down = False
+        fleet.come_back(within_s=1.2)
+        await asyncio.sleep(8.0)
+        for one in site.nodes:
+            assert dead.backend_id not in one.node.view.directory.backends
+        members = [m for h in fleet.check_serving() for m in fleet.members(h)]
+        assert dead not in members
+        assert fleet.violations == []
+
+    play(LENIENT, scenario)
+
+
 def age_s(one: LabNode) -> float:
     return one.node.view.configuration_age_s()
