Orders carry the fencing token of the planner's lease

Cause: the new customer's backend servers check fencing tokens and none was sent, so that a holder that awakes from a freeze could still close or open groups of the next one; epochs protect joins alone. Ruled out: the epoch base as the token: it rises with each renewal, so that a slow order of the same term would be refused. Change: the token is the version of the lease's row when its holder took it: one for a term, higher for the next, over restarts as well, as the store's counter only rises. Who is refused for an older token stops planning until the store says otherwise. The stand-in's engines check tokens. Tests: a term's token, a superseded holder, random troubles with checks on.

--- a/packages/placement/src/fordhatch/placement/_order_desk.py
+++ b/packages/placement/src/fordhatch/placement/_order_desk.py
@@ -30,6 +30,10 @@
 
     backends: BackendClient
     timer: Timer
+    fencing_token: Callable[[], int]
+    """Returns the token of the lease under which orders are sent."""
+    superseded: Callable[[], None]
+    """Called when a backend server has seen a higher token than the one sent."""
     _sent_s: dict[tuple[str, OrderKind, str, int], float] = attrs.field(factory=dict)
     _tasks: TaskSet = attrs.field(factory=TaskSet)
 
@@ -57,6 +61,7 @@
         if now_s - self._sent_s.get(key, -again_s) < again_s:
             return False
         self._sent_s[key] = now_s
+        order = attrs.evolve(order, fencing_token=self.fencing_token())
         self._tasks.spawn(self._deliver(backend, order, on_reply), str(order.kind))
         return True
 
@@ -76,11 +81,21 @@
             group=order.group,
             epoch=order.epoch,
             model=order.model,
+            fencing_token=order.fencing_token,
             outcome=outcome,
         )
+        # A join may also be refused for its epoch, when the same planner has ordered
+        # another one since.
+        if reply is not None and reply.is_too_old and order.kind is not OrderKind.JOIN:
+            self._note_superseded(order)
         if on_reply is not None:
             on_reply(got)
 
+    def _note_superseded(self, order: GroupOrder) -> None:
+        """Stop, unless this node has a newer token than the order had."""
+        if order.fencing_token == self.fencing_token():
+            self.superseded()
+
     def forget(self) -> None:
         """Forget what was sent."""
         self._sent_s.clear()
--- a/packages/placement/src/fordhatch/placement/_planner.py
+++ b/packages/placement/src/fordhatch/placement/_planner.py
@@ -95,7 +95,7 @@
         has_traffic: Callable[[], bool],
     ) -> Planner:
         """Build the planner of a node; it acts only while it has the lease."""
-        desk = OrderDesk(backends, timer)
+        desk = OrderDesk(backends, timer, lambda: lease.fencing_token, lease.superseded)
         losses = LossCheck(backends, timer)
         directory = view.directory
         loads = LoadBudget(timer, bounds.load_window_s)
--- a/packages/placement/src/fordhatch/placement/_planner_lease.py
+++ b/packages/placement/src/fordhatch/placement/_planner_lease.py
@@ -73,6 +73,9 @@
     epoch_base: int = 0
     """The row's version at this node's last renewal; epochs that are derived from it
     are higher than those of every earlier holder."""
+    fencing_token: int = 0
+    """The row's version when this node last became the holder: the same for the whole
+    of its term, and above that of every earlier holder."""
     _version: int = 0
     _seen_s: float = -math.inf
     _valid_until_s: float = -math.inf
@@ -173,6 +176,7 @@
         self._valid_until_s = sent_s + LEASE_S - MARGIN_S
         if not self._was_holder:
             self._was_holder = True
+            self.fencing_token = result.version
             self.is_first_holder = replaced == 0
             metrics.PLANNER_LEADER.set(1)
             log_event("planner_became", version=result.version, how=what)
@@ -183,6 +187,17 @@
         self._version = next((row.version for row in conflicts), 0)
         self._seen_s = self.timer.now_s()
 
+    def superseded(self) -> None:
+        """Stop planning: a backend server has seen a higher fencing token.
+
+        Only the store tells who the holder is. If it is still this node, its next
+        term has a higher token.
+        """
+        if not self.is_held():
+            return
+        self._valid_until_s = -math.inf
+        log_event("planner_superseded", fencing_token=self.fencing_token)
+
     async def release(self) -> None:
         """Give the lease up, so that another node takes over at once."""
         if not self.is_held():
--- a/packages/placement/tests/test_planner.py
+++ b/packages/placement/tests/test_planner.py
@@ -281,6 +281,52 @@
     play(scenario)
 
 
+def test_orders_of_a_new_holder_have_a_higher_token_and_stop_the_old_one() -> None:
+    """Pattern: a holder whose belief is wrong, as after a freeze, orders once more."""
+
+    async def scenario(site: Site) -> None:
+        site.fleet.checks_fencing = True
+        await standard_site(site, domains=1)
+        old = site.planner()
+        token = old.lease.fencing_token
+        assert token > 0
+        site.store.faults.turned_away.add(old.name)
+        await site.until(lambda: site.planner() not in (None, old), 10)
+        new = site.planner()
+        assert new.lease.fencing_token > token
+        head, _ = head_and_member(site, "big")
+        head.highest_token = new.lease.fencing_token
+        # The old holder's belief that it has the lease, made true by hand.
+        old.lease._valid_until_s = asyncio.get_running_loop().time() + 60
+        place = head.place
+        backend = old.view.directory.backends[head.backend_id]
+        old.planner.desk.send(
+            backend, GroupOrder(OrderKind.LEAVE, place.group, place.epoch)
+        )
+        await asyncio.sleep(0.5)
+        assert head.place is place
+        assert not old.lease.is_held()
+
+    play(scenario)
+
+
+def test_a_term_has_one_token_and_a_restart_a_higher_one() -> None:
+    async def scenario(site: Site) -> None:
+        await standard_site(site, domains=1, nodes=1)
+        planner = site.planner()
+        token, base = planner.lease.fencing_token, planner.lease.epoch_base
+        await asyncio.sleep(3)
+        assert planner.lease.epoch_base > base
+        assert planner.lease.fencing_token == token
+        await planner.kill()
+        del site.nodes[planner.name]
+        again = site.add_node(planner.name)
+        await site.until(again.lease.is_held, 5)
+        assert again.lease.fencing_token > token
+
+    play(scenario)
+
+
 def test_looks_at_the_lease_hardly_grow_with_the_nodes() -> None:
     async def scenario(site: Site) -> None:
         for index in range(40):
--- a/packages/placement/tests/test_random_troubles.py
+++ b/packages/placement/tests/test_random_troubles.py
@@ -23,8 +23,10 @@
 ]
 
 
-@pytest.mark.parametrize("seed", range(3))
-def test_random_troubles_never_break_the_rules(seed: int) -> None:
+@pytest.mark.parametrize(
+    ("seed", "checks_fencing"), [(0, False), (1, False), (2, False), (1, True)]
+)
+def test_random_troubles_never_break_the_rules(seed: int, checks_fencing: bool) -> None:
     """Losses, drains, cuts, late and lost orders, dying planners, store outages."""
 
     async def trouble(site: Site, step: int) -> None:
@@ -58,6 +60,7 @@
                 site.store.faults.is_down = False
 
     async def scenario(site: Site) -> None:
+        site.fleet.checks_fencing = checks_fencing
         await standard_site(site, domains=4, nodes=3)
         for step in range(25):
             await trouble(site, step)
--- a/standins/src/fordhatch_standins/_backend_http.py
+++ b/standins/src/fordhatch_standins/_backend_http.py
@@ -100,6 +100,7 @@
         int(body.get("epoch", 0)),
         str(body.get("model", "")),
         tuple(body.get("members", ())),
+        fencing_token=int(body.get("fence", 0)),
     )
 
 
--- a/standins/src/fordhatch_standins/_engine_fleet.py
+++ b/standins/src/fordhatch_standins/_engine_fleet.py
@@ -43,6 +43,8 @@
     form_s: float = 0.3
     service: str = "llm"
     """The service under which engines register."""
+    checks_fencing: bool = False
+    """Whether engines refuse orders with an old fencing token."""
     began_s: dict[str, float] = attrs.field(factory=dict)
     """When each request began to run, by its id."""
     runs: Counter[str] = attrs.field(factory=Counter)
@@ -69,6 +71,7 @@
             self._publish,
             self._count_load,
             service=self.service,
+            checks_fencing=self.checks_fencing,
         )
         self.engines[name] = engine
         self._publish(engine)
--- a/standins/src/fordhatch_standins/_engine_model.py
+++ b/standins/src/fordhatch_standins/_engine_model.py
@@ -65,6 +65,9 @@
     """How many times slower than usual it works."""
     is_still: bool = False
     """As a head: a member is missing, and nothing moves."""
+    checks_fencing: bool = False
+    """Whether orders with a lower fencing token than one seen before are refused."""
+    highest_token: int = 0
     _moved: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def entry(self) -> bytes:
@@ -92,6 +95,9 @@
 
     def take(self, order: GroupOrder) -> int:
         """Carry out an order; returns the status of the answer."""
+        if self.checks_fencing and order.fencing_token < self.highest_token:
+            return TOO_OLD
+        self.highest_token = max(self.highest_token, order.fencing_token)
         match order.kind:
             case OrderKind.JOIN:
                 return self._join(order)
--- a/standins/src/fordhatch_standins/_memory_clients.py
+++ b/standins/src/fordhatch_standins/_memory_clients.py
@@ -21,7 +21,7 @@
 from fordhatch.core import Failure, Ran, ResultCode
 
 from ._engine_fleet import EngineFleet
-from ._engine_model import BEGUN, DONE
+from ._engine_model import BEGUN, DONE, TOO_OLD
 from ._store_model import StoredRow, StoreModel
 
 STORE_S = 0.004
@@ -151,7 +151,9 @@
         if status is None:
             await asyncio.sleep(timeout_s)
             return Err(Failure.from_code(ResultCode.BACKEND_LOST, ran=Ran.MAYBE))
-        return Ok(OrderReply(status, status == BEGUN, status == DONE))
+        return Ok(
+            OrderReply(status, status == BEGUN, status == DONE, status == TOO_OLD)
+        )
 
     async def is_alive(
         self, address: str, backend_id: str, *, timeout_s: float
