Lost members hold neither formations nor requests, leftovers of groups are free at once

Ruled out: shorter waits for joins: orders that go unanswered may be carried out late and loads take their time. Change: a formation asks its members first and ends when one is lost; free members leave released groups; a new planner takes the head from the group's record; a node avoids a group that it has found incomplete until the missed member answers. Tests: test_healing.py (three patterns), test_a_lost_group_is_left_alone_while_the_store_is_away.

--- a/packages/placement/src/fordhatch/placement/_dissolutions.py
+++ b/packages/placement/src/fordhatch/placement/_dissolutions.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import attrs
 from result import Result
 
@@ -199,6 +201,18 @@
         if dissolution.short_since_s is None:
             dissolution.short_since_s = self.timer.now_s()
 
+    def free_leftovers(self, free: Iterable[BackendServer]) -> None:
+        """Have free backend servers give up a place in a group that was released.
+
+        Their entries would name the group until they join another one. The next
+        planner can't know that the head has left it, and would let them wait for
+        that: five seconds and more, as measured after an outage of the store.
+        """
+        for backend in free:
+            place = backend.membership
+            if place is not None and place.key in self.released:
+                self.desk.send(backend, GroupOrder(OrderKind.LEAVE, *place.key))
+
     def member_ids(self) -> set[str]:
         """Return the backend servers that must not join another group yet."""
         return {m.backend_id for d in self.active.values() for m in d.members.values()}
--- a/packages/placement/src/fordhatch/placement/_group_builder.py
+++ b/packages/placement/src/fordhatch/placement/_group_builder.py
@@ -91,6 +91,10 @@
         self, layout: Layout, plan: GroupPlan, free: list[BackendServer]
     ) -> list[BackendServer]:
         self.formations.begin(plan, self.next_epoch())
+        for member in plan.members:
+            # An entry outlives its backend server by seconds, and by the whole of an
+            # outage of the store; a dead member would hold the others for two seconds.
+            self.care.losses.ask(member)
         layout.add(plan.model.name, plan.members[0].domain)
         taken = {m.backend_id for m in plan.members}
         return [b for b in free if b.backend_id not in taken]
--- a/packages/placement/src/fordhatch/placement/_group_care.py
+++ b/packages/placement/src/fordhatch/placement/_group_care.py
@@ -127,7 +127,19 @@
         )
 
     def _remember(self, group: ReplicaGroup) -> None:
-        self._members_seen.setdefault(group.key, {}).update(group.members)
+        known = self._members_seen.get(group.key)
+        if known is None:
+            known = self._members_seen[group.key] = self._recorded(group.key)
+        known.update(group.members)
+
+    def _recorded(self, key: Key) -> dict[int, BackendServer]:
+        """Return the members that an earlier planner has recorded, by rank.
+
+        Without them nobody would know the head of a group of which one member is
+        left, and that member would wait until the head must have broken.
+        """
+        record = self.view.shared.records.get(key)
+        return dict(enumerate(record.members)) if record is not None else {}
 
     def _tend_incomplete(self, group: ReplicaGroup, seen: GroupSeen) -> bool:
         """A member of a serving group is missing: make sure, then replace it."""
@@ -193,8 +205,24 @@
         self.dissolve(group, "left over from an earlier planner")
         return False
 
+    def lost_formations(self) -> list[Key]:
+        """Return the formations that wait for a member which is known to be lost."""
+        return [
+            key
+            for key, formation in self.formations.active.items()
+            if not self.losses.dead.isdisjoint(formation.member_ids)
+        ]
+
     def give_up(self, key: Key, group: ReplicaGroup | None) -> None:
-        formation = self.formations.active.pop(key)
+        """Give up a formation, so that its members may join another group.
+
+        Args:
+            key: The formation's group.
+            group: The group as it is reported; None if nobody has joined it.
+        """
+        formation = self.formations.active.pop(key, None)
+        if formation is None:
+            return
         log_event("group_late", group=key[0], epoch=key[1])
         for member in formation.plan.members:
             if group is None or member.membership is None:
--- a/packages/placement/src/fordhatch/placement/_planner.py
+++ b/packages/placement/src/fordhatch/placement/_planner.py
@@ -197,7 +197,7 @@
             if not held and self.care.tend(layout, group):
                 layout.add(group.model, group.head.domain if group.head else "")
                 kept.append(group)
-        for key in self.formations.step(groups):
+        for key in (*self.formations.step(groups), *self.care.lost_formations()):
             self.care.give_up(key, groups.get(key))
         for key, formation in self.formations.active.items():
             if key not in groups:
@@ -212,6 +212,7 @@
             return
         first = self._are_loads_free()
         free = self.builder.step(layout, free, kept, is_first_layout=first)
+        self.dissolutions.free_leftovers(free)
         grouped = [b for b in usable if b.backend_id in busy]
         self.staging.forget_done(usable)
         self.staging.step(layout, free, grouped, are_loads_free=first)
--- a/packages/placement/tests/test_healing.py
+++ b/packages/placement/tests/test_healing.py
@@ -117,3 +117,83 @@
         assert took_s < UNLISTED_WORK_S - 0.3
 
     play(scenario)
+
+
+def test_a_dead_spare_that_is_still_listed_holds_nobody_for_long() -> None:
+    """Pattern: an outage of the store, whose list names the dead for its whole length.
+
+    A formation waits 2.2 s and more for a member; asking all of them first takes a
+    probe's 0.15 s, and the next choice leaves the dead one out.
+    """
+
+    async def scenario(site: Site) -> None:
+        await standard_site(site, domains=1, nodes=1)
+        before = site.working()
+        site.fleet.lapse_s = 60.0
+        dead = site.fleet.add("d0")
+        dead.staged = ["small"]
+        site.fleet._publish(dead)
+        site.fleet.kill(dead)
+        _, member = head_and_member(site, "small")
+        site.store.remove(BACKENDS_TABLE, member.backend_id)
+        site.fleet.kill(member)
+        formations = site.planner().planner.formations
+        await site.until(lambda: dead.backend_id in formations.member_ids(), 8)
+        await site.until(lambda: dead.backend_id not in formations.member_ids(), 0.6)
+        alive = site.fleet.add("d0")
+        alive.staged = ["small"]
+        site.fleet._publish(alive)
+        assert await site.until(lambda: site.working() >= before, 5) < 2.5
+
+    play(scenario)
+
+
+def test_leftovers_of_a_released_group_are_free_for_the_next_planner() -> None:
+    """Pattern: a planner is lost with survivors that nobody could use yet.
+
+    The next one can't know that their head had left; it would hold them until the head
+    must have broken, six seconds after they let go.
+    """
+
+    async def scenario(site: Site) -> None:
+        await standard_site(site, domains=1)
+        head, member = head_and_member(site, "big")
+        others = [m for m in site.fleet.members(head) if m is not member]
+        site.fleet.kill(member)
+        # Two of the three form a group of the smaller model.
+        await site.until(lambda: any(m.place is None for m in others), 8)
+        await site.watch(3)
+        before = site.working()
+        old = site.planner()
+        del site.nodes[old.name]
+        await old.kill()
+        await site.until(lambda: site.planner() is not None, 8)
+        spare = site.fleet.add(member.domain)
+        spare.staged = ["small"]
+        site.fleet._publish(spare)
+        assert await site.until(lambda: site.working() > before, 8) < 3.5
+
+    play(scenario)
+
+
+def test_a_new_planner_knows_the_lost_head_of_a_single_survivor() -> None:
+    """Pattern: a planner is lost between a release and the leaving of its members."""
+
+    async def scenario(site: Site) -> None:
+        await standard_site(site, domains=1)
+        await site.watch(2)
+        head, member = head_and_member(site, "small")
+        record = site.planner().view.shared.records[head.place.group, head.place.epoch]
+        assert [m.backend_id for m in record.members] == list(head.place.members)
+        old = site.planner()
+        del site.nodes[old.name]
+        await old.kill()
+        head.place = None
+        site.fleet._publish(head)
+        before = site.working()
+        took_s = await site.until(lambda: site.working() > before, 12)
+        assert member.place is not None
+        # Until the lease has run out, and a join and an opening.
+        assert took_s < 4.0
+
+    play(scenario)
--- a/packages/serving/src/fordhatch/serving/_stall_watch.py
+++ b/packages/serving/src/fordhatch/serving/_stall_watch.py
@@ -32,6 +32,11 @@
 """Nodes that see the same group fall silent look into it within this time, each at a
 moment of its own: the first one's word spares the others theirs."""
 
+LOOK_AGAIN_S = 1.2
+"""How often the missed members of a group are asked again that this node has found to
+be lost. While the store is away nobody takes the group apart, and each request that is
+sent there to find out is late."""
+
 HOLD_S = 4.0
 """How long a group counts as lost by another node's word: the planner takes it apart
 or finds it alive within a second, unless it is out of reach itself."""
@@ -58,6 +63,8 @@
     _checked_s: dict[Key, float] = attrs.field(factory=dict)
     _lost_since_s: dict[Key, float] = attrs.field(factory=dict)
     """When this node first looked at the word of another node, or its own."""
+    _found_lost: set[Key] = attrs.field(factory=set)
+    """Groups that lack a member, as this node itself has found."""
     _tasks: TaskSet = attrs.field(factory=TaskSet)
 
     def is_lost(self, head: BackendServer) -> bool:
@@ -65,6 +72,8 @@
         if head.membership is None:
             return True
         key = head.membership.key
+        if key in self._found_lost:
+            return True
         if key not in self.shared.suspicions:
             return False
         now_s = self.timer.now_s()
@@ -101,12 +110,8 @@
         if key in self.shared.suspicions:
             return
         members = self._members(head)
-        answers = await asyncio.gather(*(probe(self.backends, m) for m in members))
-        missed = [
-            m.backend_id
-            for m, answer in zip(members, answers, strict=True)
-            if answer.is_err() or not answer.unwrap()
-        ]
+        lost = await self._missed(members)
+        missed = [m.backend_id for m in lost]
         log_event(
             "group_checked",
             group=key[0],
@@ -114,9 +119,32 @@
             members=len(members),
             missed=",".join(missed),
         )
-        if missed and key not in self.shared.suspicions:
+        if not missed:
+            return
+        if key not in self._found_lost:
+            self._found_lost.add(key)
+            self._tasks.spawn(self._until_whole(key, lost), f"lost-{key[0]}")
+        if key not in self.shared.suspicions:
             await self._tell(Suspicion(*key, self.node_name))
 
+    async def _until_whole(self, key: Key, lost: list[BackendServer]) -> None:
+        """Ask the missed members until they answer, or their group is gone."""
+        try:
+            while lost and key in self._found_lost:
+                await self.timer.sleep(self.timer.jittered(LOOK_AGAIN_S))
+                lost = await self._missed(lost)
+        finally:
+            self._found_lost.discard(key)
+
+    async def _missed(self, members: list[BackendServer]) -> list[BackendServer]:
+        """Return those of the members that do not answer."""
+        answers = await asyncio.gather(*(probe(self.backends, m) for m in members))
+        return [
+            m
+            for m, answer in zip(members, answers, strict=True)
+            if answer.is_err() or not answer.unwrap()
+        ]
+
     def _members(self, head: BackendServer) -> list[BackendServer]:
         group = self.directory.groups(head.service).get(head.membership.key)
         return list(group.members.values()) if group is not None else [head]
@@ -135,6 +163,7 @@
         for since in (self._avoided, self._checked_s, self._lost_since_s):
             for key in set(since) - groups:
                 del since[key]
+        self._found_lost &= groups
 
     async def close(self) -> None:
         """Stop asking and telling."""
--- a/packages/serving/tests/test_stream_calls.py
+++ b/packages/serving/tests/test_stream_calls.py
@@ -6,6 +6,7 @@
 import json
 
 import aiohttp
+import attrs
 import pytest
 
 from fordhatch.adapter import BACKENDS_TABLE, RowKey
@@ -241,6 +242,32 @@
     assert ("small.1", 1) not in site.view.shared.suspicions
 
 
+async def test_a_lost_group_is_left_alone_while_the_store_is_away(site) -> None:
+    """Pattern: a member is lost in an outage, in which nobody can be told of it.
+
+    Each try at such a group costs a stream its goal. The group is asked about again
+    every 1.2 s, and serves as soon as its member answers.
+    """
+    head = await site.add_backend(falls_silent, group="small.1", zone="z1")
+    await add_member(site, "small.1", 1, NOBODY)
+    await site.add_backend(streams, group="small.2", zone="z2")
+    site.model.faults.is_down = True
+    assert (await site.ask("/stream/1")).body == ALL
+    key = ("small.1", 1)
+    stalls = site.callers.dispatch.streams.runs.stalls
+    await site.until(lambda: key in stalls._found_lost)
+    # As long as the own word of a silence holds, and longer.
+    stalls._avoided.clear()
+    for number in range(6):
+        assert (await site.ask(f"/stream/{number + 2}")).body == ALL
+    assert len(head.seen) == 1
+    member = site.view.directory.backends["m-1"]
+    alive = attrs.evolve(member, address=await site.start_listener())
+    assert await stalls._missed([member, alive]) == [member]
+    await stalls._until_whole(key, [alive])
+    assert key not in stalls._found_lost
+
+
 async def test_a_group_that_was_silent_here_serves_where_there_is_no_other(
     site,
 ) -> None:
