fordhatch losses: lost and late requests by cause, route, workspace and second

Cause: the logs said that a request was complete, not that it was late nor why; refusals before the first send had no id. Change: the line of a late or lost request has its goal, first send, requests in flight there, first event and longest pause; refusals have their id; the command reads logs of all nodes, counts foreign lines, prints tables or JSON and draws a plot. Ruled out: the fields on every line: punctual requests are nine tenths of the volume.

--- a/packages/cli/src/fordhatch/cli/main.py
+++ b/packages/cli/src/fordhatch/cli/main.py
@@ -29,6 +29,7 @@
 
 from ._client import OperatorClient
 from ._explain import LogLine, explain, read_lines
+from ._losses import TABLES, Losses, find_losses
 from ._table import print_json, print_table
 
 EXIT_MISTAKES = 1
@@ -45,6 +46,7 @@
         "fordhatch get groups --output json",
         "fordhatch status",
         "fordhatch explain 9c41d07be2a35f68 node-*.log",
+        "fordhatch losses node-*.log --plot losses.png",
     )
 )
 """Shown below the commands; blank lines keep each example on its own line."""
@@ -288,6 +290,53 @@
         print(f"\n{found.advice}")
 
 
+@app.command(name="losses")
+def losses_command(
+    logs: list[Path], *, output: Output = "table", plot: Path | None = None
+) -> None:
+    """Show which requests were lost or late: by cause, route, workspace and second.
+
+    Parameters
+    ----------
+    logs
+        Log files of every node.
+    output
+        A table for people, JSON for programs.
+    plot
+        A picture of the causes over time; needs the library matplotlib.
+    """
+    texts = (
+        text
+        for path in logs
+        for text in _read_file(path).decode(errors="replace").splitlines()
+    )
+    found = find_losses(texts)
+    if plot is not None:
+        _plot_losses(found, plot)
+    if output == "json":
+        print_json(found.to_json())
+        return
+    print(
+        f"{len(found.losses)} of {found.requests} requests lost or late; "
+        f"{found.foreign_lines} lines are no events"
+    )
+    for name, key in TABLES.items():
+        print()
+        rows = [{name: value, **counts} for value, counts in found.by(key)]
+        if name == "second":
+            rows.sort(key=lambda row: row["second"])
+        print_table((name, "refused", "failed", "late"), rows)
+
+
+def _plot_losses(found: Losses, path: Path) -> None:
+    try:
+        from ._losses_plot import plot_losses  # noqa: PLC0415
+    except ImportError as error:
+        print(f"fordhatch: --plot: {error}", file=sys.stderr)
+        sys.exit(EXIT_MISTAKES)
+    plot_losses(found, path)
+
+
 @app.command
 def status(
     *,
--- a/packages/serving/src/fordhatch/serving/_caller_server.py
+++ b/packages/serving/src/fordhatch/serving/_caller_server.py
@@ -190,6 +190,7 @@
     ) -> None:
         log_event(
             "request_refused",
+            request=caller_fields(http_request.headers).request_id,
             code=failure.code.name,
             host=http_request.headers.get("Host", ""),
             version=self.state.view.configuration.version,
--- a/packages/serving/src/fordhatch/serving/_dispatch.py
+++ b/packages/serving/src/fordhatch/serving/_dispatch.py
@@ -51,7 +51,35 @@
             outcome=reply.outcome,
             arrivals=request.arrivals,
             ran_at=",".join(request.ran_at),
+            **_timing(request),
             took_s=round(took_s, 3),
             left_s=round(request.left_s(now_s), 3),
             version=self.state.view.configuration.version,
         )
+
+
+def _timing(request: ServedRequest) -> dict[str, object]:
+    """Return what made a request late, if it was; a punctual one's line stays short."""
+    timeline, route = request.timeline, request.route
+    first_s = _since(request, timeline.first_s)
+    is_on_time = first_s != "" and first_s <= route.goal_s
+    if is_on_time and not _has_long_pause(request):
+        return {}
+    return {
+        "goal_s": route.goal_s,
+        "sent_s": _since(request, timeline.sent_s),
+        "in_flight": timeline.in_flight,
+        "first_s": first_s,
+        "pause_s": round(timeline.longest_pause_s, 3),
+        "gap_s": route.max_gap_s if route.max_gap_s is not None else "",
+    }
+
+
+def _has_long_pause(request: ServedRequest) -> bool:
+    gap_s = request.route.max_gap_s
+    return gap_s is not None and request.timeline.longest_pause_s > gap_s
+
+
+def _since(request: ServedRequest, moment_s: float | None) -> float | str:
+    """Return the time from a request's arrival to a moment, if that came."""
+    return round(moment_s - request.arrived_s, 3) if moment_s is not None else ""
--- a/packages/serving/src/fordhatch/serving/_plain_call.py
+++ b/packages/serving/src/fordhatch/serving/_plain_call.py
@@ -82,6 +82,7 @@
             if failed_answer.status < _SERVER_ERROR:
                 break
         if failed_answer is not None:
+            request.timeline.passed_on(self.timer.now_s())
             await reply.whole(
                 failed_answer.status, failed_answer.headers, failed_answer.body
             )
@@ -127,6 +128,8 @@
     ) -> Result[WholeAnswer, SendFailure]:
         began_s = self.timer.now_s()
         timeout_s = self._answer_timeout_s(request, backend, tried)
+        in_flight = self.health.in_flight[backend.backend_id]
+        request.timeline.sent(began_s, in_flight)
         self.health.in_flight[backend.backend_id] += 1
         try:
             got = await self._exchange(request, backend, timeout_s)
--- a/packages/serving/src/fordhatch/serving/_request.py
+++ b/packages/serving/src/fordhatch/serving/_request.py
@@ -11,6 +11,37 @@
 from fordhatch.core import Failure
 
 
+@attrs.define(eq=False, repr=False)
+class Timeline:
+    """When the parts of a request's answer came; moments in monotonic seconds."""
+
+    sent_s: float | None = None
+    """First send to a backend server."""
+    in_flight: int = 0
+    """This node's other requests at that backend server then."""
+    first_s: float | None = None
+    """First event, or the whole answer."""
+    last_s: float | None = None
+    """Newest event."""
+    longest_pause_s: float = 0.0
+    """Longest time between two events, changes of the group included."""
+
+    def sent(self, now_s: float, in_flight: int) -> None:
+        """Note a send."""
+        if self.sent_s is None:
+            self.sent_s = now_s
+            self.in_flight = in_flight
+
+    def passed_on(self, now_s: float) -> None:
+        """Note that events, or a whole answer, went out to the caller."""
+        if self.first_s is None:
+            self.first_s = now_s
+        else:
+            pause_s = now_s - self.last_s
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self.last_s = now_s
+
+
 @attrs.define(eq=False, repr=False)
 class ServedRequest:
     """A request that was admitted."""
@@ -34,6 +65,8 @@
     """How often it reached a backend server, refusals included."""
     ran_at: list[str] = attrs.field(factory=list)
     """Backend servers that may have run it."""
+    timeline: Timeline = attrs.field(factory=Timeline)
+    """When its parts came, for logs."""
 
     def arrived_at(self, backend_id: str, *, may_have_run: bool) -> None:
         """Note that a backend server got the request."""
--- a/packages/serving/src/fordhatch/serving/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/_stream_run.py
@@ -79,6 +79,7 @@
         head_id = head.backend_id
         began_s = self.timer.now_s()
         events = stream.events
+        stream.request.timeline.sent(began_s, self.health.in_flight[head_id])
         self.health.in_flight[head_id] += 1
         progress = self.progress.began(head_id)
         try:
@@ -292,6 +293,7 @@
     ) -> None:
         if not stream.reply.has_begun:
             await stream.reply.begin(answer.status, answer_headers(answer.headers))
+        stream.request.timeline.passed_on(self.timer.now_s())
         await stream.reply.write(events)
 
     async def _next_piece(
