--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Installs the pinned libraries under target/deps and compiles everything once, so that
-# a node starts quickly. Our own packages are run from the sources: compiled files are
+# Installs the pinned libraries under target/deps and compiles everything once, also the
+# code that libraries generate, so that a node starts quickly. Our own packages are run from the sources: compiled files are
 # checked against them, and no stale copy can ever be served.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -14,3 +14,4 @@
     printf '%s\n' "$wanted" > "$stamp"
 fi
 python3 -m compileall -q platform/src packages/*/src deploy
+PYTHONPATH=target/deps python3 -S deploy/entry.py --record
--- a/packages/node/tests/test_node_process.py
+++ b/packages/node/tests/test_node_process.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import marshal
 import os
 import signal
 import socket
+import subprocess
 import sys
 from pathlib import Path
 
 import aiohttp
+import pytest
 from aiohttp import web
 from planning_site import BOUNDS
 from serving_site import CALL_HEADERS, configuration
@@ -129,6 +132,7 @@
             print("heard before", name)
             sys.exit(0)
 sys.meta_path.insert(0, Finder())
+sys.path.insert(0, {folder!r})
 runpy.run_path({entry!r}, run_name="__main__")
 """
 
@@ -139,7 +143,9 @@
     (front,) = free_ports(1)
     path = tmp_path / "node.toml"
     path.write_text(BOUNDS.replace("10.0.0.1:1", f"127.0.0.1:{front}"))
-    code = CONNECTS_AT_THE_FIRST_IMPORT.format(port=front, entry=str(ENTRY))
+    code = CONNECTS_AT_THE_FIRST_IMPORT.format(
+        port=front, entry=str(ENTRY), folder=str(ENTRY.parent)
+    )
     node = await asyncio.create_subprocess_exec(
         sys.executable,
         "-c",
@@ -152,6 +158,46 @@
     assert b"heard before" in output
 
 
+def compiled(cache: Path, *, reads: bool) -> list[str]:
+    """Return what is compiled anew while a module's class is made."""
+    code = (
+        "import sys, pathlib, builtins; sys.path.insert(0, sys.argv[1])\n"
+        "import compile_cache as c; c.CACHE = pathlib.Path(sys.argv[2])\n"
+        "c._compile = lambda *a: print(a[1]) or builtins.__dict__['first'](*a)\n"
+        "builtins.first = compile\n"
+        + ("c.use()\n" if reads else "")
+        + "print(eval(compile('6 * 7', 'sum', 'eval')))\n"
+    )
+    args = [sys.executable, "-c", code, str(ENTRY.parent), str(cache)]
+    done = subprocess.run(args, capture_output=True, text=True, check=True)
+    return done.stdout.split()
+
+
+def test_generated_code_comes_from_the_cache_or_is_compiled(tmp_path: Path) -> None:
+    cache = tmp_path / "generated-code"
+    assert compiled(cache, reads=True) == ["42"]
+    entry = {("6 * 7", "sum", "eval"): compile("6 * 7", "sum", "eval")}
+    cache.write_bytes(marshal.dumps((sys.version, entry)))
+    assert compiled(cache, reads=True) == ["42"]
+    cache.write_bytes(marshal.dumps((sys.version, {})))
+    assert compiled(cache, reads=True) == ["sum", "42"]
+
+
+@pytest.mark.parametrize(
+    "damaged",
+    [
+        b"",
+        b"\x00" * 40,
+        marshal.dumps(("another Python", {})),
+        marshal.dumps((1, 2, 3)),
+    ],
+)
+def test_a_damaged_cache_costs_time_only(tmp_path: Path, damaged: bytes) -> None:
+    cache = tmp_path / "generated-code"
+    cache.write_bytes(damaged)
+    assert compiled(cache, reads=True) == ["42"]
+
+
 async def test_bad_settings_end_the_process_with_every_mistake(tmp_path: Path) -> None:
     path = tmp_path / "node.toml"
     path.write_text('zone = 7\n[bounds]\nrevoke-ms = "long"\n')
