Groups are taken apart for a slow member, which is kept out until it is well

Ruled out: cancelling its streams: nodes move silent ones by themselves, others may end in time. Members of released groups are told to leave by their place, not by being free. Tests: kept out until well, the last group serves on.

--- a/deploy/compile_cache.py
+++ b/deploy/compile_cache.py
@@ -3,10 +3,11 @@
 attrs writes the methods of each class as text and compiles it at every start of a
 process. Python keeps compiled modules beside their sources, but not this. From the
 cache, and with our folders last on the path, a node is loaded in 0.317 s instead of
-0.356 s (medians of five on the machine of development); what remains of the compiling is
-code that has a hash in it, which differs from process to process. The build runs ``record``
-and a node ``use``; a text that is not in the cache is compiled as usual, so that a stale
-cache costs time only.
+0.356 s (medians of five on the machine of development). What remains of the compiling
+is code that has a hash in it, which differs from process to process.
+
+The build runs ``record`` and a node ``use``; a text that is not in the cache is
+compiled as usual, so that a stale cache costs time only.
 """
 
 import builtins
--- a/packages/placement/src/fordhatch/placement/_dissolutions.py
+++ b/packages/placement/src/fordhatch/placement/_dissolutions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Set
 
 import attrs
 from result import Result
@@ -201,16 +201,20 @@
         if dissolution.short_since_s is None:
             dissolution.short_since_s = self.timer.now_s()
 
-    def free_leftovers(self, free: Iterable[BackendServer]) -> None:
-        """Have free backend servers give up a place in a group that was released.
+    def free_leftovers(self, taken: Set[str]) -> None:
+        """Have members of released groups give up their places.
 
         Their entries would name the group until they join another one. The next
         planner can't know that the head has left it, and would let them wait for
         that: five seconds and more, as measured after an outage of the store.
+
+        Args:
+            taken: Backend servers that are joining another group.
         """
-        for backend in free:
+        for backend in self.directory.backends.values() if self.released else ():
             place = backend.membership
-            if place is not None and place.key in self.released:
+            is_left = place is not None and place.key in self.released
+            if is_left and backend.backend_id not in taken | self.losses.dead:
                 self.desk.send(backend, GroupOrder(OrderKind.LEAVE, *place.key))
 
     def member_ids(self) -> set[str]:
--- a/packages/placement/src/fordhatch/placement/_group_care.py
+++ b/packages/placement/src/fordhatch/placement/_group_care.py
@@ -28,6 +28,10 @@
 most of them end within a second. It gets nothing new, and backend servers that the
 store does not hear are often back soon."""
 
+USELESS_PACE = 2.5
+"""A group with a member that is this many times slower is taken apart: at a third of
+its pace its streams pause for longer than callers accept, as soon as a few run."""
+
 WRITE_TIMEOUT_S = 1.0
 """Longest wait for the removal of a row."""
 
@@ -62,6 +66,9 @@
         if group.head is not None:
             self._headless_since_s.pop(group.key, None)
         match seen.condition:
+            case GroupCondition.SERVING if self._is_held_back(group):
+                self.dissolve(group, "slow member", finishes_work=True)
+                return False
             case GroupCondition.SERVING:
                 self._serving_since_s.setdefault(group.key, self.timer.now_s())
                 self.formations.opened(group.key)
@@ -132,6 +139,25 @@
             known = self._members_seen[group.key] = self._recorded(group.key)
         known.update(group.members)
 
+    def _is_held_back(self, group: ReplicaGroup) -> bool:
+        """Return whether a slow member makes a whole group useless.
+
+        A group works at the pace of its slowest member, and its other members serve
+        better elsewhere; but the last group of a model serves on as it is.
+        """
+        slow = self.view.shared.slow
+        pace = max(
+            (slow.get(m.backend_id, 1.0) for m in group.members.values()), default=1.0
+        )
+        if pace < USELESS_PACE:
+            return False
+        heads = self.view.directory.open_heads(group.head.service, group.model)
+        return any(
+            h.membership.key != group.key
+            and not self.dissolutions.is_held(h.membership.key)
+            for h in heads
+        )
+
     def _recorded(self, key: Key) -> dict[int, BackendServer]:
         """Return the members that an earlier planner has recorded, by rank.
 
--- a/packages/placement/src/fordhatch/placement/_planner.py
+++ b/packages/placement/src/fordhatch/placement/_planner.py
@@ -22,7 +22,7 @@
 from ._dissolutions import Dissolutions
 from ._formations import Formations
 from ._group_builder import GroupBuilder
-from ._group_care import GroupCare
+from ._group_care import USELESS_PACE, GroupCare
 from ._group_recorder import GroupRecorder
 from ._layout import Layout
 from ._load_budget import LoadBudget
@@ -216,7 +216,7 @@
             return
         first = self._are_loads_free()
         free = self.builder.step(layout, free, kept, is_first_layout=first)
-        self.dissolutions.free_leftovers(free)
+        self.dissolutions.free_leftovers(self.formations.member_ids())
         grouped = [b for b in usable if b.backend_id in busy]
         self.staging.forget_done(usable)
         self.staging.step(layout, free, grouped, are_loads_free=first)
@@ -239,7 +239,9 @@
         return [
             b
             for b in self.view.directory.of_service(service.name)
-            if b.backend_id not in self.losses.dead and b.state is BackendState.READY
+            if b.backend_id not in self.losses.dead
+            and b.state is BackendState.READY
+            and self.view.shared.slow.get(b.backend_id, 1.0) < USELESS_PACE
         ]
 
     def _is_still_filling(self) -> bool:
--- a/packages/placement/tests/test_healing.py
+++ b/packages/placement/tests/test_healing.py
@@ -229,3 +229,40 @@
         await site.until(lambda: not shared.slow, 2.5)
 
     play(scenario)
+
+
+def test_a_slow_member_is_kept_out_of_groups_until_it_is_well() -> None:
+    """Pattern: stragglers of 4 to 12 times the usual pace, a spare in the domain."""
+
+    async def scenario(site: Site) -> None:
+        await standard_site(site, domains=2, nodes=1)
+        before = site.working()
+        _, member = head_and_member(site, "small")
+        spare = site.fleet.add(member.domain)
+        spare.staged = ["small"]
+        site.fleet._publish(spare)
+        member.slow_factor = 12.0
+        site.store.put(SHARED_TABLE, slow_key(member.backend_id), b"12")
+        await site.until(lambda: member.place is None, 3)
+        await site.until(lambda: site.working() >= before, 5)
+        await site.watch(5)
+        assert member.place is None
+        member.slow_factor = 1.0
+        await site.until(lambda: not site.planner().view.shared.slow, 2.5)
+        await site.watch(3)
+
+    play(scenario)
+
+
+def test_the_last_group_of_a_model_serves_on_with_a_slow_member() -> None:
+    async def scenario(site: Site) -> None:
+        await standard_site(site, domains=1, nodes=1)
+        head, member = head_and_member(site, "big")
+        assert len({e.place.group for e in engines_of(site, "big")}) == 1
+        place = head.place
+        member.slow_factor = 12.0
+        site.store.put(SHARED_TABLE, slow_key(member.backend_id), b"12")
+        await site.watch(6)
+        assert head.place == place
+
+    play(scenario)
--- a/packages/serving/src/fordhatch/serving/_stall_watch.py
+++ b/packages/serving/src/fordhatch/serving/_stall_watch.py
@@ -29,6 +29,10 @@
 CHECK_AGAIN_S = 1.5
 """A group whose members were asked is not asked about again sooner."""
 
+SLOW_AGAIN_S = 4.0
+"""The same where its streams go on, but slowly: it may only have much to do, and each
+look costs a report of each member."""
+
 CHECK_SPREAD_S = 0.1
 """Nodes that see the same group fall silent look into it within this time, each at a
 moment of its own: the first one's word spares the others theirs."""
@@ -97,14 +101,19 @@
         self._avoided[head.membership.key] = self.timer.now_s() + LOCAL_AVOID_S
         self.check(head)
 
-    def check(self, head: BackendServer) -> None:
-        """Find out whether the group of a head has lost a member, and tell."""
+    def check(self, head: BackendServer, again_s: float = CHECK_AGAIN_S) -> None:
+        """Find out whether the group of a head has a lost or slow member, and tell.
+
+        Args:
+            head: The head of the group.
+            again_s: Its members are not asked again sooner than this.
+        """
         if head.membership is None:
             return
         key = head.membership.key
         now_s = self.timer.now_s()
-        checked_s = self._checked_s.get(key, -CHECK_AGAIN_S)
-        if key in self.shared.suspicions or now_s - checked_s < CHECK_AGAIN_S:
+        checked_s = self._checked_s.get(key, -again_s)
+        if key in self.shared.suspicions or now_s - checked_s < again_s:
             return
         self._checked_s[key] = now_s
         log_event("group_silent", group=key[0], epoch=key[1], head=head.backend_id)
--- a/packages/serving/src/fordhatch/serving/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/_stream_run.py
@@ -19,7 +19,7 @@
 from ._group_progress import GroupProgress, RunProgress, silence_s
 from ._head_choice import HeadChoice
 from ._request import Reply, ServedRequest
-from ._stall_watch import SLOW_PACE, StallWatch
+from ._stall_watch import SLOW_AGAIN_S, SLOW_PACE, StallWatch
 
 RESUMED_URGENCY = 0
 """Streams that go on elsewhere are admitted first: their callers wait already."""
@@ -265,7 +265,7 @@
             expected_s = profile.pass_s(profile.slots // 2) * model.pace
             self.health.note_pause(head.backend_id, now_s - last_s, expected_s)
             if self.health.slowness(head.backend_id) >= SLOW_PACE:
-                self.stalls.check(head)
+                self.stalls.check(head, SLOW_AGAIN_S)
         return now_s
 
     async def _pass_on_piece(
