A request waits for a group that is on its way, and for no other

Ruled out: holding always: what can't be served is refused at once. Change: one pure module says from the entries whether a group of the model is on its way, and how long that takes; without one the refusal is at once and names when a group may be open, a quarter of the time left at the most. The constants of one name in serving have names of their own. test_a_refusal_leaves_time_to_come_back checked the window itself (0.22 < 0.25); in its place test_group_wait.py checks what is waited for, that nothing else is, and that most of a caller's time is left.

--- a/packages/serving/src/fordhatch/serving/_admission.py
+++ b/packages/serving/src/fordhatch/serving/_admission.py
@@ -11,7 +11,7 @@
 from fordhatch.core import Failure, ResultCode, Timer
 
 from ._knowledge import Knowledge
-from ._node_state import RETRY_AFTER_S, NodeState
+from ._node_state import OTHER_NODE_AFTER_S, NodeState
 from ._request import ServedRequest
 from ._route_table import RouteTable, choose_service
 
@@ -120,7 +120,7 @@
         """Return a final refusal if this node knows it for certain."""
         if self.state.knowledge() is not Knowledge.CERTAIN:
             return Failure.from_code(
-                ResultCode.CONFIGURATION_STALE, retry_after_s=RETRY_AFTER_S
+                ResultCode.CONFIGURATION_STALE, retry_after_s=OTHER_NODE_AFTER_S
             )
         return Failure.from_code(code)
 
--- a/packages/serving/src/fordhatch/serving/_caller_server.py
+++ b/packages/serving/src/fordhatch/serving/_caller_server.py
@@ -15,7 +15,7 @@
 
 from ._admission import Admission
 from ._dispatch import Dispatch
-from ._node_state import RETRY_AFTER_S, NodeState
+from ._node_state import OTHER_NODE_AFTER_S, NodeState
 from ._request_path import RequestPath
 
 LATE_TERM_S = 3.0
@@ -162,7 +162,7 @@
             if leaving_s > LATE_TERM_S:
                 return Err(
                     Failure.from_code(
-                        ResultCode.SHUTTING_DOWN, retry_after_s=RETRY_AFTER_S
+                        ResultCode.SHUTTING_DOWN, retry_after_s=OTHER_NODE_AFTER_S
                     )
                 )
         return Ok(target)
--- a/packages/serving/src/fordhatch/serving/_dispatch.py
+++ b/packages/serving/src/fordhatch/serving/_dispatch.py
@@ -6,7 +6,7 @@
 
 from fordhatch.core import Failure, Ran, ResultCode, Timer, log_event, metrics
 
-from ._node_state import RETRY_AFTER_S, NodeState
+from ._node_state import OTHER_NODE_AFTER_S, NodeState
 from ._plain_call import PlainCalls
 from ._repeat_budget import RepeatBudget
 from ._request import Reply, ServedRequest
@@ -28,7 +28,7 @@
         service = self.state.view.configuration.current.services.get(request.service)
         if service is None:
             failure = Failure.from_code(
-                ResultCode.NO_GROUP_READY, ran=Ran.NO, retry_after_s=RETRY_AFTER_S
+                ResultCode.NO_GROUP_READY, ran=Ran.NO, retry_after_s=OTHER_NODE_AFTER_S
             )
             await reply.refuse(failure)
             return
--- a/packages/serving/src/fordhatch/serving/_node_state.py
+++ b/packages/serving/src/fordhatch/serving/_node_state.py
@@ -15,7 +15,7 @@
 from ._knowledge import Knowledge, judge_knowledge
 from ._request import Reply
 
-RETRY_AFTER_S = 0.2
+OTHER_NODE_AFTER_S = 0.2
 """When a caller may come back whose request this node can't serve: at once, as other
 nodes may well serve it; a little later spares them a burst."""
 
@@ -110,7 +110,7 @@
             )
         if self.knowledge() is Knowledge.STALE:
             return Failure.from_code(
-                ResultCode.CONFIGURATION_STALE, retry_after_s=RETRY_AFTER_S
+                ResultCode.CONFIGURATION_STALE, retry_after_s=OTHER_NODE_AFTER_S
             )
         return None
 
--- a/packages/serving/src/fordhatch/serving/_plain_call.py
+++ b/packages/serving/src/fordhatch/serving/_plain_call.py
@@ -24,8 +24,9 @@
 MOST_SENDS = 4
 """Sends of one request at the most, refusals and failed connections included."""
 
-RETRY_AFTER_S = 0.15
-"""When a caller may come back whose request no backend server would take."""
+ROOM_AFTER_S = 0.15
+"""When a caller may come back whose request no backend server would take: a full one
+has ended about three of its usual calls of 50 ms in that time."""
 
 REPEAT_GOAL_SHARE = 0.6
 """Share of the route's goal after which a repeatable request that has no answer
@@ -169,7 +170,7 @@
                 ResultCode.BACKEND_REFUSED,
                 problem.detail,
                 ran=Ran.NO,
-                retry_after_s=RETRY_AFTER_S,
+                retry_after_s=ROOM_AFTER_S,
             )
         if request.left_s(self.timer.now_s()) <= 0:
             return Failure.from_code(ResultCode.DEADLINE_EXCEEDED)
--- a/packages/serving/src/fordhatch/serving/_stream_call.py
+++ b/packages/serving/src/fordhatch/serving/_stream_call.py
@@ -13,6 +13,7 @@
 from ._admission import Admission
 from ._events import EventOrder
 from ._exchange import SendFailure
+from ._group_wait import GroupWait, group_wait
 from ._head_choice import HeadChoice
 from ._repeat_budget import RepeatBudget
 from ._request import Reply, ServedRequest
@@ -21,18 +22,10 @@
 MOST_SENDS = 6
 """Sends of one request at the most, refusals and failed connections included."""
 
-HOLD_GOAL_SHARE = 0.22
-"""Share of the route's goal for which a request may wait for a group to open; the
-caller may come back in time if it is refused before a quarter of it."""
-
 HOLD_BEGUN_S = 1.8
 """How long a stream that has begun may wait for another group: callers give up after
 a gap of two seconds."""
 
-RETRY_AFTER_S = 0.25
-"""When a caller may come back if no group of its model is open: groups open within
-about this time of each other after a loss."""
-
 
 @attrs.define(eq=False, repr=False)
 class StreamCalls:
@@ -80,10 +73,7 @@
         request = stream.request
         if not request.may_run(self.directory.backends, self.timer.now_s()):
             return None
-        hold_s = HOLD_GOAL_SHARE * request.route.goal_s
-        if stream.reply.has_begun:
-            hold_s = HOLD_BEGUN_S
-        until_s = min(self.timer.now_s() + hold_s, request.ends_s)
+        began_s = self.timer.now_s()
         while True:
             if self.admission.still_allowed(request) is not None:
                 return None
@@ -97,10 +87,18 @@
                 if repeats:
                     metrics.REPEATS.labels("sent").inc()
                 return head
+            hold_s = HOLD_BEGUN_S
+            if not stream.reply.has_begun:
+                hold_s = self._group_wait(stream).hold_s
+            until_s = min(began_s + hold_s, request.ends_s)
             left_s = until_s - self.timer.now_s()
             if left_s <= 0 or not await self._wait_for_change(left_s):
                 return None
 
+    def _group_wait(self, stream: Stream) -> GroupWait:
+        backends = self.directory.of_service(stream.request.service)
+        return group_wait(backends, stream.profile, stream.model)
+
     async def _wait_for_change(self, timeout_s: float) -> bool:
         try:
             async with asyncio.timeout(timeout_s):
@@ -127,15 +125,18 @@
         if stream.reply.has_begun:
             await stream.reply.abort()
             return
-        await stream.reply.refuse(self._failure(request, problem))
+        await stream.reply.refuse(self._failure(stream, problem))
 
-    def _failure(self, request: ServedRequest, problem: SendFailure | None) -> Failure:
+    def _failure(self, stream: Stream, problem: SendFailure | None) -> Failure:
+        request = stream.request
+        left_s = request.left_s(self.timer.now_s())
         if not request.ran_at:
             stopped = self.admission.still_allowed(request)
+            retry_after_s = self._group_wait(stream).retry_within_s(left_s)
             return stopped or Failure.from_code(
-                ResultCode.NO_GROUP_READY, ran=Ran.NO, retry_after_s=RETRY_AFTER_S
+                ResultCode.NO_GROUP_READY, ran=Ran.NO, retry_after_s=retry_after_s
             )
-        if request.left_s(self.timer.now_s()) <= 0:
+        if left_s <= 0:
             return Failure.from_code(ResultCode.DEADLINE_EXCEEDED)
         detail = problem.detail if problem is not None else ""
         return Failure.from_code(ResultCode.BACKEND_LOST, detail)
--- /dev/null
+++ b/packages/serving/tests/test_group_wait.py
@@ -0,0 +1,70 @@
+"""Pattern: the last group of a model is lost, and the next one is on its way or not.
+
+Groups of today's deployments open 1.5 to 2.1 s after the decision to form them; callers
+give a stream up after two seconds without an event, and have one retry.
+"""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from planning_site import engine_configuration
+
+from fordhatch.adapter import decode_backend, decode_configuration
+from fordhatch.catalog import BackendServer
+from fordhatch.serving._group_wait import group_wait
+
+PROFILE = decode_configuration(engine_configuration()).services["llm"].engine
+SMALL_WARM_S, FORM_S = 1.1, 0.3
+
+
+def group(name: str, *states: str) -> list[BackendServer]:
+    return [
+        decode_backend(
+            f"{name}-{rank}",
+            json.dumps(
+                {
+                    "service": "llm",
+                    "address": "10.0.0.1:1",
+                    "group": {"name": name, "epoch": 1, "rank": rank, "state": state},
+                }
+            ).encode(),
+        )
+        for rank, state in enumerate(states)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("backends", "at_least_s", "at_most_s"),
+    [
+        ([], 0.0, 0.0),
+        (group("small.1", "broken", "ready"), 0.0, 0.0),
+        (group("small.1", "open", "ready"), 0.0, 0.0),
+        (group("small.1", "closing", "ready"), 0.0, 0.0),
+        (group("big.1", "joining", "joining"), 0.0, 0.0),
+        (group("small.1", "ready", "ready"), FORM_S, 0.8),
+        (group("small.1", "ready", "joining"), SMALL_WARM_S + FORM_S, 2.0),
+        (
+            group("small.1", "broken") + group("small.2", "joining"),
+            SMALL_WARM_S + FORM_S,
+            2.0,
+        ),
+    ],
+)
+def test_only_a_group_on_its_way_is_waited_for(
+    backends: list[BackendServer], at_least_s: float, at_most_s: float
+) -> None:
+    assert at_least_s <= group_wait(backends, PROFILE, "small").hold_s <= at_most_s
+
+
+def test_who_is_refused_comes_back_when_a_group_may_be_open() -> None:
+    wait = group_wait([], PROFILE, "small")
+    assert SMALL_WARM_S + FORM_S < wait.retry_within_s(60.0) < 3.0
+    # Of a short time most is left for being served.
+    assert wait.retry_within_s(4.0) == 1.0
+    assert wait.retry_within_s(-0.1) == 0.0
+
+
+def test_a_model_that_is_not_declared_has_no_group_on_its_way() -> None:
+    assert group_wait([], PROFILE, "other").hold_s == 0.0
--- a/packages/serving/tests/test_stream_calls.py
+++ b/packages/serving/tests/test_stream_calls.py
@@ -12,7 +12,6 @@
 from fordhatch.adapter import BACKENDS_TABLE, RowKey
 from fordhatch.registry import SHARED_TABLE, Suspicion, slow_key, suspicion_key
 from fordhatch.serving._group_progress import SILENCE_FLOOR_S
-from fordhatch.serving._stream_call import HOLD_GOAL_SHARE
 from fordhatch_standins import SIGNATURE, http_answer
 
 NOBODY = "127.0.0.1:1"
@@ -328,8 +327,3 @@
     await site.until(lambda: ("small.1", 1) in site.view.shared.suspicions)
     assert (await site.ask("/stream/1")).status == 503
     assert not suspected.seen
-
-
-def test_a_refusal_leaves_time_to_come_back() -> None:
-    # Refused within a quarter of the route's goal, a request may still be on time.
-    assert HOLD_GOAL_SHARE < 0.25
