Nodes that have just started count as witnesses of an outage

Three of seven nodes are restarted during the outage and a fourth row is a replaced node's: of the four witnesses wanted only three were there, and the four without an answer outnumbered them. Ruled out: no comparison with those that don't answer: a cut would look like an outage. Change: a node that is there without the shared key has read nothing from the store, and is a witness; with this node the witnesses are half of all rows, no more. Connections that fail the handshake say PEER_REFUSED, those that fail to open PEER_UNREACHABLE. test_stranger_without_the_key_is_refused expects the more exact code; it is still refused, and not run. Tests: test_nodes_that_have_just_started_are_witnesses, test_a_node_that_has_just_started_refuses_and_does_not_seem_gone.

--- a/packages/node/src/fordhatch/node/_outage_survey.py
+++ b/packages/node/src/fordhatch/node/_outage_survey.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 import attrs
+from result import Result
 
-from fordhatch.core import Timer, log_event
+from fordhatch.core import Failure, ResultCode, Timer, log_event
 from fordhatch.protocol import PeerPool
 from fordhatch.protocol.messages import QueryStatus, StatusReply
 from fordhatch.registry import NodeAddress, NodeWord, StoreView, witnesses_needed
@@ -58,9 +60,7 @@
     async def _ask(self, node: NodeAddress) -> None:
         asked_s = self.timer.now_s()
         got = await self.pool.request(node.address, QueryStatus(), ASK_TIMEOUT_S)
-        reply = got.ok()
-        age_s = reply.configuration_age_s if isinstance(reply, StatusReply) else None
-        self.view.evidence.note(node.name, NodeWord(asked_s, age_s))
+        self.view.evidence.note(node.name, NodeWord(asked_s, _age_s(got)))
 
     def _note(self) -> None:
         nodes = len(self.view.shared.nodes)
@@ -73,3 +73,15 @@
             age_s=round(self.view.configuration_age_s(), 3),
             nodes=nodes,
         )
+
+
+def _age_s(got: Result[object, Failure]) -> float | None:
+    """Return how old a node's knowledge is, None where there is no answer.
+
+    A node that is there without the shared key has just started and has read nothing
+    from the store yet.
+    """
+    if got.is_err():
+        return math.inf if got.unwrap_err().code is ResultCode.PEER_REFUSED else None
+    reply = got.unwrap()
+    return reply.configuration_age_s if isinstance(reply, StatusReply) else None
--- a/packages/protocol/src/fordhatch/protocol/_pool.py
+++ b/packages/protocol/src/fordhatch/protocol/_pool.py
@@ -82,11 +82,13 @@
 
         Returns:
             The channel on which answers arrive. A failure here has ``ran`` no:
-            the message was never sent.
+            the message was never sent. ``PEER_REFUSED`` says that a node is there
+            which does not know the shared key, as one that has just started.
         """
-        link = await self._connected(address)
-        if link is None:
-            return Err(Failure.from_code(ResultCode.PEER_UNREACHABLE, address))
+        connected = await self._connected(address)
+        if connected.is_err():
+            return connected
+        link = connected.unwrap()
         link.last_used_s = self.timer.now_s()
         channel = link.open()
         sent = await channel.send(message)
@@ -123,25 +125,25 @@
             log_event("peer_link_silent", peer=link.peer_name)
             await link.close()
 
-    async def _connected(self, address: str) -> Link | None:
+    async def _connected(self, address: str) -> Result[Link, Failure]:
         lock = self._locks.setdefault(address, asyncio.Lock())
         async with lock:
             link = self._links.get(address)
             if link is not None and link.alive:
-                return link
-            link = await self._connect(address)
-            if link is not None:
-                self._links[address] = link
-            return link
+                return Ok(link)
+            connected = await self._connect(address)
+            if connected.is_ok():
+                self._links[address] = connected.unwrap()
+            return connected
 
-    async def _connect(self, address: str) -> Link | None:
+    async def _connect(self, address: str) -> Result[Link, Failure]:
         host, _, port = address.rpartition(":")
         try:
             reader, writer = await asyncio.wait_for(
                 asyncio.open_connection(host, int(port)), CONNECT_TIMEOUT_S
             )
         except (OSError, TimeoutError):
-            return None
+            return Err(Failure.from_code(ResultCode.PEER_UNREACHABLE, address))
         # Requests flow one way on a connection: only the accepting side serves.
         link = Link(
             reader,
@@ -157,9 +159,11 @@
         except (FrameError, OSError, EOFError, TimeoutError) as error:
             log_event("handshake_failed", address=address, error=repr(error))
             writer.close()
-            return None
+            is_silent = isinstance(error, TimeoutError)
+            code = ResultCode.PEER_UNREACHABLE if is_silent else ResultCode.PEER_REFUSED
+            return Err(Failure.from_code(code, address))
         self._tasks.spawn(link.run(), f"link-{address}")
-        return link
+        return Ok(link)
 
     async def _close_idle(self) -> None:
         limit_s = self.timer.now_s() - IDLE_CLOSE_S
--- a/packages/registry/src/fordhatch/registry/_outage_evidence.py
+++ b/packages/registry/src/fordhatch/registry/_outage_evidence.py
@@ -24,8 +24,8 @@
 the store's return reaches one node first, and the others well within this time."""
 
 MOST_WITNESSES = 5
-"""Nodes that must have lost the store as well, at the most; half of all nodes where
-they are fewer."""
+"""Nodes that must have lost the store as well, at the most; with this one half of all
+nodes where they are fewer. Rows of nodes that are gone for good count among them."""
 
 
 @attrs.frozen
@@ -84,6 +84,8 @@
 
     Args:
         nodes: Number of nodes that are registered, this one included. Together with
-            it the witnesses are more than half of them, up to ``MOST_WITNESSES``.
+            it the witnesses are half of them or more, up to ``MOST_WITNESSES``.
     """
-    return min(nodes // 2, MOST_WITNESSES)
+    if nodes <= 1:
+        return 0
+    return min(max((nodes - 1) // 2, 1), MOST_WITNESSES)
