--- /dev/null
+++ b/packages/node/tests/test_registration.py
@@ -0,0 +1,38 @@
+"""Pattern: all nodes start at once, for the first time or after the loss of all."""
+
+from __future__ import annotations
+
+import asyncio
+
+import looptime
+import pytest
+
+from fordhatch.registry import SECRET_KEY, SHARED_TABLE
+from fordhatch_lab import Experiment
+from fordhatch_lab._lab_site import LabSite
+
+
+@pytest.mark.parametrize("nodes", [7, 40])
+def test_few_nodes_propose_a_secret_and_all_take_the_same(nodes: int) -> None:
+    async def scenario() -> None:
+        site = LabSite.create(Experiment(nodes=nodes, domains=1))
+        await site.start()
+        await asyncio.sleep(5.0)
+        row = site.store.rows[SHARED_TABLE, "", SECRET_KEY]
+        assert {one.node.view.shared.secret for one in site.nodes} == {row.value}
+        writes = site.store_calls()[f"write {SHARED_TABLE}"]
+        # One call a node for its own row; without the spread as many again.
+        assert writes < nodes + max(nodes / 3, 4)
+        await site.restart_all()
+        before = site.store_calls()[f"write {SHARED_TABLE}"]
+        await asyncio.sleep(1.5)
+        assert site.store.rows[SHARED_TABLE, "", SECRET_KEY] == row
+        after = site.store_calls()[f"write {SHARED_TABLE}"]
+        assert after - before <= nodes + 3
+        await site.close()
+
+    loop = looptime.new_event_loop()
+    try:
+        loop.run_until_complete(scenario())
+    finally:
+        loop.close()
