--- a/packages/config/tests/test_apply.py
+++ b/packages/config/tests/test_apply.py
@@ -8,7 +8,6 @@
 from pathlib import Path
 
 import attrs
-import looptime
 import pytest
 
 from fordhatch.adapter import DecodeError
@@ -23,6 +22,7 @@
 )
 from fordhatch.core import Failure, Ran, ResultCode, Timer
 from fordhatch.registry import StoreSource, StoreView
+from fordhatch_lab import run_in_virtual_time
 from fordhatch_standins import MemoryStoreClient, StoreModel
 
 EXAMPLE = Path(__file__).parents[3] / "examples" / "pruitt.json"
@@ -74,11 +74,7 @@
             for operator in operators:
                 await operator.view.close()
 
-    loop = looptime.new_event_loop()
-    try:
-        loop.run_until_complete(whole())
-    finally:
-        loop.close()
+    run_in_virtual_time(whole())
 
 
 async def until_in_force(operators: list[Operator], revision: int) -> float:
--- a/packages/node/tests/test_registration.py
+++ b/packages/node/tests/test_registration.py
@@ -4,12 +4,10 @@
 
 import asyncio
 
-import looptime
 import pytest
 
 from fordhatch.registry import SECRET_KEY, SHARED_TABLE
-from fordhatch_lab import Experiment
-from fordhatch_lab._lab_site import LabSite
+from fordhatch_lab import Experiment, LabSite, run_in_virtual_time
 
 
 @pytest.mark.parametrize("nodes", [7, 40])
@@ -31,8 +29,4 @@
         assert after - before <= nodes + 3
         await site.close()
 
-    loop = looptime.new_event_loop()
-    try:
-        loop.run_until_complete(scenario())
-    finally:
-        loop.close()
+    run_in_virtual_time(scenario())
--- a/packages/placement/tests/planning_site.py
+++ b/packages/placement/tests/planning_site.py
@@ -8,12 +8,12 @@
 from collections.abc import Awaitable, Callable
 
 import attrs
-import looptime
 
 from fordhatch.adapter import CONFIGURATION_KEY, OPERATOR_TABLE, decode_settings
 from fordhatch.core import TaskSet, Timer
 from fordhatch.placement import Planner, PlannerLease
 from fordhatch.registry import StoreSource, StoreView
+from fordhatch_lab import run_in_virtual_time
 from fordhatch_standins import (
     EngineFleet,
     EngineModel,
@@ -203,11 +203,7 @@
         finally:
             await site.close()
 
-    loop = looptime.new_event_loop()
-    try:
-        loop.run_until_complete(whole())
-    finally:
-        loop.close()
+    run_in_virtual_time(whole())
 
 
 async def standard_site(site: Site, domains: int = 2, nodes: int = 2) -> None:
--- a/packages/registry/tests/test_store_view.py
+++ b/packages/registry/tests/test_store_view.py
@@ -5,7 +5,6 @@
 import asyncio
 import json
 
-import looptime
 import pytest
 
 from fordhatch.adapter import (
@@ -17,15 +16,12 @@
 )
 from fordhatch.core import Timer
 from fordhatch.registry import StoreSource, StoreView, TableUpdate
+from fordhatch_lab import run_in_virtual_time
 from fordhatch_standins import MemoryStoreClient, StoreModel
 
 
 def run(scenario) -> None:
-    loop = looptime.new_event_loop()
-    try:
-        loop.run_until_complete(scenario())
-    finally:
-        loop.close()
+    run_in_virtual_time(scenario())
 
 
 def configuration(version: int) -> bytes:
--- a/standins/src/fordhatch_lab/_run.py
+++ b/standins/src/fordhatch_lab/_run.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import time
+from collections.abc import Coroutine
+from typing import Any, TypeVar
 
 import attrs
 import looptime
@@ -22,16 +24,24 @@
 """A loss that no backend server can make up for is not waited for any longer."""
 
 
+T = TypeVar("T")
+
+
 def run_experiment(experiment: Experiment) -> Measures:
     """Play an experiment; the same one gives the same requests and faults."""
     began_s = time.process_time()
+    measures = run_in_virtual_time(_Play.of(experiment).run())
+    measures.processor_s = time.process_time() - began_s
+    return measures
+
+
+def run_in_virtual_time(work: Coroutine[Any, Any, T]) -> T:
+    """Run a coroutine on a clock of its own, which jumps where all would wait."""
     loop = looptime.new_event_loop()
     try:
-        measures = loop.run_until_complete(_Play.of(experiment).run())
+        return loop.run_until_complete(work)
     finally:
         loop.close()
-    measures.processor_s = time.process_time() - began_s
-    return measures
 
 
 @attrs.define(eq=False, repr=False)
--- a/standins/tests/test_lab.py
+++ b/standins/tests/test_lab.py
@@ -5,10 +5,13 @@
 import asyncio
 
 import attrs
-import looptime
 
-from fordhatch_lab import Experiment, run_experiment
-from fordhatch_lab._lab_site import LabSite
+from fordhatch_lab import (
+    Experiment,
+    LabSite,
+    run_experiment,
+    run_in_virtual_time,
+)
 
 SMALL = Experiment(
     nodes=3,
@@ -62,8 +65,4 @@
         assert max(ages) < 1.6
         await site.close()
 
-    loop = looptime.new_event_loop()
-    try:
-        loop.run_until_complete(scenario())
-    finally:
-        loop.close()
+    run_in_virtual_time(scenario())
--- a/standins/tests/test_outages.py
+++ b/standins/tests/test_outages.py
@@ -5,10 +5,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-import looptime
-
-from fordhatch_lab import Experiment
-from fordhatch_lab._lab_site import LabNode, LabSite
+from fordhatch_lab import Experiment, LabNode, LabSite, run_in_virtual_time
 
 WARM_UP_S = 25.0
 """Loads take up to 16 s; the groups are open by then."""
@@ -26,11 +23,7 @@
         await scenario(site)
         await site.close()
 
-    loop = looptime.new_event_loop()
-    try:
-        loop.run_until_complete(run())
-    finally:
-        loop.close()
+    run_in_virtual_time(run())
 
 
 def serving(site: LabSite) -> list[bool]:
