--- a/packages/serving/src/fordhatch/serving/_request_path.py
+++ b/packages/serving/src/fordhatch/serving/_request_path.py
@@ -61,7 +61,6 @@
         stalls = StallWatch(
             node_name, timer, store, backends, view.shared, view.directory
         )
-        stalls.follow()
         admission = Admission.from_state(state, timer)
         choice = HeadChoice(zone, view.directory, health, stalls, timer.rng)
         progress = GroupProgress(timer)
--- a/packages/serving/src/fordhatch/serving/_stall_watch.py
+++ b/packages/serving/src/fordhatch/serving/_stall_watch.py
@@ -75,14 +75,8 @@
     """When this node first looked at the word of another node, or its own."""
     _found_lost: set[Key] = attrs.field(factory=set)
     """Groups that lack a member, as this node itself has found."""
-    _signals: dict[Key, asyncio.Future[None]] = attrs.field(factory=dict)
-    """Wakes the runs at a group when it is found to lack a member."""
     _tasks: TaskSet = attrs.field(factory=TaskSet)
 
-    def follow(self) -> None:
-        """Follow what the other nodes say of groups."""
-        self.shared.subscribe(self._take_suspicions)
-
     def is_lost(self, head: BackendServer) -> bool:
         """Return whether some node has found that a head's group lacks a member."""
         if head.membership is None:
@@ -95,28 +89,6 @@
         now_s = self.timer.now_s()
         return now_s - self._lost_since_s.setdefault(key, now_s) < HOLD_S
 
-    def lost_signal(self, head: BackendServer) -> asyncio.Future[None]:
-        """Return a future that is done when the group of a head lacks a member.
-
-        It is shared by all who wait for it, and must not be cancelled.
-        """
-        key = head.membership.key if head.membership is not None else ("", 0)
-        signal = self._signals.get(key)
-        is_outdated = signal is not None and signal.done() and not self.is_lost(head)
-        if signal is None or is_outdated:
-            signal = self._signals[key] = asyncio.get_running_loop().create_future()
-        return signal
-
-    def _signal(self, key: Key) -> None:
-        """Wake whoever runs at a group that was found to lack a member."""
-        signal = self._signals.get(key)
-        if signal is not None and not signal.done():
-            signal.set_result(None)
-
-    def _take_suspicions(self) -> None:
-        for key in self.shared.suspicions:
-            self._signal(key)
-
     def is_avoided(self, head: BackendServer) -> bool:
         """Return whether a head was silent lately, as far as this node knows."""
         key = head.membership.key
@@ -170,7 +142,6 @@
             return
         if key not in self._found_lost:
             self._found_lost.add(key)
-            self._signal(key)
             self._tasks.spawn(self._until_whole(key, lost), f"lost-{key[0]}")
         if key not in self.shared.suspicions:
             await self._tell(Suspicion(*key, self.node_name))
@@ -183,7 +154,6 @@
                 lost = await self._missed(lost)
         finally:
             self._found_lost.discard(key)
-            self._signals.pop(key, None)
 
     async def _missed(self, members: list[BackendServer]) -> list[BackendServer]:
         """Return those of the members that do not answer."""
@@ -249,8 +219,6 @@
             for key in set(since) - groups:
                 del since[key]
         self._found_lost &= groups
-        for key in set(self._signals) - groups:
-            del self._signals[key]
 
     async def close(self) -> None:
         """Stop asking and telling."""
--- a/packages/serving/src/fordhatch/serving/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/_stream_run.py
@@ -24,11 +24,6 @@
 RESUMED_URGENCY = 0
 """Streams that go on elsewhere are admitted first: their callers wait already."""
 
-ASK_SHARE = 0.5
-"""Share of the silence that a group may keep after which its members are asked. They
-answer or don't while the run goes on waiting, so that a lost member is known when the
-silence means something, 0.2 s sooner than if they were asked then."""
-
 PATIENCE = 4.0
 """A single stream that is silent this many times longer than its group may be, while
 other streams of the group go on, is given up."""
@@ -178,28 +173,15 @@
     ) -> None:
         """Wait for the next step of a run; give up when the group stands still."""
         limit_s = silence_s(stream.profile, stream.model)
-        look_s = ASK_SHARE * limit_s
         waiting_since_s = self.timer.now_s()
-        lost = self.stalls.lost_signal(head)
-        awaited = {step, lost}
         while True:
             left_s = stream.request.left_s(self.timer.now_s())
-            await asyncio.wait(
-                awaited,
-                timeout=max(min(look_s, left_s), 0.0),
-                return_when=asyncio.FIRST_COMPLETED,
-            )
+            await asyncio.wait([step], timeout=max(min(limit_s, left_s), 0.0))
             if step.done():
                 return
             now_s = self.timer.now_s()
             if stream.request.left_s(now_s) <= 0:
                 raise _Broken(SendProblem.SILENT, "out of time")
-            if lost in awaited and lost.done():
-                # Said once: the last run that is allowed waits on.
-                awaited.remove(lost)
-                self._leave_if_possible(stream, head, "a member is lost")
-            if self.progress.silent_for_s(head.backend_id) >= look_s:
-                self.stalls.check(head)
             silent_s = self._silent_s(stream, progress, limit_s)
             waited_s = now_s - waiting_since_s
             if silent_s > 0:
--- a/packages/serving/tests/test_stream_calls.py
+++ b/packages/serving/tests/test_stream_calls.py
@@ -241,43 +241,6 @@
     assert ("small.1", 1) not in site.view.shared.suspicions
 
 
-async def says_nothing(request, writer) -> None:
-    await asyncio.Event().wait()
-
-
-async def test_a_run_leaves_when_its_group_is_found_to_lack_a_member(
-    site, monkeypatch
-) -> None:
-    """Pattern: a request comes to a group that has just lost a member.
-
-    About five do for each loss. Whoever finds the loss first tells; the others' silence
-    need not last as long as one that means something by itself.
-    """
-    monkeypatch.setattr("fordhatch.serving._stream_run.silence_s", lambda *_: 60.0)
-    first = await site.add_backend(says_nothing, group="small.1", zone="z1")
-    await site.add_backend(streams, group="small.2", zone="z2")
-    asked = asyncio.ensure_future(site.ask("/stream/1"))
-    await site.until(lambda: first.seen)
-    word = Suspicion("small.1", 1, "n2")
-    site.model.put(SHARED_TABLE, suspicion_key("small.1", 1), word.to_bytes())
-    assert (await asked).body == ALL
-
-
-async def test_a_group_that_was_only_suspected_keeps_its_later_runs(site) -> None:
-    head = await site.add_backend(streams, group="small.1", zone="z1")
-    stalls = site.callers.dispatch.streams.runs.stalls
-    server = site.view.directory.backends["i-1"]
-    early = stalls.lost_signal(server)
-    word = Suspicion("small.1", 1, "n2")
-    site.model.put(SHARED_TABLE, suspicion_key("small.1", 1), word.to_bytes())
-    await site.until(early.done)
-    site.model.remove(SHARED_TABLE, suspicion_key("small.1", 1))
-    await site.until(lambda: not site.view.shared.suspicions)
-    assert not stalls.lost_signal(server).done()
-    assert (await site.ask("/stream/1")).body == ALL
-    assert len(head.seen) == 1
-
-
 async def test_a_lost_group_is_left_alone_while_the_store_is_away(site) -> None:
     """Pattern: a member is lost in an outage, in which nobody can be told of it.
 
