Callers who come or leave before a node is loaded: tests of the early port

Cause: connections wait in the backlog now while a node is loaded; nothing may run for those who have left meanwhile (GONE). Change: tests only. Ruled out: a mend, none is needed: the end of a connection is read before a backend server is reached.

--- a/packages/serving/tests/test_door.py
+++ b/packages/serving/tests/test_door.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
+import socket
+
 import pytest
-from serving_site import KEY, configuration
+from serving_site import CALL_HEADERS, KEY, configuration
 
 from fordhatch.adapter import CONFIGURATION_KEY, OPERATOR_TABLE
+from fordhatch.serving import HttpServer
 from fordhatch_standins import http_answer
 
 HEAD = f"Host: app.example\r\nX-Attempt-Id: r1\r\nApi-Key: {KEY}\r\n"
@@ -141,3 +145,43 @@
     got = await site.ask("/once/1")
     assert got.status == 503
     assert backend.seen == []
+
+
+def waiting_call(port: int, path: str) -> socket.socket:
+    """Return a connection on which a request was sent before anybody accepted it."""
+    caller = socket.create_connection(("127.0.0.1", port))
+    fields = {**CALL_HEADERS, "X-Attempt-Id": "early", "Content-Length": "0"}
+    head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+    caller.sendall(f"POST {path} HTTP/1.1\r\n{head}\r\n".encode())
+    return caller
+
+
+async def test_who_came_before_the_node_was_loaded_is_served(site) -> None:
+    await site.add_backend(answers)
+    port = socket.create_server(("127.0.0.1", 0), backlog=10)
+    caller = waiting_call(port.getsockname()[1], "/once/1")
+    server = await HttpServer.listen("", site.callers.handle, port)
+    caller.setblocking(False)
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(20):
+        got = await loop.sock_recv(caller, 4096)
+    assert got.startswith(b"HTTP/1.1 200")
+    caller.close()
+    await server.close()
+
+
+async def test_who_left_before_the_node_was_loaded_is_not_served(site) -> None:
+    """Pattern: callers give up while all nodes start; nothing may run for them."""
+    backend = await site.add_backend(answers)
+    port = socket.create_server(("127.0.0.1", 0), backlog=100)
+    for _ in range(20):
+        waiting_call(port.getsockname()[1], "/once/1").close()
+    last = waiting_call(port.getsockname()[1], "/once/2")
+    server = await HttpServer.listen("", site.callers.handle, port)
+    last.setblocking(False)
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(20):
+        assert (await loop.sock_recv(last, 4096)).startswith(b"HTTP/1.1 200")
+    last.close()
+    await server.close()
+    assert [request.target for request in backend.seen] == ["/once/2"]
