--- a/bench/soak.py
+++ b/bench/soak.py
@@ -45,6 +45,9 @@
     proxies: list[LoopbackProxy] = attrs.field(factory=list)
     revision: int = 0
     is_stopping: bool = False
+    loses_all: bool = False
+    """Whether all nodes are killed at once, during outages in which entries lapse, and
+    engines check fencing tokens."""
     started_s: float = attrs.field(factory=time.monotonic)
     _busy: set[str] = attrs.field(factory=set)
     """Nodes on which a fault of their process is under way."""
@@ -121,6 +124,9 @@
             self._late_orders,
             self._lose_calls,
         ]
+        if self.loses_all:
+            kinds += [self._lose_all_nodes] * 2
+            await self.fleet.act("check_fencing")
         running: set[asyncio.Task[None]] = set()
         while not self.is_stopping:
             fault = self.rng.choice(kinds)
@@ -218,6 +224,24 @@
         await self.fleet.act("heal_store")
         self._store_is_well = True
 
+    async def _lose_all_nodes(self) -> None:
+        if not self._store_is_well or self._busy:
+            return
+        nodes = list(self.fleet.nodes)
+        self._busy.update(n.name for n in nodes)
+        self._store_is_well = False
+        await self.fleet.act("fail_store", how="busy")
+        await asyncio.sleep(self.rng.uniform(0.5, 3.0))
+        await self.fleet.act("lapse_all")
+        for node in nodes:
+            node.send(signal.SIGKILL)
+            await node.process.wait()
+        await asyncio.gather(*(self._start_again(node) for node in nodes))
+        await asyncio.sleep(self.rng.uniform(0.0, 1.5))
+        await self.fleet.act("heal_store")
+        await self.fleet.act("come_back")
+        self._store_is_well = True
+
     async def _lose_store_answers(self) -> None:
         await self.fleet.act("lose_answers", count=self.rng.randrange(1, 4))
 
@@ -316,10 +340,10 @@
             )
 
 
-async def soak(seed: int, duration_s: float) -> Ledger:
+async def soak(seed: int, duration_s: float, *, loses_all: bool = False) -> Ledger:
     """Run one seed; returns what was seen."""
     async with Fleet.create() as fleet:
-        one = Soak(fleet, random.Random(seed))
+        one = Soak(fleet, random.Random(seed), loses_all=loses_all)
         await one.start()
         try:
             await one.run(duration_s)
@@ -338,11 +362,12 @@
     seed: Annotated[int, Parameter(help="First seed.")] = 1,
     seeds: Annotated[int, Parameter(help="How many seeds.")] = 1,
     duration_s: Annotated[float, Parameter(help="Seconds under faults.")] = 30.0,
+    loses_all: Annotated[bool, Parameter(help="Lose all nodes in outages.")] = False,
 ) -> None:
     """Run the soak; the exit status is 1 if a promise was broken."""
     broken = 0
     for number in range(seed, seed + seeds):
-        ledger = asyncio.run(soak(number, duration_s))
+        ledger = asyncio.run(soak(number, duration_s, loses_all=loses_all))
         broken += len(ledger.violations)
         print(f"seed {number}: {len(ledger.violations)} violations")
         print(f"  outcomes: {dict(sorted(ledger.outcomes.items()))}")
--- a/standins/src/fordhatch_standins/_backend_http.py
+++ b/standins/src/fordhatch_standins/_backend_http.py
@@ -13,11 +13,15 @@
 
 from ._backends import Backends
 from ._calls import BackendCall, CutOff, NotExecuted
+from ._engine_fleet import EngineFleet
 from ._engine_work import EngineWork
 from ._plain_service import PlainService
 from ._scripted_backend import SIGNATURE
 
 ORDER_PATH = "/v1/order"
+
+HEARTBEAT_S = 1.2
+"""Within this time all engines have registered again after the store's return."""
 REPORT_PATH = "/v1/report"
 HEALTH_PATH = "/health"
 
@@ -209,6 +213,16 @@
     }
 
 
+def _act_on_all(action: str, fleet: EngineFleet) -> None:
+    match action:
+        case "lapse_all":
+            fleet.lapse_all()
+        case "come_back":
+            fleet.come_back(within_s=HEARTBEAT_S)
+        case _:
+            fleet.check_fencing()
+
+
 async def _act(
     backends: Backends, listeners: BackendListeners, body: dict[str, Any]
 ) -> None:
@@ -230,6 +244,8 @@
         case "heal_store":
             backends.store.faults.is_down = False
             backends.store.faults.is_silent = False
+        case "lapse_all" | "come_back" | "check_fencing":
+            _act_on_all(body["do"], backends.fleet)
         case "lose_answers":
             backends.store.faults.lost_answers = int(body["count"])
         case "late_orders":
--- a/standins/src/fordhatch_standins/_engine_fleet.py
+++ b/standins/src/fordhatch_standins/_engine_fleet.py
@@ -116,6 +116,12 @@
         engine.is_listed = False
         asyncio.get_running_loop().call_later(self.lapse_s, self._lapse, engine)
 
+    def check_fencing(self) -> None:
+        """Have every engine refuse orders with an old fencing token from now on."""
+        self.checks_fencing = True
+        for engine in self.engines.values():
+            engine.checks_fencing = True
+
     def lapse_all(self) -> None:
         """Drop the entries of all engines, as a store does that was away for long."""
         for engine in self.engines.values():
