--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Installs the pinned libraries under target/deps and compiles everything once, also the
-# code that libraries generate, so that a node starts quickly. Our own packages are run from the sources: compiled files are
-# checked against them, and no stale copy can ever be served.
+# code that libraries generate, so that a node starts quickly. Our own packages are run
+# from the sources: compiled files are checked against them, and no stale copy can ever
+# be served.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 stamp=target/deps.stamp
--- a/packages/cli/src/fordhatch/cli/_losses.py
+++ b/packages/cli/src/fordhatch/cli/_losses.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable
+from enum import StrEnum
 
 import attrs
 
@@ -30,6 +31,12 @@
 }
 """Causes of requests that were not served, by outcome; others are not losses."""
 
+MAY_HAVE_RUN = ("aborted", "backend_lost", "deadline_exceeded")
+"""Outcomes of requests that a backend server may have run."""
+
+SERVER_ERROR = "status_5"
+"""Begins the outcome of a request whose answer was a backend server's own error."""
+
 SEND_PROBLEMS = {
     "silent": "group or server silent",
     "broken": "run broke",
@@ -44,13 +51,23 @@
 """Outcomes that callers owe to themselves."""
 
 
+class Fate(StrEnum):
+    """What became of a request that was not served in time."""
+
+    REFUSED = "refused"
+    """Nobody has run it."""
+    FAILED = "failed"
+    """It may have run, and its caller has no whole answer."""
+    LATE = "late"
+    """Its caller has the whole answer, after the goal or with too long a pause."""
+
+
 @attrs.frozen
 class Loss:
     """One request that was not served, or late."""
 
     request_id: str
-    fate: str
-    """``refused``, ``failed`` or ``late``."""
+    fate: Fate
     cause: str
     route: str
     workspace: str
@@ -144,14 +161,14 @@
     if outcome in DENIED:
         return
     found.requests += 1
-    fate, cause = _fate(outcome, one, line)
-    if not fate:
+    fate = _fate(outcome, line)
+    if fate is None:
         return
     found.losses.append(
         Loss(
             request_id,
             fate,
-            cause,
+            _late_cause(one, line) if fate is Fate.LATE else _cause(outcome, one),
             line.fields.get("route", ""),
             line.fields.get("workspace", ""),
             int(line.seconds()),
@@ -159,19 +176,21 @@
     )
 
 
-def _fate(outcome: str, one: _Seen, line: LogLine) -> tuple[str, str]:
-    """Return what became of a request, and why; empty if nothing is wrong."""
+def _fate(outcome: str, line: LogLine) -> Fate | None:
+    """Return what became of a request, None if nothing is wrong."""
+    if outcome in MAY_HAVE_RUN or outcome.startswith(SERVER_ERROR):
+        return Fate.FAILED
     if outcome in FINAL:
-        has_run = outcome in ("aborted", "backend_lost", "deadline_exceeded")
-        cause = FINAL[outcome]
-        if one.is_out_of_budget:
-            cause = f"{cause}, budget for repeats spent"
-        return ("failed" if has_run else "refused"), cause
-    if outcome.startswith("status_5"):
-        return "failed", "error of the backend server"
-    if "goal_s" in line.fields:
-        return "late", _late_cause(one, line)
-    return "", ""
+        return Fate.REFUSED
+    return Fate.LATE if "goal_s" in line.fields else None
+
+
+def _cause(outcome: str, one: _Seen) -> str:
+    """Return why a request was not served."""
+    cause = FINAL.get(outcome, SEND_PROBLEMS["error_status"])
+    if one.is_out_of_budget:
+        return f"{cause}, budget for repeats spent"
+    return cause
 
 
 def _late_cause(one: _Seen, line: LogLine) -> str:
