--- a/bench/platform_guards.py
+++ b/bench/platform_guards.py
@@ -125,7 +125,7 @@
     Guard(
         "CONFIG: keys are not used without a fresh confirmation",
         "serving/_node_state.py",
-        "        if self.view.configuration_age_s() > self.fresh_s:\n",
+        "        if self.knowledge() is Knowledge.STALE:\n",
         "        if False:\n",
         f"{SERVING}/test_door.py -k without_confirmation",
     ),
@@ -146,7 +146,7 @@
     Guard(
         "DENIED: a node out of touch denies nothing for good",
         "serving/_admission.py",
-        "        if self.state.view.configuration_age_s() > REFUSE_CERTAIN_S:\n",
+        "        if self.state.knowledge() is not Knowledge.CERTAIN:\n",
         "        if False:\n",
         f"{SERVING}/test_door.py -k denies_nothing",
     ),
--- /dev/null
+++ b/tests/test_guards.py
@@ -0,0 +1,22 @@
+"""Every guard of the proofs stands where the list says, so that it can be taken out."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from guards_types import Guard
+from own_guards import OWN_GUARDS
+from platform_guards import PLATFORM_GUARDS
+
+ROOT = Path(__file__).parents[1]
+
+
+@pytest.mark.parametrize(
+    "guard", [*OWN_GUARDS, *PLATFORM_GUARDS], ids=lambda g: g.promise
+)
+def test_the_line_of_a_guard_stands_once(guard: Guard) -> None:
+    package, _, name = guard.module.partition("/")
+    folder = "platform" if package == "adapter" else f"packages/{package}"
+    path = ROOT / folder / "src" / "fordhatch" / package / name
+    assert path.read_text().count(guard.present) == 1
