--- a/packages/placement/src/fordhatch/placement/_staging.py
+++ b/packages/placement/src/fordhatch/placement/_staging.py
@@ -138,7 +138,7 @@
             return
         wanted = max(others, key=layout.need)
         has_other = any(m != known for m in backend.staged_models)
-        # A host whose own model is no longer declared makes room for what is lacking.
+        # A host whose own model is no longer declared takes what is lacking instead.
         is_retired = profile.model(known) is None
         if has_other and not (is_retired and layout.lacks(wanted)):
             return
--- a/packages/registry/src/fordhatch/registry/_relay.py
+++ b/packages/registry/src/fordhatch/registry/_relay.py
@@ -167,7 +167,7 @@
 def _problem(
     got: Result[object, Failure], fresh: set[str], *, is_first: bool
 ) -> tuple[str, bool]:
-    """Return why an answer is of no use, and whether it is only too old."""
+    """Return why an answer can't be used, and whether it is only too old."""
     if got.is_err():
         # A node that refuses has just started, and will know more in a moment.
         code = got.unwrap_err().code
--- a/packages/serving/src/fordhatch/serving/_request_path.py
+++ b/packages/serving/src/fordhatch/serving/_request_path.py
@@ -50,7 +50,7 @@
             node_name: The node's name, for what it tells the others.
             zone: The node's availability zone; groups there go first.
             state: The node's condition and its view of the store.
-            store: Where groups are told of that have lost a member.
+            store: Takes the rows about lost and slow members.
             backends: Asks the members of silent groups.
             exchange: Sends requests to backend servers.
             timer: The node's timer.
--- a/packages/serving/src/fordhatch/serving/_stall_watch.py
+++ b/packages/serving/src/fordhatch/serving/_stall_watch.py
@@ -1,4 +1,4 @@
-"""Groups that are silent: avoided here, and told to the others if they are lost."""
+"""Groups that are silent: avoided here, and reported if a member is lost or slow."""
 
 from __future__ import annotations
 
@@ -59,8 +59,9 @@
     """Silent groups, as this node and the others have seen them.
 
     Under load a group may be silent for longer than its pace explains. If every node
-    told of each such group, all would crowd into the remaining ones, which would fall
-    silent in turn. So only a group with a member that does not answer is told of.
+    reported each such group, all requests would go to the remaining ones, which would
+    fall silent in turn. So a group is reported as lost only if a member of it does not
+    answer, and its members as slow only by their own reports.
     """
 
     node_name: str
