Who was fresh as an outage began does not count against it for ever

Confirmations lie up to a second apart when the store goes away; the first node to ask heard of one that was a second old, and this was kept until the next confirmation. It may come at any size. Ruled out: a lack of answers or witnesses: every node that was asked had answered that it was stale. Tests, red without it: test_who_was_fresh_as_the_outage_began_does_not_count_for_ever, and one for a node that is asked again.

--- a/packages/registry/src/fordhatch/registry/_outage_evidence.py
+++ b/packages/registry/src/fordhatch/registry/_outage_evidence.py
@@ -42,6 +42,11 @@
         """Whether the node answered that it has lost the store too."""
         return self.age_s is not None and self.age_s > STALE_S
 
+    @property
+    def is_contrary(self) -> bool:
+        """Whether the node answered that it knows something fresh."""
+        return self.age_s is not None and not self.is_witness
+
 
 @attrs.define(eq=False, repr=False)
 class OutageEvidence:
@@ -54,9 +59,14 @@
     def note(self, node_name: str, word: NodeWord) -> None:
         """Take what came of asking a node."""
         self._words[node_name] = word
-        if word.age_s is None or word.is_witness:
-            return
-        self._contrary_since_s = min(self._contrary_since_s, word.asked_s)
+        if word.is_contrary:
+            self._contrary_since_s = min(self._contrary_since_s, word.asked_s)
+        elif not any(w.is_contrary for w in self._young(word.asked_s)):
+            # Confirmations lie up to a second apart as an outage begins.
+            self._contrary_since_s = math.inf
+
+    def _young(self, now_s: float) -> list[NodeWord]:
+        return [w for w in self._words.values() if now_s - w.asked_s <= WORD_GOOD_S]
 
     def confirmed(self) -> None:
         """Forget everything: this node's own knowledge is fresh again."""
@@ -73,7 +83,7 @@
         """
         if not nodes or now_s - self._contrary_since_s > CONTRARY_S:
             return False
-        young = [w for w in self._words.values() if now_s - w.asked_s <= WORD_GOOD_S]
+        young = self._young(now_s)
         witnesses = sum(w.is_witness for w in young)
         unanswered = sum(w.age_s is None for w in young)
         return witnesses >= max(witnesses_needed(nodes), unanswered)
--- a/packages/registry/tests/test_outage_evidence.py
+++ b/packages/registry/tests/test_outage_evidence.py
@@ -68,6 +68,29 @@
     assert not found.is_for_all(NOW_S + 1.6, 7)
 
 
+def test_who_was_fresh_as_the_outage_began_does_not_count_for_ever() -> None:
+    """Pattern: confirmations are 0.3 to 1 s apart when the store goes away.
+
+    The first node to ask meets others that were confirmed a second ago. They are
+    asked again, or their word grows old; only somebody who stays fresh knows more.
+    """
+    found = evidence({"a": 1.6, "b": 1.7, "c": 0.9})
+    for round_s in (0.8, 1.6, 2.4):
+        for name in ("a", "b", "d"):
+            found.note(name, NodeWord(NOW_S + round_s, 1.6 + round_s))
+    assert not found.is_for_all(NOW_S + 2.4, 7)
+    for name in ("a", "b", "d"):
+        found.note(name, NodeWord(NOW_S + 3.2, 4.8))
+    assert found.is_for_all(NOW_S + 3.2, 7)
+
+
+def test_a_node_that_is_asked_again_and_stale_by_then_is_no_contrary_word() -> None:
+    found = evidence({"a": 1.6, "b": 1.7, "c": 0.9})
+    for name in ("a", "b", "c"):
+        found.note(name, NodeWord(NOW_S + 1.6, 3.0))
+    assert found.is_for_all(NOW_S + 1.7, 7)
+
+
 def test_a_confirmation_ends_what_was_heard() -> None:
     found = evidence({"a": 4.0, "b": 3.0, "c": 5.0})
     found.confirmed()
