--- a/packages/placement/src/fordhatch/placement/_planner.py
+++ b/packages/placement/src/fordhatch/placement/_planner.py
@@ -35,7 +35,7 @@
 STEP_S = 0.05
 """Time between steps of the planner; also the longest delay that it adds."""
 
-SLOW_STEP_S = 0.2
+SLOW_STEP_S = 0.1
 """Time between looks at conversions and loads. These take seconds, and were half of a
 step's processor time at 925 backend servers."""
 
@@ -46,6 +46,10 @@
 EPOCHS_PER_RENEWAL = 1000
 """Epochs that are derived from one version of the lease's row."""
 
+MOST_REMEMBERED = 1000
+"""Backend servers that are not listed and whose last model is remembered: they may be
+back, and then rejoin in 0.2 s. It is forgotten of all of them when there are more."""
+
 FREE_LOADS_S = 9.0
 """At the first start of the whole system, loads before the first request are quick
 and unlimited; traffic begins 12 s after the instances or later."""
@@ -178,9 +182,14 @@
             self.last_model[backend.backend_id] = model_of_group(place.group)
 
     def _note_end(self, backend: BackendServer, is_restarted: bool) -> None:
-        """Take a backend server that is gone for one that holds nothing any more."""
+        """Take a backend server that has started again for one that holds nothing.
+
+        One that is only no longer listed may be back, with what it held.
+        """
+        if not is_restarted:
+            return
         self.last_model.pop(backend.backend_id, None)
-        if is_restarted and self._led:
+        if self._led:
             self.losses.found_ended(backend.backend_id)
 
     def _are_loads_free(self) -> bool:
@@ -295,6 +304,8 @@
     def _forget_gone(self) -> None:
         directory = self.view.directory
         listed = set(directory.backends)
+        if len(self.last_model) > len(listed) + MOST_REMEMBERED:
+            self.last_model = {b: m for b, m in self.last_model.items() if b in listed}
         reported = directory.index.group_keys()
         self.recorder.step(self.care.serving(), reported)
         self.dissolutions.released &= reported
