--- a/packages/serving/src/fordhatch/serving/_repeat_budget.py
+++ b/packages/serving/src/fordhatch/serving/_repeat_budget.py
@@ -47,8 +47,8 @@
     """From 0 to 1, another one on each node: the part of a repeat from which a node
     rounds its share up. With many nodes a share is two repeats or less than one: if
     all of them rounded down, 195 nodes would use none of the 126 repeats that they may
-    use at a start, and 390 of 421 later. This way they use all of them, and spread about
-    that by the root of a quarter of their number, by 7."""
+    use at a start, and 390 of 421 later. This way they use all of them, and spread
+    about that by the root of a quarter of their number, by 7."""
     _windows: dict[str, _Window] = attrs.field(factory=dict)
     _started_s: float | None = None
     _node_counts: deque[tuple[float, int]] = attrs.field(factory=deque)
