A broken group is forgotten with its last member

A group that lost a member by its restart was kept on the list of broken ones for ever when its last member gave its place up without ending, a few bytes for each, and every choice of a head then looked through that list.

Change: the list is looked at when a member's place changes, too.

--- a/packages/registry/src/fordhatch/registry/_backend_directory.py
+++ b/packages/registry/src/fordhatch/registry/_backend_directory.py
@@ -270,6 +270,8 @@
         if self.logs_changes and row_version is not None:
             _log_change(known, found, row_version)
         self._add(found)
+        if known is not None and known.membership is not None:
+            self._forget_broken(known)
 
     def _note_start(self, found: BackendServer) -> None:
         newest = self._newest_start_ms
--- a/packages/registry/tests/test_backend_directory.py
+++ b/packages/registry/tests/test_backend_directory.py
@@ -128,6 +128,15 @@
     assert not table.directory.open_heads(SERVICE, "m")
 
 
+def test_a_broken_group_is_forgotten_with_its_last_member(table) -> None:
+    table.put("i-0", entry(rank=0, born_ms=BORN_MS))
+    table.put("i-1", entry(rank=1, born_ms=BORN_MS))
+    table.put("i-1", entry(born_ms=BORN_MS + 1))
+    assert table.directory._broken == {("m.7", 7)}
+    table.put("i-0", entry(born_ms=BORN_MS))
+    assert table.directory._broken == set()
+
+
 def test_an_earlier_starts_entry_never_replaces_a_later_ones(table) -> None:
     table.put("i-1", entry(born_ms=BORN_MS + 5))
     table.put("i-1", entry(rank=0, born_ms=BORN_MS))
