Sight: which requests were at work when a backend server ended

Cause sought: logs named tries, not contents, and a run that broke did not say whether its backend server had ended. Change: a keyed digest of path, caller and body; backend servers whose connections break are asked whether they are still there (refused port, later start), and the line backend_ended names the digests and how far each run had come; a counter; connection_lost is told apart from an answer that is none. No change of what is served.

--- a/packages/cli/src/fordhatch/cli/_losses.py
+++ b/packages/cli/src/fordhatch/cli/_losses.py
@@ -39,7 +39,8 @@
 
 SEND_PROBLEMS = {
     "silent": "group or server silent",
-    "broken": "run broke",
+    "broken": "no proper answer",
+    "connection_lost": "run broke",
     "refused": "refused at the backend server",
     "not_sent": "backend server not reached",
     "other_backend": "another server at the address",
--- a/packages/core/src/fordhatch/core/_metrics.py
+++ b/packages/core/src/fordhatch/core/_metrics.py
@@ -35,6 +35,11 @@
     ["outcome"],
     registry=REGISTRY,
 )
+BACKENDS_ENDED = Counter(
+    "fordhatch_backends_ended_total",
+    "Backend servers that ended while they ran requests of this node.",
+    registry=REGISTRY,
+)
 CONFIGURATION_AGE_SECONDS = Gauge(
     "fordhatch_configuration_age_seconds",
     "Age of the last confirmation of the configuration.",
--- a/packages/serving/src/fordhatch/serving/_exchange.py
+++ b/packages/serving/src/fordhatch/serving/_exchange.py
@@ -38,14 +38,20 @@
     OTHER_BACKEND = "other_backend"
     """Another backend server has the address; the request has not run."""
     BROKEN = "broken"
-    """The connection broke or the answer was not one: it may have run."""
+    """The answer was not one: it may have run."""
+    CONNECTION_LOST = "connection_lost"
+    """The connection broke before the answer was whole: it may have run."""
     SILENT = "silent"
     """No answer in time: it may have run."""
 
     @property
     def may_have_run(self) -> bool:
         """Whether the request may have been executed."""
-        return self in (SendProblem.BROKEN, SendProblem.SILENT)
+        return self in (
+            SendProblem.BROKEN,
+            SendProblem.CONNECTION_LOST,
+            SendProblem.SILENT,
+        )
 
 
 @attrs.frozen
@@ -56,6 +62,14 @@
     detail: str = ""
 
 
+def connection_problem(error: Exception) -> SendProblem:
+    """Return whether a connection broke or what came on it was no answer."""
+    is_lost = isinstance(
+        error, (OSError, aiohttp.ServerDisconnectedError, aiohttp.ClientPayloadError)
+    )
+    return SendProblem.CONNECTION_LOST if is_lost else SendProblem.BROKEN
+
+
 class _TrackedResponse(aiohttp.ClientResponse):
     """Remembers its connection, which the library gives back at the body's end."""
 
@@ -187,7 +201,7 @@
             return Err(SendFailure(SendProblem.SILENT, f"no head in {head_timeout_s}"))
         except (aiohttp.ClientError, OSError, ValueError) as error:
             request.arrived_at(backend.backend_id, may_have_run=True)
-            return Err(SendFailure(SendProblem.BROKEN, repr(error)))
+            return Err(SendFailure(connection_problem(error), repr(error)))
         return self._judge(request, backend, response)
 
     def _headers(
--- a/packages/serving/src/fordhatch/serving/_group_progress.py
+++ b/packages/serving/src/fordhatch/serving/_group_progress.py
@@ -47,6 +47,8 @@
     began_s: float
     is_flowing: bool = False
     """Whether its first event has come."""
+    has_answer: bool = False
+    """Whether the head of its answer has come."""
 
 
 @attrs.define
--- a/packages/serving/src/fordhatch/serving/_plain_call.py
+++ b/packages/serving/src/fordhatch/serving/_plain_call.py
@@ -17,7 +17,14 @@
 
 from ._admission import Admission
 from ._backend_health import TIE_SHARE, BackendHealth
-from ._exchange import BackendAnswer, ExchangeClient, SendFailure, SendProblem
+from ._crash_watch import CrashWatch, RunStage
+from ._exchange import (
+    BackendAnswer,
+    ExchangeClient,
+    SendFailure,
+    SendProblem,
+    connection_problem,
+)
 from ._repeat_budget import RepeatBudget
 from ._request import Reply, ServedRequest
 
@@ -64,6 +71,7 @@
     budget: RepeatBudget
     exchange: ExchangeClient
     admission: Admission
+    crashes: CrashWatch
 
     async def serve(self, request: ServedRequest, reply: Reply) -> None:
         """Serve one request; the reply has its final answer afterwards."""
@@ -150,6 +158,8 @@
         ends_s = self.timer.now_s() + timeout_s
         sent = await self.exchange.send(request, backend, head_timeout_s=timeout_s)
         if sent.is_err():
+            if sent.unwrap_err().problem is SendProblem.CONNECTION_LOST:
+                self.crashes.broke(request, backend, RunStage.WAITING)
             return Err(sent.unwrap_err())
         answer = sent.unwrap()
         try:
@@ -158,7 +168,10 @@
         except TimeoutError:
             return Err(SendFailure(SendProblem.SILENT, "body not complete in time"))
         except (aiohttp.ClientError, OSError) as error:
-            return Err(SendFailure(SendProblem.BROKEN, repr(error)))
+            problem = connection_problem(error)
+            if problem is SendProblem.CONNECTION_LOST:
+                self.crashes.broke(request, backend, RunStage.BEGUN)
+            return Err(SendFailure(problem, repr(error)))
         finally:
             answer.close()
         return Ok(_whole(answer, body))
--- a/packages/serving/src/fordhatch/serving/_request_path.py
+++ b/packages/serving/src/fordhatch/serving/_request_path.py
@@ -9,6 +9,7 @@
 
 from ._admission import Admission
 from ._backend_health import BackendHealth
+from ._crash_watch import CrashWatch
 from ._dispatch import Dispatch
 from ._exchange import ExchangeClient
 from ._group_progress import GroupProgress
@@ -31,6 +32,7 @@
     budget: RepeatBudget
     health: BackendHealth
     stalls: StallWatch
+    crashes: CrashWatch
 
     @classmethod
     def create(
@@ -68,8 +70,9 @@
         admission = Admission.from_state(state, timer)
         choice = HeadChoice(zone, view.directory, health, stalls, timer.rng, node_count)
         progress = GroupProgress(timer)
+        crashes = CrashWatch(timer, backends, lambda: view.shared.secret)
         runs = StreamRuns(
-            timer, view.directory, health, progress, stalls, choice, exchange
+            timer, view.directory, health, progress, stalls, choice, exchange, crashes
         )
         streams = StreamCalls.create(
             view.directory,
@@ -88,9 +91,10 @@
             budget,
             exchange,
             admission,
+            crashes,
         )
         dispatch = Dispatch(state, budget, streams, plain, timer)
-        return cls(state, admission, dispatch, budget, health, stalls)
+        return cls(state, admission, dispatch, budget, health, stalls, crashes)
 
     def forget_gone(self) -> None:
         """Drop what is remembered of backend servers and groups that are gone."""
@@ -98,7 +102,9 @@
         self.health.keep_only(set(backends))
         places = {b.membership.key for b in backends.values() if b.membership}
         self.stalls.keep_only(places)
+        self.crashes.forget()
 
     async def close(self) -> None:
         """End what is under way."""
         await self.stalls.close()
+        await self.crashes.close()
--- a/packages/serving/src/fordhatch/serving/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/_stream_run.py
@@ -14,8 +14,15 @@
 from fordhatch.registry import BackendDirectory
 
 from ._backend_health import BackendHealth
+from ._crash_watch import CrashWatch, RunStage
 from ._events import EventOrder, EventSplitter, StreamError
-from ._exchange import BackendAnswer, ExchangeClient, SendFailure, SendProblem
+from ._exchange import (
+    BackendAnswer,
+    ExchangeClient,
+    SendFailure,
+    SendProblem,
+    connection_problem,
+)
 from ._group_progress import GroupProgress, RunProgress, silence_s
 from ._head_choice import HeadChoice
 from ._request import Reply, ServedRequest
@@ -71,6 +78,7 @@
     stalls: StallWatch
     choice: HeadChoice
     exchange: ExchangeClient
+    crashes: CrashWatch
 
     async def run(
         self, stream: Stream, head: BackendServer
@@ -88,6 +96,9 @@
             return Ok(None)
         except _Broken as broken:
             self._note(stream, head, broken.failure, began_s, events)
+            if broken.failure.problem is SendProblem.CONNECTION_LOST:
+                stage = _stage(progress, stream.events - events)
+                self.crashes.broke(stream.request, head, stage)
             return Err(broken.failure)
         finally:
             self.progress.ended(progress)
@@ -127,6 +138,7 @@
         self, stream: Stream, head: BackendServer, progress: RunProgress
     ) -> None:
         answer = await self._open(stream, head, progress)
+        progress.has_answer = True
         try:
             if answer.status != _OK:
                 await self._pass_on_whole(stream, answer)
@@ -223,8 +235,10 @@
         try:
             async with asyncio.timeout(stream.request.left_s(self.timer.now_s())):
                 body = await answer.read_all()
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            raise _Broken(SendProblem.BROKEN, repr(error)) from error
+        except TimeoutError as error:
+            raise _Broken(SendProblem.SILENT, repr(error)) from error
+        except (aiohttp.ClientError, OSError) as error:
+            raise _Broken(connection_problem(error), repr(error)) from error
         can_repeat = stream.request.may_run(self.directory.backends, self.timer.now_s())
         if stream.reply.has_begun or (answer.status >= _SERVER_ERROR and can_repeat):
             raise _Broken(SendProblem.BROKEN, f"status {answer.status}")
@@ -310,6 +324,13 @@
             await self._until_done(stream, head, progress, read)
             return read.result()
         except (aiohttp.ClientError, OSError) as error:
-            raise _Broken(SendProblem.BROKEN, repr(error)) from error
+            raise _Broken(connection_problem(error), repr(error)) from error
         finally:
             read.cancel()
+
+
+def _stage(progress: RunProgress, events: int) -> RunStage:
+    """Return how far a run had come that has passed on so many events."""
+    if events > 0:
+        return RunStage.FLOWING
+    return RunStage.BEGUN if progress.has_answer else RunStage.WAITING
--- /dev/null
+++ b/packages/serving/tests/test_crash_watch.py
@@ -0,0 +1,80 @@
+"""A backend server that ends is told apart from a connection that breaks."""
+
+from __future__ import annotations
+
+import asyncio
+
+import eliot
+import pytest
+from test_stream_calls import chunk, events, head, streams
+
+from fordhatch.registry import SECRET_KEY, SHARED_TABLE
+from fordhatch.serving._request_digest import request_digest
+
+
+@pytest.fixture
+def logged():
+    seen = []
+    eliot.add_destinations(seen.append)
+    yield lambda event: [m for m in seen if m.get("message_type") == event]
+    eliot.remove_destination(seen.append)
+
+
+def ends(site, *, after_events: int, stops_listening: bool = True):
+    """Return a script that breaks off, with its whole process or just once."""
+
+    async def script(request, writer) -> None:
+        writer.write(head(request))
+        if after_events:
+            writer.write(chunk(events(1, after_events)))
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        if stops_listening:
+            await site.scripted[0].close()
+        writer.transport.abort()
+
+    return script
+
+
+@pytest.mark.parametrize(("after_events", "stage"), [(0, "begun"), (2, "flowing")])
+async def test_who_was_at_work_is_logged(site, logged, after_events, stage) -> None:
+    site.model.put(SHARED_TABLE, SECRET_KEY, b"k" * 32)
+    await site.until(lambda: site.view.shared.secret)
+    await site.add_backend(ends(site, after_events=after_events), group="small.1")
+    await site.add_backend(streams, group="small.2", zone="z2")
+    await site.ask("/stream/1", body=b"a prompt")
+    await site.until(lambda: logged("backend_ended"))
+    (ended,) = logged("backend_ended")
+    assert (ended["backend"], ended["runs"]) == ("i-1", 1)
+    name, _, seen_stage = ended["named"].partition(":")
+    assert seen_stage == stage
+    assert len(name) == 32
+    assert "prompt" not in ended["named"]
+
+
+async def test_a_connection_that_breaks_is_no_end(site, logged) -> None:
+    script = ends(site, after_events=1, stops_listening=False)
+    await site.add_backend(script, group="small.1")
+    good = await site.add_backend(streams, group="small.2", zone="z2")
+    await site.ask("/stream/1")
+    assert len(good.seen) == 1
+    await asyncio.sleep(0.3)
+    assert logged("backend_ended") == []
+
+
+async def test_each_try_of_a_content_has_the_same_digest(site) -> None:
+    seen = []
+    dispatch = site.callers.dispatch
+    serve = dispatch.serve
+
+    async def note(request, reply) -> None:
+        seen.append(request_digest(request, b"k" * 32))
+        await serve(request, reply)
+
+    dispatch.serve = note
+    await site.add_backend(streams, group="small.1")
+    for path, body in [("/a", b"x"), ("/a", b"x"), ("/b", b"x"), ("/a", b"y")]:
+        await site.ask(f"/stream{path}", body=body)
+    first, again, other_path, other_body = seen
+    assert first == again
+    assert len({first, other_path, other_body}) == 3
