--- a/packages/serving/tests/test_crash_watch.py
+++ b/packages/serving/tests/test_crash_watch.py
@@ -4,11 +4,16 @@
 
 import asyncio
 
+import attrs
 import eliot
 import pytest
+from multidict import CIMultiDict
+from serving_site import CALL_HEADERS
 from test_stream_calls import chunk, events, head, streams
 
+from fordhatch.adapter import caller_fields
 from fordhatch.registry import SECRET_KEY, SHARED_TABLE
+from fordhatch.serving import ServedRequest
 from fordhatch.serving._request_digest import request_digest
 
 
@@ -62,19 +67,32 @@
     assert logged("backend_ended") == []
 
 
-async def test_each_try_of_a_content_has_the_same_digest(site) -> None:
-    seen = []
-    dispatch = site.callers.dispatch
-    serve = dispatch.serve
-
-    async def note(request, reply) -> None:
-        seen.append(request_digest(request, b"k" * 32))
-        await serve(request, reply)
-
-    dispatch.serve = note
-    await site.add_backend(streams, group="small.1")
-    for path, body in [("/a", b"x"), ("/a", b"x"), ("/b", b"x"), ("/a", b"y")]:
-        await site.ask(f"/stream{path}", body=body)
-    first, again, other_path, other_body = seen
-    assert first == again
-    assert len({first, other_path, other_body}) == 3
+def served(site, target: str, body: bytes, **changes: object) -> ServedRequest:
+    """Return a request as the node serves it."""
+    headers = {**CALL_HEADERS, "X-Attempt-Id": "r1"}
+    admitted = site.callers.admission.admit(
+        site.callers.admission.find_route("app.example", target).unwrap(),
+        attrs.evolve(caller_fields(CIMultiDict(headers)), **changes),
+        method="POST",
+        target=target,
+        headers=[],
+        body=body,
+        arrived_s=0.0,
+    )
+    return admitted.unwrap()
+
+
+async def test_a_digest_names_path_caller_and_body_and_no_try(site) -> None:
+    key = b"k" * 32
+    first = served(site, "/stream/a", b"x")
+    again = served(site, "/stream/a", b"x", request_id="r2", last_event_id="7")
+    assert request_digest(first, key) == request_digest(again, key)
+    others = [
+        served(site, "/stream/b", b"x"),
+        served(site, "/stream/a", b"y"),
+        served(site, "/stream/ax", b""),
+        served(site, "/open/a", b"x", api_keys=()),
+    ]
+    digests = {request_digest(r, key) for r in [first, *others]}
+    assert len(digests) == 5
+    assert request_digest(first, b"l" * 32) not in digests
