--- a/standins/src/fordhatch_lab/_lab_load.py
+++ b/standins/src/fordhatch_lab/_lab_load.py
@@ -102,15 +102,28 @@
             seen.refusal = None
             await self._try(kind, seen)
 
-    async def _try(self, kind: RequestClass, seen: Outcome) -> None:
+    async def ask_once(self, kind: RequestClass, target: str) -> Outcome:
+        """Send one try of a request to a node of the balancer's choice.
+
+        Args:
+            kind: What is asked for.
+            target: The path; the body is the same text.
+        """
+        seen = Outcome(kind, asyncio.get_running_loop().time())
+        await self._try(kind, seen, target)
+        return seen
+
+    async def _try(self, kind: RequestClass, seen: Outcome, target: str = "") -> None:
         node = self.rng.choice(self.site.nodes)
         reply = LabReply(seen)
+        self._count += 1
+        target = target or f"/{kind.name}/{self._count}"
         with node.node.state.counted(reply):
-            await self._serve(node, kind, reply)
+            await self._serve(node, kind, reply, target)
 
-    async def _serve(self, node: LabNode, kind: RequestClass, reply: LabReply) -> None:
-        self._count += 1
-        target = f"/{kind.name}/{self._count}"
+    async def _serve(
+        self, node: LabNode, kind: RequestClass, reply: LabReply, target: str
+    ) -> None:
         path = node.node.path
         found = path.admission.find_route("lab", target)
         if found.is_err():
--- a/standins/src/fordhatch_standins/_backends.py
+++ b/standins/src/fordhatch_standins/_backends.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from collections import Counter
+from collections.abc import Callable
 
 import attrs
 
+from ._calls import BackendCall
 from ._engine_fleet import EngineFleet
 from ._engine_model import EngineModel
 from ._engine_work import EnginePace, EngineWork
@@ -29,19 +32,51 @@
     """Plain services by address."""
     plain_runs: Counter[str] = attrs.field(factory=Counter)
     plain_contents: Counter[str] = attrs.field(factory=Counter)
+    ends_under: Callable[[BackendCall], bool] = lambda call: False
+    """Which requests end the engines that begin to run them."""
+    crashed_s: list[float] = attrs.field(factory=list)
+    """When engines have ended under such requests."""
+    comes_back_s: float = 3.0
+    """After this time another engine starts at the address of one that has ended."""
     _works: dict[str, EngineWork] = attrs.field(factory=dict)
     _made: int = 0
 
     def add_engine(self, domain: str, zone: str, address: str = "") -> EngineModel:
         """Start an empty engine."""
         engine = self.fleet.add(domain, zone, address)
-        self._works[engine.backend_id] = EngineWork(engine, self.fleet, self.pace)
+        self._work_of(engine)
         return engine
 
+    def _work_of(self, engine: EngineModel) -> None:
+        self._works[engine.backend_id] = EngineWork(
+            engine,
+            self.fleet,
+            self.pace,
+            self._ends_under,
+            self._crash,
+        )
+
+    def _ends_under(self, call: BackendCall) -> bool:
+        return self.ends_under(call)
+
+    def _crash(self, engine: EngineModel) -> None:
+        """End an engine's process; the next one finds the weights on its host."""
+        if engine.is_dead:
+            return
+        loop = asyncio.get_running_loop()
+        self.crashed_s.append(loop.time())
+        self.fleet.crash(engine)
+        loop.call_later(self.comes_back_s, self._come_back, engine)
+
+    def _come_back(self, engine: EngineModel) -> None:
+        started = self.add_engine(engine.domain, engine.zone, engine.address)
+        started.staged = list(engine.staged)
+        started.on_change(started)
+
     def restart_engine(self, engine: EngineModel) -> EngineModel:
         """Start an engine again under its id; what it was doing ends."""
         started = self.fleet.restart(engine)
-        self._works[started.backend_id] = EngineWork(started, self.fleet, self.pace)
+        self._work_of(started)
         return started
 
     def add_plain(
@@ -69,6 +104,10 @@
         engine = self.fleet.at(address)
         return self._works[engine.backend_id] if engine is not None else None
 
+    def refuses(self, address: str) -> bool:
+        """Return whether an address refuses connections at once."""
+        return address in self.fleet.refusing
+
     def runs(self, request_id: str) -> int:
         """Return how often a request has run anywhere."""
         return self.fleet.runs[request_id] + self.plain_runs[request_id]
--- a/standins/src/fordhatch_standins/_engine_fleet.py
+++ b/standins/src/fordhatch_standins/_engine_fleet.py
@@ -60,6 +60,8 @@
     violations: list[str] = attrs.field(factory=list)
     is_counting_loads: bool = False
     loads: int = 0
+    refusing: set[str] = attrs.field(factory=set)
+    """Addresses at which nothing listens, on hosts that are up."""
     _begun: deque[float] = attrs.field(factory=deque)
     _made: int = 0
     _restarts: int = 0
@@ -84,6 +86,7 @@
             born_ms=FIRST_START_MS + self._made if self.tells_starts else 0,
         )
         self.engines[name] = engine
+        self.refusing.discard(engine.address)
         self._names_at.setdefault(engine.address, []).append(name)
         self._publish(engine)
         return engine
@@ -119,6 +122,11 @@
         loop.call_later(self.lapse_s, self._lapse, engine)
         self._break_group_of(engine)
 
+    def crash(self, engine: EngineModel) -> None:
+        """End an engine's process; its host answers that nobody listens there."""
+        self.refusing.add(engine.address)
+        self.kill(engine)
+
     def restart(self, engine: EngineModel) -> EngineModel:
         """End an engine, and start it again under its id and address at once.
 
--- a/standins/src/fordhatch_standins/_engine_work.py
+++ b/standins/src/fordhatch_standins/_engine_work.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import attrs
 
@@ -13,6 +13,9 @@
 
 _FULL, _OTHER = 503, 421
 
+CRASH_AFTER_S = 0.12
+"""From the moment at which an engine begins to run a request that ends it."""
+
 
 @attrs.frozen
 class EnginePace:
@@ -34,6 +37,10 @@
     engine: EngineModel
     fleet: EngineFleet
     pace: EnginePace
+    ends_under: Callable[[BackendCall], bool] = lambda call: False
+    """Whether the engine's process ends when it begins to run a request."""
+    on_crash: Callable[[EngineModel], None] = lambda engine: None
+    """Called then."""
     running: int = 0
     _waiting: Waiting = attrs.field(factory=Waiting)
 
@@ -54,6 +61,9 @@
             if not self.engine.serves or self.engine.place is not place:
                 raise NotExecuted(_FULL, self._missing())
             self.fleet.begin_run(self.engine, call.request_id)
+            if self.ends_under(call):
+                await asyncio.sleep(CRASH_AFTER_S)
+                self.on_crash(self.engine)
             async for event in self._events(call):
                 yield event
         finally:
--- a/standins/src/fordhatch_standins/_memory_clients.py
+++ b/standins/src/fordhatch_standins/_memory_clients.py
@@ -162,6 +162,8 @@
         """Ask for a report."""
         await asyncio.sleep(ORDER_S)
         engine = self.fleet.at(address)
+        if address in self.fleet.refusing and not self.is_cut:
+            return Err(Failure.from_code(ResultCode.BACKEND_REFUSED))
         if self.is_cut or engine is None:
             await asyncio.sleep(timeout_s)
             return Err(Failure.from_code(ResultCode.BACKEND_LOST))
--- a/standins/src/fordhatch_standins/_memory_exchange.py
+++ b/standins/src/fordhatch_standins/_memory_exchange.py
@@ -90,7 +90,8 @@
         is_cut = self.is_cut(backend.address)
         pieces = None if is_cut else self._pieces(backend, call)
         if pieces is None:
-            await asyncio.sleep(CONNECT_FAILS_S)
+            if is_cut or not self.backends.refuses(backend.address):
+                await asyncio.sleep(CONNECT_FAILS_S)
             return Err(SendFailure(SendProblem.NOT_SENT, "no connection"))
         try:
             async with asyncio.timeout(head_timeout_s):
@@ -102,7 +103,7 @@
             return Err(SendFailure(problem, refusal.at_fault))
         except (CutOff, StopAsyncIteration) as error:
             request.arrived_at(backend.backend_id, may_have_run=True)
-            return Err(SendFailure(SendProblem.BROKEN, repr(error)))
+            return Err(SendFailure(SendProblem.CONNECTION_LOST, repr(error)))
         except TimeoutError:
             request.arrived_at(backend.backend_id, may_have_run=True)
             return Err(SendFailure(SendProblem.SILENT, "no head in time"))
