Requests under which three backend servers have ended are run no more, at any node

Cause: what a content had done was known to one try at one node. Each try of it ended two servers, callers and nodes repeated it, and nothing counted. Ruled out: a model's replicas that end by themselves (one content is at every end, none at ends from outside); overload (the first heads had three streams of 13). Change: each end is counted against the contents that ran there, in rows that all nodes read and that outlive them; at three a content is refused at once with a code of its own, not run, and without a time to come back. The content against which most speaks explains its ends, so that sound ones beside it go free; a whole answer clears one; what was answered by its second run is told to nobody, which saves nearly all rows. The planner drops rows after an hour, and above 600. Plain calls and the project's own interface go the same way.

--- a/packages/core/src/fordhatch/core/_codes.py
+++ b/packages/core/src/fordhatch/core/_codes.py
@@ -45,6 +45,7 @@
     NO_CONFIG = 210
     CLIENT_GONE = 211
     CONFIGURATION_STALE = 212
+    REQUEST_QUARANTINED = 213
     STORE_UNAVAILABLE = 300
     STORE_OUTCOME_UNKNOWN = 301
     STORE_CONFLICT = 302
@@ -129,6 +130,12 @@
     ResultCode.CONFIGURATION_STALE: _row(
         503, Ran.NO, "The node's configuration was not confirmed for too long."
     ),
+    ResultCode.REQUEST_QUARANTINED: _row(
+        503,
+        Ran.NO,
+        "Several backend servers have ended while they ran this request, in this or "
+        "in other tries; it is not run again for now.",
+    ),
     ResultCode.CLIENT_GONE: _row(499, Ran.MAYBE, "The caller closed its connection."),
     ResultCode.STORE_UNAVAILABLE: _row(
         503, Ran.NO, "The platform's store cannot be reached; nothing was decided."
--- a/packages/core/src/fordhatch/core/_metrics.py
+++ b/packages/core/src/fordhatch/core/_metrics.py
@@ -40,6 +40,11 @@
     "Backend servers that ended while they ran requests of this node.",
     registry=REGISTRY,
 )
+QUARANTINED_CONTENTS = Gauge(
+    "fordhatch_quarantined_contents",
+    "Contents that are not run because backend servers have ended under them.",
+    registry=REGISTRY,
+)
 CONFIGURATION_AGE_SECONDS = Gauge(
     "fordhatch_configuration_age_seconds",
     "Age of the last confirmation of the configuration.",
--- a/packages/placement/src/fordhatch/placement/_planner.py
+++ b/packages/placement/src/fordhatch/placement/_planner.py
@@ -19,6 +19,7 @@
 from fordhatch.core import Timer
 from fordhatch.registry import BACKENDS_GATHER_S, ReplicaGroup, StoreView
 
+from ._crash_record_care import CrashRecordCare
 from ._dissolutions import Dissolutions
 from ._formations import Formations
 from ._group_builder import GroupBuilder
@@ -81,6 +82,7 @@
     care: GroupCare
     recorder: GroupRecorder
     slow: SlowBackends
+    crash_records: CrashRecordCare
     builder: GroupBuilder = attrs.field(init=False)
     last_model: dict[str, str] = attrs.field(factory=dict)
     """Model of each backend server's last group."""
@@ -131,6 +133,7 @@
             care,
             GroupRecorder(store, view.shared, timer),
             SlowBackends(view, store, backends, timer),
+            CrashRecordCare(view, store, timer),
         )
         planner.builder = GroupBuilder(
             care, formations, dissolutions, timer, planner.next_epoch
@@ -206,6 +209,7 @@
         for service in configuration.engine_services():
             self._plan_service(service, is_slow_step=is_slow_step)
         self.slow.step()
+        self.crash_records.step()
         self._forget_gone()
 
     def _plan_service(self, service: Service, *, is_slow_step: bool) -> None:
@@ -326,6 +330,7 @@
         await self.care.close()
         await self.recorder.close()
         await self.slow.close()
+        await self.crash_records.close()
 
 
 def _is_declared(service: Service, group: ReplicaGroup) -> bool:
--- a/packages/registry/src/fordhatch/registry/__init__.py
+++ b/packages/registry/src/fordhatch/registry/__init__.py
@@ -9,6 +9,7 @@
     ConfigurationInForce,
     ConfigurationRow,
 )
+from ._crash_records import CrashKey, CrashRecord, RunStage, crash_key
 from ._followers import BACKENDS_GATHER_S, StoreView
 from ._group_records import GroupRecord, record_key
 from ._liveness_probe import probe
@@ -38,6 +39,8 @@
     "BackendIndex",
     "ConfigurationInForce",
     "ConfigurationRow",
+    "CrashKey",
+    "CrashRecord",
     "GroupRecord",
     "NodeAddress",
     "NodeWord",
@@ -46,6 +49,7 @@
     "RelayClient",
     "RelayServer",
     "ReplicaGroup",
+    "RunStage",
     "SharedRows",
     "StoreSource",
     "StoreView",
@@ -54,6 +58,7 @@
     "TableFollower",
     "TableSource",
     "TableUpdate",
+    "crash_key",
     "node_key",
     "node_value",
     "probe",
--- a/packages/registry/src/fordhatch/registry/_shared_rows.py
+++ b/packages/registry/src/fordhatch/registry/_shared_rows.py
@@ -1,4 +1,4 @@
-"""The system's own rows: nodes, their shared secret, suspicions, groups that serve."""
+"""The system's own rows: nodes, their secret, suspicions, groups, and crashes."""
 
 from __future__ import annotations
 
@@ -11,6 +11,7 @@
 from fordhatch.adapter import Row
 from fordhatch.core import Timer, log_event
 
+from ._crash_records import CRASH_PREFIX, CrashKey, CrashRecord, split_crash_key
 from ._group_records import (
     RECORD_PREFIX,
     GroupRecord,
@@ -118,6 +119,10 @@
     """Backend servers that are slow, with how many times slower than usual."""
     records: dict[tuple[str, int], GroupRecord] = attrs.field(factory=dict)
     """Groups that serve, as the planner has recorded them."""
+    crashes: dict[CrashKey, CrashRecord] = attrs.field(factory=dict)
+    """Backend servers that have ended while they ran a request."""
+    crash_changes: int = 0
+    """Goes up with each change of them."""
     logs_changes: bool = True
     """Whether changes are logged; a node that gets the rows from another one leaves
     that to it."""
@@ -129,13 +134,16 @@
 
     def observe_snapshot(self, rows: Sequence[Row]) -> None:
         """Take every row of the table."""
-        before = self.nodes
-        self.nodes = {}
+        before, crashes = self.nodes, self.crashes
+        self.nodes, self.crashes = {}, {}
+        self.crash_changes += 1
         self.suspicions.clear()
         self.records.clear()
         self.slow.clear()
         self.observe_changes(rows)
         self._keep_seen(before)
+        for key in crashes.keys() & self.crashes.keys():
+            self.crashes[key] = crashes[key]
 
     def _keep_seen(self, before: dict[str, NodeAddress]) -> None:
         """Keep since when the nodes are known that are as they were."""
@@ -171,6 +179,19 @@
             self._take_record(key, row)
         elif key.startswith(_SLOW_PREFIX):
             self._take_slow(key.removeprefix(_SLOW_PREFIX), row)
+        elif key.startswith(CRASH_PREFIX):
+            self._take_crash(key, row)
+
+    def _take_crash(self, key: str, row: Row) -> None:
+        crash = split_crash_key(key)
+        if crash is None:
+            raise ValueError("names no content or no backend server")
+        self.crash_changes += 1
+        self.crashes.pop(crash, None)
+        if row.is_removed:
+            return
+        record = CrashRecord.from_bytes(crash, row.value, self.timer.now_s())
+        self.crashes[crash] = record
 
     def _take_slow(self, backend_id: str, row: Row) -> None:
         self.slow.pop(backend_id, None)
--- a/packages/serving/src/fordhatch/serving/_admission.py
+++ b/packages/serving/src/fordhatch/serving/_admission.py
@@ -12,6 +12,7 @@
 
 from ._knowledge import Knowledge
 from ._node_state import OTHER_NODE_AFTER_S, NodeState
+from ._quarantine import Quarantine
 from ._request import ServedRequest
 from ._route_table import RouteTable, choose_service
 
@@ -23,12 +24,15 @@
     state: NodeState
     timer: Timer
     rng: random.Random
+    quarantine: Quarantine
     _routes: RouteTable = attrs.field(factory=RouteTable)
 
     @classmethod
-    def from_state(cls, state: NodeState, timer: Timer) -> Admission:
+    def from_state(
+        cls, state: NodeState, timer: Timer, quarantine: Quarantine
+    ) -> Admission:
         """Build the admission of a node; it follows the configuration."""
-        admission = cls(state, timer, timer.rng)
+        admission = cls(state, timer, timer.rng, quarantine)
         state.view.configuration.subscribe(admission._configured)
         return admission
 
@@ -126,7 +130,7 @@
 
     def still_allowed(self, request: ServedRequest) -> Failure | None:
         """Return why a request that has waited may no longer be sent, or None."""
-        stopped = self.state.why_not()
+        stopped = self.state.why_not() or self.quarantine.why_not(request)
         if stopped is not None:
             return stopped
         if request.route.is_public or request.workspace is None:
--- a/packages/serving/src/fordhatch/serving/_crash_watch.py
+++ b/packages/serving/src/fordhatch/serving/_crash_watch.py
@@ -1,17 +1,18 @@
-"""Finds out which requests were at work when a backend server ended."""
+"""Finds out which requests were at work when a backend server ended, and tells."""
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from enum import IntEnum
+import asyncio
 
 import attrs
 
 from fordhatch.adapter import BackendClient
 from fordhatch.catalog import BackendServer
 from fordhatch.core import ResultCode, TaskSet, Timer, log_event, metrics
-from fordhatch.registry import probe
+from fordhatch.registry import RunStage, SharedRows, probe
 
+from ._crash_teller import CrashTeller
+from ._quarantine import Quarantine
 from ._request import ServedRequest
 from ._request_digest import request_digest
 
@@ -23,17 +24,6 @@
 """Requests that one log line names at the most: as many as a group runs at once."""
 
 
-class RunStage(IntEnum):
-    """How far a run had come when its connection broke."""
-
-    FLOWING = 1
-    """It had passed on events: it had been run for a while without harm."""
-    WAITING = 2
-    """No answer had begun: it may have waited in the queue, or have been read."""
-    BEGUN = 3
-    """The answer's head had come, and no event yet."""
-
-
 @attrs.frozen
 class BrokenRun:
     """A run whose connection has broken."""
@@ -49,8 +39,9 @@
     backend: BackendServer
     since_s: float
     runs: list[BrokenRun] = attrs.field(factory=list)
-    has_ended: bool | None = None
-    """None until it is known."""
+    has_ended: bool = False
+    is_known: asyncio.Event = attrs.field(factory=asyncio.Event)
+    """Set when it is known whether it has ended."""
 
 
 @attrs.define(eq=False, repr=False)
@@ -62,33 +53,84 @@
     later start or another one answers there; if nobody answers, that is not known.
     """
 
+    node_name: str
     timer: Timer
     backends: BackendClient
-    secret: Callable[[], bytes]
-    """Returns the key that the nodes share; empty while it is not known."""
+    shared: SharedRows
+    teller: CrashTeller
+    quarantine: Quarantine = attrs.field(init=False)
     _checks: dict[str, _Check] = attrs.field(factory=dict)
     _tasks: TaskSet = attrs.field(factory=TaskSet)
 
+    def __attrs_post_init__(self) -> None:
+        """Build the quarantine that this part fills."""
+        self.quarantine = Quarantine(self.shared, self.digest)
+
     def broke(
         self, request: ServedRequest, backend: BackendServer, stage: RunStage
     ) -> None:
         """Note that the connection of a run has broken."""
         run = BrokenRun(request, stage)
         check = self._checks.get(backend.backend_id)
-        if check is not None:
-            check.runs.append(run)
+        if check is None:
+            check = _Check(backend, self.timer.now_s(), [run])
+            self._checks[backend.backend_id] = check
+            self._tasks.spawn(self._check(check), f"ended-{backend.backend_id}")
             return
-        check = _Check(backend, self.timer.now_s(), [run])
-        self._checks[backend.backend_id] = check
-        self._tasks.spawn(self._check(check), f"ended-{backend.backend_id}")
+        check.runs.append(run)
+        if check.has_ended:
+            self._observe(check, run)
+
+    async def until_known(self, backend: BackendServer) -> None:
+        """Wait until it is known whether a backend server has ended."""
+        check = self._checks.get(backend.backend_id)
+        if check is not None:
+            await check.is_known.wait()
 
     async def _check(self, check: _Check) -> None:
-        check.has_ended = await self._has_ended(check.backend)
-        if not check.has_ended:
-            del self._checks[check.backend.backend_id]
-            return
+        try:
+            check.has_ended = await self._has_ended(check.backend)
+        finally:
+            if not check.has_ended:
+                del self._checks[check.backend.backend_id]
+            else:
+                self._found(check)
+            check.is_known.set()
+
+    def _found(self, check: _Check) -> None:
         metrics.BACKENDS_ENDED.inc()
         self._log(check)
+        for run in check.runs:
+            self._observe(check, run)
+
+    def _observe(self, check: _Check, run: BrokenRun) -> None:
+        """Count a crash against a content.
+
+        The others need not hear of it at once: nearly always it was another content,
+        and this one's second run is whole. That saves a row for each run of each server
+        that ends.
+        """
+        digest = self.digest(run.request)
+        if not digest:
+            return
+        self.quarantine.observe(digest, check.backend.backend_id, run.stage)
+        is_second = len(self.quarantine.crashes(digest)) > 1
+        if is_second or (run.request.is_over and not run.request.was_answered):
+            self._tell(digest)
+
+    def _tell(self, digest: str) -> None:
+        self.teller.tell(self.quarantine.own_records(digest, self.node_name))
+
+    def ended(self, request: ServedRequest) -> None:
+        """Take note of how a request has ended."""
+        request.is_over = True
+        if not self.quarantine.is_anything_known():
+            return
+        digest = self.digest(request)
+        if request.was_answered:
+            self.teller.take_back(self.quarantine.clear(digest))
+        else:
+            self._tell(digest)
 
     async def _has_ended(self, backend: BackendServer) -> bool:
         answer = await probe(self.backends, backend)
@@ -113,7 +155,7 @@
 
     def digest(self, request: ServedRequest) -> str:
         """Return the name of a request's content; empty while nodes share no key."""
-        secret = self.secret()
+        secret = self.shared.secret
         return request_digest(request, secret) if secret else ""
 
     def forget(self) -> None:
@@ -122,7 +164,9 @@
         for backend_id, check in list(self._checks.items()):
             if check.has_ended and check.since_s < before_s:
                 del self._checks[backend_id]
+        self.quarantine.forget_told()
 
     async def close(self) -> None:
         """Stop asking."""
         await self._tasks.close()
+        await self.teller.close()
--- a/packages/serving/src/fordhatch/serving/_dispatch.py
+++ b/packages/serving/src/fordhatch/serving/_dispatch.py
@@ -6,6 +6,7 @@
 
 from fordhatch.core import Failure, Ran, ResultCode, Timer, log_event, metrics
 
+from ._crash_watch import CrashWatch
 from ._node_state import OTHER_NODE_AFTER_S, NodeState
 from ._plain_call import PlainCalls
 from ._repeat_budget import RepeatBudget
@@ -22,6 +23,7 @@
     streams: StreamCalls
     plain: PlainCalls
     timer: Timer
+    crashes: CrashWatch
 
     async def serve(self, request: ServedRequest, reply: Reply) -> None:
         """Serve one request; the reply has its final answer afterwards."""
@@ -33,10 +35,13 @@
             await reply.refuse(failure)
             return
         self.budget.count_first(request.service)
-        if service.engine is not None:
-            await self.streams.serve(request, reply, service.engine)
-        else:
-            await self.plain.serve(request, reply)
+        try:
+            if service.engine is not None:
+                await self.streams.serve(request, reply, service.engine)
+            else:
+                await self.plain.serve(request, reply)
+        finally:
+            self.crashes.ended(request)
         self._log(request, reply)
 
     def _log(self, request: ServedRequest, reply: Reply) -> None:
--- a/packages/serving/src/fordhatch/serving/_plain_call.py
+++ b/packages/serving/src/fordhatch/serving/_plain_call.py
@@ -13,11 +13,11 @@
 from fordhatch.adapter import answer_headers
 from fordhatch.catalog import BackendServer
 from fordhatch.core import Failure, Ran, ResultCode, Timer, log_event
-from fordhatch.registry import BackendDirectory
+from fordhatch.registry import BackendDirectory, RunStage
 
 from ._admission import Admission
 from ._backend_health import TIE_SHARE, BackendHealth
-from ._crash_watch import CrashWatch, RunStage
+from ._crash_watch import CrashWatch
 from ._exchange import (
     BackendAnswer,
     ExchangeClient,
@@ -86,7 +86,10 @@
             got = await self._send(request, backend, tried)
             if got.is_err():
                 problem = got.unwrap_err()
+                if self.crashes.quarantine.is_suspect(request):
+                    await self.crashes.until_known(backend)
                 continue
+            request.was_answered = True
             failed_answer = got.unwrap()
             if failed_answer.status < _SERVER_ERROR:
                 break
--- a/packages/serving/src/fordhatch/serving/_request.py
+++ b/packages/serving/src/fordhatch/serving/_request.py
@@ -67,6 +67,10 @@
     """Backend servers that may have run it."""
     timeline: Timeline = attrs.field(factory=Timeline)
     """When its parts came, for logs."""
+    was_answered: bool = False
+    """Whether a backend server's whole answer came."""
+    is_over: bool = False
+    """Whether nothing more will be sent for it."""
 
     def arrived_at(self, backend_id: str, *, may_have_run: bool) -> None:
         """Note that a backend server got the request."""
--- a/packages/serving/src/fordhatch/serving/_request_path.py
+++ b/packages/serving/src/fordhatch/serving/_request_path.py
@@ -9,6 +9,7 @@
 
 from ._admission import Admission
 from ._backend_health import BackendHealth
+from ._crash_teller import CrashTeller
 from ._crash_watch import CrashWatch
 from ._dispatch import Dispatch
 from ._exchange import ExchangeClient
@@ -52,7 +53,7 @@
             node_name: The node's name, for what it tells the others.
             zone: The node's availability zone; groups there go first.
             state: The node's condition and its view of the store.
-            store: Takes the rows about lost and slow members.
+            store: Takes the rows about lost and slow members, and about crashes.
             backends: Asks the members of silent groups.
             exchange: Sends requests to backend servers.
             timer: The node's timer.
@@ -67,10 +68,12 @@
         stalls = StallWatch(
             node_name, timer, store, backends, view.shared, view.directory
         )
-        admission = Admission.from_state(state, timer)
+        crashes = CrashWatch(
+            node_name, timer, backends, view.shared, CrashTeller(store, timer)
+        )
+        admission = Admission.from_state(state, timer, crashes.quarantine)
         choice = HeadChoice(zone, view.directory, health, stalls, timer.rng, node_count)
         progress = GroupProgress(timer)
-        crashes = CrashWatch(timer, backends, lambda: view.shared.secret)
         runs = StreamRuns(
             timer, view.directory, health, progress, stalls, choice, exchange, crashes
         )
@@ -81,6 +84,7 @@
             budget=budget,
             admission=admission,
             runs=runs,
+            crashes=crashes,
         )
         plain = PlainCalls(
             zone,
@@ -93,7 +97,7 @@
             admission,
             crashes,
         )
-        dispatch = Dispatch(state, budget, streams, plain, timer)
+        dispatch = Dispatch(state, budget, streams, plain, timer, crashes)
         return cls(state, admission, dispatch, budget, health, stalls, crashes)
 
     def forget_gone(self) -> None:
--- a/packages/serving/src/fordhatch/serving/_stream_call.py
+++ b/packages/serving/src/fordhatch/serving/_stream_call.py
@@ -11,6 +11,7 @@
 from fordhatch.registry import BackendDirectory
 
 from ._admission import Admission
+from ._crash_watch import CrashWatch
 from ._events import EventOrder
 from ._exchange import SendFailure
 from ._group_wait import GroupWait, group_wait
@@ -37,6 +38,7 @@
     budget: RepeatBudget
     admission: Admission
     runs: StreamRuns
+    crashes: CrashWatch
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     @classmethod
@@ -63,8 +65,12 @@
             stream.tried.append(head.backend_id)
             done = await self.runs.run(stream, head)
             if done.is_ok():
+                request.was_answered = True
                 return
             stream.last_problem = done.unwrap_err()
+            if self.crashes.quarantine.is_suspect(request):
+                # One more crash may be one too many.
+                await self.crashes.until_known(head)
         await self._give_up(stream)
 
     # Which group next.
--- a/packages/serving/src/fordhatch/serving/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/_stream_run.py
@@ -11,10 +11,10 @@
 from fordhatch.adapter import answer_headers
 from fordhatch.catalog import BackendServer, EngineProfile
 from fordhatch.core import Timer, log_event, metrics
-from fordhatch.registry import BackendDirectory
+from fordhatch.registry import BackendDirectory, RunStage
 
 from ._backend_health import BackendHealth
-from ._crash_watch import CrashWatch, RunStage
+from ._crash_watch import CrashWatch
 from ._events import EventOrder, EventSplitter, StreamError
 from ._exchange import (
     BackendAnswer,
