The time for which a machine was suspended counts: ages, leases, deadlines

Cause: the timer service read the event loop's clock, which stands still while the machine is suspended. Knowledge, leases and deadlines were as young after six seconds of suspension as before them: a removed key was used, a call was held past its time, a planner planned beside the next one. Ruled out as harmful: sleeps (whoever wakes up asks for the time), the store's and other nodes' answers (counted from the question), the log writer's budget. No line compares the two clocks. Change: the timer adds what CLOCK_BOOTTIME counts beyond the steady clock, and brings the deadlines of what waits forward; a request is checked once more when its connection stands, before its first byte goes out.

--- a/packages/core/src/fordhatch/core/__init__.py
+++ b/packages/core/src/fordhatch/core/__init__.py
@@ -7,6 +7,7 @@
 from ._invariant import InvariantGuard
 from ._line_writer import LineWriter
 from ._log import configure_line_log, configure_logging, format_line, log_event
+from ._suspension import Suspension
 from ._timer import TaskSet, Timer
 
 __all__ = [
@@ -17,6 +18,7 @@
     "LineWriter",
     "Ran",
     "ResultCode",
+    "Suspension",
     "TaskSet",
     "Timer",
     "code_table_markdown",
--- a/packages/core/src/fordhatch/core/_metrics.py
+++ b/packages/core/src/fordhatch/core/_metrics.py
@@ -117,6 +117,11 @@
     ["outcome"],
     registry=REGISTRY,
 )
+SUSPENDED_SECONDS = Counter(
+    "fordhatch_suspended_seconds_total",
+    "Time for which the machine was suspended while this node ran on it.",
+    registry=REGISTRY,
+)
 INVARIANT_VIOLATIONS = Counter(
     "fordhatch_invariant_violations_total",
     "Violated invariants by name.",
--- a/packages/core/src/fordhatch/core/_timer.py
+++ b/packages/core/src/fordhatch/core/_timer.py
@@ -1,4 +1,8 @@
-"""The timer service: the only place where time is read or waited for."""
+"""The timer service: the only place where time is read, and where long waits are kept.
+
+Its time goes on while the machine is suspended, as that of everybody else does. So do
+the deadlines of what waits here.
+"""
 
 from __future__ import annotations
 
@@ -10,7 +14,9 @@
 
 import attrs
 
+from . import _metrics as metrics
 from ._log import log_event
+from ._suspension import Suspension
 
 CANCEL_AGAIN_S = 0.1
 """A task that has not ended this long after its cancellation is cancelled again."""
@@ -31,6 +37,9 @@
     """Source of jitter; seeded in tests."""
     wall_clock: Callable[[], float] = time.time
     """Wall-clock seconds since the epoch; only for records, never for decisions."""
+    suspension: Suspension = attrs.field(factory=Suspension)
+    """What the event loop's clock leaves out."""
+    _deadlines: set[asyncio.Timeout] = attrs.field(factory=set)
 
     @classmethod
     def from_seed(cls, seed: int | str) -> Timer:
@@ -38,15 +47,44 @@
         return cls(rng=random.Random(seed))
 
     def now_s(self) -> float:
-        """Return monotonic seconds on the event loop's clock."""
-        return asyncio.get_running_loop().time()
+        """Return monotonic seconds, which go on while the machine is suspended."""
+        suspended_s = self.suspension.look()
+        if suspended_s:
+            self._resumed(suspended_s)
+        return asyncio.get_running_loop().time() + self.suspension.total_s
+
+    def _resumed(self, suspended_s: float) -> None:
+        """Bring forward the deadlines of what has waited through a suspension."""
+        metrics.SUSPENDED_SECONDS.inc(suspended_s)
+        log_event("machine_resumed", suspended_s=round(suspended_s, 3))
+        for deadline in list(self._deadlines):
+            when_s = deadline.when()
+            if when_s is not None and not deadline.expired():
+                deadline.reschedule(when_s - suspended_s)
+
+    @contextlib.asynccontextmanager
+    async def timeout(self, duration_s: float) -> AsyncIterator[None]:
+        """Raise ``TimeoutError`` in the block after this time, suspensions included.
+
+        Args:
+            duration_s: Longest time that the block may take, in seconds.
+        """
+        async with asyncio.timeout(duration_s) as deadline:
+            self._deadlines.add(deadline)
+            try:
+                yield
+            finally:
+                self._deadlines.discard(deadline)
 
     def wall_s(self) -> float:
         """Return wall-clock seconds since the epoch."""
         return self.wall_clock()
 
     async def sleep(self, duration_s: float) -> None:
-        """Wait for ``duration_s`` seconds."""
+        """Wait for ``duration_s`` seconds in which the machine runs.
+
+        No sleep decides by itself how old anything is: who wakes up asks ``now_s``.
+        """
         await asyncio.sleep(duration_s)
 
     def jittered(self, duration_s: float, fraction: float = 0.2) -> float:
--- a/packages/serving/src/fordhatch/serving/_admission.py
+++ b/packages/serving/src/fordhatch/serving/_admission.py
@@ -85,20 +85,20 @@
         wait_s = route.timeout_s
         if fields.deadline_s is not None:
             wait_s = min(wait_s, fields.deadline_s)
-        return Ok(
-            ServedRequest(
-                fields=fields,
-                route=route,
-                service=service,
-                workspace=known.unwrap(),
-                method=method,
-                target=target,
-                headers=headers,
-                body=body,
-                arrived_s=arrived_s,
-                ends_s=arrived_s + wait_s,
-            )
+        request = ServedRequest(
+            fields=fields,
+            route=route,
+            service=service,
+            workspace=known.unwrap(),
+            method=method,
+            target=target,
+            headers=headers,
+            body=body,
+            arrived_s=arrived_s,
+            ends_s=arrived_s + wait_s,
         )
+        request.may_go = lambda: self.still_allowed(request)
+        return Ok(request)
 
     def authenticate(
         self, route: Route, api_keys: tuple[str, ...]
--- a/packages/serving/src/fordhatch/serving/_exchange.py
+++ b/packages/serving/src/fordhatch/serving/_exchange.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import asyncio
 from enum import Enum
+from types import SimpleNamespace
 from typing import Self
 
 import aiohttp
@@ -70,6 +70,22 @@
     return SendProblem.CONNECTION_LOST if is_lost else SendProblem.BROKEN
 
 
+class _NotAllowed(Exception):  # noqa: N818
+    """A request may no longer be sent; its connection has been opened in vain."""
+
+
+async def _check_again(
+    _: aiohttp.ClientSession,
+    context: SimpleNamespace,
+    __: aiohttp.TraceConnectionCreateEndParams,
+) -> None:
+    """Let nothing out that may no longer be sent, now that the connection stands."""
+    request: ServedRequest = context.trace_request_ctx
+    stopped = request.may_go()
+    if stopped is not None:
+        raise _NotAllowed(stopped.code.name)
+
+
 class _TrackedResponse(aiohttp.ClientResponse):
     """Remembers its connection, which the library gives back at the body's end."""
 
@@ -148,8 +164,11 @@
     def from_timer(cls, timer: Timer) -> ExchangeClient:
         """Return a client; a running event loop is needed."""
         connector = aiohttp.TCPConnector(limit=0, force_close=True)
+        trace = aiohttp.TraceConfig()
+        trace.on_connection_create_end.append(_check_again)
         session = aiohttp.ClientSession(
             connector=connector,
+            trace_configs=[trace],
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=(
@@ -192,10 +211,12 @@
         """
         headers = self._headers(request, backend, urgency, last_event_id)
         try:
-            async with asyncio.timeout(head_timeout_s):
+            async with self.timer.timeout(head_timeout_s):
                 response = await self._start(request, backend, headers)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Err(SendFailure(SendProblem.NOT_SENT, repr(error)))
+        except _NotAllowed as stopped:
+            return Err(SendFailure(SendProblem.NOT_SENT, repr(stopped)))
         except TimeoutError:
             request.arrived_at(backend.backend_id, may_have_run=True)
             return Err(SendFailure(SendProblem.SILENT, f"no head in {head_timeout_s}"))
@@ -234,6 +255,7 @@
             headers=headers,
             data=request.body or None,
             allow_redirects=False,
+            trace_request_ctx=request,
         )
 
     def _judge(
--- a/packages/serving/src/fordhatch/serving/_plain_call.py
+++ b/packages/serving/src/fordhatch/serving/_plain_call.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 from collections.abc import Collection
 
@@ -166,7 +165,7 @@
             return Err(sent.unwrap_err())
         answer = sent.unwrap()
         try:
-            async with asyncio.timeout(max(ends_s - self.timer.now_s(), 0.0)):
+            async with self.timer.timeout(max(ends_s - self.timer.now_s(), 0.0)):
                 body = await answer.read_all()
         except TimeoutError:
             return Err(SendFailure(SendProblem.SILENT, "body not complete in time"))
--- a/packages/serving/src/fordhatch/serving/_request.py
+++ b/packages/serving/src/fordhatch/serving/_request.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Container
+from collections.abc import Callable, Container
 from typing import Protocol
 
 import attrs
@@ -65,6 +65,9 @@
     """How often it reached a backend server, refusals included."""
     ran_at: list[str] = attrs.field(factory=list)
     """Backend servers that may have run it."""
+    may_go: Callable[[], Failure | None] = lambda: None
+    """Says why it may no longer be sent, if so: asked once more when the connection to
+    a backend server stands, as the machine may have stood still meanwhile."""
     timeline: Timeline = attrs.field(factory=Timeline)
     """When its parts came, for logs."""
     was_answered: bool = False
--- a/packages/serving/src/fordhatch/serving/_stream_call.py
+++ b/packages/serving/src/fordhatch/serving/_stream_call.py
@@ -107,7 +107,7 @@
 
     async def _wait_for_change(self, timeout_s: float) -> bool:
         try:
-            async with asyncio.timeout(timeout_s):
+            async with self.timer.timeout(timeout_s):
                 await self._changed.wait()
         except TimeoutError:
             return False
--- a/packages/serving/src/fordhatch/serving/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/_stream_run.py
@@ -233,7 +233,7 @@
     async def _pass_on_whole(self, stream: Stream, answer: BackendAnswer) -> None:
         """Pass on an answer that is no stream: a failure of the backend server."""
         try:
-            async with asyncio.timeout(stream.request.left_s(self.timer.now_s())):
+            async with self.timer.timeout(stream.request.left_s(self.timer.now_s())):
                 body = await answer.read_all()
         except TimeoutError as error:
             raise _Broken(SendProblem.SILENT, repr(error)) from error
--- a/packages/serving/tests/serving_site.py
+++ b/packages/serving/tests/serving_site.py
@@ -18,7 +18,7 @@
     BackendClient,
     decode_settings,
 )
-from fordhatch.core import Timer
+from fordhatch.core import Suspension, Timer
 from fordhatch.registry import StoreSource, StoreView
 from fordhatch.serving import (
     CallerServer,
@@ -101,10 +101,12 @@
     _requests: int = 0
 
     @classmethod
-    async def start(cls) -> ServingSite:
+    async def start(cls, suspension: Suspension | None = None) -> ServingSite:
         model = StoreModel()
         model.put(OPERATOR_TABLE, CONFIGURATION_KEY, configuration())
         timer = Timer.from_seed(1)
+        if suspension is not None:
+            timer.suspension = suspension
         store = MemoryStoreClient(model, "n1")
         view = StoreView.create(StoreSource(store), timer)
         bounds = decode_settings(BOUNDS).bounds
