--- a/packages/placement/src/fordhatch/placement/_formations.py
+++ b/packages/placement/src/fordhatch/placement/_formations.py
@@ -99,14 +99,15 @@
         if head.membership.state is MemberState.READY:
             self.desk.send(head, GroupOrder(OrderKind.OPEN, *group.key))
 
-    def opened(self, key: Key) -> None:
-        """Take a group that serves off the list."""
+    def opened(self, key: Key) -> bool:
+        """Take a group that serves off the list; returns whether it was there."""
         formation = self.active.pop(key, None)
         if formation is None:
-            return
+            return False
         took_s = self.timer.now_s() - formation.began_s
         metrics.GROUP_FORMING_SECONDS.observe(took_s)
         log_event("group_opened", group=key[0], epoch=key[1], took_s=round(took_s, 3))
+        return True
 
     def member_ids(self) -> set[str]:
         """Return the backend servers that are spoken for."""
--- a/packages/placement/src/fordhatch/placement/_group_care.py
+++ b/packages/placement/src/fordhatch/placement/_group_care.py
@@ -11,6 +11,7 @@
 from fordhatch.core import TaskSet, Timer, log_event
 from fordhatch.registry import SHARED_TABLE, ReplicaGroup, StoreView, suspicion_key
 
+from ._crash_loops import CrashLoops
 from ._dissolutions import Dissolutions
 from ._formations import LOAD_SLACK_FACTOR, Formations
 from ._groups_seen import GroupCondition, GroupSeen, judge
@@ -48,6 +49,7 @@
     losses: LossCheck
     formations: Formations
     dissolutions: Dissolutions
+    loops: CrashLoops
     _members_seen: dict[Key, dict[int, BackendServer]] = attrs.field(factory=dict)
     _restarted: set[Key] = attrs.field(factory=set)
     """Groups in which a member was seen under a later start: it may have a place
@@ -77,7 +79,8 @@
                 return False
             case GroupCondition.SERVING:
                 self._serving_since_s.setdefault(group.key, self.timer.now_s())
-                self.formations.opened(group.key)
+                if self.formations.opened(group.key):
+                    self.loops.opened(group.model)
             case GroupCondition.COMPLETE:
                 self.formations.open(group)
             case GroupCondition.LEAVING:
@@ -216,7 +219,13 @@
         members = {**self._members_seen.get(group.key, {}), **group.members}
         whole = ReplicaGroup(group.name, group.epoch, members)
         self.dissolutions.begin(whole, reason, finishes_work=finishes_work)
-        self.formations.active.pop(group.key, None)
+        if self.formations.active.pop(group.key, None) is not None:
+            self._note_failure(group)
+
+    def _note_failure(self, group: ReplicaGroup) -> None:
+        """Note that a formation failed, and who had joined."""
+        joined = frozenset(m.backend_id for m in group.members.values())
+        self.loops.gave_up(group.model, joined)
 
     def _tend_forming(
         self, group: ReplicaGroup, seen: GroupSeen, model: ModelProfile
@@ -268,6 +277,7 @@
             if group is None or member.membership is None:
                 self.losses.ask(member)
         if group is not None:
+            self._note_failure(group)
             self.dissolve(group, "not ready in time")
 
     def is_settled(self, group: ReplicaGroup) -> bool:
--- a/packages/placement/src/fordhatch/placement/_layout.py
+++ b/packages/placement/src/fordhatch/placement/_layout.py
@@ -45,6 +45,8 @@
     profile: EngineProfile
     last_model: Mapping[str, str]
     """Model of each backend server's last group."""
+    held_off: frozenset[str] = frozenset()
+    """Models of which no group should be formed now."""
     counts: Counter[str] = attrs.field(factory=Counter)
     """Groups by model, those that are being formed included."""
     spread: Counter[tuple[str, str]] = attrs.field(factory=Counter)
@@ -210,7 +212,11 @@
             found = _best_plan(layout, free, (model,), may_load=True)
             if found is not None:
                 return found
-    models = tuple(m for m in layout.profile.models if only_model in (None, m.name))
+    models = tuple(
+        m
+        for m in layout.profile.models
+        if only_model in (None, m.name) and m.name not in layout.held_off
+    )
     return _best_plan(layout, free, models, may_load=is_first_layout)
 
 
@@ -235,7 +241,11 @@
 
 def _below_target(layout: Layout) -> list[ModelProfile]:
     """Return the models that lack groups, those with the largest groups first."""
-    lacking = [m for m in layout.profile.models if layout.lacks(m)]
+    lacking = [
+        m
+        for m in layout.profile.models
+        if layout.lacks(m) and m.name not in layout.held_off
+    ]
     lacking.sort(key=lambda m: m.size, reverse=True)
     return lacking
 
--- a/packages/placement/src/fordhatch/placement/_planner.py
+++ b/packages/placement/src/fordhatch/placement/_planner.py
@@ -19,6 +19,7 @@
 from fordhatch.core import Timer
 from fordhatch.registry import BACKENDS_GATHER_S, ReplicaGroup, StoreView
 
+from ._crash_loops import CrashLoops
 from ._crash_record_care import CrashRecordCare
 from ._dissolutions import Dissolutions
 from ._formations import Formations
@@ -83,6 +84,7 @@
     recorder: GroupRecorder
     slow: SlowBackends
     crash_records: CrashRecordCare
+    loops: CrashLoops
     builder: GroupBuilder = attrs.field(init=False)
     last_model: dict[str, str] = attrs.field(factory=dict)
     """Model of each backend server's last group."""
@@ -115,7 +117,8 @@
         loads = LoadBudget(timer, bounds.load_window_s)
         formations = Formations(desk, directory, timer)
         dissolutions = Dissolutions(desk, losses, directory, timer, bounds.stall_s)
-        care = GroupCare(view, store, timer, losses, formations, dissolutions)
+        loops = CrashLoops(timer)
+        care = GroupCare(view, store, timer, losses, formations, dissolutions, loops)
         planner = cls(
             view,
             lease,
@@ -134,6 +137,7 @@
             GroupRecorder(store, view.shared, timer),
             SlowBackends(view, store, backends, timer),
             CrashRecordCare(view, store, timer),
+            loops,
         )
         planner.builder = GroupBuilder(
             care, formations, dissolutions, timer, planner.next_epoch
@@ -176,6 +180,7 @@
         self.desk.forget()
         self.staging.forget()
         self.care.forget()
+        self.loops.forget()
         self.builder.forget()
 
     def _note_model(self, backend: BackendServer) -> None:
@@ -216,7 +221,8 @@
         directory = self.view.directory
         groups = directory.groups(service.name)
         self.care.check_suspicions(groups)
-        layout = Layout(service.engine, self.last_model)
+        self.loops.step(self.losses.dead)
+        layout = Layout(service.engine, self.last_model, self.loops.held_off())
         layout.count_backends(self._usable(service))
         kept: list[ReplicaGroup] = []
         # Groups of models that are no longer declared come last: whether they are
--- a/packages/serving/src/fordhatch/serving/_plain_call.py
+++ b/packages/serving/src/fordhatch/serving/_plain_call.py
@@ -46,6 +46,11 @@
 """Backend servers that usually answer faster than this, or whose usual time is not
 known yet, count as equally fast."""
 
+PLAIN_STAGE = RunStage.BEGUN
+"""How far a call counts as having come whose backend server has ended. Plain calls take
+a twentieth of a second, so that a sound one is hardly ever there at two ends; and a
+service has three to five backend servers, of which a third end would be the last."""
+
 _SERVER_ERROR = 500
 
 
@@ -161,7 +166,7 @@
         sent = await self.exchange.send(request, backend, head_timeout_s=timeout_s)
         if sent.is_err():
             if sent.unwrap_err().problem is SendProblem.CONNECTION_LOST:
-                self.crashes.broke(request, backend, RunStage.WAITING)
+                self.crashes.broke(request, backend, PLAIN_STAGE)
             return Err(sent.unwrap_err())
         answer = sent.unwrap()
         try:
@@ -172,7 +177,7 @@
         except (aiohttp.ClientError, OSError) as error:
             problem = connection_problem(error)
             if problem is SendProblem.CONNECTION_LOST:
-                self.crashes.broke(request, backend, RunStage.BEGUN)
+                self.crashes.broke(request, backend, PLAIN_STAGE)
             return Err(SendFailure(problem, repr(error)))
         finally:
             answer.close()
--- a/standins/src/fordhatch_standins/_engine_fleet.py
+++ b/standins/src/fordhatch_standins/_engine_fleet.py
@@ -14,6 +14,12 @@
 from ._entries import FIRST_START_MS
 from ._store_model import StoreModel
 
+END_ON_JOIN_S = 0.3
+"""From a join until an engine has ended that can't bear the model."""
+
+BACK_AFTER_S = 3.0
+"""After this time an engine is started in the place of one that has ended."""
+
 MS_PER_RESTART = 1000
 """A later start has a greater moment; how much greater means nothing."""
 
@@ -60,6 +66,9 @@
     violations: list[str] = attrs.field(factory=list)
     is_counting_loads: bool = False
     loads: int = 0
+    ends_on_join: set[str] = attrs.field(factory=set)
+    """Models for which an engine that joins a group ends, and is back later."""
+    ended_on_join: int = 0
     refusing: set[str] = attrs.field(factory=set)
     """Addresses at which nothing listens, on hosts that are up."""
     _begun: deque[float] = attrs.field(factory=deque)
@@ -226,11 +235,28 @@
         before = engine.place
         head = self._head_of(before)
         status = engine.take(order)
+        if order.kind is OrderKind.JOIN and order.model in self.ends_on_join:
+            loop = asyncio.get_running_loop()
+            loop.call_later(END_ON_JOIN_S, self._end_on_join, engine)
         moved = before is not None and engine.place is not before
         if moved and head is not None and before.state != "joining":
             self._moved(engine, order, head)
         return status
 
+    def _end_on_join(self, engine: EngineModel) -> None:
+        if engine.is_dead:
+            return
+        self.ended_on_join += 1
+        self.crash(engine)
+        loop = asyncio.get_running_loop()
+        loop.call_later(BACK_AFTER_S, self._start_again, engine)
+
+    def _start_again(self, engine: EngineModel) -> None:
+        """Start an engine on the host of one that has ended; its weights are there."""
+        started = self.add(engine.domain, engine.zone)
+        started.staged = list(engine.staged)
+        self._publish(started)
+
     def _moved(self, engine: EngineModel, order: GroupOrder, head: EngineModel) -> None:
         """Check a member that has given up its place while its head is there."""
         if head is engine:
