--- /dev/null
+++ b/bench/crash_guards.py
@@ -0,0 +1,80 @@
+"""The guards against contents that end servers and against suspensions."""
+
+from __future__ import annotations
+
+from guards_types import Guard
+
+SERVING = "packages/serving/tests"
+
+CRASH_GUARDS = [
+    Guard(
+        "crash: a quarantined content is not sent",
+        "serving/_admission.py",
+        "self.state.why_not() or self.quarantine.why_not(request)\n",
+        "self.state.why_not()\n",
+        f"{SERVING}/test_quarantined_calls.py -k plain_call",
+    ),
+    Guard(
+        "crash: a connection that breaks is no end of a server",
+        "serving/_crash_watch.py",
+        "            return answer.unwrap_err().code is ResultCode.BACKEND_REFUSED\n",
+        "            return True\n",
+        f"{SERVING}/test_crash_watch.py -k nobody_answers",
+    ),
+    Guard(
+        "crash: the cause of an end frees the others that were there",
+        "serving/_quarantine.py",
+        "                del seen[backend]\n",
+        "                pass\n",
+        f"{SERVING}/test_quarantine.py -k explains_its_crashes",
+    ),
+    Guard(
+        "crash: a whole answer clears a content",
+        "serving/_crash_watch.py",
+        "            self.teller.take_back(self.quarantine.clear(digest))\n",
+        "            pass\n",
+        f"{SERVING}/test_quarantined_calls.py -k takes_back",
+    ),
+    Guard(
+        "crash: runs under way are stopped",
+        "serving/_stream_run.py",
+        "                progress.step.cancel()\n",
+        "                pass\n",
+        "standins/tests/test_requests_that_end_engines.py -k all_at_once",
+    ),
+    Guard(
+        "crash: other nodes hear of it while the store is away",
+        "node/_crash_news.py",
+        "        self.crashes.subscribe(self.tell)\n",
+        "        pass\n",
+        "standins/tests/test_requests_that_end_engines.py -k outage_of_the_store",
+    ),
+    Guard(
+        "crash: a model that ends its members is held off",
+        "placement/_crash_loops.py",
+        "        if beyond < 0:\n",
+        "        if True:\n",
+        "packages/placement/tests/test_crash_loops.py -k alone",
+    ),
+    Guard(
+        "suspension: the timer counts it",
+        "core/_timer.py",
+        "time() + self.suspension.total_s\n",
+        "time()\n",
+        f"{SERVING}/test_suspended_node.py -k meanwhile",
+    ),
+    Guard(
+        "suspension: what may no longer be sent is not, once connected",
+        "serving/_exchange.py",
+        "trace_configs=[trace]",
+        "trace_configs=[]",
+        f"{SERVING}/test_suspended_node.py -k connecting",
+    ),
+    Guard(
+        "suspension: deadlines are brought forward",
+        "core/_timer.py",
+        "                deadline.reschedule(when_s - suspended_s)\n",
+        "                pass\n",
+        "packages/core/tests/test_suspension.py -k ends_the_wait",
+    ),
+]
--- a/bench/guards.py
+++ b/bench/guards.py
@@ -14,6 +14,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
+from crash_guards import CRASH_GUARDS
 from entry_guards import ENTRY_GUARDS
 from guards_types import Guard
 from own_guards import OWN_GUARDS
@@ -57,7 +58,7 @@
     word = sys.argv[1] if len(sys.argv) > 1 else ""
     guards = [
         g
-        for g in [*OWN_GUARDS, *PLATFORM_GUARDS, *ENTRY_GUARDS]
+        for g in [*OWN_GUARDS, *PLATFORM_GUARDS, *ENTRY_GUARDS, *CRASH_GUARDS]
         if word in f"{g.promise} {g.module}"
     ]
     with ThreadPoolExecutor(AT_ONCE) as pool:
--- a/packages/placement/src/fordhatch/placement/_crash_record_care.py
+++ b/packages/placement/src/fordhatch/placement/_crash_record_care.py
@@ -13,7 +13,7 @@
 KEEP_S = 3600.0
 """How long a content is held back after the newest crash under it. What ends an engine
 is mended by people, in hours; when the time is over, a content that still does ends
-three more."""
+two or three more."""
 
 MOST_ROWS = 600
 """Rows that are kept: 200 contents with three crashes each, 70 KB, which a node that
--- a/packages/serving/tests/test_crash_watch.py
+++ b/packages/serving/tests/test_crash_watch.py
@@ -69,6 +69,18 @@
     assert logged("backend_ended") == []
 
 
+async def test_who_falls_silent_may_be_there_where_nobody_answers(site, logged) -> None:
+    """A cut looks like this: the connection is reset, and questions get no answer."""
+    script = ends(site, after_events=1, stops_listening=False)
+    bad = await site.add_backend(script, group="small.1")
+    bad.report = None
+    good = await site.add_backend(streams, group="small.2", zone="z2")
+    await site.ask("/stream/1")
+    assert len(good.seen) == 1
+    await asyncio.sleep(0.5)
+    assert logged("backend_ended") == []
+
+
 def served(site, target: str, body: bytes, **changes: object) -> ServedRequest:
     """Return a request as the node serves it."""
     headers = {**CALL_HEADERS, "X-Attempt-Id": "r1"}
--- a/standins/src/fordhatch_standins/_scripted_backend.py
+++ b/standins/src/fordhatch_standins/_scripted_backend.py
@@ -60,8 +60,8 @@
     """Requests whose connection the other side closed before the script ended."""
     reports: int = 0
     """How often it was asked for its report."""
-    report: bytes = b"{}"
-    """What it answers then."""
+    report: bytes | None = b"{}"
+    """What it answers then; None for nothing at all."""
     _server: asyncio.Server | None = None
 
     async def start(self) -> str:
@@ -80,6 +80,10 @@
             return
         if request.target == REPORT_PATH:
             self.reports += 1
+            if self.report is None:
+                await reader.read()
+                writer.close()
+                return
             head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(self.report)}\r\n\r\n"
             writer.write(head.encode() + self.report)
             writer.close()
