Starting nodes have their tables from other nodes; who takes the lease over keeps it

One look at the planner's lease in seven came from such starts. Beside it, found by the emulator: a node that is not one of the first two and takes the lease over slept for 2.5 s and more before its first renewal, so that its lease of 1.6 s ended and another planner began anew.

Ruled out: holding the tables back until a node's own row is written (it only kept the node from asking others); reading at leisure after a loss of all nodes (callers wait).

Change: the table that names the nodes is read, and the others come from a node that has them; a node that reads its tables itself holds such a question for 0.15 s; two failures lead to the store as before. At the very first start reading is spread over a second. Eight nodes instead of all look at the lease after a start. A new holder renews after 0.45 s.

The old test that a node without a row asks the store is replaced: it asks others first, and the store when all of them have failed or none is known.

--- a/packages/node/src/fordhatch/node/_node.py
+++ b/packages/node/src/fordhatch/node/_node.py
@@ -51,6 +51,11 @@
 START_ID_BYTES = 8
 """Length of the name of a node's start: enough never to come twice."""
 
+FIRST_START_SPREAD_S = 1.0
+"""At the first start of the whole system nodes begin to read within this time: those
+that come later get the tables from those that came first. Traffic begins ten seconds
+later."""
+
 TELL_CALLS_S = 10.0
 """How often the calls to the store are summed up in the log."""
 
@@ -283,5 +288,6 @@
         relay=RelayClient(
             clients.pool, choice, timer, relay_wait_s(settings.bounds.config_apply_s)
         ),
+        begin_spread_s=FIRST_START_SPREAD_S if settings.is_first_start else 0.0,
     )
     return view, RelayServer.create(view.followers, choice)
--- a/packages/node/src/fordhatch/node/_registration.py
+++ b/packages/node/src/fordhatch/node/_registration.py
@@ -29,9 +29,9 @@
 LEAST_WEIGHT = 0.01
 """A node that carries next to nothing is still asked when all others are lost."""
 
-SECRET_AFTER_S = 0.2
-"""Reading the system's own rows takes about this long; nearly always the secret is
-among them, and each proposal costs a call to the store."""
+READ_LOOK_S = 0.02
+"""Time between looks whether the system's own rows have been read: nearly always the
+secret is among them, and each proposal costs a call to the store."""
 
 SECRET_SPREAD_S = 0.5
 """Where there is none, nodes propose one at moments of their own within this time: the
@@ -63,7 +63,9 @@
         await self._write_until_done({}, {own: value})
         secret = RowKey(SHARED_TABLE, SECRET_KEY)
         spread_s = SECRET_SPREAD_S * self.timer.rng.random()
-        await self.timer.sleep(SECRET_AFTER_S + spread_s)
+        while not self.shared.is_read:
+            await self.timer.sleep(READ_LOOK_S)
+        await self.timer.sleep(spread_s)
         if not self.shared.secret:
             proposal = secrets.token_bytes(SECRET_BYTES)
             await self._write_until_done({secret: 0}, {secret: proposal})
--- a/packages/placement/src/fordhatch/placement/_planner_lease.py
+++ b/packages/placement/src/fordhatch/placement/_planner_lease.py
@@ -33,6 +33,17 @@
 """Nodes that look at the lease often; the others look rarely, which is enough if the
 candidates are lost too, and saves calls."""
 
+START_CANDIDATES = 8
+"""Nodes that look at once after their start, while they know no holder: where all have
+started at once, some of these are there. That the others looked as well was one call in
+seven of a bad day."""
+
+NODES_AFTER_S = 0.3
+"""A node that has just started first waits this long for the names of the others."""
+
+NODES_LOOK_S = 0.02
+"""Time between looks whether the names are there."""
+
 CANDIDATE_LOOK_S = 0.45
 """Time between looks of the first candidates."""
 
@@ -104,6 +115,7 @@
 
     async def run(self) -> None:
         """Renew, or look and take over, until cancelled."""
+        await self._begin()
         while True:
             if self.is_held():
                 await self._renew()
@@ -112,11 +124,28 @@
                 self._note_loss()
                 if not await self._holder_renews():
                     await self._look()
-                await self.timer.sleep(self.timer.jittered(self._look_interval_s()))
+                # Who has just taken over renews soon, however rarely it had to look.
+                look_s = self.timer.jittered(self._look_interval_s())
+                await self.timer.sleep(RENEW_S if self.is_held() else look_s)
+
+    async def _begin(self) -> None:
+        """Wait for the names of the other nodes, and for longer behind many of them."""
+        if self.ask is None:
+            return
+        began_s = self.timer.now_s()
+        while not self.node_names() and self.timer.now_s() - began_s < NODES_AFTER_S:
+            await self.timer.sleep(NODES_LOOK_S)
+        if self._rank() >= START_CANDIDATES:
+            await self.timer.sleep(self.timer.jittered(self._look_interval_s()))
+
+    def _rank(self) -> int:
+        """Return how many known nodes come before this one."""
+        return sum(name < self.node_name for name in self.node_names())
 
     def _look_interval_s(self) -> float:
-        rank = sorted(self.node_names() | {self.node_name}).index(self.node_name)
-        if rank < CANDIDATES or self._version == 0:
+        rank = self._rank()
+        often = START_CANDIDATES if self._version == 0 else CANDIDATES
+        if rank < often:
             return CANDIDATE_LOOK_S
         return max(OTHER_LOOK_S, LOOK_S_PER_RANK * rank)
 
--- a/packages/registry/src/fordhatch/registry/_followers.py
+++ b/packages/registry/src/fordhatch/registry/_followers.py
@@ -68,6 +68,7 @@
         shared: SharedRows | None = None,
         configuration_row: ConfigurationRow = OPERATORS_ROW,
         relay: RelayClient | None = None,
+        begin_spread_s: float = 0.0,
     ) -> StoreView:
         """Build a view that has not been started.
 
@@ -77,6 +78,7 @@
             shared: Filled with the system's own rows.
             configuration_row: Where the configuration lies.
             relay: Asks other nodes; without it the store alone is asked.
+            begin_spread_s: Within this time the store is first asked, in seconds.
         """
         shared = shared if shared is not None else SharedRows(timer)
         configuration = ConfigurationInForce(configuration_row)
@@ -133,7 +135,7 @@
             must_be_fresh=False,
         )
         followers = {f.table: f for f in (operators, backends, own)}
-        tables = TablesFollower(followers, timer, relay)
+        tables = TablesFollower(followers, timer, relay, begin_spread_s)
         return cls(
             timer, configuration, directory, shared, operators, backends, own, tables
         )
--- a/packages/registry/src/fordhatch/registry/_reader_choice.py
+++ b/packages/registry/src/fordhatch/registry/_reader_choice.py
@@ -110,8 +110,9 @@
     def choose(self) -> NodeAddress | None:
         """Return the node to ask, or None where this node asks the store itself."""
         nodes = self.nodes()
-        if self.own_name not in nodes:
+        if not nodes:
             return None
+        # One that has just started asks others before its own row is written.
         found = self._find(nodes)
         if found == self.own_name:
             found = ""
--- a/packages/registry/src/fordhatch/registry/_relay.py
+++ b/packages/registry/src/fordhatch/registry/_relay.py
@@ -46,6 +46,14 @@
 RELAY_SLACK_S = 0.35
 """What an answer may take beyond that before the asked node counts as failed."""
 
+START_SLACK_S = 0.1
+"""The same for a node that has nothing yet: its callers wait, and the
+store has it as well."""
+
+LOADING_WAIT_S = 0.15
+"""How long a question is held that comes while this node reads its tables itself.
+Where all nodes have started at once, the first ones then answer for the others."""
+
 READER_MOST_AGE_S = 1.2
 """A node that asks the store itself is not worth asking when its knowledge is older:
 it confirms it every 0.3 s, a store that is slow answers a third of a second later, and
@@ -86,11 +94,10 @@
     async def serve(self, message: WatchTables, channel: Channel) -> None:
         """Answer one question."""
         self.choice.asked(as_first=message.as_first)
-        asked = {
-            name: self.followers[name]
-            for name in message.after_versions
-            if name in self.followers and self.followers[name].is_loaded
-        }
+        asked = self._loaded(message)
+        if len(asked) < len(message.after_versions):
+            await self._until_loaded(message)
+            asked = self._loaded(message)
         if len(asked) < len(message.after_versions):
             failure = Failure.from_code(ResultCode.PEER_REFUSED, "table not followed")
             await channel.send(to_refused(failure))
@@ -111,6 +118,21 @@
         ]
         await channel.send(TablesChanged(tables))
 
+    def _loaded(self, message: WatchTables) -> dict[str, TableFollower]:
+        """Return the followers that a question asks for, if they have their tables."""
+        return {
+            name: self.followers[name]
+            for name in message.after_versions
+            if name in self.followers and self.followers[name].is_loaded
+        }
+
+    async def _until_loaded(self, message: WatchTables) -> None:
+        """Wait a little for the tables that are asked for."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(min(message.wait_s, LOADING_WAIT_S)):
+                while len(self._loaded(message)) < len(message.after_versions):
+                    await self._changed.wait()
+
     async def _until_changed(
         self, message: WatchTables, asked: Mapping[str, TableFollower]
     ) -> None:
@@ -170,7 +192,10 @@
         versions = {name: f.version for name, f in followers.items()}
         is_first = self.choice.is_first(reader)
         sent_s = self.timer.now_s()
-        got = await self._request(reader, WatchTables(versions, self.wait_s, is_first))
+        asked = WatchTables(versions, self.wait_s, is_first)
+        has_all = all(f.is_loaded for f in followers.values())
+        slack_s = RELAY_SLACK_S if has_all else START_SLACK_S
+        got = await self._request(reader, asked, self.wait_s + slack_s)
         fresh = {name for name, f in followers.items() if f.must_be_fresh}
         problem, is_old = _problem(got, fresh, is_first=is_first)
         updates: dict[str, TableUpdate] = {}
@@ -192,9 +217,8 @@
         return True
 
     async def _request(
-        self, reader: NodeAddress, asked: WatchTables
+        self, reader: NodeAddress, asked: WatchTables, timeout_s: float
     ) -> Result[object, Failure]:
-        timeout_s = self.wait_s + RELAY_SLACK_S
         try:
             async with asyncio.timeout(timeout_s):
                 return await self.pool.request(reader.address, asked, timeout_s)
--- a/packages/registry/src/fordhatch/registry/_shared_rows.py
+++ b/packages/registry/src/fordhatch/registry/_shared_rows.py
@@ -123,6 +123,8 @@
     """Backend servers that have ended while they ran a request."""
     crash_changes: int = 0
     """Goes up with each change of them."""
+    is_read: bool = False
+    """Whether the table was read at all."""
     logs_changes: bool = True
     """Whether changes are logged; a node that gets the rows from another one leaves
     that to it."""
@@ -134,6 +136,7 @@
 
     def observe_snapshot(self, rows: Sequence[Row]) -> None:
         """Take every row of the table."""
+        self.is_read = True
         before, crashes = self.nodes, self.crashes
         self.nodes, self.crashes = {}, {}
         self.crash_changes += 1
--- a/packages/registry/src/fordhatch/registry/_tables_follower.py
+++ b/packages/registry/src/fordhatch/registry/_tables_follower.py
@@ -12,6 +12,7 @@
 
 from ._reader_choice import NodeAddress
 from ._relay import RelayClient
+from ._shared_rows import SHARED_TABLE
 from ._table_follower import RETRY_MOST_S, TableFollower
 
 CHOICE_LOOK_S = 0.3
@@ -47,12 +48,15 @@
     timer: Timer
     relay: RelayClient | None = None
     """None where there are no other nodes."""
+    begin_spread_s: float = 0.0
+    """Within this time the store is first asked, in seconds."""
     _failed_in_row: int = 0
     _store_from_s: float = -math.inf
     """When the store may be asked again."""
 
     async def run(self) -> None:
         """Follow until cancelled."""
+        await self._begin()
         while True:
             asked_s = self.timer.now_s()
             reader = self.relay.choice.choose() if self.relay is not None else None
@@ -65,6 +69,17 @@
             else:
                 await self._after_failure(asked_s)
 
+    async def _begin(self) -> None:
+        """Ask the store for the table that names the other nodes, and for no other.
+
+        They have all tables: a start then costs the store one read instead of three
+        reads and the watches that follow them.
+        """
+        if self.relay is None:
+            return
+        await self.timer.sleep(self.begin_spread_s * self.timer.rng.random())
+        await self.followers[SHARED_TABLE].refresh()
+
     def _gather_s(self) -> float:
         return max(f.gather_s for f in self.followers.values())
 
--- a/packages/registry/tests/test_relay.py
+++ b/packages/registry/tests/test_relay.py
@@ -148,11 +148,22 @@
         assert node.view.configuration_age_s() > 1.5
 
 
-async def test_a_node_without_a_row_asks_the_store(site) -> None:
-    choice = ReaderChoice("new", "z0", lambda: dict(site.addresses), Timer.from_seed(1))
+async def test_a_node_that_knows_no_other_asks_the_store(site) -> None:
+    choice = ReaderChoice("new", "z0", dict, Timer.from_seed(1))
     assert choice.choose() is None
 
 
+async def test_a_node_without_a_row_asks_another_node_until_all_have_failed(
+    site,
+) -> None:
+    choice = ReaderChoice("new", "z0", lambda: dict(site.addresses), Timer.from_seed(1))
+    asked = choice.choose()
+    while asked is not None:
+        assert asked.name in site.addresses
+        choice.failed(asked)
+        asked = choice.choose()
+
+
 @attrs.define(eq=False, repr=False)
 class SlowSource:
     """A store behind a narrow link: whole tables take their time."""
