Groups follow the work that is measured over the nodes, and the groups that are missing

Cause: groups followed the shares that operators declare for the start, 0.5 and 0.5, while the smaller model has 0.66 of the engine time and nine tenths of the tokens. 6.75 groups of twelve were rounded up to seven, which left ten groups of six where 13.5 were wanted. In bursts 0.46 to 0.61 of the smaller model's requests were on time, 0.93 of the larger one's.

Change: each node counts what is asked of each model, in full groups by the engine's declared times, over about a second. The planner asks sixteen nodes each 0.4 s. Beside it stands how many groups of each model are missing on average. One more group is worth the lateness that it saves, with the square of how busy groups are, over the groups that may be missing. Declared shares count for 25 requests a second beside what is seen; declared numbers go before it. Up to three domains convert at a time; who gained a group gives none up for 8 s, the last group of a model stays, and what was lost within 2.5 s counts as there.

Two faults found by the tests before it landed: a division by zero where all groups of a model are missing, and a group without a head in a conversion.

The test that watches a conversion end looks at one domain's now, and is as strict.

--- a/packages/catalog/src/fordhatch/catalog/__init__.py
+++ b/packages/catalog/src/fordhatch/catalog/__init__.py
@@ -21,6 +21,7 @@
     Service,
     Workspace,
 )
+from ._demand import ModelDemand, ModelKey
 from ._group_names import group_name, model_of_group
 from ._node_settings import NodeSettings, StoreLimits, SystemBounds
 
@@ -34,6 +35,8 @@
     "GroupMembership",
     "Limits",
     "MemberState",
+    "ModelDemand",
+    "ModelKey",
     "ModelProfile",
     "NodeSettings",
     "RefusalKind",
--- a/packages/catalog/src/fordhatch/catalog/_configuration.py
+++ b/packages/catalog/src/fordhatch/catalog/_configuration.py
@@ -120,6 +120,17 @@
         )
         return self.stride * step_s
 
+    def busy_s(
+        self, model: ModelProfile, prompt_tokens: float, answer_tokens: float
+    ) -> float:
+        """Return for how long a request keeps a full group busy, in seconds.
+
+        A token's share of the passes is that of a group whose places are all taken:
+        so much a group can do, whatever it does now.
+        """
+        token_s = self.pass_s(self.slots) / max(self.stride * self.slots, 1)
+        return model.pace * (self.prefill_s(prompt_tokens) + answer_tokens * token_s)
+
     def prefill_s(self, prompt_tokens: float) -> float:
         """Return the time to read a prompt, in seconds."""
         pairs_millions = prompt_tokens * prompt_tokens / 2.0 / 1e6
--- /dev/null
+++ b/packages/catalog/src/fordhatch/catalog/_demand.py
@@ -0,0 +1,30 @@
+"""What callers ask of models."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen
+class ModelDemand:
+    """What callers ask of one model, at one node or at all of them."""
+
+    requests_per_s: float = 0.0
+    busy_groups: float = 0.0
+    """Full groups that these requests keep busy, by the times that the engine
+    declares."""
+
+    def __add__(self, other: ModelDemand) -> ModelDemand:
+        """Return what both ask together."""
+        return ModelDemand(
+            self.requests_per_s + other.requests_per_s,
+            self.busy_groups + other.busy_groups,
+        )
+
+    def times(self, factor: float) -> ModelDemand:
+        """Return a multiple of it."""
+        return ModelDemand(self.requests_per_s * factor, self.busy_groups * factor)
+
+
+ModelKey = tuple[str, str]
+"""A service and one of its models."""
--- a/packages/core/src/fordhatch/core/_metrics.py
+++ b/packages/core/src/fordhatch/core/_metrics.py
@@ -65,6 +65,12 @@
     "Backend servers of engines that are in no group, as this node sees them.",
     registry=REGISTRY,
 )
+MODEL_BUSY_GROUPS = Gauge(
+    "fordhatch_model_busy_groups",
+    "Full groups that the work of a model's callers fills, as the planner sees it.",
+    ["service", "model"],
+    registry=REGISTRY,
+)
 GROUP_FORMING_SECONDS = Histogram(
     "fordhatch_group_forming_seconds",
     "Time from the planner's decision to form a group until it serves.",
--- a/packages/node/src/fordhatch/node/_node.py
+++ b/packages/node/src/fordhatch/node/_node.py
@@ -13,6 +13,7 @@
 from fordhatch.protocol import Channel, PeerPool, to_refused
 from fordhatch.protocol.messages import (
     CrashesSeen,
+    QueryDemand,
     QueryStatus,
     StatusReply,
     WatchTables,
@@ -33,6 +34,7 @@
 
 from ._clients import Clients
 from ._crash_news import CrashNews
+from ._demand_survey import DemandSurvey, demand_reply
 from ._outage_survey import OutageSurvey
 from ._registration import Registration
 
@@ -158,6 +160,16 @@
             self.settings.node_name, self.view, self.clients.pool, self.timer
         )
         self._tasks.spawn(keep(survey.run, name="survey"), "survey")
+        demand = DemandSurvey(
+            self.settings.node_name,
+            self.view,
+            self.clients.pool,
+            self.timer,
+            self.lease,
+            self.path.demand,
+            self.planner.demand,
+        )
+        self._tasks.spawn(keep(demand.run, name="demand"), "demand")
         self._tasks.spawn(every(FORGET_S, self._forget_gone, name="forget"), "forget")
         tell = every(TELL_CALLS_S, self._tell_calls, name="tell-calls")
         self._tasks.spawn(tell, "tell-calls")
@@ -189,6 +201,8 @@
                 await self.relay.serve(message, channel)
             case CrashesSeen():
                 await self.news.take(message, channel)
+            case QueryDemand():
+                await channel.send(demand_reply(self.path.demand))
             case QueryStatus():
                 await channel.send(self.status())
             case _:
--- a/packages/placement/src/fordhatch/placement/_conversion.py
+++ b/packages/placement/src/fordhatch/placement/_conversion.py
@@ -100,9 +100,12 @@
     """Return whether a group may give way to a model.
 
     One whose own model is no longer declared is worth nothing by itself: it only
-    gives way to a model that lacks groups, or it would go to whatever is staged.
+    gives way to a model that lacks groups, or it would go to whatever is staged. The
+    last group of a declared model stays, however little is asked of it.
     """
-    return layout.profile.model(group.model) is not None or layout.lacks(model)
+    if layout.profile.model(group.model) is None:
+        return layout.lacks(model)
+    return layout.counts[group.model] > 1
 
 
 def _loss(layout: Layout, groups: Sequence[ReplicaGroup]) -> float:
--- /dev/null
+++ b/packages/placement/src/fordhatch/placement/_demand_book.py
@@ -0,0 +1,184 @@
+"""What is asked of each model by all nodes, as far as some of them have said.
+
+Groups used to follow the shares that operators declare for the start. Where a declared
+half was a tenth in fact, the model that had the other nine tenths lacked groups in each
+burst: 0.46 to 0.61 of its requests were on time while 0.93 of the other's were.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping, Sequence
+
+import attrs
+
+from fordhatch.catalog import EngineProfile, ModelDemand, ModelKey, ModelProfile
+
+WORD_S = 1.2
+"""How long a node's word counts. Sixteen nodes are asked each 0.4 s, so that about
+fifty words count at any time, or those of all nodes where there are fewer."""
+
+TRUSTED_AFTER_S = 1.2
+"""Words count from this time on after the first one: a planner that has just taken over
+would otherwise move groups on the word of a few nodes."""
+
+UNHEARD_S = 3.0
+"""Where no node says anything for this long, what operators declare has to do."""
+
+RISE_S = 0.5
+"""Time in which what is asked is believed when it grows: a burst lasts some seconds,
+and a group of another model takes three to give way."""
+
+FALL_S = 6.0
+"""The same when it falls: groups that are left too early are missed in the next wave,
+those that are kept too long cost the other model a few late requests."""
+
+DECLARED_REQUESTS = 25.0
+"""Declared shares count for this many requests a second beside those that are seen:
+what a handful of requests asks for says nothing about the next ones."""
+
+DECLARED_BUSY = 0.3
+"""How busy groups are taken to be whose work is only declared. Groups in use are about
+that busy on ordinary days, so that measured and declared work can be mixed."""
+
+
+TOLD_SHARE = 0.25
+"""A change of this share is logged: waves of a fifth come and go without a line."""
+
+
+@attrs.frozen
+class _Word:
+    at_s: float
+    demand: Mapping[ModelKey, ModelDemand]
+
+
+@attrs.define(eq=False, repr=False)
+class DemandBook:
+    """The words of nodes, and what follows from them for all."""
+
+    _words: dict[str, _Word] = attrs.field(factory=dict)
+    _smoothed: dict[ModelKey, ModelDemand] = attrs.field(factory=dict)
+    _told: dict[str, dict[str, float]] = attrs.field(factory=dict)
+    """What was last logged, by service and model."""
+    _began_s: float | None = None
+    """When words were first waited for."""
+    _first_s: float | None = None
+    _last_s: float = -math.inf
+
+    def heard(
+        self, node_name: str, demand: Mapping[ModelKey, ModelDemand], now_s: float
+    ) -> None:
+        """Take a node's word."""
+        self._words[node_name] = _Word(now_s, dict(demand))
+        if self._first_s is None:
+            self._first_s = now_s
+
+    def is_trusted(self, now_s: float) -> bool:
+        """Return whether groups may be moved by what is known.
+
+        Either words have come for long enough, or nobody says anything.
+        """
+        if self._first_s is not None:
+            return now_s - self._first_s >= TRUSTED_AFTER_S
+        if self._began_s is None:
+            self._began_s = now_s
+        return now_s - self._began_s >= UNHEARD_S
+
+    def step(self, node_count: int, now_s: float) -> None:
+        """Follow what the nodes ask for now.
+
+        Args:
+            node_count: Nodes that there are; those that were not asked are taken to
+                be like the others.
+            now_s: Monotonic seconds.
+        """
+        self._words = {n: w for n, w in self._words.items() if now_s - w.at_s <= WORD_S}
+        if not self._words:
+            return
+        factor = max(node_count, len(self._words)) / len(self._words)
+        seen: dict[ModelKey, ModelDemand] = {}
+        for word in self._words.values():
+            for key, demand in word.demand.items():
+                seen[key] = seen.get(key, ModelDemand()) + demand.times(factor)
+        passed_s = min(max(now_s - self._last_s, 0.0), FALL_S)
+        self._last_s = now_s
+        for key in self._smoothed.keys() | seen.keys():
+            self._follow(key, seen.get(key, ModelDemand()), passed_s)
+
+    def _follow(self, key: ModelKey, seen: ModelDemand, passed_s: float) -> None:
+        known = self._smoothed.get(key)
+        if known is None:
+            self._smoothed[key] = seen
+            return
+        time_s = RISE_S if seen.busy_groups > known.busy_groups else FALL_S
+        weight = -math.expm1(-passed_s / time_s)
+        self._smoothed[key] = known.times(1.0 - weight) + seen.times(weight)
+
+    def measured(self, service: str, models: Sequence[ModelProfile]) -> ModelDemand:
+        """Return what is asked of all models of a service together."""
+        return sum((self._of(service, m) for m in models), ModelDemand())
+
+    def _of(self, service: str, model: ModelProfile) -> ModelDemand:
+        return self._smoothed.get((service, model.name), ModelDemand())
+
+    def busy_groups(
+        self, service: str, profile: EngineProfile, backends: int
+    ) -> dict[str, float]:
+        """Return how many full groups of each model the work of all callers fills.
+
+        Args:
+            service: The service.
+            profile: Its engine, with the declared shares.
+            backends: Backend servers that are in a group or could be.
+        """
+        declared = declared_busy_groups(profile, backends)
+        requests_per_s = self.measured(service, profile.models).requests_per_s
+        trust = requests_per_s / (requests_per_s + DECLARED_REQUESTS)
+        return {
+            model.name: declared[model.name]
+            if model.wanted_groups is not None
+            else trust * self._of(service, model).busy_groups
+            + (1.0 - trust) * declared[model.name]
+            for model in profile.models
+        }
+
+    def has_moved(self, service: str, busy_groups: Mapping[str, float]) -> bool:
+        """Return whether the work of a model has changed much since that was told."""
+        told = self._told.get(service)
+        if told is not None and not any(
+            _differ(work, told.get(model, 0.0)) for model, work in busy_groups.items()
+        ):
+            return False
+        self._told[service] = dict(busy_groups)
+        return True
+
+    def forget(self) -> None:
+        """Forget everything; another planner goes on."""
+        self._words.clear()
+        self._told.clear()
+        self._smoothed.clear()
+        self._began_s = self._first_s = None
+        self._last_s = -math.inf
+
+
+def _differ(work: float, other: float) -> bool:
+    return abs(work - other) > TOLD_SHARE * max(work, other)
+
+
+def declared_busy_groups(profile: EngineProfile, backends: int) -> dict[str, float]:
+    """Return the work of each model as operators declare it, in full groups.
+
+    Args:
+        profile: The engine, with the shares or numbers of groups that are declared.
+        backends: Backend servers that are in a group or could be.
+    """
+    total = sum(m.share for m in profile.models) or 1.0
+    return {
+        m.name: DECLARED_BUSY
+        * (
+            float(m.wanted_groups)
+            if m.wanted_groups is not None
+            else m.share / total * backends / m.size
+        )
+        for m in profile.models
+    }
--- a/packages/placement/src/fordhatch/placement/_group_builder.py
+++ b/packages/placement/src/fordhatch/placement/_group_builder.py
@@ -19,10 +19,27 @@
 CONVERSION_LIMIT_S = 8.0
 """Heads that are closed for a conversion finish their requests within this time."""
 
+MOST_CONVERSIONS = 3
+"""Conversions at a time. Each takes about three seconds, and a burst may want three
+groups to give way; more at once would leave a model of six groups with too few."""
+
+
+REVERSAL_S = 8.0
+"""A model that has just got a group of another one gives none up for this long: what
+is asked for is known to a tenth, and each move costs both two seconds of a group."""
+
+
+@attrs.frozen
+class _Pending:
+    """A conversion whose donors have not all let go."""
+
+    conversion: Conversion
+    since_s: float
+
 
 @attrs.define(eq=False, repr=False)
 class GroupBuilder:
-    """Forms groups from free backend servers, one conversion at a time."""
+    """Forms groups of free backend servers, and has others give way for them."""
 
     care: GroupCare
     formations: Formations
@@ -30,8 +47,10 @@
     timer: Timer
     next_epoch: Callable[[], int]
     """Returns an epoch that no group has had."""
-    _conversion: Conversion | None = None
-    _conversion_since_s: float = 0.0
+    _pending: dict[str, _Pending] = attrs.field(factory=dict)
+    """Conversions by fabric domain."""
+    _gained_s: dict[str, float] = attrs.field(factory=dict)
+    """When a group last gave way for each model."""
 
     def step(
         self,
@@ -51,14 +70,24 @@
             is_first_layout: Nothing serves yet; loads are quick.
             may_convert: Groups may be given up for others in this step.
         """
-        free = self._finish_conversion(layout, free)
+        free = self._finish_conversions(layout, free)
         if may_convert and not is_first_layout:
             free = self._convert(layout, free, kept)
         return self._form(layout, free, is_first_layout)
 
     def forget(self) -> None:
         """Forget what is under way; another planner goes on."""
-        self._conversion = None
+        self._pending.clear()
+        self._gained_s.clear()
+
+    def _has_gained(self, model: str, now_s: float) -> bool:
+        """Return whether groups of other models gave way for a model lately."""
+        gained_s = self._gained_s.get(model)
+        return gained_s is not None and now_s - gained_s < REVERSAL_S
+
+    def on_their_way(self) -> list[tuple[str, str]]:
+        """Return model and domain of the groups that others give way for."""
+        return [(p.conversion.model.name, d) for d, p in self._pending.items()]
 
     def _form(
         self, layout: Layout, free: list[BackendServer], is_first_layout: bool
@@ -71,23 +100,35 @@
             self._begin(layout, plan)
             left.take(plan)
 
-    def _finish_conversion(
+    def _finish_conversions(
         self, layout: Layout, free: list[BackendServer]
     ) -> list[BackendServer]:
-        """Form the group that others were given up for, once all have let go.
+        """Form the groups that others were given up for, once all have let go.
 
         Until then nobody else gets their members; returns who else is free.
         """
-        pending = self._conversion
-        if pending is None:
-            return free
-        waited_s = self.timer.now_s() - self._conversion_since_s
-        held = any(self.dissolutions.is_held(g.key) for g in pending.donors)
+        for domain, pending in list(self._pending.items()):
+            free = self._finish(layout, free, domain, pending)
+        return free
+
+    def _finish(
+        self,
+        layout: Layout,
+        free: list[BackendServer],
+        domain: str,
+        pending: _Pending,
+    ) -> list[BackendServer]:
+        waited_s = self.timer.now_s() - pending.since_s
+        donors = pending.conversion.donors
+        held = any(self.dissolutions.is_held(g.key) for g in donors)
         if held and waited_s < CONVERSION_LIMIT_S:
-            return [b for b in free if b.domain != pending.domain]
-        self._conversion = None
-        there = [b for b in free if b.domain == pending.domain]
-        plan = choose_group(layout, there, only_model=pending.model.name)
+            return [b for b in free if b.domain != domain]
+        del self._pending[domain]
+        # It has been counted as if it were there.
+        model = pending.conversion.model
+        layout.remove(model.name, domain)
+        there = [b for b in free if b.domain == domain]
+        plan = choose_group(layout, there, only_model=model.name)
         if plan is None:
             return free
         self._begin(layout, plan)
@@ -105,24 +146,34 @@
     def _convert(
         self, layout: Layout, free: list[BackendServer], kept: list[ReplicaGroup]
     ) -> list[BackendServer]:
-        """Give up groups for one that is worth more, one conversion at a time.
+        """Give up groups for one that is worth more, one conversion in each domain.
 
         Returns:
             Who is free for other groups meanwhile.
         """
-        if self._conversion is not None:
+        if len(self._pending) >= MOST_CONVERSIONS:
             return free
-        serving = [g for g in kept if self.care.is_settled(g)]
-        if self.formations.active:
+        serving = [
+            g
+            for g in kept
+            if self.care.is_settled(g)
+            and g.head is not None
+            and g.head.domain not in self._pending
+        ]
+        if self.formations.active or self._pending:
             # A new version takes over group by group: the next one only gives way
             # when the one before has been replaced.
             serving = [g for g in serving if layout.profile.model(g.model) is not None]
-        found = choose_conversion(layout, free, serving)
+        now_s = self.timer.now_s()
+        serving = [g for g in serving if not self._has_gained(g.model, now_s)]
+        # Groups that were lost a moment ago are nearly there again.
+        healed = layout.with_more(self.care.lost.healing(now_s))
+        found = choose_conversion(healed, free, serving)
         if found is None:
             return free
-        self._conversion = found
-        self._conversion_since_s = self.timer.now_s()
+        self._pending[found.domain] = _Pending(found, now_s)
+        self._gained_s[found.model.name] = now_s
         for group in found.donors:
             reason = f"makes room for {found.model.name}"
-            self.care.dissolve(group, reason, finishes_work=True)
+            self.care.dissolve(group, reason, finishes_work=True, is_lost=False)
         return [b for b in free if b.domain != found.domain]
--- a/packages/placement/src/fordhatch/placement/_group_care.py
+++ b/packages/placement/src/fordhatch/placement/_group_care.py
@@ -17,6 +17,7 @@
 from ._groups_seen import GroupCondition, GroupSeen, judge
 from ._layout import Layout
 from ._loss_check import LossCheck
+from ._lost_groups import LostGroups
 
 TAKEOVER_GRACE_S = 1.2
 """A new planner waits this long for groups that an earlier one was forming."""
@@ -50,6 +51,7 @@
     formations: Formations
     dissolutions: Dissolutions
     loops: CrashLoops
+    lost: LostGroups = attrs.field(factory=LostGroups)
     _members_seen: dict[Key, dict[int, BackendServer]] = attrs.field(factory=dict)
     _restarted: set[Key] = attrs.field(factory=set)
     """Groups in which a member was seen under a later start: it may have a place
@@ -81,6 +83,7 @@
                 self._serving_since_s.setdefault(group.key, self.timer.now_s())
                 if self.formations.opened(group.key):
                     self.loops.opened(group.model)
+                    self.lost.opened(group.model)
             case GroupCondition.COMPLETE:
                 self.formations.open(group)
             case GroupCondition.LEAVING:
@@ -104,7 +107,8 @@
             self._serving_since_s.setdefault(group.key, self.timer.now_s())
             self._remember(group)
             return True
-        self.dissolve(group, "model is not declared", finishes_work=True)
+        reason = "model is not declared"
+        self.dissolve(group, reason, finishes_work=True, is_lost=False)
         return False
 
     def _tend_leaving(
@@ -213,9 +217,24 @@
         return bool(absent)
 
     def dissolve(
-        self, group: ReplicaGroup, reason: str, *, finishes_work: bool = False
+        self,
+        group: ReplicaGroup,
+        reason: str,
+        *,
+        finishes_work: bool = False,
+        is_lost: bool = True,
     ) -> None:
-        """Begin to take a group apart, members that are no longer listed included."""
+        """Begin to take a group apart, members that are no longer listed included.
+
+        Args:
+            group: The group.
+            reason: For the log.
+            finishes_work: Whether the head first finishes its requests.
+            is_lost: Whether another group of its model is to take its place.
+        """
+        served = group.key in self._serving_since_s
+        if is_lost and served and not self.dissolutions.is_held(group.key):
+            self.lost.lost(group.model, self.timer.now_s())
         members = {**self._members_seen.get(group.key, {}), **group.members}
         whole = ReplicaGroup(group.name, group.epoch, members)
         self.dissolutions.begin(whole, reason, finishes_work=finishes_work)
@@ -330,6 +349,7 @@
 
     def forget(self) -> None:
         """Forget what was seen while this node planned."""
+        self.lost.forget()
         self._restarted.clear()
         self._odd_since_s.clear()
         self._serving_since_s.clear()
--- a/packages/placement/src/fordhatch/placement/_layout.py
+++ b/packages/placement/src/fordhatch/placement/_layout.py
@@ -9,6 +9,9 @@
 
 from fordhatch.catalog import BackendServer, EngineProfile, ModelProfile
 
+from ._demand_book import declared_busy_groups
+from ._group_need import group_need
+
 REJOIN_S = 0.2
 """A backend server whose last group served the same model joins in this time."""
 
@@ -21,6 +24,14 @@
 """Groups wanted of a model that nobody asks for: more than none, so that a group of
 it is formed before backend servers stand idle."""
 
+NEARLY_WHOLE = 0.1
+"""Share of a group that may be lacking to a whole one that is wanted. What is left over
+of a model of large groups does more as groups of a smaller one: 6.75 groups of twelve
+that were rounded up left ten groups of six where 13.5 were wanted."""
+
+LEAST_WORK = 0.003
+"""The work of a model that nobody asks for, in full groups, for the same reason."""
+
 HORIZON_S = 15.0
 """Over this time a new group's service is weighed against the time until it opens;
 a group lives about this long before one of its members is lost."""
@@ -55,17 +66,37 @@
     """Backend servers that are in a group or could be."""
     domain_sizes: Counter[str] = attrs.field(factory=Counter)
     """The same by domain."""
+    busy_groups: Mapping[str, float] | None = None
+    """Full groups that the work of each model's callers fills; None where nothing is
+    known but what is declared."""
+    missing: Counter[str] = attrs.field(factory=Counter)
+    """Groups of each model that are missing on average because members were lost."""
+    _declared: Mapping[str, float] = attrs.field(factory=dict, init=False)
+    _needs: dict[tuple[str, int], float] = attrs.field(factory=dict, init=False)
+    """What one more group of a model is worth at a number of groups; a step of the
+    planner asks some hundred times for the same few."""
 
     def count_backends(self, backends: Collection[BackendServer]) -> None:
         """Count the backend servers that are in a group or could be."""
         self.backends = len(backends)
         self.domain_sizes = Counter(b.domain for b in backends)
+        self._declared = {}
+        self._needs.clear()
 
     def add(self, model: str, domain: str) -> None:
         """Count a group."""
         self.counts[model] += 1
         self.spread[domain, model] += 1
 
+    def with_more(self, groups: Counter[str]) -> Layout:
+        """Return the layout as it would be with more groups of some models."""
+        return attrs.evolve(self, counts=self.counts + groups)
+
+    def remove(self, model: str, domain: str) -> None:
+        """Count a group no more."""
+        self.counts[model] -= 1
+        self.spread[domain, model] -= 1
+
     def target(self, model: ModelProfile) -> float:
         """Return how many groups of a model are wanted.
 
@@ -73,8 +104,17 @@
         """
         if model.wanted_groups is not None:
             return max(float(model.wanted_groups), LEAST_TARGET)
-        total = sum(m.share for m in self.profile.models) or 1.0
-        return max(model.share / total * self.backends / model.size, LEAST_TARGET)
+        total = sum(self._work(m) * m.size for m in self.profile.models) or 1.0
+        share = self._work(model) * model.size / total
+        return max(share * self.backends / model.size, LEAST_TARGET)
+
+    def _work(self, model: ModelProfile) -> float:
+        """Return the full groups that the work of a model's callers fills."""
+        if self.busy_groups is not None:
+            return self.busy_groups.get(model.name, 0.0)
+        if not self._declared:
+            self._declared = declared_busy_groups(self.profile, self.backends)
+        return self._declared[model.name]
 
     def lacks_groups(self) -> bool:
         """Return whether some declared model has fewer groups than are wanted."""
@@ -87,18 +127,21 @@
     def need(self, model: ModelProfile, change: int = 0) -> float:
         """Return what one more group of a model is worth.
 
-        Callers' waits grow about with the square of how busy groups are, so what a
-        model loses is its work times that square, and one more group saves the cube
-        of how busy the groups are.
-
         Args:
             model: The model.
             change: Groups more or fewer than there are now.
         """
         count = self.counts[model.name] + change
+        known = self._needs.get((model.name, count))
+        if known is None:
+            known = self._needs[model.name, count] = self._need_at(model, count)
+        return known
+
+    def _need_at(self, model: ModelProfile, count: int) -> float:
         if model.most_groups is not None and count >= model.most_groups:
             return 0.0
-        return model.weight * (self.target(model) / max(count + 0.5, 0.5)) ** 3
+        work = max(self._work(model), LEAST_WORK)
+        return model.weight * group_need(work, count, self.missing[model.name])
 
     def value(self, plan: GroupPlan) -> float:
         """Return what a group is worth, less for the time until it opens.
@@ -240,11 +283,12 @@
 
 
 def _below_target(layout: Layout) -> list[ModelProfile]:
-    """Return the models that lack groups, those with the largest groups first."""
+    """Return the models that lack whole groups, those with the largest ones first."""
     lacking = [
         m
         for m in layout.profile.models
-        if layout.lacks(m) and m.name not in layout.held_off
+        if layout.counts[m.name] + 1 <= layout.target(m) + NEARLY_WHOLE
+        and m.name not in layout.held_off
     ]
     lacking.sort(key=lambda m: m.size, reverse=True)
     return lacking
--- a/packages/placement/src/fordhatch/placement/_planner.py
+++ b/packages/placement/src/fordhatch/placement/_planner.py
@@ -16,11 +16,12 @@
     SystemBounds,
     model_of_group,
 )
-from fordhatch.core import Timer
+from fordhatch.core import Timer, log_event, metrics
 from fordhatch.registry import BACKENDS_GATHER_S, ReplicaGroup, StoreView
 
 from ._crash_loops import CrashLoops
 from ._crash_record_care import CrashRecordCare
+from ._demand_book import DemandBook
 from ._dissolutions import Dissolutions
 from ._formations import Formations
 from ._group_builder import GroupBuilder
@@ -85,6 +86,7 @@
     slow: SlowBackends
     crash_records: CrashRecordCare
     loops: CrashLoops
+    demand: DemandBook
     builder: GroupBuilder = attrs.field(init=False)
     last_model: dict[str, str] = attrs.field(factory=dict)
     """Model of each backend server's last group."""
@@ -138,6 +140,7 @@
             SlowBackends(view, store, backends, timer),
             CrashRecordCare(view, store, timer),
             loops,
+            DemandBook(),
         )
         planner.builder = GroupBuilder(
             care, formations, dissolutions, timer, planner.next_epoch
@@ -181,6 +184,7 @@
         self.staging.forget()
         self.care.forget()
         self.loops.forget()
+        self.demand.forget()
         self.builder.forget()
 
     def _note_model(self, backend: BackendServer) -> None:
@@ -211,6 +215,9 @@
         if configuration is None or not self.view.backends.is_loaded:
             return
         is_slow_step = self._is_slow_step_due()
+        now_s = self.timer.now_s()
+        self.demand.step(len(self.view.shared.nodes), now_s)
+        self.care.lost.step(now_s)
         for service in configuration.engine_services():
             self._plan_service(service, is_slow_step=is_slow_step)
         self.slow.step()
@@ -224,6 +231,10 @@
         self.loops.step(self.losses.dead)
         layout = Layout(service.engine, self.last_model, self.loops.held_off())
         layout.count_backends(self._usable(service))
+        layout.missing = self.care.lost.missing()
+        layout.busy_groups = self.demand.busy_groups(
+            service.name, service.engine, layout.backends
+        )
         kept: list[ReplicaGroup] = []
         # Groups of models that are no longer declared come last: whether they are
         # still needed depends on the others.
@@ -241,6 +252,8 @@
         for key, formation in self.formations.active.items():
             if key not in groups:
                 layout.add(formation.plan.model.name, formation.plan.members[0].domain)
+        for model, domain in self.builder.on_their_way():
+            layout.add(model, domain)
         self.dissolutions.step()
         # Whoever was just found to be lost must not be counted on.
         usable = self._usable(service)
@@ -250,8 +263,10 @@
         if self._is_still_filling():
             return
         first = self._are_loads_free()
+        may_convert = is_slow_step and self.demand.is_trusted(self.timer.now_s())
+        self._tell(service, layout)
         free = self.builder.step(
-            layout, free, kept, is_first_layout=first, may_convert=is_slow_step
+            layout, free, kept, is_first_layout=first, may_convert=may_convert
         )
         self.dissolutions.free_leftovers(self.formations.member_ids())
         if first or is_slow_step:
@@ -259,6 +274,24 @@
             self.staging.forget_done(usable)
             self.staging.step(layout, free, grouped, are_loads_free=first)
 
+    def _tell(self, service: Service, layout: Layout) -> None:
+        """Log what is asked of each model when that has changed, beside its groups."""
+        busy = layout.busy_groups or {}
+        for model, work in busy.items():
+            metrics.MODEL_BUSY_GROUPS.labels(service.name, model).set(work)
+        if not self.demand.has_moved(service.name, busy):
+            return
+        for model in service.engine.models:
+            log_event(
+                "model_demand",
+                service=service.name,
+                model=model.name,
+                busy_groups=round(busy.get(model.name, 0.0), 2),
+                missing=round(layout.missing[model.name], 2),
+                groups=layout.counts[model.name],
+                wanted=round(layout.target(model), 2),
+            )
+
     def _is_slow_step_due(self) -> bool:
         """Return whether it is time to look at conversions and loads again."""
         now_s = self.timer.now_s()
--- a/packages/placement/tests/test_model_changes.py
+++ b/packages/placement/tests/test_model_changes.py
@@ -41,18 +41,22 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     ended: list[bool] = []
-    finish = GroupBuilder._finish_conversion
+    finish = GroupBuilder._finish
 
     def spy(
-        self: GroupBuilder, layout: Layout, free: list[BackendServer]
+        self: GroupBuilder,
+        layout: Layout,
+        free: list[BackendServer],
+        domain: str,
+        pending: object,
     ) -> list[BackendServer]:
-        pending, formations = self._conversion, len(self.formations.active)
-        left = finish(self, layout, free)
-        if pending is not None and self._conversion is None:
+        formations = len(self.formations.active)
+        left = finish(self, layout, free, domain, pending)
+        if domain not in self._pending:
             ended.append(len(self.formations.active) > formations)
         return left
 
-    monkeypatch.setattr(GroupBuilder, "_finish_conversion", spy)
+    monkeypatch.setattr(GroupBuilder, "_finish", spy)
 
     async def scenario(site: Site) -> None:
         await standard_site(site, domains=2, nodes=1)
--- a/packages/protocol/src/fordhatch/protocol/_messages.py
+++ b/packages/protocol/src/fordhatch/protocol/_messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from typing import Any, TypeVar
 
@@ -201,6 +202,31 @@
     """The answer to ``CrashesSeen``."""
 
 
-ONE_ANSWER = frozenset({QueryStatus, WatchTables, CrashesSeen})
+def _demand(_: object, attribute: attrs.Attribute, value: object) -> None:
+    if type(value) is not list:
+        raise FieldError(f"{attribute.name}: expected a list")
+    for entry in value:
+        if [type(field) for field in entry] != [str, str, float, float]:
+            raise FieldError(f"{attribute.name}: unexpected entry")
+        if not all(0.0 <= number < math.inf for number in entry[2:]):
+            raise FieldError(f"{attribute.name}: expected finite numbers from 0 on")
+
+
+@message(66)
+@attrs.frozen
+class QueryDemand:
+    """Asks a node what its callers have asked of each model lately."""
+
+
+@message(67)
+@attrs.frozen
+class DemandReply:
+    """What a node's callers have asked of each model lately."""
+
+    models: list[tuple[str, str, float, float]] = attrs.field(validator=_demand)
+    """Service, model, requests per second, and the groups that these keep busy."""
+
+
+ONE_ANSWER = frozenset({QueryStatus, QueryDemand, WatchTables, CrashesSeen})
 """Requests whose first answer is their last: neither side says that it is done, which
 halves the frames between nodes."""
--- a/packages/serving/src/fordhatch/serving/__init__.py
+++ b/packages/serving/src/fordhatch/serving/__init__.py
@@ -6,6 +6,7 @@
 from ._backend_health import BackendHealth
 from ._caller_server import CallerServer
 from ._crash_watch import CrashWatch
+from ._demand_meter import DemandMeter
 from ._dispatch import Dispatch
 from ._exchange import BackendAnswer, ExchangeClient, SendFailure, SendProblem
 from ._group_progress import GroupProgress
@@ -26,6 +27,7 @@
     "BackendHealth",
     "CallerServer",
     "CrashWatch",
+    "DemandMeter",
     "Dispatch",
     "ExchangeClient",
     "GroupProgress",
--- a/packages/serving/src/fordhatch/serving/_request_path.py
+++ b/packages/serving/src/fordhatch/serving/_request_path.py
@@ -11,6 +11,7 @@
 from ._backend_health import BackendHealth
 from ._crash_teller import CrashTeller
 from ._crash_watch import CrashWatch
+from ._demand_meter import DemandMeter
 from ._dispatch import Dispatch
 from ._exchange import ExchangeClient
 from ._group_progress import GroupProgress
@@ -34,6 +35,7 @@
     health: BackendHealth
     stalls: StallWatch
     crashes: CrashWatch
+    demand: DemandMeter
 
     @classmethod
     def create(
@@ -77,6 +79,7 @@
         runs = StreamRuns(
             timer, view.directory, health, progress, stalls, choice, exchange, crashes
         )
+        demand = DemandMeter(timer)
         streams = StreamCalls.create(
             view.directory,
             timer=timer,
@@ -85,6 +88,7 @@
             admission=admission,
             runs=runs,
             crashes=crashes,
+            demand=demand,
         )
         plain = PlainCalls(
             zone,
@@ -98,7 +102,7 @@
             crashes,
         )
         dispatch = Dispatch(state, budget, streams, plain, timer, crashes)
-        return cls(state, admission, dispatch, budget, health, stalls, crashes)
+        return cls(state, admission, dispatch, budget, health, stalls, crashes, demand)
 
     def forget_gone(self) -> None:
         """Drop what is remembered of backend servers and groups that are gone."""
--- a/packages/serving/src/fordhatch/serving/_stream_call.py
+++ b/packages/serving/src/fordhatch/serving/_stream_call.py
@@ -12,6 +12,7 @@
 
 from ._admission import Admission
 from ._crash_watch import CrashWatch
+from ._demand_meter import DemandMeter
 from ._events import EventOrder
 from ._exchange import SendFailure
 from ._group_wait import GroupWait, group_wait
@@ -39,6 +40,7 @@
     admission: Admission
     runs: StreamRuns
     crashes: CrashWatch
+    demand: DemandMeter
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     @classmethod
@@ -58,6 +60,9 @@
         """Serve one request; the reply has its final answer afterwards."""
         order = EventOrder.from_last_event_id(request.fields.last_event_id)
         stream = Stream(request, reply, order, profile)
+        fields, route = request.fields, request.route.name
+        key = request.service, stream.model
+        self.demand.arrived(key, route, profile, fields.prompt_tokens)
         for _ in range(MOST_SENDS):
             head = await self._next_head(stream)
             if head is None:
@@ -66,6 +71,7 @@
             done = await self.runs.run(stream, head)
             if done.is_ok():
                 request.was_answered = True
+                self.demand.answered(route, profile, stream.events)
                 return
             stream.last_problem = done.unwrap_err()
             if self.crashes.quarantine.is_suspect(request):
