Nodes that start while the store is away ask it seldom

Cause: where all nodes start in an outage of the store none of them knows another one. Each asked for the configuration five times a second, tried to write its row twice a second and looked at the planner's lease as if it were the first candidate.

Ruled out: asking others (their addresses lie in the store alone).

Change: at most two tries a second at the tables while a node has none, pauses of 0.5 to 4 s for its row, and no look at the lease before the table that names the nodes is there.

--- a/packages/node/src/fordhatch/node/_registration.py
+++ b/packages/node/src/fordhatch/node/_registration.py
@@ -38,7 +38,10 @@
 first one's reaches the others within some milliseconds."""
 
 REGISTER_RETRY_S = 0.5
-"""Pause between tries to write the node's own row."""
+"""Pause after the first try to write the node's own row; it doubles with each."""
+
+REGISTER_RETRY_MOST_S = 4.0
+"""Longest such pause: a node without a row is served by others, and serves."""
 
 
 @attrs.define(eq=False, repr=False)
@@ -80,6 +83,7 @@
     async def _write_until_done(
         self, expected: dict[RowKey, int], puts: dict[RowKey, bytes]
     ) -> None:
+        pause_s = REGISTER_RETRY_S
         while True:
             written = await self.store.write(
                 expected, puts, timeout_s=REGISTER_TIMEOUT_S
@@ -87,7 +91,8 @@
             if written.is_ok():
                 return
             log_event("node_not_registered", error=written.err().message)
-            await self.timer.sleep(self.timer.jittered(REGISTER_RETRY_S))
+            await self.timer.sleep(self.timer.jittered(pause_s))
+            pause_s = min(2 * pause_s, REGISTER_RETRY_MOST_S)
 
 
 def _weight(settings: NodeSettings) -> float:
--- a/packages/node/tests/test_starts.py
+++ b/packages/node/tests/test_starts.py
@@ -80,3 +80,21 @@
         await site.close()
 
     run_in_virtual_time(scenario())
+
+
+def test_nodes_that_all_start_while_the_store_is_away_ask_it_seldom() -> None:
+    async def scenario() -> None:
+        site = LabSite.create(Experiment(nodes=20, domains=1))
+        await site.start()
+        await asyncio.sleep(12.0)
+        site.store.faults.is_down = True
+        await site.restart_all()
+        before = site.store_calls()
+        await asyncio.sleep(6.0)
+        # Its tables twice a second, its row ever more seldom, no look at the lease.
+        assert (site.store_calls() - before).total() <= 20 * 6.0 * 4
+        site.store.faults.is_down = False
+        assert await until_ready(site) < 0.8
+        await site.close()
+
+    run_in_virtual_time(scenario())
--- a/packages/placement/src/fordhatch/placement/_planner_lease.py
+++ b/packages/placement/src/fordhatch/placement/_planner_lease.py
@@ -38,8 +38,9 @@
 started at once, some of these are there. That the others looked as well was one call in
 seven of a bad day."""
 
-NODES_AFTER_S = 0.3
-"""A node that has just started first waits this long for the names of the others."""
+NODES_AFTER_S = 10.0
+"""A node that has just started first waits this long for the names of the others: while
+it has not read the table that names them, it could not plan either."""
 
 NODES_LOOK_S = 0.02
 """Time between looks whether the names are there."""
--- a/packages/registry/src/fordhatch/registry/_tables_follower.py
+++ b/packages/registry/src/fordhatch/registry/_tables_follower.py
@@ -35,6 +35,10 @@
 nobody of 79 nodes fresh any sooner, at half as many calls more; a limit of 15 made half
 of 30 nodes wait 0.6 s longer after the store's return."""
 
+UNLOADED_RETRY_MOST_S = 0.5
+"""Longest pause between failed calls of a node that has no table yet. Where all nodes
+start while the store is away, none of them knows another one, and each asks by itself."""
+
 NEXT_ROUND_S = 0.2
 """Pause after the nodes that were asked have failed: their place is found again in
 about as long."""
@@ -86,7 +90,8 @@
     async def _follow_store(self) -> None:
         """Follow every table at the store, as long as it is this node's turn."""
         tasks = TaskSet()
-        retry_most_s = RETRY_MOST_S
+        has_none = not any(f.is_loaded for f in self.followers.values())
+        retry_most_s = UNLOADED_RETRY_MOST_S if has_none else RETRY_MOST_S
         if self._whose_turn() is not None:
             retry_most_s *= self._spread()
         probe, *others = self.followers.values()
