--- a/packages/registry/src/fordhatch/registry/_tables_follower.py
+++ b/packages/registry/src/fordhatch/registry/_tables_follower.py
@@ -37,7 +37,7 @@
 
 UNLOADED_RETRY_MOST_S = 0.5
 """Longest pause between failed calls of a node that has no table yet. Where all nodes
-start while the store is away, none of them knows another one, and each asks by itself."""
+start while the store is away, none of them knows another one, and each asks itself."""
 
 NEXT_ROUND_S = 0.2
 """Pause after the nodes that were asked have failed: their place is found again in
