Words about demand that no node can have are refused; models that are gone are forgotten

Cause, found in reading: a number such as 1e300 in a node's word was accepted, and its square ended each step of the planner with an overflow. Models that are no longer declared stayed in the averages for ever.

Ruled out: clipping at the planner (a node that says so is broken, the others tell enough).

Change: numbers above a million are refused where messages are decoded, as negative ones and those that are none are; averages under a thousandth of a request a second are dropped. Tests were red before: the first one by an accepted message, the second by a key too many.

--- a/packages/placement/src/fordhatch/placement/_demand_book.py
+++ b/packages/placement/src/fordhatch/placement/_demand_book.py
@@ -46,6 +46,9 @@
 """How busy groups are taken to be whose work is only declared. Groups in use are about
 that busy on ordinary days, so that measured and declared work can be mixed."""
 
+FORGOTTEN_PER_S = 1e-3
+"""A model of which fewer requests a second come than this is forgotten: models come and
+go with the configuration."""
 
 TOLD_SHARE = 0.25
 """A change of this share is logged: waves of a fifth come and go without a line."""
@@ -53,6 +56,8 @@
 
 @attrs.frozen
 class _Word:
+    """What a node has said, and when."""
+
     at_s: float
     demand: Mapping[ModelKey, ModelDemand]
 
@@ -128,6 +133,11 @@
         self._last_s = now_s
         for key in self._averages.keys() | seen.keys():
             self._follow(key, seen.get(key, ModelDemand()), passed_s)
+        self._averages = {
+            key: known
+            for key, known in self._averages.items()
+            if known.slow.requests_per_s >= FORGOTTEN_PER_S
+        }
 
     def _follow(self, key: ModelKey, seen: ModelDemand, passed_s: float) -> None:
         known = self._averages.setdefault(key, _Averages(seen, seen, seen))
--- a/packages/placement/tests/test_demand_book.py
+++ b/packages/placement/tests/test_demand_book.py
@@ -106,3 +106,12 @@
     assert book.has_moved("llm", {"big": 2.0, "small": 8.0})
     assert not book.has_moved("llm", {"big": 2.3, "small": 7.0})
     assert book.has_moved("llm", {"big": 2.3, "small": 12.0})
+
+
+def test_models_that_nobody_asks_for_any_more_are_forgotten() -> None:
+    book = DemandBook()
+    hear(book, 24.0, 158.0, 0.0, 2.0)
+    book.heard("n1", {("llm", "gone"): ModelDemand(5.0, 0.5)}, 2.0)
+    book.step(NODES, 2.0)
+    hear(book, 24.0, 158.0, 2.0, 120.0)
+    assert set(book._averages) == {BIG, SMALL}
--- a/packages/protocol/src/fordhatch/protocol/_messages.py
+++ b/packages/protocol/src/fordhatch/protocol/_messages.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable
 from typing import Any, TypeVar
 
@@ -202,14 +201,19 @@
     """The answer to ``CrashesSeen``."""
 
 
+MOST_DEMAND = 1e6
+"""Requests a second, or full groups, that one node's callers may be said to ask for;
+three orders of magnitude above what any node carries."""
+
+
 def _demand(_: object, attribute: attrs.Attribute, value: object) -> None:
     if type(value) is not list:
         raise FieldError(f"{attribute.name}: expected a list")
     for entry in value:
         if [type(field) for field in entry] != [str, str, float, float]:
             raise FieldError(f"{attribute.name}: unexpected entry")
-        if not all(0.0 <= number < math.inf for number in entry[2:]):
-            raise FieldError(f"{attribute.name}: expected finite numbers from 0 on")
+        if not all(0.0 <= number <= MOST_DEMAND for number in entry[2:]):
+            raise FieldError(f"{attribute.name}: expected 0 to {MOST_DEMAND:g}")
 
 
 @message(66)
--- a/packages/protocol/tests/test_protocol.py
+++ b/packages/protocol/tests/test_protocol.py
@@ -21,6 +21,7 @@
     unpack_rows,
 )
 from fordhatch.protocol.messages import (
+    DemandReply,
     QueryStatus,
     StatusReply,
     TableChanges,
@@ -287,3 +288,28 @@
     got = await pool.request(f"127.0.0.1:{port}", QueryStatus(), 5.0)
     assert got.unwrap_err().code is ResultCode.PEER_UNREACHABLE
     await pool.close()
+
+
+@pytest.mark.parametrize(
+    "entry",
+    [
+        ["llm", "m", -1.0, 0.0],
+        ["llm", "m", 1.0, float("nan")],
+        ["llm", "m", float("inf"), 1.0],
+        ["llm", "m", 1.0, 1e300],
+        ["llm", "m", 1, 0.5],
+        ["llm", None, 1.0, 0.5],
+        ["llm", "m", 1.0],
+        ["llm", "m", "1", 0.5],
+    ],
+)
+def test_demand_that_no_node_can_have_is_refused(entry: list[object]) -> None:
+    with pytest.raises(FrameError):
+        decode(msgpack.packb([0, 67, [[entry]]]))
+
+
+def test_what_callers_ask_of_models_passes_between_nodes() -> None:
+    reply = DemandReply([("llm", "m", 24.0, 1.6)])
+    channel, found = decode(encode(3, reply))
+    assert channel == 3
+    assert [tuple(entry) for entry in found.models] == reply.models
