--- a/packages/placement/tests/test_model_changes.py
+++ b/packages/placement/tests/test_model_changes.py
@@ -100,7 +100,7 @@
     async def scenario(site: Site) -> None:
         await standard_site(site, domains=2, nodes=1)
         await ask_for(site, {"big": 1.2, "small": 1.2}, 40.0)
-        await ask_for(site, {"big": 0.6, "small": 4.0}, 16.0)
+        await ask_for(site, {"big": 0.6, "small": 4.0}, 8.0)
         assert site.fleet.working_groups()["big"] == 2
 
     play(scenario)
