--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -108,7 +108,7 @@
     Mechanism(
         "models exchange groups",
         f"{PLACEMENT}/_group_builder.py",
-        "            free = self._convert(layout, free, kept)\n",
+        "            left = self._convert(layout, left, kept)\n",
         "            pass\n",
     ),
     Mechanism(
--- a/packages/node/src/fordhatch/node/_registration.py
+++ b/packages/node/src/fordhatch/node/_registration.py
@@ -37,7 +37,7 @@
 """Where there is none, nodes propose one at moments of their own within this time: the
 first one's reaches the others within some milliseconds."""
 
-REGISTER_RETRY_S = 0.5
+REGISTER_RETRY_S = 1.0
 """Pause after the first try to write the node's own row; it doubles with each."""
 
 REGISTER_RETRY_MOST_S = 4.0
--- a/packages/registry/src/fordhatch/registry/_table_follower.py
+++ b/packages/registry/src/fordhatch/registry/_table_follower.py
@@ -99,10 +99,10 @@
                 for it then. None for that table itself.
         """
         while True:
+            while probe is not None and probe.is_failing:
+                await self.timer.sleep(RETRY_FIRST_S)
             if not await self.refresh(self.wait_s):
                 await self.timer.sleep(self._pause_s(retry_most_s))
-                while probe is not None and probe.is_failing:
-                    await self.timer.sleep(RETRY_FIRST_S)
             elif self.gather_s:
                 await self.timer.sleep(self.gather_s)
 
--- a/packages/registry/src/fordhatch/registry/_tables_follower.py
+++ b/packages/registry/src/fordhatch/registry/_tables_follower.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from fordhatch.core import TaskSet, Timer
+from fordhatch.core import Failure, ResultCode, TaskSet, Timer
 
 from ._reader_choice import NodeAddress
 from ._relay import RelayClient
@@ -35,7 +35,7 @@
 nobody of 79 nodes fresh any sooner, at half as many calls more; a limit of 15 made half
 of 30 nodes wait 0.6 s longer after the store's return."""
 
-UNLOADED_RETRY_MOST_S = 0.5
+UNLOADED_RETRY_MOST_S = 0.35
 """Longest pause between failed calls of a node that has no table yet. Where all nodes
 start while the store is away, none of them knows another one, and each asks itself."""
 
@@ -82,7 +82,10 @@
         if self.relay is None:
             return
         await self.timer.sleep(self.begin_spread_s * self.timer.rng.random())
-        await self.followers[SHARED_TABLE].refresh()
+        if not await self.followers[SHARED_TABLE].refresh():
+            # The store is away: one table is asked for from now on, the others wait.
+            probe = next(iter(self.followers.values()))
+            probe.failed(Failure.from_code(ResultCode.STORE_UNAVAILABLE))
 
     def _gather_s(self) -> float:
         return max(f.gather_s for f in self.followers.values())
