--- a/packages/node/tests/test_starts.py
+++ b/packages/node/tests/test_starts.py
@@ -91,7 +91,7 @@
         await site.restart_all()
         before = site.store_calls()
         await asyncio.sleep(6.0)
-        # Its tables twice a second, its row ever more seldom, no look at the lease.
+        # One table thrice a second, its row ever more seldom, no look at the lease.
         assert (site.store_calls() - before).total() <= 20 * 6.0 * 4
         site.store.faults.is_down = False
         assert await until_ready(site) < 0.8
--- a/packages/placement/src/fordhatch/placement/_planner_lease.py
+++ b/packages/placement/src/fordhatch/placement/_planner_lease.py
@@ -35,8 +35,8 @@
 
 START_CANDIDATES = 8
 """Nodes that look at once after their start, while they know no holder: where all have
-started at once, some of these are there. That the others looked as well was one call in
-seven of a bad day."""
+started at once, some of these are there. Looks at the lease were one call in seven of
+those in the logs of a bad day."""
 
 NODES_AFTER_S = 10.0
 """A node that has just started first waits this long for the names of the others: while
