What backend servers ask for is read and logged; nothing is decided by it yet

Neither logs nor metrics held the words by which a backend server says what it can bear, so that they could not tell a limit that nobody reads from one that each node keeps and their sum does not. Answers are decoded into rest, limit and departure; each that begins or changes is a line, what can't be read is counted.

--- a/packages/catalog/src/fordhatch/catalog/__init__.py
+++ b/packages/catalog/src/fordhatch/catalog/__init__.py
@@ -9,7 +9,13 @@
     MemberState,
     incarnation_id,
 )
-from ._calls import AnswerFields, CallFields, RefusalKind
+from ._calls import (
+    AnswerFields,
+    Backpressure,
+    CallFields,
+    PressureKind,
+    RefusalKind,
+)
 from ._configuration import (
     Configuration,
     EngineProfile,
@@ -29,6 +35,7 @@
     "AnswerFields",
     "BackendServer",
     "BackendState",
+    "Backpressure",
     "CallFields",
     "Configuration",
     "EngineProfile",
@@ -39,6 +46,7 @@
     "ModelKey",
     "ModelProfile",
     "NodeSettings",
+    "PressureKind",
     "RefusalKind",
     "Route",
     "RouteKind",
--- a/packages/catalog/src/fordhatch/catalog/_calls.py
+++ b/packages/catalog/src/fordhatch/catalog/_calls.py
@@ -33,6 +33,28 @@
     """The address belongs to another backend server now, or to another member."""
 
 
+class PressureKind(StrEnum):
+    """What a backend server may ask of those who send it requests."""
+
+    REST = "rest"
+    LIMIT = "limit"
+    LEAVING = "leaving"
+
+
+@attrs.frozen
+class Backpressure:
+    """What one answer of a backend server asks of its callers."""
+
+    rest_s: float | None = None
+    """It wants nothing from this node for so long."""
+    limit_per_s: float | None = None
+    """Requests a second that it takes from all nodes together; None for any number."""
+    is_leaving: bool = False
+    """It wants no new requests any more."""
+    unreadable: frozenset[PressureKind] = frozenset()
+    """What was said and could not be read."""
+
+
 @attrs.frozen
 class AnswerFields:
     """The fields of a backend server's answer that decide what to do with it."""
@@ -45,3 +67,5 @@
     """Whether the body was encoded on the way: then it is not the original."""
     backend_at_fault: str = ""
     """The backend server that a refusal names as the cause, if any."""
+    backpressure: Backpressure = Backpressure()
+    """What the backend server that has answered asks for."""
--- a/packages/serving/src/fordhatch/serving/_exchange.py
+++ b/packages/serving/src/fordhatch/serving/_exchange.py
@@ -15,7 +15,7 @@
 from yarl import URL
 
 from fordhatch.adapter import decode_answer, encode_call
-from fordhatch.catalog import AnswerFields, BackendServer, RefusalKind
+from fordhatch.catalog import AnswerFields, BackendServer, Backpressure, RefusalKind
 from fordhatch.core import Timer
 
 from ._request import ServedRequest
@@ -64,6 +64,8 @@
 
     problem: SendProblem
     detail: str = ""
+    backpressure: Backpressure | None = None
+    """What the backend server asked for as it refused; None where it said nothing."""
 
 
 def connection_problem(error: Exception) -> SendProblem:
@@ -269,14 +271,16 @@
         response: aiohttp.ClientResponse,
     ) -> Result[BackendAnswer, SendFailure]:
         fields = decode_answer(response.status, response.headers)
+        foreign = fields.request_id != request.fields.request_id
         if fields.refusal is not RefusalKind.NONE:
             response.close()
             request.arrived_at(backend.backend_id, may_have_run=False)
             other = fields.refusal is RefusalKind.OTHER_BACKEND
             problem = SendProblem.OTHER_BACKEND if other else SendProblem.REFUSED
-            return Err(SendFailure(problem, fields.backend_at_fault))
+            is_its_own = not other and not foreign
+            asked = fields.backpressure if is_its_own else None
+            return Err(SendFailure(problem, fields.backend_at_fault, asked))
         request.arrived_at(backend.backend_id, may_have_run=True)
-        foreign = fields.request_id != request.fields.request_id
         if foreign or fields.has_encoding or not fields.is_signed:
             response.close()
             return Err(SendFailure(SendProblem.BROKEN, "not the answer that is due"))
--- a/packages/serving/src/fordhatch/serving/_plain_call.py
+++ b/packages/serving/src/fordhatch/serving/_plain_call.py
@@ -24,6 +24,7 @@
     SendProblem,
     connection_problem,
 )
+from ._pressure_book import PressureBook
 from ._repeat_budget import RepeatBudget
 from ._request import Reply, ServedRequest
 
@@ -76,6 +77,7 @@
     exchange: ExchangeClient
     admission: Admission
     crashes: CrashWatch
+    pressure: PressureBook
 
     async def serve(self, request: ServedRequest, reply: Reply) -> None:
         """Serve one request; the reply has its final answer afterwards."""
@@ -162,13 +164,16 @@
     async def _exchange(
         self, request: ServedRequest, backend: BackendServer, timeout_s: float
     ) -> Result[WholeAnswer, SendFailure]:
-        ends_s = self.timer.now_s() + timeout_s
+        sent_s = self.timer.now_s()
+        ends_s = sent_s + timeout_s
         sent = await self.exchange.send(request, backend, head_timeout_s=timeout_s)
         if sent.is_err():
+            self.pressure.heard(backend, sent.unwrap_err().backpressure, sent_s)
             if sent.unwrap_err().problem is SendProblem.CONNECTION_LOST:
                 self.crashes.broke(request, backend, PLAIN_STAGE)
             return Err(sent.unwrap_err())
         answer = sent.unwrap()
+        self.pressure.heard(backend, answer.fields.backpressure, sent_s)
         try:
             async with self.timer.timeout(max(ends_s - self.timer.now_s(), 0.0)):
                 body = await answer.read_all()
--- a/packages/serving/src/fordhatch/serving/_request_path.py
+++ b/packages/serving/src/fordhatch/serving/_request_path.py
@@ -18,6 +18,7 @@
 from ._head_choice import HeadChoice
 from ._node_state import NodeState
 from ._plain_call import PlainCalls
+from ._pressure_book import PressureBook
 from ._repeat_budget import RepeatBudget
 from ._stall_watch import StallWatch
 from ._stream_call import StreamCalls
@@ -35,6 +36,7 @@
     health: BackendHealth
     stalls: StallWatch
     crashes: CrashWatch
+    pressure: PressureBook
     demand: DemandMeter
 
     @classmethod
@@ -62,6 +64,7 @@
         """
         view = state.view
         health = BackendHealth(timer)
+        pressure = PressureBook(timer)
 
         def node_count() -> int:
             return len(view.shared.nodes)
@@ -77,7 +80,15 @@
         choice = HeadChoice(zone, view.directory, health, stalls, timer.rng, node_count)
         progress = GroupProgress(timer)
         runs = StreamRuns(
-            timer, view.directory, health, progress, stalls, choice, exchange, crashes
+            timer,
+            view.directory,
+            health,
+            progress,
+            stalls,
+            choice,
+            exchange,
+            crashes,
+            pressure,
         )
         demand = DemandMeter(timer)
         streams = StreamCalls.create(
@@ -100,14 +111,26 @@
             exchange,
             admission,
             crashes,
+            pressure,
         )
         dispatch = Dispatch(state, budget, streams, plain, timer, crashes)
-        return cls(state, admission, dispatch, budget, health, stalls, crashes, demand)
+        return cls(
+            state,
+            admission,
+            dispatch,
+            budget,
+            health,
+            stalls,
+            crashes,
+            pressure,
+            demand,
+        )
 
     def forget_gone(self) -> None:
         """Drop what is remembered of backend servers and groups that are gone."""
         backends = self.state.view.directory.backends
         self.health.keep_only(set(backends))
+        self.pressure.keep_only(set(backends))
         places = {b.membership.key for b in backends.values() if b.membership}
         self.stalls.keep_only(places)
         self.crashes.forget()
--- a/packages/serving/src/fordhatch/serving/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/_stream_run.py
@@ -25,6 +25,7 @@
 )
 from ._group_progress import GroupProgress, RunProgress, silence_s
 from ._head_choice import HeadChoice
+from ._pressure_book import PressureBook
 from ._request import Reply, ServedRequest
 from ._stall_watch import SLOW_AGAIN_S, SLOW_PACE, StallWatch
 
@@ -79,6 +80,7 @@
     choice: HeadChoice
     exchange: ExchangeClient
     crashes: CrashWatch
+    pressure: PressureBook
     _running: dict[int, tuple[Stream, RunProgress]] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
@@ -174,6 +176,7 @@
         """Send the request and wait for the answer's head as long as it makes sense."""
         request = stream.request
         resumed = stream.order.last is not None
+        sent_s = self.timer.now_s()
         send = asyncio.ensure_future(
             self.exchange.send(
                 request,
@@ -194,8 +197,11 @@
         sent = send.result()
         if sent.is_err():
             failure = sent.unwrap_err()
+            self.pressure.heard(head, failure.backpressure, sent_s)
             raise _Broken(failure.problem, failure.detail)
-        return sent.unwrap()
+        answer = sent.unwrap()
+        self.pressure.heard(head, answer.fields.backpressure, sent_s)
+        return answer
 
     async def _until_done(
         self,
