--- a/standins/src/fordhatch_lab/_lab_site.py
+++ b/standins/src/fordhatch_lab/_lab_site.py
@@ -133,7 +133,7 @@
         clients = Clients(
             store,
             MemoryBackendClient(self.backends.fleet),
-            MemoryExchange(self.backends, timer),
+            MemoryExchange(self.backends, timer, name),
             self.network.pool(name, address),
         )
         node = Node.create(settings, timer, clients)
--- a/standins/src/fordhatch_standins/_backends.py
+++ b/standins/src/fordhatch_standins/_backends.py
@@ -14,6 +14,7 @@
 from ._engine_model import EngineModel
 from ._engine_work import EnginePace, EngineWork
 from ._plain_service import PlainService
+from ._pressure_log import PressureLog
 from ._store_model import StoreModel
 
 FIRST_PLAIN_PORT = 8000
@@ -38,6 +39,8 @@
     """When engines have ended under such requests."""
     comes_back_s: float = 3.0
     """After this time another engine starts at the address of one that has ended."""
+    pressure: PressureLog = attrs.field(factory=PressureLog)
+    """What they ask for in their answers."""
     _works: dict[str, EngineWork] = attrs.field(factory=dict)
     _made: int = 0
 
--- a/standins/src/fordhatch_standins/_memory_exchange.py
+++ b/standins/src/fordhatch_standins/_memory_exchange.py
@@ -9,7 +9,12 @@
 import attrs
 from result import Err, Ok, Result
 
-from fordhatch.catalog import AnswerFields, BackendServer, RefusalKind
+from fordhatch.catalog import (
+    AnswerFields,
+    BackendServer,
+    Backpressure,
+    RefusalKind,
+)
 from fordhatch.core import Timer
 from fordhatch.serving import SendFailure, SendProblem, ServedRequest
 
@@ -22,7 +27,7 @@
 CONNECT_FAILS_S = 0.25
 """A backend server that is gone lets a connection hang this long."""
 
-_OK, _OTHER_BACKEND = 200, 421
+_OK, _FULL, _OTHER_BACKEND = 200, 503, 421
 _USUAL_URGENCY = 5
 
 
@@ -70,6 +75,7 @@
 
     backends: Backends
     timer: Timer
+    node_name: str = ""
     is_cut: Callable[[str], bool] = lambda address: False
     """Whether this node doesn't reach an address."""
     connections: int = 0
@@ -101,9 +107,10 @@
                 first = await anext(pieces)
         except NotExecuted as refusal:
             request.arrived_at(backend.backend_id, may_have_run=False)
-            other = refusal.status == _OTHER_BACKEND
-            problem = SendProblem.OTHER_BACKEND if other else SendProblem.REFUSED
-            return Err(SendFailure(problem, refusal.at_fault))
+            if refusal.status == _OTHER_BACKEND:
+                return Err(SendFailure(SendProblem.OTHER_BACKEND, refusal.at_fault))
+            asked = self._asked(backend, refused=True)
+            return Err(SendFailure(SendProblem.REFUSED, refusal.at_fault, asked))
         except (CutOff, StopAsyncIteration) as error:
             request.arrived_at(backend.backend_id, may_have_run=True)
             return Err(SendFailure(SendProblem.CONNECTION_LOST, repr(error)))
@@ -111,7 +118,13 @@
             request.arrived_at(backend.backend_id, may_have_run=True)
             return Err(SendFailure(SendProblem.SILENT, "no head in time"))
         request.arrived_at(backend.backend_id, may_have_run=True)
-        fields = AnswerFields(request.fields.request_id, RefusalKind.NONE, True, False)
+        fields = AnswerFields(
+            request.fields.request_id,
+            RefusalKind.NONE,
+            True,
+            False,
+            backpressure=self._asked(backend, refused=False),
+        )
         return Ok(MemoryAnswer(backend, fields, _OK, pieces, first))
 
     def _call(
@@ -141,9 +154,23 @@
     ) -> AsyncIterator[bytes] | None:
         plain = self.backends.plain.get(backend.address)
         if plain is not None and not plain.is_dead:
+            if self._is_turned_away(plain.backend_id):
+                return _refusal()
             return _one_piece(plain.serve(call))
         work = self.backends.work_at(backend.address)
-        return work.serve(call) if work is not None else None
+        if work is None:
+            return None
+        if self._is_turned_away(work.engine.backend_id):
+            return _refusal()
+        return work.serve(call)
+
+    def _is_turned_away(self, backend_id: str) -> bool:
+        return self.backends.pressure.arrived(backend_id, self.node_name)
+
+    def _asked(self, backend: BackendServer, *, refused: bool) -> Backpressure:
+        return self.backends.pressure.answered(
+            backend.registered_id, self.node_name, refused=refused
+        )
 
     async def close(self) -> None:
         """Nothing to close."""
@@ -151,3 +178,8 @@
 
 async def _one_piece(answer: object) -> AsyncIterator[bytes]:
     yield await answer  # type: ignore[misc]
+
+
+async def _refusal() -> AsyncIterator[bytes]:
+    raise NotExecuted(_FULL)
+    yield b""
