Failing tests: backend servers that ask a node for rest get requests from it

Heads that refuse half of what they get and ask for 3 s of rest get a third request from the same node; plain servers three within 2 s, and as a last resort any number.

--- a/packages/serving/tests/test_plain_calls.py
+++ b/packages/serving/tests/test_plain_calls.py
@@ -246,3 +246,55 @@
     assert "x-tenant" not in headers
     assert headers["x-expect-instance"] == "i-1"
     assert "api-key" not in headers
+
+
+def rests(rest_s: float):
+    """Return a script that turns requests away and asks for rest."""
+
+    async def refuse(request, writer) -> None:
+        headers = {"X-Not-Executed": "1", "Retry-After": f"{rest_s}"}
+        writer.write(http_answer(request, b"", status=503, headers=headers))
+
+    return refuse
+
+
+async def test_a_server_that_asks_for_rest_has_it_and_others_serve(site) -> None:
+    """Incident: see ``test_rests_of_backends.py``; here with plain services."""
+    resting = await site.add_backend(rests(2.0), zone="z1")
+    await site.add_backend(answers, zone="z2")
+    ends_s = asyncio.get_running_loop().time() + 2.0
+    while asyncio.get_running_loop().time() < ends_s - 0.2:
+        assert (await site.ask("/get/1")).status == 200
+        await asyncio.sleep(0.02)
+    assert len(resting.seen) == 1
+
+
+async def test_a_server_that_rests_is_no_last_resort(site) -> None:
+    first = await site.add_backend(rests(1.2))
+    second = await site.add_backend(rests(30.0))
+    got = await site.ask("/get/1")
+    assert got.status == 503
+    assert 0.4 <= float(got.headers["Retry-After"]) <= 1.2
+    # Nobody is asked again, and the caller is told at once.
+    began_s = asyncio.get_running_loop().time()
+    got = await site.ask("/get/2")
+    assert got.status == 503
+    assert asyncio.get_running_loop().time() - began_s < 0.3
+    assert (len(first.seen), len(second.seen)) == (1, 1)
+
+
+async def test_a_short_rest_is_waited_for(site) -> None:
+    backend = await site.add_backend(rests(0.3))
+    assert (await site.ask("/get/1")).status == 503
+    backend.script = answers
+    got = await site.ask("/get/2")
+    assert (got.status, got.body) == (200, b"whole body")
+
+
+async def test_a_rest_of_a_year_ends(site) -> None:
+    backend = await site.add_backend(rests(365.0 * 86400.0))
+    got = await site.ask("/get/1")
+    assert got.status == 503
+    asked = site.callers.dispatch.plain.permits.pressure
+    assert 0.0 < asked.free_at_s("i-1") - site.callers.timer.now_s() <= 60.0
+    assert len(backend.seen) == 1
--- a/standins/src/fordhatch_standins/_pressure_log.py
+++ b/standins/src/fordhatch_standins/_pressure_log.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+import random
 
 import attrs
 
@@ -52,6 +53,7 @@
     limit_per_s: float | None = None
     limited_since_s: float = math.inf
     rest_s: float | None = None
+    refused_share: float = 1.0
     is_leaving: bool = False
     told_limit_s: dict[str, float] = attrs.field(factory=dict)
     told_leaving_s: dict[str, float] = attrs.field(factory=dict)
@@ -63,6 +65,7 @@
 class PressureLog:
     """Backend servers by id: their words, and every request that reached them."""
 
+    rng: random.Random = attrs.field(factory=lambda: random.Random(1))
     breaches: list[str] = attrs.field(factory=list)
     _servers: dict[str, _Server] = attrs.field(factory=dict)
 
@@ -76,9 +79,13 @@
         server.limited_since_s = _now_s() if limit_per_s is not None else math.inf
         server.told_limit_s.clear()
 
-    def rest(self, backend_id: str, rest_s: float | None) -> None:
+    def rest(
+        self, backend_id: str, rest_s: float | None, refused_share: float = 1.0
+    ) -> None:
         """Have a backend server turn requests away and ask for rest; None ends it."""
-        self._server(backend_id).rest_s = rest_s
+        server = self._server(backend_id)
+        server.rest_s = rest_s
+        server.refused_share = refused_share
 
     def leave(self, backend_id: str) -> None:
         """Have a backend server say that it leaves."""
@@ -96,7 +103,9 @@
             self.breaches.append(
                 f"{backend_id}: {node} sends {late_s:.1f} s after it leaves"
             )
-        return server.rest_s is not None
+        if server.rest_s is None:
+            return False
+        return self.rng.random() < server.refused_share
 
     def answered(self, backend_id: str, node: str, *, refused: bool) -> Backpressure:
         """Return what an answer says that goes out now."""
