A backend server that asks a node for rest has it

Requests that were refused went to a server again after half a second, three and four times within the 3 s that it had asked for; their callers waited for another refusal.

Cause: the time in a refusal was not read. Avoidance after a failure lasted half a second, ended with any good answer, also to an older request, and gave way where nothing else was left.

Why it holds: a resting server is left out of every choice, the last one too, and only time ends a rest; longer ones than a minute are asked again after that, and nodes come back spread over 0.3 s.

--- a/packages/serving/src/fordhatch/serving/_pressure_book.py
+++ b/packages/serving/src/fordhatch/serving/_pressure_book.py
@@ -13,6 +13,13 @@
 NEWS_SHARE = 0.1
 """A limit that differs by less from the one that was told last is no news."""
 
+MOST_REST_S = 60.0
+"""A server that asks for longer is asked again after this: nothing else would show that
+it serves."""
+
+REST_SPREAD_S = 0.3
+"""After a rest nodes come back within this time, not all in one moment."""
+
 
 @attrs.frozen
 class ServerLimit:
@@ -105,9 +112,16 @@
             call(found)
 
     def _take_rest(self, backend: BackendServer, known: _Asked, rest_s: float) -> None:
+        """Leave a server alone for as long as it asks.
+
+        Only time ends a rest: an answer to an older request says nothing of what the
+        server wants, and one that refuses some requests serves others in between.
+        """
         now_s = self.timer.now_s()
         is_new = known.rest_until_s <= now_s
-        known.rest_until_s = max(known.rest_until_s, now_s + rest_s)
+        spread_s = REST_SPREAD_S * self.timer.rng.random()
+        until_s = now_s + min(rest_s, MOST_REST_S - REST_SPREAD_S) + spread_s
+        known.rest_until_s = max(known.rest_until_s, until_s)
         if is_new:
             log_event(
                 "backend_asked_for_rest",
@@ -138,9 +152,11 @@
     def free_at_s(self, backend_id: str) -> float:
         """Return from when on a request may go to a backend server."""
         known = self._asked.get(backend_id)
-        if known is None or self.limit(backend_id) is None:
+        if known is None:
             return -math.inf
-        return known.held_until_s
+        if known.limit is None or known.limit.per_s is None:
+            return known.rest_until_s
+        return max(known.rest_until_s, known.held_until_s)
 
     def is_held(self, backend_id: str) -> bool:
         """Return whether no request may go to a backend server now."""
--- a/standins/tests/test_rests_of_backends.py
+++ b/standins/tests/test_rests_of_backends.py
@@ -4,6 +4,11 @@
 three and four requests from it within that time.
 How it came about: a refusal counted as any failure does, for which a node avoids a
 server for half a second, or not at all where it serves others in between.
+Cause: the time that a refusal names was not read; an avoided server was a last resort,
+and any good answer ended what avoidance there was.
+Proof: a node is refused three times within a rest by a server that serves nothing in
+between, while others serve; with the time read, held, and ended by nothing but time
+none comes.
 """
 
 from __future__ import annotations
