Who says in an answer that it leaves counts as leaving on all nodes

The word goes before the entry in the directory, so that choices, last resorts and the planner find it in the one place that they look at; other nodes are told at once. A later start does not leave, and who has not left after five minutes counts by its entry again.

--- a/packages/node/src/fordhatch/node/_node.py
+++ b/packages/node/src/fordhatch/node/_node.py
@@ -14,9 +14,9 @@
 from fordhatch.protocol.messages import (
     AskPermit,
     CrashesSeen,
-    LimitsSeen,
+    PressureSeen,
     QueryDemand,
-    QueryLimits,
+    QueryPressure,
     QueryStatus,
     StatusReply,
     WatchTables,
@@ -38,8 +38,8 @@
 from ._clients import Clients
 from ._crash_news import CrashNews
 from ._demand_survey import DemandSurvey, demand_reply
-from ._limit_news import LimitNews
 from ._outage_survey import OutageSurvey
+from ._pressure_news import PressureNews
 from ._registration import Registration
 
 TERM_POLL_S = 0.05
@@ -80,7 +80,7 @@
     lease: PlannerLease
     planner: Planner
     news: CrashNews
-    limits: LimitNews
+    pressure: PressureNews
     start_id: str
     """Names this start of the node; a restarted one has another."""
     _tasks: TaskSet = attrs.field(factory=TaskSet)
@@ -131,7 +131,9 @@
             has_traffic=lambda: state.has_served,
         )
         news = CrashNews(settings.node_name, view, clients.pool, timer, path.crashes)
-        limits = LimitNews(settings.node_name, view, clients.pool, timer, path.permits)
+        pressure = PressureNews(
+            settings.node_name, view, clients.pool, timer, path.permits
+        )
         start_id = secrets.token_hex(START_ID_BYTES)
         return cls(
             settings,
@@ -144,7 +146,7 @@
             lease,
             planner,
             news,
-            limits,
+            pressure,
             start_id,
         )
 
@@ -159,7 +161,7 @@
         await self._listen_for_nodes()
         self.view.start()
         self.news.start()
-        self.limits.start()
+        self.pressure.start()
         self._tasks.spawn(self._registration().run(), "register")
         keep, every = self.timer.keep, self.timer.every
         self._tasks.spawn(keep(self.lease.run, name="lease"), "lease")
@@ -210,11 +212,11 @@
             case CrashesSeen():
                 await self.news.take(message, channel)
             case AskPermit():
-                await self.limits.answer(message, channel)
-            case LimitsSeen():
-                await self.limits.take(message, channel)
-            case QueryLimits():
-                await self.limits.tell_known(channel)
+                await self.pressure.answer(message, channel)
+            case PressureSeen():
+                await self.pressure.take(message, channel)
+            case QueryPressure():
+                await self.pressure.tell_known(channel)
             case QueryDemand():
                 await channel.send(demand_reply(self.path.demand))
             case QueryStatus():
@@ -237,6 +239,7 @@
 
     async def _forget_gone(self) -> None:
         self.path.forget_gone()
+        self.view.directory.forget_departures()
 
     async def _tell_calls(self) -> None:
         calls = self.clients.store.calls
@@ -275,7 +278,7 @@
         """End every part."""
         await self._tasks.close()
         await self.news.close()
-        await self.limits.close()
+        await self.pressure.close()
         await self.planner.close()
         await self.path.close()
         await self.view.close()
--- a/packages/protocol/src/fordhatch/protocol/_messages.py
+++ b/packages/protocol/src/fordhatch/protocol/_messages.py
@@ -268,6 +268,11 @@
             raise FieldError(f"{attribute.name}: unexpected age")
 
 
+def _texts(_: object, attribute: attrs.Attribute, value: object) -> None:
+    if type(value) is not list or not all(type(text) is str for text in value):
+        raise FieldError(f"{attribute.name}: expected a list of texts")
+
+
 @message(68)
 @attrs.frozen
 class AskPermit:
@@ -292,33 +297,36 @@
 
 @message(70)
 @attrs.frozen
-class LimitsSeen:
-    """Tells a node of limits that backend servers have named, or don't any more."""
+class PressureSeen:
+    """Tells a node what backend servers have asked for in their answers."""
 
     limits: list[tuple[str, float | None, float]] = attrs.field(validator=_limits)
-    """Backend server, requests a second or None, and the age of its word in seconds."""
+    """Backend server, requests a second from all nodes together, None where it names no
+    limit any more, and the age of its word in seconds."""
+    leaving: list[str] = attrs.field(validator=_texts)
+    """Backend servers that leave."""
 
 
 @message(71)
 @attrs.frozen
-class LimitsNoted:
-    """The answer to ``LimitsSeen``."""
+class PressureNoted:
+    """The answer to ``PressureSeen``."""
 
 
 @message(72)
 @attrs.frozen
-class QueryLimits:
-    """Asks a node for the limits that it knows; answered by ``LimitsSeen``."""
+class QueryPressure:
+    """Asks a node for what backend servers ask for; answered by ``PressureSeen``."""
 
 
 ONE_ANSWER = frozenset(
     {
         QueryStatus,
         QueryDemand,
-        QueryLimits,
+        QueryPressure,
         WatchTables,
         CrashesSeen,
-        LimitsSeen,
+        PressureSeen,
         AskPermit,
     }
 )
--- a/packages/registry/src/fordhatch/registry/_backend_directory.py
+++ b/packages/registry/src/fordhatch/registry/_backend_directory.py
@@ -12,6 +12,8 @@
 from fordhatch.core import Timer, log_event
 
 from ._backend_index import BackendIndex, ReplicaGroup
+from ._change_log import log_change
+from ._departures import Departures
 from ._starts_told import StartsTold
 
 AFTER_OUTAGE_S = 1.0
@@ -72,6 +74,7 @@
     """Entries missing since an outage of the store, with the time to drop them."""
     _broken: set[Key] = attrs.field(factory=set)
     """Groups that lost a member for certain: it has started again."""
+    departures: Departures = attrs.field(init=False)
     _subscribers: list[Callable[[], None]] = attrs.field(factory=list)
     _change_subscribers: list[Callable[[BackendServer], None]] = attrs.field(
         factory=list
@@ -80,6 +83,10 @@
         factory=list
     )
 
+    def __attrs_post_init__(self) -> None:
+        """Build what the directory fills."""
+        self.departures = Departures(self.timer)
+
     @property
     def index(self) -> BackendIndex:
         """Backend servers by what is asked of them."""
@@ -177,6 +184,28 @@
             log_event("backends_restored", members=len(missing))
         self._tell(before)
 
+    def note_leaving(self, backend_id: str) -> bool:
+        """Take a backend server's word that it leaves; returns whether it is new."""
+        known = self.backends.get(backend_id)
+        if known is None or not self.departures.add(backend_id):
+            return False
+        before = self.version
+        self._add(self.departures.apply(known))
+        self._tell(before)
+        return True
+
+    def forget_departures(self) -> None:
+        """Go by the entries again of those that have not left after all."""
+        before = self.version
+        for backend_id in self.departures.take_old():
+            known = self.backends.get(backend_id)
+            entry = self._entries.get(known.registered_id) if known else None
+            if entry is not None and entry.value:
+                self._take(
+                    entry, decode_backend(known.registered_id, entry.value), None
+                )
+        self._tell(before)
+
     def _lapse(self, registered_id: str) -> None:
         if registered_id in self._entries and registered_id not in self._lapsed:
             self._lapsed[registered_id] = self.timer.now_s() + LAPSE_GRACE_S
@@ -258,6 +287,7 @@
         self, entry: _Entry, found: BackendServer, row_version: int | None
     ) -> None:
         """Take what an entry names now; with no row version nothing is logged."""
+        found = self.departures.apply(found)
         known = self._index.backends.get(entry.backend_id)
         self._unreadable.discard(found.registered_id)
         if known == found:
@@ -268,7 +298,7 @@
         if found.born_ms:
             self._note_start(found)
         if self.logs_changes and row_version is not None:
-            _log_change(known, found, row_version)
+            log_change(known, found, row_version)
         self._add(found)
         if known is not None and known.membership is not None:
             self._forget_broken(known)
@@ -361,18 +391,3 @@
     def groups(self, service: str) -> Mapping[Key, ReplicaGroup]:
         """Return the groups of a service, by name and epoch."""
         return self.index.groups(service)
-
-
-def _log_change(known: BackendServer | None, found: BackendServer, row: int) -> None:
-    place = found.membership
-    log_event(
-        "backend_seen" if known is None else "backend_changed",
-        backend=found.backend_id,
-        service=found.service,
-        state=found.state,
-        row=row,
-        group=place.group if place else "",
-        epoch=place.epoch if place else 0,
-        rank=place.rank if place else -1,
-        place=place.state if place else "",
-    )
--- /dev/null
+++ b/packages/registry/src/fordhatch/registry/_change_log.py
@@ -0,0 +1,28 @@
+"""Log lines about backend servers that appear or change."""
+
+from __future__ import annotations
+
+from fordhatch.catalog import BackendServer
+from fordhatch.core import log_event
+
+
+def log_change(known: BackendServer | None, found: BackendServer, row: int) -> None:
+    """Log what an entry names now.
+
+    Args:
+        known: What was known of the backend server before; None for a new one.
+        found: What its entry says.
+        row: Version of the entry's row.
+    """
+    place = found.membership
+    log_event(
+        "backend_seen" if known is None else "backend_changed",
+        backend=found.backend_id,
+        service=found.service,
+        state=found.state,
+        row=row,
+        group=place.group if place else "",
+        epoch=place.epoch if place else 0,
+        rank=place.rank if place else -1,
+        place=place.state if place else "",
+    )
--- a/packages/serving/src/fordhatch/serving/_pressure_book.py
+++ b/packages/serving/src/fordhatch/serving/_pressure_book.py
@@ -9,6 +9,7 @@
 
 from fordhatch.catalog import BackendServer, Backpressure, PressureKind
 from fordhatch.core import Timer, log_event, metrics
+from fordhatch.registry import BackendDirectory
 
 NEWS_SHARE = 0.1
 """A limit that differs by less from the one that was told last is no news."""
@@ -42,7 +43,6 @@
     held_until_s: float = -math.inf
     """Before this no permit can be had for a request to it."""
     rest_until_s: float = -math.inf
-    is_leaving: bool = False
 
 
 @attrs.define(eq=False, repr=False)
@@ -50,13 +50,20 @@
     """Requests for rest, limits and departures, by backend server."""
 
     timer: Timer
+    directory: BackendDirectory
+    """Takes departures: whoever looks for a server there finds that it leaves."""
     _asked: dict[str, _Asked] = attrs.field(factory=dict)
     _limit_subscribers: list[Callable[[ServerLimit], None]] = attrs.field(factory=list)
+    _leaving_subscribers: list[Callable[[str], None]] = attrs.field(factory=list)
 
     def subscribe_limits(self, call: Callable[[ServerLimit], None]) -> None:
         """Call back with each limit that is new to this node, or has ended."""
         self._limit_subscribers.append(call)
 
+    def subscribe_departures(self, call: Callable[[str], None]) -> None:
+        """Call back with each backend server of which it is new that it leaves."""
+        self._leaving_subscribers.append(call)
+
     # What answers say.
 
     def heard(self, backend: BackendServer, said: Backpressure | None) -> None:
@@ -81,13 +88,16 @@
             self.take_limit(ServerLimit(backend.backend_id, said.limit_per_s, now_s))
         if said.rest_s is not None:
             self._take_rest(backend, known, said.rest_s)
-        if said.is_leaving and not known.is_leaving:
-            known.is_leaving = True
-            log_event(
-                "backend_said_leaving",
-                backend=backend.backend_id,
-                service=backend.service,
-            )
+        if said.is_leaving:
+            self.take_leaving(backend.backend_id)
+
+    def take_leaving(self, backend_id: str) -> None:
+        """Take the word that a backend server leaves."""
+        if not self.directory.note_leaving(backend_id):
+            return
+        log_event("backend_said_leaving", backend=backend_id)
+        for call in self._leaving_subscribers:
+            call(backend_id)
 
     def take_limit(self, found: ServerLimit) -> None:
         """Take a limit, or its end; older words than the known one say nothing."""
--- a/packages/serving/src/fordhatch/serving/_request_path.py
+++ b/packages/serving/src/fordhatch/serving/_request_path.py
@@ -66,7 +66,7 @@
         """
         view = state.view
         health = BackendHealth(timer)
-        pressure = PressureBook(timer)
+        pressure = PressureBook(timer, view.directory)
         permits = Permits(
             node_name,
             timer,
--- a/packages/serving/tests/test_head_choice.py
+++ b/packages/serving/tests/test_head_choice.py
@@ -21,6 +21,7 @@
     GroupMembership,
     MemberState,
 )
+from fordhatch.registry import BackendDirectory
 from fordhatch.serving import BackendHealth, PressureBook
 from fordhatch.serving._head_choice import HeadChoice
 
@@ -79,7 +80,7 @@
     choices = [
         HeadChoice(
             zones[index % len(zones)], Heads(heads), BackendHealth(clock), NoStalls(),
-            PressureBook(clock),
+            PressureBook(clock, BackendDirectory(clock)),
             random.Random(f"{seed}/{index}"), lambda: nodes,
         )
         for index in range(nodes)
@@ -125,7 +126,7 @@
         heads,
         BackendHealth(clock),
         NoStalls(),
-        PressureBook(clock),
+        PressureBook(clock, BackendDirectory(clock)),
         random.Random(seed),
         lambda: 8,
     )
@@ -144,7 +145,7 @@
             heads,
             health,
             NoStalls(),
-            PressureBook(clock),
+            PressureBook(clock, BackendDirectory(clock)),
             random.Random(1),
             lambda n=nodes: n,
         )
--- a/packages/serving/tests/test_permits.py
+++ b/packages/serving/tests/test_permits.py
@@ -16,6 +16,7 @@
 
 from fordhatch.catalog import BackendServer, BackendState, Backpressure
 from fordhatch.core import Timer
+from fordhatch.registry import BackendDirectory
 from fordhatch.serving import Permit, Permits, PressureBook, ServerLimit
 from fordhatch.serving._permit_issuer import PermitIssuer, issuers
 from fordhatch_lab import run_in_virtual_time
@@ -49,7 +50,7 @@
         node = Permits(
             name,
             timer,
-            PressureBook(timer),
+            PressureBook(timer, BackendDirectory(timer)),
             PermitIssuer(name, timer.rng),
             lambda: self.nodes,
         )
--- a/packages/serving/tests/test_plain_calls.py
+++ b/packages/serving/tests/test_plain_calls.py
@@ -10,7 +10,7 @@
 import pytest
 
 from fordhatch.serving._node_state import START_RETRY_AFTER_S
-from fordhatch_standins import http_answer
+from fordhatch_standins import entry_fields, http_answer
 
 
 async def answers(request, writer) -> None:
@@ -298,3 +298,33 @@
     asked = site.callers.dispatch.plain.permits.pressure
     assert 0.0 < asked.free_at_s("i-1") - site.callers.timer.now_s() <= 60.0
     assert len(backend.seen) == 1
+
+
+async def says_it_leaves(request, writer) -> None:
+    headers = {"Server-Leaving": "1"}
+    writer.write(http_answer(request, b"whole body", headers=headers))
+
+
+async def test_a_server_that_says_that_it_leaves_gets_no_more(site) -> None:
+    leaving = await site.add_backend(says_it_leaves, zone="z1")
+    other = await site.add_backend(answers, zone="z2")
+    while not leaving.seen:
+        assert (await site.ask("/get/1")).status == 200
+    # Its entry may say what it likes, and come anew.
+    address = site.view.directory.backends["i-1"].address
+    entry = entry_fields("app", address, slots=7)
+    await site.register("i-1", entry)
+    for _ in range(5):
+        assert (await site.ask("/get/1")).status == 200
+    assert len(leaving.seen) == 1
+    await other.close()
+    assert (await site.ask("/get/1")).status == 503
+    assert len(leaving.seen) == 1
+
+
+async def test_a_later_start_of_a_server_that_left_serves(site) -> None:
+    leaving = await site.add_backend(says_it_leaves, backend_id="i-1", born=5)
+    while not leaving.seen:
+        assert (await site.ask("/get/1")).status == 200
+    await site.add_backend(answers, backend_id="i-1", born=6)
+    assert (await site.ask("/get/1")).status == 200
