What is held off is logged, counted, and asked once more as the connection stands

A request that goes out just after its server has asked for rest or left is stopped on the connection, as one whose key has gone.

--- a/packages/core/src/fordhatch/core/_metrics.py
+++ b/packages/core/src/fordhatch/core/_metrics.py
@@ -51,6 +51,24 @@
     ["kind"],
     registry=REGISTRY,
 )
+BACKENDS_ASKING = Gauge(
+    "fordhatch_backends_asking",
+    "Backend servers that ask for a rest, a limit or to be left alone.",
+    ["service", "kind"],
+    registry=REGISTRY,
+)
+PERMITS = Counter(
+    "fordhatch_permits_total",
+    "Permits for requests to limited backend servers, by the outcome of asking.",
+    ["outcome"],
+    registry=REGISTRY,
+)
+SENDS_HELD = Counter(
+    "fordhatch_sends_held_total",
+    "Requests that had to wait for held backend servers or were refused, by kind.",
+    ["kind", "outcome"],
+    registry=REGISTRY,
+)
 CONFIGURATION_AGE_SECONDS = Gauge(
     "fordhatch_configuration_age_seconds",
     "Age of the last confirmation of the configuration.",
--- a/packages/node/src/fordhatch/node/_node.py
+++ b/packages/node/src/fordhatch/node/_node.py
@@ -8,7 +8,7 @@
 import attrs
 
 from fordhatch.catalog import NodeSettings
-from fordhatch.core import Failure, ResultCode, TaskSet, Timer, log_event
+from fordhatch.core import Failure, ResultCode, TaskSet, Timer, log_event, metrics
 from fordhatch.placement import HolderNews, Planner, PlannerLease
 from fordhatch.protocol import Channel, PeerPool, to_refused
 from fordhatch.protocol.messages import (
@@ -240,6 +240,8 @@
     async def _forget_gone(self) -> None:
         self.path.forget_gone()
         self.view.directory.forget_departures()
+        for (service, kind), asking in self.path.permits.pressure.counts().items():
+            metrics.BACKENDS_ASKING.labels(service, kind.value).set(asking)
 
     async def _tell_calls(self) -> None:
         calls = self.clients.store.calls
--- a/packages/registry/src/fordhatch/registry/_departures.py
+++ b/packages/registry/src/fordhatch/registry/_departures.py
@@ -29,6 +29,10 @@
         self._since_s[backend_id] = self.timer.now_s()
         return True
 
+    def has(self, backend_id: str) -> bool:
+        """Return whether a backend server has said that it leaves."""
+        return backend_id in self._since_s
+
     def apply(self, found: BackendServer) -> BackendServer:
         """Return a backend server as its entry and its own word say."""
         if found.backend_id not in self._since_s:
--- a/packages/serving/src/fordhatch/serving/_admission.py
+++ b/packages/serving/src/fordhatch/serving/_admission.py
@@ -12,6 +12,7 @@
 
 from ._knowledge import Knowledge
 from ._node_state import OTHER_NODE_AFTER_S, NodeState
+from ._pressure_book import PressureBook
 from ._quarantine import Quarantine
 from ._request import ServedRequest
 from ._route_table import RouteTable, choose_service
@@ -25,14 +26,19 @@
     timer: Timer
     rng: random.Random
     quarantine: Quarantine
+    pressure: PressureBook
     _routes: RouteTable = attrs.field(factory=RouteTable)
 
     @classmethod
     def from_state(
-        cls, state: NodeState, timer: Timer, quarantine: Quarantine
+        cls,
+        state: NodeState,
+        timer: Timer,
+        quarantine: Quarantine,
+        pressure: PressureBook,
     ) -> Admission:
         """Build the admission of a node; it follows the configuration."""
-        admission = cls(state, timer, timer.rng, quarantine)
+        admission = cls(state, timer, timer.rng, quarantine, pressure)
         state.view.configuration.subscribe(admission._configured)
         return admission
 
@@ -97,9 +103,19 @@
             arrived_s=arrived_s,
             ends_s=arrived_s + wait_s,
         )
-        request.may_go = lambda: self.still_allowed(request)
+        request.may_go = lambda backend_id: self._may_go(request, backend_id)
         return Ok(request)
 
+    def _may_go(self, request: ServedRequest, backend_id: str) -> Failure | None:
+        """Return why a request may not go out on a connection that now stands."""
+        stopped = self.still_allowed(request)
+        if stopped is not None:
+            return stopped
+        asked = self.pressure.why_not(backend_id)
+        if asked is None:
+            return None
+        return Failure.from_code(ResultCode.BACKEND_REFUSED, f"asked for {asked}")
+
     def authenticate(
         self, route: Route, api_keys: tuple[str, ...]
     ) -> Result[Workspace | None, Failure]:
--- a/packages/serving/src/fordhatch/serving/_exchange.py
+++ b/packages/serving/src/fordhatch/serving/_exchange.py
@@ -76,6 +76,14 @@
     return SendProblem.CONNECTION_LOST if is_lost else SendProblem.BROKEN
 
 
+@attrs.frozen
+class _Send:
+    """A request and where it goes."""
+
+    request: ServedRequest
+    backend: BackendServer
+
+
 class _NotAllowed(Exception):  # noqa: N818
     """A request may no longer be sent; its connection has been opened in vain."""
 
@@ -86,8 +94,8 @@
     __: aiohttp.TraceConnectionCreateEndParams,
 ) -> None:
     """Let nothing out that may no longer be sent, now that the connection stands."""
-    request: ServedRequest = context.trace_request_ctx
-    stopped = request.may_go()
+    send: _Send = context.trace_request_ctx
+    stopped = send.request.may_go(send.backend.backend_id)
     if stopped is not None:
         raise _NotAllowed(stopped.code.name)
 
@@ -261,7 +269,7 @@
             headers=headers,
             data=request.body or None,
             allow_redirects=False,
-            trace_request_ctx=request,
+            trace_request_ctx=_Send(request, backend),
         )
 
     def _judge(
--- a/packages/serving/src/fordhatch/serving/_head_choice.py
+++ b/packages/serving/src/fordhatch/serving/_head_choice.py
@@ -11,7 +11,7 @@
 from fordhatch.registry import BackendDirectory
 
 from ._backend_health import TIE_SHARE, BackendHealth
-from ._pressure_book import PressureBook
+from ._pressure_book import Hold, PressureBook
 from ._stall_watch import StallWatch
 
 OTHER_ZONE_COST = 2.4
@@ -71,15 +71,17 @@
             if head.backend_id not in tried and not self.stalls.is_lost(head)
         ]
 
-    def first_free_s(self, service: str, model: str, tried: Collection[str]) -> float:
-        """Return when a head that takes nothing now may take a request, from now.
+    def first_hold(
+        self, service: str, model: str, tried: Collection[str]
+    ) -> Hold | None:
+        """Return the hold that ends first, where all heads are held.
 
         Args:
             service: The service.
             model: The model that the request asks for.
             tried: Heads that have failed this request already.
         """
-        return self.pressure.first_free_s(self._living(service, model, tried))
+        return self.pressure.first_hold(self._living(service, model, tried))
 
     def _is_avoided(self, head: BackendServer) -> bool:
         return self.health.is_avoided(head.backend_id) or self.stalls.is_avoided(head)
--- a/packages/serving/src/fordhatch/serving/_permits.py
+++ b/packages/serving/src/fordhatch/serving/_permits.py
@@ -7,10 +7,10 @@
 import attrs
 
 from fordhatch.catalog import BackendServer
-from fordhatch.core import Timer
+from fordhatch.core import Timer, log_event, metrics
 
 from ._permit_issuer import Permit, PermitIssuer, issuers, rank_share
-from ._pressure_book import PressureBook, ServerLimit
+from ._pressure_book import Hold, PressureBook, ServerLimit
 
 MOST_ISSUERS = 3
 """Nodes that may issue the permits of one backend server, one in place of the other."""
@@ -51,10 +51,30 @@
         if self.pressure.is_held(backend.backend_id):
             return False
         permit = await self._permit(limit)
+        metrics.PERMITS.labels("granted" if permit.is_granted else "denied").inc()
         if not permit.is_granted:
             self.pressure.hold_off(backend.backend_id, permit.again_s)
         return permit.is_granted
 
+    def log_hold(self, request_id: str, hold: Hold, *, waits: bool) -> None:
+        """Tell of a request that a held backend server does not get now.
+
+        Args:
+            request_id: The request.
+            hold: The hold that ends first of those of all servers it could go to.
+            waits: Whether it waits for the end of the hold.
+        """
+        outcome = "waited" if waits else "refused"
+        metrics.SENDS_HELD.labels(hold.kind.value, outcome).inc()
+        log_event(
+            "send_held",
+            request=request_id,
+            backend=hold.backend_id,
+            kind=hold.kind.value,
+            free_s=round(hold.free_s, 3),
+            outcome=outcome,
+        )
+
     async def _permit(self, limit: ServerLimit) -> Permit:
         nodes = self.nodes()
         for rank, node in enumerate(issuers(limit.backend_id, nodes, MOST_ISSUERS)):
@@ -72,6 +92,8 @@
             return None
         permit = await self.ask(node, limit)
         if permit is None:
+            metrics.PERMITS.labels("unanswered").inc()
+            log_event("permit_unanswered", issuer=node, backend=limit.backend_id)
             self._unreachable_until_s[node] = self.timer.now_s() + UNREACHABLE_S
         else:
             self._unreachable_until_s.pop(node, None)
--- a/packages/serving/src/fordhatch/serving/_plain_call.py
+++ b/packages/serving/src/fordhatch/serving/_plain_call.py
@@ -26,6 +26,7 @@
 )
 from ._group_wait import LEFT_SHARE
 from ._permits import Permits
+from ._pressure_book import Hold
 from ._repeat_budget import RepeatBudget
 from ._request import Reply, ServedRequest
 
@@ -120,14 +121,19 @@
                 if await self.permits.take(backend):
                     return backend
                 continue
-            free_s = self._first_free_s(request.service, tried)
-            if self.timer.now_s() + free_s > until_s:
+            hold = self._first_hold(request.service, tried)
+            if hold is None:
                 return None
-            await self.timer.sleep(free_s)
+            now_s = self.timer.now_s()
+            waits = now_s + hold.free_s <= until_s
+            if now_s == began_s or not waits:
+                self.permits.log_hold(request.fields.request_id, hold, waits=waits)
+            if not waits:
+                return None
+            await self.timer.sleep(hold.free_s)
 
-    def _first_free_s(self, service: str, tried: Collection[str]) -> float:
-        backends = self._untried(service, tried)
-        return self.permits.pressure.first_free_s(backends)
+    def _first_hold(self, service: str, tried: Collection[str]) -> Hold | None:
+        return self.permits.pressure.first_hold(self._untried(service, tried))
 
     def _untried(self, service: str, tried: Collection[str]) -> list[BackendServer]:
         backends = self.directory.plain(service)
@@ -231,9 +237,11 @@
 
     def _retry_after_s(self, request: ServedRequest) -> float:
         """Return when a caller may come back that no backend server would take."""
-        free_s = self._first_free_s(request.service, ())
+        hold = self._first_hold(request.service, ())
+        if hold is None:
+            return ROOM_AFTER_S
         left_s = max(request.left_s(self.timer.now_s()), 0.0)
-        return max(min(free_s, LEFT_SHARE * left_s), ROOM_AFTER_S)
+        return max(min(hold.free_s, LEFT_SHARE * left_s), ROOM_AFTER_S)
 
 
 def _whole(answer: BackendAnswer, body: bytes) -> WholeAnswer:
--- a/packages/serving/src/fordhatch/serving/_pressure_book.py
+++ b/packages/serving/src/fordhatch/serving/_pressure_book.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from collections.abc import Callable, Iterable
 
 import attrs
@@ -33,6 +34,16 @@
     """When the answer came that said so, in monotonic seconds."""
 
 
+@attrs.frozen
+class Hold:
+    """Why no request may go to a backend server now, and for how long."""
+
+    backend_id: str
+    kind: PressureKind
+    free_s: float
+    """Time until it takes requests again, in seconds."""
+
+
 @attrs.define
 class _Asked:
     """What one backend server has asked for."""
@@ -172,15 +183,43 @@
         """Return whether no request may go to a backend server now."""
         return self.free_at_s(backend_id) > self.timer.now_s()
 
-    def first_free_s(self, backends: Iterable[BackendServer]) -> float:
-        """Return when the first of some backend servers takes requests again.
+    def first_hold(self, backends: Iterable[BackendServer]) -> Hold | None:
+        """Return the hold that ends first, of backend servers that are all held.
 
         Returns:
-            Seconds from now; infinite where there are no backend servers.
+            The hold; None where there are no backend servers.
         """
-        now_s = self.timer.now_s()
-        free_s = (self.free_at_s(b.backend_id) - now_s for b in backends)
-        return max(min(free_s, default=math.inf), 0.0)
+        first = min(backends, key=lambda b: self.free_at_s(b.backend_id), default=None)
+        if first is None:
+            return None
+        backend_id = first.backend_id
+        free_s = max(self.free_at_s(backend_id) - self.timer.now_s(), 0.0)
+        is_resting = self._is_resting(backend_id)
+        kind = PressureKind.REST if is_resting else PressureKind.LIMIT
+        return Hold(backend_id, kind, free_s)
+
+    def _is_resting(self, backend_id: str) -> bool:
+        known = self._asked.get(backend_id)
+        return known is not None and known.rest_until_s > self.timer.now_s()
+
+    def why_not(self, backend_id: str) -> PressureKind | None:
+        """Return why a request that has its permit may still not be sent."""
+        if self.directory.departures.has(backend_id):
+            return PressureKind.LEAVING
+        return PressureKind.REST if self._is_resting(backend_id) else None
+
+    def counts(self) -> Counter[tuple[str, PressureKind]]:
+        """Return how many backend servers ask for what, by service and kind."""
+        found: Counter[tuple[str, PressureKind]] = Counter()
+        for backend in self.directory.backends.values():
+            kinds = {
+                PressureKind.REST: self._is_resting(backend.backend_id),
+                PressureKind.LIMIT: self.limit(backend.backend_id) is not None,
+                PressureKind.LEAVING: self.directory.departures.has(backend.backend_id),
+            }
+            for kind, is_asked in kinds.items():
+                found[backend.service, kind] += is_asked
+        return found
 
     def keep_only(self, backend_ids: set[str]) -> None:
         """Forget backend servers that are gone."""
--- a/packages/serving/src/fordhatch/serving/_request.py
+++ b/packages/serving/src/fordhatch/serving/_request.py
@@ -65,9 +65,9 @@
     """How often it reached a backend server, refusals included."""
     ran_at: list[str] = attrs.field(factory=list)
     """Backend servers that may have run it."""
-    may_go: Callable[[], Failure | None] = lambda: None
-    """Says why it may no longer be sent, if so: asked once more when the connection to
-    a backend server stands, as the machine may have stood still meanwhile."""
+    may_go: Callable[[str], Failure | None] = lambda _: None
+    """Says why it may no longer be sent to a backend server, if so: asked once more
+    when the connection stands, as the machine may have stood still meanwhile."""
     timeline: Timeline = attrs.field(factory=Timeline)
     """When its parts came, for logs."""
     was_answered: bool = False
--- a/packages/serving/src/fordhatch/serving/_request_path.py
+++ b/packages/serving/src/fordhatch/serving/_request_path.py
@@ -85,7 +85,7 @@
         crashes = CrashWatch(
             node_name, timer, backends, view.shared, CrashTeller(store, timer)
         )
-        admission = Admission.from_state(state, timer, crashes.quarantine)
+        admission = Admission.from_state(state, timer, crashes.quarantine, pressure)
         choice = HeadChoice(
             zone, view.directory, health, stalls, pressure, timer.rng, node_count
         )
--- a/packages/serving/src/fordhatch/serving/_stream_call.py
+++ b/packages/serving/src/fordhatch/serving/_stream_call.py
@@ -116,10 +116,15 @@
             Whether it is worth to look again.
         """
         request, now_s = stream.request, self.timer.now_s()
-        free_s = self.choice.first_free_s(request.service, stream.model, stream.tried)
-        if now_s + free_s <= began_s + self._patience_s(stream, began_s):
-            await self._wait_for_change(free_s)
-            return True
+        hold = self.choice.first_hold(request.service, stream.model, stream.tried)
+        if hold is not None:
+            patience_s = began_s + self._patience_s(stream, began_s) - now_s
+            waits = hold.free_s <= patience_s
+            if now_s == began_s or not waits:
+                self.permits.log_hold(request.fields.request_id, hold, waits=waits)
+            if waits:
+                await self._wait_for_change(hold.free_s)
+                return True
         hold_s = HOLD_BEGUN_S
         if not stream.reply.has_begun:
             hold_s = self._group_wait(stream).hold_s
@@ -172,14 +177,20 @@
         left_s = request.left_s(self.timer.now_s())
         if not request.ran_at:
             stopped = self.admission.still_allowed(request)
-            free_s = self.choice.first_free_s(request.service, stream.model, ())
-            retry_after_s = self._group_wait(stream).retry_within_s(left_s)
             return stopped or Failure.from_code(
                 ResultCode.NO_GROUP_READY,
                 ran=Ran.NO,
-                retry_after_s=min(retry_after_s, max(free_s, OTHER_NODE_AFTER_S)),
+                retry_after_s=self._retry_after_s(stream, left_s),
             )
         if left_s <= 0:
             return Failure.from_code(ResultCode.DEADLINE_EXCEEDED)
         detail = problem.detail if problem is not None else ""
         return Failure.from_code(ResultCode.BACKEND_LOST, detail)
+
+    def _retry_after_s(self, stream: Stream, left_s: float) -> float:
+        """Return when a caller may come back whose stream found no group."""
+        retry_after_s = self._group_wait(stream).retry_within_s(left_s)
+        hold = self.choice.first_hold(stream.request.service, stream.model, ())
+        if hold is None:
+            return retry_after_s
+        return min(retry_after_s, max(hold.free_s, OTHER_NODE_AFTER_S))
--- a/packages/serving/tests/test_plain_calls.py
+++ b/packages/serving/tests/test_plain_calls.py
@@ -7,8 +7,11 @@
 import socket
 import struct
 
+import attrs
 import pytest
 
+from fordhatch.catalog import Backpressure
+from fordhatch.serving import PressureBook
 from fordhatch.serving._node_state import START_RETRY_AFTER_S
 from fordhatch_standins import entry_fields, http_answer
 
@@ -328,3 +331,29 @@
         assert (await site.ask("/get/1")).status == 200
     await site.add_backend(answers, backend_id="i-1", born=6)
     assert (await site.ask("/get/1")).status == 200
+
+
+@attrs.define
+class LatePressure:
+    """Permits that hear of a rest or a departure just after they were given."""
+
+    pressure: PressureBook
+    said: Backpressure
+
+    async def take(self, backend) -> bool:
+        self.pressure.heard(backend, self.said)
+        return True
+
+    def log_hold(self, *args, **kwargs) -> None:
+        pass
+
+
+@pytest.mark.parametrize(
+    "said", [Backpressure(rest_s=9.0), Backpressure(is_leaving=True)]
+)
+async def test_what_is_heard_while_connecting_counts(site, said) -> None:
+    backend = await site.add_backend(answers)
+    plain = site.callers.dispatch.plain
+    plain.permits = LatePressure(plain.permits.pressure, said)
+    assert (await site.ask("/get/1")).status == 503
+    assert backend.seen == []
--- a/standins/src/fordhatch_standins/_memory_exchange.py
+++ b/standins/src/fordhatch_standins/_memory_exchange.py
@@ -92,7 +92,7 @@
         """Send a request and wait for the head of the answer."""
         self.connections += 1
         await asyncio.sleep(LINK_S)
-        stopped = request.may_go()
+        stopped = request.may_go(backend.backend_id)
         if stopped is not None:
             return Err(SendFailure(SendProblem.NOT_SENT, stopped.code.name))
         call = self._call(request, backend, urgency, last_event_id)
