Ways of keeping a server's limit side by side; the next issuers give out a third each

fordhatch-lab limits plays equal shares, shares by feedback and permits on the same demand and seeds.

--- a/packages/serving/src/fordhatch/serving/_permit_issuer.py
+++ b/packages/serving/src/fordhatch/serving/_permit_issuer.py
@@ -26,9 +26,9 @@
 """A server that was not asked for a while gets so many requests at once at the most,
 and what its limit allows for so long."""
 
-RANK_SHARE = 0.5
-"""What the next issuer in rank gives out of what the one before it does: while some
-nodes reach the first one and some don't, both together stay within a limit's bounds."""
+RANK_SHARE = 1.0 / 3.0
+"""What the next issuer in rank gives out of what the one before it does: where nodes
+reach different ones, three together give out 1.45 times the limit at the most."""
 
 MOST_RANK = 3
 """Ranks beyond count as this one."""
--- a/packages/serving/src/fordhatch/serving/_permits.py
+++ b/packages/serving/src/fordhatch/serving/_permits.py
@@ -16,12 +16,25 @@
 """Nodes that may issue the permits of one backend server, one in place of the other."""
 
 UNREACHABLE_S = 2.0
-"""How long an issuer that did not answer is passed over."""
+"""How long an issuer that did not answer is passed over; twice as long after each
+further time."""
+
+UNREACHABLE_MOST_S = 16.0
+"""The same at the most."""
 
 AskPermit = Callable[[str, ServerLimit], Awaitable[Permit | None]]
 """Asks a node by its name; None if it does not answer."""
 
 
+@attrs.frozen
+class _Silence:
+    """An issuer that does not answer."""
+
+    until_s: float
+    """Before this it is not asked again."""
+    pause_s: float = UNREACHABLE_S
+
+
 async def _ask_nobody(_: str, __: ServerLimit) -> Permit | None:
     return None
 
@@ -41,7 +54,8 @@
     nodes: Callable[[], Collection[str]]
     """Returns the names of all nodes."""
     ask: AskPermit = _ask_nobody
-    _unreachable_until_s: dict[str, float] = attrs.field(factory=dict)
+    _silent: dict[str, _Silence] = attrs.field(factory=dict)
+    """Issuers that do not answer, by name."""
 
     async def take(self, backend: BackendServer) -> bool:
         """Return whether a request may go to a backend server now."""
@@ -88,16 +102,20 @@
 
     async def _ask(self, node: str, limit: ServerLimit) -> Permit | None:
         now_s = self.timer.now_s()
-        if self._unreachable_until_s.get(node, now_s) > now_s:
+        silence = self._silent.get(node)
+        if silence is not None and silence.until_s > now_s:
             return None
         permit = await self.ask(node, limit)
-        if permit is None:
-            metrics.PERMITS.labels("unanswered").inc()
-            log_event("permit_unanswered", issuer=node, backend=limit.backend_id)
-            self._unreachable_until_s[node] = self.timer.now_s() + UNREACHABLE_S
-        else:
-            self._unreachable_until_s.pop(node, None)
-        return permit
+        if permit is not None:
+            self._silent.pop(node, None)
+            return permit
+        metrics.PERMITS.labels("unanswered").inc()
+        log_event("permit_unanswered", issuer=node, backend=limit.backend_id)
+        pause_s = UNREACHABLE_S
+        if silence is not None:
+            pause_s = min(2.0 * silence.pause_s, UNREACHABLE_MOST_S)
+        self._silent[node] = _Silence(now_s + pause_s, pause_s)
+        return None
 
     def _own(self, limit: ServerLimit, share: float) -> Permit:
         return self.issuer.give(
@@ -134,3 +152,5 @@
         """Forget backend servers that are gone."""
         self.pressure.keep_only(backend_ids)
         self.issuer.keep_only(backend_ids)
+        for node in self._silent.keys() - set(self.nodes()):
+            del self._silent[node]
--- a/standins/src/fordhatch_lab/__init__.py
+++ b/standins/src/fordhatch_lab/__init__.py
@@ -5,6 +5,7 @@
 from ._experiment import CLASSES, Experiment, LabModel, RequestClass
 from ._lab_load import LabLoad
 from ._lab_site import LabNode, LabSite
+from ._limit_trial import LimitPlay, LimitTrial, allowed, play_limit
 from ._measures import Measures, Outcome
 from ._run import run_experiment, run_in_virtual_time
 
@@ -15,9 +16,13 @@
     "LabModel",
     "LabNode",
     "LabSite",
+    "LimitPlay",
+    "LimitTrial",
     "Measures",
     "Outcome",
     "RequestClass",
+    "allowed",
+    "play_limit",
     "run_experiment",
     "run_in_virtual_time",
 ]
--- /dev/null
+++ b/standins/src/fordhatch_lab/_limit_report.py
@@ -0,0 +1,68 @@
+"""Ways of keeping a server's limit side by side, as a table and as a plot."""
+
+from __future__ import annotations
+
+import math
+import statistics
+from collections import Counter
+from collections.abc import Sequence
+from pathlib import Path
+
+import matplotlib as mpl
+
+from ._limit_trial import WINDOW_S, LimitPlay, allowed
+
+mpl.use("Agg")
+
+from matplotlib import pyplot as plt
+
+NORMAL_95 = 1.96
+"""Standard errors to each side of a mean within which it lies 95 times in 100."""
+
+HEAD = (
+    "| way | nodes | limit | skew | worst of allowed | use | messages/s |\n"
+    "|---|---|---|---|---|---|---|"
+)
+
+
+def limit_row(plays: Sequence[LimitPlay]) -> str:
+    """Return the line of one trial over its seeds, with 95 % intervals."""
+    trial = plays[0].trial
+    worst = max(play.worst() for play in plays)
+    use = interval([play.use() for play in plays])
+    messages = interval([play.messages_per_s() for play in plays])
+    return (
+        f"| {trial.way} | {trial.nodes} | {trial.limit_per_s:g} | {trial.skew:g} "
+        f"| {worst} of {allowed(trial.limit_per_s):.1f} | {use} | {messages} |"
+    )
+
+
+def interval(values: Sequence[float]) -> str:
+    """Return the mean of some values and its interval of confidence."""
+    mean = statistics.fmean(values)
+    if len(values) == 1:
+        return f"{mean:.3f}"
+    error = NORMAL_95 * statistics.stdev(values) / math.sqrt(len(values))
+    return f"{mean:.3f} +- {error:.3f}"
+
+
+def plot_limit(plays: Sequence[LimitPlay], path: Path) -> None:
+    """Draw what came within the last window at each second, against the allowed."""
+    figure, axis = plt.subplots(figsize=(11, 4.5), layout="constrained")
+    for play in plays:
+        seconds = Counter(int(at_s) for at_s in play.sent_s)
+        end_s = int(play.trial.duration_s)
+        window = int(WINDOW_S)
+        counts = [
+            sum(seconds[s] for s in range(at - window + 1, at + 1))
+            for at in range(end_s)
+        ]
+        axis.plot(range(end_s), counts, label=play.trial.way)
+    limit_per_s = plays[0].trial.limit_per_s
+    axis.axhline(allowed(limit_per_s), color="black", linestyle="--", label="allowed")
+    axis.axhline(WINDOW_S * limit_per_s, color="grey", label="the limit itself")
+    axis.set_xlabel("seconds")
+    axis.set_ylabel(f"requests within {WINDOW_S:g} s")
+    axis.legend(fontsize=8)
+    figure.savefig(path, dpi=90)
+    plt.close(figure)
--- a/standins/src/fordhatch_lab/main.py
+++ b/standins/src/fordhatch_lab/main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 from pathlib import Path
 from typing import Literal
@@ -10,6 +11,8 @@
 from cyclopts import App
 
 from ._experiment import Experiment
+from ._limit_trial import LimitPlay, LimitTrial, play_limit
+from ._limit_ways import WAYS
 from ._measures import Measures
 from ._run import run_experiment
 
@@ -171,6 +174,59 @@
     print(f"written to {folder / 'report.md'}")
 
 
+@app.command
+def limits(
+    ways: list[str] | None = None,
+    *,
+    nodes: list[int] | None = None,
+    limit_per_s: list[float] | None = None,
+    skew: list[float] | None = None,
+    seeds: int = 5,
+    duration_s: float = 60.0,
+    plot: Path | None = None,
+) -> None:
+    """Compare ways of keeping a server's limit on the same demand and seeds.
+
+    Parameters
+    ----------
+    ways
+        Of ``permits``, ``equal`` and ``feedback``; all by default.
+    nodes
+        Numbers of nodes.
+    limit_per_s
+        Limits, in requests a second.
+    skew
+        Parts of the demand that come to one node.
+    seeds
+        Seeds of each trial.
+    duration_s
+        Virtual seconds of each trial.
+    plot
+        Where a picture of the last trials goes.
+    """
+    from ._limit_report import HEAD, limit_row, plot_limit  # noqa: PLC0415
+
+    print(HEAD)
+    cases = itertools.product(
+        nodes or [8, 68], limit_per_s or [1.1, 6.0], skew or [0.0, 0.9]
+    )
+    firsts: list[LimitPlay] = []
+    for number, per_s, part in cases:
+        firsts = []
+        for way in ways or list(WAYS):
+            trial = LimitTrial(
+                way, number, per_s, skew=part, duration_s=duration_s, seed=0
+            )
+            plays = [
+                play_limit(attrs.evolve(trial, seed=seed))
+                for seed in range(1, seeds + 1)
+            ]
+            print(limit_row(plays), flush=True)
+            firsts.append(plays[0])
+    if plot is not None:
+        plot_limit(firsts, plot)
+
+
 def main() -> None:
     """Run the command line."""
     app()
