--- a/packages/placement/tests/test_planner.py
+++ b/packages/placement/tests/test_planner.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
+import attrs
 import pytest
 from planning_site import (
     Site,
@@ -11,13 +13,16 @@
     play,
     standard_site,
 )
+from result import Err
 
 from fordhatch.adapter import (
+    BACKENDS_TABLE,
     GroupOrder,
     OrderKind,
 )
+from fordhatch.core import Failure, Ran, ResultCode
 from fordhatch.registry import SHARED_TABLE, Suspicion, suspicion_key
-from fordhatch_standins import EngineModel
+from fordhatch_standins import EngineModel, MemoryBackendClient, entry_fields
 
 
 def test_every_engine_serves_at_the_first_start() -> None:
@@ -50,6 +55,53 @@
     play(scenario)
 
 
+@attrs.define
+class LosesOrders:
+    """Reaches all backend servers, but loses orders to one of them."""
+
+    backends: MemoryBackendClient
+    to: str
+
+    async def order(self, address, registered_id, order, *, timeout_s):
+        if registered_id != self.to:
+            return await self.backends.order(
+                address, registered_id, order, timeout_s=timeout_s
+            )
+        await asyncio.sleep(timeout_s)
+        return Err(Failure.from_code(ResultCode.BACKEND_LOST, ran=Ran.MAYBE))
+
+    async def report(self, address, registered_id, *, timeout_s):
+        return await self.backends.report(address, registered_id, timeout_s=timeout_s)
+
+
+def test_an_earlier_start_that_is_listed_again_proves_no_end() -> None:
+    """Incident: a member was joined to a group while its head was still open.
+
+    Seen: a group was given up and its members released in the same step, while its
+    head answered the order to open and served.
+    How it came about: backend servers had started again behind a cut, and entries of
+    their earlier starts were listed again, with the address of the head.
+    Cause: any other entry with a head's address counted as a later start of it.
+    """
+
+    async def scenario(site: Site) -> None:
+        await standard_site(site, nodes=1)
+        head, member = head_and_member(site, "big")
+        spare = site.fleet.add(head.domain)
+        spare.staged = ["big"]
+        site.fleet._publish(spare)
+        await site.watch(0.5)
+        earlier = {**entry_fields("llm", head.address), "domain": head.domain}
+        site.store.put(BACKENDS_TABLE, "i-earlier", json.dumps(earlier).encode())
+        await site.watch(0.2)
+        desk = site.planner().planner.desk
+        desk.backends = LosesOrders(desk.backends, head.backend_id)
+        site.fleet.drain(member)
+        await site.watch(6)
+
+    play(scenario)
+
+
 @pytest.mark.parametrize("model", ["big", "small"])
 def test_members_that_are_only_out_of_the_planners_reach_are_not_free(model) -> None:
     """Whoever the planner can't reach may serve others all the while."""
