An entry of an earlier start at a head's address does not prove that the head has ended

Callers saw streams of a group break whose members were taken while its head was open.

Cause: any other entry with the head's address counted as a later start of it.

Why it holds: only a start that tells that it is later, or an answer at the address that is not the head's, proves the end; the head is asked at once, which takes some milliseconds where another start answers.

--- a/packages/placement/src/fordhatch/placement/_dissolutions.py
+++ b/packages/placement/src/fordhatch/placement/_dissolutions.py
@@ -115,14 +115,22 @@
         return listed.membership is None or listed.membership.key != key
 
     def _has_ended(self, head: BackendServer) -> bool:
-        """Return whether another start of a backend server has the head's address.
+        """Return whether a later start of a backend server has the head's address.
 
-        A refused connection proves nothing: a partition may refuse them as well.
+        A refused connection proves nothing: a partition may refuse them as well. Nor
+        does another entry with its address where starts are not told: an earlier one
+        may be listed again. Who answers there shows it.
         """
         if head.backend_id in self.losses.replaced:
             return True
-        at_address = self.directory.index.at_address(head.address)
-        return any(b.backend_id != head.backend_id for b in at_address)
+        others = [
+            b
+            for b in self.directory.index.at_address(head.address)
+            if b.backend_id != head.backend_id
+        ]
+        if others:
+            self.losses.ask(head)
+        return any(head.born_ms and b.born_ms > head.born_ms for b in others)
 
     def _is_forgotten(self, dissolution: Dissolution) -> bool:
         """Return whether no member is registered any more: nobody can move."""
