Words of backend servers and nodes are bounded; a new limit frees who was held off by the old one

A limit above a million counts as that, a hold ends after a minute, an answer about permits speaks of finite times. A node with no other one stops looking for one after ten seconds (ten wakes a second before), and a permit that does not come within 0.1 s no longer takes a busy node's link for a silent one.

--- a/packages/node/src/fordhatch/node/_pressure_news.py
+++ b/packages/node/src/fordhatch/node/_pressure_news.py
@@ -7,6 +7,7 @@
 from fordhatch.core import TaskSet, Timer
 from fordhatch.protocol import Channel, PeerPool
 from fordhatch.protocol.messages import (
+    MOST_AGE_S,
     AskPermit,
     PermitReply,
     PressureNoted,
@@ -26,9 +27,9 @@
 TELL_TIMEOUT_S = 0.5
 """Longest wait for another node to have taken the news."""
 
-ASK_TIMEOUT_S = 0.1
-"""Longest wait for a permit: nodes answer within some milliseconds, and a caller waits
-for it. With no answer the next node in rank is asked."""
+ASK_TIMEOUT_S = 0.25
+"""Longest wait for a permit: nodes answer within some milliseconds, a busy one within a
+tenth of a second. With no answer the next node in rank is asked."""
 
 START_ASKED = 2
 """Nodes that a node asks as it starts; one of them may be lost."""
@@ -36,6 +37,9 @@
 START_LOOK_S = 0.1
 """How often it looks whether it knows other nodes by then."""
 
+START_WITHIN_S = 10.0
+"""Later than this after its start it knows what servers ask for by itself."""
+
 
 @attrs.define(eq=False, repr=False)
 class PressureNews:
@@ -95,10 +99,12 @@
         return self.timer.rng.sample(others, min(most, len(others)))
 
     def _message(self, limits: list[ServerLimit], leaving: list[str]) -> PressureSeen:
-        now_s = self.timer.now_s()
-        told = [(x.backend_id, x.per_s, max(now_s - x.said_s, 0.0)) for x in limits]
+        told = [(x.backend_id, x.per_s, self._age_s(x)) for x in limits]
         return PressureSeen(told, leaving)
 
+    def _age_s(self, limit: ServerLimit) -> float:
+        return min(max(self.timer.now_s() - limit.said_s, 0.0), MOST_AGE_S)
+
     async def take(self, message: PressureSeen, channel: Channel) -> None:
         """Take another node's news."""
         self._take(message)
@@ -122,7 +128,10 @@
 
     async def _learn(self) -> None:
         """Ask some nodes for what they know, as soon as any is known."""
+        until_s = self.timer.now_s() + START_WITHIN_S
         while not (self.view.backends.is_loaded and self._sample(1)):
+            if self.timer.now_s() > until_s:
+                return
             await self.timer.sleep(START_LOOK_S)
         for node in self._sample(START_ASKED):
             got = await self.pool.request(node.address, QueryPressure(), TELL_TIMEOUT_S)
@@ -137,8 +146,7 @@
         node = self.view.shared.nodes.get(node_name)
         if node is None:
             return None
-        age_s = max(self.timer.now_s() - limit.said_s, 0.0)
-        question = AskPermit(limit.backend_id, limit.per_s, age_s)
+        question = AskPermit(limit.backend_id, limit.per_s, self._age_s(limit))
         got = await self.pool.request(node.address, question, ASK_TIMEOUT_S)
         reply = got.ok()
         if not isinstance(reply, PermitReply):
--- a/packages/protocol/src/fordhatch/protocol/_messages.py
+++ b/packages/protocol/src/fordhatch/protocol/_messages.py
@@ -235,7 +235,7 @@
 """Requests a second that a backend server may be said to take; more than any takes."""
 
 MOST_AGE_S = 1e6
-"""Time that any knowledge may be said to be old, in seconds."""
+"""Longest time that a message may speak of, in seconds."""
 
 
 def _is_limit(limit_per_s: object) -> bool:
@@ -291,7 +291,7 @@
     """The answer to ``AskPermit``."""
 
     is_granted: bool = _exactly(bool)
-    again_s: float = _seconds()
+    again_s: float = attrs.field(validator=_age)
     """When to ask again, if not."""
 
 
--- a/packages/protocol/src/fordhatch/protocol/messages.py
+++ b/packages/protocol/src/fordhatch/protocol/messages.py
@@ -4,6 +4,8 @@
 
 from ._messages import (
     MESSAGE_BY_TAG,
+    MOST_AGE_S,
+    MOST_LIMIT_PER_S,
     ONE_ANSWER,
     PROTOCOL_VERSION,
     TAG_BY_MESSAGE,
@@ -29,6 +31,8 @@
 
 __all__ = [
     "MESSAGE_BY_TAG",
+    "MOST_AGE_S",
+    "MOST_LIMIT_PER_S",
     "ONE_ANSWER",
     "PROTOCOL_VERSION",
     "TAG_BY_MESSAGE",
--- a/packages/serving/src/fordhatch/serving/_pressure_book.py
+++ b/packages/serving/src/fordhatch/serving/_pressure_book.py
@@ -10,14 +10,15 @@
 
 from fordhatch.catalog import BackendServer, Backpressure, PressureKind
 from fordhatch.core import Timer, log_event, metrics
+from fordhatch.protocol.messages import MOST_LIMIT_PER_S
 from fordhatch.registry import BackendDirectory
 
 NEWS_SHARE = 0.1
 """A limit that differs by less from the one that was told last is no news."""
 
-MOST_REST_S = 60.0
-"""A server that asks for longer is asked again after this: nothing else would show that
-it serves."""
+MOST_HOLD_S = 60.0
+"""A server that asks for a longer rest, or for which no permit can be had for longer,
+is asked again after this: nothing else would show that it serves."""
 
 REST_SPREAD_S = 0.3
 """After a rest nodes come back within this time, not all in one moment."""
@@ -95,13 +96,17 @@
             return
         known = self._asked.setdefault(backend.backend_id, _Asked())
         if PressureKind.LIMIT not in said.unreadable:
-            now_s = self.timer.now_s()
-            self.take_limit(ServerLimit(backend.backend_id, said.limit_per_s, now_s))
+            self._hear_limit(backend.backend_id, said.limit_per_s)
         if said.rest_s is not None:
             self._take_rest(backend, known, said.rest_s)
         if said.is_leaving:
             self.take_leaving(backend.backend_id)
 
+    def _hear_limit(self, backend_id: str, limit_per_s: float | None) -> None:
+        if limit_per_s is not None:
+            limit_per_s = min(limit_per_s, MOST_LIMIT_PER_S)
+        self.take_limit(ServerLimit(backend_id, limit_per_s, self.timer.now_s()))
+
     def take_leaving(self, backend_id: str) -> None:
         """Take the word that a backend server leaves."""
         if not self.directory.note_leaving(backend_id):
@@ -129,6 +134,8 @@
             age_s=round(self.timer.now_s() - found.said_s, 3),
         )
         known.told_per_s = found.per_s
+        # What was said about permits does not hold for another limit.
+        known.held_until_s = -math.inf
         for call in self._limit_subscribers:
             call(found)
 
@@ -141,7 +148,7 @@
         now_s = self.timer.now_s()
         is_new = known.rest_until_s <= now_s
         spread_s = REST_SPREAD_S * self.timer.rng.random()
-        until_s = now_s + min(rest_s, MOST_REST_S - REST_SPREAD_S) + spread_s
+        until_s = now_s + min(rest_s, MOST_HOLD_S - REST_SPREAD_S) + spread_s
         known.rest_until_s = max(known.rest_until_s, until_s)
         if is_new:
             log_event(
@@ -168,7 +175,7 @@
     def hold_off(self, backend_id: str, for_s: float) -> None:
         """Send nothing to a limited backend server for a while."""
         known = self._asked.setdefault(backend_id, _Asked())
-        known.held_until_s = self.timer.now_s() + for_s
+        known.held_until_s = self.timer.now_s() + min(for_s, MOST_HOLD_S)
 
     def free_at_s(self, backend_id: str) -> float:
         """Return from when on a request may go to a backend server."""
--- a/packages/serving/src/fordhatch/serving/_stream_call.py
+++ b/packages/serving/src/fordhatch/serving/_stream_call.py
@@ -134,11 +134,9 @@
     def _patience_s(self, stream: Stream, began_s: float) -> float:
         """Return how long a stream waits for a head that is to take requests again."""
         left_s = stream.request.left_s(began_s)
-        return (
-            min(HOLD_BEGUN_S, left_s)
-            if stream.reply.has_begun
-            else (LEFT_SHARE * left_s)
-        )
+        if stream.reply.has_begun:
+            return min(HOLD_BEGUN_S, left_s)
+        return LEFT_SHARE * left_s
 
     def _group_wait(self, stream: Stream) -> GroupWait:
         backends = self.directory.of_service(stream.request.service)
--- a/packages/serving/tests/test_plain_calls.py
+++ b/packages/serving/tests/test_plain_calls.py
@@ -325,6 +325,18 @@
     assert len(leaving.seen) == 1
 
 
+@pytest.mark.parametrize("limit", ["99999999999999999999", "0.000001"])
+async def test_an_absurd_limit_harms_nobody(site, limit) -> None:
+    async def names_it(request, writer) -> None:
+        headers = {"Server-Limit": limit}
+        writer.write(http_answer(request, b"whole body", headers=headers))
+
+    await site.add_backend(names_it, zone="z1")
+    await site.add_backend(answers, zone="z2")
+    for _ in range(10):
+        assert (await site.ask("/get/1")).status == 200
+
+
 async def test_a_later_start_of_a_server_that_left_serves(site) -> None:
     leaving = await site.add_backend(says_it_leaves, backend_id="i-1", born=5)
     while not leaving.seen:
