--- /dev/null
+++ b/bench/pressure_guards.py
@@ -0,0 +1,81 @@
+"""Guards of what backend servers ask for: rest, limits, departures."""
+
+from __future__ import annotations
+
+from guards_types import Guard
+
+SERVING = "packages/serving/tests"
+
+PRESSURE_GUARDS = [
+    Guard(
+        "limit: a request needs a permit",
+        "serving/_permits.py",
+        "        if limit is None:\n            return True\n",
+        "        return True\n",
+        "standins/tests/test_limits_of_engines.py",
+    ),
+    Guard(
+        "limit: permits are counted in one place",
+        "serving/_permits.py",
+        "            permit = await self._ask(node, limit)\n",
+        "            permit = None\n",
+        f"{SERVING}/test_permits.py -k kept_and_used",
+    ),
+    Guard(
+        "limit: the next issuer gives out less",
+        "serving/_permit_issuer.py",
+        "    return RANK_SHARE ** min(rank, MOST_RANK)\n",
+        "    return 1.0\n",
+        f"{SERVING}/test_permits_stateful.py",
+    ),
+    Guard(
+        "rest: who is held off is left out of the choice of a head",
+        "serving/_head_choice.py",
+        "            if not self.pressure.is_held(head.backend_id)\n",
+        "",
+        f"{SERVING}/test_head_choice.py -k is_held",
+    ),
+    Guard(
+        "rest: who rests is no last resort",
+        "serving/_plain_call.py",
+        "            if not pressure.is_held(b.backend_id)\n",
+        "",
+        f"{SERVING}/test_plain_calls.py -k short_rest",
+    ),
+    Guard(
+        "rest: it ends within a bound",
+        "serving/_pressure_book.py",
+        "min(rest_s, MOST_HOLD_S - REST_SPREAD_S)",
+        "rest_s",
+        f"{SERVING}/test_plain_calls.py -k rest_of_a_year",
+    ),
+    Guard(
+        "rest and departure: looked at again as the connection stands",
+        "serving/_admission.py",
+        "        asked = self.pressure.why_not(backend_id)\n",
+        "        asked = None\n",
+        f"{SERVING}/test_plain_calls.py -k while_connecting",
+    ),
+    Guard(
+        "departure: the word goes before the entry",
+        "registry/_backend_directory.py",
+        "        found = self.departures.apply(found)\n",
+        "",
+        "packages/registry/tests/test_departures.py",
+    ),
+    Guard(
+        "departure: other nodes are told",
+        "serving/_pressure_book.py",
+        "        for call in self._leaving_subscribers:\n"
+        "            call(backend_id)\n",
+        "",
+        "standins/tests/test_departures_told_in_answers.py",
+    ),
+    Guard(
+        "dissolution: an earlier start's entry is no proof",
+        "placement/_dissolutions.py",
+        "any(head.born_ms and b.born_ms > head.born_ms for b in others)",
+        "bool(others)",
+        "packages/placement/tests/test_planner.py -k proves_no_end",
+    ),
+]
--- a/packages/serving/tests/test_head_choice.py
+++ b/packages/serving/tests/test_head_choice.py
@@ -18,12 +18,16 @@
 from fordhatch.catalog import (
     BackendServer,
     BackendState,
+    Backpressure,
     GroupMembership,
     MemberState,
+    PressureKind,
 )
+from fordhatch.core import Timer
 from fordhatch.registry import BackendDirectory
 from fordhatch.serving import BackendHealth, PressureBook
 from fordhatch.serving._head_choice import HeadChoice
+from fordhatch_lab import run_in_virtual_time
 
 STREAM_S = 0.75
 PLAY_S = 20.0
@@ -150,3 +154,28 @@
             lambda n=nodes: n,
         )
         assert choice.choose("llm", "m", ()).backend_id == "i-1"
+
+
+def test_a_head_that_is_held_is_not_chosen_also_as_the_last_one() -> None:
+    clock = HandClock()
+    heads = Heads([head(0, "z0"), head(1, "z0")])
+    pressure = PressureBook(clock, BackendDirectory(clock))
+    pressure.timer = Timer.from_seed(1)
+    choice = HeadChoice(
+        "z0", heads, BackendHealth(clock), NoStalls(), pressure, random.Random(1), int
+    )
+
+    async def ask() -> list[BackendServer | None]:
+        first, second = heads.heads
+        pressure.heard(first, Backpressure(rest_s=5.0))
+        found = [choice.choose("llm", "m", ())]
+        pressure.heard(second, Backpressure(rest_s=2.0))
+        found.append(choice.choose("llm", "m", ()))
+        hold = choice.first_hold("llm", "m", ())
+        assert (hold.backend_id, hold.kind) == ("i-1", PressureKind.REST)
+        assert 2.0 <= hold.free_s <= 2.3
+        return found
+
+    chosen, none = run_in_virtual_time(ask())
+    assert chosen.backend_id == "i-1"
+    assert none is None
--- a/standins/src/fordhatch_standins/main.py
+++ b/standins/src/fordhatch_standins/main.py
@@ -82,6 +82,7 @@
     store = StoreModel()
     fleet = EngineFleet(store, _EveryVersion({model: times}), rng, service=service)
     backends = Backends(store, fleet, EnginePace(step_s=step_s), rng)
+    backends.pressure.tells_nodes_apart = False
 
     async def serve() -> None:
         listeners = BackendListeners(backends, HOST)
