--- a/bench/soak.py
+++ b/bench/soak.py
@@ -25,8 +25,7 @@
 from soak_ledger import Ledger
 
 NODES = 4
-ENGINES = 10
-SPARE_ENGINES = 12
+ENGINES, SPARE_ENGINES = 10, 12
 CALLERS = 6
 FORCE_LIMIT_S = 8.0
 SETTLE_LIMIT_S = 60.0
