--- a/packages/placement/tests/test_restarts.py
+++ b/packages/placement/tests/test_restarts.py
@@ -10,7 +10,12 @@
 import pytest
 from planning_site import Site, engines_of, head_and_member, play, standard_site
 
-from fordhatch.adapter import GroupOrder, OrderKind
+from fordhatch.adapter import BACKENDS_TABLE, GroupOrder, OrderKind
+from fordhatch.registry import (
+    SHARED_TABLE,
+    GroupRecord,
+    record_key,
+)
 from fordhatch_standins import EngineModel
 from fordhatch_standins._engine_model import Place
 
@@ -164,3 +169,38 @@
         assert site.working() > 0
 
     play(scenario, seed)
+
+
+def test_an_old_record_does_not_move_a_head_out_of_its_group() -> None:
+    """Incident: a head was joined to another group while its own was open.
+
+    Seen: all nodes were lost in an outage; the first planner after it took a group
+    apart as lacking its head, released it in the same step, and moved the head.
+    How it came about: the head's entry had lapsed, and it stood in two records: that
+    of its group, and that of one that had been taken apart before.
+    Cause: the record that came last by name won, and a place that only a record names
+    counted as proof that the head had left its group.
+    """
+
+    async def scenario(site: Site) -> None:
+        await standard_site(site, nodes=1)
+        head, _ = head_and_member(site, "small")
+        place = head.place
+        (node,) = site.nodes.values()
+        known = node.view.directory.backends
+        lost = site.fleet.add(head.domain)
+        await site.watch(0.2)
+        members = (known[head.backend_id], known[lost.backend_id])
+        await node.kill()
+        site.fleet.kill(lost)
+        site.store.remove(BACKENDS_TABLE, lost.backend_id)
+        site.store.remove(BACKENDS_TABLE, head.backend_id)
+        before = GroupRecord("small.3", 3, members)
+        site.store.put(SHARED_TABLE, record_key("small.3", 3), before.to_bytes())
+        site.add_node("n0")
+        await site.watch(1.5)
+        site.fleet.come_back(within_s=0.5)
+        await site.watch(6)
+        assert head.place is place
+
+    play(scenario)
--- a/standins/src/fordhatch_standins/_engine_fleet.py
+++ b/standins/src/fordhatch_standins/_engine_fleet.py
@@ -240,7 +240,7 @@
             loop.call_later(END_ON_JOIN_S, self._end_on_join, engine)
         moved = before is not None and engine.place is not before
         if moved and head is not None and before.state != "joining":
-            self._moved(engine, order, head)
+            self._moved(engine, order, head, before)
         return status
 
     def _end_on_join(self, engine: EngineModel) -> None:
@@ -257,9 +257,17 @@
         started.staged = list(engine.staged)
         self._publish(started)
 
-    def _moved(self, engine: EngineModel, order: GroupOrder, head: EngineModel) -> None:
-        """Check a member that has given up its place while its head is there."""
+    def _moved(
+        self, engine: EngineModel, order: GroupOrder, head: EngineModel, before: Place
+    ) -> None:
+        """Check who has given up its place while its head is there."""
         if head is engine:
+            serves = before.state in ("open", "closing")
+            if serves and order.kind is OrderKind.JOIN:
+                self._violate(
+                    f"{engine.backend_id} joined {order.group} while its own "
+                    f"{before.group} was {before.state}"
+                )
             return
         serves = head.place is not None and head.place.state == "open"
         if order.kind is OrderKind.JOIN and serves:
--- a/standins/src/fordhatch_standins/_engine_model.py
+++ b/standins/src/fordhatch_standins/_engine_model.py
@@ -175,7 +175,8 @@
     def _of_group(self, order: GroupOrder) -> int:
         place = self.place
         if place is None or (place.group, place.epoch) != (order.group, order.epoch):
-            return UNFIT
+            # Whoever has no place in a group has left it.
+            return DONE if order.kind is OrderKind.LEAVE else UNFIT
         if order.kind is OrderKind.LEAVE:
             self.place = None
             self.note_move()
