A place that only a record names moves nobody; the newest group's record goes first

Callers lost whole groups after the loss of all nodes in an outage: streams of a head broke as it was joined to another group while its own was open.

Cause: a head whose entry had lapsed stood in two records, that of its group and that of one that had been taken apart; the one that came last by name won ('71004' after '420001'), the head's own group seemed to lack it and was released in the same step, and the head was free.

Why it holds: the record of the newest epoch names the place; a place that no entry confirms proves no leave; who is not listed yet joins no group.

--- a/packages/placement/src/fordhatch/placement/_dissolutions.py
+++ b/packages/placement/src/fordhatch/placement/_dissolutions.py
@@ -111,6 +111,9 @@
             return True
         if head is None or self._is_out_of_reach(head):
             return self._must_be_broken(dissolution)
+        if not self.directory.is_listed(head):
+            # Only a record names its place, and may be an old one.
+            return False
         listed = self.directory.backends[head.backend_id]
         return listed.membership is None or listed.membership.key != key
 
--- a/packages/placement/src/fordhatch/placement/_planner.py
+++ b/packages/placement/src/fordhatch/placement/_planner.py
@@ -259,7 +259,12 @@
         usable = self._usable(service)
         layout.count_backends(usable)
         busy = self._busy_ids(groups)
-        free = [b for b in usable if b.backend_id not in busy]
+        # Who is known by a record only may have a place that nobody here knows of.
+        free = [
+            b
+            for b in usable
+            if b.backend_id not in busy and self.view.directory.is_listed(b)
+        ]
         if self._is_still_filling():
             return
         first = self._are_loads_free()
--- a/packages/registry/src/fordhatch/registry/_backend_directory.py
+++ b/packages/registry/src/fordhatch/registry/_backend_directory.py
@@ -372,6 +372,11 @@
         """Return the backend servers of a service."""
         return list(self.index.of_service(service))
 
+    def is_listed(self, backend: BackendServer) -> bool:
+        """Return whether its own entry was read, and not only a record of its group."""
+        entry = self._entries.get(backend.registered_id)
+        return entry is not None and entry.value != b""
+
     def plain(self, service: str) -> list[BackendServer]:
         """Return the backend servers of a plain service that take new work."""
         of_service = self.index.of_service(service)
--- a/packages/registry/src/fordhatch/registry/_group_records.py
+++ b/packages/registry/src/fordhatch/registry/_group_records.py
@@ -111,5 +111,9 @@
 
 
 def members_of(records: Iterable[GroupRecord]) -> list[BackendServer]:
-    """Return every member in the records."""
-    return [member for record in records for member in record.members]
+    """Return every member in the records, with its place in the newest group.
+
+    The record of a group that has been taken apart may outlast it for a while.
+    """
+    oldest_first = sorted(records, key=lambda record: record.epoch)
+    return list({m.backend_id: m for r in oldest_first for m in r.members}.values())
