--- a/bench/pressure_guards.py
+++ b/bench/pressure_guards.py
@@ -1,4 +1,4 @@
-"""Guards of what backend servers ask for: rest, limits, departures."""
+"""Guards of what backend servers ask for, and of what proves that one has gone."""
 
 from __future__ import annotations
 
@@ -31,15 +31,15 @@
     Guard(
         "rest: who is held off is left out of the choice of a head",
         "serving/_head_choice.py",
-        "            if not self.pressure.is_held(head.backend_id)\n",
-        "",
+        " if head.backend_id not in held]",
+        "]",
         f"{SERVING}/test_head_choice.py -k is_held",
     ),
     Guard(
         "rest: who rests is no last resort",
         "serving/_plain_call.py",
-        "            if not pressure.is_held(b.backend_id)\n",
-        "",
+        " if b.backend_id not in held]",
+        "]",
         f"{SERVING}/test_plain_calls.py -k short_rest",
     ),
     Guard(
@@ -78,4 +78,11 @@
         "bool(others)",
         "packages/placement/tests/test_planner.py -k proves_no_end",
     ),
+    Guard(
+        "restart: the newest group's record names a place",
+        "registry/_group_records.py",
+        "sorted(records, key=lambda record: record.epoch)",
+        "list(records)",
+        "packages/placement/tests/test_restarts.py -k old_record",
+    ),
 ]
--- a/packages/serving/src/fordhatch/serving/_head_choice.py
+++ b/packages/serving/src/fordhatch/serving/_head_choice.py
@@ -50,11 +50,9 @@
             model: The model that the request asks for.
             tried: Heads that have failed this request already.
         """
-        heads = [
-            head
-            for head in self._living(service, model, tried)
-            if not self.pressure.is_held(head.backend_id)
-        ]
+        held = self.pressure.held()
+        living = self._living(service, model, tried)
+        heads = [head for head in living if head.backend_id not in held]
         sound = [h for h in heads if not self._is_avoided(h)]
         candidates = sound or heads
         if not candidates:
--- a/packages/serving/src/fordhatch/serving/_plain_call.py
+++ b/packages/serving/src/fordhatch/serving/_plain_call.py
@@ -147,12 +147,9 @@
         return request.arrivals == 0 or self.budget.spend(request.service)
 
     def _choose(self, service: str, tried: Collection[str]) -> BackendServer | None:
-        pressure = self.permits.pressure
-        backends = [
-            b
-            for b in self._untried(service, tried)
-            if not pressure.is_held(b.backend_id)
-        ]
+        held = self.permits.pressure.held()
+        untried = self._untried(service, tried)
+        backends = [b for b in untried if b.backend_id not in held]
         sound = [b for b in backends if not self.health.is_avoided(b.backend_id)]
         return min(sound or backends, key=self._cost, default=None)
 
--- a/packages/serving/src/fordhatch/serving/_pressure_book.py
+++ b/packages/serving/src/fordhatch/serving/_pressure_book.py
@@ -4,7 +4,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Set
 
 import attrs
 
@@ -23,6 +23,8 @@
 REST_SPREAD_S = 0.3
 """After a rest nodes come back within this time, not all in one moment."""
 
+_NOBODY: Set[str] = frozenset()
+
 
 @attrs.frozen
 class ServerLimit:
@@ -56,6 +58,13 @@
     """Before this no permit can be had for a request to it."""
     rest_until_s: float = -math.inf
 
+    @property
+    def free_at_s(self) -> float:
+        """From when on a request may go there."""
+        if self.limit is None or self.limit.per_s is None:
+            return self.rest_until_s
+        return max(self.rest_until_s, self.held_until_s)
+
 
 @attrs.define(eq=False, repr=False)
 class PressureBook:
@@ -180,11 +189,17 @@
     def free_at_s(self, backend_id: str) -> float:
         """Return from when on a request may go to a backend server."""
         known = self._asked.get(backend_id)
-        if known is None:
-            return -math.inf
-        if known.limit is None or known.limit.per_s is None:
-            return known.rest_until_s
-        return max(known.rest_until_s, known.held_until_s)
+        return known.free_at_s if known is not None else -math.inf
+
+    def held(self) -> Set[str]:
+        """Return the backend servers to which no request may go now.
+
+        Few servers ask for anything: a choice among many looks here once.
+        """
+        if not self._asked:
+            return _NOBODY
+        now_s = self.timer.now_s()
+        return {b for b, known in self._asked.items() if known.free_at_s > now_s}
 
     def is_held(self, backend_id: str) -> bool:
         """Return whether no request may go to a backend server now."""
