--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -95,8 +95,8 @@
     Mechanism(
         "requests wait for a group on its way",
         f"{SERVING}/_stream_call.py",
-        "                hold_s = self._group_wait(stream).hold_s\n",
-        "                hold_s = 0.0\n",
+        "            hold_s = self._group_wait(stream).hold_s\n",
+        "            hold_s = 0.0\n",
     ),
     Mechanism(
         "weights staged ahead",
