--- a/packages/registry/src/fordhatch/registry/_backend_directory.py
+++ b/packages/registry/src/fordhatch/registry/_backend_directory.py
@@ -75,6 +75,7 @@
     _broken: set[Key] = attrs.field(factory=set)
     """Groups that lost a member for certain: it has started again."""
     departures: Departures = attrs.field(init=False)
+    """Backend servers that have said in an answer that they leave."""
     _subscribers: list[Callable[[], None]] = attrs.field(factory=list)
     _change_subscribers: list[Callable[[BackendServer], None]] = attrs.field(
         factory=list
