--- a/packages/placement/src/fordhatch/placement/_dissolutions.py
+++ b/packages/placement/src/fordhatch/placement/_dissolutions.py
@@ -215,7 +215,7 @@
 
         Their entries would name the group until they join another one. The next
         planner can't know that the head has left it, and would let them wait for
-        that: five seconds and more, as measured after an outage of the store.
+        that.
 
         Args:
             taken: Backend servers that are joining another group.
--- a/packages/registry/src/fordhatch/registry/_backend_directory.py
+++ b/packages/registry/src/fordhatch/registry/_backend_directory.py
@@ -66,8 +66,7 @@
     _pending: dict[str, Row] = attrs.field(factory=dict)
     """Entries that have changed and were not read yet. Most nodes need a look at the
     directory a few times a second, while entries change six times each in the seconds
-    before the first request: reading them all was a fifth of a node's processor time
-    until then, as profiled at 925 backend servers."""
+    before the first request; only the last change of each is read."""
     _unreadable: set[str] = attrs.field(factory=set)
     """Registered ids whose entry can't be used now; said once of each."""
     _lapsed: dict[str, float] = attrs.field(factory=dict)
--- a/packages/serving/src/fordhatch/serving/_head_choice.py
+++ b/packages/serving/src/fordhatch/serving/_head_choice.py
@@ -18,10 +18,8 @@
 """What another availability zone counts against a group, in requests that all nodes
 together have in flight there: bytes between zones cost a little, waiting costs more.
 A node knows its own requests only, so that the more nodes there are, the less one of
-its own requests weighs against a zone: with eight nodes it is as many as 0.3 of them.
-With 195 nodes, where nearly every group seems idle, a fixed cost of 0.3 sent all
-requests of a zone to its own groups, however few there were: 22 in 100 were late in
-one zone and 4 in another."""
+its own requests weighs against a zone: a fixed cost would send all requests of a zone
+to its own groups, however few there are."""
 
 MOST_ZONE_COST = 0.3
 """The same in own requests at the most, for systems of less than eight nodes."""
--- a/packages/serving/src/fordhatch/serving/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/_stream_run.py
@@ -90,7 +90,7 @@
     def _stop(self, digests: frozenset[str]) -> None:
         """Break off runs of contents that end backend servers, also in their queues.
 
-        Of ten tries within 0.2 s three or four end a group instead of all six. A run
+        Callers who ask all at once would end every group otherwise. A run
         that has passed on events goes on: it does no harm.
         """
         for stream, progress in list(self._running.values()):
