Failing tests: the store comes back older, and changes are missed

The stand-in's store restores a copy (rows, history, counter), in memory and over HTTP, raises its generation in every answer, and has operators and backend servers write again what they lost; a write may be done later than it is answered. A watch in memory now answers with the store's counter, as the wire does: with the newest row's version it hid that numbers are given out twice.

--- a/standins/src/fordhatch_standins/__init__.py
+++ b/standins/src/fordhatch_standins/__init__.py
@@ -14,7 +14,7 @@
 from ._plain_service import PlainService
 from ._scripted_backend import SIGNATURE, ScriptedBackend, SeenRequest, http_answer
 from ._store_http import store_handler
-from ._store_model import StoredRow, StoreFaults, StoreModel
+from ._store_model import StoreCopy, StoredRow, StoreFaults, StoreModel
 
 __all__ = [
     "FIRST_START_MS",
@@ -37,6 +37,7 @@
     "PlainService",
     "ScriptedBackend",
     "SeenRequest",
+    "StoreCopy",
     "StoreFaults",
     "StoreModel",
     "StoredRow",
--- a/standins/src/fordhatch_standins/_memory_clients.py
+++ b/standins/src/fordhatch_standins/_memory_clients.py
@@ -38,6 +38,10 @@
     return row.table, row.part, row.key
 
 
+def _unknown() -> Failure:
+    return Failure.from_code(ResultCode.STORE_OUTCOME_UNKNOWN, ran=Ran.MAYBE)
+
+
 @attrs.define(eq=False, repr=False)
 class MemoryStoreClient:
     """What ``StoreClient`` does, on a model."""
@@ -93,12 +97,12 @@
         if failure is not None:
             return Err(failure)
         found = await self.model.changes(table, after_version, wait_s)
+        version = self.model.version
         failure = await self._reach(timeout_s)
         if failure is not None:
             return Err(failure)
         if found is None:
             return Err(Failure.from_code(ResultCode.STORE_HISTORY_GONE))
-        version = max([after_version, *(r.version for r in found)])
         return Ok(Changes(tuple(map(_row, found)), version))
 
     async def write(
@@ -115,16 +119,20 @@
         failure = await self._reach(timeout_s)
         if failure is not None:
             return Err(failure)
-        version, conflicts = self.model.transact(
+        transaction = (
             {_name(k): v for k, v in expected.items()},
             {_name(k): v for k, v in puts.items()},
             tuple(map(_name, removes)),
         )
+        if self.model.faults.late_writes > 0:
+            self.model.faults.late_writes -= 1
+            self.model.transact_later(*transaction)
+            await asyncio.sleep(timeout_s)
+            return Err(_unknown())
+        version, conflicts = self.model.transact(*transaction)
         if self.model.faults.lost_answers > 0:
             self.model.faults.lost_answers -= 1
-            return Err(
-                Failure.from_code(ResultCode.STORE_OUTCOME_UNKNOWN, ran=Ran.MAYBE)
-            )
+            return Err(_unknown())
         rows = tuple(map(_row, conflicts))
         return Ok(WriteResult(bool(version), version, rows))
 
--- a/standins/src/fordhatch_standins/_store_http.py
+++ b/standins/src/fordhatch_standins/_store_http.py
@@ -12,6 +12,9 @@
 
 from ._store_model import Name, StoredRow, StoreModel
 
+GENERATION_HEADER = "Store-Era"
+"""Says in every answer how often the store has come back from a copy."""
+
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
@@ -22,20 +25,26 @@
         model.calls += 1
         if model.faults.is_silent:
             await asyncio.sleep(3600)
-        if model.faults.is_down:
-            return web.Response(status=503)
-        match (request.method, request.path):
-            case ("GET", "/v1/rows-get"):
-                return _get(model, request.query)
-            case ("GET", "/v1/rows-feed"):
-                return await _feed(model, request.query)
-            case ("POST", "/v1/rows-tx"):
-                return _transact(model, request, await request.read())
-        return web.Response(status=404)
+        answer = await _answered(model, request)
+        answer.headers[GENERATION_HEADER] = str(model.generation)
+        return answer
 
     return handle
 
 
+async def _answered(model: StoreModel, request: web.BaseRequest) -> web.Response:
+    if model.faults.is_down:
+        return web.Response(status=503)
+    match (request.method, request.path):
+        case ("GET", "/v1/rows-get"):
+            return _get(model, request.query)
+        case ("GET", "/v1/rows-feed"):
+            return await _feed(model, request.query)
+        case ("POST", "/v1/rows-tx"):
+            return await _transact(model, request, await request.read())
+    return web.Response(status=404)
+
+
 def _answer(status: int, **fields: Any) -> web.Response:
     return web.Response(
         status=status, body=json.dumps(fields), content_type="application/json"
@@ -77,13 +86,19 @@
     return _answer(200, rows=rows, **{"ver": model.version, "now-ms": 1})
 
 
-def _transact(model: StoreModel, request: web.BaseRequest, raw: bytes) -> web.Response:
+async def _transact(
+    model: StoreModel, request: web.BaseRequest, raw: bytes
+) -> web.Response:
     body = json.loads(raw)
     expected = {_name(row): row["ver"] for row in body.get("expected-rev", ())}
     puts = {
         _name(row): base64.b64decode(row["value"]) for row in body.get("set-keys", ())
     }
     removes = tuple(_name(row) for row in body.get("remove", ()))
+    if model.faults.late_writes > 0:
+        model.faults.late_writes -= 1
+        model.transact_later(expected, puts, removes)
+        await asyncio.sleep(3600)
     version, conflicts = model.transact(expected, puts, removes)
     if model.faults.lost_answers > 0:
         model.faults.lost_answers -= 1
--- a/standins/src/fordhatch_standins/_store_model.py
+++ b/standins/src/fordhatch_standins/_store_model.py
@@ -4,13 +4,19 @@
 
 import asyncio
 import contextlib
+import random
 from collections import deque
 
 import attrs
 
+from fordhatch.adapter import BACKENDS_TABLE, OPERATOR_TABLE
+
 Name = tuple[str, str, str]
 """Table, part and key of a row."""
 
+AUTHORS_TABLES = (OPERATOR_TABLE, BACKENDS_TABLE)
+"""Tables of those who write again what a restored store has lost."""
+
 
 @attrs.define
 class StoreFaults:
@@ -24,6 +30,11 @@
     """Nodes whose calls are refused while others are served."""
     lost_answers: int = 0
     """So many of the next writes are done and not answered."""
+    late_writes: int = 0
+    """So many of the next writes are not answered, and done later if their conditions
+    still hold."""
+    late_write_s: float = 2.0
+    """How much later."""
     mutes_watches: bool = False
     """Watches hear nothing of changes."""
 
@@ -38,12 +49,24 @@
     is_removed: bool = False
 
 
+@attrs.frozen(repr=False)
+class StoreCopy:
+    """Everything that a store held at one moment."""
+
+    rows: dict[Name, StoredRow]
+    version: int
+    history: tuple[StoredRow, ...]
+    first_version: int
+
+
 @attrs.define(eq=False, repr=False)
 class StoreModel:
     """Rows, their history, and a counter that rises with each transaction."""
 
     rows: dict[Name, StoredRow] = attrs.field(factory=dict)
     version: int = 0
+    generation: int = 0
+    """Rises by one each time that the store comes back from a copy."""
     history: deque[StoredRow] = attrs.field(factory=deque)
     first_version: int = 0
     """Changes up to this version are no longer known."""
@@ -85,6 +108,67 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of everything, to restore later."""
+        return StoreCopy(
+            dict(self.rows), self.version, tuple(self.history), self.first_version
+        )
+
+    def restore(self, copy: StoreCopy) -> list[StoredRow]:
+        """Come back as the store was when it was copied.
+
+        Returns:
+            What the authors of entries and configurations have written since: they
+            write it again.
+        """
+        found = self.rows
+        lost = [row for name, row in found.items() if copy.rows.get(name) != row]
+        gone = [
+            attrs.evolve(row, is_removed=True)
+            for name, row in copy.rows.items()
+            if name not in found
+        ]
+        self.rows = dict(copy.rows)
+        self.version = copy.version
+        self.history = deque(copy.history)
+        self.first_version = copy.first_version
+        self.generation += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return [row for row in (*lost, *gone) if row.name[0] in AUTHORS_TABLES]
+
+    def write_again(
+        self, lost: list[StoredRow], within_s: float, rng: random.Random
+    ) -> None:
+        """Have the authors of lost rows write them again, each at its own moment."""
+        loop = asyncio.get_running_loop()
+        for row in lost:
+            restored = self.rows.get(row.name)
+            loop.call_later(
+                rng.uniform(0.0, within_s), self._write_again, row, restored
+            )
+
+    def _write_again(self, row: StoredRow, restored: StoredRow | None) -> None:
+        if self.rows.get(row.name) != restored:
+            # Its author has written something newer meanwhile.
+            return
+        if row.is_removed:
+            self.apply({}, (row.name,))
+        else:
+            self.apply({row.name: row.value}, ())
+
+    def transact_later(
+        self,
+        expected: dict[Name, int],
+        puts: dict[Name, bytes],
+        removes: tuple[Name, ...],
+    ) -> None:
+        """Do a transaction later, if its conditions hold then."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(
+            self.faults.late_write_s, self.transact, expected, puts, removes
+        )
+
     def transact(
         self,
         expected: dict[Name, int],
@@ -126,12 +210,16 @@
                     await self._changed.wait()
         # Looked up after the wait: a change that came as it ended is not to be skipped,
         # as whoever asked goes on from the store's present version.
-        if after < self.first_version:
+        if not self._knows(after):
             return None
         return [] if self.faults.mutes_watches else self._changed_rows(table, after)
 
+    def _knows(self, after: int) -> bool:
+        """Return whether the history from a version on is known."""
+        return self.first_version <= after <= self.version
+
     def _has_news(self, table: str, after: int) -> bool:
-        if after < self.first_version:
+        if not self._knows(after):
             return True
         return not self.faults.mutes_watches and bool(self._changed_rows(table, after))
 
