Versions of the store are ordered over its returns from a copy

What callers saw: for seven to ten seconds after the return nearly every request was refused; then requests were handled by a configuration that had been replaced (CONFIG), and reached a backend server that had said it leaves (DRAIN).

Cause: a bare number stood for a moment of the store. A whole table with a lower one was thrown away and took the confirmation with it; once the counter had passed the known number, a watch from that number on brought only what came later. Evidence: one version in all 410s of a node from the return on (282, 288, 416 to 418), store_regained as the counter passed it, the changes with numbers up to it missing on all nodes. Ruled out: writes that came late (acknowledged 3 to 8 s after the return), nodes that pass on what is older (those that ask the store miss the same).

Change: StoreVersion, generation and number, made in the adapter from Store-Era; rows, copies, histories, relayed tables, conditions and the lease hold it, a bare number is refused. An answer of a later generation is read whole; a copy tells others the difference if they knew no more than it did, and everything otherwise. Conditions of an earlier generation are not sent. Inner protocol 5: nodes of 4 and 5 don't talk, each asks the store itself during a rolling replacement.

Older tests speak of versions with a generation now; nothing is asserted less. One of them needed a watch that hears nothing to confirm nothing, which the stand-in now does by itself.

--- a/bench/guards.py
+++ b/bench/guards.py
@@ -20,6 +20,7 @@
 from own_guards import OWN_GUARDS
 from platform_guards import PLATFORM_GUARDS
 from pressure_guards import PRESSURE_GUARDS
+from store_guards import STORE_GUARDS
 
 ROOT = Path(__file__).parent.parent
 AT_ONCE = 4
@@ -65,6 +66,7 @@
             *ENTRY_GUARDS,
             *CRASH_GUARDS,
             *PRESSURE_GUARDS,
+            *STORE_GUARDS,
         ]
         if word in f"{g.promise} {g.module}"
     ]
--- a/bench/own_guards.py
+++ b/bench/own_guards.py
@@ -20,7 +20,7 @@
     Guard(
         "a claim is written only where there is none",
         "chat/_claims.py",
-        "            {key.row_key: 0},\n",
+        "            {key.row_key: ABSENT},\n",
         "            {},\n",
         f"{ONCE} -k repeats_at_the_same_time",
     ),
@@ -97,7 +97,7 @@
     Guard(
         "a change that was missed reaches others after a full read",
         "registry/_table_copy.py",
-        "            if row != self.rows.get(row.row_key.key)\n",
+        "            if self._differs(row)\n",
         "            if row.version > self.version\n",
         f"{REGISTRY}/test_table_copy.py -k missed",
     ),
--- /dev/null
+++ b/bench/store_guards.py
@@ -0,0 +1,39 @@
+"""Guards of what holds when the store comes back from an older copy."""
+
+from __future__ import annotations
+
+from guards_types import Guard
+
+RETURNS = "standins/tests/test_store_comes_back_older.py"
+COPIES = "packages/registry/tests/test_table_copy.py"
+
+STORE_GUARDS = [
+    Guard(
+        "return of an older store: an answer of a later generation is read whole",
+        "registry/_table_source.py",
+        "        if found.version.generation > after_version.generation:\n",
+        "        if False:\n",
+        f"{RETURNS} -k given_out_twice",
+    ),
+    Guard(
+        "return of an older store: who knew what was lost gets everything",
+        "registry/_table_copy.py",
+        "        return last is not None and version <= last\n",
+        "        return True\n",
+        f"{COPIES} -k knew_more_before",
+    ),
+    Guard(
+        "return of an older store: who came into a generation earlier gets everything",
+        "registry/_table_copy.py",
+        "            return version >= self._entered\n",
+        "            return True\n",
+        f"{COPIES} -k came_into",
+    ),
+    Guard(
+        "return of an older store: a condition of an earlier generation is not sent",
+        "adapter/_store.py",
+        "        if outdated is not None:\n",
+        "        if False:\n",
+        "tests/adapter/test_store_versions.py -k condition",
+    ),
+]
--- a/packages/chat/src/fordhatch/chat/_claim_rows.py
+++ b/packages/chat/src/fordhatch/chat/_claim_rows.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from fordhatch.adapter import DecodeError, Row, RowKey
+from fordhatch.adapter import ABSENT, DecodeError, Row, RowKey, StoreVersion
 
 CLAIM_TABLE = "fordhatch-claims"
 """The table of claims; nobody follows it."""
@@ -83,7 +83,7 @@
     expires_at_s: float
     """Time of day; rows are only cleaned by it, nothing is decided."""
     answer: StoredAnswer | None = None
-    version: int = 0
+    version: StoreVersion = ABSENT
     """The row's version; not part of its value."""
 
     def to_bytes(self) -> bytes:
--- a/packages/chat/src/fordhatch/chat/_claims.py
+++ b/packages/chat/src/fordhatch/chat/_claims.py
@@ -12,7 +12,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from fordhatch.adapter import DecodeError, StoreClient
+from fordhatch.adapter import ABSENT, DecodeError, StoreClient
 from fordhatch.core import Failure, Ran, ResultCode, TaskSet, Timer, log_event, metrics
 from fordhatch.protocol import PeerPool
 from fordhatch.protocol.messages import QueryStatus, StatusReply
@@ -101,7 +101,7 @@
             self.timer.wall_s() + self.expiry_s,
         )
         written = await self.store.write(
-            {key.row_key: 0},
+            {key.row_key: ABSENT},
             {key.row_key: claim.to_bytes()},
             timeout_s=CALL_TIMEOUT_S,
         )
--- a/packages/config/src/fordhatch/config/_apply.py
+++ b/packages/config/src/fordhatch/config/_apply.py
@@ -7,7 +7,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from fordhatch.adapter import DecodeError, Row, RowKey, StoreClient
+from fordhatch.adapter import ABSENT, DecodeError, Row, RowKey, StoreClient
 from fordhatch.core import Failure, Ran, ResultCode, Timer, log_event
 
 from ._audit import AuditRecord, accepted_key, refused_key
@@ -144,7 +144,7 @@
             return Err(Failure.from_code(ResultCode.CONFIG_INVALID, text))
         audit_key = accepted_key(new.revision)
         written = await self.store.write(
-            {HEAD_ROW: row.version if row is not None else 0, audit_key: 0},
+            {HEAD_ROW: row.version if row is not None else ABSENT, audit_key: ABSENT},
             {HEAD_ROW: value, audit_key: audit_value},
             timeout_s=CALL_TIMEOUT_S,
         )
--- a/packages/core/src/fordhatch/core/_metrics.py
+++ b/packages/core/src/fordhatch/core/_metrics.py
@@ -116,6 +116,17 @@
     ["method", "status"],
     registry=REGISTRY,
 )
+STORE_GENERATIONS_UNREADABLE = Counter(
+    "fordhatch_store_generations_unreadable_total",
+    "Answers of the store whose generation could not be read.",
+    registry=REGISTRY,
+)
+STORE_RETURNS = Counter(
+    "fordhatch_store_returns_total",
+    "Times that a table was found to have come back from a copy of the store.",
+    ["table"],
+    registry=REGISTRY,
+)
 PEER_MESSAGES = Counter(
     "fordhatch_peer_messages_total",
     "Messages between nodes by direction and type.",
--- a/packages/daemon/tests/own_site.py
+++ b/packages/daemon/tests/own_site.py
@@ -12,7 +12,7 @@
 import aiohttp
 import attrs
 
-from fordhatch.adapter import Row, RowKey
+from fordhatch.adapter import Row, RowKey, StoreVersion
 from fordhatch.chat import CHAT_PATH, CLAIM_TABLE, Claim
 from fordhatch.config import Applied, ApplyRequest, ConfigApplier, Settings, hash_key
 from fordhatch.core import Failure, Timer
@@ -237,4 +237,4 @@
 
 def _as_row(stored: StoredRow) -> Row:
     table, part, key = stored.name
-    return Row(RowKey(table, key, part), stored.version, stored.value)
+    return Row(RowKey(table, key, part), StoreVersion(0, stored.version), stored.value)
--- a/packages/node/src/fordhatch/node/_node.py
+++ b/packages/node/src/fordhatch/node/_node.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from fordhatch.adapter import StoreVersion
 from fordhatch.catalog import NodeSettings
 from fordhatch.core import Failure, ResultCode, TaskSet, Timer, log_event, metrics
 from fordhatch.placement import HolderNews, Planner, PlannerLease
@@ -233,7 +234,7 @@
             self.view.configuration.version,
             self.state.is_ready(),
             self.lease.is_held(),
-            self.lease.version,
+            [self.lease.version.generation, self.lease.version.number],
             self.view.configuration_age_s(),
         )
 
@@ -298,7 +299,7 @@
     reply = asked.ok()
     if not isinstance(reply, StatusReply):
         return None
-    return HolderNews(reply.is_planner, reply.lease_version)
+    return HolderNews(reply.is_planner, StoreVersion(*reply.lease_version))
 
 
 def _view(
--- a/packages/node/src/fordhatch/node/_registration.py
+++ b/packages/node/src/fordhatch/node/_registration.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from fordhatch.adapter import RowKey, StoreClient
+from fordhatch.adapter import ABSENT, RowKey, StoreClient, StoreVersion
 from fordhatch.catalog import NodeSettings
 from fordhatch.core import Timer, log_event
 from fordhatch.registry import (
@@ -71,7 +71,7 @@
         await self.timer.sleep(spread_s)
         if not self.shared.secret:
             proposal = secrets.token_bytes(SECRET_BYTES)
-            await self._write_until_done({secret: 0}, {secret: proposal})
+            await self._write_until_done({secret: ABSENT}, {secret: proposal})
 
     async def withdraw(self) -> None:
         """Remove the node's own row: others ask somebody else from now on."""
@@ -81,7 +81,7 @@
             log_event("node_not_withdrawn", error=removed.err().message)
 
     async def _write_until_done(
-        self, expected: dict[RowKey, int], puts: dict[RowKey, bytes]
+        self, expected: dict[RowKey, StoreVersion], puts: dict[RowKey, bytes]
     ) -> None:
         pause_s = REGISTER_RETRY_S
         while True:
--- a/packages/placement/src/fordhatch/placement/_planner_lease.py
+++ b/packages/placement/src/fordhatch/placement/_planner_lease.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from fordhatch.adapter import Row, RowKey, StoreClient
+from fordhatch.adapter import ABSENT, Row, RowKey, StoreClient, StoreVersion
 from fordhatch.core import Timer, log_event, metrics
 
 LEASE_TABLE = "fordhatch-lease"
@@ -62,7 +62,7 @@
     """What a node says of the lease."""
 
     is_holder: bool
-    version: int
+    version: StoreVersion
     """Of the lease's row at that node's last renewal."""
 
 
@@ -89,7 +89,7 @@
     fencing_token: int = 0
     """The row's version when this node last became the holder: the same for the whole
     of its term, and above that of every earlier holder."""
-    _version: int = 0
+    _version: StoreVersion = ABSENT
     _seen_s: float = -math.inf
     _valid_until_s: float = -math.inf
     _was_holder: bool = False
@@ -100,7 +100,7 @@
     """Whether nobody had ever had the lease when this node took it."""
 
     @property
-    def version(self) -> int:
+    def version(self) -> StoreVersion:
         """The row's version as this node knows it."""
         return self._version
 
@@ -145,7 +145,7 @@
 
     def _look_interval_s(self) -> float:
         rank = self._rank()
-        often = START_CANDIDATES if self._version == 0 else CANDIDATES
+        often = CANDIDATES if self._version.number else START_CANDIDATES
         if rank < often:
             return CANDIDATE_LOOK_S
         return max(OTHER_LOOK_S, LOOK_S_PER_RANK * rank)
@@ -154,7 +154,7 @@
         if self._was_holder:
             self._was_holder = False
             metrics.PLANNER_LEADER.set(0)
-            log_event("planner_lost", version=self._version)
+            log_event("planner_lost", version=str(self._version))
 
     async def _holder_renews(self) -> bool:
         """Return whether the holder says that it goes on renewing.
@@ -178,7 +178,7 @@
         if page.is_err() or self.is_leaving():
             return
         row = next(iter(page.unwrap().rows), None)
-        version = row.version if row is not None else 0
+        version = row.version if row is not None else ABSENT
         now_s = self.timer.now_s()
         if version != self._version or self._seen_s == -math.inf:
             self._version = version
@@ -187,7 +187,7 @@
         holder = _holder(row)
         self._holder = holder or ""
         # An earlier start of this very node can't plan any more.
-        if version == 0 or expired or holder in ("", self.node_name):
+        if version == ABSENT or expired or holder in ("", self.node_name):
             await self._write("taken")
 
     async def _renew(self) -> None:
@@ -209,21 +209,21 @@
             self._lost_race(result.conflicts)
             return
         self._version = result.version
-        self.epoch_base = result.version
+        self.epoch_base = result.version.number
         self._seen_s = self.timer.now_s()
         self._valid_until_s = sent_s + LEASE_S - MARGIN_S
         self._acquired.set()
         if not self._was_holder:
             self._was_holder = True
-            self.fencing_token = result.version
-            self.is_first_holder = replaced == 0
+            self.fencing_token = result.version.number
+            self.is_first_holder = replaced.number == 0
             metrics.PLANNER_LEADER.set(1)
-            log_event("planner_became", version=result.version, how=what)
+            log_event("planner_became", version=str(result.version), how=what)
 
     def _lost_race(self, conflicts: tuple[Row, ...]) -> None:
         self._holder = ""
         self._valid_until_s = -math.inf
-        self._version = next((row.version for row in conflicts), 0)
+        self._version = next((row.version for row in conflicts), ABSENT)
         self._seen_s = self.timer.now_s()
 
     def superseded(self) -> None:
@@ -246,7 +246,7 @@
         await self.store.write(
             {LEASE_ROW: self._version}, {LEASE_ROW: value}, timeout_s=CALL_TIMEOUT_S
         )
-        log_event("planner_released", version=self._version)
+        log_event("planner_released", version=str(self._version))
 
 
 def _holder(row: Row | None) -> str | None:
--- a/packages/protocol/src/fordhatch/protocol/__init__.py
+++ b/packages/protocol/src/fordhatch/protocol/__init__.py
@@ -5,6 +5,7 @@
 from . import messages
 from ._codec import FrameError, decode, derive_key, encode
 from ._link import Channel, Handler, Link, receive_from, to_failure, to_refused
+from ._messages import VersionPair
 from ._packed_rows import PackedRow, pack_rows, unpack_rows
 from ._pool import PeerPool
 
@@ -15,6 +16,7 @@
     "Link",
     "PackedRow",
     "PeerPool",
+    "VersionPair",
     "decode",
     "derive_key",
     "encode",
--- a/packages/protocol/src/fordhatch/protocol/_messages.py
+++ b/packages/protocol/src/fordhatch/protocol/_messages.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-PROTOCOL_VERSION = 4
+PROTOCOL_VERSION = 5
 """Raised when a message changes in a way that older nodes cannot read."""
 
 MESSAGE_BY_TAG: dict[int, type] = {}
@@ -60,11 +60,24 @@
     return attrs.field(converter=_number, validator=check, **options)
 
 
+VersionPair = list[int]
+"""A version of the store: its generation, and its counter within that."""
+
+
+def _is_version(value: object) -> bool:
+    return type(value) is list and [type(number) for number in value] == [int, int]
+
+
+def _version(_: object, attribute: attrs.Attribute, value: object) -> None:
+    if not _is_version(value):
+        raise FieldError(f"{attribute.name}: expected a generation and a number")
+
+
 def _versions(_: object, attribute: attrs.Attribute, value: object) -> None:
     if type(value) is not dict:
         raise FieldError(f"{attribute.name}: expected a map")
-    for key, number in value.items():
-        if (type(key), type(number)) != (str, int):
+    for key, version in value.items():
+        if type(key) is not str or not _is_version(version):
             raise FieldError(f"{attribute.name}: unexpected entry")
 
 
@@ -120,7 +133,7 @@
     configuration_version: int = _exactly(int)
     is_ready: bool = _exactly(bool)
     is_planner: bool = _exactly(bool)
-    lease_version: int = _exactly(int)
+    lease_version: VersionPair = attrs.field(validator=_version)
     """Of the planner's lease, as the node knows it."""
     configuration_age_s: float = _seconds()
     """How long ago the store was asked that confirmed what the node has in force."""
@@ -131,8 +144,8 @@
 class WatchTables:
     """Asks a node for changes of tables of the store that it follows."""
 
-    after_versions: dict[str, int] = attrs.field(validator=_versions)
-    """By table: changes after this version; -1 asks for the whole table."""
+    after_versions: dict[str, VersionPair] = attrs.field(validator=_versions)
+    """By table: changes after this version; -1 twice asks for the whole table."""
     wait_s: float = _seconds()
     """How long the answer may wait for a change."""
     as_first: bool = _exactly(bool)
@@ -145,7 +158,7 @@
     """Rows of a table that changed, or all of them."""
 
     table: str = _exactly(str)
-    version: int = _exactly(int)
+    version: VersionPair = attrs.field(validator=_version)
     """Up to this version nothing else changed."""
     age_s: float = _seconds()
     """How long ago, at the sending of this, the store was asked that confirmed it."""
--- a/packages/protocol/src/fordhatch/protocol/_packed_rows.py
+++ b/packages/protocol/src/fordhatch/protocol/_packed_rows.py
@@ -27,10 +27,10 @@
 NO_ROWS = b""
 """Stands for no rows at all."""
 
-PackedRow = tuple[str, int, bytes, bool]
-"""Key, version, value, and whether the row was removed."""
+PackedRow = tuple[str, int, int, bytes, bool]
+"""Key, the store's generation and number, value, and whether the row was removed."""
 
-_ROW_TYPES = (str, int, bytes, bool)
+_ROW_TYPES = (str, int, int, bytes, bool)
 
 
 def pack_rows(rows: Iterable[PackedRow]) -> bytes:
--- a/packages/protocol/tests/test_protocol.py
+++ b/packages/protocol/tests/test_protocol.py
@@ -33,12 +33,12 @@
 
 
 def changes(table: str = "servers", version: int = 4) -> TableChanges:
-    rows = pack_rows([("i-1", 4, b"x", False)])
-    return TableChanges(table, version, 0.25, 9.5, False, rows)
+    rows = pack_rows([("i-1", 1, 4, b"x", False)])
+    return TableChanges(table, [1, version], 0.25, 9.5, False, rows)
 
 
 def status(name: str = "n1", version: int = 0) -> StatusReply:
-    return StatusReply(name, "start", version, True, False, 7, 0.2)
+    return StatusReply(name, "start", version, True, False, [1, 7], 0.2)
 
 
 def test_nested_messages_come_back_equal() -> None:
@@ -47,7 +47,7 @@
 
 
 def test_long_tables_are_compressed_and_come_back_equal() -> None:
-    rows = [(f"i-{n}", n, b'{"service": "llm"}' * 9, False) for n in range(200)]
+    rows = [(f"i-{n}", 1, n, b'{"service": "llm"}' * 9, False) for n in range(200)]
     body = pack_rows(rows)
     assert len(body) < 8000
     assert unpack_rows(body) == rows
@@ -108,12 +108,16 @@
     (62, [{"op": 1}, 1.0, True, 4]),
     (62, [{"op": 1}]),
     (62, []),
-    (61, ["servers", 1, 0.1, 0.2, False, [["i-1", 4, b"x", False]]]),
-    (61, ["servers", 1, 0.1, 0.2, False, "rows"]),
-    (61, ["servers", True, 0.1, 0.2, False, b""]),
-    (63, [[["servers", 1, 0.1, 0.2, False, "rows"]]]),
+    (61, ["servers", [1, 1], 0.1, 0.2, False, [["i-1", 1, 4, b"x", False]]]),
+    (61, ["servers", [1, 1], 0.1, 0.2, False, "rows"]),
+    (61, ["servers", [1, True], 0.1, 0.2, False, b""]),
+    (61, ["servers", 1, 0.1, 0.2, False, b""]),
+    (61, ["servers", [1, 1, 1], 0.1, 0.2, False, b""]),
+    (63, [[["servers", [1, 1], 0.1, 0.2, False, "rows"]]]),
     (63, ["servers"]),
-    (51, ["n", "s", 1, 1, False, 1]),
+    (51, ["n", "s", 1, True, False, 1, 0.2]),
+    (51, ["n", "s", 1, 1, False, [1, 1], 0.2]),
+    (62, [{"op": 1}, 2, False]),
 ]
 
 
@@ -124,8 +128,8 @@
 
 
 def test_whole_numbers_are_durations_as_well() -> None:
-    asked = decode(msgpack.packb([0, 62, [{"op": 1}, 2, False]]))[1]
-    assert asked == WatchTables({"op": 1}, 2.0, False)
+    asked = decode(msgpack.packb([0, 62, [{"op": [0, 1]}, 2, False]]))[1]
+    assert asked == WatchTables({"op": [0, 1]}, 2.0, False)
 
 
 async def pools(server_key: bytes = KEY, handler=None):
@@ -137,7 +141,7 @@
 
 async def test_answers_arrive_on_their_own_channel() -> None:
     async def echo(message, channel) -> None:
-        wanted = message.after_versions["op"]
+        wanted = message.after_versions["op"][1]
         for index in range(wanted):
             await channel.send(status(str(wanted), index))
             await asyncio.sleep(0)
@@ -145,7 +149,7 @@
     server, client, address = await pools(handler=echo)
 
     async def ask(number: int) -> list[tuple[str, int]]:
-        message = WatchTables({"op": number}, 1.0, False)
+        message = WatchTables({"op": [0, number]}, 1.0, False)
         channel = (await client.open(address, message)).unwrap()
         replies = [(await channel.receive(5.0)).unwrap() for _ in range(number)]
         await channel.close()
--- a/packages/registry/src/fordhatch/registry/_relay.py
+++ b/packages/registry/src/fordhatch/registry/_relay.py
@@ -13,12 +13,13 @@
 import attrs
 from result import Err, Result
 
-from fordhatch.adapter import Row, RowKey
+from fordhatch.adapter import Row, RowKey, StoreVersion
 from fordhatch.core import Failure, ResultCode, Timer, log_event
 from fordhatch.protocol import (
     Channel,
     FrameError,
     PeerPool,
+    VersionPair,
     pack_rows,
     to_refused,
     unpack_rows,
@@ -72,7 +73,9 @@
     choice: ReaderChoice
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     """Set at the next change of any table, and replaced by a new one then."""
-    _packed: dict[tuple[str, int], tuple[int, bool, bytes]] = attrs.field(factory=dict)
+    _packed: dict[tuple[str, StoreVersion], tuple[StoreVersion, bool, bytes]] = (
+        attrs.field(factory=dict)
+    )
     """Answers since the last change by table and version asked for: all who ask at
     the same time get the same bytes."""
 
@@ -113,7 +116,7 @@
         else:
             await self._until_changed(message, asked)
         tables = [
-            self._changes(name, follower, message.after_versions[name])
+            self._changes(name, follower, _version(message.after_versions[name]))
             for name, follower in asked.items()
         ]
         await channel.send(TablesChanged(tables))
@@ -137,7 +140,7 @@
         self, message: WatchTables, asked: Mapping[str, TableFollower]
     ) -> None:
         """Wait until some table has changed, but not for longer than is wanted."""
-        versions = message.after_versions
+        versions = {n: _version(v) for n, v in message.after_versions.items()}
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(min(message.wait_s, RELAY_MOST_WAIT_S)):
                 while not any(
@@ -147,19 +150,24 @@
                     await self._changed.wait()
 
     def _changes(
-        self, name: str, follower: TableFollower, after_version: int
+        self, name: str, follower: TableFollower, after_version: StoreVersion
     ) -> TableChanges:
         key = name, after_version
         if key not in self._packed:
             update = follower.copy.after(after_version)
             rows = pack_rows(
-                (row.row_key.key, row.version, row.value, row.is_removed)
+                (row.row_key.key, *_pair(row.version), row.value, row.is_removed)
                 for row in update.rows
             )
             self._packed[key] = update.version, update.is_whole, rows
         version, is_whole, rows = self._packed[key]
         return TableChanges(
-            name, version, follower.age_s(), follower.steady_s(), is_whole, rows
+            name,
+            _pair(version),
+            follower.age_s(),
+            follower.steady_s(),
+            is_whole,
+            rows,
         )
 
 
@@ -189,7 +197,7 @@
         Returns:
             Whether it answered and knows enough.
         """
-        versions = {name: f.version for name, f in followers.items()}
+        versions = {name: _pair(f.version) for name, f in followers.items()}
         is_first = self.choice.is_first(reader)
         sent_s = self.timer.now_s()
         asked = WatchTables(versions, self.wait_s, is_first)
@@ -258,14 +266,28 @@
 
 def _update(changes: TableChanges) -> TableUpdate:
     rows = [
-        Row(RowKey(changes.table, key), version, value, is_removed)
-        for key, version, value, is_removed in unpack_rows(changes.rows)
+        Row(RowKey(changes.table, key), StoreVersion(*version), value, is_removed)
+        for key, *version, value, is_removed in unpack_rows(changes.rows)
     ]
     return TableUpdate(
-        rows, changes.version, changes.is_whole, changes.age_s, changes.steady_s
+        rows,
+        _version(changes.version),
+        changes.is_whole,
+        changes.age_s,
+        changes.steady_s,
     )
 
 
+def _pair(version: StoreVersion) -> VersionPair:
+    """Return a version as messages hold it."""
+    return [version.generation, version.number]
+
+
+def _version(pair: VersionPair) -> StoreVersion:
+    """Return the version in a message."""
+    return StoreVersion(*pair)
+
+
 def relay_wait_s(apply_s: float) -> float:
     """Return how long questions are held.
 
--- a/packages/registry/src/fordhatch/registry/_table_follower.py
+++ b/packages/registry/src/fordhatch/registry/_table_follower.py
@@ -8,10 +8,11 @@
 
 import attrs
 
-from fordhatch.core import Failure, ResultCode, Timer, log_event
+from fordhatch.adapter import NOTHING, StoreVersion
+from fordhatch.core import Failure, ResultCode, Timer, log_event, metrics
 
 from ._table_copy import TableCopy
-from ._table_source import NOTHING, TableSource, TableUpdate
+from ._table_source import TableSource, TableUpdate
 
 RETRY_FIRST_S = 0.05
 """Pause after the first failed call."""
@@ -61,7 +62,7 @@
     _failures: int = 0
 
     @property
-    def version(self) -> int:
+    def version(self) -> StoreVersion:
         """Changes up to this version of the store have been seen."""
         return self.copy.version
 
@@ -116,21 +117,24 @@
         after = self.copy.version
         got = await self.source.update(self.table, after, wait_s)
         if got.is_err() and got.err().code is ResultCode.STORE_HISTORY_GONE:
-            log_event("store_history_gone", table=self.table, after=after)
+            log_event("store_history_gone", table=self.table, after=str(after))
             sent_s = self.timer.now_s()
             got = await self.source.update(self.table, NOTHING, 0.0)
         if got.is_err():
             self.failed(got.unwrap_err())
             return False
-        self.take(got.unwrap(), sent_s)
-        return True
+        if self.take(got.unwrap(), sent_s):
+            return True
+        text = f"its answer is of {got.unwrap().version}, before {self.copy.version}"
+        self.failed(Failure.from_code(ResultCode.STORE_UNAVAILABLE, text))
+        return False
 
     def _pause_s(self, most_s: float) -> float:
         pause_s = RETRY_FIRST_S * 2 ** min(self._failures - 1, 8)
         return self.timer.jittered(min(pause_s, most_s))
 
-    def take(self, update: TableUpdate, sent_s: float) -> None:
-        """Take an update.
+    def take(self, update: TableUpdate, sent_s: float) -> bool:
+        """Take an update; returns whether it is no older than what is known.
 
         Args:
             update: What the store or another node has answered.
@@ -138,14 +142,29 @@
                 request and the moment that the age speaks of, so counting from the
                 request errs on the safe side, also after a freeze.
         """
-        if update.is_whole and update.version < self.copy.version:
-            # A node that is behind: what is known here is newer.
-            return
+        if self.copy.is_older(update):
+            # A node that is behind, or an answer that was on its way for long.
+            return False
+        if self.copy.crosses(update):
+            self._note_return(update)
         self._confirm(sent_s - update.age_s, update.steady_s)
         if update.is_whole or update.rows:
             self.on_update(update)
         self.copy.take(update)
         self._succeeded()
+        return True
+
+    def _note_return(self, update: TableUpdate) -> None:
+        """Note that the store has come back from a copy."""
+        metrics.STORE_RETURNS.labels(self.table).inc()
+        log_event(
+            "store_came_back_older",
+            table=self.table,
+            known=str(self.copy.version),
+            found=str(update.version),
+            age_s=round(self.age_s(), 3),
+            from_store=update.is_from_store,
+        )
 
     def _confirm(self, confirmed_s: float, steady_s: float | None) -> None:
         """Note a confirmation, and whether an outage lay before it.
--- a/packages/registry/src/fordhatch/registry/_table_source.py
+++ b/packages/registry/src/fordhatch/registry/_table_source.py
@@ -8,8 +8,8 @@
 import attrs
 from result import Err, Ok, Result
 
-from fordhatch.adapter import Row, StoreClient
-from fordhatch.core import Failure
+from fordhatch.adapter import NOTHING, Row, StoreClient, StoreVersion
+from fordhatch.core import Failure, ResultCode
 
 READ_TIMEOUT_S = 1.5
 """Longest wait for a full read; the store answers in 4 ms when it is well, and in
@@ -19,16 +19,14 @@
 """What a watch may take beyond the wait that it asked for."""
 
 
-NOTHING = -1
-"""The version of a follower that has nothing yet: it needs every row."""
-
-
 @attrs.frozen
 class TableUpdate:
     """Rows of a table that changed, or all of them."""
 
     rows: Sequence[Row]
-    version: int
+    version: StoreVersion = attrs.field(
+        validator=attrs.validators.instance_of(StoreVersion)
+    )
     """Up to this version of the store nothing else changed."""
     is_whole: bool
     age_s: float = 0.0
@@ -48,13 +46,13 @@
     """What a follower needs."""
 
     async def update(
-        self, table: str, after_version: int, wait_s: float
+        self, table: str, after_version: StoreVersion, wait_s: float
     ) -> Result[TableUpdate, Failure]:
         """Return what changed after a version, or every row.
 
         Args:
             table: The table.
-            after_version: What the follower has, or ``NOTHING``.
+            after_version: What the follower has; ``NOTHING`` asks for every row.
             wait_s: How long the answer may wait for a change.
         """
         ...
@@ -67,7 +65,7 @@
     store: StoreClient
 
     async def update(
-        self, table: str, after_version: int, wait_s: float
+        self, table: str, after_version: StoreVersion, wait_s: float
     ) -> Result[TableUpdate, Failure]:
         """See ``TableSource.update``."""
         if after_version == NOTHING:
@@ -78,11 +76,15 @@
         if changed.is_err():
             return Err(changed.unwrap_err())
         found = changed.unwrap()
+        if found.version.generation > after_version.generation:
+            # The store has come back older and gone on: changes up to the number that
+            # was asked for are not among these.
+            return await self._read(table)
         return Ok(TableUpdate(found.rows, found.version, is_whole=False))
 
     async def _read(self, table: str) -> Result[TableUpdate, Failure]:
         rows: list[Row] = []
-        version = 0
+        version: StoreVersion | None = None
         first_key = ""
         while True:
             page = await self.store.read(
@@ -94,6 +96,9 @@
             # Later pages are newer; watching from the first page's moment on
             # brings whatever changed between the pages.
             version = version or found.version
+            if found.version.generation != version.generation:
+                text = "it came back from a copy while the table was read"
+                return Err(Failure.from_code(ResultCode.STORE_UNAVAILABLE, text))
             rows.extend(found.rows)
             if not found.has_more or not found.rows:
                 return Ok(TableUpdate(rows, version, is_whole=True))
--- a/packages/registry/tests/test_backend_directory.py
+++ b/packages/registry/tests/test_backend_directory.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fordhatch.adapter import BACKENDS_TABLE, Row, RowKey
+from fordhatch.adapter import BACKENDS_TABLE, Row, RowKey, StoreVersion
 from fordhatch.catalog import BackendServer
 from fordhatch.core import Timer
 from fordhatch.registry import BackendDirectory
@@ -29,12 +29,17 @@
 
     def put(self, key: str, value: bytes) -> None:
         self.version += 1
-        row = Row(RowKey(BACKENDS_TABLE, key), self.version, value)
+        row = Row(RowKey(BACKENDS_TABLE, key), StoreVersion(0, self.version), value)
         self.directory.observe_changes([row])
 
     def remove(self, key: str) -> None:
         self.version += 1
-        row = Row(RowKey(BACKENDS_TABLE, key), self.version, b"", is_removed=True)
+        row = Row(
+            RowKey(BACKENDS_TABLE, key),
+            StoreVersion(0, self.version),
+            b"",
+            is_removed=True,
+        )
         self.directory.observe_changes([row])
 
     def listed(self) -> set[str]:
--- a/packages/registry/tests/test_departures.py
+++ b/packages/registry/tests/test_departures.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from fordhatch.adapter import BACKENDS_TABLE, Row, RowKey
+from fordhatch.adapter import BACKENDS_TABLE, Row, RowKey, StoreVersion
 from fordhatch.catalog import BackendState
 from fordhatch.registry import BackendDirectory
 from fordhatch.registry._departures import KEEP_S
@@ -23,7 +23,11 @@
 
 def row(version: int, **changes: object) -> Row:
     entry = {**entry_fields("app", "10.0.0.1:1"), **changes}
-    return Row(RowKey(BACKENDS_TABLE, "i-1"), version, json.dumps(entry).encode())
+    return Row(
+        RowKey(BACKENDS_TABLE, "i-1"),
+        StoreVersion(0, version),
+        json.dumps(entry).encode(),
+    )
 
 
 def directory() -> tuple[BackendDirectory, HandClock]:
--- a/packages/registry/tests/test_relay.py
+++ b/packages/registry/tests/test_relay.py
@@ -9,7 +9,7 @@
 import pytest_asyncio
 from result import Result
 
-from fordhatch.adapter import BACKENDS_TABLE, OPERATOR_TABLE
+from fordhatch.adapter import BACKENDS_TABLE, NOTHING, OPERATOR_TABLE
 from fordhatch.core import Failure, Timer
 from fordhatch.protocol import PeerPool
 from fordhatch.registry import (
@@ -21,7 +21,6 @@
     StoreView,
     TableUpdate,
 )
-from fordhatch.registry._table_source import NOTHING
 from fordhatch.registry._tables_follower import CHOICE_LOOK_S
 from fordhatch_standins import MemoryStoreClient, StoreModel, backend_entry
 
--- a/packages/registry/tests/test_store_view.py
+++ b/packages/registry/tests/test_store_view.py
@@ -13,6 +13,7 @@
     OPERATOR_TABLE,
     Row,
     RowKey,
+    StoreVersion,
 )
 from fordhatch.core import Timer
 from fordhatch.registry import StoreSource, StoreView, TableUpdate
@@ -173,13 +174,17 @@
     run(scenario)
 
 
+def at(number: int) -> StoreVersion:
+    return StoreVersion(0, number)
+
+
 def passed_on(
     version: int, *rows: Row, age_s: float = 0.2, steady_s: float = 60.0
 ) -> TableUpdate:
-    return TableUpdate(rows, version, is_whole=False, age_s=age_s, steady_s=steady_s)
+    return TableUpdate(rows, at(version), False, age_s, steady_s)
 
 
-REMOVED = Row(RowKey(BACKENDS_TABLE, "i-1"), 12, b"", is_removed=True)
+REMOVED = Row(RowKey(BACKENDS_TABLE, "i-1"), at(12), b"", is_removed=True)
 
 
 async def fed_by_others() -> StoreView:
@@ -187,9 +192,9 @@
     view = StoreView.create(
         StoreSource(MemoryStoreClient(StoreModel(), "n1")), Timer.from_seed(1)
     )
-    entry = Row(RowKey(BACKENDS_TABLE, "i-1"), 3, backend())
+    entry = Row(RowKey(BACKENDS_TABLE, "i-1"), at(3), backend())
     now_s = view.timer.now_s()
-    view.backends.take(TableUpdate([entry], 10, True, 0.2, 60.0), now_s)
+    view.backends.take(TableUpdate([entry], at(10), True, 0.2, 60.0), now_s)
     return view
 
 
@@ -234,7 +239,7 @@
         view = await fed_by_others()
         await asyncio.sleep(1.6)
         # Nobody answered meanwhile; the store does, and was never away.
-        view.backends.take(TableUpdate([REMOVED], 12, False), view.timer.now_s())
+        view.backends.take(TableUpdate([REMOVED], at(12), False), view.timer.now_s())
         assert not view.directory.backends
 
     run(scenario)
@@ -245,7 +250,7 @@
         view = await fed_by_others()
         await asyncio.sleep(2.0)
         view.backends.found_stale()
-        view.backends.take(TableUpdate([REMOVED], 12, False), view.timer.now_s())
+        view.backends.take(TableUpdate([REMOVED], at(12), False), view.timer.now_s())
         assert set(view.directory.backends) == {"i-1"}
 
     run(scenario)
--- a/packages/serving/src/fordhatch/serving/_stall_watch.py
+++ b/packages/serving/src/fordhatch/serving/_stall_watch.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from fordhatch.adapter import BackendClient, RowKey, StoreClient
+from fordhatch.adapter import ABSENT, BackendClient, RowKey, StoreClient
 from fordhatch.catalog import BackendServer
 from fordhatch.core import TaskSet, Timer, log_event
 from fordhatch.registry import (
@@ -191,7 +191,7 @@
     async def _tell(self, suspicion: Suspicion) -> None:
         row = RowKey(SHARED_TABLE, suspicion_key(suspicion.group, suspicion.epoch))
         written = await self.store.write(
-            {row: 0}, {row: suspicion.to_bytes()}, timeout_s=WRITE_TIMEOUT_S
+            {row: ABSENT}, {row: suspicion.to_bytes()}, timeout_s=WRITE_TIMEOUT_S
         )
         if written.is_err():
             error = written.err().message
--- a/packages/serving/tests/serving_site.py
+++ b/packages/serving/tests/serving_site.py
@@ -172,7 +172,7 @@
     async def register(self, name: str, entry: dict[str, object]) -> None:
         """Write an entry and wait until the node has seen it."""
         version = self.model.put(BACKENDS_TABLE, name, json.dumps(entry).encode())
-        await self.until(lambda: self.view.backends.version >= version)
+        await self.until(lambda: self.view.backends.version.number >= version)
 
     async def until(self, holds: Callable[[], bool]) -> None:
         """Wait until something holds; fails only if it never does."""
--- a/packages/serving/tests/test_quarantine.py
+++ b/packages/serving/tests/test_quarantine.py
@@ -8,7 +8,7 @@
 import attrs
 import pytest
 
-from fordhatch.adapter import Row, RowKey
+from fordhatch.adapter import Row, RowKey, StoreVersion
 from fordhatch.core import Timer
 from fordhatch.registry import (
     SHARED_TABLE,
@@ -115,7 +115,7 @@
 ) -> Row:
     key = RowKey(SHARED_TABLE, crash_key(digest, backend))
     value = CrashRecord(digest, backend, stage, "n1").to_bytes()
-    return Row(key, 1, value, is_removed)
+    return Row(key, StoreVersion(0, 1), value, is_removed)
 
 
 async def test_own_crashes_and_those_of_other_nodes_count_together() -> None:
@@ -192,5 +192,5 @@
         shared.observe_changes([attrs.evolve(row("a", "x"), value=value)])
         assert shared.crashes == {}
     key = RowKey(SHARED_TABLE, "crash/without-a-server")
-    shared.observe_changes([Row(key, 1, row("a", "x").value)])
+    shared.observe_changes([Row(key, StoreVersion(0, 1), row("a", "x").value)])
     assert shared.crashes == {}
--- a/standins/src/fordhatch_standins/_memory_clients.py
+++ b/standins/src/fordhatch_standins/_memory_clients.py
@@ -17,7 +17,9 @@
     Row,
     RowKey,
     RowPage,
+    StoreVersion,
     WriteResult,
+    why_outdated,
 )
 from fordhatch.core import Failure, Ran, ResultCode
 
@@ -29,9 +31,10 @@
 ORDER_S = 0.002
 
 
-def _row(row: StoredRow) -> Row:
+def _row(row: StoredRow, generation: int) -> Row:
     table, part, key = row.name
-    return Row(RowKey(table, key, part), row.version, row.value, row.is_removed)
+    version = StoreVersion(generation, row.version)
+    return Row(RowKey(table, key, part), version, row.value, row.is_removed)
 
 
 def _name(row: RowKey) -> tuple[str, str, str]:
@@ -52,6 +55,8 @@
     """The node's process stands still: no call of it ends."""
 
     calls: Counter[str] = attrs.field(factory=Counter)
+    generation: int = 0
+    """The newest generation of the store that an answer has named."""
 
     def _count(self, call: str) -> None:
         self.calls[call] += 1
@@ -60,6 +65,11 @@
     async def close(self) -> None:
         """Nothing to close."""
 
+    def _version(self) -> StoreVersion:
+        """Return the version of the store as an answer tells it."""
+        self.generation = self.model.generation
+        return StoreVersion(self.model.generation, self.model.version)
+
     async def _reach(self, timeout_s: float) -> Failure | None:
         await asyncio.sleep(STORE_S)
         faults = self.model.faults
@@ -85,29 +95,38 @@
         if failure is not None:
             return Err(failure)
         rows = self.model.page(table, first_key, limit + 1, part)
-        shown = tuple(_row(r) for r in rows[:limit])
-        return Ok(RowPage(shown, len(rows) > limit, self.model.version))
+        version = self._version()
+        shown = tuple(_row(r, version.generation) for r in rows[:limit])
+        return Ok(RowPage(shown, len(rows) > limit, version))
 
     async def watch(
-        self, table: str, after_version: int, *, wait_s: float, timeout_s: float
+        self,
+        table: str,
+        after_version: StoreVersion,
+        *,
+        wait_s: float,
+        timeout_s: float,
     ) -> Result[Changes, Failure]:
         """Wait for changes of a table."""
         self._count(f"watch {table}")
         failure = await self._reach(timeout_s)
         if failure is not None:
             return Err(failure)
-        found = await self.model.changes(table, after_version, wait_s)
-        version = self.model.version
+        found = await self.model.changes(table, after_version.number, wait_s)
+        version = self._version()
         failure = await self._reach(timeout_s)
         if failure is not None:
             return Err(failure)
         if found is None:
             return Err(Failure.from_code(ResultCode.STORE_HISTORY_GONE))
-        return Ok(Changes(tuple(map(_row, found)), version))
+        rows = tuple(_row(r, version.generation) for r in found)
+        if self.model.faults.mutes_watches:
+            version = attrs.evolve(version, number=after_version.number)
+        return Ok(Changes(rows, version))
 
     async def write(
         self,
-        expected: Mapping[RowKey, int],
+        expected: Mapping[RowKey, StoreVersion],
         puts: Mapping[RowKey, bytes],
         removes: tuple[RowKey, ...] = (),
         *,
@@ -115,12 +134,15 @@
     ) -> Result[WriteResult, Failure]:
         """Change rows together or not at all."""
         tables = {row.table for row in (*puts, *removes)}
+        outdated = why_outdated(expected, self.generation)
+        if outdated is not None:
+            return Err(outdated)
         self._count(f"write {','.join(sorted(tables))}")
         failure = await self._reach(timeout_s)
         if failure is not None:
             return Err(failure)
         transaction = (
-            {_name(k): v for k, v in expected.items()},
+            {_name(k): v.number for k, v in expected.items()},
             {_name(k): v for k, v in puts.items()},
             tuple(map(_name, removes)),
         )
@@ -129,12 +151,15 @@
             self.model.transact_later(*transaction)
             await asyncio.sleep(timeout_s)
             return Err(_unknown())
-        version, conflicts = self.model.transact(*transaction)
+        number, conflicts = self.model.transact(*transaction)
+        version = self._version()
         if self.model.faults.lost_answers > 0:
             self.model.faults.lost_answers -= 1
             return Err(_unknown())
-        rows = tuple(map(_row, conflicts))
-        return Ok(WriteResult(bool(version), version, rows))
+        if number:
+            return Ok(WriteResult(True, version))
+        rows = tuple(_row(r, version.generation) for r in conflicts)
+        return Ok(WriteResult(False, conflicts=rows))
 
 
 @attrs.define(eq=False, repr=False)
--- a/standins/src/fordhatch_standins/_store_http.py
+++ b/standins/src/fordhatch_standins/_store_http.py
@@ -10,10 +10,9 @@
 
 from aiohttp import web
 
-from ._store_model import Name, StoredRow, StoreModel
+from fordhatch.adapter import GENERATION_HEADER
 
-GENERATION_HEADER = "Store-Era"
-"""Says in every answer how often the store has come back from a copy."""
+from ._store_model import Name, StoredRow, StoreModel
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
--- a/tests/adapter/test_store_client.py
+++ b/tests/adapter/test_store_client.py
@@ -10,13 +10,17 @@
 from aiohttp import web
 from loopback_proxy import LoopbackProxy
 
-from fordhatch.adapter import RowKey, StoreClient
+from fordhatch.adapter import ABSENT, RowKey, StoreClient, StoreVersion
 from fordhatch.core import Ran, ResultCode
 from fordhatch_standins import StoreModel, store_handler
 
 KEY = RowKey("own", "k")
 
 
+def at(number: int) -> StoreVersion:
+    return StoreVersion(0, number)
+
+
 @pytest_asyncio.fixture
 async def store() -> AsyncIterator[tuple[StoreModel, StoreClient]]:
     model = StoreModel()
@@ -41,41 +45,41 @@
     rest = (await client.read("own", first_key="k4\0", timeout_s=1)).unwrap()
     assert [r.value for r in rest.rows] == [b"v5", b"v6"]
     assert not rest.has_more
-    assert rest.version == 7
+    assert rest.version == at(7)
 
 
 async def test_a_watch_hears_of_changes_and_removals(store) -> None:
     model, client = store
     model.put("own", "k", b"1")
-    watch = asyncio.ensure_future(client.watch("own", 1, wait_s=2, timeout_s=3))
+    watch = asyncio.ensure_future(client.watch("own", at(1), wait_s=2, timeout_s=3))
     await asyncio.sleep(0.02)
     model.remove("own", "k")
     changes = (await watch).unwrap()
     assert [(r.row_key.key, r.is_removed) for r in changes.rows] == [("k", True)]
-    assert changes.version == 2
+    assert changes.version == at(2)
 
 
 async def test_a_watch_without_changes_confirms_the_version(store) -> None:
     model, client = store
     model.put("other", "k", b"1")
-    changes = (await client.watch("own", 0, wait_s=0.01, timeout_s=1)).unwrap()
+    changes = (await client.watch("own", at(0), wait_s=0.01, timeout_s=1)).unwrap()
     assert changes.rows == ()
-    assert changes.version == 1
+    assert changes.version == at(1)
 
 
 async def test_a_forgotten_history_is_told_apart(store) -> None:
     model, client = store
     model.put("own", "k", b"1")
     model.forget_history()
-    failed = await client.watch("own", 0, wait_s=0.01, timeout_s=1)
+    failed = await client.watch("own", at(0), wait_s=0.01, timeout_s=1)
     assert failed.unwrap_err().code is ResultCode.STORE_HISTORY_GONE
 
 
 async def test_a_write_holds_only_under_its_condition(store) -> None:
     _, client = store
-    made = (await client.write({KEY: 0}, {KEY: b"a"}, timeout_s=1)).unwrap()
+    made = (await client.write({KEY: ABSENT}, {KEY: b"a"}, timeout_s=1)).unwrap()
     assert made.is_committed
-    again = (await client.write({KEY: 0}, {KEY: b"b"}, timeout_s=1)).unwrap()
+    again = (await client.write({KEY: ABSENT}, {KEY: b"b"}, timeout_s=1)).unwrap()
     assert not again.is_committed
     assert [(r.version, r.value) for r in again.conflicts] == [(made.version, b"a")]
     removed = await client.write({KEY: made.version}, {}, (KEY,), timeout_s=1)
@@ -110,7 +114,7 @@
     model.put("own", "k", b"1")
     proxy = LoopbackProxy(int(client.address.rpartition(":")[2]))
     through = StoreClient.from_address(f"127.0.0.1:{await proxy.start()}")
-    watches = [through.watch("own", 1, wait_s=0.1, timeout_s=5) for _ in range(3)]
+    watches = [through.watch("own", at(1), wait_s=0.1, timeout_s=5) for _ in range(3)]
     assert all(got.is_ok() for got in await asyncio.gather(*watches))
     proxy.silence_open()
     lost = await through.read("own", timeout_s=0.2)
@@ -125,7 +129,7 @@
 ) -> None:
     model, client = store
     model.put("own", "k", b"1")
-    watch = asyncio.ensure_future(client.watch("own", 1, wait_s=5, timeout_s=6))
+    watch = asyncio.ensure_future(client.watch("own", at(1), wait_s=5, timeout_s=6))
     await asyncio.sleep(0.05)
     first = client._session
     client._leave(first)
