The planner's lease is waited out where the store came back from a copy

Cause: terms were made of the bare number of the lease's row, and the row was taken to tell who held the lease last. A copy tells that of an earlier moment; a condition holds for a number that was given out twice.

Change: terms are made of generation and number. The row says in which generation its writer was; where that is not the store's, or the row is missing in a later generation, a whole lease passes before anybody takes over. Only a holder whose lease still runs, and who finds a copy of its own row, goes on at once. A renewal that was done in another generation than its condition counts as lost.

Red before: terms 1 to 4, then 4 again; two holders where the copy has no lease; the same term given out in the three patterns of numbers given out twice. The wait costs 1.6 s without a planner after a return, beside an outage without a copy; groups serve meanwhile.

--- a/bench/platform_guards.py
+++ b/bench/platform_guards.py
@@ -244,7 +244,7 @@
     Guard(
         "fencing: a later term has a higher token",
         "placement/_planner_lease.py",
-        "            self.fencing_token = result.version.number\n",
+        "            self.fencing_token = _term(result.version)\n",
         "            self.fencing_token = 1\n",
         f"{PLACEMENT} -k one_token",
     ),
--- a/bench/store_guards.py
+++ b/bench/store_guards.py
@@ -5,6 +5,7 @@
 from guards_types import Guard
 
 RETURNS = "standins/tests/test_store_comes_back_older.py"
+LEASES = "packages/placement/tests/test_lease_over_returns.py"
 COPIES = "packages/registry/tests/test_table_copy.py"
 
 STORE_GUARDS = [
@@ -36,4 +37,32 @@
         "        if False:\n",
         "tests/adapter/test_store_versions.py -k condition",
     ),
+    Guard(
+        "return of an older store: terms of the planner rise",
+        "placement/_planner_lease.py",
+        "    return version.generation * TERMS_PER_GENERATION + version.number\n",
+        "    return version.number\n",
+        f"{LEASES} -k rise_over",
+    ),
+    Guard(
+        "return of an older store: a number given out twice makes no second planner",
+        "placement/_planner_lease.py",
+        "        if result.version.generation != replaced.generation:\n",
+        "        if False:\n",
+        f"{LEASES} -k given_out_twice",
+    ),
+    Guard(
+        "return of an older store: whoever held the lease is waited out",
+        "placement/_planner_lease.py",
+        "        is_free = found.is_current and found.holder in",
+        "        is_free = found.holder in",
+        f"{LEASES} -k copy_without",
+    ),
+    Guard(
+        "return of an older store: the planner goes on under its own copied lease",
+        "placement/_planner_lease.py",
+        "or self._may_go_on(found):",
+        "or False:",
+        f"{LEASES} -k short_return",
+    ),
 ]
--- a/packages/placement/src/fordhatch/placement/_planner_lease.py
+++ b/packages/placement/src/fordhatch/placement/_planner_lease.py
@@ -9,8 +9,15 @@
 
 import attrs
 
-from fordhatch.adapter import ABSENT, Row, RowKey, StoreClient, StoreVersion
-from fordhatch.core import Timer, log_event, metrics
+from fordhatch.adapter import (
+    ABSENT,
+    Row,
+    RowKey,
+    RowPage,
+    StoreClient,
+    StoreVersion,
+)
+from fordhatch.core import ResultCode, Timer, log_event, metrics
 
 LEASE_TABLE = "fordhatch-lease"
 """A table of its own, that nobody follows: each renewal would wake every node."""
@@ -23,6 +30,9 @@
 RENEW_S = 0.45
 """Time between renewals: three may fail before the lease ends."""
 
+TERMS_PER_GENERATION = 10**9
+"""More than the store's counter reaches within a generation."""
+
 MARGIN_S = 0.2
 """The holder stops this much before others may take over."""
 
@@ -72,6 +82,9 @@
 
     Only the store's row versions decide: whoever replaces the version that it saw
     last is the holder. Time is measured on this node's own steady clock.
+
+    Where the store has come back from an older copy, the row says nothing of whoever
+    held the lease before, and may still go by its own clock: it is waited out.
     """
 
     node_name: str
@@ -84,14 +97,18 @@
     """Asks a node for its renewals, which costs no call to the store; returns None
     where it doesn't answer."""
     epoch_base: int = 0
-    """The row's version at this node's last renewal; epochs that are derived from it
-    are higher than those of every earlier holder."""
+    """Made of the row's version at this node's last renewal; epochs that are derived
+    from it are higher than those of every earlier holder."""
     fencing_token: int = 0
-    """The row's version when this node last became the holder: the same for the whole
-    of its term, and above that of every earlier holder."""
+    """Made of the row's version when this node last became the holder: the same for
+    the whole of its term, and above that of every earlier holder."""
     _version: StoreVersion = ABSENT
     _seen_s: float = -math.inf
     _valid_until_s: float = -math.inf
+    _renewed: StoreVersion = ABSENT
+    """The row's version at this node's last renewal."""
+    _renewed_until_s: float = -math.inf
+    """Until when nobody else can have taken over from that renewal."""
     _was_holder: bool = False
     _holder: str = ""
     """The node that had the lease at the last look."""
@@ -177,45 +194,57 @@
         page = await self.store.read(LEASE_TABLE, limit=1, timeout_s=CALL_TIMEOUT_S)
         if page.is_err() or self.is_leaving():
             return
-        row = next(iter(page.unwrap().rows), None)
-        version = row.version if row is not None else ABSENT
+        found = _LeaseRow.from_page(page.unwrap())
         now_s = self.timer.now_s()
-        if version != self._version or self._seen_s == -math.inf:
-            self._version = version
+        if found.version != self._version or self._seen_s == -math.inf:
+            self._version = found.version
             self._seen_s = now_s
         expired = now_s - self._seen_s >= LEASE_S
-        holder = _holder(row)
-        self._holder = holder or ""
+        self._holder = found.holder or ""
         # An earlier start of this very node can't plan any more.
-        if version == ABSENT or expired or holder in ("", self.node_name):
+        is_free = found.is_current and found.holder in ("", self.node_name)
+        if expired or is_free or self._may_go_on(found):
             await self._write("taken")
 
+    def _may_go_on(self, found: _LeaseRow) -> bool:
+        """Return whether a row is a copy of this node's own while that still holds."""
+        own = self._renewed
+        is_copy = found.holder == self.node_name and found.version.number <= own.number
+        return self.timer.now_s() < self._renewed_until_s and is_copy
+
     async def _renew(self) -> None:
         await self._write("renewed")
 
     async def _write(self, what: str) -> None:
         sent_s = self.timer.now_s()
         replaced = self._version
-        value = json.dumps({"holder": self.node_name}).encode()
+        value = _value(self.node_name, replaced.generation)
         written = await self.store.write(
-            {LEASE_ROW: self._version}, {LEASE_ROW: value}, timeout_s=CALL_TIMEOUT_S
+            {LEASE_ROW: replaced}, {LEASE_ROW: value}, timeout_s=CALL_TIMEOUT_S
         )
         if written.is_err():
             # The write may take effect later; the next look shows its version, and
             # then this node waits like any other.
+            if written.unwrap_err().code is ResultCode.STORE_CONFLICT:
+                self._lost_race(())
             return
         result = written.unwrap()
         if not result.is_committed:
             self._lost_race(result.conflicts)
             return
-        self._version = result.version
-        self.epoch_base = result.version.number
+        if result.version.generation != replaced.generation:
+            # The number was given out again: what it replaced is not known.
+            self._lost_race((Row(LEASE_ROW, result.version, value),))
+            return
+        self._version = self._renewed = result.version
+        self.epoch_base = _term(result.version)
         self._seen_s = self.timer.now_s()
         self._valid_until_s = sent_s + LEASE_S - MARGIN_S
+        self._renewed_until_s = self._valid_until_s
         self._acquired.set()
         if not self._was_holder:
             self._was_holder = True
-            self.fencing_token = result.version.number
+            self.fencing_token = _term(result.version)
             self.is_first_holder = replaced.number == 0
             metrics.PLANNER_LEADER.set(1)
             log_event("planner_became", version=str(result.version), how=what)
@@ -234,27 +263,60 @@
         """
         if not self.is_held():
             return
-        self._valid_until_s = -math.inf
+        self._valid_until_s = self._renewed_until_s = -math.inf
         log_event("planner_superseded", fencing_token=self.fencing_token)
 
     async def release(self) -> None:
         """Give the lease up, so that another node takes over at once."""
         if not self.is_held():
             return
-        self._valid_until_s = -math.inf
-        value = json.dumps({"holder": ""}).encode()
+        self._valid_until_s = self._renewed_until_s = -math.inf
+        value = _value("", self._version.generation)
         await self.store.write(
             {LEASE_ROW: self._version}, {LEASE_ROW: value}, timeout_s=CALL_TIMEOUT_S
         )
         log_event("planner_released", version=str(self._version))
 
 
-def _holder(row: Row | None) -> str | None:
-    """Return the node that has the lease; empty where it was released."""
-    if row is None:
-        return ""
-    try:
-        return str(json.loads(row.value)["holder"])
-    except (ValueError, KeyError, TypeError, RecursionError) as error:
-        log_event("lease_unreadable", error=repr(error))
-        return None
+@attrs.frozen
+class _LeaseRow:
+    """The lease's row as it was read."""
+
+    version: StoreVersion
+    """Its number is 0 where there is no row."""
+    holder: str | None
+    """Empty where nobody has the lease; None where that can't be read."""
+    is_current: bool
+    """Whether who has written it knew of the store's present generation: it then
+    tells who had the lease last."""
+
+    @classmethod
+    def from_page(cls, page: RowPage) -> _LeaseRow:
+        """Return the row in a page of the lease's table."""
+        row = next(iter(page.rows), None)
+        generation = page.version.generation
+        if row is None:
+            return cls(StoreVersion(generation, 0), "", generation == 0)
+        try:
+            fields = json.loads(row.value)
+            holder, written_in = str(fields["holder"]), fields.get("generation", 0)
+        except (
+            ValueError,
+            KeyError,
+            TypeError,
+            AttributeError,
+            RecursionError,
+        ) as error:
+            log_event("lease_unreadable", error=repr(error))
+            return cls(row.version, None, is_current=False)
+        return cls(row.version, holder, written_in == generation)
+
+
+def _value(holder: str, generation: int) -> bytes:
+    """Return the value of the lease's row."""
+    return json.dumps({"holder": holder, "generation": generation}).encode()
+
+
+def _term(version: StoreVersion) -> int:
+    """Return a number that is higher than that of every earlier version."""
+    return version.generation * TERMS_PER_GENERATION + version.number
