Own rows that a restored store has lost are kept, and written again

What was seen (emulator): after a return from a copy of before them, rows of nodes, groups and crashes, and the secret between nodes were gone from the store; nodes that start know neither the others nor what is quarantined, and one that starts goes by an earlier configuration.

Cause: the platform's operators and servers write again what a restored store has lost, but nobody wrote the system's own rows again; a node's row was written once a start.

A node looks every two seconds whether its own row is there. The newest configuration that a node knows takes the place of an earlier one in the copy that it passes on; an operators' file that our own interface has acknowledged is written again if the store shows an earlier revision.

Red before: own rows missing, a node's row missing, version 1 in force on the node that starts.

--- a/bench/store_guards.py
+++ b/bench/store_guards.py
@@ -27,7 +27,7 @@
     Guard(
         "return of an older store: who came into a generation earlier gets everything",
         "registry/_table_copy.py",
-        "            return version >= self._entered\n",
+        "            return version >= self.entered\n",
         "            return True\n",
         f"{COPIES} -k came_into",
     ),
@@ -94,4 +94,32 @@
         "        metrics",
         f"{ENTRIES} -k outlasts",
     ),
+    Guard(
+        "return of an older store: own rows are written again",
+        "registry/_row_keeper.py",
+        "        self.write(kept.lost, copy)\n",
+        "        pass\n",
+        f"{RETURNS} -k own_rows",
+    ),
+    Guard(
+        "return of an older store: own rows are known meanwhile",
+        "registry/_row_keeper.py",
+        "        return kept.update\n",
+        "        return update\n",
+        f"{RETURNS} -k own_rows",
+    ),
+    Guard(
+        "return of an older store: a node that lost its row registers again",
+        "node/_registration.py",
+        "            if self.shared.is_read and not self._is_known():\n",
+        "            if False:\n",
+        f"{RETURNS} -k registers_again",
+    ),
+    Guard(
+        "return of an older store: who starts learns the newest configuration",
+        "registry/_followers.py",
+        "            return configuration.keep(update)\n",
+        "            return update\n",
+        f"{RETURNS} -k starts_after",
+    ),
 ]
--- a/packages/core/src/fordhatch/core/_metrics.py
+++ b/packages/core/src/fordhatch/core/_metrics.py
@@ -121,6 +121,11 @@
     "Answers of the store whose generation could not be read.",
     registry=REGISTRY,
 )
+STORE_ROWS_WRITTEN_AGAIN = Counter(
+    "fordhatch_store_rows_written_again_total",
+    "Own rows that this node wrote again after a restored store had lost them.",
+    registry=REGISTRY,
+)
 STORE_RETURNS = Counter(
     "fordhatch_store_returns_total",
     "Times that a table was found to have come back from a copy of the store.",
--- a/packages/node/src/fordhatch/node/_node.py
+++ b/packages/node/src/fordhatch/node/_node.py
@@ -29,6 +29,7 @@
     ReaderChoice,
     RelayClient,
     RelayServer,
+    RowKeeper,
     SharedRows,
     StoreSource,
     StoreView,
@@ -84,6 +85,7 @@
     pressure: PressureNews
     start_id: str
     """Names this start of the node; a restarted one has another."""
+    registration: Registration
     _tasks: TaskSet = attrs.field(factory=TaskSet)
 
     @classmethod
@@ -149,6 +151,7 @@
             news,
             pressure,
             start_id,
+            Registration(settings, start_id, clients.store, view.shared, timer),
         )
 
     async def start(self) -> None:
@@ -163,8 +166,8 @@
         self.view.start()
         self.news.start()
         self.pressure.start()
-        self._tasks.spawn(self._registration().run(), "register")
         keep, every = self.timer.keep, self.timer.every
+        self._tasks.spawn(keep(self.registration.run, name="register"), "register")
         self._tasks.spawn(keep(self.lease.run, name="lease"), "lease")
         self._tasks.spawn(keep(self.planner.run, name="planner"), "planner")
         survey = OutageSurvey(
@@ -185,15 +188,6 @@
         tell = every(TELL_CALLS_S, self._tell_calls, name="tell-calls")
         self._tasks.spawn(tell, "tell-calls")
 
-    def _registration(self) -> Registration:
-        return Registration(
-            self.settings,
-            self.start_id,
-            self.clients.store,
-            self.view.shared,
-            self.timer,
-        )
-
     async def _listen_for_nodes(self) -> None:
         shared, pool = self.view.shared, self.clients.pool
 
@@ -268,7 +262,7 @@
         self.state.leave()
         log_event("node_leaving", in_flight=self.state.in_flight)
         await self.lease.release()
-        self._tasks.spawn(self._registration().withdraw(), "withdraw")
+        self._tasks.spawn(self.registration.withdraw(), "withdraw")
         await self.timer.sleep(listen_for_s)
         stop_listening()
         grace_s = self.settings.bounds.grace_s - GRACE_RESERVE_S
@@ -324,5 +318,6 @@
             clients.pool, choice, timer, relay_wait_s(settings.bounds.config_apply_s)
         ),
         begin_spread_s=FIRST_START_SPREAD_S if settings.is_first_start else 0.0,
+        keeper=RowKeeper(clients.store, timer),
     )
     return view, RelayServer.create(view.followers, choice)
--- a/packages/node/src/fordhatch/node/_registration.py
+++ b/packages/node/src/fordhatch/node/_registration.py
@@ -20,6 +20,10 @@
 REGISTER_TIMEOUT_S = 1.0
 """Longest wait for the store to take the node's own row."""
 
+ROW_LOOK_S = 2.0
+"""How often a node looks whether its row is still there: a restored store may have
+lost it, and nobody else may have known it. A row takes a moment to be seen here."""
+
 SECRET_BYTES = 32
 """Length of the key that nodes share."""
 
@@ -53,8 +57,23 @@
     store: StoreClient
     shared: SharedRows
     timer: Timer
+    _is_withdrawn: bool = False
 
     async def run(self) -> None:
+        """Register, and register again whenever the row is lost, until cancelled."""
+        await self._register()
+        while not self._is_withdrawn:
+            await self.timer.sleep(self.timer.jittered(ROW_LOOK_S))
+            if self.shared.is_read and not self._is_known():
+                log_event("node_row_lost", node_name=self.settings.node_name)
+                await self._register()
+
+    def _is_known(self) -> bool:
+        """Return whether the node's row, as others see it, is that of this start."""
+        known = self.shared.nodes.get(self.settings.node_name)
+        return known is not None and known.address == self.settings.peer_address
+
+    async def _register(self) -> None:
         """Write the node's own row, and the shared secret if there is none."""
         own = RowKey(SHARED_TABLE, node_key(self.settings.node_name))
         value = node_value(
@@ -75,6 +94,7 @@
 
     async def withdraw(self) -> None:
         """Remove the node's own row: others ask somebody else from now on."""
+        self._is_withdrawn = True
         own = RowKey(SHARED_TABLE, node_key(self.settings.node_name))
         removed = await self.store.write({}, {}, (own,), timeout_s=REGISTER_TIMEOUT_S)
         if removed.is_err():
@@ -84,7 +104,7 @@
         self, expected: dict[RowKey, StoreVersion], puts: dict[RowKey, bytes]
     ) -> None:
         pause_s = REGISTER_RETRY_S
-        while True:
+        while not self._is_withdrawn:
             written = await self.store.write(
                 expected, puts, timeout_s=REGISTER_TIMEOUT_S
             )
--- a/packages/registry/src/fordhatch/registry/__init__.py
+++ b/packages/registry/src/fordhatch/registry/__init__.py
@@ -16,6 +16,7 @@
 from ._outage_evidence import NodeWord, OutageEvidence, witnesses_needed
 from ._reader_choice import NodeAddress, ReaderChoice
 from ._relay import RelayClient, RelayServer, relay_wait_s
+from ._row_keeper import RowKeeper
 from ._shared_rows import (
     SECRET_KEY,
     SHARED_TABLE,
@@ -49,6 +50,7 @@
     "RelayClient",
     "RelayServer",
     "ReplicaGroup",
+    "RowKeeper",
     "RunStage",
     "SharedRows",
     "StoreSource",
--- a/packages/registry/src/fordhatch/registry/_configuration_in_force.py
+++ b/packages/registry/src/fordhatch/registry/_configuration_in_force.py
@@ -8,6 +8,7 @@
 import attrs
 
 from fordhatch.adapter import (
+    ABSENT,
     CONFIGURATION_KEY,
     OPERATOR_TABLE,
     DecodeError,
@@ -17,6 +18,9 @@
 from fordhatch.catalog import Configuration
 from fordhatch.core import log_event
 
+from ._lost_rows import LostRow
+from ._table_source import TableUpdate
+
 
 @attrs.frozen
 class ConfigurationRow:
@@ -40,6 +44,8 @@
 
     source: ConfigurationRow = OPERATORS_ROW
     current: Configuration | None = None
+    row: Row | None = None
+    """The row that holds it."""
     _subscribers: list[Callable[[Configuration], None]] = attrs.field(factory=list)
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
@@ -58,6 +64,41 @@
             if row.row_key.key == self.source.key and not row.is_removed:
                 self._take(row)
 
+    def keep(self, update: TableUpdate) -> TableUpdate:
+        """Return an update with the configuration in force in place of others.
+
+        A restored store may show an earlier one, or none; who starts then learns the
+        newest from the nodes that know it.
+        """
+        if self.row is None:
+            return update
+        key = self.source.key
+        others = [row for row in update.rows if row.row_key.key != key]
+        found = [row for row in update.rows if row.row_key.key == key]
+        if found and found[-1].value == self.row.value:
+            return update
+        if not found and not update.is_whole:
+            return update
+        kept = attrs.evolve(self.row, version=update.version)
+        return attrs.evolve(update, rows=[*others, kept])
+
+    def lost(self, update: TableUpdate) -> LostRow | None:
+        """Return the row in force if a restored store shows an earlier one, or none."""
+        if self.row is None:
+            return None
+        rows = [row for row in update.rows if row.row_key.key == self.source.key]
+        found = next((row for row in rows if not row.is_removed), None)
+        if found is None:
+            return LostRow(self.row, ABSENT)
+        try:
+            version = self.source.decode(found.value).version
+        except DecodeError as error:
+            log_event(
+                "configuration_unreadable", row=str(found.version), error=str(error)
+            )
+            return LostRow(self.row, found.version)
+        return LostRow(self.row, found.version) if version < self.version else None
+
     def _take(self, row: Row) -> None:
         try:
             found = self.source.decode(row.value)
@@ -77,7 +118,7 @@
             routes=len(found.routes),
             services=len(found.services),
         )
-        self.current = found
+        self.current, self.row = found, row
         self._changed.set()
         self._changed = asyncio.Event()
         for call in self._subscribers:
--- a/packages/registry/src/fordhatch/registry/_followers.py
+++ b/packages/registry/src/fordhatch/registry/_followers.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from fordhatch.adapter import BACKENDS_TABLE
+from fordhatch.adapter import BACKENDS_TABLE, OPERATOR_TABLE
 from fordhatch.core import TaskSet, Timer
 
 from ._backend_directory import BackendDirectory
@@ -18,6 +18,7 @@
 from ._group_records import members_of
 from ._outage_evidence import OutageEvidence
 from ._relay import RelayClient
+from ._row_keeper import RowKeeper
 from ._shared_rows import SHARED_TABLE, SharedRows
 from ._table_follower import TableFollower
 from ._table_source import TableSource, TableUpdate
@@ -55,6 +56,7 @@
     backends: TableFollower
     own: TableFollower
     tables: TablesFollower
+    keeper: RowKeeper | None = None
     evidence: OutageEvidence = attrs.field(factory=OutageEvidence)
     """What the other nodes say of the store while this one does not reach it."""
     _tasks: TaskSet = attrs.field(factory=TaskSet)
@@ -69,6 +71,7 @@
         configuration_row: ConfigurationRow = OPERATORS_ROW,
         relay: RelayClient | None = None,
         begin_spread_s: float = 0.0,
+        keeper: RowKeeper | None = None,
     ) -> StoreView:
         """Build a view that has not been started.
 
@@ -79,12 +82,15 @@
             configuration_row: Where the configuration lies.
             relay: Asks other nodes; without it the store alone is asked.
             begin_spread_s: Within this time the store is first asked, in seconds.
+            keeper: Writes again what a restored store has lost; without it that is
+                left to others.
         """
         shared = shared if shared is not None else SharedRows(timer)
         configuration = ConfigurationInForce(configuration_row)
         directory = BackendDirectory(timer)
 
         unread = {BACKENDS_TABLE, SHARED_TABLE}
+        is_own_table = configuration_row.table != OPERATOR_TABLE
 
         def read(table: str) -> None:
             if table not in unread:
@@ -93,7 +99,15 @@
             if not unread:
                 directory.restore(members_of(shared.records.values()))
 
-        def take_backends(update: TableUpdate) -> None:
+        def take_configuration(update: TableUpdate) -> TableUpdate:
+            configuration.observe(update.rows)
+            is_return = operators.copy.crosses(update) and update.is_from_store
+            if is_return and is_own_table and keeper is not None:
+                lost = configuration.lost(update)
+                keeper.write([lost] if lost is not None else [], operators.copy)
+            return configuration.keep(update)
+
+        def take_backends(update: TableUpdate) -> TableUpdate:
             directory.logs_changes = update.is_from_store
             directory.outage_ended_s = backends.outage_ended_s
             is_return = backends.copy.crosses(update)
@@ -102,20 +116,25 @@
             else:
                 directory.observe_changes(update.rows, is_return=is_return)
             read(BACKENDS_TABLE)
+            return update
 
-        def take_shared(update: TableUpdate) -> None:
+        def take_shared(update: TableUpdate) -> TableUpdate:
             shared.logs_changes = update.is_from_store
+            if keeper is not None and update.is_from_store:
+                ago_s = timer.now_s() - own.confirmed_before_s
+                update = keeper.keep(update, own.copy, confirmed_ago_s=ago_s)
             if update.is_whole:
                 shared.observe_snapshot(update.rows)
             else:
                 shared.observe_changes(update.rows)
             read(SHARED_TABLE)
+            return update
 
         operators = TableFollower(
             configuration_row.table,
             source,
             timer,
-            lambda update: configuration.observe(update.rows),
+            take_configuration,
             CONFIGURATION_WAIT_S,
         )
         backends = TableFollower(
@@ -138,7 +157,15 @@
         followers = {f.table: f for f in (operators, backends, own)}
         tables = TablesFollower(followers, timer, relay, begin_spread_s)
         return cls(
-            timer, configuration, directory, shared, operators, backends, own, tables
+            timer,
+            configuration,
+            directory,
+            shared,
+            operators,
+            backends,
+            own,
+            tables,
+            keeper,
         )
 
     @property
@@ -164,3 +191,5 @@
     async def close(self) -> None:
         """Stop following."""
         await self._tasks.close()
+        if self.keeper is not None:
+            await self.keeper.close()
--- a/packages/registry/src/fordhatch/registry/_table_copy.py
+++ b/packages/registry/src/fordhatch/registry/_table_copy.py
@@ -29,7 +29,7 @@
     """Of the changes in the history; they never fall."""
     _first_version: StoreVersion = NOTHING
     """Changes up to this version are no longer in the history."""
-    _entered: StoreVersion = NOTHING
+    entered: StoreVersion = NOTHING
     """The first version of this generation that the copy had. What changed in it
     before is not in the history by itself, only as what differs from the copy."""
     _left: dict[int, StoreVersion] = attrs.field(factory=dict)
@@ -51,15 +51,22 @@
         is_later = update.version.generation > self.version.generation
         return self.version != NOTHING and is_later
 
+    def removed(self, key: str) -> Row | None:
+        """Return the removal of a row that is gone, as far as that is remembered."""
+        if key in self.rows:
+            return None
+        found = (row for row in reversed(self._history) if row.row_key.key == key)
+        return next(found, None)
+
     def take(self, update: TableUpdate) -> None:
         """Take an update from a source."""
         is_first = self.version == NOTHING
         if self.crosses(update):
             self._left[self.version.generation] = self.version
-            self._entered = update.version
+            self.entered = update.version
         if update.is_whole and is_first:
             self.rows = {row.row_key.key: row for row in update.rows}
-            self._first_version = self._entered = update.version
+            self._first_version = self.entered = update.version
             changes: list[Row] = []
         elif update.is_whole:
             changes = self._differences(update)
@@ -84,7 +91,7 @@
             # A change that was missed has an earlier version than what others have;
             # it counts from now on.
             row
-            if row.version > max(self.version, self._entered)
+            if row.version > max(self.version, self.entered)
             else attrs.evolve(row, version=update.version)
             for row in update.rows
             if self._differs(row)
@@ -96,7 +103,7 @@
         known = self.rows.get(row.row_key.key)
         if known is None or known.value != row.value:
             return True
-        return row.version > max(known.version, self._entered)
+        return row.version > max(known.version, self.entered)
 
     def _take_change(self, row: Row) -> None:
         newest = self._versions[-1] if self._versions else row.version
@@ -127,7 +134,7 @@
         if version < self._first_version:
             return False
         if version.generation == self.version.generation:
-            return version >= self._entered
+            return version >= self.entered
         last = self._left.get(version.generation)
         return last is not None and version <= last
 
--- a/packages/registry/src/fordhatch/registry/_table_follower.py
+++ b/packages/registry/src/fordhatch/registry/_table_follower.py
@@ -26,7 +26,7 @@
 away, and not a single answer lost: entries lapse after three heartbeats, which is
 longer."""
 
-OnUpdate = Callable[[TableUpdate], None]
+OnUpdate = Callable[[TableUpdate], TableUpdate]
 
 
 @attrs.define(eq=False, repr=False)
@@ -37,7 +37,7 @@
     source: TableSource
     timer: Timer
     on_update: OnUpdate
-    """Called with every update, in order."""
+    """Called with every update, in order; returns it as it is kept and passed on."""
     wait_s: float
     """How long the store may hold a watch without changes."""
     gather_s: float = 0.0
@@ -48,6 +48,8 @@
     confirmed_s: float = -math.inf
     """When the store was asked that last confirmed the copy: what is known is at
     least as new."""
+    confirmed_before_s: float = -math.inf
+    """The same before the update that is being taken."""
     steady_since_s: float = -math.inf
     """Since when the store has confirmed the table without an outage, to this node or
     to those that it got its knowledge from."""
@@ -147,9 +149,10 @@
             return False
         if self.copy.crosses(update):
             self._note_return(update)
+        self.confirmed_before_s = self.confirmed_s
         self._confirm(sent_s - update.age_s, update.steady_s)
         if update.is_whole or update.rows:
-            self.on_update(update)
+            update = self.on_update(update)
         self.copy.take(update)
         self._succeeded()
         return True
--- a/standins/src/fordhatch_lab/_lab_site.py
+++ b/standins/src/fordhatch_lab/_lab_site.py
@@ -98,6 +98,11 @@
         for index in range(count):
             await self._add_node(index, is_first_start=False)
 
+    async def restart(self, index: int) -> None:
+        """End a node without a word, and start it again at its address."""
+        await self._end(self.nodes[index])
+        await self._add_node(index, is_first_start=False)
+
     async def _end(self, one: LabNode) -> None:
         self.nodes.remove(one)
         self.network.drop(one.node.settings.peer_address)
