A table that was found without its history is read whole, and asked for with pauses

Cause: a 410 followed by a whole table counted as an answer like any other, and a whole table that was thrown away left the next watch where it was.

Change: after a 410 the table is read whole until one was taken; from the second 410 in a row on, calls pause as failed ones do. Red before, green now: both tests. What an older store says without a new generation is not believed while it is below the known versions; the node then refuses as it does in an outage.

--- a/packages/registry/src/fordhatch/registry/_table_follower.py
+++ b/packages/registry/src/fordhatch/registry/_table_follower.py
@@ -62,6 +62,10 @@
     node was found to know nothing fresh either."""
     _failing_since_s: float | None = None
     _failures: int = 0
+    _needs_whole: bool = False
+    """Whether changes since the copy's version can't be had one by one any more."""
+    _histories_gone: int = 0
+    """Calls in a row to which the store had no history."""
 
     @property
     def version(self) -> StoreVersion:
@@ -105,7 +109,11 @@
             while probe is not None and probe.is_failing:
                 await self.timer.sleep(RETRY_FIRST_S)
             if not await self.refresh(self.wait_s):
-                await self.timer.sleep(self._pause_s(retry_most_s))
+                await self.timer.sleep(self._pause_s(self._failures, retry_most_s))
+            elif self._histories_gone > 1:
+                # Reading the table whole has not helped: the store says so of anything.
+                again_s = self._pause_s(self._histories_gone, retry_most_s)
+                await self.timer.sleep(again_s)
             elif self.gather_s:
                 await self.timer.sleep(self.gather_s)
 
@@ -116,12 +124,16 @@
             wait_s: How long the store may wait for a change.
         """
         sent_s = self.timer.now_s()
-        after = self.copy.version
+        after = NOTHING if self._needs_whole else self.copy.version
         got = await self.source.update(self.table, after, wait_s)
         if got.is_err() and got.err().code is ResultCode.STORE_HISTORY_GONE:
             log_event("store_history_gone", table=self.table, after=str(after))
             sent_s = self.timer.now_s()
+            self._histories_gone += 1
+            self._needs_whole = True
             got = await self.source.update(self.table, NOTHING, 0.0)
+        else:
+            self._histories_gone = 0
         if got.is_err():
             self.failed(got.unwrap_err())
             return False
@@ -131,8 +143,8 @@
         self.failed(Failure.from_code(ResultCode.STORE_UNAVAILABLE, text))
         return False
 
-    def _pause_s(self, most_s: float) -> float:
-        pause_s = RETRY_FIRST_S * 2 ** min(self._failures - 1, 8)
+    def _pause_s(self, failures: int, most_s: float) -> float:
+        pause_s = RETRY_FIRST_S * 2 ** min(failures - 1, 8)
         return self.timer.jittered(min(pause_s, most_s))
 
     def take(self, update: TableUpdate, sent_s: float) -> bool:
@@ -154,6 +166,7 @@
         if update.is_whole or update.rows:
             update = self.on_update(update)
         self.copy.take(update)
+        self._needs_whole = self._needs_whole and not update.is_whole
         self._succeeded()
         return True
 
--- a/packages/registry/tests/test_store_view.py
+++ b/packages/registry/tests/test_store_view.py
@@ -6,16 +6,18 @@
 import json
 
 import pytest
+from result import Err, Ok, Result
 
 from fordhatch.adapter import (
     BACKENDS_TABLE,
     CONFIGURATION_KEY,
+    NOTHING,
     OPERATOR_TABLE,
     Row,
     RowKey,
     StoreVersion,
 )
-from fordhatch.core import Timer
+from fordhatch.core import Failure, ResultCode, Timer
 from fordhatch.registry import StoreSource, StoreView, TableUpdate
 from fordhatch_lab import run_in_virtual_time
 from fordhatch_standins import MemoryStoreClient, StoreModel, backend_entry
@@ -254,3 +256,61 @@
         assert set(view.directory.backends) == {"i-1"}
 
     run(scenario)
+
+
+class ForgetfulSource:
+    """A store that has no history of what it has just said."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+
+    async def update(
+        self, table: str, after_version: StoreVersion, wait_s: float
+    ) -> Result[TableUpdate, Failure]:
+        self.calls += 1
+        await asyncio.sleep(0.004)
+        if after_version != NOTHING:
+            return Err(Failure.from_code(ResultCode.STORE_HISTORY_GONE))
+        return Ok(TableUpdate([], at(5), is_whole=True))
+
+
+def test_a_history_that_is_always_gone_is_not_asked_for_without_a_pause() -> None:
+    async def scenario() -> None:
+        source = ForgetfulSource()
+        view = StoreView.create(source, Timer.from_seed(1))
+        view.start()
+        await asyncio.sleep(10.0)
+        await view.close()
+        # Three tables, two calls each, five times a second.
+        assert source.calls <= 3 * 2 * 5 * 10
+        assert view.configuration_age_s() < 1.0
+
+    run(scenario)
+
+
+def test_a_store_that_does_not_say_that_it_is_older_is_read_whole_in_the_end() -> None:
+    """Its generation does not rise. What it says is not believed while its versions are
+    below the known ones, and then nothing of it is missed."""
+
+    async def scenario() -> None:
+        model = StoreModel()
+        view = await started(model)
+        copy = model.copy()
+        for version in (4, 5, 6):
+            model.put(OPERATOR_TABLE, CONFIGURATION_KEY, configuration(version))
+        await asyncio.sleep(0.5)
+        model.restore(copy)
+        model.generation = 0
+        before = model.calls
+        model.put(OPERATOR_TABLE, CONFIGURATION_KEY, configuration(7))
+        await asyncio.sleep(3.0)
+        assert view.configuration.version == 6
+        assert view.configuration_age_s() > 2.0
+        assert model.calls - before <= 3 * 10 * 3
+        for _ in range(9):
+            model.put("others", "k", b"")
+        await asyncio.sleep(0.5)
+        assert view.configuration.version == 7
+        await view.close()
+
+    run(scenario)
