Claims that a restored store has lost are written again before anybody claims anew

What callers would see: a request with an idempotency key runs twice if its claim, or its stored answer, lies in what a restored store has lost (emulator: two runs for one, in both cases).

The claim was acknowledged, and nobody knew that an acknowledgement can be taken back.

Change: a node remembers the claims that it has made (settled ones for 60 s, 300 at the most). When its store client meets a later generation it writes them again where they are missing; every node claims nothing for 1 s after that, and gives up a claim whose own answer tells of the return. Refusals meanwhile are true (not run) and name a time. An outcome is written under the version that the restored store has.

Left: a holder that does not reach the store within that second.

--- a/bench/store_guards.py
+++ b/bench/store_guards.py
@@ -7,6 +7,7 @@
 RETURNS = "standins/tests/test_store_comes_back_older.py"
 LEASES = "packages/placement/tests/test_lease_over_returns.py"
 ENTRIES = "packages/registry/tests/test_older_entries.py"
+CLAIMS = "packages/daemon/tests/test_at_most_once.py"
 COPIES = "packages/registry/tests/test_table_copy.py"
 
 STORE_GUARDS = [
@@ -67,7 +68,7 @@
         f"{LEASES} -k short_return",
     ),
     Guard(
-        "return of an older store: who serves goes on until its entry is written again",
+        "return of an older store: who serves goes on until it writes again",
         "registry/_backend_directory.py",
         "        if self._older.is_doubtful(registered_id, found, known):\n",
         "        if False:\n",
@@ -122,4 +123,25 @@
         "            return update\n",
         f"{RETURNS} -k starts_after",
     ),
+    Guard(
+        "return of an older store: a claim that it has lost is written again",
+        "chat/_kept_claims.py",
+        '            self._tasks.spawn(self._write_again(key, claim), "keep-claim")\n',
+        "            pass\n",
+        f"{CLAIMS} -k restored",
+    ),
+    Guard(
+        "return of an older store: nothing is claimed before that",
+        "chat/_kept_claims.py",
+        "        return self.timer.now_s() - self._returned_s >= HOLD_OFF_S\n",
+        "        return True\n",
+        f"{CLAIMS} -k restored",
+    ),
+    Guard(
+        "return of an older store: an operators' file is written again",
+        "registry/_followers.py",
+        "                keeper.write([lost] if lost is not None else [], operators.copy)\n",
+        "                pass\n",
+        f"{CLAIMS} -k file_that",
+    ),
 ]
--- a/packages/chat/src/fordhatch/chat/_claims.py
+++ b/packages/chat/src/fordhatch/chat/_claims.py
@@ -12,7 +12,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from fordhatch.adapter import ABSENT, DecodeError, StoreClient
+from fordhatch.adapter import ABSENT, DecodeError, StoreClient, StoreVersion
 from fordhatch.core import Failure, Ran, ResultCode, TaskSet, Timer, log_event, metrics
 from fordhatch.protocol import PeerPool
 from fordhatch.protocol.messages import QueryStatus, StatusReply
@@ -26,6 +26,7 @@
     ClaimState,
     StoredAnswer,
 )
+from ._kept_claims import KeptClaims
 
 CALL_TIMEOUT_S = 1.0
 """Longest wait for the store; it answers within milliseconds when it is well."""
@@ -77,9 +78,14 @@
     timer: Timer
     expiry_s: float
     row_bytes: int
+    kept: KeptClaims = attrs.field(init=False)
     _tasks: TaskSet = attrs.field(factory=TaskSet)
     _next_part: int = 0
 
+    def __attrs_post_init__(self) -> None:
+        """Build what remembers the claims."""
+        self.kept = KeptClaims(self.store, self.timer)
+
     # Taking.
 
     async def take(self, key: ClaimKey) -> Result[Ticket | Claim, Failure]:
@@ -92,6 +98,8 @@
             A ticket, or the claim that was there already. A failure has ``ran``
             no: without a ticket nothing is sent.
         """
+        if not self.kept.may_claim():
+            return Err(_not_claimed())
         claim = Claim(
             self._new_write_id(),
             ClaimState.RUNNING,
@@ -108,19 +116,30 @@
         if written.is_err() and written.unwrap_err().ran is Ran.NO:
             return Err(_not_claimed())
         if written.is_ok() and written.unwrap().is_committed:
-            version = written.unwrap().version
-            metrics.CLAIMS.labels("taken").inc()
-            return Ok(Ticket(key, attrs.evolve(claim, version=version)))
+            return await self._taken(key, claim, written.unwrap().version)
         found = await self.look_up(key)
         if found.is_ok() and found.unwrap() is not None:
             present = found.unwrap()
-            ours = present.write_id == claim.write_id
-            return Ok(Ticket(key, present) if ours else present)
+            if present.write_id == claim.write_id:
+                return await self._taken(key, claim, present.version)
+            return Ok(present)
         if written.is_err():
             # The write may still take effect: take it back when it does.
             self._tasks.spawn(self._release_late(key, claim.write_id), "release-late")
         return Err(_not_claimed())
 
+    async def _taken(
+        self, key: ClaimKey, claim: Claim, version: StoreVersion
+    ) -> Result[Ticket | Claim, Failure]:
+        """Return the ticket, unless this very answer tells of a return of the store."""
+        ticket = Ticket(key, attrs.evolve(claim, version=version))
+        if not self.kept.may_claim():
+            self._tasks.spawn(self.release(ticket), "release-after-return")
+            return Err(_not_claimed())
+        metrics.CLAIMS.labels("taken").inc()
+        self.kept.note(key, claim)
+        return Ok(ticket)
+
     def _new_write_id(self) -> str:
         return f"{self.start_id}-{self.timer.rng.getrandbits(64):016x}"
 
@@ -180,22 +199,36 @@
     async def _replace(self, key: ClaimKey, old: Claim, new: Claim | None) -> None:
         """Write a claim's outcome, through lost answers and short outages."""
         row_key = key.row_key
-        write_id = self._new_write_id()
+        version = old.version
         puts = {}
         if new is not None:
-            puts[row_key] = attrs.evolve(new, write_id=write_id).to_bytes()
+            new = attrs.evolve(new, write_id=self._new_write_id())
+            puts[row_key] = new.to_bytes()
+            self.kept.note(key, new)
+        else:
+            self.kept.forget(key)
         removes = () if new is not None else (row_key,)
         for attempt in range(ATTEMPTS):
             await self._pause(attempt)
             written = await self.store.write(
-                {row_key: old.version}, puts, removes, timeout_s=CALL_TIMEOUT_S
+                {row_key: version}, puts, removes, timeout_s=CALL_TIMEOUT_S
             )
             # A conflict means that an earlier try took effect: nobody else writes
             # to a claim that another node holds.
             if written.is_ok():
                 return
+            if written.unwrap_err().code is ResultCode.STORE_CONFLICT:
+                version = await self._version_now(key, old)
         log_event("claim_not_settled", key=row_key.key)
 
+    async def _version_now(self, key: ClaimKey, old: Claim) -> StoreVersion:
+        """Return the version of a claim in a store that has come back from a copy."""
+        found = await self.look_up(key)
+        present = found.ok()
+        if present is None:
+            return ABSENT if found.is_ok() else old.version
+        return present.version if present.start_id == self.start_id else old.version
+
     async def _pause(self, attempt: int) -> None:
         if attempt:
             pause_s = RETRY_PAUSE_S * 2 ** (attempt - 1)
@@ -293,6 +326,7 @@
     async def close(self) -> None:
         """Wait for claims that are being settled, then stop."""
         await self._tasks.drain()
+        await self.kept.close()
 
 
 def _is_expired(row: object, now_s: float) -> bool:
--- a/packages/daemon/src/fordhatch/daemon/_daemon.py
+++ b/packages/daemon/src/fordhatch/daemon/_daemon.py
@@ -66,6 +66,8 @@
         await self.node.start()
         clean = self.node.timer.every(CLEAN_INTERVAL_S, self._clean, name="clean")
         self._tasks.spawn(clean, "clean")
+        keep = self.node.timer.keep(self.claims.kept.run, name="kept-claims")
+        self._tasks.spawn(keep, "kept-claims")
 
     async def _clean(self) -> None:
         if self.node.lease.is_held():
--- a/packages/daemon/tests/test_at_most_once.py
+++ b/packages/daemon/tests/test_at_most_once.py
@@ -7,9 +7,11 @@
 from collections.abc import AsyncIterator
 
 import pytest_asyncio
-from own_site import BILL, OTHER_KEY, OwnSite, expected_text
+from own_site import BILL, OTHER_KEY, Got, OwnSite, declared, expected_text
 
 from fordhatch.chat import ClaimState
+from fordhatch.config import DECLARED_TABLE, decode_declared
+from fordhatch.config._declared_configuration import HEAD_KEY
 from fordhatch.core import Ran, ResultCode
 
 ONCE = {"X-Repeatable": "false"}
@@ -173,3 +175,51 @@
     got = await site.chat("longer", 1, tokens=50, **headers)
     assert got.error["code"] == ResultCode.OUTCOME_UNKNOWN
     assert site.model_runs() == 2
+
+
+async def repeat(site: OwnSite, node: int) -> Got:
+    """Ask again as a caller does that is told to come back."""
+    while True:
+        got = await site.bill(node=node)
+        if got.status == 200 or got.error["ran"] != Ran.NO:
+            return got
+        await asyncio.sleep(0.1)
+
+
+async def test_a_claim_that_a_restored_store_has_lost_is_held_on(site) -> None:
+    """The store comes back from a copy of before the claim, while the request runs."""
+    copy = site.model.copy()
+    site.plain.work_s = 2.5
+    asking = asyncio.ensure_future(site.bill())
+    await site.until(lambda: site.plain_runs() == 1)
+    site.model.restore(copy)
+    again = await repeat(site, 1)
+    first = await asking
+    assert (first.status, again.status) == (200, 200)
+    assert first.body == again.body
+    assert site.plain_runs() == 1
+
+
+async def test_an_answer_that_a_restored_store_has_lost_is_stored_again(site) -> None:
+    copy = site.model.copy()
+    first = await site.bill()
+    site.model.restore(copy)
+    again = await repeat(site, 1)
+    assert (first.status, again.status) == (200, 200)
+    assert first.body == again.body
+    assert site.plain_runs() == 1
+
+
+async def test_a_file_that_a_restored_store_has_lost_is_in_force_again(site) -> None:
+    """Our own interface has acknowledged it; nobody else would write it again."""
+    copy = site.model.copy()
+    await site.apply(declared())
+    revision = site.revision
+    site.model.restore(copy)
+    await site.until(lambda: decode_declared(head_of(site)).version == revision)
+    versions = {n.daemon.node.view.configuration.version for n in site.nodes}
+    assert versions == {revision}
+
+
+def head_of(site: OwnSite) -> bytes:
+    return site.model.rows[DECLARED_TABLE, "", HEAD_KEY].value
