--- a/bench/own_guards.py
+++ b/bench/own_guards.py
@@ -34,8 +34,8 @@
     Guard(
         "a lost answer of the claim write is read back",
         "chat/_claims.py",
-        "            ours = present.write_id == claim.write_id\n",
-        "            ours = False\n",
+        "            if present.write_id == claim.write_id:\n",
+        "            if False:\n",
         f"{ONCE} -k lost_answer_of_the_claim",
     ),
     Guard(
--- a/bench/store_guards.py
+++ b/bench/store_guards.py
@@ -140,7 +140,7 @@
     Guard(
         "return of an older store: an operators' file is written again",
         "registry/_followers.py",
-        "                keeper.write([lost] if lost is not None else [], operators.copy)\n",
+        "                keeper.write(configuration.lost(update), operators.copy)\n",
         "                pass\n",
         f"{CLAIMS} -k file_that",
     ),
--- a/packages/registry/src/fordhatch/registry/_configuration_in_force.py
+++ b/packages/registry/src/fordhatch/registry/_configuration_in_force.py
@@ -82,22 +82,22 @@
         kept = attrs.evolve(self.row, version=update.version)
         return attrs.evolve(update, rows=[*others, kept])
 
-    def lost(self, update: TableUpdate) -> LostRow | None:
+    def lost(self, update: TableUpdate) -> list[LostRow]:
         """Return the row in force if a restored store shows an earlier one, or none."""
         if self.row is None:
-            return None
+            return []
         rows = [row for row in update.rows if row.row_key.key == self.source.key]
         found = next((row for row in rows if not row.is_removed), None)
         if found is None:
-            return LostRow(self.row, ABSENT)
+            return [LostRow(self.row, ABSENT)]
         try:
             version = self.source.decode(found.value).version
         except DecodeError as error:
             log_event(
                 "configuration_unreadable", row=str(found.version), error=str(error)
             )
-            return LostRow(self.row, found.version)
-        return LostRow(self.row, found.version) if version < self.version else None
+            version = -1
+        return [LostRow(self.row, found.version)] if version < self.version else []
 
     def _take(self, row: Row) -> None:
         try:
--- a/packages/registry/src/fordhatch/registry/_followers.py
+++ b/packages/registry/src/fordhatch/registry/_followers.py
@@ -103,8 +103,7 @@
             configuration.observe(update.rows)
             is_return = operators.copy.crosses(update) and update.is_from_store
             if is_return and is_own_table and keeper is not None:
-                lost = configuration.lost(update)
-                keeper.write([lost] if lost is not None else [], operators.copy)
+                keeper.write(configuration.lost(update), operators.copy)
             return configuration.keep(update)
 
         def take_backends(update: TableUpdate) -> TableUpdate:
--- a/packages/registry/src/fordhatch/registry/_lost_rows.py
+++ b/packages/registry/src/fordhatch/registry/_lost_rows.py
@@ -49,9 +49,9 @@
         if key not in found or found[key].value != known.value
     ]
     removed = [
-        LostRow(copy.removed(key), row.version)
-        for key, row in found.items()
-        if copy.removed(key) is not None
+        LostRow(row, found[key].version)
+        for key, row in copy.removals().items()
+        if key in found
     ]
     kept = {
         **found,
--- a/packages/registry/src/fordhatch/registry/_table_copy.py
+++ b/packages/registry/src/fordhatch/registry/_table_copy.py
@@ -51,12 +51,10 @@
         is_later = update.version.generation > self.version.generation
         return self.version != NOTHING and is_later
 
-    def removed(self, key: str) -> Row | None:
-        """Return the removal of a row that is gone, as far as that is remembered."""
-        if key in self.rows:
-            return None
-        found = (row for row in reversed(self._history) if row.row_key.key == key)
-        return next(found, None)
+    def removals(self) -> dict[str, Row]:
+        """Return the rows that are gone by key, as far as that is remembered."""
+        found = {row.row_key.key: row for row in self._history if row.is_removed}
+        return {key: row for key, row in found.items() if key not in self.rows}
 
     def take(self, update: TableUpdate) -> None:
         """Take an update from a source."""
