--- a/bench/soak.py
+++ b/bench/soak.py
@@ -2,8 +2,8 @@
 
 Nodes reach the store through proxies that delay, reset, silence or cut one way; they
 are killed, paused, stopped and started by signals; engines die, drain, turn slow, ask
-for less and come; the store goes down, falls silent and loses answers. Callers, who
-keep connections until a node is gone, and an operator work all the while.
+for less and come; the store goes down, falls silent and comes back older. Callers,
+who keep connections until a node is gone, and an operator work all the while.
 """
 
 from __future__ import annotations
@@ -29,7 +29,7 @@
 CALLERS = 6
 FORCE_LIMIT_S = 8.0
 SETTLE_LIMIT_S = 60.0
-ATTEMPTS = 3
+ATTEMPTS, OLDER_SHARE = 3, 0.5
 
 app = App(name="soak", help="Random faults on separate processes.")
 
@@ -225,7 +225,7 @@
         self._store_is_well = False
         await self.fleet.act("fail_store", how=self.rng.choice(["silent", "busy"]))
         await asyncio.sleep(self.rng.uniform(0.5, 6.0))
-        await self.fleet.act("heal_store")
+        await self.fleet.act("heal_store", older=self.rng.random() < OLDER_SHARE)
         self._store_is_well = True
 
     async def _lose_all_nodes(self) -> None:
--- a/standins/src/fordhatch_lab/_experiment.py
+++ b/standins/src/fordhatch_lab/_experiment.py
@@ -9,6 +9,8 @@
 
 from fordhatch_standins import EnginePace, ModelTimes
 
+from ._drill import StoreDrill
+
 
 @attrs.frozen
 class LabModel:
@@ -74,6 +76,8 @@
     """When a whole domain ends; 0 for never."""
     planner_dies_at_s: float = 0.0
     """When the planner's node ends; 0 for never."""
+    drill: StoreDrill | None = None
+    """An absence of the store; None for none."""
     is_revocation_strict: bool = True
     """Whether a removed API key must be refused within a bound, come what may."""
     models: tuple[LabModel, ...] = MODELS
--- a/standins/src/fordhatch_lab/_measures.py
+++ b/standins/src/fordhatch_lab/_measures.py
@@ -10,6 +10,7 @@
 from fordhatch.core import Failure
 
 from ._experiment import RequestClass
+from ._store_drill import DrillMeasures
 
 
 @attrs.define
@@ -50,6 +51,7 @@
     processor_s: float = 0.0
     """Of the whole emulation, not of the nodes alone."""
     violations: list[str] = attrs.field(factory=list)
+    drills: list[DrillMeasures] = attrs.field(factory=list)
     duration_s: float = 0.0
     nodes: int = 0
 
--- a/standins/src/fordhatch_lab/_run.py
+++ b/standins/src/fordhatch_lab/_run.py
@@ -12,10 +12,12 @@
 
 from fordhatch.core import TaskSet
 
+from ._drill import StoreDrill
 from ._experiment import Experiment
 from ._lab_load import LabLoad
 from ._lab_site import LabSite
 from ._measures import Measures
+from ._store_drill import play_drill
 
 SAMPLE_S = 0.5
 """Time between looks at the groups."""
@@ -93,6 +95,8 @@
             tasks.append(self._come(experiment.empty_every_s))
         if experiment.dark_domain_at_s:
             tasks.append(self._darken(experiment.dark_domain_at_s))
+        if experiment.drill is not None:
+            tasks.append(self._drill(experiment.drill))
         if experiment.planner_dies_at_s:
             tasks.append(self._end_planner(experiment.planner_dies_at_s))
         return tasks
@@ -134,6 +138,9 @@
             await asyncio.sleep(rng.uniform(0.5, 1.5) * mean_s)
             self.site.add_engine(rng.randrange(self.experiment.domains))
 
+    async def _drill(self, drill: StoreDrill) -> None:
+        self.measures.drills.append(await play_drill(self.site, drill))
+
     async def _darken(self, at_s: float) -> None:
         await asyncio.sleep(at_s)
         fleet = self.site.backends.fleet
--- a/standins/src/fordhatch_lab/main.py
+++ b/standins/src/fordhatch_lab/main.py
@@ -10,11 +10,13 @@
 import attrs
 from cyclopts import App
 
+from ._drill import StoreDrill
 from ._experiment import Experiment
 from ._limit_trial import LimitPlay, LimitTrial, play_limit
 from ._limit_ways import WAYS
 from ._measures import Measures
 from ._run import run_experiment
+from ._store_drill import DRILL_HEAD, drill_row
 
 app = App(
     name="fordhatch-lab",
@@ -27,6 +29,9 @@
 SIZES = (9, 18, 36, 72)
 """Numbers of nodes in a report; engines and load grow with them."""
 
+DRILL_AT_S = 6.0
+"""When the store goes away in an experiment; the groups have work by then."""
+
 LOSSES_S = (12.0, 6.0, 3.0, 1.5)
 """Times between losses in a report, at the smallest size."""
 
@@ -227,6 +232,40 @@
         plot_limit(firsts, plot)
 
 
+@app.command
+def returns(
+    nodes: list[int] | None = None,
+    *,
+    copy_s: list[float] | None = None,
+    away_s: float = 2.0,
+    seeds: int = 3,
+    duration_s: float = 20.0,
+) -> None:
+    """Compare returns of the store from copies with outages of the same length.
+
+    Parameters
+    ----------
+    nodes
+        Numbers of nodes.
+    copy_s
+        How long before its absence the store was copied; 0 where nothing is lost.
+    away_s
+        How long the store is away.
+    seeds
+        Seeds of each trial.
+    duration_s
+        Virtual seconds under load.
+    """
+    print(DRILL_HEAD)
+    for number, age_s in itertools.product(nodes or [7], copy_s or [0.0, 3.0]):
+        drill = StoreDrill(DRILL_AT_S, away_s, age_s)
+        plays = [
+            run_experiment(_sized(number, seed, duration_s=duration_s, drill=drill))
+            for seed in range(1, seeds + 1)
+        ]
+        print(drill_row(number, age_s, plays), flush=True)
+
+
 def main() -> None:
     """Run the command line."""
     app()
--- a/standins/src/fordhatch_standins/_backend_http.py
+++ b/standins/src/fordhatch_standins/_backend_http.py
@@ -250,6 +250,16 @@
             fleet.check_fencing()
 
 
+def _act_on_store(backends: Backends, body: dict[str, Any]) -> None:
+    faults = backends.store.faults
+    is_failing = body["do"] == "fail_store"
+    if body.get("older") and backends.copies:
+        lost = backends.store.restore(backends.copies[0])
+        backends.store.write_again(lost, HEARTBEAT_S, backends.rng)
+    faults.is_down = is_failing and body.get("how") != "silent"
+    faults.is_silent = is_failing and body.get("how") == "silent"
+
+
 def _ask_for_less(pressure: PressureLog, body: dict[str, Any]) -> None:
     match body["do"]:
         case "limit":
@@ -278,12 +288,8 @@
         case "add":
             address = await listeners.listen(int(body["port"]))
             backends.add_engine(body["domain"], body["zone"], address)
-        case "fail_store":
-            backends.store.faults.is_down = body.get("how") != "silent"
-            backends.store.faults.is_silent = body.get("how") == "silent"
-        case "heal_store":
-            backends.store.faults.is_down = False
-            backends.store.faults.is_silent = False
+        case "fail_store" | "heal_store":
+            _act_on_store(backends, body)
         case "lapse_all" | "come_back" | "check_fencing":
             _act_on_all(body["do"], backends.fleet)
         case "lose_answers":
--- a/standins/src/fordhatch_standins/_backends.py
+++ b/standins/src/fordhatch_standins/_backends.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 
 import attrs
@@ -15,12 +15,16 @@
 from ._engine_work import EnginePace, EngineWork
 from ._plain_service import PlainService
 from ._pressure_log import PressureLog
-from ._store_model import StoreModel
+from ._store_model import StoreCopy, StoreModel
 
 FIRST_PLAIN_PORT = 8000
 """Plain services in memory differ by their ports."""
 
 
+COPIES = 4
+"""Copies of the store that are kept, one a second."""
+
+
 @attrs.define(eq=False, repr=False)
 class Backends:
     """Looks backend servers up, and starts them."""
@@ -41,6 +45,8 @@
     """After this time another engine starts at the address of one that has ended."""
     pressure: PressureLog = attrs.field(factory=PressureLog)
     """What they ask for in their answers."""
+    copies: deque[StoreCopy] = attrs.field(factory=lambda: deque(maxlen=COPIES))
+    """Of the store, the oldest first; it may come back from that."""
     _works: dict[str, EngineWork] = attrs.field(factory=dict)
     _made: int = 0
 
--- a/standins/src/fordhatch_standins/main.py
+++ b/standins/src/fordhatch_standins/main.py
@@ -17,6 +17,9 @@
 from ._store_http import store_handler
 from ._store_model import StoreModel
 
+COPY_EVERY_S = 1.0
+"""Time between copies of the store."""
+
 app = App(
     name="fordhatch-standin",
     help="The platform's store and backend servers, for demonstrations and tests.",
@@ -99,7 +102,10 @@
             port += 1
         await _listen(control_handler(backends, listeners), control_port)
         print(f"listening on {HOST}:{store_port}", flush=True)
-        await asyncio.Event().wait()
+        while True:
+            if not (store.faults.is_down or store.faults.is_silent):
+                backends.copies.append(store.copy())
+            await asyncio.sleep(COPY_EVERY_S)
 
     uvloop.run(serve())
 
