--- a/standins/src/fordhatch_lab/_lab_site.py
+++ b/standins/src/fordhatch_lab/_lab_site.py
@@ -100,8 +100,10 @@
 
     async def restart(self, index: int) -> None:
         """End a node without a word, and start it again at its address."""
-        await self._end(self.nodes[index])
-        await self._add_node(index, is_first_start=False)
+        one = self.nodes[index]
+        await self._end(one)
+        number = int(one.node.settings.node_name.removeprefix("n"))
+        await self._add_node(number, is_first_start=False)
 
     async def _end(self, one: LabNode) -> None:
         self.nodes.remove(one)
