Planner: a line and two gauges that part the hypotheses

Cause: no log line said how many backend servers the planner believes to be lost, whether domains have free servers without the weights they need, how many loads run of those that may, or how far the planner's node lags. Change: planner_state every two seconds on the node that plans, with fordhatch_backends_believed_lost and fordhatch_planner_lag_seconds; the demand lines move along into _planner_report.py. No logic changed.

--- a/packages/core/src/fordhatch/core/_metrics.py
+++ b/packages/core/src/fordhatch/core/_metrics.py
@@ -157,6 +157,16 @@
     "1 while this node plans for its region.",
     registry=REGISTRY,
 )
+BACKENDS_BELIEVED_LOST = Gauge(
+    "fordhatch_backends_believed_lost",
+    "Backend servers that did not answer the planner's last probe, on its node.",
+    registry=REGISTRY,
+)
+PLANNER_LAG_SECONDS = Gauge(
+    "fordhatch_planner_lag_seconds",
+    "Longest delay of a step of the planner in the last seconds, on its node.",
+    registry=REGISTRY,
+)
 ORDERS = Counter(
     "fordhatch_orders_total",
     "Orders sent to engines by outcome.",
--- a/packages/placement/src/fordhatch/placement/_planner.py
+++ b/packages/placement/src/fordhatch/placement/_planner.py
@@ -16,13 +16,14 @@
     SystemBounds,
     model_of_group,
 )
-from fordhatch.core import Timer, log_event, metrics
+from fordhatch.core import Timer
 from fordhatch.registry import BACKENDS_GATHER_S, ReplicaGroup, StoreView
 
 from ._crash_loops import CrashLoops
 from ._crash_record_cleaner import CrashRecordCleaner
 from ._demand_book import DemandEstimator
 from ._dissolutions import Dissolutions
+from ._first_start import FirstStart
 from ._formations import Formations
 from ._group_builder import GroupBuilder
 from ._group_recorder import GroupRecorder
@@ -32,6 +33,7 @@
 from ._loss_check import LossCheck
 from ._order_sender import OrderSender
 from ._planner_lease import PlannerLease
+from ._planner_report import PlannerReport, PlannerState
 from ._slow_backends import SlowBackends
 from ._staging import Staging
 
@@ -54,16 +56,6 @@
 server that is listed again rejoins a group of that model in 0.2 s. Above the maximum,
 the entries of all unlisted backend servers are dropped."""
 
-FREE_LOADS_S = 9.0
-"""Time after the first start of the whole system in which loads are quick and not
-limited, as long as no request has arrived. Traffic begins 12 s after the instances
-start, or later."""
-
-REGISTRATION_QUIET_S = 0.6
-"""At the first start, the planner lays out groups when no backend server has
-registered for this long. Backend servers register within about two seconds of each
-other."""
-
 Key = tuple[str, int]
 
 
@@ -76,8 +68,7 @@
     store: StoreClient
     timer: Timer
     bounds: SystemBounds
-    is_first_start: bool
-    has_traffic: Callable[[], bool]
+    first_start: FirstStart
     order_sender: OrderSender
     losses: LossCheck
     formations: Formations
@@ -90,15 +81,13 @@
     crash_records: CrashRecordCleaner
     crash_loops: CrashLoops
     demand: DemandEstimator
+    report: PlannerReport
     builder: GroupBuilder = attrs.field(init=False)
     last_model: dict[str, str] = attrs.field(factory=dict)
     """Model of each backend server's last group."""
     _is_leading: bool = False
     _issued_epochs: int = 0
     _epoch_base: int = 0
-    _started_s: float = -math.inf
-    _known_backend_count: int = 0
-    _last_appeared_s: float = 0.0
     _next_slow_step_s: float = -math.inf
     """When conversions and loads are checked next."""
 
@@ -136,8 +125,7 @@
             store,
             timer,
             bounds,
-            is_first_start,
-            has_traffic,
+            FirstStart(timer, is_first_start, has_traffic),
             order_sender,
             losses,
             formations,
@@ -150,6 +138,7 @@
             CrashRecordCleaner(view, store, timer),
             crash_loops,
             DemandEstimator(),
+            PlannerReport(timer),
         )
         planner.builder = GroupBuilder(
             supervisor, formations, dissolutions, timer, planner.next_epoch
@@ -160,12 +149,13 @@
 
     async def run(self) -> None:
         """Plan whenever this node holds the lease, until cancelled."""
-        if self._started_s == -math.inf:
-            self._started_s = self.timer.now_s()
+        self.first_start.begin()
         while True:
             if self.lease.is_held():
                 self._start_leading()
+                self.report.begin_step()
                 self.step()
+                self.report.end_step(STEP_INTERVAL_S)
                 await self.timer.sleep(STEP_INTERVAL_S)
                 continue
             if self._is_leading:
@@ -177,7 +167,7 @@
             return
         self._is_leading = True
         self.view.backends.gather_s = PLANNER_GATHER_S
-        if not self._are_loads_free() and not self.lease.is_first_holder:
+        if not self.first_start.are_loads_free() and not self.lease.is_first_holder:
             # The previous planner may have just used up the load window.
             configuration = self.view.configuration.current
             for service in configuration.engine_services() if configuration else ():
@@ -194,6 +184,7 @@
         self.supervisor.forget()
         self.crash_loops.forget()
         self.demand.forget()
+        self.report.forget()
         self.builder.forget()
 
     def _record_model(self, backend: BackendServer) -> None:
@@ -216,11 +207,6 @@
         if self._is_leading:
             self.losses.mark_terminated(backend.backend_id)
 
-    def _are_loads_free(self) -> bool:
-        uptime_s = self.timer.now_s() - self._started_s
-        early = uptime_s < FREE_LOADS_S and self.is_first_start
-        return early and not self.has_traffic()
-
     def step(self) -> None:
         """Evaluate the current state once and send the orders that are due."""
         configuration = self.view.configuration.current
@@ -280,11 +266,15 @@
             for b in usable
             if b.backend_id not in assigned and self.view.directory.is_listed(b)
         ]
-        if self._is_awaiting_backends():
+        if self.first_start.is_awaiting_backends(len(self.view.directory.backends)):
             return
-        first = self._are_loads_free()
+        first = self.first_start.are_loads_free()
         may_convert = is_slow_step and self.demand.is_trusted(self.timer.now_s())
-        self._log_demand(service, layout)
+        self.report.report_demand(
+            service.name,
+            layout,
+            is_changed=self.demand.has_changed(service.name, layout.busy_groups),
+        )
         free = self.builder.step(
             layout, free, kept, is_first_layout=first, may_convert=may_convert
         )
@@ -293,24 +283,18 @@
             grouped = [b for b in usable if b.backend_id in assigned]
             self.staging.discard_finished(usable)
             self.staging.step(layout, free, grouped, are_loads_free=first)
-
-    def _log_demand(self, service: Service, layout: Layout) -> None:
-        """Log the demand for each model and its groups when the demand has changed."""
-        busy = layout.busy_groups or {}
-        for model, work in busy.items():
-            metrics.MODEL_BUSY_GROUPS.labels(service.name, model).set(work)
-        if not self.demand.has_changed(service.name, busy):
-            return
-        for model in service.engine.models:
-            log_event(
-                "model_demand",
-                service=service.name,
-                model=model.name,
-                busy_groups=round(busy.get(model.name, 0.0), 2),
-                missing=round(layout.missing[model.name], 2),
-                groups=layout.counts[model.name],
-                wanted=round(layout.target(model), 2),
-            )
+        self.report.report_state(layout, free, self._state(service))
+
+    def _state(self, service: Service) -> PlannerState:
+        """Return what the planner knows of a service, for its report."""
+        return PlannerState(
+            service.name,
+            forming=len(self.formations.active),
+            dissolving=len(self.dissolutions.active),
+            lost=len(self.losses.dead),
+            loading=self.staging.active_count,
+            paused_models=self.crash_loops.paused_models(),
+        )
 
     def _is_slow_step_due(self) -> bool:
         """Return whether conversions and loads are due, and schedule the next check."""
@@ -348,16 +332,6 @@
             and b.backend_id not in useless
         ]
 
-    def _is_awaiting_backends(self) -> bool:
-        """Return whether backend servers still register at the first start."""
-        now_s = self.timer.now_s()
-        count = len(self.view.directory.backends)
-        if count != self._known_backend_count:
-            self._known_backend_count = count
-            self._last_appeared_s = now_s
-        unchanged_s = now_s - self._last_appeared_s
-        return self._are_loads_free() and unchanged_s < REGISTRATION_QUIET_S
-
     def next_epoch(self) -> int:
         """Return an epoch that is higher than every epoch used before."""
         if self.lease.epoch_base != self._epoch_base:
--- a/packages/placement/src/fordhatch/placement/_staging.py
+++ b/packages/placement/src/fordhatch/placement/_staging.py
@@ -43,6 +43,11 @@
     timer: Timer
     _active: dict[str, _Load] = attrs.field(factory=dict)
 
+    @property
+    def active_count(self) -> int:
+        """Number of loads in progress."""
+        return len(self._active)
+
     def step(
         self,
         layout: Layout,
