--- a/packages/placement/tests/planning_site.py
+++ b/packages/placement/tests/planning_site.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 import attrs
 
@@ -23,10 +23,33 @@
     StoreModel,
 )
 
+
+@attrs.frozen
+class SiteShape:
+    """Models, domains and limits of a site."""
+
+    models: Mapping[str, ModelTimes]
+    per_domain: int = 8
+    loads_per_s: float = 4.0
+    loads_at_once: int = 6
+    call_cost_s: float = 0.0
+    """Processor time that a call to a backend server takes on a node, in seconds."""
+
+
 MODELS = {"big": ModelTimes(4, 16.0, 1.6), "small": ModelTimes(2, 12.0, 1.1)}
 SHARES = {"big": 0.67, "small": 0.33}
 PACES = {"big": 1.0, "small": 0.6}
 
+STANDARD_SHAPE = SiteShape(MODELS)
+
+LARGE_SHAPE = SiteShape(
+    {"big": ModelTimes(16, 16.0, 1.6), "small": ModelTimes(8, 12.0, 1.1)},
+    per_domain=37,
+    loads_per_s=77.0,
+    loads_at_once=115,
+)
+"""Groups of sixteen and eight in domains of 37, of which five are left over."""
+
 BOUNDS = """
 node-name = "n"
 ip = "10.0.0.1"
@@ -64,7 +87,7 @@
 """
 
 
-def engine_configuration() -> bytes:
+def engine_configuration(shape: SiteShape = STANDARD_SHAPE) -> bytes:
     """Return the encoded configuration of one service with two models."""
     models = [
         {
@@ -75,7 +98,7 @@
             "load-s": times.load_s,
             "warm-s": times.warm_s,
         }
-        for name, times in MODELS.items()
+        for name, times in shape.models.items()
     ]
     engine = {
         "slots": 13,
@@ -83,8 +106,8 @@
         "step_ms": 6.07,
         "per_seq_ms": 0.482,
         "read_per_s": 46000.0,
-        "loads-per-s": 4.0,
-        "loads_at_once": 6,
+        "loads-per-s": shape.loads_per_s,
+        "loads_at_once": shape.loads_at_once,
         "keeps": 1,
         "form-ms": 300.0,
         "models": models,
@@ -111,7 +134,7 @@
         """Build a node and run its lease and planner."""
         timer = Timer.from_seed(name)
         store = MemoryStoreClient(site.store, name)
-        backends = MemoryBackendClient(site.fleet)
+        backends = MemoryBackendClient(site.fleet, call_cost_s=site.shape.call_cost_s)
         view = StoreView.create(StoreSource(store), timer)
         lease = PlannerLease(
             name, store, timer, lambda: set(site.nodes), lambda: node.is_leaving
@@ -144,13 +167,17 @@
     """Engines in domains, a store, and a few planning nodes."""
 
     rng: random.Random
+    shape: SiteShape = STANDARD_SHAPE
     store: StoreModel = attrs.field(factory=StoreModel)
     fleet: EngineFleet = attrs.field(init=False)
     nodes: dict[str, PlanningNode] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
-        self.fleet = EngineFleet(self.store, MODELS, self.rng)
-        self.store.put(OPERATOR_TABLE, CONFIGURATION_KEY, engine_configuration())
+        shape = self.shape
+        self.fleet = EngineFleet(
+            self.store, dict(shape.models), self.rng, loads_per_s=shape.loads_per_s
+        )
+        self.store.put(OPERATOR_TABLE, CONFIGURATION_KEY, engine_configuration(shape))
 
     def add_node(self, name: str, *, is_first_start: bool = False) -> PlanningNode:
         self.nodes[name] = PlanningNode.start(self, name, is_first_start=is_first_start)
@@ -195,11 +222,15 @@
             await node.kill()
 
 
-def run_scenario(scenario: Callable[[Site], Awaitable[None]], seed: int = 1) -> None:
+def run_scenario(
+    scenario: Callable[[Site], Awaitable[None]],
+    seed: int = 1,
+    shape: SiteShape = STANDARD_SHAPE,
+) -> None:
     """Run a scenario on a virtual clock."""
 
     async def run_and_check() -> None:
-        site = Site(random.Random(seed))
+        site = Site(random.Random(seed), shape)
         try:
             await scenario(site)
             site.check()
@@ -210,13 +241,14 @@
 
 
 async def standard_site(site: Site, domains: int = 2, nodes: int = 2) -> None:
-    """Start nodes and full domains of eight engines, and wait for their groups.
+    """Start nodes and full domains of engines, and wait for their groups.
 
     Afterwards the site is stable, weights are staged on all hosts, and loads count
     against the limit.
     """
-    for index in range(domains * 8):
-        site.fleet.add(f"d{index // 8}")
+    per_domain = site.shape.per_domain
+    for index in range(domains * per_domain):
+        site.fleet.add(f"d{index // per_domain}")
     for index in range(nodes):
         site.add_node(f"n{index}", is_first_start=True)
     await site.until(lambda: site.working() >= domains * 2, 60)
--- a/standins/src/fordhatch_lab/_run.py
+++ b/standins/src/fordhatch_lab/_run.py
@@ -8,9 +8,9 @@
 from typing import Any, TypeVar
 
 import attrs
-import looptime
 
 from fordhatch.core import TaskSet
+from fordhatch_standins import VirtualLoop
 
 from ._experiment import Experiment
 from ._lab_load import LabLoad
@@ -40,7 +40,7 @@
 
 def run_in_virtual_time(work: Coroutine[Any, Any, T]) -> T:
     """Run a coroutine on a virtual clock that skips times when all tasks wait."""
-    loop = looptime.new_event_loop()
+    loop = VirtualLoop()
     try:
         return loop.run_until_complete(work)
     finally:
--- a/standins/src/fordhatch_standins/__init__.py
+++ b/standins/src/fordhatch_standins/__init__.py
@@ -15,6 +15,7 @@
 from ._scripted_backend import SIGNATURE, ScriptedBackend, SeenRequest, http_answer
 from ._store_http import store_handler
 from ._store_model import StoreCopy, StoredRow, StoreFaults, StoreModel
+from ._virtual_loop import VirtualLoop, spend_processor_time
 
 __all__ = [
     "FIRST_START_MS",
@@ -42,10 +43,12 @@
     "StoreModel",
     "StoredRow",
     "Violation",
+    "VirtualLoop",
     "answer_text",
     "backend_entry",
     "entry_fields",
     "event_bytes",
     "http_answer",
+    "spend_processor_time",
     "store_handler",
 ]
--- a/standins/src/fordhatch_standins/_memory_clients.py
+++ b/standins/src/fordhatch_standins/_memory_clients.py
@@ -7,7 +7,8 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Coroutine, Mapping
+from typing import Any, TypeVar
 
 import attrs
 from result import Err, Ok, Result
@@ -29,9 +30,13 @@
 from ._engine_fleet import EngineFleet
 from ._engine_model import BEGUN, DONE, OUTDATED
 from ._store_model import StoredRow, StoreModel
+from ._virtual_loop import spend_processor_time
 
 STORE_LATENCY_S = 0.004
 BACKEND_LATENCY_S = 0.002
+CONNECT_LATENCY_S = 0.0005
+
+T = TypeVar("T")
 
 
 def _row(row: StoredRow, generation: int) -> Row:
@@ -172,11 +177,49 @@
     fleet: EngineFleet
     is_cut: bool = False
     """Whether this node reaches no backend server."""
+    call_cost_s: float = 0.0
+    """Processor time that each call takes on this node, in seconds. A third of it is
+    spent when the call begins, when it is sent and when its answer is read; all of it
+    counts towards the call's timeout."""
 
     async def order(
         self, address: str, registered_id: str, order: GroupOrder, *, timeout_s: float
     ) -> Result[OrderReply, Failure]:
         """Send an order to the engine at an address."""
+        call = self._order(address, registered_id, order, timeout_s)
+        return await self._paid(call, timeout_s)
+
+    async def report(
+        self, address: str, registered_id: str, *, timeout_s: float
+    ) -> Result[BackendReport, Failure]:
+        """Request a report from the engine at an address."""
+        return await self._paid(
+            self._report(address, registered_id, timeout_s), timeout_s
+        )
+
+    async def _paid(
+        self, call: Coroutine[Any, Any, Result[T, Failure]], timeout_s: float
+    ) -> Result[T, Failure]:
+        """Carry out a call and spend the processor time that it takes."""
+        if not self.call_cost_s:
+            return await call
+        phase_s = self.call_cost_s / 3
+        spend_processor_time(phase_s)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await asyncio.sleep(CONNECT_LATENCY_S)
+                spend_processor_time(phase_s)
+                answer = await call
+                spend_processor_time(phase_s)
+                return answer
+        except TimeoutError:
+            return Err(Failure.from_code(ResultCode.BACKEND_LOST, ran=Ran.MAYBE))
+        finally:
+            call.close()
+
+    async def _order(
+        self, address: str, registered_id: str, order: GroupOrder, timeout_s: float
+    ) -> Result[OrderReply, Failure]:
         await asyncio.sleep(BACKEND_LATENCY_S)
         engine = self.fleet.at(address)
         if self.is_cut or engine is None:
@@ -192,10 +235,9 @@
             OrderReply(status, status == BEGUN, status == DONE, status == OUTDATED)
         )
 
-    async def report(
-        self, address: str, registered_id: str, *, timeout_s: float
+    async def _report(
+        self, address: str, registered_id: str, timeout_s: float
     ) -> Result[BackendReport, Failure]:
-        """Request a report from the engine at an address."""
         await asyncio.sleep(BACKEND_LATENCY_S)
         engine = self.fleet.at(address)
         if address in self.fleet.refusing and not self.is_cut:
