Probes: the node's own slowness no longer counts as a server's silence

What callers saw: requests of one class or of all refused or late for half a minute, most engines idle, until all nodes were restarted. Cause: a probe waited 0.15 s of the node's own clock. A planner that forms a layout of 800 members probed all of them in one step; whoever was read last counted as lost, its formation was given up, and all who were believed lost were probed again at the same moment 3 s later, so that the finding kept itself alive. A pause of the process for 0.2 s did the same to every probe in flight. Change: a probe's wait counts only the time in which the event loop was responsive; a node that is too slow for two seconds concludes nothing (code 214, probe_inconclusive). At most 32 probes run at once, further ones wait in order before their time begins. Who is believed lost stays so until the next probe is answered, and rechecks are spread. The stall watch of every node uses the same.

--- a/packages/core/src/fordhatch/core/__init__.py
+++ b/packages/core/src/fordhatch/core/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from . import _metrics as metrics
+from ._call_limiter import CallLimiter
 from ._codes import CODE_TABLE, CodeInfo, Failure, Ran, ResultCode, code_table_markdown
 from ._invariant import InvariantGuard
 from ._line_writer import LineWriter
@@ -12,6 +13,7 @@
 
 __all__ = [
     "CODE_TABLE",
+    "CallLimiter",
     "CodeInfo",
     "Failure",
     "InvariantGuard",
--- a/packages/core/src/fordhatch/core/_codes.py
+++ b/packages/core/src/fordhatch/core/_codes.py
@@ -46,6 +46,7 @@
     CLIENT_GONE = 211
     CONFIGURATION_STALE = 212
     REQUEST_QUARANTINED = 213
+    PROBE_INCONCLUSIVE = 214
     STORE_UNAVAILABLE = 300
     STORE_OUTCOME_UNKNOWN = 301
     STORE_CONFLICT = 302
@@ -136,6 +137,9 @@
         "Several backend servers have ended while they ran this request, in this or "
         "in other tries; it is not run again for now.",
     ),
+    ResultCode.PROBE_INCONCLUSIVE: _info(
+        503, Ran.NO, "The node was too slow to tell whether a backend server answers."
+    ),
     ResultCode.CLIENT_GONE: _info(499, Ran.MAYBE, "The caller closed its connection."),
     ResultCode.STORE_UNAVAILABLE: _info(
         503, Ran.NO, "The platform's store cannot be reached; nothing was decided."
--- a/packages/placement/src/fordhatch/placement/_loss_check.py
+++ b/packages/placement/src/fordhatch/placement/_loss_check.py
@@ -8,13 +8,17 @@
 
 from fordhatch.adapter import BackendClient
 from fordhatch.catalog import BackendServer
-from fordhatch.core import TaskSet, Timer, log_event
+from fordhatch.core import CallLimiter, ResultCode, TaskSet, Timer, log_event
 from fordhatch.registry import probe
 
 RECHECK_INTERVAL_S = 3.0
 """Time for which a finding is valid before the backend server is probed again, unless
 there is a newer reason to probe it."""
 
+MAX_PROBES_AT_ONCE = 32
+"""Maximum number of probes in progress: a node with half of a core reads the answers
+of that many within half of a probe's timeout."""
+
 
 @attrs.define(eq=False, repr=False)
 class LossCheck:
@@ -30,6 +34,7 @@
     _last_answered_s: dict[str, float] = attrs.field(factory=dict)
     """Time at which the last answered probe of each backend server was sent."""
     _probing: set[str] = attrs.field(factory=set)
+    _limiter: CallLimiter = attrs.field(factory=lambda: CallLimiter(MAX_PROBES_AT_ONCE))
     _tasks: TaskSet = attrs.field(factory=TaskSet)
 
     def is_alive(self, backend_id: str, since_s: float | None = None) -> bool:
@@ -55,20 +60,29 @@
 
     async def _probe(self, backend: BackendServer) -> None:
         backend_id = backend.backend_id
-        sent_s = self.timer.now_s()
         try:
-            found = await probe(self.backends, backend)
+            async with self._limiter.slot():
+                sent_s = self.timer.now_s()
+                found = await probe(self.backends, backend)
         finally:
             self._probing.discard(backend_id)
         if found.is_ok() and found.unwrap().matches(backend):
             self._last_answered_s[backend_id] = sent_s
             self.dead.discard(backend_id)
             return
-        self.dead.add(backend_id)
-        if found.is_ok():
+        if found.is_err() and found.unwrap_err().code is ResultCode.PROBE_INCONCLUSIVE:
+            log_event("probe_inconclusive", backend=backend_id)
+        else:
+            self._record_loss(backend_id, is_replaced=found.is_ok())
+        if backend_id in self.dead:
+            self._tasks.spawn(self._recheck(backend), f"recheck-{backend_id}")
+
+    def _record_loss(self, backend_id: str, *, is_replaced: bool) -> None:
+        if is_replaced:
             self.replaced.add(backend_id)
-        log_event("backend_lost", backend=backend_id, replaced=found.is_ok())
-        self._tasks.spawn(self._recheck(backend), f"recheck-{backend_id}")
+        if backend_id not in self.dead:
+            self.dead.add(backend_id)
+            log_event("backend_lost", backend=backend_id, replaced=is_replaced)
 
     def mark_terminated(self, backend_id: str) -> None:
         """Record that a backend server has terminated and a later start replaces it."""
@@ -77,10 +91,12 @@
 
     async def _recheck(self, backend: BackendServer) -> None:
         """Probe again later, so that a server that was only unreachable is reused."""
-        await self.timer.sleep(RECHECK_INTERVAL_S)
-        if backend.backend_id in self.dead and backend.backend_id not in self.replaced:
-            self.dead.discard(backend.backend_id)
-            self.check(backend)
+        await self.timer.sleep(self.timer.jittered(RECHECK_INTERVAL_S))
+        backend_id = backend.backend_id
+        is_due = backend_id in self.dead and backend_id not in self.replaced
+        if is_due and backend_id not in self._probing:
+            self._probing.add(backend_id)
+            await self._probe(backend)
 
     def keep_only(self, backend_ids: set[str]) -> None:
         """Forget the findings about all other backend servers."""
--- a/packages/registry/src/fordhatch/registry/_liveness_probe.py
+++ b/packages/registry/src/fordhatch/registry/_liveness_probe.py
@@ -4,11 +4,13 @@
 
 import asyncio
 
-from result import Result
+from result import Err, Result
 
 from fordhatch.adapter import BackendClient, BackendReport
 from fordhatch.catalog import BackendServer
-from fordhatch.core import Failure
+from fordhatch.core import Failure, Ran, ResultCode
+
+from ._responsive_wait import MAX_WAIT_S, WaitEnd, wait_while_responsive
 
 PROBE_TIMEOUT_S = 0.15
 """Timeout of one probe. A report needs no slot and arrives within milliseconds."""
@@ -17,10 +19,10 @@
 """Time without an answer after which a second probe is sent in parallel. A lost packet
 does not mean a lost instance, and probing in sequence would take longer."""
 
+Report = Result[BackendReport, Failure]
+
 
-async def probe(
-    client: BackendClient, backend: BackendServer
-) -> Result[BackendReport, Failure]:
+async def probe(client: BackendClient, backend: BackendServer) -> Report:
     """Request a backend server's report, with a second request if the first is slow.
 
     Args:
@@ -29,29 +31,53 @@
 
     Returns:
         The report of this backend server, or of another backend server or a later
-        start at its address; a failure if there was no answer.
+        start at its address; a failure if there was no answer, with the code
+        ``PROBE_INCONCLUSIVE`` if this node was too slow to read one.
     """
 
-    def request_report() -> asyncio.Future[Result[BackendReport, Failure]]:
+    def request_report() -> asyncio.Future[Report]:
         return asyncio.ensure_future(
-            client.report(
-                backend.address, backend.registered_id, timeout_s=PROBE_TIMEOUT_S
-            )
+            client.report(backend.address, backend.registered_id, timeout_s=MAX_WAIT_S)
         )
 
-    first = request_report()
-    await asyncio.wait([first], timeout=SECOND_PROBE_AFTER_S)
-    if first.done():
-        return first.result()
-    pending = {first, request_report()}
+    requests = [request_report()]
     try:
-        while True:
-            done, pending = await asyncio.wait(
-                pending, return_when=asyncio.FIRST_COMPLETED
-            )
-            found = next((d.result() for d in done if d.result().is_ok()), None)
-            if found is not None or not pending:
-                return found or done.pop().result()
+        end = await wait_while_responsive(requests, SECOND_PROBE_AFTER_S)
+        if end is WaitEnd.DONE:
+            return requests[0].result()
+        if end is WaitEnd.TIMED_OUT:
+            requests.append(request_report())
+            end = await _wait_for_report(requests)
+        return _outcome(requests, end)
     finally:
-        for request in pending:
+        for request in requests:
             request.cancel()
+
+
+async def _wait_for_report(requests: list[asyncio.Future[Report]]) -> WaitEnd:
+    """Wait until a report has arrived or every request has failed."""
+    pending = set(requests)
+    end = WaitEnd.DONE
+    while pending and end is WaitEnd.DONE and _found(requests) is None:
+        end = await wait_while_responsive(pending, PROBE_TIMEOUT_S)
+        pending = {r for r in pending if not r.done()}
+    return end
+
+
+def _found(requests: list[asyncio.Future[Report]]) -> Report | None:
+    """Return the first report that has arrived, or else None."""
+    done = (r.result() for r in requests if r.done())
+    return next((report for report in done if report.is_ok()), None)
+
+
+def _outcome(requests: list[asyncio.Future[Report]], end: WaitEnd) -> Report:
+    """Return the report that has arrived, or else why there is none."""
+    found = _found(requests)
+    if found is not None:
+        return found
+    if end is WaitEnd.INCONCLUSIVE:
+        return Err(Failure.from_code(ResultCode.PROBE_INCONCLUSIVE))
+    failed = [r.result() for r in requests if r.done()]
+    if failed:
+        return failed[-1]
+    return Err(Failure.from_code(ResultCode.BACKEND_LOST, ran=Ran.NO))
--- a/packages/serving/src/fordhatch/serving/_stall_watch.py
+++ b/packages/serving/src/fordhatch/serving/_stall_watch.py
@@ -5,10 +5,17 @@
 import asyncio
 
 import attrs
-
-from fordhatch.adapter import ABSENT, BackendClient, RowKey, StoreClient
+from result import Result
+
+from fordhatch.adapter import (
+    ABSENT,
+    BackendClient,
+    BackendReport,
+    RowKey,
+    StoreClient,
+)
 from fordhatch.catalog import BackendServer
-from fordhatch.core import TaskSet, Timer, log_event
+from fordhatch.core import Failure, ResultCode, TaskSet, Timer, log_event
 from fordhatch.registry import (
     SHARED_TABLE,
     BackendDirectory,
@@ -165,12 +172,13 @@
         return [m for m in members if answers[m.backend_id] is None]
 
     async def _probe(self, members: list[BackendServer]) -> dict[str, float | None]:
-        """Return the pace of each member by id; None for members that do not answer."""
+        """Return the pace of each member by id; None for members that do not answer.
+
+        Members about which this node was too slow to tell count as usual.
+        """
         answers = await asyncio.gather(*(probe(self.backends, m) for m in members))
         return {
-            m.backend_id: answer.unwrap().pace
-            if answer.is_ok() and answer.unwrap().matches(m)
-            else None
+            m.backend_id: _pace(m, answer)
             for m, answer in zip(members, answers, strict=True)
         }
 
@@ -210,3 +218,14 @@
     async def close(self) -> None:
         """Stop probing and reporting."""
         await self._tasks.close()
+
+
+def _pace(
+    member: BackendServer, answer: Result[BackendReport, Failure]
+) -> float | None:
+    """Return the pace in the answer to a probe, or None if the member is lost."""
+    if answer.is_err():
+        is_known = answer.unwrap_err().code is not ResultCode.PROBE_INCONCLUSIVE
+        return None if is_known else 1.0
+    report = answer.unwrap()
+    return report.pace if report.matches(member) else None
