Planner: orders are sent in batches that its own node can carry

Cause: every order that is due was sent at once, each on a connection of its own: 800 joins at the first layout, then 800 loads. On a node with half of a core the replies of that many wait for seconds; joins were repeated after 0.6 s, formations given up after 2 s and their members found as leftovers. Formations and loads begin only while there is room for their orders, so that the time allowed for them does not run while they wait; a formation's joins are sent with its begin. At the first layout, whose entries were written just now, members are not probed besides.

--- a/packages/core/src/fordhatch/core/_call_limiter.py
+++ b/packages/core/src/fordhatch/core/_call_limiter.py
@@ -18,8 +18,6 @@
     """
 
     limit: int
-    _pending: int = 0
-    """Calls that run or wait."""
     _slots: asyncio.Semaphore = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -29,13 +27,5 @@
     @contextlib.asynccontextmanager
     async def slot(self) -> AsyncIterator[None]:
         """Wait for a turn, and hold it for the duration of the block."""
-        self._pending += 1
-        try:
-            async with self._slots:
-                yield
-        finally:
-            self._pending -= 1
-
-    def has_room(self) -> bool:
-        """Return whether a call would run at once."""
-        return self._pending < self.limit
+        async with self._slots:
+            yield
--- a/packages/core/tests/test_call_limiter.py
+++ b/packages/core/tests/test_call_limiter.py
@@ -20,7 +20,6 @@
     calls = [asyncio.ensure_future(call(n)) for n in range(4)]
     await asyncio.sleep(0)
     assert running == [0, 1]
-    assert not limiter.has_room()
     finish[1].set()
     await asyncio.sleep(0.01)
     assert running == [0, 1, 2]
@@ -28,7 +27,6 @@
         event.set()
     await asyncio.gather(*calls)
     assert running == [0, 1, 2, 3]
-    assert limiter.has_room()
 
 
 async def test_a_cancelled_call_gives_its_turn_back() -> None:
@@ -43,4 +41,5 @@
     for task in (second, first):
         task.cancel()
     await asyncio.gather(first, second, return_exceptions=True)
-    assert limiter.has_room()
+    async with asyncio.timeout(1.0), limiter.slot():
+        pass
--- a/packages/placement/src/fordhatch/placement/_formations.py
+++ b/packages/placement/src/fordhatch/placement/_formations.py
@@ -46,6 +46,10 @@
     timer: Timer
     active: dict[Key, Formation] = attrs.field(factory=dict)
 
+    def has_room(self) -> bool:
+        """Return whether the orders of another formation would be sent at once."""
+        return self.order_sender.has_room()
+
     def begin(self, plan: GroupPlan, epoch: int) -> None:
         """Begin to form a group under an epoch that no group has used."""
         key = (group_name(plan.model.name, epoch), epoch)
@@ -53,7 +57,8 @@
         wait_s = plan.ready_in_s
         if plan.loads:
             wait_s *= LOAD_SLACK_FACTOR
-        self.active[key] = Formation(plan, now_s, now_s + wait_s + JOIN_TOLERANCE_S)
+        formation = Formation(plan, now_s, now_s + wait_s + JOIN_TOLERANCE_S)
+        self.active[key] = formation
         log_event(
             "group_forming",
             group=key[0],
@@ -63,6 +68,7 @@
             ready_in_s=round(plan.ready_in_s, 2),
             loads=plan.loads,
         )
+        self._order_joins(key, formation, None)
 
     def step(self, groups: dict[Key, ReplicaGroup]) -> list[Key]:
         """Send the join orders that are due.
--- a/packages/placement/src/fordhatch/placement/_group_builder.py
+++ b/packages/placement/src/fordhatch/placement/_group_builder.py
@@ -117,12 +117,14 @@
         self, layout: Layout, free: list[BackendServer], is_first_layout: bool
     ) -> list[BackendServer]:
         remaining = FreeBackends(free)
-        while True:
+        while self.formations.has_room():
             plan = choose_group(layout, remaining, is_first_layout=is_first_layout)
             if plan is None:
-                return remaining.all()
-            self._begin_formation(layout, plan)
+                break
+            # At the first layout every entry was written just now.
+            self._begin_formation(layout, plan, checks_members=not is_first_layout)
             remaining.remove_members(plan)
+        return remaining.all()
 
     def _finish_conversions(
         self, layout: Layout, free: list[BackendServer]
@@ -165,9 +167,11 @@
         taken = {m.backend_id for m in plan.members}
         return [b for b in free if b.backend_id not in taken]
 
-    def _begin_formation(self, layout: Layout, plan: GroupPlan) -> None:
+    def _begin_formation(
+        self, layout: Layout, plan: GroupPlan, *, checks_members: bool = True
+    ) -> None:
         self.formations.begin(plan, self.next_epoch())
-        for member in plan.members:
+        for member in plan.members if checks_members else ():
             # An entry outlives its backend server by seconds, or by the length of a
             # store outage. A dead member would delay the others for two seconds.
             self.supervisor.losses.check(member)
--- a/packages/placement/src/fordhatch/placement/_planner.py
+++ b/packages/placement/src/fordhatch/placement/_planner.py
@@ -279,7 +279,7 @@
             layout, free, kept, is_first_layout=first, may_convert=may_convert
         )
         self.dissolutions.order_remaining_to_leave(self.formations.member_ids())
-        if first or is_slow_step:
+        if (first and self.formations.has_room()) or is_slow_step:
             grouped = [b for b in usable if b.backend_id in assigned]
             self.staging.discard_finished(usable)
             self.staging.step(layout, free, grouped, are_loads_free=first)
--- a/packages/placement/src/fordhatch/placement/_staging.py
+++ b/packages/placement/src/fordhatch/placement/_staging.py
@@ -169,6 +169,8 @@
         model: ModelProfile,
         are_loads_free: bool,
     ) -> None:
+        if not self.order_sender.has_room():
+            return
         if not are_loads_free and not self.loads.try_reserve(profile.loads_per_s, 1):
             return
         until_s = self.timer.now_s() + LOAD_TIMEOUT_FACTOR * model.load_s
--- a/packages/placement/tests/test_staging.py
+++ b/packages/placement/tests/test_staging.py
@@ -21,6 +21,9 @@
         self.sent.append((backend.backend_id, order.model))
         return True
 
+    def has_room(self) -> bool:
+        return True
+
 
 async def test_a_load_on_a_reserved_backend_is_not_repeated() -> None:
     timer = Timer.from_seed(1)
