Planner: strong nodes are the first to plan

What callers saw: as before; the sort order of names decided who plans, so that a node of half a core could plan for 925 backend servers. Cause: candidates for the lease were ordered by name alone. Readers are chosen with strong nodes first since they answer many; the planner does more. Change: nodes with half of the greatest weight come first, by name among themselves (planner_candidates); the lease takes the order from its node.

How often a weak node planned before was not counted.

--- a/packages/node/src/fordhatch/node/_node.py
+++ b/packages/node/src/fordhatch/node/_node.py
@@ -36,6 +36,7 @@
     SharedRows,
     StoreSource,
     StoreView,
+    planner_candidates,
     relay_wait_s,
 )
 from fordhatch.serving import NodeState, RequestPath
@@ -124,7 +125,7 @@
             settings.node_name,
             clients.store,
             timer,
-            lambda: set(view.shared.nodes),
+            lambda: planner_candidates(view.shared.nodes),
             lambda: state.is_leaving,
             lambda name: _query_holder(clients.pool, view, name),
         )
--- a/packages/placement/src/fordhatch/placement/_planner_lease.py
+++ b/packages/placement/src/fordhatch/placement/_planner_lease.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 import attrs
 
@@ -63,8 +63,8 @@
 """Shortest time between polls of the lease by a node that is not a candidate."""
 
 POLL_INTERVAL_PER_RANK_S = 0.5
-"""Poll interval of a node that is not a candidate, for each node whose name sorts
-before its own. The total rate of polls then grows with the logarithm of the number of
+"""Poll interval of a node that is not a candidate, for each node that comes before it.
+The total rate of polls then grows with the logarithm of the number of
 nodes, and the first few nodes poll often enough when the candidates are lost."""
 
 
@@ -92,8 +92,8 @@
     node_name: str
     store: StoreClient
     timer: Timer
-    node_names: Callable[[], set[str]]
-    """Returns the names of the known nodes, which give the order of candidates."""
+    candidates: Callable[[], Sequence[str]]
+    """Returns the names of the known nodes, the best candidate first."""
     is_leaving: Callable[[], bool]
     query_holder: Callable[[str], Awaitable[LeaseHolderStatus | None]] | None = None
     """Queries a node for the state of the lease without a call to the store; returns
@@ -160,15 +160,16 @@
             return
         started_s = self.timer.now_s()
         while (
-            not self.node_names() and self.timer.now_s() - started_s < NODES_TIMEOUT_S
+            not self.candidates() and self.timer.now_s() - started_s < NODES_TIMEOUT_S
         ):
             await self.timer.sleep(NODES_POLL_INTERVAL_S)
         if self._rank() >= START_CANDIDATE_COUNT:
             await self.timer.sleep(self.timer.jittered(self._poll_interval_s()))
 
     def _rank(self) -> int:
-        """Return how many known nodes sort before this one."""
-        return sum(name < self.node_name for name in self.node_names())
+        """Return how many known nodes come before this one."""
+        names = self.candidates()
+        return names.index(self.node_name) if self.node_name in names else len(names)
 
     def _poll_interval_s(self) -> float:
         rank = self._rank()
--- a/packages/placement/tests/planning_site.py
+++ b/packages/placement/tests/planning_site.py
@@ -137,7 +137,7 @@
         backends = MemoryBackendClient(site.fleet, call_cost_s=site.shape.call_cost_s)
         view = StoreView.create(StoreSource(store), timer)
         lease = PlannerLease(
-            name, store, timer, lambda: set(site.nodes), lambda: node.is_leaving
+            name, store, timer, lambda: sorted(site.nodes), lambda: node.is_leaving
         )
         planner = Planner.create(
             view,
--- a/packages/placement/tests/test_lease_over_restores.py
+++ b/packages/placement/tests/test_lease_over_restores.py
@@ -23,7 +23,7 @@
         self.model = StoreModel()
         self.clients = {n: MemoryStoreClient(self.model, n) for n in names}
         self.leases = {
-            n: PlannerLease(n, c, Timer.from_seed(n), lambda: set(names), lambda: False)
+            n: PlannerLease(n, c, Timer.from_seed(n), lambda: names, lambda: False)
             for n, c in self.clients.items()
         }
         self.terms: list[tuple[str, int, int]] = []
--- a/packages/placement/tests/test_planner.py
+++ b/packages/placement/tests/test_planner.py
@@ -390,7 +390,7 @@
         await site.watch(2)
         leases = [n.lease for n in site.nodes.values()]
         for lease in leases:
-            lease.node_names = lambda: set(site.nodes)
+            lease.candidates = lambda: sorted(site.nodes)
         rates = [1 / lease._poll_interval_s() for lease in leases]
         assert sum(rates) < 2 / 0.45 + 2 * 4 + 1
         assert max(1 / rate for rate in rates[:6]) < 3
--- a/packages/placement/tests/test_planner_lease.py
+++ b/packages/placement/tests/test_planner_lease.py
@@ -25,7 +25,7 @@
         name,
         client,
         Timer.from_seed(name),
-        lambda: set(NODES),
+        lambda: NODES,
         lambda: False,
         query_holder,
     )
--- a/packages/registry/src/fordhatch/registry/__init__.py
+++ b/packages/registry/src/fordhatch/registry/__init__.py
@@ -13,7 +13,7 @@
 from ._group_records import GroupRecord, record_key
 from ._liveness_probe import probe
 from ._outage_evidence import NodeReport, OutageEvidence, min_witnesses
-from ._reader_choice import NodeAddress, ReaderChoice
+from ._reader_choice import NodeAddress, ReaderChoice, planner_candidates
 from ._relay import RelayClient, RelayServer, relay_wait_s
 from ._row_restorer import RowRestorer
 from ._shared_rows import (
@@ -64,6 +64,7 @@
     "min_witnesses",
     "node_key",
     "node_value",
+    "planner_candidates",
     "probe",
     "record_key",
     "relay_wait_s",
--- a/packages/registry/src/fordhatch/registry/_reader_choice.py
+++ b/packages/registry/src/fordhatch/registry/_reader_choice.py
@@ -75,13 +75,8 @@
         if purpose not in self._by_purpose:
             nodes = self.nodes.values()
             eligible = [n for n in nodes if purpose in (SYSTEM_WIDE, n.zone)]
-            min_weight = STRONG_FRACTION * max(
-                (n.weight for n in eligible), default=0.0
-            )
-            eligible.sort(
-                key=lambda n: (n.weight >= min_weight, _score(n, purpose)), reverse=True
-            )
-            self._by_purpose[purpose] = eligible
+            eligible.sort(key=lambda n: _score(n, purpose), reverse=True)
+            self._by_purpose[purpose] = strong_first(eligible)
         return self._by_purpose[purpose]
 
 
@@ -223,6 +218,22 @@
         self._avoided.pop(node.name, None)
 
 
+def strong_first(nodes: Sequence[NodeAddress]) -> list[NodeAddress]:
+    """Return the nodes with the strong ones first, otherwise in the given order."""
+    min_weight = STRONG_FRACTION * max((n.weight for n in nodes), default=0.0)
+    return sorted(nodes, key=lambda n: n.weight < min_weight)
+
+
+def planner_candidates(nodes: Mapping[str, NodeAddress]) -> list[str]:
+    """Return the names of the nodes that may plan, the best candidate first.
+
+    The planner orders and probes every backend server, which a weak node can't do in
+    time for hundreds of them.
+    """
+    by_name = [nodes[name] for name in sorted(nodes)]
+    return [node.name for node in strong_first(by_name)]
+
+
 def _first_of(
     ranked: Sequence[NodeAddress], accepts: Callable[[str], bool], now_s: float
 ) -> NodeAddress | None:
--- a/packages/registry/tests/test_reader_choice.py
+++ b/packages/registry/tests/test_reader_choice.py
@@ -10,7 +10,7 @@
 import pytest
 
 from fordhatch.core import Timer
-from fordhatch.registry import NodeAddress, ReaderChoice
+from fordhatch.registry import NodeAddress, ReaderChoice, planner_candidates
 
 
 @pytest.fixture(autouse=True)
@@ -60,3 +60,19 @@
     before = one.choose()
     tables[0] = {n: a for n, a in tables[0].items() if n != before.name}
     assert one.choose().name != before.name
+
+
+# Guards against a weak node that plans for hundreds of backend servers.
+def test_strong_nodes_are_the_first_to_plan() -> None:
+    table = nodes(3, 40, "w")
+    table["a"] = NodeAddress("a", "10.0.1.0:1", "z1", 0.2, 0.0)
+    found = planner_candidates(table)
+    assert found[:3] == ["w-0", "w-1", "w-2"]
+    assert found[3] == "a"
+    assert len(found) == 44
+
+
+def test_equal_nodes_plan_in_the_order_of_their_names() -> None:
+    table = nodes(3, 0, "s")
+    assert planner_candidates(table) == ["s-0", "s-1", "s-2"]
+    assert planner_candidates({}) == []
