--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
+TEST_PROCESSES ?= 4
 SEED ?= 1
 SEEDS ?= 1
 DURATION_S ?= 30
@@ -18,7 +19,7 @@
 	$(BIN)/python bench/demo.py
 
 test: lint
-	HYPOTHESIS_PROFILE=ci PYTHONHASHSEED=1 $(BIN)/pytest
+	HYPOTHESIS_PROFILE=ci PYTHONHASHSEED=1 $(BIN)/pytest -n $(TEST_PROCESSES) --dist loadfile
 
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
