Evacuation: a row takes an availability zone out of use

Cause: operators could not empty a zone; every path chose among all listed servers. Change: nodes read rows evacuate/ZONE with the follower of the configuration. The directory leaves such zones out, an open connection is checked again, waits ignore groups that form there, and the planner keeps open groups there without counting them and forms none. Commands evacuate, restore and get zones, with an audit record. The read of the operators' file by its first row breaks beside such rows and now names its key. The system's reader, refused by the store alone, never learns the row, nor a configuration, as before.

--- a/bench/guards.py
+++ b/bench/guards.py
@@ -22,6 +22,7 @@
 from platform_guards import PLATFORM_GUARDS
 from pressure_guards import PRESSURE_GUARDS
 from store_guards import STORE_GUARDS
+from zone_guards import ZONE_GUARDS
 
 ROOT = Path(__file__).parent.parent
 MAX_PARALLEL = 4
@@ -73,6 +74,7 @@
             *CRASH_GUARDS,
             *PRESSURE_GUARDS,
             *STORE_GUARDS,
+            *ZONE_GUARDS,
         ]
         if wanted in f"{g.promise} {g.module}"
     ]
--- a/bench/pressure_guards.py
+++ b/bench/pressure_guards.py
@@ -52,7 +52,7 @@
     Guard(
         "rest and departure: looked at again as the connection stands",
         "serving/_admission.py",
-        "        pressure = self.pressure.blocking_reason(backend_id)\n",
+        "        pressure = self.pressure.blocking_reason(backend.backend_id)\n",
         "        pressure = None\n",
         f"{SERVING}/test_plain_calls.py -k while_connecting",
     ),
--- a/packages/catalog/src/fordhatch/catalog/_node_settings.py
+++ b/packages/catalog/src/fordhatch/catalog/_node_settings.py
@@ -35,6 +35,8 @@
     """Factor by which the load rate may be exceeded within a window."""
     pass_on_s: float
     """Maximum time that a node may take to forward an event of a stream."""
+    evacuate_s: float = 5.0
+    """Time within which an evacuated zone gets no more requests from any node."""
 
 
 @attrs.frozen
--- a/packages/cli/src/fordhatch/cli/_explain.py
+++ b/packages/cli/src/fordhatch/cli/_explain.py
@@ -37,6 +37,8 @@
         "relay_failed",
         "store_lost",
         "store_regained",
+        "zone_evacuated",
+        "zone_restored",
     )
 )
 """Node events that may explain why a node refused or aborted a request."""
@@ -56,6 +58,8 @@
     "aborted": "a stream broke after its first event and could not go on elsewhere",
     "caller_gone": "the caller left before the answer was complete",
     "unauthenticated": "the API key was not in the configuration of that version",
+    "zone_evacuated": "an operator had evacuated every zone with backend servers for "
+    "the request; look for zone_evacuated and fordhatch get zones",
     "not_found": "no route of that version matched",
 }
 """Advice for further diagnosis, by the outcome of a request."""
--- a/packages/cli/src/fordhatch/cli/_losses.py
+++ b/packages/cli/src/fordhatch/cli/_losses.py
@@ -29,6 +29,7 @@
     "no_group_ready": "no group open",
     "request_quarantined": "ends backend servers",
     "shutting_down": "node about to end",
+    "zone_evacuated": "only evacuated zones have servers",
 }
 """Causes of unserved requests, by outcome; other outcomes are not losses."""
 
--- a/packages/cli/src/fordhatch/cli/main.py
+++ b/packages/cli/src/fordhatch/cli/main.py
@@ -28,6 +28,7 @@
 from fordhatch.core import Failure, Ran, ResultCode
 
 from ._client import OperatorClient
+from ._columns import COLUMNS
 from ._explain import LogLine, explain, read_lines
 from ._losses import TABLES, Losses, find_losses
 from ._table import print_json, print_table
@@ -44,6 +45,9 @@
         "fordhatch diff examples/pruitt.json",
         "fordhatch apply examples/pruitt.json --base 3",
         "fordhatch get groups --output json",
+        "fordhatch evacuate savannah-yard",
+        "fordhatch restore savannah-yard",
+        "fordhatch get zones",
         "fordhatch status",
         "fordhatch explain 9c41d07be2a35f68 node-*.log",
         "fordhatch losses node-*.log --plot losses.png",
@@ -70,32 +74,6 @@
 
 DEFAULT_URL = "http://127.0.0.1:7002"
 
-COLUMNS = {
-    "services": ("name", "kind", "version", "declared", "formed", "serving"),
-    "groups": (
-        "group",
-        "service",
-        "model",
-        "state",
-        "serving",
-        "epoch",
-        "domain",
-        "members",
-    ),
-    "backends": (
-        "backend",
-        "service",
-        "address",
-        "zone",
-        "domain",
-        "state",
-        "staged",
-        "group",
-    ),
-    "nodes": ("node", "address", "zone", "answers", "ready", "planner", "revision"),
-}
-"""Columns of each table."""
-
 
 def _run_call(work: Coroutine[Any, Any, Result[T, Failure]]) -> T:
     done = asyncio.run(work)
@@ -203,7 +181,7 @@
 
 @app.command
 def get(
-    what: Literal["config", "services", "groups", "backends", "nodes"],
+    what: Literal["config", "services", "groups", "backends", "nodes", "zones"],
     *,
     min_revision: int = 0,
     url: Url = DEFAULT_URL,
@@ -228,6 +206,44 @@
     print_table(COLUMNS[what], found[what])
 
 
+@app.command
+def evacuate(
+    zone: str, *, url: Url = DEFAULT_URL, token: Token = "", output: Output = "table"
+) -> None:
+    """Send no more requests to the backend servers of an availability zone.
+
+    Streams in progress run to completion. Repeating the command is harmless.
+
+    Parameters
+    ----------
+    zone
+        The zone, as ``fordhatch get zones`` shows it.
+    """
+    _change_zone(OperatorClient(url, token), zone, "evacuated", output)
+
+
+@app.command
+def restore(
+    zone: str, *, url: Url = DEFAULT_URL, token: Token = "", output: Output = "table"
+) -> None:
+    """Use the backend servers of an evacuated availability zone again.
+
+    Parameters
+    ----------
+    zone
+        The zone, as ``fordhatch get zones`` shows it.
+    """
+    _change_zone(OperatorClient(url, token), zone, "in_use", output)
+
+
+def _change_zone(client: OperatorClient, zone: str, state: str, output: str) -> None:
+    done = _run_call(client.put("/zones", b"", zone=zone, state=state))
+    if output == "json":
+        print_json(done)
+        return
+    print(f"zone {zone}: {state.replace('_', ' ')}, by {done['operator']}")
+
+
 @app.command
 def audit(
     *, url: Url = DEFAULT_URL, token: Token = "", output: Output = "table"
--- a/packages/config/src/fordhatch/config/__init__.py
+++ b/packages/config/src/fordhatch/config/__init__.py
@@ -28,6 +28,7 @@
 )
 from ._schema import OPERATORS_SCHEMA, SETTINGS_SCHEMA, Mistake, schema_text
 from ._settings import Address, Limits, Retries, Settings, Timing, hash_key
+from ._zones import ZoneChange, ZoneOperations, read_zone_changes
 
 __all__ = [
     "DECLARED_ROW",
@@ -56,11 +57,14 @@
     "Settings",
     "Timing",
     "Workspace",
+    "ZoneChange",
+    "ZoneOperations",
     "decode_declared",
     "describe_changes",
     "digest_of",
     "hash_key",
     "model_name",
     "read_audit",
+    "read_zone_changes",
     "schema_text",
 ]
--- a/packages/config/src/fordhatch/config/_apply.py
+++ b/packages/config/src/fordhatch/config/_apply.py
@@ -109,10 +109,13 @@
         self, revision: int
     ) -> Result[tuple[Row | None, Head | None, AuditRecord | None], Failure]:
         """Return the head's row, the head and a revision's audit record, if any."""
-        heads = await self.store.read(DECLARED_TABLE, limit=1, timeout_s=CALL_TIMEOUT_S)
+        # The table also holds the rows of evacuated zones.
+        heads = await self.store.read(
+            DECLARED_TABLE, first_key=HEAD_KEY, limit=1, timeout_s=CALL_TIMEOUT_S
+        )
         if heads.is_err():
             return Err(heads.unwrap_err())
-        row = next(iter(heads.unwrap().rows), None)
+        row = next((r for r in heads.unwrap().rows if r.row_key == HEAD_ROW), None)
         key = accepted_key(revision)
         audits = await self.store.read(
             key.table, first_key=key.key, limit=1, timeout_s=CALL_TIMEOUT_S
--- a/packages/config/src/fordhatch/config/_audit.py
+++ b/packages/config/src/fordhatch/config/_audit.py
@@ -25,6 +25,9 @@
 They are ordered by time and apply identifier.
 """
 
+ZONE_PREFIX = "zones/"
+"""Key prefix of the rows of evacuated and restored zones, ordered by time."""
+
 MAX_CHANGES = 200
 """Maximal number of changes listed in a record; a new file has hundreds."""
 
@@ -42,12 +45,17 @@
     return RowKey(AUDIT_TABLE, f"{REFUSED_PREFIX}{at_s:017.3f}-{apply_id}")
 
 
+def zone_key(at_s: float, zone: str) -> RowKey:
+    """Return the row key of the evacuation or restoration of a zone."""
+    return RowKey(AUDIT_TABLE, f"{ZONE_PREFIX}{at_s:017.3f}-{zone}")
+
+
 @attrs.frozen
 class AuditRecord:
-    """One apply and its outcome."""
+    """One apply and its outcome, or one change of a zone."""
 
     revision: int
-    """0 if the file was refused."""
+    """0 if the file was refused, and for a zone."""
     digest: str
     apply_id: str
     operator: str
--- a/packages/core/src/fordhatch/core/_codes.py
+++ b/packages/core/src/fordhatch/core/_codes.py
@@ -47,6 +47,7 @@
     CONFIGURATION_STALE = 212
     REQUEST_QUARANTINED = 213
     PROBE_INCONCLUSIVE = 214
+    ZONE_EVACUATED = 215
     STORE_UNAVAILABLE = 300
     STORE_OUTCOME_UNKNOWN = 301
     STORE_CONFLICT = 302
@@ -55,6 +56,7 @@
     CONFIG_CONFLICT = 401
     REVISION_NOT_REACHED = 402
     CONFIG_OUTCOME_UNKNOWN = 403
+    ZONE_UNKNOWN = 404
     SETTINGS_UNREADABLE = 500
     SETTING_UNKNOWN = 501
     SETTING_INVALID = 502
@@ -140,6 +142,11 @@
     ResultCode.PROBE_INCONCLUSIVE: _info(
         503, Ran.NO, "The node was too slow to tell whether a backend server answers."
     ),
+    ResultCode.ZONE_EVACUATED: _info(
+        503,
+        Ran.NO,
+        "Every backend server that could serve this is in an evacuated zone.",
+    ),
     ResultCode.CLIENT_GONE: _info(499, Ran.MAYBE, "The caller closed its connection."),
     ResultCode.STORE_UNAVAILABLE: _info(
         503, Ran.NO, "The platform's store cannot be reached; nothing was decided."
@@ -163,6 +170,9 @@
     ResultCode.CONFIG_OUTCOME_UNKNOWN: _info(
         503, Ran.MAYBE, "Whether the file was accepted is not known; apply it again."
     ),
+    ResultCode.ZONE_UNKNOWN: _info(
+        404, Ran.NO, "No node and no backend server is known in the zone."
+    ),
     ResultCode.SETTINGS_UNREADABLE: _info(400, Ran.NO, "The file is not valid JSON."),
     ResultCode.SETTING_UNKNOWN: _info(400, Ran.NO, "The file has an unknown field."),
     ResultCode.SETTING_INVALID: _info(400, Ran.NO, "A field has an invalid value."),
--- a/packages/core/src/fordhatch/core/_metrics.py
+++ b/packages/core/src/fordhatch/core/_metrics.py
@@ -79,6 +79,11 @@
     "Version of the configuration in force.",
     registry=REGISTRY,
 )
+ZONES_EVACUATED = Gauge(
+    "fordhatch_zones_evacuated",
+    "Evacuated availability zones, as this node sees them.",
+    registry=REGISTRY,
+)
 OPEN_GROUPS = Gauge(
     "fordhatch_open_groups",
     "Groups that take requests, as this node sees them.",
--- a/packages/daemon/tests/test_processes.py
+++ b/packages/daemon/tests/test_processes.py
@@ -9,7 +9,7 @@
 
 import pytest_asyncio
 from demo import TOKENS, expected
-from fleet import API_KEY, OPERATOR_TOKEN, Fleet, declared_state
+from fleet import API_KEY, BIN, OPERATOR_TOKEN, ZONES, Fleet, declared_state
 
 from fordhatch.core import ResultCode
 from fordhatch_standins import answer_text
@@ -111,6 +111,52 @@
     assert json.loads(text)["path"] == "/status/7"
 
 
+async def fordhatch(fleet: Fleet, *command: str) -> tuple[int, str]:
+    """Run the command line against the first node; return its status and output."""
+    url = fleet.nodes[0].operators_url
+    process = await asyncio.create_subprocess_exec(
+        BIN / "fordhatch",
+        *command,
+        f"--url={url}",
+        f"--token={OPERATOR_TOKEN}",
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+    )
+    output, _ = await process.communicate()
+    return process.returncode, output.decode()
+
+
+async def check_zones(fleet: Fleet) -> None:
+    """Evacuate the zone of all backend servers by command, and restore it."""
+    status, output = await fordhatch(fleet, "evacuate", "no-such-zone")
+    assert (status, "ZONE_UNKNOWN" in output) == (4, True)
+    for command, state, expected_status in (
+        ("evacuate", "evacuated", 503),
+        ("restore", "in use", 200),
+    ):
+        status, output = await fordhatch(fleet, command, ZONES[0])
+        assert (status, state in output) == (0, True), output
+        async with asyncio.timeout(20.0):
+            while True:
+                answers = [
+                    await post(fleet, CHAT, chat_body(), KEY, node) for node in (0, 1)
+                ]
+                if {status for status, _, _ in answers} == {expected_status}:
+                    break
+        if expected_status != 200:
+            for _, headers, text in answers:
+                assert json.loads(text)["error"]["code"] == ResultCode.ZONE_EVACUATED
+                assert headers["Retry-After"]
+        _, output = await fordhatch(fleet, "get", "zones", "--output=json")
+        (zone,) = (z for z in json.loads(output)["zones"] if z["zone"] == ZONES[0])
+        assert (zone["state"], zone["operator"]) == (state, "ops")
+        assert zone["since_s"] is not None
+    outcomes = [
+        r["outcome"] for r in (await fleet.read(fleet.nodes[0], "/audit"))["audit"]
+    ]
+    assert outcomes == ["accepted", "evacuated", "restored"]
+
+
 async def check_shutdown(fleet: Fleet) -> None:
     draining = fleet.nodes[0]
     body = chat_body(max_tokens=500, stream=True)
@@ -138,5 +184,6 @@
     await check_bad_input(fleet)
     await check_operators(fleet)
     await check_answers(fleet)
+    await check_zones(fleet)
     await check_shutdown(fleet)
     assert (await fleet.counts())["violations"] == []
--- a/packages/node/src/fordhatch/node/_node.py
+++ b/packages/node/src/fordhatch/node/_node.py
@@ -322,13 +322,17 @@
         return shared.nodes if shared.secret else {}
 
     choice = ReaderChoice(settings.node_name, settings.zone, nodes, timer)
+    bounds = settings.bounds
     view = StoreView.create(
         StoreSource(clients.store),
         timer,
         shared=shared,
         configuration_row=configuration_row,
         relay=RelayClient(
-            clients.pool, choice, timer, relay_wait_s(settings.bounds.config_apply_s)
+            clients.pool,
+            choice,
+            timer,
+            relay_wait_s(min(bounds.config_apply_s, bounds.evacuate_s)),
         ),
         start_spread_s=FIRST_START_SPREAD_S if settings.is_first_start else 0.0,
         row_restorer=RowRestorer(clients.store, timer),
--- a/packages/node/src/fordhatch/node/_platform_edge.py
+++ b/packages/node/src/fordhatch/node/_platform_edge.py
@@ -80,7 +80,8 @@
     metrics.CONFIGURATION_VERSION.set(view.configuration.version)
     metrics.CONFIGURATION_AGE_SECONDS.set(view.configuration_age_s())
     backends = view.directory.backends.values()
-    metrics.OPEN_GROUPS.set(sum(b.is_open_head for b in backends))
+    in_use = view.evacuations.exclude(backends)
+    metrics.OPEN_GROUPS.set(sum(b.is_open_head for b in in_use))
     engines = [b for b in backends if b.domain]
     metrics.STRANDED_BACKENDS.set(sum(b.membership is None for b in engines))
     return metrics.render_metrics()
--- a/packages/operators/src/fordhatch/operators/_operators_app.py
+++ b/packages/operators/src/fordhatch/operators/_operators_app.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 from sanic import HTTPResponse, Request, Sanic, json, raw
 
-from fordhatch.config import ApplyRequest, ConfigApplier, Settings
+from fordhatch.config import ApplyRequest, ConfigApplier, Settings, ZoneOperations
 from fordhatch.core import Failure, ResultCode
 from fordhatch.node import Node, render
 
@@ -36,6 +36,7 @@
     node: Node
     settings: Settings
     applier: ConfigApplier
+    zones: ZoneOperations
     reader: StateReader
     app: Sanic
 
@@ -46,8 +47,10 @@
         app = new_app(f"operators-{secrets.token_hex(4)}", MAX_FILE_BYTES)
         row_bytes = settings.limits.row_bytes
         applier = ConfigApplier(node.clients.store, node.timer, row_bytes)
-        operators = cls(node, settings, applier, StateReader(node), app)
+        zones = ZoneOperations(node.clients.store, node.timer)
+        operators = cls(node, settings, applier, zones, StateReader(node), app)
         app.add_route(operators.apply, "/config", methods=["PUT"])
+        app.add_route(operators.change_zone, "/zones", methods=["PUT"])
         reader = operators.reader
         reads: dict[str, _ReadCall] = {
             "/config": reader.config,
@@ -55,6 +58,7 @@
             "/groups": reader.groups,
             "/backends": reader.backends,
             "/nodes": reader.nodes,
+            "/zones": reader.zones,
             "/status": reader.status,
         }
         for path, read in reads.items():
@@ -93,6 +97,26 @@
             return failure_response(applied.unwrap_err())
         return json({"apply_id": apply_id, **attrs.asdict(applied.unwrap())})
 
+    async def change_zone(self, request: Request) -> HTTPResponse:
+        """Evacuate or restore the availability zone that the query names."""
+        operator = self._authenticate(request)
+        if operator.is_err():
+            return failure_response(operator.unwrap_err())
+        zone, state = request.args.get("zone", ""), request.args.get("state", "")
+        if state not in ("evacuated", "in_use"):
+            text = "state must be evacuated or in_use"
+            return failure_response(Failure.from_code(ResultCode.BAD_REQUEST, text))
+        is_evacuated = state == "evacuated"
+        if is_evacuated and zone not in self.node.view.known_zones():
+            text = f"no node and no backend server is known in zone {zone!r}"
+            return failure_response(Failure.from_code(ResultCode.ZONE_UNKNOWN, text))
+        changed = await self.zones.change(
+            zone, operator.unwrap(), is_evacuated=is_evacuated
+        )
+        if changed.is_err():
+            return failure_response(changed.unwrap_err())
+        return json(attrs.asdict(changed.unwrap()))
+
     async def audit(self, request: Request) -> HTTPResponse:
         """Return a page of the audit trail."""
         operator = self._authenticate(request)
--- a/packages/operators/src/fordhatch/operators/_state_reader.py
+++ b/packages/operators/src/fordhatch/operators/_state_reader.py
@@ -4,17 +4,21 @@
 
 import asyncio
 import json
+from collections import Counter
 from typing import Any
 
 import attrs
 from result import Ok, Result
 
+from fordhatch.adapter import evacuation_key
 from fordhatch.catalog import BackendServer
 from fordhatch.config import (
     DeclaredConfiguration,
     ModelService,
+    ZoneChange,
     model_name,
     read_audit,
+    read_zone_changes,
 )
 from fordhatch.core import Failure
 from fordhatch.node import Node
@@ -127,6 +131,32 @@
             )
         return Ok({"nodes": found})
 
+    async def zones(self) -> ReadResult:
+        """Return every availability zone, its state and since when it is in it."""
+        view = self.node.view
+        read = await read_zone_changes(self.node.clients.store)
+        # Without the store, only the times of evacuated zones are known.
+        changes = read.unwrap() if read.is_ok() else {}
+        rows = view.operators.copy.rows
+        for zone in view.evacuations.zones():
+            row = rows.get(evacuation_key(zone))
+            if row is not None:
+                changes[zone] = ZoneChange.from_row(zone, row.value)
+        nodes = Counter(n.zone for n in view.shared.nodes.values())
+        backends = Counter(b.zone for b in view.directory.backends.values())
+        found = [
+            {
+                "zone": zone,
+                "state": "evacuated" if is_evacuated else "in use",
+                **_since_json(changes.get(zone), is_evacuated=is_evacuated),
+                "nodes": nodes[zone],
+                "backends": backends[zone],
+            }
+            for zone in sorted(view.known_zones() | view.evacuations.zones())
+            for is_evacuated in (view.evacuations.is_evacuated(zone),)
+        ]
+        return Ok({"zones": found})
+
     async def audit(self, after_key: str = "") -> ReadResult:
         """Return a page of the audit trail, without the contents of the files.
 
@@ -181,6 +211,13 @@
         return [self.node.status(), *(r for r in replies if r is not None)]
 
 
+def _since_json(change: ZoneChange | None, *, is_evacuated: bool) -> dict[str, Any]:
+    """Return since when a zone is in its state and by whom, None if not known."""
+    if change is None or change.is_evacuated is not is_evacuated or not change.at_s:
+        return {"since_s": None, "operator": ""}
+    return {"since_s": round(change.at_s, 3), "operator": change.operator}
+
+
 def _is_serving(group: ReplicaGroup) -> bool:
     return group.head is not None and group.head.is_open_head
 
--- a/packages/placement/src/fordhatch/placement/_group_builder.py
+++ b/packages/placement/src/fordhatch/placement/_group_builder.py
@@ -13,6 +13,7 @@
 
 from ._conversion import Conversion, choose_conversion
 from ._dissolutions import Dissolutions
+from ._evacuated_groups import EvacuatedGroups
 from ._formations import Formations
 from ._group_supervisor import GroupSupervisor
 from ._layout import FreeBackends, GroupPlan, Layout, choose_group
@@ -47,6 +48,7 @@
     supervisor: GroupSupervisor
     formations: Formations
     dissolutions: Dissolutions
+    evacuated: EvacuatedGroups
     timer: Timer
     next_epoch: Callable[[], int]
     """Returns an epoch that no group has used."""
@@ -95,13 +97,14 @@
 
         These groups are formed again as soon as their members are free, so no other
         group needs to be given up for them. A group whose members are free is not
-        counted, as they may form the group that is needed most.
+        counted, as they may form the group that is needed most, nor is one in an
+        evacuated zone, where no group is formed.
         """
         donors = {g.key for p in self._pending.values() for g in p.conversion.donors}
         return Counter(
             model_of_group(key[0])
-            for key in self.dissolutions.active
-            if key not in donors
+            for key, dissolution in self.dissolutions.active.items()
+            if key not in donors and not self.evacuated.contains(dissolution.members)
         )
 
     def _has_gained_recently(self, model: str, now_s: float) -> bool:
@@ -109,6 +112,12 @@
         gained_s = self._last_gain_s.get(model)
         return gained_s is not None and now_s - gained_s < CONVERSION_COOLDOWN_S
 
+    def cancel_evacuated(self) -> None:
+        """Cancel pending conversions in evacuated zones."""
+        for domain, pending in list(self._pending.items()):
+            if self.evacuated.contains(pending.conversion.donors[0].members):
+                del self._pending[domain]
+
     def pending_groups(self) -> list[tuple[str, str]]:
         """Return model and domain of the groups to form by pending conversions."""
         return [(p.conversion.model.name, d) for d, p in self._pending.items()]
--- a/packages/placement/src/fordhatch/placement/_group_supervisor.py
+++ b/packages/placement/src/fordhatch/placement/_group_supervisor.py
@@ -170,9 +170,8 @@
         worth more in another group. The last group of a model is kept.
         """
         slow = self.view.shared.slow
-        pace = max(
-            (slow.get(m.backend_id, 1.0) for m in group.members.values()), default=1.0
-        )
+        paces = (slow.get(m.backend_id, 1.0) for m in group.members.values())
+        pace = max(paces, default=1.0)
         if pace < MAX_MEMBER_PACE:
             return False
         heads = self.view.directory.open_heads(group.head.service, group.model)
@@ -240,6 +239,8 @@
             is_lost: Whether the group counts as missing until it is replaced.
         """
         served = group.key in self._serving_since_s
+        zones = self.view.evacuations.zones()
+        is_lost = is_lost and all(m.zone not in zones for m in group.members.values())
         if is_lost and served and not self.dissolutions.is_dissolving(group.key):
             self.lost_groups.record_lost(group.model, self.timer.now_s())
         members = {**self._known_members.get(group.key, {}), **group.members}
@@ -269,19 +270,16 @@
         if status.missing == 0:
             # An earlier planner's group that is still forming: members may be loading.
             timeout_s += LOAD_SLACK_FACTOR * model.load_s
-        return self._may_complete(group.key, timeout_s) or self._dissolve_leftover(
-            group
-        )
+        if self._may_complete(group.key, timeout_s):
+            return True
+        self.dissolve(group, "left over from an earlier planner")
+        return False
 
     def _may_complete(self, key: Key, timeout_s: float = TAKEOVER_GRACE_S) -> bool:
         """Return whether another planner's group may still open or be released."""
         since_s = self._leftover_since_s.setdefault(key, self.timer.now_s())
         return self.timer.now_s() - since_s < timeout_s
 
-    def _dissolve_leftover(self, group: ReplicaGroup) -> bool:
-        self.dissolve(group, "left over from an earlier planner")
-        return False
-
     def lost_formations(self) -> list[Key]:
         """Return the formations with a member that is known to be lost."""
         return [
--- a/packages/placement/src/fordhatch/placement/_planner.py
+++ b/packages/placement/src/fordhatch/placement/_planner.py
@@ -23,6 +23,7 @@
 from ._crash_record_cleaner import CrashRecordCleaner
 from ._demand_book import DemandEstimator
 from ._dissolutions import Dissolutions
+from ._evacuated_groups import EvacuatedGroups
 from ._first_start import FirstStart
 from ._formations import Formations
 from ._group_builder import GroupBuilder
@@ -82,6 +83,7 @@
     crash_loops: CrashLoops
     demand: DemandEstimator
     report: PlannerReport
+    evacuated: EvacuatedGroups
     builder: GroupBuilder = attrs.field(init=False)
     last_model: dict[str, str] = attrs.field(factory=dict)
     """Model of each backend server's last group."""
@@ -139,9 +141,15 @@
             crash_loops,
             DemandEstimator(),
             PlannerReport(timer),
+            EvacuatedGroups(view.evacuations, supervisor, formations),
         )
         planner.builder = GroupBuilder(
-            supervisor, formations, dissolutions, timer, planner.next_epoch
+            supervisor,
+            formations,
+            dissolutions,
+            planner.evacuated,
+            timer,
+            planner.next_epoch,
         )
         directory.subscribe_changes(planner._record_model)
         directory.subscribe_removals(planner._handle_termination)
@@ -241,12 +249,17 @@
         ordered = sorted(groups.values(), key=lambda g: not _is_declared(service, g))
         for group in ordered:
             key = group.key
-            if key in self.dissolutions.released:
+            if key in self.dissolutions.released or self.dissolutions.is_dissolving(
+                key
+            ):
                 continue
-            is_dissolving = self.dissolutions.is_dissolving(key)
-            if not is_dissolving and self.supervisor.advance(layout, group):
+            if self.evacuated.contains(group.members):
+                self.evacuated.advance(layout, group)
+            elif self.supervisor.advance(layout, group):
                 layout.add(group.model, group.head.domain if group.head else "")
                 kept.append(group)
+        self.evacuated.cancel_formations(groups)
+        self.builder.cancel_evacuated()
         for key in (*self.formations.step(groups), *self.supervisor.lost_formations()):
             self.supervisor.abandon_formation(key, groups.get(key))
         for key, formation in self.formations.active.items():
@@ -281,7 +294,7 @@
         self.dissolutions.order_remaining_to_leave(self.formations.member_ids())
         if (first and self.formations.has_room()) or is_slow_step:
             grouped = [b for b in usable if b.backend_id in assigned]
-            self.staging.discard_finished(usable)
+            self.staging.discard_finished(self._useful(service))
             self.staging.step(layout, free, grouped, are_loads_free=first)
         self.report.report_state(layout, free, self._state(service))
 
@@ -320,6 +333,10 @@
         return grouped | self.formations.member_ids() | self.dissolutions.member_ids()
 
     def _usable(self, service: Service) -> list[BackendServer]:
+        """Return the useful backend servers outside evacuated zones."""
+        return self.view.evacuations.exclude(self._useful(service))
+
+    def _useful(self, service: Service) -> list[BackendServer]:
         """Return the backend servers of a service that are ready, alive and fast."""
         dead = self.losses.dead
         slow = self.view.shared.slow
--- a/packages/placement/tests/planning_site.py
+++ b/packages/placement/tests/planning_site.py
@@ -9,7 +9,12 @@
 
 import attrs
 
-from fordhatch.adapter import CONFIGURATION_KEY, OPERATOR_TABLE, decode_settings
+from fordhatch.adapter import (
+    CONFIGURATION_KEY,
+    OPERATOR_TABLE,
+    decode_settings,
+    evacuation_key,
+)
 from fordhatch.core import TaskSet, Timer
 from fordhatch.placement import Planner, PlannerLease
 from fordhatch.registry import StoreSource, StoreView
@@ -240,6 +245,16 @@
     run_in_virtual_time(run_and_check())
 
 
+def evacuate(site: Site, *zones: str) -> None:
+    """Evacuate exactly these zones, on behalf of the operators."""
+    rows = [name[2] for name in site.store.rows if name[0] == OPERATOR_TABLE]
+    for key in {evacuation_key(zone) for zone in zones} - {*rows}:
+        site.store.put(OPERATOR_TABLE, key, b"{}")
+    kept = {CONFIGURATION_KEY, *(evacuation_key(zone) for zone in zones)}
+    for key in {*rows} - kept:
+        site.store.remove(OPERATOR_TABLE, key)
+
+
 async def standard_site(site: Site, domains: int = 2, nodes: int = 2) -> None:
     """Start nodes and full domains of engines, and wait for their groups.
 
--- a/packages/registry/src/fordhatch/registry/__init__.py
+++ b/packages/registry/src/fordhatch/registry/__init__.py
@@ -10,6 +10,7 @@
 from ._backend_directory import BackendDirectory
 from ._backend_index import BackendIndex, ReplicaGroup
 from ._crash_records import CrashKey, CrashRecord, RunStage, crash_key
+from ._evacuations import Evacuations
 from ._group_records import GroupRecord, record_key
 from ._liveness_probe import probe
 from ._outage_evidence import NodeReport, OutageEvidence, min_witnesses
@@ -42,6 +43,7 @@
     "ConfigurationRow",
     "CrashKey",
     "CrashRecord",
+    "Evacuations",
     "GroupRecord",
     "NodeAddress",
     "NodeReport",
--- a/packages/registry/src/fordhatch/registry/_backend_directory.py
+++ b/packages/registry/src/fordhatch/registry/_backend_directory.py
@@ -14,6 +14,8 @@
 from ._backend_index import BackendIndex, ReplicaGroup
 from ._change_log import log_change
 from ._departures import Departures
+from ._directory_entry import DirectoryEntry
+from ._evacuations import Evacuations
 from ._lapsed_entries import LAPSE_GRACE_S, LapsedEntries
 from ._restored_entries import RestoredEntries
 from ._start_times import StartTimes
@@ -25,21 +27,12 @@
 Key = tuple[str, int]
 
 
-@attrs.define
-class _Entry:
-    """The state of one registered id."""
-
-    value: bytes
-    """The value that was decoded last; an unchanged entry is not decoded again."""
-    backend_id: str = ""
-    """The id of the start that it names; empty while it cannot be used."""
-
-
 @attrs.define(eq=False, repr=False)
 class BackendDirectory:
     """All backend servers that are registered now."""
 
     timer: Timer
+    evacuations: Evacuations = attrs.field(factory=Evacuations)
     _index: BackendIndex = attrs.field(factory=BackendIndex)
     version: int = 0
     """Incremented with every change of the directory."""
@@ -49,7 +42,7 @@
     """Whether each change is logged. Only nodes that read from the store log changes:
     with 925 backend servers and 195 nodes every change would be written 195 times, and
     a log line costs more than the change itself."""
-    _entries: dict[str, _Entry] = attrs.field(factory=dict)
+    _entries: dict[str, DirectoryEntry] = attrs.field(factory=dict)
     """Entries by registered id."""
     _starts: StartTimes = attrs.field(factory=StartTimes)
     _are_starts_required: bool = False
@@ -81,6 +74,7 @@
         self.departures = Departures(self.timer)
         self._lapsed = LapsedEntries(self.timer)
         self._restored = RestoredEntries(self.timer)
+        self.evacuations.subscribe(lambda: self._notify(-1))
 
     @property
     def index(self) -> BackendIndex:
@@ -176,7 +170,7 @@
         before = self.version
         missing = [m for m in members if m.registered_id not in self._entries]
         for member in missing:
-            self._entries[member.registered_id] = _Entry(b"", member.backend_id)
+            self._entries[member.registered_id] = DirectoryEntry(b"", member.backend_id)
             self._lapsed.add(member.registered_id)
             self._add(member)
         if missing:
@@ -212,7 +206,7 @@
         self._restored.record_row(registered_id, is_restored=is_restored)
         entry = self._entries.get(registered_id)
         if entry is None:
-            entry = self._entries[registered_id] = _Entry(b"")
+            entry = self._entries[registered_id] = DirectoryEntry(b"")
         if entry.value == row.value:
             self._pending.pop(registered_id, None)
             return
@@ -290,7 +284,10 @@
             )
 
     def _apply(
-        self, entry: _Entry, found: BackendServer, row_version: StoreVersion | None
+        self,
+        entry: DirectoryEntry,
+        found: BackendServer,
+        row_version: StoreVersion | None,
     ) -> None:
         """Apply a decoded entry; without a row version nothing is logged."""
         found = self.departures.apply(found)
@@ -333,7 +330,7 @@
         if entry is not None:
             self._remove_backend(entry, reason)
 
-    def _remove_backend(self, entry: _Entry, reason: str) -> None:
+    def _remove_backend(self, entry: DirectoryEntry, reason: str) -> None:
         """Remove the backend server that an entry has named, but keep the entry."""
         if not entry.backend_id:
             return
@@ -353,9 +350,8 @@
 
     def _prune_broken_group(self, backend: BackendServer) -> None:
         key = backend.membership.key
-        if key in self._broken_groups and key not in self._index.groups(
-            backend.service
-        ):
+        groups = self._index.groups(backend.service)
+        if key in self._broken_groups and key not in groups:
             self._broken_groups.discard(key)
 
     def _log(self, event: str, **fields: object) -> None:
@@ -372,6 +368,10 @@
         """Return the backend servers of a service."""
         return list(self.index.of_service(service))
 
+    def in_use(self, service: str) -> Collection[BackendServer]:
+        """Return the backend servers of a service outside evacuated zones."""
+        return self.evacuations.exclude(self.index.of_service(service))
+
     def is_listed(self, backend: BackendServer) -> bool:
         """Return whether its own entry was read, not only the record of its group."""
         entry = self._entries.get(backend.registered_id)
@@ -379,19 +379,20 @@
 
     def plain(self, service: str) -> list[BackendServer]:
         """Return the backend servers of a plain service that accept new work."""
-        of_service = self.index.of_service(service)
-        return [b for b in of_service if b.state is BackendState.READY]
+        return [b for b in self.in_use(service) if b.state is BackendState.READY]
 
     def open_heads(self, service: str, model: str) -> Collection[BackendServer]:
         """Return the heads that serve a model and accept new work."""
-        heads = self.index.open_heads(service, model)
+        heads = self.evacuations.exclude(self.index.open_heads(service, model))
         if not self._broken_groups:
             return heads
         return [h for h in heads if h.membership.key not in self._broken_groups]
 
     def served_models(self, service: str) -> set[str]:
         """Return the models that at least one open head of a service serves now."""
-        return self.index.served_models(service)
+        heads, exclude = self.index.open_heads, self.evacuations.exclude
+        models = self.index.served_models(service)
+        return {m for m in models if exclude(heads(service, m))}
 
     def groups(self, service: str) -> Mapping[Key, ReplicaGroup]:
         """Return the groups of a service, by name and epoch."""
--- a/packages/registry/src/fordhatch/registry/_store_view.py
+++ b/packages/registry/src/fordhatch/registry/_store_view.py
@@ -15,6 +15,7 @@
     ConfigurationRow,
 )
 from ._backend_directory import BackendDirectory
+from ._evacuations import Evacuations
 from ._group_records import members_of
 from ._outage_evidence import OutageEvidence
 from ._relay import RelayClient
@@ -88,7 +89,8 @@
         """
         shared = shared if shared is not None else SharedRows(timer)
         configuration = ActiveConfiguration(configuration_row)
-        directory = BackendDirectory(timer)
+        evacuations = Evacuations()
+        directory = BackendDirectory(timer, evacuations)
 
         unread = {BACKENDS_TABLE, SHARED_TABLE}
         is_own_table = configuration_row.table != OPERATOR_TABLE
@@ -101,6 +103,8 @@
                 directory.restore(members_of(shared.records.values()))
 
         def apply_configuration(update: TableUpdate) -> TableUpdate:
+            # Before the configuration: requests are served once there is one.
+            update = evacuations.observe(update, operators.age_s())
             configuration.observe(update.rows)
             is_restored = operators.copy.is_restore(update) and update.is_from_store
             if is_restored and is_own_table and row_restorer is not None:
@@ -168,6 +172,11 @@
             row_restorer,
         )
 
+    @property
+    def evacuations(self) -> Evacuations:
+        """The evacuated availability zones."""
+        return self.directory.evacuations
+
     @property
     def followers(self) -> Mapping[str, TableFollower]:
         """The followers by table."""
@@ -183,6 +192,13 @@
 
     async def _expire(self) -> None:
         self.directory.expire()
+        if self.backends.is_loaded and self.own.is_loaded:
+            self.evacuations.report(self.known_zones, self.operators.age_s())
+
+    def known_zones(self) -> set[str]:
+        """Return the zones of all registered nodes and backend servers."""
+        nodes, backends = self.shared.nodes, self.directory.backends
+        return {x.zone for x in (*nodes.values(), *backends.values())}
 
     def configuration_age_s(self) -> float:
         """Return the age of the configuration's last confirmation, in seconds."""
--- a/packages/serving/src/fordhatch/serving/_admission.py
+++ b/packages/serving/src/fordhatch/serving/_admission.py
@@ -7,10 +7,17 @@
 import attrs
 from result import Err, Ok, Result
 
-from fordhatch.catalog import CallFields, Configuration, Route, Workspace
+from fordhatch.catalog import (
+    BackendServer,
+    CallFields,
+    Configuration,
+    Route,
+    Workspace,
+)
 from fordhatch.core import Failure, ResultCode, Timer
 
 from ._backpressure import BackpressureTracker
+from ._evacuated_zones import is_evacuated
 from ._knowledge import Freshness
 from ._node_state import OTHER_NODE_RETRY_AFTER_S, NodeState
 from ._quarantine import Quarantine
@@ -103,19 +110,19 @@
             arrived_s=arrived_s,
             due_s=arrived_s + wait_s,
         )
-        request.recheck = lambda backend_id: self._recheck_for_backend(
-            request, backend_id
-        )
+        request.recheck = lambda backend: self._recheck_for_backend(request, backend)
         return Ok(request)
 
     def _recheck_for_backend(
-        self, request: ServedRequest, backend_id: str
+        self, request: ServedRequest, backend: BackendServer
     ) -> Failure | None:
         """Return why a request may not be sent on a connection that is now open."""
         stopped = self.recheck(request)
         if stopped is not None:
             return stopped
-        pressure = self.pressure.blocking_reason(backend_id)
+        if is_evacuated(self.state.view.directory, backend):
+            return Failure.from_code(ResultCode.ZONE_EVACUATED)
+        pressure = self.pressure.blocking_reason(backend.backend_id)
         if pressure is None:
             return None
         return Failure.from_code(ResultCode.BACKEND_REFUSED, f"asked for {pressure}")
--- a/packages/serving/src/fordhatch/serving/_exchange.py
+++ b/packages/serving/src/fordhatch/serving/_exchange.py
@@ -99,7 +99,7 @@
         _NotAllowed: If it may not.
     """
     send: _Send = context.trace_request_ctx
-    stopped = send.request.recheck(send.backend.backend_id)
+    stopped = send.request.recheck(send.backend)
     if stopped is not None:
         raise _NotAllowed(stopped.code.name)
 
--- a/packages/serving/src/fordhatch/serving/_plain_call.py
+++ b/packages/serving/src/fordhatch/serving/_plain_call.py
@@ -18,6 +18,7 @@
 from ._backend_health import TIE_BREAK_FRACTION, BackendHealth
 from ._backpressure import Block
 from ._crash_watch import CrashWatch
+from ._evacuated_zones import EVACUATED_RETRY_AFTER_S, evacuated_plain_failure
 from ._exchange import (
     BackendAnswer,
     ExchangeClient,
@@ -227,6 +228,12 @@
     def _failure(self, request: ServedRequest, problem: SendFailure) -> Failure:
         if not request.ran_at:
             stopped = self.admission.recheck(request)
+            left_s = max(request.left_s(self.timer.now_s()), 0.0)
+            stopped = stopped or evacuated_plain_failure(
+                self.directory,
+                request.service,
+                min(EVACUATED_RETRY_AFTER_S, MAX_WAIT_FRACTION * left_s),
+            )
             return stopped or Failure.from_code(
                 ResultCode.BACKEND_REFUSED,
                 problem.detail,
--- a/packages/serving/src/fordhatch/serving/_request.py
+++ b/packages/serving/src/fordhatch/serving/_request.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from fordhatch.catalog import CallFields, Route, Workspace
+from fordhatch.catalog import BackendServer, CallFields, Route, Workspace
 from fordhatch.core import Failure
 
 
@@ -65,7 +65,7 @@
     """Number of times it reached a backend server, including refusals."""
     ran_at: list[str] = attrs.field(factory=list)
     """Backend servers that may have run it."""
-    recheck: Callable[[str], Failure | None] = lambda _: None
+    recheck: Callable[[BackendServer], Failure | None] = lambda _: None
     """Returns why the request may no longer be sent to a backend server, or None. It
     is called again once the connection is open, because the instance may have been
     suspended while connecting."""
--- a/packages/serving/src/fordhatch/serving/_stream_call.py
+++ b/packages/serving/src/fordhatch/serving/_stream_call.py
@@ -17,6 +17,7 @@
 from ._admission import Admission
 from ._crash_watch import CrashWatch
 from ._demand_meter import DemandMeter
+from ._evacuated_zones import evacuated_stream_failure
 from ._events import EventOrder
 from ._exchange import SendFailure
 from ._group_wait import MAX_WAIT_FRACTION, GroupWait, group_wait
@@ -143,7 +144,7 @@
         return MAX_WAIT_FRACTION * left_s
 
     def _group_wait(self, stream: Stream) -> GroupWait:
-        backends = self.directory.of_service(stream.request.service)
+        backends = self.directory.in_use(stream.request.service)
         return group_wait(backends, stream.profile, stream.model)
 
     async def _wait_for_change(self, timeout_s: float) -> bool:
@@ -179,10 +180,12 @@
         left_s = request.left_s(self.timer.now_s())
         if not request.ran_at:
             stopped = self.admission.recheck(request)
+            retry_after_s = self._retry_after_s(stream, left_s)
+            stopped = stopped or evacuated_stream_failure(
+                self.directory, request.service, stream.model, retry_after_s
+            )
             return stopped or Failure.from_code(
-                ResultCode.NO_GROUP_READY,
-                ran=Ran.NO,
-                retry_after_s=self._retry_after_s(stream, left_s),
+                ResultCode.NO_GROUP_READY, ran=Ran.NO, retry_after_s=retry_after_s
             )
         if left_s <= 0:
             return Failure.from_code(ResultCode.DEADLINE_EXCEEDED)
--- a/packages/serving/tests/serving_site.py
+++ b/packages/serving/tests/serving_site.py
@@ -17,6 +17,7 @@
     OPERATOR_TABLE,
     BackendClient,
     decode_settings,
+    evacuation_key,
 )
 from fordhatch.core import Suspension, Timer
 from fordhatch.registry import StoreSource, StoreView
@@ -174,6 +175,15 @@
         version = self.model.put(BACKENDS_TABLE, name, json.dumps(entry).encode())
         await self.until(lambda: self.view.backends.version.number >= version)
 
+    async def evacuate(self, *zones: str) -> None:
+        """Evacuate exactly these zones and wait until the node knows."""
+        for zone in {*zones, *self.view.evacuations.zones()}:
+            if zone in zones:
+                self.model.put(OPERATOR_TABLE, evacuation_key(zone), b"")
+            else:
+                self.model.remove(OPERATOR_TABLE, evacuation_key(zone))
+        await self.until(lambda: self.view.evacuations.zones() == set(zones))
+
     async def until(self, holds: Callable[[], bool]) -> None:
         """Wait until a condition holds; fails after 20 s."""
         async with asyncio.timeout(20):
--- a/standins/src/fordhatch_standins/_backends.py
+++ b/standins/src/fordhatch_standins/_backends.py
@@ -36,6 +36,10 @@
     """Plain services by address."""
     plain_runs: Counter[str] = attrs.field(factory=Counter)
     plain_contents: Counter[str] = attrs.field(factory=Counter)
+    arrivals: Counter[str] = attrs.field(factory=Counter)
+    """Number of requests that arrived at backend servers, by availability zone."""
+    last_arrival_s: dict[str, float] = attrs.field(factory=dict)
+    """Time of the last of them in each zone."""
     ends_under: Callable[[BackendCall], bool] = lambda call: False
     """Whether a request crashes the engine that begins to run it."""
     crash_times_s: list[float] = attrs.field(factory=list)
@@ -116,6 +120,11 @@
         """Return whether an address refuses connections immediately."""
         return address in self.fleet.refusing
 
+    def record_arrival(self, zone: str) -> None:
+        """Count a request that arrived at a backend server of a zone."""
+        self.arrivals[zone] += 1
+        self.last_arrival_s[zone] = asyncio.get_running_loop().time()
+
     def runs(self, request_id: str) -> int:
         """Return the number of runs of a request over all backend servers."""
         return self.fleet.runs[request_id] + self.plain_runs[request_id]
--- a/standins/src/fordhatch_standins/_engine_fleet.py
+++ b/standins/src/fordhatch_standins/_engine_fleet.py
@@ -77,6 +77,8 @@
     ended_on_join: int = 0
     refusing: set[str] = attrs.field(factory=set)
     """Addresses that refuse connections: no process listens, but the host is up."""
+    orders: Counter[tuple[str, OrderKind]] = attrs.field(factory=Counter)
+    """Number of orders by availability zone and kind."""
     _load_starts_s: deque[float] = attrs.field(factory=deque)
     _created_count: int = 0
     _restart_count: int = 0
@@ -231,6 +233,7 @@
 
     def order(self, engine: EngineModel, order: GroupOrder) -> int | None:
         """Deliver an order and return its status, or None if no answer arrives."""
+        self.orders[engine.zone, order.kind] += 1
         if self.rng.random() < self.faults.late_share:
             delay_s = self.rng.uniform(2.0, 12.0)
             asyncio.get_running_loop().call_later(
--- a/standins/src/fordhatch_standins/_memory_exchange.py
+++ b/standins/src/fordhatch_standins/_memory_exchange.py
@@ -96,9 +96,10 @@
         """Send a request and wait for the head of the answer."""
         self.connections += 1
         await asyncio.sleep(LINK_DELAY_S)
-        stopped = request.recheck(backend.backend_id)
+        stopped = request.recheck(backend)
         if stopped is not None:
             return Err(SendFailure(SendProblem.NOT_SENT, stopped.code.name))
+        self.backends.record_arrival(backend.zone)
         call = self._call(request, backend, urgency, last_event_id)
         is_cut = self.is_cut(backend.address)
         pieces = None if is_cut else self._pieces(backend, call)
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -55,6 +55,13 @@
     assert settings.store.address == "10.200.1.7:8223"
 
 
+def test_the_time_of_an_evacuation_has_a_default() -> None:
+    """Earlier deployments do not declare it."""
+    assert decode_settings(SETTINGS).bounds.evacuate_s == 5.0
+    declared = SETTINGS.replace("revoke-ms", "evacuate-ms = 1500\nrevoke-ms")
+    assert decode_settings(declared).bounds.evacuate_s == 1.5
+
+
 def test_all_mistakes_are_reported_at_once() -> None:
     broken = (
         SETTINGS.replace("revoke-ms = 5000", 'revoke-ms = "long"')
