--- a/packages/catalog/src/fordhatch/catalog/_node_settings.py
+++ b/packages/catalog/src/fordhatch/catalog/_node_settings.py
@@ -37,6 +37,10 @@
     """Maximum time that a node may take to forward an event of a stream."""
     evacuate_s: float = 5.0
     """Time within which an evacuated zone gets no more requests from any node."""
+    cold_overrun: float = 1.5
+    cold_slack: float = 5.0
+    """In any one second a cold backend server may receive ``cold_overrun`` times the
+    requests that it tolerates, plus ``cold_slack``."""
 
 
 @attrs.frozen
--- a/packages/core/src/fordhatch/core/_codes.py
+++ b/packages/core/src/fordhatch/core/_codes.py
@@ -48,6 +48,7 @@
     REQUEST_QUARANTINED = 213
     PROBE_INCONCLUSIVE = 214
     ZONE_EVACUATED = 215
+    COLD_UNREADABLE = 230
     STORE_UNAVAILABLE = 300
     STORE_OUTCOME_UNKNOWN = 301
     STORE_CONFLICT = 302
@@ -147,6 +148,9 @@
         Ran.NO,
         "Every backend server that could serve this is in an evacuated zone.",
     ),
+    ResultCode.COLD_UNREADABLE: _info(
+        503, Ran.NO, "The time for which a backend server is cold is malformed."
+    ),
     ResultCode.CLIENT_GONE: _info(499, Ran.MAYBE, "The caller closed its connection."),
     ResultCode.STORE_UNAVAILABLE: _info(
         503, Ran.NO, "The platform's store cannot be reached; nothing was decided."
--- a/packages/registry/src/fordhatch/registry/_backend_directory.py
+++ b/packages/registry/src/fordhatch/registry/_backend_directory.py
@@ -35,22 +35,22 @@
     evacuations: Evacuations = attrs.field(factory=Evacuations)
     _index: BackendIndex = attrs.field(factory=BackendIndex)
     version: int = 0
-    """Incremented with every change of the directory."""
+    """Incremented with every change."""
     outage_ended_s: float = -math.inf
     """When the end of the last outage of the store was seen, in monotonic seconds."""
     logs_changes: bool = True
-    """Whether each change is logged. Only nodes that read from the store log changes:
-    with 925 backend servers and 195 nodes every change would be written 195 times, and
-    a log line costs more than the change itself."""
+    """Whether each change is logged. Only nodes that read from the store log changes: a
+    log line on every node would cost more than the change itself."""
+    accepts: Callable[[BackendServer], bool] = lambda b: b.cold_left_s is not None
+    """Returns whether an entry that is about to be applied can be used."""
     _entries: dict[str, DirectoryEntry] = attrs.field(factory=dict)
     """Entries by registered id."""
     _starts: StartTimes = attrs.field(factory=StartTimes)
     _are_starts_required: bool = False
     """The last decision on whether an entry must contain its start time."""
     _pending: dict[str, Row] = attrs.field(factory=dict)
-    """Changed entries that are not decoded yet. Most nodes read the directory a few
-    times a second, while each entry changes six times in the seconds before the first
-    request; only the last change of each is decoded."""
+    """Changed entries that are not decoded yet, only the last change of each: an entry
+    changes six times in the seconds before the first request."""
     _malformed: set[str] = attrs.field(factory=set)
     """Registered ids whose entry cannot be used; logged once for each."""
     _lapsed: LapsedEntries = attrs.field(init=False)
@@ -194,9 +194,8 @@
             known = self.backends.get(backend_id)
             entry = self._entries.get(known.registered_id) if known else None
             if entry is not None and entry.value:
-                self._apply(
-                    entry, decode_backend(known.registered_id, entry.value), None
-                )
+                found = decode_backend(known.registered_id, entry.value)
+                self._apply(entry, found, None)
         self._notify(before)
 
     def _add_pending(self, row: Row, *, is_restored: bool = False) -> None:
@@ -240,6 +239,9 @@
         if self._restored.may_be_outdated(registered_id, found, known):
             self._defer(row, known)
             return
+        if not self.accepts(found):
+            self._reject_row(registered_id, row, "remaining cold time: malformed")
+            return
         entry.value = row.value
         self._apply(entry, found, row.version)
 
