--- a/packages/catalog/src/fordhatch/catalog/_configuration.py
+++ b/packages/catalog/src/fordhatch/catalog/_configuration.py
@@ -193,3 +193,29 @@
     def engine_services(self) -> list[Service]:
         """Return the services whose backend servers form groups."""
         return [s for s in self.services.values() if s.engine is not None]
+
+    def has_urgency_classes(self, service: str) -> bool:
+        """Return whether the routes that lead to a service differ in priority."""
+        return len({route.priority for route in self._routes_to(service)}) > 1
+
+    def urgencies(self, service: str) -> frozenset[int]:
+        """Return the priorities that requests of a service may have."""
+        routes = self._routes_to(service)
+        names = {route.name for route in routes}
+        workspaces = (self.workspace_by_key or {}).values()
+        return frozenset(
+            [route.priority for route in routes]
+            + [
+                w.priority
+                for w in workspaces
+                if w.priority is not None
+                and (w.applications is None or w.applications & names)
+            ]
+        )
+
+    def _routes_to(self, service: str) -> list[Route]:
+        return [
+            route
+            for route in self.routes
+            if any(target.service == service for target in route.targets)
+        ]
--- /dev/null
+++ b/packages/scheduling/src/fordhatch/scheduling/_returning_callers.py
@@ -0,0 +1,55 @@
+"""Recognizes callers who were refused before by the time they have left."""
+
+from __future__ import annotations
+
+import attrs
+
+USUAL_FRACTION = 0.98
+"""A deadline from this fraction of the route's usual one counts as the usual one."""
+
+RETURNING_FRACTION = 0.95
+"""Below this fraction of the usual deadline the caller has spent time on an attempt."""
+
+MIN_SAMPLES = 20
+"""Requests of a route before any of them is taken for a retry."""
+
+MIN_USUAL = 0.6
+"""Smallest part of a route's requests with the usual deadline. Where deadlines differ
+more than that, they say nothing about earlier attempts."""
+
+SMOOTHING = 0.02
+"""Weight of the newest request in the part with the usual deadline."""
+
+
+@attrs.define
+class ReturningCallers:
+    """The deadlines of one route's requests.
+
+    Callers of a route start with the same deadline and state the time that they have
+    left. A retry is not marked otherwise. A wrong guess has no effect beyond this: the
+    request is not refused while anything serves.
+    """
+
+    usual_s: float = 0.0
+    """The longest deadline seen, in seconds."""
+    _samples: int = 0
+    _usual: float = 1.0
+    """Moving average of the part with the usual deadline."""
+
+    def record(self, deadline_s: float | None) -> bool:
+        """Record a request's deadline, and return whether its caller was here before.
+
+        Args:
+            deadline_s: Time that the caller has left, in seconds.
+        """
+        if deadline_s is None or not 0 < deadline_s < float("inf"):
+            return False
+        if deadline_s * USUAL_FRACTION > self.usual_s:
+            self.usual_s = deadline_s
+            self._samples, self._usual = 0, 1.0
+        is_usual = deadline_s >= USUAL_FRACTION * self.usual_s
+        self._samples += 1
+        self._usual += SMOOTHING * (is_usual - self._usual)
+        if self._samples < MIN_SAMPLES or self._usual < MIN_USUAL:
+            return False
+        return deadline_s < RETURNING_FRACTION * self.usual_s
