Serving: streams are held or refused where their model has no capacity

A stream was sent wherever a head was open: requests that could not get their first event before their caller left waited in queues of engines, and a queue filled by less urgent requests refused the urgent ones. Where the routes to a service declare several priorities, serving asks fordhatch.scheduling before the first attempt and every 50 ms while the request waits, sends the urgency class with the share, and leaves out heads whose queue is full. Without totals of all nodes it refuses only where nothing is open. Services with one priority take the same path as before.

--- a/packages/core/src/fordhatch/core/_codes.py
+++ b/packages/core/src/fordhatch/core/_codes.py
@@ -99,7 +99,9 @@
         "An earlier request with this idempotency key may have run; its answer "
         "was lost. It will not be run again.",
     ),
-    ResultCode.OVERLOADED: _info(503, Ran.NO, "Every queue for the model is full."),
+    ResultCode.OVERLOADED: _info(
+        503, Ran.NO, "The model has no capacity before the caller would give up."
+    ),
     ResultCode.NO_GROUP_READY: _info(
         503, Ran.NO, "No replica of the model is complete at present."
     ),
--- a/packages/core/src/fordhatch/core/_metrics.py
+++ b/packages/core/src/fordhatch/core/_metrics.py
@@ -69,6 +69,25 @@
     ["kind", "outcome"],
     registry=REGISTRY,
 )
+ADMISSION_WAITING = Gauge(
+    "fordhatch_admission_waiting",
+    "Requests that wait in this node for capacity of their model.",
+    ["model"],
+    registry=REGISTRY,
+)
+ADMISSION_HELD_SECONDS = Histogram(
+    "fordhatch_admission_held_seconds",
+    "Time that a request waited in the node for capacity of its model.",
+    ["model"],
+    buckets=(0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0),
+    registry=REGISTRY,
+)
+ADMISSION_REFUSED = Counter(
+    "fordhatch_admission_refused_total",
+    "Requests that were refused because their model has no capacity in time.",
+    ["model", "reason"],
+    registry=REGISTRY,
+)
 CONFIGURATION_AGE_SECONDS = Gauge(
     "fordhatch_configuration_age_seconds",
     "Age of the last confirmation of the configuration.",
--- a/packages/scheduling/src/fordhatch/scheduling/_fair_share.py
+++ b/packages/scheduling/src/fordhatch/scheduling/_fair_share.py
@@ -48,8 +48,9 @@
     """When credit was earned last, in monotonic seconds."""
     demand: float = 0.0
     """Decaying sum of the work that it asked for, in seconds of a full group."""
-    credit: float = 0.0
-    """Work that it may still ask for within its share, in seconds of a full group."""
+    credit: float = math.inf
+    """Work that it may still ask for within its share, in seconds of a full group;
+    limited once capacity is scarce."""
 
     def decay(self, now_s: float) -> None:
         """Apply the decay up to now."""
@@ -89,12 +90,11 @@
         use = self._uses.get(workspace)
         if use is None:
             self._drop_oldest()
-            use = self._uses[workspace] = _Use(now_s, now_s, credit=busy_s)
+            use = self._uses[workspace] = _Use(now_s, now_s)
         use.decay(now_s)
         use.demand += busy_s
         if math.isinf(capacity_groups):
-            use.credit = max(use.credit, busy_s)
-            use.paid_s = now_s
+            use.credit = math.inf
             return False
         share = self._share(workspace, capacity_groups, now_s)
         use.earn(share, max(share * MAX_CREDIT_S, busy_s), now_s)
--- a/packages/scheduling/tests/scarce_model.py
+++ b/packages/scheduling/tests/scarce_model.py
@@ -26,7 +26,7 @@
 TICK_S = 0.05
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Call:
     """A caller with its attempts."""
 
@@ -44,12 +44,12 @@
         return self.first_s is not None
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class CallTicket(Ticket):
     call: Call | None = None
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Group:
     pace: float = 1.0
     slots: int = SLOTS
@@ -60,7 +60,7 @@
         return GroupCapacity(self.slots, self.pace, self.running + len(self.queue))
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class ScarceModel:
     """A node with the callers of all nodes."""
 
--- a/packages/serving/src/fordhatch/serving/_group_wait.py
+++ b/packages/serving/src/fordhatch/serving/_group_wait.py
@@ -64,15 +64,54 @@
     return GroupWait(hold_s, LOSS_TO_DECISION_S + warm_s + opening_s)
 
 
+PENDING_STATES = frozenset((MemberState.JOINING, MemberState.READY))
+"""States of the members of a group that has not opened yet. The members of an open
+group other than its head report that they are ready."""
+
+GroupKey = tuple[str, int]
+"""Group and epoch."""
+
+
+def pending_groups(
+    backends: Iterable[BackendServer], profile: EngineProfile, model: str
+) -> dict[tuple[GroupKey, bool], float]:
+    """Return how long each pending group of a model takes to open, in seconds.
+
+    Args:
+        backends: The backend servers of the service.
+        profile: The profile of its engine.
+        model: The requested model.
+
+    Returns:
+        The times by group, and by whether some of its members still join: they count
+        from the moment at which the group is first in that state.
+    """
+    found = profile.model(model)
+    warm_s = found.warm_s if found is not None else 0.0
+    opening_s = profile.form_s + PROPAGATION_S
+    times_s: dict[tuple[GroupKey, bool], float] = {}
+    for key, states in _states_by_group(backends, model).items():
+        if states <= PENDING_STATES:
+            joins = MemberState.JOINING in states
+            times_s[key, joins] = opening_s + (warm_s if joins else 0.0)
+    return times_s
+
+
 def _states_of_pending_groups(
     backends: Iterable[BackendServer], model: str
 ) -> set[MemberState]:
     """Return the states of members whose groups have not opened yet."""
-    states: dict[tuple[str, int], set[MemberState]] = {}
+    states = _states_by_group(backends, model)
+    pending = PENDING_STATES
+    return {s for found in states.values() if found <= {*pending} for s in found}
+
+
+def _states_by_group(
+    backends: Iterable[BackendServer], model: str
+) -> dict[GroupKey, set[MemberState]]:
+    states: dict[GroupKey, set[MemberState]] = {}
     for backend in backends:
         place = backend.membership
         if place is not None and model_of_group(place.group) == model:
             states.setdefault(place.key, set()).add(place.state)
-    pending = (MemberState.JOINING, MemberState.READY)
-    # The members of an open group other than its head report that they are ready.
-    return {s for found in states.values() if found <= {*pending} for s in found}
+    return states
--- a/packages/serving/src/fordhatch/serving/_request.py
+++ b/packages/serving/src/fordhatch/serving/_request.py
@@ -69,6 +69,8 @@
     """Returns why the request may no longer be sent to a backend server, or None. It
     is called again once the connection is open, because the instance may have been
     suspended while connecting."""
+    urgency_class: int | None = None
+    """Class for the queues of engines; None to use the urgency itself."""
     timeline: Timeline = attrs.field(factory=Timeline)
     """Times of its answer, for logs."""
     was_answered: bool = False
@@ -94,6 +96,11 @@
             return self.workspace.priority
         return self.route.priority
 
+    @property
+    def wire_urgency(self) -> int:
+        """Class that engines queue the request by; 0 is first."""
+        return self.urgency if self.urgency_class is None else self.urgency_class
+
     def counted_runs(self, listed: Container[str], *also: str) -> int:
         """Return how many runs count towards the attempts that the route allows.
 
--- a/packages/serving/src/fordhatch/serving/_request_path.py
+++ b/packages/serving/src/fordhatch/serving/_request_path.py
@@ -8,6 +8,7 @@
 from fordhatch.core import Timer
 
 from ._admission import Admission
+from ._admission_control import AdmissionControl
 from ._backend_health import BackendHealth
 from ._backpressure import BackpressureTracker
 from ._crash_row_writer import CrashRowWriter
@@ -17,6 +18,7 @@
 from ._exchange import ExchangeClient
 from ._group_progress import GroupProgress
 from ._head_choice import HeadChoice
+from ._model_load import ModelLoad, OwnLoad
 from ._node_state import NodeState
 from ._permit_issuer import PermitIssuer
 from ._permits import Permits
@@ -43,6 +45,7 @@
     crashes: CrashWatch
     permits: Permits
     demand: DemandMeter
+    control: AdmissionControl
 
     @classmethod
     def create(
@@ -105,6 +108,10 @@
             pressure,
         )
         demand = DemandMeter(timer)
+        load = ModelLoad(
+            timer, view.directory, choice, node_count, OwnLoad(health, node_count)
+        )
+        control = AdmissionControl(timer, view.configuration, load)
         streams = StreamCalls.create(
             view.directory,
             timer=timer,
@@ -115,6 +122,7 @@
             permits=permits,
             crashes=crashes,
             demand=demand,
+            control=control,
         )
         plain = PlainCalls(
             zone,
@@ -139,6 +147,7 @@
             crashes,
             permits,
             demand,
+            control,
         )
 
     def prune(self) -> None:
@@ -152,5 +161,6 @@
 
     async def close(self) -> None:
         """Cancel background tasks."""
+        await self.control.close()
         await self.stalls.close()
         await self.crashes.close()
--- a/packages/serving/src/fordhatch/serving/_stream_call.py
+++ b/packages/serving/src/fordhatch/serving/_stream_call.py
@@ -15,6 +15,7 @@
 from fordhatch.registry import BackendDirectory
 
 from ._admission import Admission
+from ._admission_control import AdmissionControl
 from ._crash_watch import CrashWatch
 from ._demand_meter import DemandMeter
 from ._events import EventOrder
@@ -48,6 +49,7 @@
     permits: Permits
     crashes: CrashWatch
     demand: DemandMeter
+    control: AdmissionControl
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     @classmethod
@@ -70,6 +72,18 @@
         fields, route = request.fields, request.route.name
         key = request.service, stream.model
         self.demand.record_request(key, route, profile, fields.prompt_tokens)
+        try:
+            refusal = await self.control.admit(request, profile)
+            if refusal is not None:
+                await reply.refuse(refusal)
+                return
+            await self._run(stream)
+        finally:
+            self.control.forget(request)
+
+    async def _run(self, stream: Stream) -> None:
+        """Run a stream at one group after another until it is complete."""
+        request, route = stream.request, stream.request.route.name
         for _ in range(MAX_SENDS):
             head = await self._next_head(stream)
             if head is None:
@@ -78,7 +92,7 @@
             done = await self.runs.run(stream, head)
             if done.is_ok():
                 request.was_answered = True
-                self.demand.record_answer(route, profile, stream.events)
+                self.demand.record_answer(route, stream.profile, stream.events)
                 return
             stream.last_problem = done.unwrap_err()
             if self.crashes.quarantine.is_suspect(request):
@@ -94,7 +108,7 @@
             return None
         began_s = self.timer.now_s()
         while self.admission.recheck(request) is None:
-            head = self.choice.choose(request.service, stream.model, stream.tried)
+            head = self.control.choose(request, stream.tried)
             if head is None:
                 if not await self._wait_for_head(stream, began_s):
                     return None
--- a/packages/serving/src/fordhatch/serving/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/_stream_run.py
@@ -192,7 +192,7 @@
                 request,
                 head,
                 head_timeout_s=max(request.left_s(self.timer.now_s()), 0.001),
-                urgency=RESUMED_URGENCY if resumed else request.urgency,
+                urgency=RESUMED_URGENCY if resumed else request.wire_urgency,
                 last_event_id=str(stream.order.last) if resumed else None,
             )
         )
--- /dev/null
+++ b/packages/serving/tests/test_admission_control.py
@@ -0,0 +1,178 @@
+"""Requests for a model without capacity: held, refused, and sent in order."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+
+import aiohttp
+import attrs
+import pytest
+import pytest_asyncio
+from serving_site import STREAM_HEADERS, ServingSite, configuration, route
+from test_stream_calls import ALL, breaks_within_an_event, streams
+
+from fordhatch.adapter import CONFIGURATION_KEY, OPERATOR_TABLE
+from fordhatch.serving._admission_control import MAX_LINES_PER_S
+
+GOAL_S = 0.4
+SLOTS = 13
+
+
+@attrs.define
+class FixedLoad:
+    """Totals of all nodes as a test sets them."""
+
+    in_flight: float = 0.0
+    seen_s: float = 0.0
+    by_head: dict[str, float] = attrs.field(factory=dict)
+
+    def total_in_flight(self, backend_id: str) -> float:
+        return self.by_head.get(backend_id, self.in_flight)
+
+    def age_s(self) -> float:
+        return self.seen_s
+
+
+def control(site: ServingSite):
+    return site.callers.dispatch.streams.control
+
+
+def line(site: ServingSite) -> list[object]:
+    states = control(site)._states.values()
+    return [held for state in states for held in state.admission.line]
+
+
+@pytest_asyncio.fixture
+async def scarce(site) -> ServingSite:
+    """A node whose routes to the engines declare two priorities."""
+    stream = {"resumable": True}
+    data = configuration(
+        2,
+        routes=[
+            route("/stream/", "streaming", "llm", priority=3, **stream),
+            route("/stream-later/", "streaming", "llm", priority=5, **stream),
+        ],
+    )
+    site.model.put(OPERATOR_TABLE, CONFIGURATION_KEY, data)
+    await site.until(lambda: site.view.configuration.version == 2)
+    control(site).load.shared = FixedLoad()
+    return site
+
+
+async def timed(site: ServingSite, path: str) -> tuple[object, float]:
+    began_s = asyncio.get_running_loop().time()
+    got = await site.ask(path)
+    return got, asyncio.get_running_loop().time() - began_s
+
+
+async def test_with_one_priority_the_route_decides_the_class_as_before(site) -> None:
+    control(site).load.shared = FixedLoad(in_flight=1e6)
+    backend = await site.add_backend(streams, group="small.1")
+    got = await site.ask("/stream/1")
+    assert (got.status, got.body) == (200, ALL)
+    assert backend.seen[0].headers["x-urgency-class"] == "0"
+    assert not control(site)._states
+
+
+async def test_the_class_follows_the_urgency_and_a_resumed_stream_is_first(
+    scarce,
+) -> None:
+    first = await scarce.add_backend(breaks_within_an_event, group="small.1")
+    second = await scarce.add_backend(streams, group="small.2", zone="z2")
+    assert (await scarce.ask("/stream/1")).body == ALL
+    assert first.seen[0].headers["x-urgency-class"] == "1"
+    assert second.seen[0].headers["x-urgency-class"] == "0"
+    assert (await scarce.ask("/stream-later/1")).body == ALL
+    seen = [r.headers["x-urgency-class"] for b in (first, second) for r in b.seen[1:]]
+    assert "3" in seen
+
+
+async def test_a_request_that_would_come_too_late_is_refused_at_once(scarce) -> None:
+    control(scarce).load.shared.in_flight = 10_000.0
+    backend = await scarce.add_backend(streams, group="small.1")
+    got, took_s = await timed(scarce, "/stream/1")
+    assert got.status == 503
+    assert b'"OVERLOADED"' in got.body
+    assert b'"ran": "no"' in got.body
+    assert took_s < GOAL_S / 4
+    assert 0 < float(got.headers["Retry-After"]) <= 2.0 / 3.0
+    assert not backend.seen
+
+
+async def test_a_request_waits_for_room_and_the_urgent_one_is_sent_first(
+    scarce,
+) -> None:
+    load = control(scarce).load.shared
+    load.in_flight = 2.0 * SLOTS
+    backend = await scarce.add_backend(streams, group="small.1")
+    later = asyncio.ensure_future(scarce.ask("/stream-later/1"))
+    await scarce.until(lambda: len(line(scarce)) == 1)
+    urgent = asyncio.ensure_future(scarce.ask("/stream/1"))
+    await scarce.until(lambda: len(line(scarce)) == 2)
+    assert [held.rank for held in line(scarce)] == [0, 1]
+    # Room in the queue for the more urgent one only.
+    load.in_flight = 1.6 * SLOTS
+    assert (await urgent).body == ALL
+    assert not later.done()
+    load.in_flight = 0.0
+    assert (await later).body == ALL
+    assert len(backend.seen) == 2
+
+
+async def test_a_caller_that_disconnects_leaves_the_line_at_once(scarce) -> None:
+    control(scarce).load.shared.in_flight = 2.0 * SLOTS
+    backend = await scarce.add_backend(streams, group="small.1")
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.15), aiohttp.ClientSession() as session:
+            url = f"http://{scarce.address}/stream/1"
+            headers = {**STREAM_HEADERS, "X-Attempt-Id": "gone"}
+            await session.post(url, headers=headers)
+    await scarce.until(lambda: not line(scarce))
+    assert not control(scarce)._held
+    assert not backend.seen
+
+
+async def test_old_totals_refuse_nothing_while_a_group_is_open(scarce) -> None:
+    control(scarce).load.shared = FixedLoad(in_flight=1e6, seen_s=1.5)
+    await scarce.add_backend(streams, group="small.1")
+    assert (await scarce.ask("/stream/1")).body == ALL
+
+
+async def test_without_any_group_a_request_is_refused_at_once(scarce) -> None:
+    control(scarce).load.shared = FixedLoad(seen_s=math.inf)
+    got, took_s = await timed(scarce, "/stream/1")
+    assert got.status == 503
+    assert b'"NO_GROUP_READY"' in got.body
+    assert took_s < GOAL_S / 4
+
+
+async def test_a_head_with_a_full_queue_is_left_out_while_another_has_room(
+    scarce,
+) -> None:
+    full = await scarce.add_backend(streams, group="small.1", zone="z1")
+    free = await scarce.add_backend(streams, group="small.2", zone="z2")
+    full_id = next(
+        head.backend_id
+        for head in scarce.view.directory.open_heads("llm", "small")
+        if head.zone == "z1"
+    )
+    control(scarce).load.shared.by_head[full_id] = 30.0
+    for _ in range(6):
+        assert (await scarce.ask("/stream/1")).body == ALL
+    assert (len(full.seen), len(free.seen)) == (0, 6)
+
+
+async def test_many_refusals_write_few_lines(scarce, monkeypatch) -> None:
+    events = []
+    monkeypatch.setattr(
+        "fordhatch.serving._admission_control.log_event",
+        lambda event, **fields: events.append((event, fields)),
+    )
+    control(scarce).load.shared.in_flight = 10_000.0
+    await scarce.add_backend(streams, group="small.1")
+    got = await asyncio.gather(*(scarce.ask("/stream/1") for _ in range(30)))
+    assert {g.status for g in got} == {503}
+    assert 0 < len(events) <= 2 * MAX_LINES_PER_S
+    assert events[0][1]["outcome"] == "refused"
+    assert control(scarce)._lines.left_out > 0
