--- a/packages/registry/src/fordhatch/registry/_backend_directory.py
+++ b/packages/registry/src/fordhatch/registry/_backend_directory.py
@@ -49,8 +49,7 @@
     _are_starts_required: bool = False
     """The last decision on whether an entry must contain its start time."""
     _pending: dict[str, Row] = attrs.field(factory=dict)
-    """Changed entries that are not decoded yet, only the last change of each: an entry
-    changes six times in the seconds before the first request."""
+    """Changed entries that are not decoded yet, only the last change of each."""
     _malformed: set[str] = attrs.field(factory=set)
     """Registered ids whose entry cannot be used; logged once for each."""
     _lapsed: LapsedEntries = attrs.field(init=False)
--- a/packages/serving/src/fordhatch/serving/_request_path.py
+++ b/packages/serving/src/fordhatch/serving/_request_path.py
@@ -8,6 +8,7 @@
 from fordhatch.core import Timer
 
 from ._admission import Admission
+from ._admission_control import AdmissionControl
 from ._backend_health import BackendHealth
 from ._backpressure import BackpressureTracker
 from ._cold_backends import ColdBackends
@@ -18,6 +19,7 @@
 from ._exchange import ExchangeClient
 from ._group_progress import GroupProgress
 from ._head_choice import HeadChoice
+from ._model_load import ModelLoad, OwnLoad
 from ._node_state import NodeState
 from ._permit_issuer import PermitIssuer
 from ._permits import Permits
@@ -44,6 +46,7 @@
     crashes: CrashWatch
     permits: Permits
     demand: DemandMeter
+    control: AdmissionControl
 
     @classmethod
     def create(
@@ -109,6 +112,10 @@
             pressure,
         )
         demand = DemandMeter(timer)
+        load = ModelLoad(
+            timer, view.directory, choice, node_count, OwnLoad(health, node_count)
+        )
+        control = AdmissionControl(timer, view.configuration, load)
         streams = StreamCalls.create(
             view.directory,
             timer=timer,
@@ -119,6 +126,7 @@
             permits=permits,
             crashes=crashes,
             demand=demand,
+            control=control,
         )
         plain = PlainCalls(
             zone,
@@ -143,6 +151,7 @@
             crashes,
             permits,
             demand,
+            control,
         )
 
     def prune(self) -> None:
@@ -156,5 +165,6 @@
 
     async def close(self) -> None:
         """Cancel background tasks."""
+        await self.control.close()
         await self.stalls.close()
         await self.crashes.close()
