Heads are chosen by the load of all nodes where a service has urgency classes

A node knew only its own requests: with 70 nodes and 36 groups it sees a 70th of the load, and none of a group's memory. A head is the better one of two random heads of the own zone, or of other zones when these have no free slot; full memory excludes it.

--- a/packages/catalog/src/fordhatch/catalog/_calls.py
+++ b/packages/catalog/src/fordhatch/catalog/_calls.py
@@ -21,6 +21,8 @@
     max_output_tokens: int = 0
     last_event_id: str = ""
     """Event after which the caller's stream resumes; empty for a new stream."""
+    length_hint_tokens: int | None = None
+    """Length of the answer that the caller expects; None without a hint."""
 
 
 class RefusalKind(StrEnum):
--- a/packages/catalog/src/fordhatch/catalog/_configuration.py
+++ b/packages/catalog/src/fordhatch/catalog/_configuration.py
@@ -193,3 +193,12 @@
     def engine_services(self) -> list[Service]:
         """Return the services whose backend servers form groups."""
         return [s for s in self.services.values() if s.engine is not None]
+
+    def has_urgency_classes(self, service: str) -> bool:
+        """Return whether the routes to a service declare more than one priority."""
+        priorities = {
+            route.priority
+            for route in self.routes
+            if any(target.service == service for target in route.targets)
+        }
+        return len(priorities) > 1
--- a/packages/registry/src/fordhatch/registry/__init__.py
+++ b/packages/registry/src/fordhatch/registry/__init__.py
@@ -13,7 +13,7 @@
 from ._group_records import GroupRecord, record_key
 from ._liveness_probe import probe
 from ._outage_evidence import NodeReport, OutageEvidence, min_witnesses
-from ._reader_choice import NodeAddress, ReaderChoice, planner_candidates
+from ._reader_choice import NodeAddress, ReaderChoice, planner_candidates, strong_first
 from ._relay import RelayClient, RelayServer, relay_wait_s
 from ._row_restorer import RowRestorer
 from ._shared_rows import (
@@ -69,5 +69,6 @@
     "record_key",
     "relay_wait_s",
     "slow_key",
+    "strong_first",
     "suspicion_key",
 ]
--- a/packages/serving/src/fordhatch/serving/_plain_call.py
+++ b/packages/serving/src/fordhatch/serving/_plain_call.py
@@ -29,6 +29,7 @@
 from ._permits import Permits
 from ._request import Reply, ServedRequest
 from ._retry_budget import RetryBudget
+from ._shared_load import SharedLoad
 
 MAX_SENDS = 4
 """Maximum attempts per request, including refusals and failed connections."""
@@ -45,6 +46,17 @@
 OTHER_ZONE_COST = 0.5
 """Cost of a backend server in another availability zone, in requests in flight."""
 
+FILL_COST = 0.5
+"""Cost of a backend server whose slots are all in use on average, in requests in
+flight. With 1.0, the nodes of a zone swing between zones in step."""
+
+MAX_FILL = 2.0
+"""Maximum of that average, as a fraction of the slots."""
+
+FILL_SPREAD = 0.5
+"""Random part of the cost where that average counts, in requests in flight. It makes
+the fraction of the requests that go to another zone follow the load gradually."""
+
 MIN_TYPICAL_S = 0.05
 """Lower bound of the typical time to answer: faster backend servers, and those whose
 typical time is not known yet, count as equally fast."""
@@ -80,6 +92,7 @@
     admission: Admission
     crashes: CrashWatch
     permits: Permits
+    load: SharedLoad
 
     async def serve(self, request: ServedRequest, reply: Reply) -> None:
         """Serve one request; the reply is final when this returns."""
@@ -160,8 +173,13 @@
         cost = 1.0 + self.health.in_flight[backend.backend_id]
         if backend.zone != self.zone:
             cost += OTHER_ZONE_COST
+        spread = TIE_BREAK_FRACTION
+        if self.load.is_used_for(backend.service):
+            fill = self.load.mean_in_flight(backend.backend_id) / max(backend.slots, 1)
+            cost += FILL_COST * min(fill, MAX_FILL)
+            spread = FILL_SPREAD
         usual_s = max(self.health.typical_s(backend.backend_id), MIN_TYPICAL_S)
-        return cost * usual_s + self.rng.random() * TIE_BREAK_FRACTION * MIN_TYPICAL_S
+        return cost * usual_s + self.rng.random() * spread * MIN_TYPICAL_S
 
     def _answer_timeout_s(
         self, request: ServedRequest, backend: BackendServer, tried: Collection[str]
@@ -185,7 +203,8 @@
         request.timeline.record_send(began_s, in_flight)
         self.health.in_flight[backend.backend_id] += 1
         try:
-            got = await self._exchange(request, backend, timeout_s)
+            with self.load.counted(request.service, backend.backend_id, 0):
+                got = await self._exchange(request, backend, timeout_s)
         finally:
             self.health.in_flight[backend.backend_id] -= 1
         took_s = self.timer.now_s() - began_s
--- a/packages/serving/src/fordhatch/serving/_request_path.py
+++ b/packages/serving/src/fordhatch/serving/_request_path.py
@@ -22,6 +22,7 @@
 from ._permits import Permits
 from ._plain_call import PlainCalls
 from ._retry_budget import RetryBudget
+from ._shared_load import SharedLoad
 from ._stall_watch import StallWatch
 from ._stream_call import StreamCalls
 from ._stream_run import StreamRuns
@@ -43,6 +44,7 @@
     crashes: CrashWatch
     permits: Permits
     demand: DemandMeter
+    load: SharedLoad
 
     @classmethod
     def create(
@@ -89,8 +91,9 @@
             node_name, timer, backends, view.shared, CrashRowWriter(store, timer)
         )
         admission = Admission.from_state(state, timer, crashes.quarantine, pressure)
+        load = SharedLoad.from_configuration(timer, view.configuration)
         choice = HeadChoice(
-            zone, view.directory, health, stalls, pressure, timer.rng, node_count
+            zone, view.directory, health, stalls, pressure, timer.rng, node_count, load
         )
         progress = GroupProgress(timer)
         runs = StreamRuns(
@@ -103,6 +106,7 @@
             exchange,
             crashes,
             pressure,
+            load,
         )
         demand = DemandMeter(timer)
         streams = StreamCalls.create(
@@ -127,6 +131,7 @@
             admission,
             crashes,
             permits,
+            load,
         )
         dispatch = Dispatch(state, budget, streams, plain, timer, crashes)
         return cls(
@@ -139,6 +144,7 @@
             crashes,
             permits,
             demand,
+            load,
         )
 
     def prune(self) -> None:
--- a/packages/serving/src/fordhatch/serving/_stream_call.py
+++ b/packages/serving/src/fordhatch/serving/_stream_call.py
@@ -94,7 +94,9 @@
             return None
         began_s = self.timer.now_s()
         while self.admission.recheck(request) is None:
-            head = self.choice.choose(request.service, stream.model, stream.tried)
+            head = self.choice.choose(
+                request.service, stream.model, stream.tried, stream.need
+            )
             if head is None:
                 if not await self._wait_for_head(stream, began_s):
                     return None
--- a/packages/serving/src/fordhatch/serving/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/_stream_run.py
@@ -26,7 +26,9 @@
 )
 from ._group_progress import GroupProgress, RunProgress, silence_s
 from ._head_choice import HeadChoice
+from ._memory_need import MemoryNeed
 from ._request import Reply, ServedRequest
+from ._shared_load import SharedLoad
 from ._stall_watch import SLOW_CHECK_INTERVAL_S, SLOW_PACE, StallWatch
 
 RESUMED_URGENCY = 0
@@ -68,6 +70,11 @@
         """The requested model."""
         return self.request.fields.model
 
+    @property
+    def need(self) -> MemoryNeed:
+        """Memory that the request needs at a group."""
+        return MemoryNeed.from_request(self.request.fields, self.profile)
+
 
 @attrs.define(eq=False, repr=False)
 class StreamRuns:
@@ -82,6 +89,7 @@
     exchange: ExchangeClient
     crashes: CrashWatch
     pressure: BackpressureTracker
+    load: SharedLoad
     _running: dict[int, tuple[Stream, RunProgress]] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
@@ -116,7 +124,8 @@
         progress = self.progress.start_run(head_id)
         self._running[id(progress)] = stream, progress
         try:
-            await self._forward(stream, head, progress)
+            with self.load.counted(stream.request.service, head_id, stream.need.tokens):
+                await self._forward(stream, head, progress)
             self.health.record_success(head_id, self.timer.now_s() - began_s)
             return Ok(None)
         except _RunFailed as broken:
--- a/standins/src/fordhatch_lab/__init__.py
+++ b/standins/src/fordhatch_lab/__init__.py
@@ -6,6 +6,7 @@
 from ._lab_load import LabLoad
 from ._lab_site import LabNode, LabSite
 from ._limit_trial import LimitPlay, LimitTrial, allowed, play_limit
+from ._load_trial import LoadFigures, LoadTrial, play_load
 from ._measures import Measures, Outcome
 from ._run import run_experiment, run_in_virtual_time
 
@@ -18,11 +19,14 @@
     "LabSite",
     "LimitPlay",
     "LimitTrial",
+    "LoadFigures",
+    "LoadTrial",
     "Measures",
     "Outcome",
     "RequestClass",
     "allowed",
     "play_limit",
+    "play_load",
     "run_experiment",
     "run_in_virtual_time",
 ]
--- a/tests/adapter/test_configuration.py
+++ b/tests/adapter/test_configuration.py
@@ -78,6 +78,16 @@
     assert found.workspace_by_key["k2"].priority == 3
 
 
+def test_routes_with_several_priorities_give_a_service_urgency_classes() -> None:
+    assert not decode_configuration(encoded()).has_urgency_classes("a")
+    other = {**ROUTE, "name": "r-2", "prefix": "/x/", "priority": 2, "service": "a"}
+    del other["split"]
+    found = decode_configuration(encoded(routes=[ROUTE, other]))
+    assert found.has_urgency_classes("a")
+    assert not found.has_urgency_classes("b")
+    assert not found.has_urgency_classes("unknown")
+
+
 def test_without_tenants_no_api_key_is_required() -> None:
     data = {k: v for k, v in CONFIGURATION.items() if k != "tenants"}
     assert decode_configuration(json.dumps(data).encode()).workspace_by_key is None
--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -113,3 +113,14 @@
         "X-Attempt-Id": "9c41",
         "Retry-After": "0.250",
     }
+
+
+@pytest.mark.parametrize(
+    ("text", "tokens"),
+    [("70", 70), (" 0 ", 0), ("", None), ("-1", None), ("7.5", None), ("²", None),
+     ("1e300", None), ("9" * 400, None), ("nan", None)],
+)  # fmt: skip
+def test_a_malformed_length_hint_counts_as_absent(text: str, tokens: int) -> None:
+    fields = caller_fields(CIMultiDict({"X-Length-Hint": text}))
+    assert fields.length_hint_tokens == tokens
+    assert caller_fields(CALL).length_hint_tokens is None
