Merge load balancing by the load of all nodes; admission uses its totals

Cause: admission under scarcity and the choice of heads were built side by side. Change: admission reads the totals of all nodes from SharedLoad, and passes the memory that a request needs on to the choice. Which services have urgency classes is determined once for each configuration: each request asks for it several times, and a configuration may have more than a thousand routes.

--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -121,8 +121,8 @@
     Mechanism(
         "availability zones weighed",
         f"{SERVING}/_head_choice.py",
-        "        if head.zone != self.zone:\n",
-        "        if False:\n",
+        "        if head.zone != self.zone:\n            cost += other_zone\n",
+        "        if False:\n            cost += other_zone\n",
     ),
 )
 """What is switched off, one at a time."""
--- a/packages/catalog/src/fordhatch/catalog/_configuration.py
+++ b/packages/catalog/src/fordhatch/catalog/_configuration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from enum import StrEnum
+from functools import cached_property
 
 import attrs
 
@@ -201,7 +202,16 @@
 
     def has_urgency_classes(self, service: str) -> bool:
         """Return whether the routes that lead to a service differ in priority."""
-        return len({route.priority for route in self._routes_to(service)}) > 1
+        return service in self._services_with_urgency_classes
+
+    @cached_property
+    def _services_with_urgency_classes(self) -> frozenset[str]:
+        # Cached: each request asks, and there may be more than a thousand routes.
+        priorities: dict[str, set[int]] = {}
+        for route in self.routes:
+            for target in route.targets:
+                priorities.setdefault(target.service, set()).add(route.priority)
+        return frozenset(s for s, found in priorities.items() if len(found) > 1)
 
     def urgencies(self, service: str) -> frozenset[int]:
         """Return the priorities that requests of a service may have."""
--- a/packages/serving/src/fordhatch/serving/_admission_control.py
+++ b/packages/serving/src/fordhatch/serving/_admission_control.py
@@ -41,6 +41,7 @@
 
 from ._demand_meter import MAX_PROMPT_RATIO
 from ._group_wait import group_wait
+from ._memory_need import MemoryNeed
 from ._model_load import ModelLoad, RequestSample
 from ._request import ServedRequest
 
@@ -246,19 +247,20 @@
         return self.load.capacity(*key, profile, sample)
 
     def choose(
-        self, request: ServedRequest, tried: Collection[str]
+        self, request: ServedRequest, tried: Collection[str], need: MemoryNeed
     ) -> BackendServer | None:
         """Return the head that should run a request next, or None.
 
         Args:
             request: The request.
             tried: Heads that have already failed it.
+            need: Memory that it needs at a group.
         """
         choose = self.load.choice.choose
         held = self._held.get(request)
         model = request.fields.model
         if held is None or not self.load.is_recent():
-            return choose(request.service, model, tried)
+            return choose(request.service, model, tried, need)
         full = self._full_heads(held)
         head = choose(request.service, model, [*tried, *full]) if full else None
         return head or choose(request.service, model, tried)
--- a/packages/serving/src/fordhatch/serving/_model_load.py
+++ b/packages/serving/src/fordhatch/serving/_model_load.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-import math
 from collections import Counter
 from collections.abc import Callable, Iterable
-from typing import Protocol
 
 import attrs
 
@@ -14,12 +12,9 @@
 from fordhatch.registry import BackendDirectory
 from fordhatch.scheduling import GroupCapacity, ModelCapacity, OpeningGroup
 
-from ._backend_health import BackendHealth
 from ._group_wait import GroupKey, pending_groups
 from ._head_choice import HeadChoice
-
-MAX_TOTAL_AGE_S = 1.0
-"""Totals of all nodes that are older than this are not used, in seconds."""
+from ._shared_load import MAX_TOTAL_AGE_S, SharedLoad
 
 MIN_SAMPLE = 3
 """Own requests in flight from which on their ratio to those of all nodes is used."""
@@ -29,34 +24,6 @@
 seconds."""
 
 
-class SharedLoad(Protocol):
-    """The load of the backend servers by the requests of all nodes."""
-
-    def total_in_flight(self, backend_id: str) -> float:
-        """Return the requests of all nodes at a backend server, this one included."""
-        ...
-
-    def age_s(self) -> float:
-        """Return the age of the totals, in seconds; infinite if there are none."""
-        ...
-
-
-@attrs.define(eq=False, repr=False)
-class OwnLoad:
-    """Estimates the totals from this node's own requests."""
-
-    health: BackendHealth
-    node_count: Callable[[], int]
-
-    def total_in_flight(self, backend_id: str) -> float:
-        """Return the own requests at a backend server times the number of nodes."""
-        return float(self.health.in_flight[backend_id] * max(self.node_count(), 1))
-
-    def age_s(self) -> float:
-        """Return infinity: the requests of other nodes are not known."""
-        return math.inf
-
-
 @attrs.frozen
 class RequestSample:
     """This node's own requests for a model, as a sample of those of all nodes."""
--- a/packages/serving/src/fordhatch/serving/_request_path.py
+++ b/packages/serving/src/fordhatch/serving/_request_path.py
@@ -19,12 +19,13 @@
 from ._exchange import ExchangeClient
 from ._group_progress import GroupProgress
 from ._head_choice import HeadChoice
-from ._model_load import ModelLoad, OwnLoad
+from ._model_load import ModelLoad
 from ._node_state import NodeState
 from ._permit_issuer import PermitIssuer
 from ._permits import Permits
 from ._plain_call import PlainCalls
 from ._retry_budget import RetryBudget
+from ._shared_load import SharedLoad
 from ._stall_watch import StallWatch
 from ._stream_call import StreamCalls
 from ._stream_run import StreamRuns
@@ -47,6 +48,7 @@
     permits: Permits
     demand: DemandMeter
     control: AdmissionControl
+    load: SharedLoad
 
     @classmethod
     def create(
@@ -96,8 +98,9 @@
             node_name, timer, backends, view.shared, CrashRowWriter(store, timer)
         )
         admission = Admission.from_state(state, timer, crashes.quarantine, pressure)
+        load = SharedLoad.from_configuration(timer, view.configuration)
         choice = HeadChoice(
-            zone, view.directory, health, stalls, pressure, timer.rng, node_count
+            zone, view.directory, health, stalls, pressure, timer.rng, node_count, load
         )
         progress = GroupProgress(timer)
         runs = StreamRuns(
@@ -110,12 +113,14 @@
             exchange,
             crashes,
             pressure,
+            load,
         )
         demand = DemandMeter(timer)
-        load = ModelLoad(
-            timer, view.directory, choice, node_count, OwnLoad(health, node_count)
+        control = AdmissionControl(
+            timer,
+            view.configuration,
+            ModelLoad(timer, view.directory, choice, node_count, load),
         )
-        control = AdmissionControl(timer, view.configuration, load)
         streams = StreamCalls.create(
             view.directory,
             timer=timer,
@@ -139,6 +144,7 @@
             admission,
             crashes,
             permits,
+            load,
         )
         dispatch = Dispatch(state, budget, streams, plain, timer, crashes)
         return cls(
@@ -152,6 +158,7 @@
             permits,
             demand,
             control,
+            load,
         )
 
     def prune(self) -> None:
--- a/packages/serving/src/fordhatch/serving/_stream_call.py
+++ b/packages/serving/src/fordhatch/serving/_stream_call.py
@@ -109,7 +109,7 @@
             return None
         began_s = self.timer.now_s()
         while self.admission.recheck(request) is None:
-            head = self.control.choose(request, stream.tried)
+            head = self.control.choose(request, stream.tried, stream.need)
             if head is None:
                 if not await self._wait_for_head(stream, began_s):
                     return None
