--- a/standins/src/fordhatch_lab/_experiment.py
+++ b/standins/src/fordhatch_lab/_experiment.py
@@ -38,6 +38,8 @@
     deadline_s: float
     worth: float
     late_worth: float
+    priority: int = 0
+    """Priority of its route; with different ones, the service has urgency classes."""
 
 
 MODELS = (
@@ -145,4 +147,5 @@
         "timeout-ms": int(one.deadline_s * 1000),
         "goal-ms": int(one.objective_s * 1000),
         "max-gap-ms": int(one.max_gap_s * 1000),
+        "priority": one.priority,
     }
