--- a/packages/serving/tests/test_admission_control.py
+++ b/packages/serving/tests/test_admission_control.py
@@ -12,7 +12,7 @@
 from serving_site import STREAM_HEADERS, ServingSite, configuration, route
 from test_stream_calls import ALL, breaks_within_an_event, streams
 
-from fordhatch.adapter import CONFIGURATION_KEY, OPERATOR_TABLE
+from fordhatch.adapter import CONFIGURATION_KEY, OPERATOR_TABLE, decode_configuration
 from fordhatch.serving._admission_control import MAX_LINES_PER_S
 
 GOAL_S = 0.4
@@ -60,6 +60,20 @@
     return site
 
 
+def test_routes_that_differ_in_priority_call_for_admission_control() -> None:
+    def read(*priorities: int, **changes: object):
+        routes = [route(f"/{p}/", "streaming", "llm", priority=p) for p in priorities]
+        return decode_configuration(configuration(routes=routes, **changes))
+
+    assert not read(1, 1).has_urgency_classes("llm")
+    assert read(1, 2).has_urgency_classes("llm")
+    assert not read(1, 2).has_urgency_classes("app")
+    # The priority of a workspace alone does not change what its service does.
+    tenants = [{"name": "hule", "api-keys": ["k"], "priority": 4}]
+    assert not read(1, tenants=tenants).has_urgency_classes("llm")
+    assert read(1, 2, tenants=tenants).urgencies("llm") == {1, 2, 4}
+
+
 async def timed(site: ServingSite, path: str) -> tuple[object, float]:
     began_s = asyncio.get_running_loop().time()
     got = await site.ask(path)
