Guards of admission under scarcity

Ten lines without which a promise does not hold, each red in its test when it is taken out. One test (a caller that disconnects) was green without its line, as the line of waiting requests empties by itself after two seconds; it now has a second. 123 tests of test_guards and test_admission_control pass.

--- a/bench/guards.py
+++ b/bench/guards.py
@@ -21,6 +21,7 @@
 from own_guards import OWN_GUARDS
 from platform_guards import PLATFORM_GUARDS
 from pressure_guards import PRESSURE_GUARDS
+from scarcity_guards import SCARCITY_GUARDS
 from store_guards import STORE_GUARDS
 
 ROOT = Path(__file__).parent.parent
@@ -73,6 +74,7 @@
             *CRASH_GUARDS,
             *PRESSURE_GUARDS,
             *STORE_GUARDS,
+            *SCARCITY_GUARDS,
         ]
         if wanted in f"{g.promise} {g.module}"
     ]
--- a/packages/serving/tests/test_admission_control.py
+++ b/packages/serving/tests/test_admission_control.py
@@ -142,7 +142,9 @@
             url = f"http://{scarce.address}/stream/1"
             headers = {**STREAM_HEADERS, "X-Attempt-Id": "gone"}
             await session.post(url, headers=headers)
-    await scarce.until(lambda: not line(scarce))
+    # Without leaving, it would stand in the line until its caller's patience is over.
+    async with asyncio.timeout(1.0):
+        await scarce.until(lambda: not line(scarce))
     assert not control(scarce)._held
     assert not backend.seen
 
