Evacuation: a stream that finds only evacuated engines is told so

Cause: with no open group anywhere and all engines in evacuated zones, the refusal said that no group was ready, as if waiting could help. Change: such a stream gets ZONE_EVACUATED too.

--- a/packages/serving/src/fordhatch/serving/_evacuated_zones.py
+++ b/packages/serving/src/fordhatch/serving/_evacuated_zones.py
@@ -34,9 +34,13 @@
 def evacuated_stream_failure(
     directory: BackendDirectory, service: str, model: str, retry_after_s: float
 ) -> Failure | None:
-    """Return the refusal if all open groups of a model are evacuated, else None."""
+    """Return the refusal if all open groups of a model are evacuated, else None.
+
+    Without any open group, it is given if all engines of the service are evacuated.
+    """
     heads = directory.index.open_heads(service, model)
-    return _failure_if_all_evacuated(directory, heads, retry_after_s)
+    backends = heads or directory.index.of_service(service)
+    return _failure_if_all_evacuated(directory, backends, retry_after_s)
 
 
 def _failure_if_all_evacuated(
--- a/packages/serving/tests/test_evacuated_zones.py
+++ b/packages/serving/tests/test_evacuated_zones.py
@@ -129,4 +129,4 @@
     with pytest.MonkeyPatch.context() as patch:
         forbid_waits(patch)
         got = await site.ask("/stream/1")
-    assert got.status == 503
+    assert (got.status, code(got)) == (503, ResultCode.ZONE_EVACUATED)
