Command line: times of zones are shown as dates

Cause: get zones showed since when a zone is in its state as Unix seconds. Change: the column is formatted like the times of the audit trail.

--- a/packages/cli/src/fordhatch/cli/_table.py
+++ b/packages/cli/src/fordhatch/cli/_table.py
@@ -36,7 +36,7 @@
 
 
 def _format(name: str, value: Any) -> str:
-    if name == "at_s":
+    if name in ("at_s", "since_s") and value is not None:
         return time.strftime("%Y-%m-%d %H:%M:%SZ", time.gmtime(value))
     if isinstance(value, bool):
         return "yes" if value else "no"
--- a/packages/daemon/tests/test_processes.py
+++ b/packages/daemon/tests/test_processes.py
@@ -151,6 +151,10 @@
         (zone,) = (z for z in json.loads(output)["zones"] if z["zone"] == ZONES[0])
         assert (zone["state"], zone["operator"]) == (state, "ops")
         assert zone["since_s"] is not None
+        _, output = await fordhatch(fleet, "get", "zones")
+        (line,) = (n for n in output.splitlines() if n.startswith(ZONES[0]))
+        assert state in line
+        assert "Z  ops" in line, output
     outcomes = [
         r["outcome"] for r in (await fleet.read(fleet.nodes[0], "/audit"))["audit"]
     ]
