--- a/packages/serving/src/fordhatch/serving/_cold_backends.py
+++ b/packages/serving/src/fordhatch/serving/_cold_backends.py
@@ -23,7 +23,7 @@
 MAX_COLD_S = 60.0
 """Longest time that one report counts, in seconds, as for a back-off."""
 
-ENTRY_AGE_S = 0.5
+ENTRY_AGE_S = 1.0
 """How long ago an entry may have been written when it is read, in seconds, while the
 store is available. What is known from that time takes precedence over an entry that
 reports no coldness."""
@@ -312,7 +312,8 @@
             return
         backends = self.directory.backends
         for backend_id in list(self._logged):
-            self._log_change(backends[backend_id])
+            if backend_id in backends:
+                self._log_change(backends[backend_id])
         cold = Counter(backends[state.backend_id].service for state in self.states())
         for service in self._services:
             metrics.BACKENDS_COLD.labels(service).set(cold[service])
--- a/packages/serving/src/fordhatch/serving/_permits.py
+++ b/packages/serving/src/fordhatch/serving/_permits.py
@@ -140,8 +140,10 @@
         # No issuer is reachable: keep to this node's fraction of the limit.
         if limit.cold is not None:
             ranked = issuers(limit.backend_id, nodes, len(nodes))
-            is_listed = self.node_name in ranked
-            rank = ranked.index(self.node_name) if is_listed else len(ranked)
+            if self.node_name not in ranked:
+                # Of nodes that are not listed yet there may be any number.
+                return Permit(is_granted=False, again_s=UNREACHABLE_PAUSE_S)
+            rank = ranked.index(self.node_name)
             return self._issue_cold(limit, rank, self.node_name)
         return self._issue(limit, self.node_name, 1.0 / max(len(nodes), 1))
 
@@ -222,9 +224,10 @@
             state = cold.state(backend)
             if state is not None:
                 known = self._cold_limit(backend, state)
-                per_s = min(known.per_s, asked.per_s)
-                return attrs.evolve(known, per_s=per_s)
-        elif asked.cold is not None:
+                if asked.per_s is None:
+                    return known
+                return attrs.evolve(known, per_s=min(known.per_s, asked.per_s))
+        elif asked.cold is not None and asked.per_s is not None:
             # This node knows neither the backend server nor its service yet.
             return asked
         return self.pressure.limit(backend_id)
--- a/packages/serving/src/fordhatch/serving/_plain_call.py
+++ b/packages/serving/src/fordhatch/serving/_plain_call.py
@@ -118,6 +118,7 @@
         """
         began_s = self.timer.now_s()
         until_s = began_s + MAX_WAIT_FRACTION * request.left_s(began_s)
+        is_logged = False
         while True:
             backend = self._choose(request.service, tried)
             if backend is not None:
@@ -129,7 +130,8 @@
                 return None
             now_s = self.timer.now_s()
             waits = now_s + hold.free_s <= until_s
-            if now_s == began_s or not waits:
+            if not (is_logged and waits):
+                is_logged = True
                 self.permits.log_block(request.fields.request_id, hold, waits=waits)
             if not waits:
                 return None
--- a/packages/serving/src/fordhatch/serving/_stream_call.py
+++ b/packages/serving/src/fordhatch/serving/_stream_call.py
@@ -124,7 +124,8 @@
         if hold is not None:
             wait_left_s = began_s + self._max_wait_s(stream, began_s) - now_s
             waits = hold.free_s <= wait_left_s
-            if now_s == began_s or not waits:
+            if not (stream.is_hold_logged and waits):
+                stream.is_hold_logged = True
                 self.permits.log_block(request.fields.request_id, hold, waits=waits)
             if waits:
                 await self._wait_for_change(hold.free_s)
--- a/packages/serving/src/fordhatch/serving/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/_stream_run.py
@@ -62,6 +62,8 @@
     last_problem: SendFailure | None = None
     events: int = 0
     """Number of events forwarded so far."""
+    is_hold_logged: bool = False
+    """Whether the log tells that it waits for a blocked head."""
 
     @property
     def model(self) -> str:
--- a/packages/serving/tests/test_cold_permits.py
+++ b/packages/serving/tests/test_cold_permits.py
@@ -179,3 +179,34 @@
         nodes.advance(0.01)
         nodes.want("n0")
     assert 4 <= len(nodes.arrivals_s) <= 2.0 * 2.9 + 1.0
+
+
+def test_a_node_that_learns_late_stays_within_the_limit_from_then_on() -> None:
+    nodes = site(8)
+    late = ranked(nodes)[4]
+    for name in nodes.permits:
+        if name != late:
+            nodes.cold(name).presume_zone_cold("z1")
+    nodes.advance(0.1)
+    assert all(nodes.want(late) for _ in range(5))
+    backend = nodes.cold(late).directory.backends["i-1"]
+    nodes.cold(late).observe_answer(backend, COLD_S)
+    sent_early = len(nodes.arrivals_s)
+    while nodes.now_s < 2.5:
+        nodes.advance(0.004)
+        nodes.want(nodes.rng.choice(list(nodes.permits)))
+    assert nodes.worst() <= nodes.bound()
+    assert len(nodes.arrivals_s) - sent_early <= 17.0 * 2.5
+
+
+def test_a_node_that_others_do_not_list_sends_nothing_without_an_issuer() -> None:
+    """Any number of nodes that start at once may not be listed yet."""
+    nodes = site(5)
+    permits = nodes.permits["n0"]
+    permits.nodes = lambda: []
+    nodes.presume_cold()
+    nodes.advance(2.0)
+    assert not nodes.want("n0")
+    # Nor does a node issue that is not an issuer by its own list.
+    asked = ServerLimit("i-1", 17.0, permits.timer.now_s())
+    assert not permits.issue_to("n1", asked).is_granted
--- a/standins/src/fordhatch_lab/_limit_report.py
+++ b/standins/src/fordhatch_lab/_limit_report.py
@@ -10,6 +10,8 @@
 
 import matplotlib as mpl
 
+from fordhatch_standins import ColdStarts
+
 from ._limit_trial import WINDOW_S, LimitPlay, allowed
 
 mpl.use("Agg")
@@ -25,6 +27,26 @@
 )
 
 
+COLD_TABLE_HEAD = (
+    "| nodes | limit | skew | links | worst second of allowed | use | messages/s |\n"
+    "|---|---|---|---|---|---|---|"
+)
+
+
+def cold_row(runs: Sequence[LimitPlay]) -> str:
+    """Return the table row of one trial with a cold server, over its seeds."""
+    trial = runs[0].trial
+    worst = max(run.worst(1.0) for run in runs)
+    use = interval([run.use() for run in runs])
+    messages = interval([run.messages_per_s() for run in runs])
+    links = "split" if trial.is_split else "whole"
+    bound = ColdStarts(trial.limit_per_s).bound
+    return (
+        f"| {trial.nodes} | {trial.limit_per_s:g} | {trial.skew:g} | {links} "
+        f"| {worst} of {bound:.1f} | {use} | {messages} |"
+    )
+
+
 def limit_row(runs: Sequence[LimitPlay]) -> str:
     """Return the table row of one trial, with 95 % intervals over its seeds."""
     trial = runs[0].trial
--- a/standins/src/fordhatch_lab/_limit_trial.py
+++ b/standins/src/fordhatch_lab/_limit_trial.py
@@ -9,8 +9,9 @@
 import attrs
 
 from fordhatch.core import Timer
+from fordhatch.serving._permit_issuer import issuers as rank_nodes
 
-from ._limit_ways import LINK_LATENCY_S, STRATEGIES, LimitStrategy, TrialNodes
+from ._limit_ways import LINK_LATENCY_S, SERVER, STRATEGIES, LimitStrategy, TrialNodes
 from ._run import run_in_virtual_time
 
 WINDOW_S = 4.0
@@ -39,6 +40,8 @@
 over all nodes."""
     duration_s: float = 60.0
     seed: int = 1
+    is_split: bool = False
+    """Whether each node reaches only one of the issuers, or none."""
 
 
 @attrs.define(eq=False, repr=False)
@@ -111,11 +114,24 @@
             *(self.want(n, w, trial.duration_s) for n, w in wants.items() if w > 0)
         )
 
-    def worst(self) -> int:
+    def split(self, issuers: int = 3) -> None:
+        """Let each node reach one of the first issuers, or none."""
+        names = list(self.nodes.ways)
+        ranked = rank_nodes(SERVER.backend_id, names, len(names))
+        for index, name in enumerate(names):
+            kept = ranked[index % (issuers + 1)]
+            is_kept = index % (issuers + 1) < issuers
+            self.nodes.cut |= {
+                frozenset({name, other})
+                for other in ranked[:issuers]
+                if other != kept or not is_kept
+            }
+
+    def worst(self, window_s: float = WINDOW_S) -> int:
         """Return the largest number of requests in any window."""
         first = largest = 0
         for last, at_s in enumerate(self.sent_s):
-            while self.sent_s[first] <= at_s - WINDOW_S:
+            while self.sent_s[first] <= at_s - window_s:
                 first += 1
             largest = max(largest, last - first + 1)
         return largest
@@ -134,6 +150,8 @@
 
     async def run() -> LimitPlay:
         trial_run = LimitPlay.create(trial)
+        if trial.is_split:
+            trial_run.split()
         await trial_run.all_want()
         return trial_run
 
--- a/standins/src/fordhatch_lab/_limit_ways.py
+++ b/standins/src/fordhatch_lab/_limit_ways.py
@@ -8,10 +8,24 @@
 
 import attrs
 
-from fordhatch.catalog import BackendServer, BackendState, Backpressure
+from fordhatch.catalog import (
+    BackendServer,
+    BackendState,
+    Backpressure,
+    Configuration,
+    Limits,
+    Service,
+)
 from fordhatch.core import Timer
 from fordhatch.registry import BackendDirectory
-from fordhatch.serving import BackpressureTracker, Permit, Permits, ServerLimit
+from fordhatch.serving import (
+    BackpressureTracker,
+    ColdReport,
+    Permit,
+    Permits,
+    ServerLimit,
+)
+from fordhatch.serving._cold_backends import MAX_COLD_S
 from fordhatch.serving._permit_issuer import PermitIssuer
 
 SERVER = BackendServer("i-1", "llm", "10.0.0.1:1", "z1", BackendState.READY, 13)
@@ -134,9 +148,31 @@
         """Ignore the answer."""
 
 
+@attrs.define(eq=False, repr=False)
+class ColdStrategy(PermitStrategy):
+    """Uses permits for a cold server, which declares no limit of its own."""
+
+    @classmethod
+    def create(cls, nodes: TrialNodes, name: str, timer: Timer) -> ColdStrategy:
+        """Create the strategy of a node that knows that the server is cold."""
+        strategy = super().create(nodes, name, timer)
+        strategy.permits.pressure = pressure = BackpressureTracker(
+            timer, BackendDirectory(timer)
+        )
+        service = Service(SERVER.service, "/", 100, cold_per_s=nodes.limit_per_s)
+        limits = Limits(0, 0, 0.0, 0.0)
+        pressure.cold.apply_configuration(
+            Configuration(1, (), {service.name: service}, limits)
+        )
+        report = ColdReport(timer.now_s(), MAX_COLD_S)
+        pressure.cold.observe(SERVER.backend_id, report)
+        return strategy
+
+
 STRATEGIES: dict[str, Callable[[TrialNodes, str, Timer], LimitStrategy]] = {
     "equal": lambda nodes, _, timer: EqualShares(nodes, timer),
     "feedback": lambda nodes, _, timer: FeedbackShares(nodes, timer),
     "permits": PermitStrategy.create,
+    "cold": ColdStrategy.create,
 }
 """Factories of the strategies, by name."""
--- a/standins/src/fordhatch_lab/main.py
+++ b/standins/src/fordhatch_lab/main.py
@@ -219,7 +219,7 @@
     first_runs: list[LimitPlay] = []
     for number, per_s, part in cases:
         first_runs = []
-        for way in ways or list(STRATEGIES):
+        for way in ways or [way for way in STRATEGIES if way != "cold"]:
             trial = LimitTrial(
                 way, number, per_s, skew=part, duration_s=duration_s, seed=0
             )
@@ -233,6 +233,46 @@
         plot_limit(first_runs, plot)
 
 
+@app.command
+def cold(
+    nodes: list[int] | None = None,
+    *,
+    limit_per_s: list[float] | None = None,
+    skew: list[float] | None = None,
+    seeds: int = 3,
+    duration_s: float = 30.0,
+) -> None:
+    """Show how many requests a cold server receives from nodes that share its limit.
+
+    Parameters
+    ----------
+    nodes
+        Numbers of nodes.
+    limit_per_s
+        Requests a second that the server tolerates.
+    skew
+        Fractions of the demand that all go to one node.
+    seeds
+        Number of seeds of each trial.
+    duration_s
+        Virtual seconds for which the server is cold, 60 at the most.
+    """
+    from ._limit_report import COLD_TABLE_HEAD, cold_row  # noqa: PLC0415
+
+    print(COLD_TABLE_HEAD)
+    cases = itertools.product(
+        nodes or [8, 74, 123], limit_per_s or [4.0, 17.0], skew or [0.0, 0.9]
+    )
+    for (number, per_s, part), is_split in itertools.product(cases, [False, True]):
+        trial = LimitTrial(
+            "cold", number, per_s, 5.0, part, duration_s, is_split=is_split
+        )
+        runs = [
+            play_limit(attrs.evolve(trial, seed=seed)) for seed in range(1, seeds + 1)
+        ]
+        print(cold_row(runs), flush=True)
+
+
 @app.command
 def returns(
     nodes: list[int] | None = None,
--- a/standins/src/fordhatch_standins/_scripted_backend.py
+++ b/standins/src/fordhatch_standins/_scripted_backend.py
@@ -62,6 +62,7 @@
     """Number of requests for a report."""
     report: bytes | None = b"{}"
     """Body of the report; None to leave the request unanswered."""
+    report_headers: dict[str, str] = attrs.field(factory=dict)
     _server: asyncio.Server | None = None
 
     async def start(self) -> str:
@@ -84,7 +85,9 @@
                 await reader.read()
                 writer.close()
                 return
-            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(self.report)}\r\n\r\n"
+            fields = {"Content-Length": len(self.report), **self.report_headers}
+            lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+            head = f"HTTP/1.1 200 OK\r\n{lines}\r\n"
             writer.write(head.encode() + self.report)
             writer.close()
             return
