--- a/packages/serving/src/fordhatch/serving/_cold_backends.py
+++ b/packages/serving/src/fordhatch/serving/_cold_backends.py
@@ -166,7 +166,7 @@
         )
 
     def observe_malformed_answer(self, backend: BackendServer) -> None:
-        """Count an answer whose remaining cold time is malformed; it changes nothing."""
+        """Count an answer whose remaining cold time is malformed, and ignore it."""
         if backend.service in self._services:
             self.count_unreadable(backend.backend_id, "answer")
 
