--- a/packages/serving/src/fordhatch/serving/_cold_backends.py
+++ b/packages/serving/src/fordhatch/serving/_cold_backends.py
@@ -23,7 +23,7 @@
 MAX_COLD_S = 60.0
 """Longest time that one report counts, in seconds, as for a back-off."""
 
-ENTRY_AGE_S = 0.5
+ENTRY_AGE_S = 1.0
 """How long ago an entry may have been written when it is read, in seconds, while the
 store is available. What is known from that time takes precedence over an entry that
 reports no coldness."""
@@ -165,6 +165,11 @@
             code=int(ResultCode.COLD_UNREADABLE),
         )
 
+    def observe_malformed_answer(self, backend: BackendServer) -> None:
+        """Count an answer whose remaining cold time is malformed, and ignore it."""
+        if backend.service in self._services:
+            self.count_unreadable(backend.backend_id, "answer")
+
     def observe_answer(self, backend: BackendServer, left_s: float) -> None:
         """Process the remaining cold time in an answer that has just been received."""
         if backend.service not in self._services:
@@ -187,7 +192,7 @@
                 continue
             said = report.backpressure
             if said.is_cold_unreadable:
-                self.count_unreadable(backend.backend_id, "answer")
+                self.observe_malformed_answer(backend)
             elif said.cold_left_s is not None:
                 self.observe_answer(backend, said.cold_left_s)
 
@@ -312,7 +317,8 @@
             return
         backends = self.directory.backends
         for backend_id in list(self._logged):
-            self._log_change(backends[backend_id])
+            if backend_id in backends:
+                self._log_change(backends[backend_id])
         cold = Counter(backends[state.backend_id].service for state in self.states())
         for service in self._services:
             metrics.BACKENDS_COLD.labels(service).set(cold[service])
