Scheduling: a group's queue is never longer than about a second

A stream that waits for 1.4 s in a group's queue counts as silent and is run elsewhere, behind others, while its run counts against its attempts.

--- a/packages/scheduling/src/fordhatch/scheduling/_capacity.py
+++ b/packages/scheduling/src/fordhatch/scheduling/_capacity.py
@@ -15,6 +15,10 @@
 MIN_BUSY_S = 0.001
 """Lower bound of the time that a request occupies a group, in seconds."""
 
+MAX_QUEUE_S = 1.0
+"""Longest wait in a group's queue that requests are sent into, in seconds. A stream
+without an event for 1.4 s counts as silent and is run elsewhere, behind others."""
+
 
 @attrs.frozen
 class GroupCapacity:
@@ -37,14 +41,19 @@
         """Number of requests that wait for a slot there."""
         return max(self.in_flight - self.slots, 0.0)
 
-    def room(self, queue_fraction: float) -> float:
+    def room(self, queue_fraction: float, busy_s: float) -> float:
         """Return how many more requests may be sent to it.
 
         Args:
-            queue_fraction: Longest queue, as a fraction of its slots. The queue of a
-                slow group is shorter, so that the wait in it is the same.
+            queue_fraction: Longest queue, as a fraction of its slots and of the longest
+                wait in a queue. The queue of a slow group is shorter, so that the wait
+                in it is the same.
+            busy_s: Time that a usual request occupies a full group of the declared
+                pace, in seconds.
         """
-        limit = self.slots * (1.0 + queue_fraction / max(self.pace, 1.0))
+        per_s = 1.0 / max(busy_s, MIN_BUSY_S)
+        queue = queue_fraction * min(self.slots, MAX_QUEUE_S * per_s)
+        limit = self.slots + queue / max(self.pace, 1.0)
         return max(limit - self.in_flight, 0.0)
 
 
@@ -123,7 +132,9 @@
         """Return how many more requests may be sent to the open groups."""
         found = self._rooms.get(queue_fraction)
         if found is None:
-            found = sum(group.room(queue_fraction) for group in self.groups)
+            found = sum(
+                group.room(queue_fraction, self.busy_s) for group in self.groups
+            )
             self._rooms[queue_fraction] = found
         return found
 
--- a/packages/scheduling/tests/scarce_model.py
+++ b/packages/scheduling/tests/scarce_model.py
@@ -136,7 +136,11 @@
         self.admission.leave(ticket)
         if isinstance(decision, Send):
             fraction = queue_fraction(ticket.level, ticket.ranks)
-            open_groups = [g for g in self.groups if g.known().room(fraction) >= 1.0]
+            open_groups = [
+                g
+                for g in self.groups
+                if g.known().room(fraction, HOLD_S / SLOTS) >= 1.0
+            ]
             group = min(
                 open_groups or self.groups,
                 key=lambda g: (g.running + len(g.queue) + 1) / g.slots * g.pace**2,
--- a/packages/scheduling/tests/test_decisions.py
+++ b/packages/scheduling/tests/test_decisions.py
@@ -53,6 +53,13 @@
     assert capacity().first_event_s(0, 0.05) == math.inf
 
 
+def test_no_request_is_sent_into_a_queue_in_which_it_would_count_as_silent() -> None:
+    # A request occupies the group for 0.4 s: the queue moves by 2.5 a second.
+    slow = ModelCapacity((GroupCapacity(17, in_flight=19),), busy_s=0.4)
+    assert slow.room(0.8) < 1.0
+    assert capacity(GroupCapacity(17, in_flight=19)).room(0.8) > 10.0
+
+
 def test_more_urgent_arrivals_make_the_others_wait_longer() -> None:
     known = capacity(
         GroupCapacity(17, in_flight=27), queued_by_level={4: 9}, arrivals_per_s={0: 8}
--- a/packages/serving/src/fordhatch/serving/_admission_control.py
+++ b/packages/serving/src/fordhatch/serving/_admission_control.py
@@ -267,11 +267,13 @@
     def _full_heads(self, held: HeldRequest) -> list[str]:
         """Return the heads whose queue has no room for a request."""
         fraction = queue_fraction(held.level, held.ranks)
-        heads = self.load.heads(held.request.service, held.request.fields.model)
+        key = held.request.service, held.request.fields.model
+        busy_s = self._states[key].busy_s
+        heads = self.load.heads(*key)
         return [
             head.backend_id
             for head in heads
-            if self.load.group(head, held.profile).room(fraction) < 1.0
+            if self.load.group(head, held.profile).room(fraction, busy_s) < 1.0
         ]
 
     # Outcomes.
