Scheduling: only recent requests leave a full line; one long deadline is forgotten

With 128 waiting the last in the order left, also one held for longer than a quarter of its objective; now the last of the recent ones does.

--- a/packages/scheduling/src/fordhatch/scheduling/_model_admission.py
+++ b/packages/scheduling/src/fordhatch/scheduling/_model_admission.py
@@ -67,6 +67,10 @@
         """Its place in the order of urgency and share; lower levels go first."""
         return request_level(self.rank, is_over_share=self.is_over_share)
 
+    def may_be_refused(self, now_s: float) -> bool:
+        """Return whether it arrived recently enough to be refused."""
+        return now_s - self.arrived_s <= REFUSAL_FRACTION * self.goal_s
+
     def pending(self, now_s: float, ahead: float, granted: float) -> PendingRequest:
         """Return what the decision needs to know.
 
@@ -133,7 +137,7 @@
         self._count += 1
         place = Place(ticket.rank, ticket.is_over_share, ticket.give_up_s, self._count)
         ticket.ahead = Counter(t.workspace for t in self.line.before(place))
-        pushed_out = self.line.add(place, ticket)
+        pushed_out = self.line.add(place, ticket, lambda t: t.may_be_refused(now_s))
         if pushed_out is None:
             return []
         return [(pushed_out, Refuse(math.inf, RefusalReason.QUEUE_FULL))]
@@ -175,7 +179,7 @@
         """
         if not (capacity.is_recent and capacity.serves):
             return True
-        if now_s - ticket.arrived_s <= REFUSAL_FRACTION * ticket.goal_s:
+        if ticket.may_be_refused(now_s):
             return True
         if ticket.give_up_s + DISCONNECT_GRACE_S <= now_s:
             return True
--- a/packages/scheduling/src/fordhatch/scheduling/_returning_callers.py
+++ b/packages/scheduling/src/fordhatch/scheduling/_returning_callers.py
@@ -17,6 +17,13 @@
 """Smallest part of a route's requests with the usual deadline. Where deadlines differ
 more than that, they say nothing about earlier attempts."""
 
+MIN_USUAL_KEPT = 0.2
+"""Below this part with the usual deadline another one is determined, so that a single
+long deadline does not stay the usual one."""
+
+FIRST_USUAL = 0.5
+"""Part with the usual deadline that is assumed before any request."""
+
 SMOOTHING = 0.02
 """Weight of the newest request in the part with the usual deadline."""
 
@@ -33,7 +40,7 @@
     usual_s: float = 0.0
     """The longest deadline seen, in seconds."""
     _samples: int = 0
-    _usual: float = 1.0
+    _usual: float = FIRST_USUAL
     """Moving average of the part with the usual deadline."""
 
     def record(self, deadline_s: float | None) -> bool:
@@ -44,9 +51,10 @@
         """
         if deadline_s is None or not 0 < deadline_s < float("inf"):
             return False
-        if deadline_s * USUAL_FRACTION > self.usual_s:
+        is_longer = deadline_s * USUAL_FRACTION > self.usual_s
+        if is_longer or self._usual < MIN_USUAL_KEPT:
             self.usual_s = deadline_s
-            self._samples, self._usual = 0, 1.0
+            self._samples, self._usual = 0, FIRST_USUAL
         is_usual = deadline_s >= USUAL_FRACTION * self.usual_s
         self._samples += 1
         self._usual += SMOOTHING * (is_usual - self._usual)
--- a/packages/scheduling/src/fordhatch/scheduling/_waiting_line.py
+++ b/packages/scheduling/src/fordhatch/scheduling/_waiting_line.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from bisect import bisect_left, insort
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Generic, TypeVar
 
 import attrs
@@ -40,17 +40,24 @@
     def __iter__(self) -> Iterator[T]:
         return iter([item for _, item in self._entries])
 
-    def add(self, place: Place, item: T) -> T | None:
-        """Add a request, and return the last one if there are too many, or None.
+    def add(
+        self, place: Place, item: T, may_leave: Callable[[T], bool] = lambda _: True
+    ) -> T | None:
+        """Add a request, and return the one that leaves if there are too many, or None.
 
         Args:
             place: Its place; different for each request.
             item: The request.
+            may_leave: Whether a request may be the one that leaves; the last of them
+                does, and of none the last of all.
         """
         insort(self._entries, (place, item), key=lambda entry: entry[0])
         if len(self._entries) <= self.limit:
             return None
-        return self._entries.pop()[1]
+        last_first = [other for _, other in reversed(self._entries)]
+        leaving = next(filter(may_leave, last_first), last_first[0])
+        self.remove(leaving)
+        return leaving
 
     def before(self, place: Place) -> list[T]:
         """Return the requests that go before a place."""
--- a/packages/scheduling/tests/test_decisions.py
+++ b/packages/scheduling/tests/test_decisions.py
@@ -172,8 +172,16 @@
 
 def test_callers_with_different_deadlines_are_not_taken_for_returning_ones() -> None:
     callers = ReturningCallers()
-    found = [callers.record(8.0 if n % 2 else 3.0) for n in range(200)]
-    assert not any(found[100:])
+    assert not any(callers.record(8.0 if n % 2 else 3.0) for n in range(200))
+
+
+def test_one_long_deadline_does_not_end_the_recognition_of_retries() -> None:
+    callers = ReturningCallers()
+    callers.record(60.0)
+    for _ in range(200):
+        callers.record(8.0)
+    assert callers.usual_s == 8.0
+    assert callers.record(6.2)
 
 
 def test_the_last_of_too_many_waiting_requests_is_pushed_out() -> None:
@@ -182,6 +190,9 @@
     assert line.add(Place(0, False, 6.0, 2), "long deadline") is None
     assert line.add(Place(0, False, 4.0, 3), "short deadline") == "less urgent"
     assert list(line) == ["short deadline", "long deadline"]
+    # One that was held too long to be refused stays.
+    leaving = line.add(Place(0, False, 5.0, 4), "newest", lambda n: n == "newest")
+    assert leaving == "newest"
 
 
 def test_callers_wait_for_the_longest_of_three_times() -> None:
