--- a/packages/scheduling/tests/test_decisions.py
+++ b/packages/scheduling/tests/test_decisions.py
@@ -53,6 +53,13 @@
     assert capacity().first_event_s(0, 0.05) == math.inf
 
 
+def test_no_request_is_sent_into_a_queue_in_which_it_would_count_as_silent() -> None:
+    # A request occupies the group for 0.4 s: the queue moves by 2.5 a second.
+    slow = ModelCapacity((GroupCapacity(17, in_flight=19),), busy_s=0.4)
+    assert slow.room(0.8) < 1.0
+    assert capacity(GroupCapacity(17, in_flight=19)).room(0.8) > 10.0
+
+
 def test_more_urgent_arrivals_make_the_others_wait_longer() -> None:
     known = capacity(
         GroupCapacity(17, in_flight=27), queued_by_level={4: 9}, arrivals_per_s={0: 8}
@@ -165,8 +172,16 @@
 
 def test_callers_with_different_deadlines_are_not_taken_for_returning_ones() -> None:
     callers = ReturningCallers()
-    found = [callers.record(8.0 if n % 2 else 3.0) for n in range(200)]
-    assert not any(found[100:])
+    assert not any(callers.record(8.0 if n % 2 else 3.0) for n in range(200))
+
+
+def test_one_long_deadline_does_not_end_the_recognition_of_retries() -> None:
+    callers = ReturningCallers()
+    callers.record(60.0)
+    for _ in range(200):
+        callers.record(8.0)
+    assert callers.usual_s == 8.0
+    assert callers.record(6.2)
 
 
 def test_the_last_of_too_many_waiting_requests_is_pushed_out() -> None:
@@ -175,6 +190,9 @@
     assert line.add(Place(0, False, 6.0, 2), "long deadline") is None
     assert line.add(Place(0, False, 4.0, 3), "short deadline") == "less urgent"
     assert list(line) == ["short deadline", "long deadline"]
+    # One that was held too long to be refused stays.
+    leaving = line.add(Place(0, False, 5.0, 4), "newest", lambda n: n == "newest")
+    assert leaving == "newest"
 
 
 def test_callers_wait_for_the_longest_of_three_times() -> None:
