--- a/packages/serving/src/fordhatch/serving/_head_choice.py
+++ b/packages/serving/src/fordhatch/serving/_head_choice.py
@@ -13,7 +13,7 @@
 from ._backend_health import TIE_BREAK_FRACTION, BackendHealth
 from ._backpressure import BackpressureTracker, Block
 from ._memory_need import NO_NEED, MemoryNeed
-from ._shared_load import SharedLoad
+from ._shared_load import SharedLoad, Totals
 from ._stall_watch import StallWatch
 
 OTHER_ZONE_COST = 2.4
@@ -76,7 +76,7 @@
         available = self._available_heads(service, model, tried)
         heads = [head for head in available if head.backend_id not in blocked]
         if self.load is not None and self.load.is_used_for(service):
-            return self._choose_by_totals(heads, need, self.load)
+            return self._choose_by_totals(heads, need, self.load.totals())
         healthy = [h for h in heads if not self._is_avoided(h)]
         candidates = healthy or heads
         if not candidates:
@@ -85,43 +85,43 @@
         return min(candidates, key=lambda head: self._cost(head, other_zone))
 
     def _choose_by_totals(
-        self, heads: list[BackendServer], need: MemoryNeed, load: SharedLoad
+        self, heads: list[BackendServer], need: MemoryNeed, totals: Totals
     ) -> BackendServer | None:
         """Return the better one of two random heads, by the load of all nodes.
 
         They are from this node's zone while one of them has a free slot, otherwise
         two heads of other zones are compared as well.
         """
-        usable = _with_room(heads, need, load)
+        usable = _with_room(heads, need, totals)
         usable = [h for h in usable if not self._is_avoided(h)] or usable
 
         def cost(head: BackendServer) -> float:
-            return self._total_cost(head, need, load)
+            return self._total_cost(head, need, totals)
 
         own_zone = [h for h in usable if h.zone == self.zone]
-        sampled = self._sample(own_zone, load)
+        sampled = self._sample(own_zone, totals)
         if any(cost(head) <= 1.0 for head in sampled):
             return min(sampled, key=cost)
-        sampled += self._sample([h for h in usable if h.zone != self.zone], load)
+        sampled += self._sample([h for h in usable if h.zone != self.zone], totals)
         return min(sampled, key=cost, default=None)
 
     def _sample(
-        self, heads: list[BackendServer], load: SharedLoad
+        self, heads: list[BackendServer], totals: Totals
     ) -> list[BackendServer]:
         """Return two random ones of the heads with the fewest requests of this node."""
-        own = [load.own_in_flight(head.backend_id) for head in heads]
+        own = [totals.own_in_flight(head.backend_id) for head in heads]
         fewest = min(own, default=0)
         heads = [h for h, count in zip(heads, own, strict=True) if count == fewest]
         return self.rng.sample(heads, min(SAMPLED_HEADS, len(heads)))
 
     def _total_cost(
-        self, head: BackendServer, need: MemoryNeed, load: SharedLoad
+        self, head: BackendServer, need: MemoryNeed, totals: Totals
     ) -> float:
         """Return the used fraction of slots or memory; above 1, requests wait."""
-        requests = 1.0 + load.total_in_flight(head.backend_id)
+        requests = 1.0 + totals.in_flight(head.backend_id)
         if head.zone != self.zone:
             requests += OTHER_ZONE_COST
-        used = need.used_fraction(load.total_tokens(head.backend_id))
+        used = need.used_fraction(totals.tokens(head.backend_id))
         slowness = self.health.slowness(head.backend_id)
         return max(requests / max(head.slots, 1), used) * slowness**2
 
@@ -160,10 +160,10 @@
 
 
 def _with_room(
-    heads: list[BackendServer], need: MemoryNeed, load: SharedLoad
+    heads: list[BackendServer], need: MemoryNeed, totals: Totals
 ) -> list[BackendServer]:
     """Return the heads whose memory has room for a request, or all if none has."""
-    used = [need.used_fraction(load.total_tokens(h.backend_id)) for h in heads]
+    used = [need.used_fraction(totals.tokens(h.backend_id)) for h in heads]
     for limit in (1.0 - MEMORY_RESERVE, 1.0):
         roomy = [h for h, part in zip(heads, used, strict=True) if part <= limit]
         if roomy:
--- a/packages/serving/src/fordhatch/serving/_shared_load.py
+++ b/packages/serving/src/fordhatch/serving/_shared_load.py
@@ -48,6 +48,34 @@
     tokens: int = 0
 
 
+_NO_LOAD = BackendLoad()
+
+
+@attrs.frozen
+class Totals:
+    """Requests of this node now, and of the other nodes by their last totals.
+
+    Valid until the next step of the event loop.
+    """
+
+    _own: Mapping[str, BackendLoad]
+    _others: Mapping[int, BackendLoad]
+
+    def own_in_flight(self, backend_id: str) -> int:
+        """Return this node's requests in flight at a backend server."""
+        return self._own.get(backend_id, _NO_LOAD).requests
+
+    def in_flight(self, backend_id: str) -> int:
+        """Return the requests in flight at a backend server."""
+        others = self._others.get(load_key(backend_id), _NO_LOAD)
+        return self._own.get(backend_id, _NO_LOAD).requests + others.requests
+
+    def tokens(self, backend_id: str) -> int:
+        """Return the tokens of the requests in flight at a backend server."""
+        others = self._others.get(load_key(backend_id), _NO_LOAD)
+        return self._own.get(backend_id, _NO_LOAD).tokens + others.tokens
+
+
 @attrs.define(eq=False, repr=False)
 class SharedLoad:
     """This node's requests in flight, and the other nodes' totals with their age.
@@ -112,11 +140,6 @@
             if load.requests == 0:
                 del self._own[backend_id]
 
-    def own_in_flight(self, backend_id: str) -> int:
-        """Return this node's requests in flight at a backend server."""
-        own = self._own.get(backend_id)
-        return own.requests if own is not None else 0
-
     def has_own(self) -> bool:
         """Return whether any request of this node is counted."""
         return bool(self._own)
@@ -177,29 +200,23 @@
         """Return whether requests of a service are balanced by the totals now."""
         return self.is_recent() and self.is_shared(service)
 
+    def totals(self) -> Totals:
+        """Return the totals now; without recent ones, this node's own requests."""
+        return Totals(self._own, self._others if self.is_recent() else {})
+
     def total_in_flight(self, backend_id: str) -> float:
         """Return the requests in flight at a backend server, of all nodes.
 
         Without recent totals these are only this node's own.
         """
-        own = self._own.get(backend_id)
-        others = self._others.get(load_key(backend_id)) if self.is_recent() else None
-        return float(
-            (own.requests if own is not None else 0)
-            + (others.requests if others is not None else 0)
-        )
+        return float(self.totals().in_flight(backend_id))
 
     def total_tokens(self, backend_id: str) -> float:
         """Return the tokens of the requests in flight at a backend server.
 
         Without recent totals these are only the tokens of this node's own requests.
         """
-        own = self._own.get(backend_id)
-        others = self._others.get(load_key(backend_id)) if self.is_recent() else None
-        return float(
-            (own.tokens if own is not None else 0)
-            + (others.tokens if others is not None else 0)
-        )
+        return float(self.totals().tokens(backend_id))
 
     def mean_in_flight(self, backend_id: str) -> float:
         """Return the recent mean of the requests in flight of all nodes.
--- a/standins/src/fordhatch_lab/_load_trial.py
+++ b/standins/src/fordhatch_lab/_load_trial.py
@@ -26,7 +26,7 @@
 from fordhatch.serving._load_book import LoadBook
 from fordhatch.serving._memory_need import MemoryNeed
 from fordhatch.serving._permit_issuer import PermitIssuer
-from fordhatch.serving._shared_load import SharedLoad
+from fordhatch.serving._shared_load import SharedLoad, Totals
 
 REPORT_INTERVAL_S = 0.2
 LINK_LATENCY_S = 0.0005
@@ -74,19 +74,19 @@
     """Chooses the head with the lowest total of all."""
 
     def _choose_by_totals(
-        self, heads: list[BackendServer], need: MemoryNeed, load: SharedLoad
+        self, heads: list[BackendServer], need: MemoryNeed, totals: Totals
     ) -> BackendServer | None:
-        return min(heads, key=lambda head: self._total_cost(head, need, load))
+        return min(heads, key=lambda head: self._total_cost(head, need, totals))
 
 
 class TwoOfAll(HeadChoice):
     """Chooses the better one of two random heads of all zones."""
 
     def _choose_by_totals(
-        self, heads: list[BackendServer], need: MemoryNeed, load: SharedLoad
+        self, heads: list[BackendServer], need: MemoryNeed, totals: Totals
     ) -> BackendServer | None:
         sampled = self.rng.sample(heads, 2)
-        return min(sampled, key=lambda head: self._total_cost(head, need, load))
+        return min(sampled, key=lambda head: self._total_cost(head, need, totals))
 
 
 class PlainChoice(PlainCalls):
--- a/standins/tests/test_load_reports.py
+++ b/standins/tests/test_load_reports.py
@@ -33,7 +33,9 @@
             await asyncio.sleep(0.2)
             loads = [one.node.path.load for one in site.nodes]
             heads = {b for one in loads for b in one._own}
-            in_flight = sum(one.own_in_flight(b) for one in loads for b in heads)
+            in_flight = sum(
+                one.totals().own_in_flight(b) for one in loads for b in heads
+            )
             for one in loads:
                 if one.has_own() and one.is_recent():
                     known = sum(one.total_in_flight(b) for b in heads)
