--- a/packages/protocol/tests/test_protocol.py
+++ b/packages/protocol/tests/test_protocol.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 from loopback_proxy import LoopbackProxy
 
-from fordhatch.core import Ran, ResultCode, Timer
+from fordhatch.core import Ran, ResultCode, Timer, metrics
 from fordhatch.protocol import (
     FrameError,
     Link,
@@ -238,6 +238,35 @@
     await server.close()
 
 
+async def test_a_malformed_load_report_is_refused_logged_and_counted(
+    monkeypatch,
+) -> None:
+    """A node that reports nonsense must not change what the collector tells others."""
+    seen, logged = [], []
+    monkeypatch.setattr(
+        "fordhatch.protocol._link.log_event",
+        lambda event, **f: logged.append((event, f)),
+    )
+    before = metrics.FRAMES_REFUSED.labels("stream")._value.get()
+
+    async def answer(message, channel) -> None:
+        seen.append(message)
+        await channel.send(LoadTotals(True, True, 0.1, []))
+
+    server, client, address = await pools(handler=answer)
+    report = LoadReport([7, 1, 1])
+    assert (await client.request(address, report, 5.0)).is_ok()
+    object.__setattr__(report, "loads", [7, -1, 1])
+    assert (await client.request(address, report, 5.0)).is_err()
+    assert len(seen) == 1
+    ((event, fields),) = logged
+    assert (event, fields["peer"]) == ("frame_refused", "client")
+    assert fields["code"] == "FRAME_INVALID"
+    assert metrics.FRAMES_REFUSED.labels("stream")._value.get() == before + 1
+    await client.close()
+    await server.close()
+
+
 async def test_closing_a_channel_cancels_its_handler() -> None:
     cancelled = asyncio.Event()
 
--- a/standins/src/fordhatch_lab/main.py
+++ b/standins/src/fordhatch_lab/main.py
@@ -13,6 +13,7 @@
 from ._experiment import Experiment
 from ._limit_trial import LimitPlay, LimitTrial, play_limit
 from ._limit_ways import STRATEGIES
+from ._load_report import load_tables
 from ._measures import Measures
 from ._outage_run import OUTAGE_TABLE_HEAD, outage_row
 from ._run import run_experiment
@@ -233,6 +234,21 @@
         plot_limit(first_runs, plot)
 
 
+@app.command
+def loads(*, seeds: int = 2, duration_s: float = 30.0) -> None:
+    """Compare ways to choose groups and plain servers by the load of all nodes.
+
+    Parameters
+    ----------
+    seeds
+        Number of seeds of each trial.
+    duration_s
+        Virtual seconds of each trial.
+    """
+    for line in load_tables(seeds, duration_s):
+        print(line, flush=True)
+
+
 @app.command
 def returns(
     nodes: list[int] | None = None,
