A collector that alone reports does not take the other nodes for idle

A collector that was cut off, suspended or has restarted would have used totals of its own requests only, while the others report to the next in rank. It uses none. Tests: that collector for 4 s without a link, and requests counted over real connections with the caller's length hint.

--- a/packages/node/src/fordhatch/node/_load_gossip.py
+++ b/packages/node/src/fordhatch/node/_load_gossip.py
@@ -103,8 +103,9 @@
     def _collect_own(self, report: Mapping[int, BackendLoad]) -> None:
         now_s = self.timer.now_s()
         self._book.record(self.node_name, report, now_s)
-        if self.collectors.has_failures and self._book.count() == 1:
-            # This node is cut off from all others, whose load it does not know.
+        if self._book.count() == 1 and len(self.view.shared.nodes) > 1:
+            # The others are idle, or report to another collector because this node was
+            # suspended, has restarted or is cut off; their load is not known.
             return
         if self._book.is_complete(now_s):
             totals = self._book.totals_without(self.node_name)
--- a/packages/node/tests/test_load_gossip.py
+++ b/packages/node/tests/test_load_gossip.py
@@ -162,6 +162,25 @@
     played(steps)
 
 
+def test_a_first_collector_that_is_cut_off_does_not_take_the_others_for_idle() -> None:
+    async def steps(site: Site) -> None:
+        first, *others = in_rank(site)
+        for name in "abcdef":
+            site.hold(name)
+        await asyncio.sleep(1.0)
+        site.network.cut = lambda a, b: address(first).address in {a, b}
+        await asyncio.sleep(2.0)
+        for _ in range(20):
+            await asyncio.sleep(0.1)
+            assert not site.gossips[first].load.is_used_for("llm")
+            assert {site.total(name) for name in others} == {5.0}
+        site.network.cut = lambda a, b: False
+        await asyncio.sleep(3.5)
+        assert {site.total(name) for name in "abcdef"} == {6.0}
+
+    played(steps)
+
+
 def test_lost_reports_leave_the_last_totals_in_use() -> None:
     async def steps(site: Site) -> None:
         first, _, node, *_ = in_rank(site)
--- a/packages/serving/src/fordhatch/serving/_collector_choice.py
+++ b/packages/serving/src/fordhatch/serving/_collector_choice.py
@@ -72,11 +72,6 @@
     def _first(self) -> str | None:
         return next((name for name in self._ranked if name not in self._failed), None)
 
-    @property
-    def has_failures(self) -> bool:
-        """Whether any better collector did not reply."""
-        return bool(self._failed)
-
     def record_failure(self, name: str, now_s: float) -> None:
         """Record that a collector did not reply; the next in rank takes over."""
         self._failed.add(name)
--- a/packages/serving/tests/test_load_of_all_nodes.py
+++ b/packages/serving/tests/test_load_of_all_nodes.py
@@ -7,10 +7,13 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 import attrs
 import pytest
+from serving_site import configuration, route
 
+from fordhatch.adapter import CONFIGURATION_KEY, OPERATOR_TABLE
 from fordhatch.catalog import CallFields, EngineProfile
 from fordhatch.core import Timer
 from fordhatch.registry import BackendDirectory
@@ -20,6 +23,7 @@
 from fordhatch.serving._shared_load import BackendLoad, SharedLoad, load_key
 from fordhatch_lab import LoadTrial, play_load, run_in_virtual_time
 from fordhatch_lab._load_trial import FixedHeads, ManualClock, NoStalls, _entry
+from fordhatch_standins import http_answer
 
 TRIAL = LoadTrial(duration_s=8.0)
 PLAIN = LoadTrial(
@@ -167,3 +171,38 @@
         return [*found, load.total_in_flight(NEAR_A), len(load.report())]
 
     assert run_in_virtual_time(count()) == [1.0, 30.0, 0.0, 0.0, 0]
+
+
+async def test_requests_are_counted_while_they_are_at_a_backend_server(site) -> None:
+    """Only of services with urgency classes, and with the caller's length hint."""
+    load = site.callers.dispatch.plain.load
+    seen: list[tuple[float, float]] = []
+
+    def counts(name: str, answer: Callable) -> Callable:
+        async def script(request: object, writer: object) -> None:
+            seen.append((load.total_in_flight(name), load.total_tokens(name)))
+            await answer(request, writer)
+
+        return script
+
+    async def answers(request: object, writer: object) -> None:
+        writer.write(http_answer(request, b"id: 1\ndata: t\n\n"))
+
+    await site.add_backend(counts("i-a", answers), backend_id="i-a")
+    await site.add_backend(counts("i-g", answers), backend_id="i-g", group="small.1")
+    assert (await site.ask("/get/1")).status == 200
+    assert (await site.ask("/stream/1")).status == 200
+    assert seen == [(0.0, 0.0)] * 2
+    routes = [
+        route("/get/", "idempotent", "app", priority=1),
+        route("/once/", "idempotent", "app", priority=2),
+        route("/stream/", "streaming", "llm"),
+        route("/single/", "streaming", "llm", priority=3),
+    ]
+    site.model.put(OPERATOR_TABLE, CONFIGURATION_KEY, configuration(2, routes=routes))
+    await site.until(lambda: site.view.configuration.version == 2)
+    await site.ask("/get/1")
+    await site.ask("/stream/1", **{"X-Length-Hint": "20"})
+    await site.ask("/stream/1", **{"X-Length-Hint": "90"})
+    assert seen[2:] == [(1.0, 0.0), (1.0, 120.0), (1.0, 150.0)]
+    assert not load.has_own()
