Planner: groups during a rolling release

A group was dissolved as soon as one member drained and a spare was there, and a formation with a draining member waited until that member had left. During a release of 6 servers a second, most engines were in formations.

While two software versions are listed and the older one drains, groups now serve until the member leaves, formations that are hit are given up at once, and members that stay are preferred where they join as quickly.

--- a/packages/catalog/src/fordhatch/catalog/_backends.py
+++ b/packages/catalog/src/fordhatch/catalog/_backends.py
@@ -80,6 +80,8 @@
     membership: GroupMembership | None = None
     born_ms: int = 0
     """Unix milliseconds of its start; 0 if the platform does not report it."""
+    version: str = ""
+    """Version of its software; empty if unknown."""
 
     @property
     def registered_id(self) -> str:
--- a/packages/placement/src/fordhatch/placement/__init__.py
+++ b/packages/placement/src/fordhatch/placement/__init__.py
@@ -10,6 +10,7 @@
 from ._lost_groups import LostGroups
 from ._planner import Planner
 from ._planner_lease import LeaseHolderStatus, PlannerLease
+from ._release import Release, ReleaseDetector
 from ._staging import Staging
 
 __all__ = [
@@ -22,6 +23,8 @@
     "LostGroups",
     "Planner",
     "PlannerLease",
+    "Release",
+    "ReleaseDetector",
     "Staging",
     "choose_conversion",
     "choose_group",
--- a/packages/placement/src/fordhatch/placement/_group_supervisor.py
+++ b/packages/placement/src/fordhatch/placement/_group_supervisor.py
@@ -7,12 +7,13 @@
 import attrs
 
 from fordhatch.adapter import RowKey, StoreClient
-from fordhatch.catalog import BackendServer, BackendState, MemberState, ModelProfile
+from fordhatch.catalog import BackendServer, MemberState, ModelProfile
 from fordhatch.core import TaskSet, Timer, log_event
 from fordhatch.registry import SHARED_TABLE, ReplicaGroup, StoreView, suspicion_key
 
 from ._crash_loops import CrashLoops
 from ._dissolutions import Dissolutions
+from ._draining import DrainPolicy
 from ._formations import LOAD_SLACK_FACTOR, Formations
 from ._group_status import GroupCondition, GroupStatus, assess_group
 from ._layout import Layout
@@ -51,6 +52,7 @@
     formations: Formations
     dissolutions: Dissolutions
     crash_loops: CrashLoops
+    draining: DrainPolicy
     lost_groups: LostGroups = attrs.field(factory=LostGroups)
     _known_members: dict[Key, dict[int, BackendServer]] = attrs.field(factory=dict)
     _restarted: set[Key] = attrs.field(factory=set)
@@ -95,6 +97,8 @@
             case GroupCondition.INCOMPLETE:
                 return self._advance_incomplete(group, status)
             case GroupCondition.FORMING:
+                if self.draining.loses_member(layout, group):
+                    return self._release_formation(group)
                 return self._advance_forming(group, status, model)
             case GroupCondition.CLOSING:
                 return self._may_complete(group.key)
@@ -119,17 +123,10 @@
     def _advance_draining(
         self, layout: Layout, group: ReplicaGroup, model: ModelProfile
     ) -> bool:
-        """Replace a group with a draining member as late as is possible without cost.
-
-        A draining head receives no requests. Any other draining member stays while
-        the group has work, so the group keeps serving until free backend servers can
-        replace the draining ones without a load, or until the member has left.
-        """
-        leaving = [
-            m for m in group.members.values() if m.state is BackendState.DRAINING
-        ]
-        head_leaves = any(m.is_head for m in leaving)
-        if not head_leaves and self._count_spares(layout, group, model) < len(leaving):
+        """Replace a group with a draining member as late as is possible."""
+        if self.draining.loses_member(layout, group):
+            return self._release_formation(group)
+        if not self.draining.gives_up(layout, group, model):
             return True
         if group.head.membership.state is MemberState.READY:
             # It was never opened: its members can be released at once.
@@ -138,20 +135,11 @@
             self.dissolve(group, "member drains", finishes_work=True)
         return False
 
-    def _count_spares(
-        self, layout: Layout, group: ReplicaGroup, model: ModelProfile
-    ) -> int:
-        """Return how many free backend servers can join without a load."""
-        domain = group.head.domain
-        reserved = self.formations.member_ids()
-        return sum(
-            b.domain == domain
-            and b.membership is None
-            and b.state is BackendState.READY
-            and b.backend_id not in reserved
-            and not layout.must_load(b, model)
-            for b in self.view.directory.index.of_service(group.head.service)
-        )
+    def _release_formation(self, group: ReplicaGroup) -> bool:
+        """Give up a formation that a release hits; it isn't a failure of the model."""
+        self.formations.active.pop(group.key, None)
+        self.dissolve(group, "member drains")
+        return False
 
     def _record_members(self, group: ReplicaGroup) -> None:
         known = self._known_members.get(group.key)
--- a/packages/placement/src/fordhatch/placement/_layout.py
+++ b/packages/placement/src/fordhatch/placement/_layout.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Collection, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 
 import attrs
 
@@ -11,6 +11,7 @@
 
 from ._demand_book import declared_busy_groups
 from ._group_need import group_need
+from ._release import Release
 
 REJOIN_S = 0.2
 """Time in which a backend server joins a group of the model that it last served."""
@@ -66,6 +67,8 @@
     are known."""
     missing: Counter[str] = attrs.field(factory=Counter)
     """Average number of missing groups of each model after losses of members."""
+    release: Release | None = None
+    """The rolling release that is in progress, if any."""
     _declared: Mapping[str, float] = attrs.field(factory=dict, init=False)
     _need_cache: dict[tuple[str, int], float] = attrs.field(factory=dict, init=False)
     """Cache of ``need`` by model and number of groups; a step of the planner requests
@@ -300,6 +303,27 @@
     return lacking
 
 
+def _staying_members(
+    layout: Layout,
+    model: ModelProfile,
+    backends: list[BackendServer],
+    ready_in_s: float,
+    order: Callable[[BackendServer], tuple[float, float, str]],
+) -> tuple[BackendServer, ...]:
+    """Return members for a group that a release replaces as few of as possible.
+
+    The group isn't ready later for it: only backend servers that join within
+    ``ready_in_s`` are preferred. One that stays is the head, since a group serves
+    until its draining member leaves unless that is its head.
+    """
+
+    def staying_first(backend: BackendServer) -> tuple[bool, bool, object]:
+        is_late = layout.join_time_s(backend, model) > ready_in_s
+        return is_late, layout.release.will_replace(backend), order(backend)
+
+    return tuple(sorted(backends, key=staying_first)[: model.size])
+
+
 def _plan(
     layout: Layout, model: ModelProfile, backends: list[BackendServer]
 ) -> GroupPlan | None:
@@ -312,5 +336,7 @@
 
     members = tuple(sorted(backends, key=order)[: model.size])
     ready_in_s = max(layout.join_time_s(b, model) for b in members)
+    if layout.release is not None:
+        members = _staying_members(layout, model, backends, ready_in_s, order)
     loads = sum(layout.must_load(b, model) for b in members)
     return GroupPlan(model, members, ready_in_s, loads)
--- a/packages/placement/src/fordhatch/placement/_planner.py
+++ b/packages/placement/src/fordhatch/placement/_planner.py
@@ -23,6 +23,7 @@
 from ._crash_record_cleaner import CrashRecordCleaner
 from ._demand_book import DemandEstimator
 from ._dissolutions import Dissolutions
+from ._draining import DrainPolicy
 from ._first_start import FirstStart
 from ._formations import Formations
 from ._group_builder import GroupBuilder
@@ -34,6 +35,7 @@
 from ._order_sender import OrderSender
 from ._planner_lease import PlannerLease
 from ._planner_report import PlannerReport, PlannerState
+from ._release import Release, ReleaseDetector
 from ._slow_backends import SlowBackends
 from ._staging import Staging
 
@@ -85,6 +87,8 @@
     builder: GroupBuilder = attrs.field(init=False)
     last_model: dict[str, str] = attrs.field(factory=dict)
     """Model of each backend server's last group."""
+    _releases: dict[str, ReleaseDetector] = attrs.field(factory=dict)
+    """Detectors of rolling releases by service."""
     _is_leading: bool = False
     _issued_epochs: int = 0
     _epoch_base: int = 0
@@ -117,7 +121,14 @@
         )
         crash_loops = CrashLoops(timer)
         supervisor = GroupSupervisor(
-            view, store, timer, losses, formations, dissolutions, crash_loops
+            view,
+            store,
+            timer,
+            losses,
+            formations,
+            dissolutions,
+            crash_loops,
+            DrainPolicy(directory, formations),
         )
         planner = cls(
             view,
@@ -182,6 +193,7 @@
         self.order_sender.forget()
         self.staging.forget()
         self.supervisor.forget()
+        self._releases.clear()
         self.crash_loops.forget()
         self.demand.forget()
         self.report.forget()
@@ -231,6 +243,7 @@
             service.engine, self.last_model, self.crash_loops.paused_models()
         )
         layout.count_backends(self._usable(service))
+        layout.release = self._release_of(service)
         layout.missing = self.supervisor.lost_groups.missing_beyond_one_loss()
         layout.busy_groups = self.demand.busy_groups(
             service.name, service.engine, layout.backends
@@ -285,6 +298,14 @@
             self.staging.step(layout, free, grouped, are_loads_free=first)
         self.report.report_state(layout, free, self._state(service))
 
+    def _release_of(self, service: Service) -> Release | None:
+        """Return the rolling release of a service that is in progress, if any."""
+        detector = self._releases.setdefault(service.name, ReleaseDetector())
+        listed = self.view.directory.index.of_service(service.name)
+        release = detector.step(listed, self.timer.now_s())
+        self.report.report_release(service.name, release)
+        return release
+
     def _state(self, service: Service) -> PlannerState:
         """Return what the planner knows of a service, for its report."""
         return PlannerState(
--- a/packages/placement/src/fordhatch/placement/_planner_report.py
+++ b/packages/placement/src/fordhatch/placement/_planner_report.py
@@ -11,6 +11,7 @@
 from fordhatch.core import Timer, log_event, metrics
 
 from ._layout import Layout, by_domain
+from ._release import Release
 
 REPORT_INTERVAL_S = 2.0
 """Time between reports of the planner's state: losses and formations take seconds."""
@@ -44,6 +45,8 @@
     """When the next step is due."""
     _reported_s: dict[str, float] = attrs.field(factory=dict)
     """Time of the last report of each service."""
+    _releases: dict[str, Release] = attrs.field(factory=dict)
+    """Releases in progress that have been logged, by service."""
 
     def begin_step(self) -> None:
         """Record that a step begins; a late one shows that this node is overloaded."""
@@ -61,6 +64,24 @@
         """Discard the times of this node's steps, as it plans no more."""
         self._lag_s, self._due_s = 0.0, math.inf
         self._reported_s.clear()
+        self._releases.clear()
+
+    def report_release(self, service: str, release: Release | None) -> None:
+        """Log the beginning and the end of a rolling release.
+
+        Args:
+            service: The service.
+            release: The release that is in progress, or None.
+        """
+        known = self._releases.get(service)
+        if release == known:
+            return
+        if release is None:
+            del self._releases[service]
+            log_event("release_over", service=service, version=known.newest_version)
+            return
+        self._releases[service] = release
+        log_event("release_seen", service=service, version=release.newest_version)
 
     def report_demand(self, service: str, layout: Layout, *, is_changed: bool) -> None:
         """Report the demand for each model and its groups.
--- a/standins/src/fordhatch_lab/_experiment.py
+++ b/standins/src/fordhatch_lab/_experiment.py
@@ -76,6 +76,16 @@
     """When all engines of one fabric domain crash; 0 for never."""
     planner_dies_at_s: float = 0.0
     """When the node that holds the planner's lease crashes; 0 for never."""
+    release_fraction: float = 0.0
+    """Fraction of the engines that a rolling release replaces; 0 for no release."""
+    release_at_s: float = 5.0
+    """When the release begins."""
+    release_batch: int = 6
+    """Engines that begin to drain each second of a release."""
+    keeps_weights: bool = True
+    """Whether the hosts of replaced engines keep their staged weights."""
+    late_orders: float = 0.0
+    """Fraction of the orders that are carried out seconds late, unanswered."""
     outage: StoreOutage | None = None
     """Simulated outage of the store; None for none."""
     is_revocation_strict: bool = True
--- a/standins/src/fordhatch_lab/_lab_site.py
+++ b/standins/src/fordhatch_lab/_lab_site.py
@@ -74,6 +74,7 @@
         fleet = EngineFleet(
             store, experiment.model_times(), rng, loads_per_s=4.0 * scale
         )
+        fleet.tells_starts = experiment.release_fraction > 0.0
         return cls(
             experiment, rng, store, Backends(store, fleet, experiment.pace(), rng)
         )
--- a/standins/src/fordhatch_lab/_run.py
+++ b/standins/src/fordhatch_lab/_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 from collections.abc import Coroutine
 from typing import Any, TypeVar
@@ -10,7 +11,7 @@
 import attrs
 
 from fordhatch.core import TaskSet
-from fordhatch_standins import VirtualLoop
+from fordhatch_standins import EngineModel, VirtualLoop
 
 from ._experiment import Experiment
 from ._lab_load import LabLoad
@@ -27,6 +28,12 @@
 the former number of groups is never reached again."""
 
 
+RELEASE_STEP_S = 1.0
+"""Time between the steps of a rolling release."""
+
+RELEASE_DRAIN_S = 2.0
+"""Time for which an engine drains before a release restarts it."""
+
 T = TypeVar("T")
 
 
@@ -66,6 +73,7 @@
         await site.start()
         await asyncio.sleep(experiment.warm_up_s)
         site.backends.fleet.is_counting_loads = True
+        site.backends.fleet.faults.late_share = experiment.late_orders
         calls = site.store_calls()
         messages, sent = site.network.messages, site.network.payload_bytes
         load = LabLoad(site, site.rng)
@@ -94,6 +102,8 @@
             tasks.append(self._kill_members(experiment.loss_every_s))
         if experiment.empty_every_s:
             tasks.append(self._add_engines(experiment.empty_every_s))
+        if experiment.release_fraction:
+            tasks.append(self._roll_release())
         if experiment.dark_domain_at_s:
             tasks.append(self._kill_domain(experiment.dark_domain_at_s))
         if experiment.outage is not None:
@@ -139,6 +149,31 @@
             await asyncio.sleep(rng.uniform(0.5, 1.5) * mean_s)
             self.site.add_engine(rng.randrange(self.experiment.domains))
 
+    async def _roll_release(self) -> None:
+        """Drain and restart engines with a newer version, a few each second."""
+        experiment, fleet = self.experiment, self.site.backends.fleet
+        await asyncio.sleep(experiment.release_at_s)
+        # The order of a release doesn't depend on the faults of the run.
+        rng = random.Random(f"release-{experiment.seed}")
+        old = [e for e in fleet.engines.values() if not e.is_dead]
+        chosen = rng.sample(old, int(experiment.release_fraction * len(old)))
+        fleet.version = "v2"
+        loop = asyncio.get_running_loop()
+        while chosen:
+            for engine in chosen[: experiment.release_batch]:
+                if not engine.is_dead:
+                    fleet.drain(engine)
+                    loop.call_later(RELEASE_DRAIN_S, self._replace, engine)
+            del chosen[: experiment.release_batch]
+            await asyncio.sleep(RELEASE_STEP_S)
+
+    def _replace(self, engine: EngineModel) -> None:
+        if engine.is_dead:
+            return
+        if not self.experiment.keeps_weights:
+            engine.staged.clear()
+        self.site.backends.restart_engine(engine)
+
     async def _run_outage(self, outage: StoreOutage) -> None:
         self.measures.outages.append(await run_outage(self.site, outage))
 
--- a/standins/src/fordhatch_standins/_engine_fleet.py
+++ b/standins/src/fordhatch_standins/_engine_fleet.py
@@ -61,6 +61,8 @@
     """The service under which engines register."""
     checks_fencing: bool = False
     """Whether engines refuse orders with an old fencing token."""
+    version: str = "v1"
+    """Software version of the engines that start from now on."""
     tells_starts: bool = False
     """Whether engines report their start time and may restart under their id."""
     began_s: dict[str, float] = attrs.field(factory=dict)
@@ -100,6 +102,7 @@
             service=self.service,
             checks_fencing=self.checks_fencing,
             born_ms=FIRST_START_MS + self._created_count if self.tells_starts else 0,
+            version=self.version,
         )
         self.engines[name] = engine
         self.refusing.discard(engine.address)
@@ -168,6 +171,7 @@
             staged=list(engine.staged),
             born_ms=engine.born_ms + self._restart_count * MS_PER_RESTART,
             ready_before=engine.ready_before | engine.ready_as,
+            version=self.version,
         )
         self.engines[engine.backend_id] = started
         self._publish(started)
--- a/standins/src/fordhatch_standins/_engine_model.py
+++ b/standins/src/fordhatch_standins/_engine_model.py
@@ -74,6 +74,8 @@
     """Start time in Unix milliseconds; 0 if the engine does not report it."""
     ready_before: set[tuple[str, int, tuple[str, ...]]] = attrs.field(factory=set)
     """Values of ``ready_as`` from earlier starts under the same id."""
+    version: str = "v1"
+    """Version of the engine's software."""
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def entry(self) -> bytes:
@@ -82,6 +84,7 @@
             self.service,
             self.address,
             zone=self.zone,
+            version=self.version,
             state=self.state,
             domain=self.domain,
             staged=list(self.staged),
--- a/tests/adapter/test_backend_entries.py
+++ b/tests/adapter/test_backend_entries.py
@@ -94,6 +94,7 @@
     found = decode_backend("i-1", entry_with())
     assert found.registered_id == "i-1"
     assert found.born_ms == 1_760_000_000_123
+    assert found.version == "v1"
     assert found.backend_id != "i-1"
     assert found.membership.key == ("m.5", 5)
     assert found.membership.state is MemberState.OPEN
