--- a/packages/catalog/src/fordhatch/catalog/_backends.py
+++ b/packages/catalog/src/fordhatch/catalog/_backends.py
@@ -84,6 +84,8 @@
     """Remaining time for which it is cold, when its entry was written, in seconds; None
     if the entry's value is malformed. Not compared: it decreases with each rewritten
     entry, and the backend server is otherwise unchanged."""
+    version: str = ""
+    """Version of its software; empty if unknown."""
 
     @property
     def registered_id(self) -> str:
--- a/standins/src/fordhatch_lab/_experiment.py
+++ b/standins/src/fordhatch_lab/_experiment.py
@@ -84,6 +84,16 @@
     """Requests a second that a cold engine tolerates; 0 for any number."""
     is_cold_configured: bool = True
     """Whether the configuration tells the nodes of cold engines."""
+    release_fraction: float = 0.0
+    """Fraction of the engines that a rolling release replaces; 0 for no release."""
+    release_at_s: float = 5.0
+    """When the release begins."""
+    release_batch: int = 6
+    """Engines that begin to drain each second of a release."""
+    keeps_weights: bool = True
+    """Whether the hosts of replaced engines keep their staged weights."""
+    late_orders: float = 0.0
+    """Fraction of the orders that are carried out seconds late, unanswered."""
     outage: StoreOutage | None = None
     """Simulated outage of the store; None for none."""
     is_revocation_strict: bool = True
--- a/standins/src/fordhatch_lab/_lab_site.py
+++ b/standins/src/fordhatch_lab/_lab_site.py
@@ -79,6 +79,7 @@
             loads_per_s=4.0 * scale,
             cold_s=experiment.cold_s,
         )
+        fleet.tells_starts = experiment.release_fraction > 0.0
         cold = ColdStarts(experiment.cold_per_s)
         backends = Backends(store, fleet, experiment.pace(), rng, cold=cold)
         return cls(experiment, rng, store, backends)
--- a/standins/src/fordhatch_standins/_engine_model.py
+++ b/standins/src/fordhatch_standins/_engine_model.py
@@ -79,6 +79,8 @@
     """When the engine becomes warm, on the event loop's clock."""
     tells_cold: bool = True
     """Whether the entry reports the coldness."""
+    version: str = "v1"
+    """Version of the engine's software."""
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def cold_left_s(self) -> float:
@@ -91,6 +93,7 @@
             self.service,
             self.address,
             zone=self.zone,
+            version=self.version,
             state=self.state,
             domain=self.domain,
             staged=list(self.staged),
