Streams and epochs have modules of their own

Change: Stream moves to serving/_stream.py, the epochs of formations to placement/_epoch_source.py; no logic changed. Measured: tests of the planner, of streams and of the repository green.

--- a/packages/placement/src/fordhatch/placement/_planner.py
+++ b/packages/placement/src/fordhatch/placement/_planner.py
@@ -24,6 +24,7 @@
 from ._demand_book import DemandEstimator
 from ._dissolutions import Dissolutions
 from ._draining import DrainPolicy
+from ._epoch_source import EpochSource
 from ._evacuated_groups import EvacuatedGroups
 from ._first_start import FirstStart
 from ._formations import Formations
@@ -51,9 +52,6 @@
 """Time over which the planner's node batches changes of backend servers. Every stage
 of a formation waits this long."""
 
-EPOCHS_PER_RENEWAL = 1000
-"""Number of epochs that can be derived from one version of the lease row."""
-
 MAX_REMEMBERED_BACKENDS = 1000
 """Maximum number of unlisted backend servers whose last model is remembered. A backend
 server that is listed again rejoins a group of that model in 0.2 s. Above the maximum,
@@ -92,8 +90,6 @@
     _releases: dict[str, ReleaseDetector] = attrs.field(factory=dict)
     """Detectors of rolling releases by service."""
     _is_leading: bool = False
-    _issued_epochs: int = 0
-    _epoch_base: int = 0
     _next_slow_step_s: float = -math.inf
     """When conversions and loads are checked next."""
 
@@ -160,7 +156,7 @@
             dissolutions,
             planner.evacuated,
             timer,
-            planner.next_epoch,
+            EpochSource(lease).next_epoch,
         )
         directory.subscribe_changes(planner._record_model)
         directory.subscribe_removals(planner._handle_termination)
@@ -370,14 +366,6 @@
             and b.backend_id not in useless
         ]
 
-    def next_epoch(self) -> int:
-        """Return an epoch that is higher than every epoch used before."""
-        if self.lease.epoch_base != self._epoch_base:
-            self._epoch_base = self.lease.epoch_base
-            self._issued_epochs = 0
-        self._issued_epochs += 1
-        return self._epoch_base * EPOCHS_PER_RENEWAL + self._issued_epochs
-
     def _prune_state(self) -> None:
         """Forget groups and backend servers that are no longer relevant."""
         directory = self.view.directory
--- /dev/null
+++ b/packages/serving/src/fordhatch/serving/_stream.py
@@ -0,0 +1,39 @@
+"""A caller's stream across all of its runs."""
+
+from __future__ import annotations
+
+import attrs
+
+from fordhatch.catalog import EngineProfile
+
+from ._events import EventOrder
+from ._exchange import SendFailure
+from ._memory_need import MemoryNeed
+from ._request import Reply, ServedRequest
+
+
+@attrs.define(eq=False, repr=False)
+class Stream:
+    """One caller's stream across all of its runs."""
+
+    request: ServedRequest
+    reply: Reply
+    order: EventOrder
+    profile: EngineProfile
+    tried: list[str] = attrs.field(factory=list)
+    """Heads that the request was sent to, in order."""
+    last_problem: SendFailure | None = None
+    events: int = 0
+    """Number of events forwarded so far."""
+    is_hold_logged: bool = False
+    """Whether the log tells that it waits for a blocked head."""
+
+    @property
+    def model(self) -> str:
+        """The requested model."""
+        return self.request.fields.model
+
+    @property
+    def need(self) -> MemoryNeed:
+        """Memory that the request needs at a group."""
+        return MemoryNeed.from_request(self.request.fields, self.profile)
--- a/packages/serving/src/fordhatch/serving/_stream_call.py
+++ b/packages/serving/src/fordhatch/serving/_stream_call.py
@@ -27,7 +27,8 @@
 from ._permits import Permits
 from ._request import Reply, ServedRequest
 from ._retry_budget import RetryBudget
-from ._stream_run import Stream, StreamRuns
+from ._stream import Stream
+from ._stream_run import StreamRuns
 
 MAX_SENDS = 6
 """Maximum attempts per request, including refusals and failed connections."""
--- a/packages/serving/src/fordhatch/serving/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/_stream_run.py
@@ -9,14 +9,14 @@
 from result import Err, Ok, Result
 
 from fordhatch.adapter import answer_headers
-from fordhatch.catalog import BackendServer, EngineProfile
+from fordhatch.catalog import BackendServer
 from fordhatch.core import Timer, log_event, metrics
 from fordhatch.registry import BackendDirectory, RunStage
 
 from ._backend_health import BackendHealth
 from ._backpressure import BackpressureTracker
 from ._crash_watch import CrashWatch
-from ._events import EventOrder, EventSplitter, StreamError
+from ._events import EventSplitter, StreamError
 from ._exchange import (
     BackendAnswer,
     ExchangeClient,
@@ -26,10 +26,9 @@
 )
 from ._group_progress import GroupProgress, RunProgress, silence_s
 from ._head_choice import HeadChoice
-from ._memory_need import MemoryNeed
-from ._request import Reply, ServedRequest
 from ._shared_load import SharedLoad
 from ._stall_watch import SLOW_CHECK_INTERVAL_S, SLOW_PACE, StallWatch
+from ._stream import Stream
 
 RESUMED_URGENCY = 0
 """Resumed streams are first in the backend server's queue: their callers wait
@@ -51,33 +50,6 @@
         self.failure = SendFailure(problem, detail)
 
 
-@attrs.define(eq=False, repr=False)
-class Stream:
-    """One caller's stream across all of its runs."""
-
-    request: ServedRequest
-    reply: Reply
-    order: EventOrder
-    profile: EngineProfile
-    tried: list[str] = attrs.field(factory=list)
-    """Heads that the request was sent to, in order."""
-    last_problem: SendFailure | None = None
-    events: int = 0
-    """Number of events forwarded so far."""
-    is_hold_logged: bool = False
-    """Whether the log tells that it waits for a blocked head."""
-
-    @property
-    def model(self) -> str:
-        """The requested model."""
-        return self.request.fields.model
-
-    @property
-    def need(self) -> MemoryNeed:
-        """Memory that the request needs at a group."""
-        return MemoryNeed.from_request(self.request.fields, self.profile)
-
-
 @attrs.define(eq=False, repr=False)
 class StreamRuns:
     """Sends a stream's request to a group and forwards its events."""
