Planner: a release ends when no further server drains, and what it is worth

A server that never finishes draining would have kept the preferences of a release in force for good. A release now counts as in progress for four seconds after the latest server of an older version began to drain.

All tests of packages/placement pass, in two runs, with those of the adapter and three files of standins/tests.

--- a/packages/placement/src/fordhatch/placement/_release.py
+++ b/packages/placement/src/fordhatch/placement/_release.py
@@ -11,8 +11,8 @@
 from fordhatch.catalog import BackendServer, BackendState
 
 RELEASE_PAUSE_S = 4.0
-"""Longest time without a draining server within a release: servers drain for about two
-seconds, and the next ones follow about a second later."""
+"""Longest time between steps of a release: servers drain for about two seconds, and the
+next ones follow about a second later. One that drains for good is not a release."""
 
 
 @attrs.frozen
@@ -33,14 +33,17 @@
 class ReleaseDetector:
     """Detect a rolling release among the backend servers of one service.
 
-    Only the time of the last drain and the numbers of servers before the release are
-    kept. They can be lost: the next planner detects the release at the next drain.
+    The state can be lost: the next planner detects the release from the servers that
+    drain then.
     """
 
     _initial_counts: Counter[str] = attrs.field(factory=Counter)
     """Servers of each version when this planner first saw several versions, or last
     saw a single one."""
+    _leaving: set[str] = attrs.field(factory=set)
+    """Draining servers of older versions."""
     _last_drain_s: float | None = None
+    """When the latest one began to drain."""
 
     def step(self, backends: Iterable[BackendServer], now_s: float) -> Release | None:
         """Return the release that is in progress, or None.
@@ -53,6 +56,7 @@
         counts = Counter(b.version for b in known)
         if len(counts) <= 1:
             self._initial_counts = counts
+            self._leaving = set()
             self._last_drain_s = None
             return None
         if not self._initial_counts:
@@ -60,8 +64,14 @@
         newest = self._newest_version(known, counts)
         if newest is None:
             return None
-        if any(b.state is BackendState.DRAINING and b.version != newest for b in known):
+        leaving = {
+            b.backend_id
+            for b in known
+            if b.state is BackendState.DRAINING and b.version != newest
+        }
+        if leaving - self._leaving:
             self._last_drain_s = now_s
+        self._leaving = leaving
         if self._last_drain_s is None or now_s - self._last_drain_s > RELEASE_PAUSE_S:
             return None
         return Release(newest)
--- a/packages/placement/tests/test_releases.py
+++ b/packages/placement/tests/test_releases.py
@@ -83,6 +83,17 @@
     assert detector.step(mixed, 5.0) is None
 
 
+# Guards against one server that never finishes draining, which would keep the
+# preferences of a release in force for good.
+def test_a_server_that_drains_for_good_is_no_release() -> None:
+    detector = ReleaseDetector()
+    stuck = [*OLD, backend("n", "10.0", 500), LEAVING]
+    assert detector.step(stuck, 0.0) is not None
+    assert detector.step(stuck, 5.0) is None
+    next_one = backend("o8", "9.0", 108, DRAINING)
+    assert detector.step([*stuck, next_one], 6.0) is not None
+
+
 # Guards against new groups that the next step of the release hits, though members that
 # stay would have joined as quickly; and against groups that open later for it.
 def test_members_that_stay_are_preferred_where_they_cost_no_time() -> None:
