A run waits for the queue of its group before it counts as silent

What callers saw: after the loss of all nodes, with one zone evacuated, 354 requests were at twelve groups of 17 slots; 60 of them were abandoned after 0.7 s without an event and sent to another group, where they waited again. Cause: the wait for the first event knew only how long earlier runs of the node had waited. A node that has just started has none. Change: where the load of all nodes is known, the time that the group needs for the requests that wait there is added, up to the same maximum.

--- a/packages/serving/src/fordhatch/serving/_group_progress.py
+++ b/packages/serving/src/fordhatch/serving/_group_progress.py
@@ -114,12 +114,31 @@
         head = self._by_head.get(head_id)
         return self.timer.now_s() - head.last_s if head is not None else 0.0
 
-    def first_event_timeout_s(self, profile: EngineProfile, model: str) -> float:
+    def first_event_timeout_s(
+        self, profile: EngineProfile, model: str, in_flight: float = 0.0
+    ) -> float:
         """Return how long a run may wait for its first event, in seconds.
 
         A group that gets much work at once also takes longer than usual. The waits of
-        other runs of the model show how long that is.
+        other runs of the model show how long that is, and so does the group's queue.
+
+        Args:
+            profile: The engine.
+            model: The model.
+            in_flight: Requests of all nodes at the group; 0 if they are not known.
         """
         usual_s = self._usual_first_event_s.get(model, 0.0)
         min_s = MIN_FIRST_EVENT_SILENCES * silence_s(profile, model)
-        return min(max(min_s, FIRST_EVENT_FACTOR * usual_s), MAX_FIRST_EVENT_WAIT_S)
+        timeout_s = max(min_s, FIRST_EVENT_FACTOR * usual_s)
+        timeout_s += _queue_s(profile, model, in_flight)
+        return min(timeout_s, MAX_FIRST_EVENT_WAIT_S)
+
+
+def _queue_s(profile: EngineProfile, model: str, in_flight: float) -> float:
+    """Return how long a group takes for the requests that wait for a slot there."""
+    found = profile.model(model)
+    queued = in_flight - profile.slots
+    if found is None or queued <= 0.0:
+        return 0.0
+    usual = profile.usual_prompt_tokens, profile.usual_answer_tokens
+    return queued * profile.busy_s(found, *usual)
--- a/packages/serving/src/fordhatch/serving/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/_stream_run.py
@@ -240,7 +240,12 @@
             # Other streams of the group advanced within the limit.
             return 0.0
         waited_s = self.timer.now_s() - progress.began_s
-        timeout_s = self.progress.first_event_timeout_s(stream.profile, stream.model)
+        in_flight = 0.0
+        if self.load.is_used_for(stream.request.service):
+            in_flight = self.load.total_in_flight(progress.head_id)
+        timeout_s = self.progress.first_event_timeout_s(
+            stream.profile, stream.model, in_flight
+        )
         return waited_s if waited_s >= timeout_s else 0.0
 
     def _abandon_if_possible(
