Planner: a large group may take the members of more than two small ones

Cause: a conversion gave up two groups at the most. Two groups of 2 and what is free in the domain are hardly ever enough for a group of 8. Change: as many donors as the sizes need. Sets of up to two are all compared, as before; of larger sets only the one with the most prepared members, since their number grows too fast. Where the sizes differ by a factor of two nothing changes. Evidence: test_a_large_group_is_formed_from_the_members_of_many_small_ones, red before; tests of placement green.

--- a/packages/placement/src/fordhatch/placement/_conversion.py
+++ b/packages/placement/src/fordhatch/placement/_conversion.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+import math
+from collections.abc import Iterator, Sequence
 from itertools import combinations
 
 import attrs
@@ -16,8 +17,9 @@
 """Minimum ratio of the new group's value to the value given up. Closing and forming
 take seconds in which neither group serves, and the need changes with the next loss."""
 
-MAX_DONORS = 2
-"""Maximum number of groups that may be given up for one new group."""
+MAX_COMPARED_DONORS = 2
+"""Number of donors up to which all sets of groups are compared. Of larger sets only the
+one with the most prepared members is considered, as their number grows too fast."""
 
 
 @attrs.frozen
@@ -80,22 +82,45 @@
     plan = choose_group(layout, free)
     alternative_value = layout.value(plan) if plan is not None else 0.0
     best: tuple[float, Conversion] | None = None
-    for count in range(1, MAX_DONORS + 1):
-        for chosen in combinations(donors, count):
-            members = [m for g in chosen for m in g.members.values()]
-            prepared_members = [m for m in members if not layout.must_load(m, model)]
-            if len(prepared_free) + len(prepared_members) < model.size:
-                continue
-            # Also count the group that the free backend servers could form instead.
-            loss = _loss(layout, chosen) + alternative_value
-            gain = layout.need(model)
-            if gain < MIN_GAIN_RATIO * loss:
-                continue
-            if best is None or gain - loss > best[0]:
-                best = gain - loss, Conversion(model, chosen)
+    for chosen in _donor_sets(layout, model, donors):
+        prepared = sum(_prepared_members(layout, model, g) for g in chosen)
+        if len(prepared_free) + prepared < model.size:
+            continue
+        # Also count the group that the free backend servers could form instead.
+        loss = _loss(layout, chosen) + alternative_value
+        gain = layout.need(model)
+        if gain < MIN_GAIN_RATIO * loss:
+            continue
+        if best is None or gain - loss > best[0]:
+            best = gain - loss, Conversion(model, chosen)
     return best
 
 
+def _donor_sets(
+    layout: Layout, model: ModelProfile, donors: Sequence[ReplicaGroup]
+) -> Iterator[tuple[ReplicaGroup, ...]]:
+    """Return the sets of groups that may be given up for one group of a model.
+
+    A group of a model with large groups may need the members of many small ones.
+    """
+    for count in range(1, MAX_COMPARED_DONORS + 1):
+        yield from combinations(donors, count)
+    smallest = min(len(group.members) for group in donors)
+    needed = math.ceil(model.size / max(smallest, 1))
+    if needed <= MAX_COMPARED_DONORS:
+        return
+    ranked = sorted(
+        donors, key=lambda g: _prepared_members(layout, model, g), reverse=True
+    )
+    for count in range(MAX_COMPARED_DONORS + 1, min(needed, len(ranked)) + 1):
+        yield tuple(ranked[:count])
+
+
+def _prepared_members(layout: Layout, model: ModelProfile, group: ReplicaGroup) -> int:
+    """Return how many members of a group can join a model's groups without a load."""
+    return sum(not layout.must_load(m, model) for m in group.members.values())
+
+
 def _may_give_way(layout: Layout, group: ReplicaGroup, model: ModelProfile) -> bool:
     """Return whether a group may be given up for a model.
 
--- a/packages/placement/tests/test_layout.py
+++ b/packages/placement/tests/test_layout.py
@@ -3,6 +3,7 @@
 import json
 from collections.abc import Sequence
 
+import attrs
 from planning_site import engine_configuration
 
 from fordhatch.adapter import decode_configuration
@@ -116,6 +117,24 @@
     assert choose_conversion(known, free, [donor]) is None
 
 
+# Guards against a model with large groups that gets none back because more than two
+# groups of the other model would have to make room.
+def test_a_large_group_is_formed_from_the_members_of_many_small_ones() -> None:
+    donors = [
+        group(f"small.{n}", [member(f"{n}{rank}", f"small.{n}", rank) for rank in "01"])
+        for n in "abcde"
+    ]
+    known = layout()
+    models = [attrs.evolve(m, size=8) for m in known.profile.models if m.name == "big"]
+    models += [m for m in known.profile.models if m.name != "big"]
+    known.profile = attrs.evolve(known.profile, models=tuple(models))
+    known.counts.update({"big": 1, "small": 40})
+    found = choose_conversion(known, [], donors)
+    assert found.model.name == "big"
+    assert len(found.donors) == 4
+    assert choose_conversion(known, [], donors[:3]) is None
+
+
 def test_the_profile_has_the_sizes_that_the_tests_assume() -> None:
     data = json.loads(engine_configuration())
     assert [m["size"] for m in data["services"][0]["engine"]["models"]] == [4, 2]
