--- a/packages/node/src/fordhatch/node/_load_gossip.py
+++ b/packages/node/src/fordhatch/node/_load_gossip.py
@@ -22,7 +22,7 @@
 """Longest wait for the totals. Without a reply the next node in rank takes over."""
 
 MAX_WAIT_S = 0.5
-"""A wait that has lasted longer says nothing about the collector."""
+"""A longer wait is no failure of the collector: this node was suspended or stalled."""
 
 MAX_TRIES = 3
 """Nodes to which one report is sent, one after the other."""
@@ -36,7 +36,7 @@
 
 _NOT_LISTED = ResultCode.LOAD_REPORT_REFUSED
 
-_REFUSED = LoadTotals(is_collector=False, is_complete=False, age_s=0.0, loads=[])
+_NOT_COLLECTING = LoadTotals(is_collector=False, is_complete=False, age_s=0.0, loads=[])
 
 
 @attrs.define(eq=False, repr=False)
@@ -55,7 +55,7 @@
     _book: LoadBook = attrs.field(factory=LoadBook)
     _followed_s: float = -math.inf
     """When the last report was sent that another collector has replied to."""
-    _owes_report: bool = False
+    _needs_final_report: bool = False
     """Whether the last report had requests, so that their end is to be reported."""
     _wake: asyncio.Event = attrs.field(factory=asyncio.Event)
     _logged_s: dict[str, float] = attrs.field(factory=dict)
@@ -79,13 +79,13 @@
     def _is_needed(self) -> bool:
         # A node that collects reports as well while it is idle: it learns whether a
         # better collector replies.
-        if self.load.has_own() or self._owes_report:
+        if self.load.has_own() or self._needs_final_report:
             return True
         return self._book.has_reports(self.timer.now_s())
 
     async def _report(self) -> None:
         report = self.load.report()
-        self._owes_report = bool(report)
+        self._needs_final_report = bool(report)
         for _ in range(MAX_TRIES):
             nodes = self.view.shared.nodes
             if self.node_name not in nodes:
@@ -163,7 +163,7 @@
         if now_s - self._followed_s < FOLLOW_S:
             # Nodes that report here and not there would get partial totals.
             self._book = LoadBook()
-            await channel.send(_REFUSED)
+            await channel.send(_NOT_COLLECTING)
             return
         self._book.record(node, _to_loads(message.loads), now_s)
         self._wake.set()
@@ -195,5 +195,5 @@
 
 
 def _to_loads(numbers: list[int]) -> dict[int, BackendLoad]:
-    threes = zip(numbers[::3], numbers[1::3], numbers[2::3], strict=True)
-    return {key: BackendLoad(requests, tokens) for key, requests, tokens in threes}
+    triples = zip(numbers[::3], numbers[1::3], numbers[2::3], strict=True)
+    return {key: BackendLoad(requests, tokens) for key, requests, tokens in triples}
--- a/packages/placement/src/fordhatch/placement/_group_supervisor.py
+++ b/packages/placement/src/fordhatch/placement/_group_supervisor.py
@@ -98,7 +98,7 @@
                 return self._advance_incomplete(group, status)
             case GroupCondition.FORMING:
                 if self.draining.loses_member(layout, group):
-                    return self._release_formation(group)
+                    return self._give_up_formation(group)
                 return self._advance_forming(group, status, model)
             case GroupCondition.CLOSING:
                 return self._may_complete(group.key)
@@ -125,7 +125,7 @@
     ) -> bool:
         """Replace a group with a draining member as late as is possible."""
         if self.draining.loses_member(layout, group):
-            return self._release_formation(group)
+            return self._give_up_formation(group)
         if not self.draining.gives_up(layout, group, model):
             return True
         if group.head.membership.state is MemberState.READY:
@@ -135,7 +135,7 @@
             self.dissolve(group, "member drains", finishes_work=True)
         return False
 
-    def _release_formation(self, group: ReplicaGroup) -> bool:
+    def _give_up_formation(self, group: ReplicaGroup) -> bool:
         """Give up a formation that a release hits; it isn't a failure of the model."""
         self.formations.active.pop(group.key, None)
         self.dissolve(group, "member drains")
--- a/packages/protocol/src/fordhatch/protocol/_messages.py
+++ b/packages/protocol/src/fordhatch/protocol/_messages.py
@@ -326,6 +326,8 @@
 largest system."""
 
 MAX_LOAD_KEY = 2**32 - 1
+"""Maximum key of a backend server; keys are 32 bits long."""
+
 MAX_REQUESTS = 10**6
 """Maximum accepted number of requests in flight; above those of any system."""
 
@@ -335,7 +337,7 @@
 
 def _loads(_: object, attribute: attrs.Attribute, value: object) -> None:
     if type(value) is not list or len(value) > LOAD_FIELDS * MAX_LOAD_ENTRIES:
-        raise FieldError(f"{attribute.name}: expected {MAX_LOAD_ENTRIES} entries")
+        raise FieldError(f"{attribute.name}: expected {MAX_LOAD_ENTRIES} or fewer")
     if len(value) % LOAD_FIELDS or not all(type(number) is int for number in value):
         raise FieldError(f"{attribute.name}: expected integers in threes")
     limits = ((0, MAX_LOAD_KEY), (1, MAX_REQUESTS), (0, MAX_TOKENS))
--- a/packages/registry/src/fordhatch/registry/_backend_directory.py
+++ b/packages/registry/src/fordhatch/registry/_backend_directory.py
@@ -21,8 +21,8 @@
 from ._start_times import StartTimes
 
 POST_OUTAGE_WINDOW_S = 1.0
-"""Entries may also lapse just after an outage of the store, before the first heartbeat
-that reaches it, so removals within this time don't prove that a server is gone."""
+"""Entries may also lapse just after an outage, before the first heartbeat that reaches
+the store: removals within this time don't prove that a server is gone."""
 
 Key = tuple[str, int]
 
@@ -39,10 +39,10 @@
     outage_ended_s: float = -math.inf
     """When the end of the last outage of the store was seen, in monotonic seconds."""
     logs_changes: bool = True
-    """Whether each change is logged. Only nodes that read from the store log changes: a
-    log line on every node would cost more than the change itself."""
+    """Whether changes are logged, as only nodes that read from the store do: a log line
+    costs more than the change itself."""
     accepts: Callable[[BackendServer], bool] = lambda b: b.cold_left_s is not None
-    """Returns whether an entry that is about to be applied can be used."""
+    """Called with each entry before it is applied; returns whether it can be used."""
     _entries: dict[str, DirectoryEntry] = attrs.field(factory=dict)
     """Entries by registered id."""
     _starts: StartTimes = attrs.field(factory=StartTimes)
--- a/packages/registry/src/fordhatch/registry/_directory_entry.py
+++ b/packages/registry/src/fordhatch/registry/_directory_entry.py
@@ -12,4 +12,4 @@
     value: bytes
     """The value that was decoded last; an unchanged entry is not decoded again."""
     backend_id: str = ""
-    """The id of the start that it names; empty while it cannot be used."""
+    """The id of the start that the value names; empty while it cannot be used."""
--- a/packages/scheduling/src/fordhatch/scheduling/_capacity.py
+++ b/packages/scheduling/src/fordhatch/scheduling/_capacity.py
@@ -13,7 +13,8 @@
 import attrs
 
 MIN_BUSY_S = 0.001
-"""Lower bound of the time that a request occupies a group, in seconds."""
+"""Lower bound of the time that a request occupies a group, in seconds, against a
+division by zero."""
 
 MAX_QUEUE_S = 1.0
 """Longest wait in a group's queue that requests are sent into, in seconds. A stream
@@ -68,7 +69,7 @@
 
 @attrs.frozen
 class _Fastest:
-    """Sums over the fastest groups, up to one of them."""
+    """Sums over the fastest groups: all that are at most as slow as a given one."""
 
     pace: float
     """Pace of the slowest of them."""
@@ -76,6 +77,7 @@
     """Their throughput, in groups of the declared pace."""
     free_slots: float
     queued: float
+    """Requests that wait for a slot there."""
 
 
 @attrs.frozen(slots=False)
@@ -148,27 +150,42 @@
             ahead: Requests not yet sent that go before it.
         """
         left = self._fraction_left(level)
-        closed = _Fastest(1.0, 0.0, 0.0, 0.0)
+        # With no open group at all, only those that are opening count.
+        none_open = _Fastest(1.0, 0.0, 0.0, 0.0)
         return min(
-            self._wait_s(found, level, ahead, left) + first_s * found.pace
-            for found in [closed, *self._fastest]
+            self._wait_s(fastest, level, ahead, left) + first_s * fastest.pace
+            for fastest in [none_open, *self._fastest]
         )
 
     def _fraction_left(self, level: int) -> float:
         """Return the fraction of the capacity that more urgent arrivals leave."""
-        urgent_per_s = sum(n for q, n in self.arrivals_per_s.items() if q < level)
+        urgent_per_s = sum(
+            per_s for other, per_s in self.arrivals_per_s.items() if other < level
+        )
         total = self.throughput_groups + len(self.opening)
         used = urgent_per_s * self.busy_s / total if total else 0.0
         return max(1.0 - used, 0.0)
 
-    def _wait_s(self, found: _Fastest, level: int, ahead: float, left: float) -> float:
-        """Return the wait for a slot at some groups or at those that are opening."""
-        need = 1.0 + ahead - found.free_slots
-        if need <= 0 and found.groups:
+    def _wait_s(
+        self, fastest: _Fastest, level: int, ahead: float, left: float
+    ) -> float:
+        """Return the wait for a slot at some groups or at those that are opening.
+
+        Args:
+            fastest: The open groups that are considered.
+            level: The request's level.
+            ahead: Requests not yet sent that go before it.
+            left: Fraction of the capacity that more urgent arrivals leave.
+
+        Returns:
+            The wait in seconds; infinite if no slot becomes free.
+        """
+        need = 1.0 + ahead - fastest.free_slots
+        if need <= 0 and fastest.groups:
             return 0.0
-        need += found.queued * self._fraction_ahead(level)
+        need += fastest.queued * self._fraction_ahead(level)
         busy_s = max(self.busy_s, MIN_BUSY_S)
-        per_s = left * found.groups / busy_s
+        per_s = left * fastest.groups / busy_s
         at_s = 0.0
         for group in sorted(self.opening, key=lambda g: g.open_in_s):
             served = per_s * (group.open_in_s - at_s)
@@ -184,8 +201,10 @@
     def _fraction_ahead(self, level: int) -> float:
         """Return the fraction of the queued requests that are at least as urgent.
 
-        Without a sample all of them count.
+        One more than the sample has counts, so that without a sample all of them do.
         """
         total = sum(self.queued_by_level.values())
-        ahead = sum(n for q, n in self.queued_by_level.items() if q <= level)
+        ahead = sum(
+            count for other, count in self.queued_by_level.items() if other <= level
+        )
         return (ahead + 1.0) / (total + 1.0)
--- a/packages/scheduling/src/fordhatch/scheduling/_decision.py
+++ b/packages/scheduling/src/fordhatch/scheduling/_decision.py
@@ -9,7 +9,8 @@
 from ._capacity import ModelCapacity
 
 REFUSAL_FRACTION = 0.25
-"""Fraction of the latency objective within which a request is refused, if at all."""
+"""Fraction of the latency objective within which a request is refused, if at all: a
+caller who is refused early has time to retry."""
 
 FULL_QUEUE_FRACTION = 0.8
 """Longest queue of a group that requests of the first rank are sent to, as a fraction
--- a/packages/scheduling/src/fordhatch/scheduling/_fair_share.py
+++ b/packages/scheduling/src/fordhatch/scheduling/_fair_share.py
@@ -8,8 +8,8 @@
 import attrs
 
 WINDOW_S = 2.0
-"""Time constant of the decay of a workspace's demand, in seconds. Bursts last 3 to 6 s
-and have to show within a second."""
+"""Time constant of the decay of a workspace's demand, in seconds. Shorter than a burst
+of 3 to 6 s, so that the demand shows it while it lasts."""
 
 MAX_CREDIT_S = 0.5
 """Most credit of a workspace, as the time in which it earns it, in seconds: requests
@@ -28,6 +28,9 @@
     Args:
         demands: Demand of each workspace, in any unit.
         capacity: Capacity in the same unit.
+
+    Returns:
+        The shares in the same unit, by workspace; none exceeds the demand.
     """
     shares: dict[str, float] = {}
     left = max(capacity, 0.0)
@@ -39,13 +42,13 @@
 
 
 @attrs.define
-class _Use:
+class _Usage:
     """Demand and credit of one workspace."""
 
     at_s: float
     """When the demand was decayed last, in monotonic seconds."""
-    paid_s: float
-    """When credit was earned last, in monotonic seconds."""
+    credited_s: float
+    """When credit was added last, in monotonic seconds."""
     demand: float = 0.0
     """Decaying sum of the work that it asked for, in seconds of a full group."""
     credit: float = math.inf
@@ -59,9 +62,9 @@
 
     def earn(self, share: float, max_credit: float, now_s: float) -> None:
         """Add the credit for the time since the last call."""
-        earned = share * max(now_s - self.paid_s, 0.0)
+        earned = share * max(now_s - self.credited_s, 0.0)
         self.credit = min(self.credit + earned, max_credit)
-        self.paid_s = now_s
+        self.credited_s = now_s
 
 
 @attrs.define(eq=False, repr=False)
@@ -73,7 +76,7 @@
     part within its share has the same standing as the requests of the others.
     """
 
-    _uses: dict[str, _Use] = attrs.field(factory=dict)
+    _uses: dict[str, _Usage] = attrs.field(factory=dict)
 
     def count(
         self, workspace: str, busy_s: float, capacity_groups: float, now_s: float
@@ -90,7 +93,7 @@
         use = self._uses.get(workspace)
         if use is None:
             self._drop_oldest()
-            use = self._uses[workspace] = _Use(now_s, now_s)
+            use = self._uses[workspace] = _Usage(now_s, now_s)
         use.decay(now_s)
         use.demand += busy_s
         if math.isinf(capacity_groups):
--- a/packages/scheduling/src/fordhatch/scheduling/_model_admission.py
+++ b/packages/scheduling/src/fordhatch/scheduling/_model_admission.py
@@ -105,12 +105,17 @@
     _arrivals: dict[int, float] = attrs.field(factory=dict)
     """Decaying count of arrivals by level."""
     _counted_s: float = -math.inf
+    """Time of the latest arrival, in monotonic seconds."""
     _count: int = 0
+    """Number of arrivals so far; tells requests in the same place apart."""
 
     def arrivals_per_s(self, now_s: float) -> dict[int, float]:
         """Return the arrivals at this node per second, by level."""
         remaining = math.exp(-max(now_s - self._counted_s, 0.0) / RATE_WINDOW_S)
-        return {q: n * remaining / RATE_WINDOW_S for q, n in self._arrivals.items()}
+        return {
+            level: count * remaining / RATE_WINDOW_S
+            for level, count in self._arrivals.items()
+        }
 
     def arrive(
         self, ticket: Ticket, capacity: ModelCapacity, part: float, now_s: float
@@ -131,7 +136,9 @@
         groups = capacity.throughput_groups * part if is_limited else math.inf
         is_over = self.shares.count(ticket.workspace, ticket.busy_s, groups, now_s)
         ticket.is_over_share = is_over
-        self._arrivals = {q: n * RATE_WINDOW_S for q, n in per_s.items()}
+        self._arrivals = {
+            level: rate_per_s * RATE_WINDOW_S for level, rate_per_s in per_s.items()
+        }
         self._arrivals[ticket.level] = self._arrivals.get(ticket.level, 0.0) + 1.0
         self._counted_s = now_s
         self._count += 1
@@ -175,7 +182,7 @@
     ) -> bool:
         """Return whether the decision on a request that waits may be another one.
 
-        Spares the full decision on each of a hundred requests that wait for room.
+        Avoids the full decision for the many requests that still wait for room.
         """
         if not (capacity.is_recent and capacity.serves):
             return True
--- a/packages/scheduling/src/fordhatch/scheduling/_retry_times.py
+++ b/packages/scheduling/src/fordhatch/scheduling/_retry_times.py
@@ -15,19 +15,20 @@
 longer than that."""
 
 MIN_REQUESTS_PER_S = 0.5
-"""Lower bound of the rate at which callers are asked back, in requests per second."""
+"""Lower bound of the rate of retries, in requests per second: while nothing completes,
+retries are two seconds apart."""
 
 
 @attrs.define(eq=False, repr=False)
 class RetryTimes:
-    """Spreads refused callers of a model over the time at which there is capacity.
+    """Spreads the retries of a model's refused callers over time.
 
-    Each of them has its own place at the rate at which requests complete. Callers are
-    placed behind those of the same and of lower levels.
+    Each caller reserves a retry time of its own, at the rate at which requests
+    complete, after those reserved for the same and for lower levels.
     """
 
     _next_s: dict[int, float] = attrs.field(factory=dict)
-    """The first free place of each level, in monotonic seconds."""
+    """Earliest retry time of each level that is not reserved, in monotonic seconds."""
 
     def book(
         self,
@@ -39,23 +40,27 @@
         spread: float,
         now_s: float,
     ) -> float:
-        """Return after which time a refused caller should retry, in seconds.
+        """Reserve a retry time, and return the time until then, in seconds.
+
+        If that is longer than the caller is asked to wait, nothing is reserved, and the
+        result is a random time close to the longest one.
 
         Args:
             level: Level of its request; lower levels go first.
             free_in_s: Time until a request of that level would be served in time.
             left_s: Time that the caller has left.
             requests_per_s: Rate at which requests complete, of this node's part.
-            spread: A number from 0 to 1, different for each caller.
+            spread: A random number from 0 to 1, drawn for each caller.
             now_s: Current time in monotonic seconds.
         """
         step_s = 1.0 / max(requests_per_s, MIN_REQUESTS_PER_S)
         most_s = MAX_RETRY_FRACTION * max(left_s, 0.0)
-        taken_s = max((t for q, t in self._next_s.items() if q <= level), default=now_s)
-        place_s = max(now_s + max(free_in_s, MIN_RETRY_S), taken_s)
-        retry_after_s = place_s + spread * step_s - now_s
+        reserved = (at_s for other, at_s in self._next_s.items() if other <= level)
+        free_s = max(reserved, default=now_s)
+        retry_s = max(now_s + max(free_in_s, MIN_RETRY_S), free_s)
+        retry_after_s = retry_s + spread * step_s - now_s
         if retry_after_s <= most_s:
-            self._next_s[level] = place_s + step_s
+            self._next_s[level] = retry_s + step_s
         else:
             retry_after_s = most_s * (1.0 - CAPPED_SPREAD * spread)
         return retry_after_s
--- a/packages/scheduling/src/fordhatch/scheduling/_waiting_line.py
+++ b/packages/scheduling/src/fordhatch/scheduling/_waiting_line.py
@@ -20,9 +20,8 @@
     is_over_share: bool
     """Whether its workspace exceeds its share."""
     give_up_s: float
-    """When its caller gives up, in monotonic seconds: equals the order of arrival for
-    requests with the same deadline, and short deadlines do not wait behind long
-    ones."""
+    """When its caller gives up, in monotonic seconds. Requests with the same patience
+    keep the order of their arrival, and short deadlines go before long ones."""
     number: int = 0
     """Order of arrival."""
 
@@ -48,8 +47,8 @@
         Args:
             place: Its place; different for each request.
             item: The request.
-            may_leave: Whether a request may be the one that leaves; the last of them
-                does, and of none the last of all.
+            may_leave: Returns whether a request may be the one that leaves. The last
+                of those leaves, or the last of all if there are none.
         """
         insort(self._entries, (place, item), key=lambda entry: entry[0])
         if len(self._entries) <= self.limit:
--- a/packages/serving/src/fordhatch/serving/_admission_control.py
+++ b/packages/serving/src/fordhatch/serving/_admission_control.py
@@ -58,7 +58,7 @@
 
 @attrs.define(eq=False, repr=False)
 class HeldRequest(Ticket):
-    """A request that capacity is decided for, from its arrival to its end."""
+    """A request under admission control, from its arrival to its end."""
 
     request: ServedRequest = attrs.field(kw_only=True)
     profile: EngineProfile = attrs.field(kw_only=True)
@@ -76,10 +76,12 @@
 
 @attrs.define(eq=False, repr=False)
 class _LineBudget:
-    """Bounds the log lines within each second."""
+    """Limits the log lines within any one second."""
 
     lines_s: deque[float] = attrs.field(factory=deque)
+    """Times of the last second's lines, in monotonic seconds."""
     left_out: int = 0
+    """Lines that were left out since the last one."""
 
     def take(self, now_s: float) -> bool:
         """Return whether a line may be written."""
@@ -100,7 +102,7 @@
     configuration: ActiveConfiguration
     load: ModelLoad
     _seen: Configuration | None = None
-    """The configuration that the classes are of."""
+    """The configuration that the classes were computed from."""
     _classes: dict[str, UrgencyClasses] = attrs.field(factory=dict)
     """Classes of the services that call for admission control."""
     _states: dict[ModelKey, _ModelState] = attrs.field(factory=dict)
--- a/packages/serving/src/fordhatch/serving/_cold_budget.py
+++ b/packages/serving/src/fordhatch/serving/_cold_budget.py
@@ -14,8 +14,8 @@
 """Nodes that may issue permits for one backend server at the same time."""
 
 FIRST_BUCKET_PERMITS = 2.0
-"""Capacity of the first issuer's bucket. With one permit it issues 0.69 of the limit to
-eight busy nodes, because permits are lost while no node asks."""
+"""Capacity of the first issuer's bucket. With one permit it issues less than its rate,
+because the bucket is full and refill is lost while no node asks."""
 
 BUCKET_PERMITS = 1.0
 """Capacity of every other bucket: less would never issue, more uses up the slack."""
--- a/packages/serving/src/fordhatch/serving/_collector_choice.py
+++ b/packages/serving/src/fordhatch/serving/_collector_choice.py
@@ -44,7 +44,7 @@
     _nodes: Mapping[str, NodeAddress] = attrs.field(factory=dict)
     _ranked: Sequence[str] = ()
     _failed: set[str] = attrs.field(factory=set)
-    _retry_s: float = math.inf
+    _retry_at_s: float = math.inf
     """When to try the better ones again, in monotonic seconds."""
     _last_choice: str = ""
 
@@ -60,8 +60,8 @@
             self._ranked = rank_collectors(nodes)
             self._failed &= nodes.keys()
         found = self._first()
-        acts = found in (self.own_name, None)
-        if acts and self._failed and now_s >= self._retry_s:
+        is_collecting = found in (self.own_name, None)
+        if is_collecting and self._failed and now_s >= self._retry_at_s:
             self.retry_all()
             found = self._first()
         if found != self._last_choice:
@@ -73,9 +73,14 @@
         return next((name for name in self._ranked if name not in self._failed), None)
 
     def record_failure(self, name: str, now_s: float) -> None:
-        """Record that a collector did not reply; the next in rank takes over."""
+        """Record that a collector did not reply; the next in rank takes over.
+
+        Args:
+            name: The collector.
+            now_s: Monotonic seconds.
+        """
         self._failed.add(name)
-        self._retry_s = now_s + RETRY_S
+        self._retry_at_s = now_s + RETRY_S
 
     def retry_all(self) -> None:
         """Forget all failures, so that the first in rank is tried again."""
--- a/packages/serving/src/fordhatch/serving/_model_load.py
+++ b/packages/serving/src/fordhatch/serving/_model_load.py
@@ -17,11 +17,12 @@
 from ._shared_load import MAX_TOTAL_AGE_S, SharedLoad
 
 MIN_SAMPLE = 3
-"""Own requests in flight from which on their ratio to those of all nodes is used."""
+"""Fewest own requests in flight for which their ratio to those of all nodes is used;
+with fewer the ratio varies too much, and the number of nodes is used instead."""
 
 MIN_OPEN_IN_S = 0.05
-"""Time that a group which is later than expected is still expected to take, in
-seconds."""
+"""Shortest expected time until a group opens, in seconds; applies to groups that are
+later than expected."""
 
 
 @attrs.frozen
--- a/packages/serving/src/fordhatch/serving/_permits.py
+++ b/packages/serving/src/fordhatch/serving/_permits.py
@@ -27,7 +27,8 @@
 
 OTHER_ISSUER_PAUSE_S = 0.2
 """Time after which to ask again where two nodes disagree on who issues the permits,
-because they do not know the same nodes. They do after some tenths of a second."""
+because they do not know the same nodes. Their tables agree after some tenths of a
+second."""
 
 PermitRequester = Callable[[str, ServerLimit], Awaitable[Permit | None]]
 """Requests a permit from a node, given by name; returns None if it does not answer."""
@@ -64,8 +65,8 @@
     _unreachable: dict[str, _Unreachable] = attrs.field(factory=dict)
     """Issuers that did not answer, by name."""
     _asking: dict[str, asyncio.Lock] = attrs.field(factory=dict)
-    """Held while a permit for a cold backend server is requested: of many waiting
-    requests one finds out that there is none."""
+    """By cold backend server; held while a permit is requested, so that of many waiting
+    requests only one is denied."""
 
     async def acquire(self, backend: BackendServer) -> bool:
         """Return whether a request may be sent to a backend server now."""
--- a/packages/serving/src/fordhatch/serving/_plain_call.py
+++ b/packages/serving/src/fordhatch/serving/_plain_call.py
@@ -49,7 +49,8 @@
 
 FILL_COST = 0.5
 """Cost of a backend server whose slots are all in use on average, in requests in
-flight. With 1.0, the nodes of a zone swing between zones in step."""
+flight. At a higher cost the nodes of a zone move to another zone and back together,
+because all of them follow the same totals."""
 
 MAX_FILL = 2.0
 """Maximum of that average, as a fraction of the slots."""
--- a/packages/serving/src/fordhatch/serving/_shared_load.py
+++ b/packages/serving/src/fordhatch/serving/_shared_load.py
@@ -21,12 +21,11 @@
 """Maximum age of the other nodes' totals; older ones are not used. Most of the requests
 of that time have ended, and five reports in a row were lost."""
 
-
 MEAN_S = 1.0
-"""Time constant of the mean totals, in seconds."""
+"""Time constant of the mean totals, in seconds; several intervals between reports."""
 
 MIN_MEAN = 0.01
-"""Smaller means count as 0."""
+"""Smaller means count as 0, so that idle backend servers need no entry."""
 
 
 @lru_cache(maxsize=4096)
@@ -34,8 +33,8 @@
     """Return the key of a backend server in messages about load, 32 bits long.
 
     Ids are five times as long and would be most of each message. Two backend servers
-    with the same key, one pair in a hundred thousand systems, count as busier than they
-    are.
+    with the same key count as busier than they are; with 200 backend servers that
+    happens in one of 200,000 systems.
     """
     return xxhash.xxh32_intdigest(backend_id.encode())
 
