--- a/packages/scheduling/src/fordhatch/scheduling/_capacity.py
+++ b/packages/scheduling/src/fordhatch/scheduling/_capacity.py
@@ -150,7 +150,7 @@
             ahead: Requests not yet sent that go before it.
         """
         left = self._fraction_left(level)
-        # With no open group at all, only those that are opening count.
+        # Also consider using none of the open groups, but only those that open soon.
         none_open = _Fastest(1.0, 0.0, 0.0, 0.0)
         return min(
             self._wait_s(fastest, level, ahead, left) + first_s * fastest.pace
