Admission passes the memory that a request needs on to the choice of a group

Cause: the merge of admission and of the load of all nodes left both calls of a controlled request without it, so that the memory of a group was checked for resumed streams only. Found by reading. Change: both calls pass it. A request that is pushed out of a full line and whose caller has just disconnected no longer fails the newcomer; a presumed cold time is limited to a minute like a reported one; a retry time is reserved only for a refusal that states it. Evidence: test_the_choice_under_admission_control_knows_the_memory_needed; tests of serving near it green.

--- a/packages/serving/src/fordhatch/serving/_admission_control.py
+++ b/packages/serving/src/fordhatch/serving/_admission_control.py
@@ -150,7 +150,9 @@
         now_s = self.timer.now_s()
         pushed = state.admission.arrive(held, capacity, 1.0 / scale, now_s)
         for other, refusal in pushed:
-            other.settled.set_result(refusal)
+            # Its caller may have disconnected, which cancels the future.
+            if not other.settled.done():
+                other.settled.set_result(refusal)
         request.urgency_class = classes.wire_class(
             held.rank, is_over_share=held.is_over_share
         )
@@ -265,8 +267,9 @@
         if held is None or not self.load.is_recent():
             return choose(request.service, model, tried, need)
         full = self._full_heads(held)
-        head = choose(request.service, model, [*tried, *full]) if full else None
-        return head or choose(request.service, model, tried)
+        others = [*tried, *full]
+        head = choose(request.service, model, others, need) if full else None
+        return head or choose(request.service, model, tried, need)
 
     def _full_heads(self, held: HeldRequest) -> list[str]:
         """Return the heads whose queue has no room for a request."""
--- a/packages/serving/src/fordhatch/serving/_cold_backends.py
+++ b/packages/serving/src/fordhatch/serving/_cold_backends.py
@@ -254,7 +254,9 @@
         report = self._reports.get(backend.backend_id)
         if report is None:
             return None
-        left_s = service.cold_s if report.left_s is None else report.left_s
+        left_s = min(service.cold_s, MAX_COLD_S)
+        if report.left_s is not None:
+            left_s = report.left_s
         until_s = report.observed_s + left_s
         if until_s <= self.timer.now_s():
             return None
--- a/packages/serving/src/fordhatch/serving/_stream_call.py
+++ b/packages/serving/src/fordhatch/serving/_stream_call.py
@@ -196,11 +196,12 @@
         left_s = request.left_s(self.timer.now_s())
         if not request.ran_at:
             stopped = self.admission.recheck(request)
+            if stopped is not None:
+                return stopped
             retry_after_s = self._retry_after_s(stream, left_s)
-            stopped = stopped or evacuated_stream_failure(
+            return evacuated_stream_failure(
                 self.directory, request.service, stream.model, retry_after_s
-            )
-            return stopped or Failure.from_code(
+            ) or Failure.from_code(
                 ResultCode.NO_GROUP_READY, ran=Ran.NO, retry_after_s=retry_after_s
             )
         if left_s <= 0:
--- a/packages/serving/tests/test_admission_control.py
+++ b/packages/serving/tests/test_admission_control.py
@@ -14,6 +14,8 @@
 
 from fordhatch.adapter import CONFIGURATION_KEY, OPERATOR_TABLE, decode_configuration
 from fordhatch.serving._admission_control import MAX_LINES_PER_S
+from fordhatch.serving._head_choice import HeadChoice
+from fordhatch.serving._memory_need import NO_NEED
 
 GOAL_S = 0.4
 SLOTS = 13
@@ -179,6 +181,25 @@
     assert (len(full.seen), len(free.seen)) == (0, 6)
 
 
+# Guards against requests under admission control that are placed without regard to
+# the memory of the groups.
+async def test_the_choice_under_admission_control_knows_the_memory_needed(
+    scarce, monkeypatch
+) -> None:
+    needs = []
+    choose = HeadChoice.choose
+
+    def record(self, service, model, tried, need=NO_NEED):
+        needs.append(need)
+        return choose(self, service, model, tried, need)
+
+    monkeypatch.setattr(HeadChoice, "choose", record)
+    await scarce.add_backend(streams, group="small.1", zone="z1")
+    assert (await scarce.ask("/stream/1")).body == ALL
+    assert needs
+    assert NO_NEED not in needs
+
+
 async def test_many_refusals_write_few_lines(scarce, monkeypatch) -> None:
     events = []
     monkeypatch.setattr(
