Scheduling: requests that have waited for a start are no rate of arrivals

Cause: a node that starts gets at once what has waited for it, and counted it as a rate at which more urgent requests go on arriving. What that rate leaves to others was nothing. Change: arrivals count as a rate only once a whole window has been observed. Evidence: test_requests_that_waited_for_a_start_are_no_rate; tests of scheduling and admission green.

--- a/packages/scheduling/src/fordhatch/scheduling/_model_admission.py
+++ b/packages/scheduling/src/fordhatch/scheduling/_model_admission.py
@@ -106,16 +106,25 @@
     """Decaying count of arrivals by level."""
     _counted_s: float = -math.inf
     """Time of the latest arrival, in monotonic seconds."""
+    _first_s: float = math.inf
+    """Time of the first arrival, in monotonic seconds."""
     _count: int = 0
     """Number of arrivals so far; tells requests in the same place apart."""
 
     def arrivals_per_s(self, now_s: float) -> dict[int, float]:
-        """Return the arrivals at this node per second, by level."""
+        """Return the arrivals at this node per second, by level.
+
+        Empty for one window after the first arrival: a node that has just started gets
+        all requests that have waited for it at once, which is no rate.
+        """
+        if now_s - self._first_s < RATE_WINDOW_S:
+            return {}
+        arrivals = self._decayed_arrivals(now_s)
+        return {level: count / RATE_WINDOW_S for level, count in arrivals.items()}
+
+    def _decayed_arrivals(self, now_s: float) -> dict[int, float]:
         remaining = math.exp(-max(now_s - self._counted_s, 0.0) / RATE_WINDOW_S)
-        return {
-            level: count * remaining / RATE_WINDOW_S
-            for level, count in self._arrivals.items()
-        }
+        return {level: count * remaining for level, count in self._arrivals.items()}
 
     def arrive(
         self, ticket: Ticket, capacity: ModelCapacity, part: float, now_s: float
@@ -131,14 +140,12 @@
         Returns:
             The request that is refused because too many wait, if there is one.
         """
-        per_s = self.arrivals_per_s(now_s)
+        self._first_s = min(self._first_s, now_s)
         is_limited = capacity.is_recent and capacity.is_scarce
         groups = capacity.throughput_groups * part if is_limited else math.inf
         is_over = self.shares.count(ticket.workspace, ticket.busy_s, groups, now_s)
         ticket.is_over_share = is_over
-        self._arrivals = {
-            level: rate_per_s * RATE_WINDOW_S for level, rate_per_s in per_s.items()
-        }
+        self._arrivals = self._decayed_arrivals(now_s)
         self._arrivals[ticket.level] = self._arrivals.get(ticket.level, 0.0) + 1.0
         self._counted_s = now_s
         self._count += 1
--- a/packages/scheduling/tests/test_decisions.py
+++ b/packages/scheduling/tests/test_decisions.py
@@ -12,6 +12,7 @@
 from fordhatch.scheduling import (
     FairShares,
     GroupCapacity,
+    ModelAdmission,
     ModelCapacity,
     OpeningGroup,
     PendingRequest,
@@ -21,6 +22,7 @@
     RetryTimes,
     ReturningCallers,
     Send,
+    Ticket,
     UrgencyClasses,
     Wait,
     WaitingLine,
@@ -199,3 +201,25 @@
     assert stream_patience_s(0.25, 0.2) == 2.0
     assert stream_patience_s(1.0, 0.3) == 4.0
     assert stream_patience_s(0.5, 0.3) == pytest.approx(2.4)
+
+
+# Guards against a node that has just started and takes the requests that have waited
+# for it as a rate at which they go on arriving, so that it refuses what can be served.
+def test_requests_that_waited_for_a_start_are_no_rate() -> None:
+    admission = ModelAdmission()
+    known = capacity(FULL)
+
+    def arrive(now_s: float) -> None:
+        ticket = Ticket(
+            rank=0, ranks=3, workspace="w", goal_s=0.25, arrived_s=now_s,
+            give_up_s=now_s + 2.0, due_s=now_s + 6.0, first_s=0.05, busy_s=0.06,
+        )  # fmt: skip
+        admission.arrive(ticket, known, 1.0, now_s)
+        admission.leave(ticket)
+
+    for _ in range(100):
+        arrive(10.0)
+    assert admission.arrivals_per_s(10.1) == {}
+    for tick in range(200):
+        arrive(10.0 + tick * 0.1)
+    assert sum(admission.arrivals_per_s(30.0).values()) == pytest.approx(10.0, rel=0.1)
