--- a/packages/registry/src/fordhatch/registry/_backend_directory.py
+++ b/packages/registry/src/fordhatch/registry/_backend_directory.py
@@ -39,8 +39,7 @@
     outage_ended_s: float = -math.inf
     """When the end of the last outage of the store was seen, in monotonic seconds."""
     logs_changes: bool = True
-    """Whether changes are logged, as only nodes that read from the store do: a log line
-    costs more than the change itself."""
+    """Whether changes are logged; only nodes that read from the store do so."""
     accepts: Callable[[BackendServer], bool] = lambda b: b.cold_left_s is not None
     """Called with each entry before it is applied; returns whether it can be used."""
     _entries: dict[str, DirectoryEntry] = attrs.field(factory=dict)
