--- a/packages/catalog/src/fordhatch/catalog/_backends.py
+++ b/packages/catalog/src/fordhatch/catalog/_backends.py
@@ -80,6 +80,10 @@
     membership: GroupMembership | None = None
     born_ms: int = 0
     """Unix milliseconds of its start; 0 if the platform does not report it."""
+    cold_left_s: float | None = attrs.field(default=0.0, eq=False)
+    """Remaining time for which it is cold, when its entry was written, in seconds; None
+    if the entry's value is malformed. Not compared: it decreases with each rewritten
+    entry, and the backend server is otherwise unchanged."""
 
     @property
     def registered_id(self) -> str:
--- a/packages/catalog/src/fordhatch/catalog/_calls.py
+++ b/packages/catalog/src/fordhatch/catalog/_calls.py
@@ -39,6 +39,7 @@
     REST = "rest"
     LIMIT = "limit"
     LEAVING = "leaving"
+    COLD = "cold"
 
 
 @attrs.frozen
@@ -53,6 +54,12 @@
     """Whether the backend server is leaving and accepts no new requests."""
     unreadable: frozenset[PressureKind] = frozenset()
     """Kinds of signals that were present but malformed."""
+    cold_left_s: float | None = attrs.field(default=None, eq=False)
+    """Remaining time for which the backend server is cold, in seconds; None if not
+    reported. Not compared: most answers of a warm server report 0, which asks for
+    nothing."""
+    is_cold_unreadable: bool = attrs.field(default=False, eq=False)
+    """Whether that time was present but malformed."""
 
 
 @attrs.frozen
--- a/packages/catalog/src/fordhatch/catalog/_configuration.py
+++ b/packages/catalog/src/fordhatch/catalog/_configuration.py
@@ -154,6 +154,11 @@
     max_connections: int
     engine: EngineProfile | None = None
     """Set for model engines, whose members form groups; None for plain services."""
+    cold_s: float = 0.0
+    """Duration of a cold start, in seconds."""
+    cold_per_s: float = 0.0
+    """Requests a second that a cold backend server tolerates from all nodes together;
+    0 if cold backend servers need no limit."""
 
 
 @attrs.frozen
--- a/packages/catalog/src/fordhatch/catalog/_node_settings.py
+++ b/packages/catalog/src/fordhatch/catalog/_node_settings.py
@@ -35,6 +35,10 @@
     """Factor by which the load rate may be exceeded within a window."""
     pass_on_s: float
     """Maximum time that a node may take to forward an event of a stream."""
+    cold_overrun: float = 1.5
+    cold_slack: float = 5.0
+    """In any one second a cold backend server may receive ``cold_overrun`` times the
+    requests that it tolerates, plus ``cold_slack``."""
 
 
 @attrs.frozen
--- a/packages/core/src/fordhatch/core/_codes.py
+++ b/packages/core/src/fordhatch/core/_codes.py
@@ -47,6 +47,7 @@
     CONFIGURATION_STALE = 212
     REQUEST_QUARANTINED = 213
     PROBE_INCONCLUSIVE = 214
+    COLD_UNREADABLE = 230
     STORE_UNAVAILABLE = 300
     STORE_OUTCOME_UNKNOWN = 301
     STORE_CONFLICT = 302
@@ -140,6 +141,9 @@
     ResultCode.PROBE_INCONCLUSIVE: _info(
         503, Ran.NO, "The node was too slow to tell whether a backend server answers."
     ),
+    ResultCode.COLD_UNREADABLE: _info(
+        503, Ran.NO, "The time for which a backend server is cold is malformed."
+    ),
     ResultCode.CLIENT_GONE: _info(499, Ran.MAYBE, "The caller closed its connection."),
     ResultCode.STORE_UNAVAILABLE: _info(
         503, Ran.NO, "The platform's store cannot be reached; nothing was decided."
--- a/packages/core/src/fordhatch/core/_metrics.py
+++ b/packages/core/src/fordhatch/core/_metrics.py
@@ -69,6 +69,18 @@
     ["kind", "outcome"],
     registry=REGISTRY,
 )
+BACKENDS_COLD = Gauge(
+    "fordhatch_backends_cold",
+    "Backend servers that are cold and tolerate few requests, as this node knows.",
+    ["service"],
+    registry=REGISTRY,
+)
+COLD_UNREADABLE = Counter(
+    "fordhatch_cold_unreadable_total",
+    "Malformed remaining cold times, in entries and in answers.",
+    ["source"],
+    registry=REGISTRY,
+)
 CONFIGURATION_AGE_SECONDS = Gauge(
     "fordhatch_configuration_age_seconds",
     "Age of the last confirmation of the configuration.",
--- a/packages/node/src/fordhatch/node/_pressure_gossip.py
+++ b/packages/node/src/fordhatch/node/_pressure_gossip.py
@@ -19,7 +19,7 @@
     QueryPressure,
 )
 from fordhatch.registry import NodeAddress, StoreView
-from fordhatch.serving import Permit, Permits, ServerLimit
+from fordhatch.serving import ColdReport, ColdState, Permit, Permits, ServerLimit
 
 GOSSIP_FANOUT = 8
 """Nodes to which each node forwards an update that is new to it: all of a small system
@@ -59,6 +59,8 @@
     """Limits to send in the next round, by backend server."""
     _pending_departures: list[str] = attrs.field(factory=list)
     """Backend servers whose departure is sent in the next round."""
+    _pending_cold: dict[str, ColdState] = attrs.field(factory=dict)
+    """Backend servers that answers report as cold, to send in the next round."""
     _is_sending: bool = False
     _tasks: TaskSet = attrs.field(factory=TaskSet)
 
@@ -67,6 +69,7 @@
         self.permits.request_permit = self.request_permit
         self.permits.pressure.subscribe_limits(self._queue_limit)
         self.permits.pressure.subscribe_departures(self._queue_departure)
+        self.permits.pressure.cold.subscribe(self._queue_cold)
         self._tasks.spawn(self._query_at_start(), "learn-pressure")
 
     # Limits and departures of backend servers.
@@ -79,6 +82,10 @@
         self._pending_departures.append(backend_id)
         self._ensure_sending()
 
+    def _queue_cold(self, state: ColdState) -> None:
+        self._pending_cold[state.backend_id] = state
+        self._ensure_sending()
+
     def _ensure_sending(self) -> None:
         if not self._is_sending:
             self._is_sending = True
@@ -87,11 +94,16 @@
     async def _send_pending(self) -> None:
         """Send pending updates in rounds until none is left."""
         try:
-            while self._pending_limits or self._pending_departures:
+            while (
+                self._pending_limits or self._pending_departures or self._pending_cold
+            ):
                 message = self._message(
-                    list(self._pending_limits.values()), self._pending_departures
+                    list(self._pending_limits.values()),
+                    self._pending_departures,
+                    list(self._pending_cold.values()),
                 )
                 self._pending_limits, self._pending_departures = {}, []
+                self._pending_cold = {}
                 for node in self._sample(GOSSIP_FANOUT):
                     self._tasks.spawn(self._send(node, message), "tell-pressure")
                 await self.timer.sleep(ROUND_INTERVAL_S)
@@ -107,13 +119,17 @@
         return self.timer.rng.sample(others, min(max_nodes, len(others)))
 
     def _message(
-        self, limits: list[ServerLimit], departures: list[str]
+        self, limits: list[ServerLimit], departures: list[str], cold: list[ColdState]
     ) -> PressureSeen:
-        entries = [(x.backend_id, x.per_s, self._age_s(x)) for x in limits]
-        return PressureSeen(entries, departures)
+        entries = [(x.backend_id, x.per_s, self._age_s(x.received_s)) for x in limits]
+        states = [
+            (x.backend_id, x.until_s - x.observed_s, self._age_s(x.observed_s))
+            for x in cold
+        ]
+        return PressureSeen(entries, departures, states)
 
-    def _age_s(self, limit: ServerLimit) -> float:
-        return min(max(self.timer.now_s() - limit.received_s, 0.0), MAX_AGE_S)
+    def _age_s(self, observed_s: float) -> float:
+        return min(max(self.timer.now_s() - observed_s, 0.0), MAX_AGE_S)
 
     async def receive(self, message: PressureSeen, channel: Channel) -> None:
         """Apply another node's update and acknowledge it."""
@@ -127,14 +143,19 @@
             if backend_id in known:
                 limit = ServerLimit(backend_id, per_s, now_s - age_s)
                 self.permits.pressure.apply_limit(limit)
+        for backend_id, left_s, age_s in message.cold:
+            if backend_id in known:
+                report = ColdReport(now_s - age_s, left_s)
+                self.permits.pressure.cold.observe_remote(backend_id, report)
         for backend_id in message.leaving:
             self.permits.pressure.record_departure(backend_id)
 
     async def send_known(self, channel: Channel) -> None:
         """Reply with every limit and departure that this node knows."""
-        limits = self.permits.pressure.limits()
+        pressure = self.permits.pressure
         departures = self.view.directory.departures.all()
-        await channel.send(self._message(limits, departures))
+        known = self._message(pressure.limits(), departures, pressure.cold.states())
+        await channel.send(known)
 
     async def _query_at_start(self) -> None:
         """Query some nodes for what they know, as soon as this node knows any node."""
@@ -163,7 +184,12 @@
         node = self.view.shared.nodes.get(node_name)
         if node is None:
             return None
-        message = AskPermit(limit.backend_id, limit.per_s, self._age_s(limit))
+        message = AskPermit(
+            limit.backend_id,
+            limit.per_s,
+            self._age_s(limit.received_s),
+            None if limit.cold is None else limit.cold.left_s,
+        )
         answer = await self.pool.request(node.address, message, PERMIT_TIMEOUT_S)
         reply = answer.ok()
         if not isinstance(reply, PermitReply):
@@ -173,7 +199,9 @@
     async def answer_permit(self, message: AskPermit, channel: Channel) -> None:
         """Grant or deny another node's request for a permit."""
         received_s = self.timer.now_s() - message.age_s
-        limit = ServerLimit(message.backend_id, message.limit_per_s, received_s)
+        left_s = message.cold_left_s
+        cold = None if left_s is None else ColdReport(received_s, left_s)
+        limit = ServerLimit(message.backend_id, message.limit_per_s, received_s, cold)
         permit = self.permits.issue_to(channel.peer_name, limit)
         await channel.send(PermitReply(permit.is_granted, permit.again_s))
 
--- a/packages/protocol/src/fordhatch/protocol/_messages.py
+++ b/packages/protocol/src/fordhatch/protocol/_messages.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-PROTOCOL_VERSION = 5
+PROTOCOL_VERSION = 6
 """Incremented when a message changes in a way that older nodes cannot decode."""
 
 MESSAGE_BY_TAG: dict[int, type] = {}
@@ -286,6 +286,19 @@
         raise FieldError(f"{attribute.name}: expected 0 to {MAX_AGE_S:g}")
 
 
+def _optional_age(_: object, attribute: attrs.Attribute, value: object) -> None:
+    if value is not None:
+        _age(_, attribute, value)
+
+
+def _cold(_: object, attribute: attrs.Attribute, value: object) -> None:
+    if type(value) is not list:
+        raise FieldError(f"{attribute.name}: expected a list")
+    for backend_id, left_s, age_s in value:
+        if type(backend_id) is not str or not (_is_age(left_s) and _is_age(age_s)):
+            raise FieldError(f"{attribute.name}: unexpected entry")
+
+
 def _limits(_: object, attribute: attrs.Attribute, value: object) -> None:
     if type(value) is not list:
         raise FieldError(f"{attribute.name}: expected a list")
@@ -311,6 +324,9 @@
     """Requests per second of the limit that the requesting node knows."""
     age_s: float = attrs.field(validator=_age)
     """Age of the backend server's report of this limit, in seconds."""
+    cold_left_s: float | None = attrs.field(default=None, validator=_optional_age)
+    """Set if the limit applies because the backend server is cold: the time for which
+    it was, when the report was made, in seconds."""
 
 
 @message(69)
@@ -336,6 +352,9 @@
     """
     leaving: list[str] = attrs.field(validator=_string_list)
     """Ids of backend servers that are about to leave."""
+    cold: list[tuple[str, float, float]] = attrs.field(factory=list, validator=_cold)
+    """Backend server id, remaining cold time in an answer, and the answer's age, both
+    in seconds."""
 
 
 @message(71)
--- a/packages/registry/src/fordhatch/registry/_backend_directory.py
+++ b/packages/registry/src/fordhatch/registry/_backend_directory.py
@@ -49,15 +49,16 @@
     """Whether each change is logged. Only nodes that read from the store log changes:
     with 925 backend servers and 195 nodes every change would be written 195 times, and
     a log line costs more than the change itself."""
+    accepts: Callable[[BackendServer], bool] = lambda b: b.cold_left_s is not None
+    """Called with each changed entry before it is applied; whether it can be used."""
     _entries: dict[str, _Entry] = attrs.field(factory=dict)
     """Entries by registered id."""
     _starts: StartTimes = attrs.field(factory=StartTimes)
     _are_starts_required: bool = False
     """The last decision on whether an entry must contain its start time."""
     _pending: dict[str, Row] = attrs.field(factory=dict)
-    """Changed entries that are not decoded yet. Most nodes read the directory a few
-    times a second, while each entry changes six times in the seconds before the first
-    request; only the last change of each is decoded."""
+    """Changed entries that are not decoded yet, only the last change of each: an entry
+    changes six times in the seconds before the first request."""
     _malformed: set[str] = attrs.field(factory=set)
     """Registered ids whose entry cannot be used; logged once for each."""
     _lapsed: LapsedEntries = attrs.field(init=False)
@@ -200,9 +201,8 @@
             known = self.backends.get(backend_id)
             entry = self._entries.get(known.registered_id) if known else None
             if entry is not None and entry.value:
-                self._apply(
-                    entry, decode_backend(known.registered_id, entry.value), None
-                )
+                found = decode_backend(known.registered_id, entry.value)
+                self._apply(entry, found, None)
         self._notify(before)
 
     def _add_pending(self, row: Row, *, is_restored: bool = False) -> None:
@@ -246,6 +246,9 @@
         if self._restored.may_be_outdated(registered_id, found, known):
             self._defer(row, known)
             return
+        if not self.accepts(found):
+            self._reject_row(registered_id, row, "remaining cold time: malformed")
+            return
         entry.value = row.value
         self._apply(entry, found, row.version)
 
@@ -353,9 +356,8 @@
 
     def _prune_broken_group(self, backend: BackendServer) -> None:
         key = backend.membership.key
-        if key in self._broken_groups and key not in self._index.groups(
-            backend.service
-        ):
+        groups = self._index.groups(backend.service)
+        if key in self._broken_groups and key not in groups:
             self._broken_groups.discard(key)
 
     def _log(self, event: str, **fields: object) -> None:
--- a/packages/serving/src/fordhatch/serving/__init__.py
+++ b/packages/serving/src/fordhatch/serving/__init__.py
@@ -6,6 +6,7 @@
 from ._backend_health import BackendHealth
 from ._backpressure import BackpressureTracker, ServerLimit
 from ._caller_server import CallerServer
+from ._cold_backends import ColdBackends, ColdReport, ColdState
 from ._crash_watch import CrashWatch
 from ._demand_meter import DemandMeter
 from ._dispatch import Dispatch
@@ -30,6 +31,9 @@
     "BackendHealth",
     "BackpressureTracker",
     "CallerServer",
+    "ColdBackends",
+    "ColdReport",
+    "ColdState",
     "CrashWatch",
     "DemandMeter",
     "Dispatch",
--- a/packages/serving/src/fordhatch/serving/_backpressure.py
+++ b/packages/serving/src/fordhatch/serving/_backpressure.py
@@ -16,6 +16,8 @@
 from fordhatch.protocol.messages import MAX_LIMIT_PER_S
 from fordhatch.registry import BackendDirectory
 
+from ._cold_backends import ColdBackends, ColdReport
+
 MIN_LIMIT_CHANGE = 0.1
 """Fraction by which a limit must differ from the one notified last to count as
 changed."""
@@ -41,6 +43,8 @@
     """Requests a second from all nodes together; None if the limit was withdrawn."""
     received_s: float
     """When the answer that declared it was received, in monotonic seconds."""
+    cold: ColdReport | None = None
+    """Set if the limit applies because the backend server is cold."""
 
 
 @attrs.frozen
@@ -79,10 +83,16 @@
     timer: Timer
     directory: BackendDirectory
     """Records departures; a backend server found there is then marked as leaving."""
+    cold: ColdBackends = attrs.field()
+    """Backend servers with a limit because they are cold."""
     _by_backend: dict[str, _KnownPressure] = attrs.field(factory=dict)
     _limit_subscribers: list[Callable[[ServerLimit], None]] = attrs.field(factory=list)
     _leaving_subscribers: list[Callable[[str], None]] = attrs.field(factory=list)
 
+    @cold.default
+    def _no_cold_services(self) -> ColdBackends:
+        return ColdBackends(self.timer, self.directory)
+
     def subscribe_limits(self, callback: Callable[[ServerLimit], None]) -> None:
         """Register a callback for limits that are new to this node or withdrawn."""
         self._limit_subscribers.append(callback)
@@ -102,6 +112,10 @@
         """
         if said is None:
             return
+        if said.is_cold_unreadable:
+            self.cold.count_unreadable(backend.backend_id, "answer")
+        elif said.cold_left_s is not None:
+            self.cold.observe_answer(backend, said.cold_left_s)
         for kind in said.unreadable:
             metrics.BACKPRESSURE_UNREADABLE.labels(kind.value).inc()
             log_event(
@@ -202,17 +216,20 @@
             Monotonic seconds; minus infinity if nothing is known of it.
         """
         known = self._by_backend.get(backend_id)
-        return known.free_at_s if known is not None else -math.inf
+        free_at_s = known.free_at_s if known is not None else -math.inf
+        return max(free_at_s, self.cold.blocked_until_s(backend_id))
 
     def blocked_backends(self) -> Set[str]:
         """Return the backend servers that may get no requests now.
 
         Few backend servers request anything, so a choice among many calls this once.
         """
+        cold = self.cold.blocked_backends()
         if not self._by_backend:
-            return _NO_BACKENDS
+            return cold or _NO_BACKENDS
         now_s = self.timer.now_s()
-        return {b for b, known in self._by_backend.items() if known.free_at_s > now_s}
+        held = {b for b, known in self._by_backend.items() if known.free_at_s > now_s}
+        return held | cold if cold else held
 
     def is_blocked(self, backend_id: str) -> bool:
         """Return whether a backend server may get no requests now."""
@@ -229,9 +246,13 @@
             return None
         backend_id = first.backend_id
         free_s = max(self.free_at_s(backend_id) - self.timer.now_s(), 0.0)
-        is_backing_off = self._is_backing_off(backend_id)
-        kind = PressureKind.REST if is_backing_off else PressureKind.LIMIT
-        return Block(backend_id, kind, free_s)
+        return Block(backend_id, self._block_kind(backend_id), free_s)
+
+    def _block_kind(self, backend_id: str) -> PressureKind:
+        if self._is_backing_off(backend_id):
+            return PressureKind.REST
+        is_cold = self.cold.blocked_until_s(backend_id) > self.timer.now_s()
+        return PressureKind.COLD if is_cold else PressureKind.LIMIT
 
     def _is_backing_off(self, backend_id: str) -> bool:
         known = self._by_backend.get(backend_id)
@@ -260,6 +281,7 @@
         """Drop the state of backend servers that are no longer listed."""
         for backend_id in set(self._by_backend) - backend_ids:
             del self._by_backend[backend_id]
+        self.cold.prune(backend_ids)
 
 
 def _is_significant(notified_per_s: float | None, per_s: float | None) -> bool:
--- a/packages/serving/src/fordhatch/serving/_permit_issuer.py
+++ b/packages/serving/src/fordhatch/serving/_permit_issuer.py
@@ -76,9 +76,8 @@
     issued them already."""
     requests_by_node: dict[str, _Count] = attrs.field(factory=dict)
 
-    def refill(self, rate_per_s: float, now_s: float) -> None:
+    def refill(self, rate_per_s: float, capacity: float, now_s: float) -> None:
         """Add the permits that accrued since the last refill."""
-        capacity = BURST_REQUESTS + BURST_S * rate_per_s
         grown = self.permits + rate_per_s * max(now_s - self.at_s, 0.0)
         self.permits = min(grown, capacity)
         self.at_s = now_s
@@ -121,10 +120,24 @@
             fraction: Fraction of the limit that this issuer may issue.
         """
         rate_per_s = max(USED_FRACTION * limit_per_s, MIN_LIMIT_PER_S) * fraction
+        capacity = BURST_REQUESTS + BURST_S * rate_per_s
+        return self.issue_from_bucket(
+            backend_id, rate_per_s, capacity, requester, now_s
+        )
+
+    def issue_from_bucket(
+        self,
+        backend_id: str,
+        rate_per_s: float,
+        capacity: float,
+        requester: str,
+        now_s: float,
+    ) -> Permit:
+        """Return a permit from a bucket of a given rate and size; see ``issue``."""
         bucket = self._buckets.get(backend_id)
         if bucket is None:
             bucket = self._buckets[backend_id] = _Bucket(now_s, _Count(now_s))
-        bucket.refill(rate_per_s, now_s)
+        bucket.refill(rate_per_s, capacity, now_s)
         requesters = bucket.record_request(requester, now_s)
         if bucket.permits >= 1.0:
             bucket.permits -= 1.0
--- a/packages/serving/src/fordhatch/serving/_permits.py
+++ b/packages/serving/src/fordhatch/serving/_permits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable, Callable, Collection
 
 import attrs
@@ -10,6 +11,7 @@
 from fordhatch.core import Timer, log_event, metrics
 
 from ._backpressure import BackpressureTracker, Block, ServerLimit
+from ._cold_backends import ColdReport, ColdState
 from ._permit_issuer import Permit, PermitIssuer, issuers, rank_fraction
 
 MAX_ISSUERS = 3
@@ -23,6 +25,10 @@
 MAX_UNREACHABLE_PAUSE_S = 16.0
 """Upper bound of that time, in seconds."""
 
+OTHER_ISSUER_PAUSE_S = 0.2
+"""Time after which to ask again where two nodes disagree on who issues the permits,
+because they do not know the same nodes. They do after some tenths of a second."""
+
 PermitRequester = Callable[[str, ServerLimit], Awaitable[Permit | None]]
 """Requests a permit from a node, given by name; returns None if it does not answer."""
 
@@ -57,9 +63,15 @@
     request_permit: PermitRequester = _request_nothing
     _unreachable: dict[str, _Unreachable] = attrs.field(factory=dict)
     """Issuers that did not answer, by name."""
+    _asking: dict[str, asyncio.Lock] = attrs.field(factory=dict)
+    """Held while a permit for a cold backend server is requested: of many waiting
+    requests one finds out that there is none."""
 
     async def acquire(self, backend: BackendServer) -> bool:
         """Return whether a request may be sent to a backend server now."""
+        cold = self.pressure.cold
+        if cold.is_active and cold.state(backend) is not None:
+            return await self._acquire_cold(backend)
         limit = self.pressure.limit(backend.backend_id)
         if limit is None:
             return True
@@ -71,6 +83,33 @@
             self.pressure.block(backend.backend_id, permit.again_s)
         return permit.is_granted
 
+    async def _acquire_cold(self, backend: BackendServer) -> bool:
+        """Return whether a request may be sent to a cold backend server now."""
+        backend_id, cold = backend.backend_id, self.pressure.cold
+        if self.pressure.is_blocked(backend_id):
+            return False
+        async with self._asking.setdefault(backend_id, asyncio.Lock()):
+            state = cold.state(backend)
+            if state is None:
+                return await self.acquire(backend)
+            if self.pressure.is_blocked(backend_id):
+                return False
+            permit = await self._obtain_permit(self._cold_limit(backend, state))
+        metrics.PERMITS.labels("granted" if permit.is_granted else "denied").inc()
+        if not permit.is_granted:
+            cold.block(state, permit.again_s)
+        return permit.is_granted
+
+    def _cold_limit(self, backend: BackendServer, state: ColdState) -> ServerLimit:
+        """Return the smaller of a cold backend server's limits."""
+        per_s = self.pressure.cold.service_limit_per_s(backend)
+        declared = self.pressure.limit(backend.backend_id)
+        if declared is not None:
+            per_s = min(per_s, declared.per_s)
+        left_s = state.until_s - state.observed_s
+        report = ColdReport(state.observed_s, left_s)
+        return ServerLimit(backend.backend_id, per_s, state.observed_s, report)
+
     def log_block(self, request_id: str, hold: Block, *, waits: bool) -> None:
         """Log and count a request that no backend server accepts now.
 
@@ -94,12 +133,17 @@
         nodes = self.nodes()
         for rank, node in enumerate(issuers(limit.backend_id, nodes, MAX_ISSUERS)):
             if node == self.node_name:
-                return self._issue_locally(limit, rank_fraction(rank))
+                return self._issue_as(limit, rank, self.node_name)
             permit = await self._request_permit(node, limit)
             if permit is not None:
                 return permit
         # No issuer is reachable: keep to this node's fraction of the limit.
-        return self._issue_locally(limit, 1.0 / max(len(nodes), 1))
+        if limit.cold is not None:
+            ranked = issuers(limit.backend_id, nodes, len(nodes))
+            is_listed = self.node_name in ranked
+            rank = ranked.index(self.node_name) if is_listed else len(ranked)
+            return self._issue_cold(limit, rank, self.node_name)
+        return self._issue(limit, self.node_name, 1.0 / max(len(nodes), 1))
 
     async def _request_permit(self, node: str, limit: ServerLimit) -> Permit | None:
         now_s = self.timer.now_s()
@@ -118,15 +162,35 @@
         self._unreachable[node] = _Unreachable(now_s + pause_s, pause_s)
         return None
 
-    def _issue_locally(self, limit: ServerLimit, fraction: float) -> Permit:
+    def _issue_as(self, limit: ServerLimit, rank: int, requester: str) -> Permit:
+        """Issue a permit as the issuer of a rank."""
+        if limit.cold is not None:
+            return self._issue_cold(limit, rank, requester)
+        return self._issue(limit, requester, rank_fraction(rank))
+
+    def _issue(self, limit: ServerLimit, requester: str, fraction: float) -> Permit:
         return self.issuer.issue(
             limit.backend_id,
             limit.per_s,
-            self.node_name,
+            requester,
             self.timer.now_s(),
             fraction=fraction,
         )
 
+    def _issue_cold(self, limit: ServerLimit, rank: int, requester: str) -> Permit:
+        """Issue a permit as the node of a rank; most ranks issue none."""
+        budget = self.pressure.cold.budget()
+        rate_per_s = budget.rate_per_s(limit.per_s, rank)
+        if rate_per_s == 0.0:
+            return Permit(is_granted=False, again_s=UNREACHABLE_PAUSE_S)
+        return self.issuer.issue_from_bucket(
+            limit.backend_id,
+            rate_per_s,
+            budget.bucket_permits(rank),
+            requester,
+            self.timer.now_s(),
+        )
+
     def issue_to(self, node: str, limit: ServerLimit) -> Permit:
         """Return a permit for another node.
 
@@ -134,24 +198,42 @@
             node: The name of the node.
             limit: The limit as known to that node; applied here if it is newer.
         """
-        self.pressure.apply_limit(limit)
-        known = self.pressure.limit(limit.backend_id)
+        if limit.cold is None:
+            self.pressure.apply_limit(limit)
+        else:
+            # The node that has the answer tells the others; this one need not.
+            self.pressure.cold.observe(limit.backend_id, limit.cold)
+        known = self._known_limit(limit)
         if known is None:
-            # The backend server has withdrawn its limit since.
+            # The backend server has withdrawn its limit since, or is warm.
             return Permit(is_granted=True)
         ranked = issuers(limit.backend_id, self.nodes(), MAX_ISSUERS)
-        rank = ranked.index(self.node_name) if self.node_name in ranked else len(ranked)
-        return self.issuer.issue(
-            limit.backend_id,
-            known.per_s,
-            node,
-            self.timer.now_s(),
-            fraction=rank_fraction(rank),
-        )
+        if self.node_name in ranked:
+            return self._issue_as(known, ranked.index(self.node_name), node)
+        if known.cold is not None:
+            return Permit(is_granted=False, again_s=OTHER_ISSUER_PAUSE_S)
+        return self._issue_as(known, len(ranked), node)
+
+    def _known_limit(self, asked: ServerLimit) -> ServerLimit | None:
+        """Return the limit in effect by what this node and the asking one know."""
+        cold, backend_id = self.pressure.cold, asked.backend_id
+        backend = self.pressure.directory.backends.get(backend_id)
+        if cold.is_active and backend is not None:
+            state = cold.state(backend)
+            if state is not None:
+                known = self._cold_limit(backend, state)
+                per_s = min(known.per_s, asked.per_s)
+                return attrs.evolve(known, per_s=per_s)
+        elif asked.cold is not None:
+            # This node knows neither the backend server nor its service yet.
+            return asked
+        return self.pressure.limit(backend_id)
 
     def keep_only(self, backend_ids: set[str]) -> None:
         """Drop the state of backend servers and nodes that are no longer listed."""
         self.pressure.keep_only(backend_ids)
+        for backend_id in self._asking.keys() - backend_ids:
+            del self._asking[backend_id]
         self.issuer.keep_only(backend_ids)
         for node in self._unreachable.keys() - set(self.nodes()):
             del self._unreachable[node]
--- a/packages/serving/src/fordhatch/serving/_request_path.py
+++ b/packages/serving/src/fordhatch/serving/_request_path.py
@@ -10,6 +10,7 @@
 from ._admission import Admission
 from ._backend_health import BackendHealth
 from ._backpressure import BackpressureTracker
+from ._cold_backends import ColdBackends
 from ._crash_row_writer import CrashRowWriter
 from ._crash_watch import CrashWatch
 from ._demand_meter import DemandMeter
@@ -69,7 +70,9 @@
         """
         view = state.view
         health = BackendHealth(timer)
-        pressure = BackpressureTracker(timer, view.directory)
+        cold = ColdBackends(timer, view.directory, lambda: state.bounds)
+        cold.connect(view.configuration, backends)
+        pressure = BackpressureTracker(timer, view.directory, cold)
         permits = Permits(
             node_name,
             timer,
--- a/standins/src/fordhatch_lab/_experiment.py
+++ b/standins/src/fordhatch_lab/_experiment.py
@@ -76,6 +76,12 @@
     """When all engines of one fabric domain crash; 0 for never."""
     planner_dies_at_s: float = 0.0
     """When the node that holds the planner's lease crashes; 0 for never."""
+    cold_s: float = 0.0
+    """How long an engine is cold after its start, in seconds."""
+    cold_per_s: float = 0.0
+    """Requests a second that a cold engine tolerates; 0 for any number."""
+    is_cold_configured: bool = True
+    """Whether the configuration tells the nodes of cold engines."""
     outage: StoreOutage | None = None
     """Simulated outage of the store; None for none."""
     is_revocation_strict: bool = True
@@ -115,7 +121,10 @@
             "form-ms": 300.0,
             "models": [_model(m) for m in self.models],
         }
-        services = [{"name": "llm", "max-conns": 400, "engine": engine}]
+        service: dict[str, Any] = {"name": "llm", "max-conns": 400, "engine": engine}
+        if self.cold_per_s and self.is_cold_configured:
+            service |= {"cold-s": self.cold_s, "cold-per-s": self.cold_per_s}
+        services = [service]
         routes = [_route(c) for c in self.classes]
         return json.dumps(
             {"version": 1, "routes": routes, "services": services}
--- a/standins/src/fordhatch_lab/_lab_site.py
+++ b/standins/src/fordhatch_lab/_lab_site.py
@@ -13,6 +13,7 @@
 from fordhatch.node import Clients, Node
 from fordhatch_standins import (
     Backends,
+    ColdStarts,
     EngineFleet,
     MemoryBackendClient,
     MemoryExchange,
@@ -72,11 +73,15 @@
         store.put(OPERATOR_TABLE, CONFIGURATION_KEY, experiment.configuration())
         scale = max(experiment.size / 48.0, 1.0)
         fleet = EngineFleet(
-            store, experiment.model_times(), rng, loads_per_s=4.0 * scale
-        )
-        return cls(
-            experiment, rng, store, Backends(store, fleet, experiment.pace(), rng)
+            store,
+            experiment.model_times(),
+            rng,
+            loads_per_s=4.0 * scale,
+            cold_s=experiment.cold_s,
         )
+        cold = ColdStarts(experiment.cold_per_s)
+        backends = Backends(store, fleet, experiment.pace(), rng, cold=cold)
+        return cls(experiment, rng, store, backends)
 
     async def start(self) -> None:
         """Start the engines and the nodes."""
@@ -139,7 +144,9 @@
         store = MemoryStoreClient(self.store, name)
         clients = Clients(
             store,
-            MemoryBackendClient(self.backends.fleet),
+            MemoryBackendClient(
+                self.backends.fleet, cold_left_s=self.backends.cold_left_s
+            ),
             MemoryExchange(self.backends, timer, name),
             self.network.pool(name, address),
         )
--- a/standins/src/fordhatch_standins/__init__.py
+++ b/standins/src/fordhatch_standins/__init__.py
@@ -4,6 +4,7 @@
 
 from ._backends import Backends
 from ._calls import BackendCall, CutOff, NotExecuted, answer_text, event_bytes
+from ._cold_starts import ColdStarts
 from ._engine_fleet import EngineFleet, FleetFaults, Violation
 from ._engine_model import EngineModel, ModelTimes
 from ._engine_work import EnginePace, EngineWork
@@ -22,6 +23,7 @@
     "SIGNATURE",
     "BackendCall",
     "Backends",
+    "ColdStarts",
     "CutOff",
     "EngineFleet",
     "EngineModel",
--- a/standins/src/fordhatch_standins/_backends.py
+++ b/standins/src/fordhatch_standins/_backends.py
@@ -10,6 +10,7 @@
 import attrs
 
 from ._calls import BackendCall
+from ._cold_starts import ColdStarts
 from ._engine_fleet import EngineFleet
 from ._engine_model import EngineModel
 from ._engine_work import EnginePace, EngineWork
@@ -44,6 +45,8 @@
     """Time from a crash until another engine starts at the same address."""
     pressure: PressureLog = attrs.field(factory=PressureLog)
     """Limits, back-offs and departures that the backend servers report in answers."""
+    cold: ColdStarts = attrs.field(factory=ColdStarts)
+    """The requests that cold engines receive."""
     copies: deque[StoreCopy] = attrs.field(factory=lambda: deque(maxlen=COPIES))
     """Copies of the store, the oldest first, from which it may be restored."""
     _work_by_id: dict[str, EngineWork] = attrs.field(factory=dict)
@@ -112,6 +115,16 @@
         engine = self.fleet.at(address)
         return self._work_by_id[engine.backend_id] if engine is not None else None
 
+    def arrived(self, engine: EngineModel) -> None:
+        """Record a request to an engine, which may crash it if it is cold."""
+        if self.cold.arrived(engine.backend_id, engine.cold_left_s()):
+            self._crash(engine)
+
+    def cold_left_s(self, engine: EngineModel) -> float | None:
+        """Return the cold time that answers of an engine report, None for none."""
+        tells = self.cold.per_s > 0.0 and self.cold.tells_in_answers
+        return engine.cold_left_s() if tells else None
+
     def refuses(self, address: str) -> bool:
         """Return whether an address refuses connections immediately."""
         return address in self.fleet.refusing
--- a/standins/src/fordhatch_standins/_engine_fleet.py
+++ b/standins/src/fordhatch_standins/_engine_fleet.py
@@ -61,6 +61,8 @@
     """The service under which engines register."""
     checks_fencing: bool = False
     """Whether engines refuse orders with an old fencing token."""
+    cold_s: float = 0.0
+    """How long an engine is cold after its start, in seconds."""
     tells_starts: bool = False
     """Whether engines report their start time and may restart under their id."""
     began_s: dict[str, float] = attrs.field(factory=dict)
@@ -104,9 +106,26 @@
         self.engines[name] = engine
         self.refusing.discard(engine.address)
         self._ids_by_address.setdefault(engine.address, []).append(name)
-        self._publish(engine)
+        self.make_cold(engine, self.cold_s)
         return engine
 
+    def make_cold(
+        self, engine: EngineModel, for_s: float, *, tells: bool = True
+    ) -> None:
+        """Make an engine cold for a while, at its start or at any other moment.
+
+        Args:
+            engine: The engine.
+            for_s: The time, in seconds; 0 for none.
+            tells: Whether its entry reports it.
+        """
+        engine.tells_cold = tells
+        if for_s > 0.0:
+            loop = asyncio.get_running_loop()
+            engine.cold_until_s = loop.time() + for_s
+            loop.call_later(for_s, self._publish, engine)
+        self._publish(engine)
+
     def _publish(self, engine: EngineModel) -> None:
         if engine.is_listed and not engine.is_dead:
             self.store.put(BACKENDS_TABLE, engine.backend_id, engine.entry())
@@ -170,7 +189,7 @@
             ready_before=engine.ready_before | engine.ready_as,
         )
         self.engines[engine.backend_id] = started
-        self._publish(started)
+        self.make_cold(started, self.cold_s)
         return started
 
     def _lapse(self, engine: EngineModel) -> None:
--- a/standins/src/fordhatch_standins/_engine_model.py
+++ b/standins/src/fordhatch_standins/_engine_model.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 from collections.abc import Callable
 
 import attrs
@@ -74,8 +75,16 @@
     """Start time in Unix milliseconds; 0 if the engine does not report it."""
     ready_before: set[tuple[str, int, tuple[str, ...]]] = attrs.field(factory=set)
     """Values of ``ready_as`` from earlier starts under the same id."""
+    cold_until_s: float = -math.inf
+    """When the engine becomes warm, on the event loop's clock."""
+    tells_cold: bool = True
+    """Whether the entry reports the coldness."""
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
+    def cold_left_s(self) -> float:
+        """Return the time until the engine becomes warm, in seconds; 0 if it is."""
+        return max(self.cold_until_s - asyncio.get_running_loop().time(), 0.0)
+
     def entry(self) -> bytes:
         """Return the engine's entry for the store."""
         data = entry_fields(
@@ -88,6 +97,8 @@
             models=[],
             group=None,
         )
+        if self.tells_cold and self.cold_until_s > -math.inf:
+            data["cold-left-ms"] = round(1000.0 * self.cold_left_s())
         if self.born_ms:
             data["born"] = self.born_ms
         if self.place is not None:
--- a/standins/src/fordhatch_standins/_memory_exchange.py
+++ b/standins/src/fordhatch_standins/_memory_exchange.py
@@ -164,6 +164,8 @@
         work = self.backends.work_at(backend.address)
         if work is None:
             return None
+        if call.backend_id == work.engine.backend_id:
+            self.backends.arrived(work.engine)
         if self._is_refused(work.engine.backend_id):
             return _refusal()
         return work.serve(call)
@@ -172,9 +174,13 @@
         return self.backends.pressure.arrived(backend_id, self.node_name)
 
     def _backpressure(self, backend: BackendServer, *, refused: bool) -> Backpressure:
-        return self.backends.pressure.answered(
+        said = self.backends.pressure.answered(
             backend.registered_id, self.node_name, refused=refused
         )
+        engine = self.backends.fleet.engines.get(backend.registered_id)
+        if engine is None:
+            return said
+        return attrs.evolve(said, cold_left_s=self.backends.cold_left_s(engine))
 
     async def close(self) -> None:
         """Do nothing: there is no connection to close."""
--- a/tests/adapter/test_backend_entries.py
+++ b/tests/adapter/test_backend_entries.py
@@ -99,6 +99,17 @@
     assert found.membership.state is MemberState.OPEN
 
 
+def test_a_malformed_cold_time_does_not_reject_the_entry() -> None:
+    assert (
+        decode_backend("i-1", entry_with(**{"cold-left-ms": 2500})).cold_left_s == 2.5
+    )
+    for value in (-1, "soon", None, True, 1e300, 10**400, [3]):
+        found = decode_backend("i-1", entry_with(**{"cold-left-ms": value}))
+        assert found.cold_left_s is None
+    with pytest.raises(DecodeError):
+        decode_backend("i-1", entry_without("cold-left-ms"))
+
+
 def test_an_entry_without_a_start_time_is_identified_by_its_key() -> None:
     found = decode_backend("i-1", backend_entry("a", "10.0.0.1:80", state="draining"))
     assert found.backend_id == found.registered_id == "i-1"
--- a/tests/adapter/test_backpressure.py
+++ b/tests/adapter/test_backpressure.py
@@ -59,3 +59,13 @@
 def test_a_repeated_header_is_reported_and_ignored() -> None:
     found = decode(200, ("Server-Limit", "1"), ("Server-Limit", "2"))
     assert found == Backpressure(unreadable=frozenset({LIMIT}))
+
+
+def test_a_cold_time_is_decoded_and_a_malformed_one_is_reported() -> None:
+    assert decode(200).cold_left_s is None
+    found = decode(200, ("X-Cold-Ms", "1500"))
+    assert (found.cold_left_s, found.is_cold_unreadable) == (1.5, False)
+    for text in BAD:
+        found = decode(200, ("X-Cold-Ms", text))
+        assert (found.cold_left_s, found.is_cold_unreadable) == (None, True)
+        assert not found.unreadable
--- a/tests/adapter/test_configuration.py
+++ b/tests/adapter/test_configuration.py
@@ -78,6 +78,13 @@
     assert found.workspace_by_key["k2"].priority == 3
 
 
+def test_limits_of_cold_backend_servers_are_decoded_and_absent_by_default() -> None:
+    service = {"name": "b", "cold-s": 3, "cold-per-s": 17}
+    found = decode_configuration(encoded(services=[service, {"name": "c"}])).services
+    assert (found["b"].cold_s, found["b"].cold_per_s) == (3.0, 17.0)
+    assert (found["c"].cold_s, found["c"].cold_per_s) == (0.0, 0.0)
+
+
 def test_without_tenants_no_api_key_is_required() -> None:
     data = {k: v for k, v in CONFIGURATION.items() if k != "tenants"}
     assert decode_configuration(json.dumps(data).encode()).workspace_by_key is None
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -72,6 +72,14 @@
     ]
 
 
+def test_bounds_for_cold_backend_servers_have_defaults() -> None:
+    bounds = decode_settings(SETTINGS).bounds
+    assert (bounds.cold_overrun, bounds.cold_slack) == (1.5, 5.0)
+    line = "cold-overrun = 2\ncold-slack = 3\npass-ms"
+    bounds = decode_settings(SETTINGS.replace("pass-ms", line)).bounds
+    assert (bounds.cold_overrun, bounds.cold_slack) == (2.0, 3.0)
+
+
 def test_content_that_is_not_toml_is_rejected() -> None:
     with pytest.raises(DecodeError, match="not valid TOML"):
         decode_settings("node-name = ")
