Failing tests: nodes whose links to all backend servers are cut

Change: the stand-ins cut the links of one node (hang, reset, refuse new connections), fordhatch_lab plays it in virtual time (CutTrial), and a wrapper cuts them for a node in a process of its own.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -15,6 +15,7 @@
 
 import aiohttp
 import attrs
+from cut_links import LinkCut
 
 from fordhatch.config import hash_key
 
@@ -89,6 +90,12 @@
 
     url: str = ""
     operators_url: str = ""
+    link_cut: Path | None = None
+    """File that says how its links to backend servers are cut, see ``cut_links``."""
+
+    def cut_links(self, kind: LinkCut) -> None:
+        """Cut the node's links to all backend servers, or restore them."""
+        self.link_cut.write_text(kind)
 
 
 @attrs.define(eq=False, repr=False)
@@ -102,12 +109,18 @@
     store_port: int = 0
     spare_port: int = 0
     """First of the ports for engines that are added later."""
+    first_backend_port: int = 0
+    last_backend_port: int = 0
+    """Last of the ports of backend servers, those of later ones included."""
+    can_cut_links: bool = False
+    """Whether the links of nodes to backend servers can be cut."""
     _spawned: list[asyncio.subprocess.Process] = attrs.field(factory=list)
 
     @classmethod
-    def create(cls) -> Fleet:
+    def create(cls, *, can_cut_links: bool = False) -> Fleet:
         """Return an empty fleet that logs to a new temporary folder."""
-        return cls(Path(tempfile.mkdtemp(prefix="fordhatch-")))
+        directory = Path(tempfile.mkdtemp(prefix="fordhatch-"))
+        return cls(directory, can_cut_links=can_cut_links)
 
     async def __aenter__(self) -> Fleet:
         timeout = aiohttp.ClientTimeout(total=60.0)
@@ -141,6 +154,8 @@
         first = find_free_ports(engines + spare + 3)
         self.store_port, control = first, first + 1
         self.spare_port = first + 3 + engines
+        self.first_backend_port = first + 2
+        self.last_backend_port = first + 2 + engines + spare
         command = [
             str(BIN / "fordhatch-standin"),
             f"--store-port={self.store_port}",
@@ -176,18 +191,29 @@
         name = settings["node_name"]
         path = self.directory / f"{name}.json"
         path.write_text(json.dumps(settings))
-        command = [str(BIN / "fordhatchd"), str(path)]
+        link_cut = self.directory / f"{name}.cut"
+        command = [*self._program(link_cut), str(path)]
         node = NodeProcess(
             name,
             command,
             await self.spawn(name, command),
             f"http://127.0.0.1:{settings['callers']['port']}",
             f"http://127.0.0.1:{settings['operators']['port']}",
+            link_cut,
         )
         self.nodes.append(node)
         await self.wait_until_up(f"{node.operators_url}/metrics")
         return node
 
+    def _program(self, link_cut: Path) -> list[str]:
+        """Return the command of a node, without its settings."""
+        if not self.can_cut_links:
+            return [str(BIN / "fordhatchd")]
+        link_cut.write_text(LinkCut.NONE)
+        wrapper = Path(__file__).parent / "cut_links.py"
+        ports = [str(self.first_backend_port), str(self.last_backend_port)]
+        return [sys.executable, str(wrapper), str(link_cut), *ports]
+
     async def restart(self, node: NodeProcess) -> None:
         """Start the process of a terminated node again."""
         node.process = await self.spawn(node.name, node.command)
--- a/packages/serving/src/fordhatch/serving/_stall_watch.py
+++ b/packages/serving/src/fordhatch/serving/_stall_watch.py
@@ -87,9 +87,11 @@
 
     def is_lost(self, head: BackendServer) -> bool:
         """Return whether a node has found that a head's group lacks a member."""
-        if self.has_found_lost(head):
+        if head.membership is None:
             return True
         key = head.membership.key
+        if key in self._found_lost:
+            return True
         if key not in self.shared.suspicions:
             return False
         now_s = self.timer.now_s()
--- a/standins/src/fordhatch_lab/__init__.py
+++ b/standins/src/fordhatch_lab/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ._cut_trial import CutFigures, CutNodes, CutTrial, play_cut
 from ._experiment import CLASSES, Experiment, LabModel, RequestClass
 from ._lab_load import LabLoad
 from ._lab_site import LabNode, LabSite
@@ -12,6 +13,9 @@
 
 __all__ = [
     "CLASSES",
+    "CutFigures",
+    "CutNodes",
+    "CutTrial",
     "Experiment",
     "LabLoad",
     "LabModel",
@@ -25,6 +29,7 @@
     "Outcome",
     "RequestClass",
     "allowed",
+    "play_cut",
     "play_limit",
     "play_load",
     "run_experiment",
--- a/standins/src/fordhatch_lab/_lab_load.py
+++ b/standins/src/fordhatch_lab/_lab_load.py
@@ -18,6 +18,9 @@
 LENGTH_RANGE = (0.4, 1.6)
 """Range of prompt and answer lengths, as factors of their mean."""
 
+READINESS_INTERVAL_S = 0.5
+"""Time between a balancer's questions whether a node is ready."""
+
 
 @attrs.define(eq=False, repr=False)
 class LabReply:
@@ -72,6 +75,10 @@
     site: LabSite
     rng: random.Random
     outcomes: list[Outcome] = attrs.field(factory=list)
+    follows_readiness: bool = False
+    """Whether a balancer sends callers only to nodes that say that they are ready."""
+    _ready: set[str] = attrs.field(factory=set)
+    """Nodes whose last two answers to the balancer were not both negative."""
     _count: int = 0
     _open: set[asyncio.Task[None]] = attrs.field(factory=set)
 
@@ -79,9 +86,11 @@
         """Send requests for ``duration_s``, then wait for the pending answers."""
         factor = self.site.experiment.load_factor
         classes = self.site.experiment.classes
+        balancer = asyncio.ensure_future(self._balance())
         await asyncio.gather(*(self._send(c, factor, duration_s) for c in classes))
         if self._open:
             await asyncio.wait(set(self._open))
+        balancer.cancel()
 
     async def _send(self, kind: RequestClass, factor: float, duration_s: float) -> None:
         loop = asyncio.get_running_loop()
@@ -96,6 +105,7 @@
         observed = Outcome(kind, asyncio.get_running_loop().time())
         self.outcomes.append(observed)
         await self._attempt(kind, observed)
+        observed.is_first_served = observed.is_whole
         failure = observed.refusal
         if failure is not None and failure.retry_after_s is not None:
             await asyncio.sleep(failure.retry_after_s)
@@ -116,13 +126,29 @@
     async def _attempt(
         self, kind: RequestClass, observed: Outcome, target: str = ""
     ) -> None:
-        node = self.rng.choice(self.site.nodes)
+        node = self.rng.choice(self._nodes())
+        observed.node_name = observed.node_name or node.name
         reply = LabReply(observed)
         self._count += 1
         target = target or f"/{kind.name}/{self._count}"
         with node.node.state.counted(reply):
             await self._serve(node, kind, reply, target)
 
+    def _nodes(self) -> list[LabNode]:
+        nodes = self.site.nodes
+        if not self.follows_readiness:
+            return nodes
+        return [n for n in nodes if n.name in self._ready] or nodes
+
+    async def _balance(self) -> None:
+        """Ask the nodes whether they are ready; two negative answers count."""
+        before: set[str] = set()
+        while True:
+            now = {n.name for n in self.site.nodes if n.node.state.is_ready()}
+            self._ready = before | now
+            before = now
+            await asyncio.sleep(READINESS_INTERVAL_S)
+
     async def _serve(
         self, node: LabNode, kind: RequestClass, reply: LabReply, target: str
     ) -> None:
--- a/standins/src/fordhatch_lab/_lab_site.py
+++ b/standins/src/fordhatch_lab/_lab_site.py
@@ -12,6 +12,7 @@
 from fordhatch.core import Timer
 from fordhatch.node import Clients, Node
 from fordhatch_standins import (
+    BackendLinks,
     Backends,
     ColdStarts,
     EngineFleet,
@@ -46,10 +47,17 @@
 
 @attrs.define(eq=False, repr=False)
 class LabNode:
-    """A node and its client of the store."""
+    """A node, its client of the store and its links to the engines."""
 
     node: Node
     store: MemoryStoreClient
+    links: BackendLinks
+    """Its links to the engines."""
+
+    @property
+    def name(self) -> str:
+        """The node's name."""
+        return self.node.settings.node_name
 
 
 @attrs.define(eq=False, repr=False)
@@ -143,17 +151,20 @@
             store=StoreLimits(address, 400.0, 2000.0, 65536, 20.0),
         )
         store = MemoryStoreClient(self.store, name)
+        links = BackendLinks()
         clients = Clients(
             store,
             MemoryBackendClient(
-                self.backends.fleet, cold_left_s=self.backends.cold_left_s
+                self.backends.fleet,
+                cold_left_s=self.backends.cold_left_s,
+                links=links,
             ),
-            MemoryExchange(self.backends, timer, name),
+            MemoryExchange(self.backends, timer, name, links),
             self.network.pool(name, address),
         )
         node = Node.create(settings, timer, clients)
         await node.start()
-        self.nodes.append(LabNode(node, store))
+        self.nodes.append(LabNode(node, store, links))
 
     def planner(self) -> LabNode | None:
         """Return the node that holds the planner's lease, if any."""
--- a/standins/src/fordhatch_lab/_measures.py
+++ b/standins/src/fordhatch_lab/_measures.py
@@ -24,6 +24,10 @@
     last_s: float | None = None
     is_whole: bool = False
     refusal: Failure | None = None
+    node_name: str = ""
+    """Node that got the first attempt."""
+    is_first_served: bool = False
+    """Whether the first attempt got a complete answer."""
 
     def credit(self) -> float:
         """Return the value of the answer to its caller, at most ``kind.worth``."""
--- a/standins/src/fordhatch_standins/__init__.py
+++ b/standins/src/fordhatch_standins/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ._backend_links import BackendLinks, CutKind
 from ._backends import Backends
 from ._calls import BackendCall, CutOff, NotExecuted, answer_text, event_bytes
 from ._cold_starts import ColdStarts
@@ -22,8 +23,10 @@
     "FIRST_START_MS",
     "SIGNATURE",
     "BackendCall",
+    "BackendLinks",
     "Backends",
     "ColdStarts",
+    "CutKind",
     "CutOff",
     "EngineFleet",
     "EngineModel",
--- a/standins/src/fordhatch_standins/_memory_clients.py
+++ b/standins/src/fordhatch_standins/_memory_clients.py
@@ -29,6 +29,7 @@
 from fordhatch.catalog import Backpressure
 from fordhatch.core import Failure, Ran, ResultCode
 
+from ._backend_links import BackendLinks
 from ._engine_fleet import EngineFleet
 from ._engine_model import BEGUN, DONE, OUTDATED, EngineModel
 from ._store_model import StoredRow, StoreModel
@@ -185,6 +186,8 @@
     counts towards the call's timeout."""
     cold_left_s: Callable[[EngineModel], float | None] = lambda engine: None
     """Returns the cold time that an engine's answers report."""
+    links: BackendLinks = attrs.field(factory=BackendLinks)
+    """The links of this node to the backend servers."""
     report_subscribers: list[ReportSubscriber] = attrs.field(factory=list)
 
     async def order(
@@ -222,12 +225,17 @@
         finally:
             call.close()
 
+    def _is_cut_from(self, address: str) -> bool:
+        return self.is_cut or self.links.is_cut(address)
+
     async def _order(
         self, address: str, registered_id: str, order: GroupOrder, timeout_s: float
     ) -> Result[OrderReply, Failure]:
         await asyncio.sleep(BACKEND_LATENCY_S)
         engine = self.fleet.at(address)
-        if self.is_cut or engine is None:
+        if self.links.refuses(address):
+            return Err(Failure.from_code(ResultCode.BACKEND_REFUSED, ran=Ran.NO))
+        if self._is_cut_from(address) or engine is None:
             await asyncio.sleep(timeout_s)
             return Err(Failure.from_code(ResultCode.BACKEND_LOST, ran=Ran.NO))
         if engine.backend_id != registered_id:
@@ -245,9 +253,10 @@
     ) -> Result[BackendReport, Failure]:
         await asyncio.sleep(BACKEND_LATENCY_S)
         engine = self.fleet.at(address)
-        if address in self.fleet.refusing and not self.is_cut:
+        is_refused = address in self.fleet.refusing and not self._is_cut_from(address)
+        if is_refused or self.links.refuses(address):
             return Err(Failure.from_code(ResultCode.BACKEND_REFUSED))
-        if self.is_cut or engine is None:
+        if self._is_cut_from(address) or engine is None:
             await asyncio.sleep(timeout_s)
             return Err(Failure.from_code(ResultCode.BACKEND_LOST))
         is_expected = engine.backend_id == registered_id
--- a/standins/src/fordhatch_standins/_memory_exchange.py
+++ b/standins/src/fordhatch_standins/_memory_exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 
 import aiohttp
 import attrs
@@ -18,6 +18,7 @@
 from fordhatch.core import Timer
 from fordhatch.serving import SendFailure, SendProblem, ServedRequest
 
+from ._backend_links import BackendLinks
 from ._backends import Backends
 from ._calls import BackendCall, CutOff, NotExecuted
 
@@ -80,8 +81,8 @@
     backends: Backends
     timer: Timer
     node_name: str = ""
-    is_cut: Callable[[str], bool] = lambda address: False
-    """Whether an address is unreachable from this node."""
+    links: BackendLinks = attrs.field(factory=BackendLinks)
+    """The links of this node to the backend servers."""
     connections: int = 0
 
     async def send(
@@ -101,14 +102,15 @@
             return Err(SendFailure(SendProblem.NOT_SENT, stopped.code.name))
         self.backends.record_arrival(backend.zone)
         call = self._call(request, backend, urgency, last_event_id)
-        is_cut = self.is_cut(backend.address)
+        is_cut = self.links.is_cut(backend.address)
         pieces = None if is_cut else self._pieces(backend, call)
         if pieces is None:
-            if is_cut or not self.backends.refuses(backend.address):
+            if not self._is_refused_at_once(backend.address):
                 await asyncio.sleep(CONNECT_TIMEOUT_S)
             return Err(
                 SendFailure(SendProblem.NOT_SENT, "no connection", is_unreachable=True)
             )
+        pieces = self.links.carry(pieces, backend.address)
         try:
             async with self.timer.timeout(head_timeout_s):
                 first = await anext(pieces)
@@ -173,6 +175,12 @@
             return _refusal()
         return work.serve(call)
 
+    def _is_refused_at_once(self, address: str) -> bool:
+        """Return whether a connection that fails does so without a timeout."""
+        if self.links.is_cut(address):
+            return self.links.refuses(address)
+        return self.backends.refuses(address)
+
     def _is_refused(self, backend_id: str) -> bool:
         return self.backends.pressure.arrived(backend_id, self.node_name)
 
