A node that reaches no backend server sends its callers' requests through another

What callers saw: at nodes that had lost their links to all backend servers every first attempt was refused, for as long as the cut lasted. Cause: a request could only use connections of the node that got it. A node did not know that it reached nobody, and no request passed from one node to another. Change: BackendContact calls a service out of reach when three of its backend servers (or all, if there are fewer) have failed and none was reached meanwhile; after a first failure two others are probed to compare. BackendExchange then makes its attempts through a node that says it is in touch (QueryContact, RelayRequest). Only the attempt moves: the choice of the server, the route's attempts, the retry budget, permits, order and resumption of events stay with the caller's node. The other node uses its own connections alone, so that no request takes two hops; 'not run' is passed on only where it is proved. Nodes say in their row that they understand the messages, so that older ones are never asked.

--- a/packages/core/src/fordhatch/core/_metrics.py
+++ b/packages/core/src/fordhatch/core/_metrics.py
@@ -75,6 +75,12 @@
     ["service"],
     registry=REGISTRY,
 )
+RELAYED_REQUESTS = Counter(
+    "fordhatch_relayed_requests_total",
+    "Attempts at backend servers through other nodes, by role and outcome.",
+    ["role", "outcome"],
+    registry=REGISTRY,
+)
 NODE_READY = Gauge(
     "fordhatch_node_ready",
     "Whether this node last told the balancer that it takes callers (1) or not (0).",
--- a/packages/node/src/fordhatch/node/_node.py
+++ b/packages/node/src/fordhatch/node/_node.py
@@ -20,9 +20,11 @@
     CrashesSeen,
     LoadReport,
     PressureSeen,
+    QueryContact,
     QueryDemand,
     QueryPressure,
     QueryStatus,
+    RelayRequest,
     StatusReply,
     WatchTables,
 )
@@ -46,6 +48,7 @@
 from ._crash_gossip import CrashGossip
 from ._demand_survey import DemandSurvey, demand_reply
 from ._load_gossip import LoadGossip
+from ._node_relays import NodeRelays
 from ._outage_survey import OutageSurvey
 from ._pressure_gossip import PressureGossip
 from ._registration import Registration
@@ -92,6 +95,7 @@
     crash_gossip: CrashGossip
     pressure_gossip: PressureGossip
     load_gossip: LoadGossip
+    relays: NodeRelays
     start_id: str
     """Identifies this start of the node; a restart gets a new one."""
     registration: Registration
@@ -157,6 +161,7 @@
             path.load,
             CollectorChoice(settings.node_name),
         )
+        relays = NodeRelays.create(settings, view, clients.pool, timer, path)
         start_id = secrets.token_hex(START_ID_BYTES)
         return cls(
             settings,
@@ -171,6 +176,7 @@
             crash_gossip,
             pressure_gossip,
             load_gossip,
+            relays,
             start_id,
             Registration(settings, start_id, clients.store, view.shared, timer),
         )
@@ -188,6 +194,7 @@
         self.crash_gossip.start()
         self.pressure_gossip.start()
         self.load_gossip.start()
+        self.relays.start()
         supervise, every = self.timer.supervise, self.timer.every
         self._tasks.spawn(supervise(self.registration.run, name="register"), "register")
         self._tasks.spawn(supervise(self.lease.run, name="lease"), "lease")
@@ -238,6 +245,10 @@
                 await self.pressure_gossip.receive(message, channel)
             case LoadReport():
                 await self.load_gossip.receive(message, channel)
+            case QueryContact():
+                await self.relays.server.answer_query(message, channel)
+            case RelayRequest():
+                await self.relays.server.relay(message, channel)
             case QueryPressure():
                 await self.pressure_gossip.send_known(channel)
             case QueryDemand():
@@ -306,6 +317,7 @@
         await self.crash_gossip.close()
         await self.pressure_gossip.close()
         await self.load_gossip.close()
+        await self.relays.close()
         await self.planner.close()
         await self.path.close()
         await self.view.close()
--- /dev/null
+++ b/packages/node/src/fordhatch/node/_node_relays.py
@@ -0,0 +1,56 @@
+"""The components by which nodes reach backend servers through each other."""
+
+from __future__ import annotations
+
+import attrs
+
+from fordhatch.catalog import NodeSettings
+from fordhatch.core import Timer
+from fordhatch.protocol import PeerPool
+from fordhatch.registry import StoreView
+from fordhatch.serving import RequestPath
+
+from ._contact_upkeep import ContactUpkeep
+from ._relay_client import RelayClient
+from ._relay_peers import RelayPeers
+from ._relay_server import RelayServer
+
+
+@attrs.define(eq=False, repr=False)
+class NodeRelays:
+    """Both sides of relayed requests on one node."""
+
+    peers: RelayPeers
+    client: RelayClient
+    server: RelayServer
+    upkeep: ContactUpkeep
+
+    @classmethod
+    def create(
+        cls,
+        settings: NodeSettings,
+        view: StoreView,
+        pool: PeerPool,
+        timer: Timer,
+        path: RequestPath,
+    ) -> NodeRelays:
+        """Create the components and let the request path use them."""
+        peers = RelayPeers(settings.node_name, settings.zone, view, pool, timer)
+        client = RelayClient(peers, pool, timer)
+        path.exchange.relay = client
+        return cls(
+            peers,
+            client,
+            RelayServer(path, peers, timer),
+            ContactUpkeep(view, path.contact, path.prober, peers, timer),
+        )
+
+    def start(self) -> None:
+        """Begin to check services that are out of reach."""
+        self.upkeep.start()
+
+    async def close(self) -> None:
+        """Stop checking, and cancel pending messages to other nodes."""
+        await self.upkeep.close()
+        await self.client.close()
+        await self.peers.close()
--- /dev/null
+++ b/packages/node/src/fordhatch/node/_relay_client.py
@@ -0,0 +1,206 @@
+"""Makes attempts at backend servers through nodes that reach them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+from result import Err, Ok, Result
+
+from fordhatch.catalog import BackendServer
+from fordhatch.core import Failure, Ran, ResultCode, TaskSet, Timer, log_event, metrics
+from fordhatch.protocol import Channel, PeerPool
+from fordhatch.protocol.messages import RelayedFailure, RelayedHead, RelayRequest
+from fordhatch.registry import NodeAddress
+from fordhatch.serving import (
+    BackendAnswer,
+    OutboundRequest,
+    SendFailure,
+    SendOptions,
+    SendProblem,
+)
+
+from ._relay_peers import RelayPeers
+from ._relayed_answer import RelayedAnswer, from_wire
+
+MAX_PEERS = 3
+"""Nodes through which one attempt is tried, one after the other, while it is certain
+that no backend server has got it."""
+
+OPEN_TIMEOUT_S = 0.25
+"""Longest wait until a request has been handed to the connection to another node."""
+
+HEAD_MARGIN_S = 0.1
+"""How much longer than the other node this one waits for the head of an answer."""
+
+
+@attrs.define(eq=False, repr=False)
+class RelayClient:
+    """Sends attempts to other nodes and returns the answers."""
+
+    peers: RelayPeers
+    pool: PeerPool
+    timer: Timer
+    _tasks: TaskSet = attrs.field(factory=TaskSet)
+
+    async def send(
+        self, request: OutboundRequest, backend: BackendServer, options: SendOptions
+    ) -> Result[BackendAnswer, SendFailure] | None:
+        """Make an attempt through another node; None if none is in touch."""
+        tried: set[str] = set()
+        got: Result[BackendAnswer, SendFailure] | None = None
+        while len(tried) < MAX_PEERS:
+            node = await self.peers.choose(backend.service, tried)
+            if node is None:
+                break
+            tried.add(node.name)
+            got = await self._send_through(node, request, backend, options)
+            failure = got.err()
+            self._log(request, backend, node, failure)
+            if failure is None or not failure.is_unreachable:
+                self.peers.confirm(backend.service, node.name)
+                break
+            self.peers.deny(backend.service, node.name)
+        return got
+
+    def _log(
+        self,
+        request: OutboundRequest,
+        backend: BackendServer,
+        node: NodeAddress,
+        failure: SendFailure | None,
+    ) -> None:
+        outcome = "sent" if failure is None else failure.problem.value
+        metrics.RELAYED_REQUESTS.labels("sender", outcome).inc()
+        log_event(
+            "request_relayed",
+            request=request.fields.request_id,
+            through=node.name,
+            backend=backend.backend_id,
+            outcome=outcome,
+        )
+
+    async def _send_through(
+        self,
+        node: NodeAddress,
+        request: OutboundRequest,
+        backend: BackendServer,
+        options: SendOptions,
+    ) -> Result[BackendAnswer, SendFailure]:
+        stopped = request.recheck(backend)
+        if stopped is not None:
+            return Err(SendFailure(SendProblem.NOT_SENT, stopped.code.name))
+        message = self._message(request, backend, options)
+        self.peers.in_flight[node.name] += 1
+        channel: Channel | None = None
+        answer: RelayedAnswer | None = None
+        try:
+            opened = await self._open(node, message)
+            if opened.is_err():
+                return self._unopened(request, backend, opened.unwrap_err())
+            channel = opened.unwrap()
+            received = await channel.receive(options.head_timeout_s + HEAD_MARGIN_S)
+            if isinstance(received.ok(), RelayedHead):
+                request.record_arrival(backend.backend_id, may_have_run=True)
+                answer = RelayedAnswer.from_head(
+                    received.unwrap(),
+                    request.fields.request_id,
+                    backend,
+                    channel,
+                    self._ending(node, channel),
+                )
+                return Ok(answer)
+            return Err(_failure(request, backend, received))
+        finally:
+            if answer is None:
+                self._end(node, channel)
+
+    def _message(
+        self, request: OutboundRequest, backend: BackendServer, options: SendOptions
+    ) -> RelayRequest:
+        return RelayRequest(
+            backend.backend_id,
+            request.method,
+            request.target,
+            list(request.headers),
+            request.body,
+            request.workspace_name,
+            request.left_s(self.timer.now_s()),
+            options.head_timeout_s,
+            options.urgency,
+            options.last_event_id,
+        )
+
+    async def _open(
+        self, node: NodeAddress, message: RelayRequest
+    ) -> Result[Channel, Failure]:
+        """Hand a request to the connection to another node."""
+        opening = self._tasks.spawn(self.pool.open(node.address, message), "relay")
+        await asyncio.wait([opening], timeout=OPEN_TIMEOUT_S)
+        if opening.done():
+            return opening.result()
+        opening.cancel()
+        # Part of the message may have left already.
+        return Err(Failure.from_code(ResultCode.PEER_UNREACHABLE, ran=Ran.MAYBE))
+
+    def _unopened(
+        self, request: OutboundRequest, backend: BackendServer, failure: Failure
+    ) -> Result[BackendAnswer, SendFailure]:
+        if failure.ran is Ran.NO:
+            return Err(
+                SendFailure(
+                    SendProblem.NOT_SENT, failure.code.name, is_unreachable=True
+                )
+            )
+        request.record_arrival(backend.backend_id, may_have_run=True)
+        return Err(SendFailure(SendProblem.SILENT, failure.code.name))
+
+    def _ending(self, node: NodeAddress, channel: Channel) -> Callable[[], None]:
+        """Return a function that ends a request once."""
+        is_ended = False
+
+        def end() -> None:
+            nonlocal is_ended
+            if not is_ended:
+                is_ended = True
+                self._end(node, channel)
+
+        return end
+
+    def _end(self, node: NodeAddress, channel: Channel | None) -> None:
+        self.peers.in_flight[node.name] -= 1
+        if channel is not None:
+            self._tasks.spawn(channel.close(), "end-relay")
+
+    async def close(self) -> None:
+        """Cancel pending requests to other nodes."""
+        await self._tasks.close()
+
+
+def _failure(
+    request: OutboundRequest,
+    backend: BackendServer,
+    received: Result[object, Failure],
+) -> SendFailure:
+    """Return why no head came, and record whether the request may have run."""
+    message = received.ok()
+    if isinstance(message, RelayedFailure):
+        for _ in range(message.arrivals):
+            request.record_arrival(
+                backend.backend_id, may_have_run=message.may_have_run
+            )
+        return SendFailure(
+            SendProblem(message.problem),
+            message.detail,
+            from_wire(message.backpressure),
+            is_unreachable=message.is_unreachable,
+        )
+    failure = received.err()
+    code = failure.code if failure is not None else ResultCode.PEER_REFUSED
+    if code is ResultCode.PEER_REFUSED:
+        return SendFailure(SendProblem.NOT_SENT, code.name, is_unreachable=True)
+    request.record_arrival(backend.backend_id, may_have_run=True)
+    is_late = code is ResultCode.DEADLINE_EXCEEDED
+    problem = SendProblem.SILENT if is_late else SendProblem.BROKEN
+    return SendFailure(problem, code.name)
--- /dev/null
+++ b/packages/node/src/fordhatch/node/_relay_peers.py
@@ -0,0 +1,176 @@
+"""Finds nodes that reach the backend servers of a service when this one does not."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections import Counter
+from collections.abc import Collection
+
+import attrs
+
+from fordhatch.core import TaskSet, Timer, log_event
+from fordhatch.protocol import PeerPool
+from fordhatch.protocol.messages import MAX_HINTS, ContactReply, QueryContact
+from fordhatch.registry import NodeAddress, StoreView
+
+QUERY_TIMEOUT_S = 0.25
+"""Longest wait for a reply; a reachable node replies within milliseconds."""
+
+QUERIES_AT_ONCE = 8
+"""Nodes that are queried at the same time."""
+
+WANTED_PEERS = 3
+"""Nodes in touch among which the requests are spread."""
+
+CONFIRMED_S = 1.0
+"""How long a reply counts, or an attempt that a node has made for this one."""
+
+DENIED_S = 0.5
+"""How long a node is left out that is cut off as well or does not reply."""
+
+ASKED_S = 2.0
+"""How long a node that has asked counts as cut off; it asks again within this time."""
+
+
+@attrs.define(eq=False, repr=False)
+class RelayPeers:
+    """The nodes known to be in touch with the backend servers of a service."""
+
+    node_name: str
+    zone: str
+    view: StoreView
+    pool: PeerPool
+    timer: Timer
+    in_flight: Counter[str] = attrs.field(factory=Counter)
+    """Attempts in progress through each node."""
+    _confirmed_s: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    """When a node was last known to be in touch, by service and name."""
+    _denied_s: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    _asked_s: dict[str, float] = attrs.field(factory=dict)
+    """When each node last showed that it is cut off, by asking this one."""
+    _searches: dict[str, asyncio.Task[object]] = attrs.field(factory=dict)
+    _tasks: TaskSet = attrs.field(factory=TaskSet)
+
+    async def choose(self, service: str, tried: Collection[str]) -> NodeAddress | None:
+        """Return the best node in touch, after a search if none is known.
+
+        Args:
+            service: The service whose backend servers are needed.
+            tried: Names of nodes that are not to be returned.
+        """
+        node = self._best(service, tried)
+        if node is not None:
+            return node
+        await self.search(service)
+        return self._best(service, tried)
+
+    def _best(self, service: str, tried: Collection[str]) -> NodeAddress | None:
+        """Return the node with the fewest attempts in progress, of this zone if any."""
+        nodes = [n for n in self.in_touch(service) if n.name not in tried]
+
+        def cost(node: NodeAddress) -> tuple[int, bool, float]:
+            is_far = node.zone != self.zone
+            return self.in_flight[node.name], is_far, self.timer.rng.random()
+
+        return min(nodes, key=cost, default=None)
+
+    def in_touch(self, service: str) -> list[NodeAddress]:
+        """Return the nodes that are known to reach the service now."""
+        nodes, since_s = self.view.shared.nodes, self.timer.now_s() - CONFIRMED_S
+        return [
+            nodes[name]
+            for (found, name), at_s in self._confirmed_s.items()
+            if found == service and at_s >= since_s and name in nodes
+        ]
+
+    def confirm(self, service: str, name: str) -> None:
+        """Record that a node reaches the service."""
+        self._confirmed_s[service, name] = self.timer.now_s()
+        self._denied_s.pop((service, name), None)
+
+    def deny(self, service: str, name: str) -> None:
+        """Record that a node does not reach the service, or does not reply."""
+        self._confirmed_s.pop((service, name), None)
+        self._denied_s[service, name] = self.timer.now_s()
+
+    async def search(self, service: str) -> None:
+        """Query other nodes until one is in touch or all have been queried."""
+        task = self._searches.get(service)
+        if task is None or task.done():
+            task = self._tasks.spawn(self._search(service), f"search-{service}")
+            self._searches[service] = task
+        # The search serves every request that waits, so that none may cancel it.
+        await asyncio.wait([task])
+
+    async def _search(self, service: str) -> None:
+        candidates = self._candidates(service)
+        while candidates:
+            batch = candidates[:QUERIES_AT_ONCE]
+            candidates = candidates[QUERIES_AT_ONCE:]
+            queries = {
+                self._tasks.spawn(self._query(service, n), "query-contact")
+                for n in batch
+            }
+            while queries:
+                done, queries = await asyncio.wait(
+                    queries, return_when=asyncio.FIRST_COMPLETED
+                )
+                if any(query.result() for query in done):
+                    return
+        log_event("no_node_in_touch", service=service)
+
+    def _candidates(self, service: str) -> list[NodeAddress]:
+        """Return the nodes to query, in random order."""
+        since_s = self.timer.now_s() - DENIED_S
+        nodes = [
+            node
+            for name, node in self.view.shared.nodes.items()
+            if name != self.node_name
+            and node.can_relay
+            and self._denied_s.get((service, name), -math.inf) < since_s
+        ]
+        self.timer.rng.shuffle(nodes)
+        return nodes
+
+    async def _query(self, service: str, node: NodeAddress) -> bool:
+        """Query a node; return whether it, or a node it names, is in touch."""
+        message = QueryContact(service)
+        answer = await self.pool.request(node.address, message, QUERY_TIMEOUT_S)
+        reply = answer.ok()
+        if not isinstance(reply, ContactReply):
+            self.deny(service, node.name)
+            return False
+        if reply.is_in_touch:
+            self.confirm(service, node.name)
+            return True
+        self.deny(service, node.name)
+        known = [name for name in reply.nodes if name in self.view.shared.nodes]
+        for name in known:
+            self.confirm(service, name)
+        return bool(known)
+
+    async def refresh(self, service: str) -> None:
+        """Keep enough nodes known to be in touch, for requests that come next."""
+        for node in self.in_touch(service):
+            self._tasks.spawn(self._query(service, node), "query-contact")
+        if len(self.in_touch(service)) < WANTED_PEERS:
+            await self.search(service)
+
+    def hints(self, service: str) -> list[str]:
+        """Return names of nodes in touch, for a node that asks this one."""
+        return [node.name for node in self.in_touch(service)][:MAX_HINTS]
+
+    def record_asker(self, name: str) -> None:
+        """Record that a node has asked for help and so is cut off."""
+        self._asked_s[name] = self.timer.now_s()
+
+    def are_cut_off(self) -> set[str]:
+        """Return the names of nodes that have asked this one for help lately."""
+        since_s = self.timer.now_s() - ASKED_S
+        self._asked_s = {n: s for n, s in self._asked_s.items() if s >= since_s}
+        return set(self._asked_s)
+
+    async def close(self) -> None:
+        """Cancel pending queries."""
+        await self._tasks.close()
--- a/packages/protocol/src/fordhatch/protocol/_messages.py
+++ b/packages/protocol/src/fordhatch/protocol/_messages.py
@@ -8,6 +8,7 @@
 import attrs
 
 from ._message_fields import FieldError, message, seconds_field, typed_field
+from ._relay_messages import ProbeBackend, QueryContact
 
 PROTOCOL_VERSION = 6
 """Incremented when a message changes in a way that older nodes cannot decode."""
@@ -382,6 +383,8 @@
         PressureSeen,
         AskPermit,
         LoadReport,
+        QueryContact,
+        ProbeBackend,
     }
 )
 """Requests with a single answer.
--- a/packages/registry/src/fordhatch/registry/_backend_contact.py
+++ b/packages/registry/src/fordhatch/registry/_backend_contact.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 
 import attrs
 
@@ -15,17 +16,9 @@
 
 from ._backend_directory import BackendDirectory
 
-MIN_FAILED_BACKENDS = 2
-"""Backend servers that must have failed without a contact in between. A single one may
-have crashed."""
-
-SLOW_FAILURE_S = 0.2
-"""A failure that took this long suffices alone: a busy node reaches some other backend
-server meanwhile, unless its links are lost."""
-
-RECENT_CUT_S = 10.0
-"""Time after the end of a cut during which a single failure suffices: lost links often
-come back for a moment only."""
+MIN_FAILED_BACKENDS = 3
+"""Backend servers that must have failed without a contact in between. One may have
+crashed, and now and then a second one that is chosen to compare."""
 
 
 @attrs.define(eq=False, repr=False)
@@ -36,8 +29,10 @@
     """Time of the latest contact, in monotonic seconds."""
     failures: dict[str, float] = attrs.field(factory=dict)
     """When the first failed attempt since then began, by backend server."""
+    known_failing: set[str] = attrs.field(factory=set)
+    """Backend servers that have failed while others were reached. Their failures say
+    nothing about the links of this node."""
     cut_since_s: float | None = None
-    cut_ended_s: float = -math.inf
 
 
 @attrs.define(eq=False, repr=False)
@@ -52,6 +47,11 @@
     _services: dict[str, _ServiceContact] = attrs.field(factory=dict)
     _zones: dict[str, float] = attrs.field(factory=dict)
     """Time of the latest contact with a backend server, by availability zone."""
+    _subscribers: list[Callable[[], None]] = attrs.field(factory=list)
+
+    def subscribe(self, call: Callable[[], None]) -> None:
+        """Call ``call`` whenever a service goes out of reach."""
+        self._subscribers.append(call)
 
     def record_reached(self, backend: BackendServer) -> None:
         """Record that a backend server has answered on a new connection."""
@@ -59,6 +59,9 @@
         self._zones[backend.zone] = now_s
         contact = self._services.setdefault(backend.service, _ServiceContact())
         contact.reached_s = now_s
+        if contact.cut_since_s is None:
+            contact.known_failing.update(contact.failures)
+        contact.known_failing.discard(backend.backend_id)
         contact.failures.clear()
         if contact.cut_since_s is None:
             return
@@ -70,7 +73,6 @@
             cut_s=round(now_s - contact.cut_since_s, 3),
         )
         contact.cut_since_s = None
-        contact.cut_ended_s = now_s
 
     def record_unreached(self, backend: BackendServer, began_s: float) -> None:
         """Record a failed attempt to reach a backend server.
@@ -81,7 +83,7 @@
                 began before the latest contact with its service does not count.
         """
         contact = self._services.setdefault(backend.service, _ServiceContact())
-        if began_s <= contact.reached_s:
+        if not self.is_news(backend, began_s):
             return
         contact.failures.setdefault(backend.backend_id, began_s)
         if contact.cut_since_s is None and self._is_convincing(backend, contact):
@@ -93,14 +95,26 @@
                 failed=",".join(sorted(contact.failures)),
                 listed=len(self.directory.of_service(backend.service)),
             )
+            for call in self._subscribers:
+                call()
+
+    def is_news(self, backend: BackendServer, began_s: float) -> bool:
+        """Return whether a failed attempt says something about this node's links.
+
+        Args:
+            backend: The backend server that was not reached.
+            began_s: When the attempt began, in monotonic seconds.
+        """
+        contact = self._services.get(backend.service)
+        if contact is None:
+            return True
+        is_known = backend.backend_id in contact.known_failing
+        return began_s > contact.reached_s and not is_known
 
     def _is_convincing(self, backend: BackendServer, contact: _ServiceContact) -> bool:
-        now_s = self.timer.now_s()
         listed = len(self.directory.of_service(backend.service))
-        is_recent = now_s - contact.cut_ended_s < RECENT_CUT_S
-        needed = 1 if is_recent else min(MIN_FAILED_BACKENDS, max(listed, 1))
-        is_slow = now_s - min(contact.failures.values()) >= SLOW_FAILURE_S
-        return is_slow or len(contact.failures) >= needed
+        needed = min(MIN_FAILED_BACKENDS, max(listed, 1))
+        return len(contact.failures) >= needed
 
     def is_cut_off(self, service: str) -> bool:
         """Return whether this node reaches no backend server of a service.
@@ -114,12 +128,23 @@
         since = [c.cut_since_s for c in self._services.values()]
         return any(s is not None and reached_s < s for s in since)
 
+    def others(self, backend: BackendServer) -> list[BackendServer]:
+        """Return the other backend servers of a backend server's service."""
+        listed = self.directory.of_service(backend.service)
+        return [b for b in listed if b.backend_id != backend.backend_id]
+
+    def is_any_cut_off(self) -> bool:
+        """Return whether any service is out of reach."""
+        return any(c.cut_since_s is not None for c in self._services.values())
+
     def has_reached_since(self, zone: str, since_s: float) -> bool:
         """Return whether any backend server of a zone was reached since a time."""
         return self._zones.get(zone, -math.inf) >= since_s
 
     def keep_only(self, services: set[str]) -> None:
         """Drop the state of services that no longer have backend servers."""
+        for contact in self._services.values():
+            contact.known_failing &= set(self.directory.backends)
         for service in set(self._services) - services:
             metrics.SERVICES_OUT_OF_REACH.labels(service).set(0)
             del self._services[service]
--- a/packages/registry/src/fordhatch/registry/_reader_choice.py
+++ b/packages/registry/src/fordhatch/registry/_reader_choice.py
@@ -45,6 +45,8 @@
     """Relative capacity: the lesser of processor and network link."""
     seen_s: float = -math.inf
     """When its row was first seen with its current content, in monotonic seconds."""
+    can_relay: bool = False
+    """Whether it understands the messages for relayed requests."""
 
 
 STRONG_FRACTION = 0.5
--- a/packages/registry/src/fordhatch/registry/_shared_rows.py
+++ b/packages/registry/src/fordhatch/registry/_shared_rows.py
@@ -60,7 +60,13 @@
         weight: Its capacity relative to other nodes.
         start_id: Identifies this start of the node, so that each start changes the row.
     """
-    fields = {"address": address, "zone": zone, "weight": weight, "start": start_id}
+    fields = {
+        "address": address,
+        "zone": zone,
+        "weight": weight,
+        "start": start_id,
+        "relays": True,
+    }
     return json.dumps(fields).encode()
 
 
@@ -230,7 +236,14 @@
             raise ValueError(f"address {address[:100]}")
         if not 0.0 < weight < math.inf:
             raise ValueError(f"weight {weight}")
-        self.nodes[name] = NodeAddress(name, address, zone, weight, self.timer.now_s())
+        self.nodes[name] = NodeAddress(
+            name,
+            address,
+            zone,
+            weight,
+            self.timer.now_s(),
+            can_relay=data.get("relays") is True,
+        )
 
     def _apply_suspicion(self, key: str, row: Row) -> None:
         group = split_suspicion_key(key)
--- a/packages/serving/src/fordhatch/serving/__init__.py
+++ b/packages/serving/src/fordhatch/serving/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ._admission import Admission
+from ._backend_exchange import BackendExchange, SendOptions
 from ._backend_health import BackendHealth
 from ._backpressure import BackpressureTracker, ServerLimit
 from ._caller_server import CallerServer
@@ -11,7 +12,15 @@
 from ._crash_watch import CrashWatch
 from ._demand_meter import DemandMeter
 from ._dispatch import Dispatch
-from ._exchange import BackendAnswer, ExchangeClient, SendFailure, SendProblem
+from ._evacuated_zones import is_evacuated
+from ._exchange import (
+    BackendAnswer,
+    ExchangeClient,
+    OutboundRequest,
+    SendFailure,
+    SendProblem,
+    connection_problem,
+)
 from ._group_progress import GroupProgress
 from ._head_choice import HeadChoice
 from ._http_server import HttpHandler, HttpServer
@@ -31,6 +40,7 @@
 __all__ = [
     "Admission",
     "BackendAnswer",
+    "BackendExchange",
     "BackendHealth",
     "BackendLoad",
     "BackpressureTracker",
@@ -49,6 +59,7 @@
     "HttpServer",
     "LoadBook",
     "NodeState",
+    "OutboundRequest",
     "Permit",
     "Permits",
     "PlainCalls",
@@ -57,10 +68,13 @@
     "RetryBudget",
     "RouteTable",
     "SendFailure",
+    "SendOptions",
     "SendProblem",
     "ServedRequest",
     "ServerLimit",
     "SharedLoad",
     "StallWatch",
     "StreamCalls",
+    "connection_problem",
+    "is_evacuated",
 ]
--- a/packages/serving/src/fordhatch/serving/_backend_exchange.py
+++ b/packages/serving/src/fordhatch/serving/_backend_exchange.py
@@ -1,29 +1,65 @@
-"""Attempts at backend servers, with a record of which of them are reached."""
+"""Attempts at backend servers, directly or through another node."""
 
 from __future__ import annotations
 
+from typing import Protocol
+
 import attrs
 from result import Result
 
 from fordhatch.catalog import BackendServer
-from fordhatch.core import Timer
-from fordhatch.registry import BackendContact
+from fordhatch.core import ResultCode, Timer
+from fordhatch.registry import BackendContact, BackendProber
+
+from ._exchange import (
+    BackendAnswer,
+    ExchangeClient,
+    OutboundRequest,
+    SendFailure,
+    SendProblem,
+)
+
+
+@attrs.frozen
+class SendOptions:
+    """What one attempt asks of the backend server and of its time."""
 
-from ._exchange import BackendAnswer, ExchangeClient, SendFailure, SendProblem
-from ._request import ServedRequest
+    head_timeout_s: float
+    """Longest wait for the head of the answer, in seconds."""
+    urgency: int | None = None
+    """Rank among the requests that wait there; 0 is first."""
+    last_event_id: str | None = None
+    """Event after which the stream resumes."""
+
+
+class ExchangeRelay(Protocol):
+    """Makes attempts through nodes that reach the backend servers."""
+
+    async def send(
+        self, request: OutboundRequest, backend: BackendServer, options: SendOptions
+    ) -> Result[BackendAnswer, SendFailure] | None:
+        """Make an attempt; None if no node is known to reach the service."""
+        ...
 
 
 @attrs.define(eq=False, repr=False)
 class BackendExchange:
-    """Sends the requests of this node to backend servers."""
+    """Sends requests to backend servers.
+
+    While this node reaches none of a service, another node makes the attempt. All
+    decisions stay here: the choice of the backend server, retries and their budget,
+    permits and the order of events.
+    """
 
     direct: ExchangeClient
     contact: BackendContact
+    prober: BackendProber
     timer: Timer
+    relay: ExchangeRelay | None = None
 
     async def send(
         self,
-        request: ServedRequest,
+        request: OutboundRequest,
         backend: BackendServer,
         *,
         head_timeout_s: float,
@@ -31,18 +67,48 @@
         last_event_id: str | None = None,
     ) -> Result[BackendAnswer, SendFailure]:
         """Send a request and wait for the answer's head; see ``ExchangeClient``."""
+        options = SendOptions(head_timeout_s, urgency, last_event_id)
+        is_cut_off = self.contact.is_cut_off(backend.service)
+        if is_cut_off:
+            relayed = await self._relay(request, backend, options)
+            if relayed is not None:
+                return relayed
+        began_s = self.timer.now_s()
+        got = await self.send_directly(request, backend, options)
+        failure = got.err()
+        if is_cut_off or failure is None or not failure.is_unreachable:
+            return got
+        if not self.contact.is_cut_off(backend.service):
+            return got
+        # This attempt has shown that the service is out of reach.
+        left_s = max(head_timeout_s - (self.timer.now_s() - began_s), 0.001)
+        options = attrs.evolve(options, head_timeout_s=left_s)
+        relayed = await self._relay(request, backend, options)
+        return relayed if relayed is not None else got
+
+    async def _relay(
+        self, request: OutboundRequest, backend: BackendServer, options: SendOptions
+    ) -> Result[BackendAnswer, SendFailure] | None:
+        if self.relay is None:
+            return None
+        return await self.relay.send(request, backend, options)
+
+    async def send_directly(
+        self, request: OutboundRequest, backend: BackendServer, options: SendOptions
+    ) -> Result[BackendAnswer, SendFailure]:
+        """Make an attempt on a connection of this node, never through another one."""
         began_s = self.timer.now_s()
         got = await self.direct.send(
             request,
             backend,
-            head_timeout_s=head_timeout_s,
-            urgency=urgency,
-            last_event_id=last_event_id,
+            head_timeout_s=options.head_timeout_s,
+            urgency=options.urgency,
+            last_event_id=options.last_event_id,
         )
-        self._record(backend, got.err(), began_s)
+        await self._record(backend, got.err(), began_s)
         return got
 
-    def _record(
+    async def _record(
         self, backend: BackendServer, failure: SendFailure | None, began_s: float
     ) -> None:
         if failure is None:
@@ -50,6 +116,7 @@
             return
         is_lost = failure.problem is SendProblem.CONNECTION_LOST
         if failure.is_unreachable or is_lost:
-            self.contact.record_unreached(backend, began_s)
+            code = ResultCode.BACKEND_LOST
+            await self.prober.record_failure(backend, code, began_s)
         elif failure.problem.is_answer:
             self.contact.record_reached(backend)
--- a/packages/serving/src/fordhatch/serving/_exchange.py
+++ b/packages/serving/src/fordhatch/serving/_exchange.py
@@ -4,7 +4,7 @@
 
 from enum import Enum
 from types import SimpleNamespace
-from typing import Self
+from typing import Protocol, Self
 
 import aiohttp
 import attrs
@@ -15,10 +15,14 @@
 from yarl import URL
 
 from fordhatch.adapter import decode_answer, encode_call
-from fordhatch.catalog import AnswerFields, BackendServer, Backpressure, RefusalKind
-from fordhatch.core import Timer
-
-from ._request import ServedRequest
+from fordhatch.catalog import (
+    AnswerFields,
+    BackendServer,
+    Backpressure,
+    CallFields,
+    RefusalKind,
+)
+from fordhatch.core import Failure, Timer
 
 CONNECT_TIMEOUT_S = 0.25
 """Backend servers are a few milliseconds away; one that has not accepted by then does
@@ -87,11 +91,44 @@
     return SendProblem.CONNECTION_LOST if is_lost else SendProblem.BROKEN
 
 
+class OutboundRequest(Protocol):
+    """A request to a backend server, of this node's callers or of another node's."""
+
+    method: str
+    target: str
+    """Path and query exactly as the caller sent them."""
+    headers: list[tuple[str, str]]
+    """Headers to forward to the backend server."""
+    body: bytes
+
+    @property
+    def fields(self) -> CallFields:
+        """Fields of the caller's headers."""
+        ...
+
+    @property
+    def workspace_name(self) -> str | None:
+        """Name of the caller's workspace, None without one."""
+        ...
+
+    def recheck(self, backend: BackendServer) -> Failure | None:
+        """Return why the request may no longer be sent to a backend server."""
+        ...
+
+    def left_s(self, now_s: float) -> float:
+        """Return the time until the final answer is due, in seconds."""
+        ...
+
+    def record_arrival(self, backend_id: str, *, may_have_run: bool) -> None:
+        """Record that a backend server received the request."""
+        ...
+
+
 @attrs.frozen
 class _Send:
     """A request and its destination."""
 
-    request: ServedRequest
+    request: OutboundRequest
     backend: BackendServer
 
 
@@ -222,7 +259,7 @@
 
     async def send(
         self,
-        request: ServedRequest,
+        request: OutboundRequest,
         backend: BackendServer,
         *,
         head_timeout_s: float,
@@ -261,16 +298,15 @@
 
     def _headers(
         self,
-        request: ServedRequest,
+        request: OutboundRequest,
         backend: BackendServer,
         urgency: int | None,
         last_event_id: str | None,
     ) -> CIMultiDict[str]:
-        workspace = request.workspace.name if request.workspace is not None else None
         return encode_call(
             request.headers,
             registered_id=backend.registered_id,
-            workspace=workspace,
+            workspace=request.workspace_name,
             left_s=request.left_s(self.timer.now_s()),
             urgency=urgency,
             last_event_id=last_event_id,
@@ -278,7 +314,7 @@
 
     async def _start(
         self,
-        request: ServedRequest,
+        request: OutboundRequest,
         backend: BackendServer,
         headers: CIMultiDict[str],
     ) -> aiohttp.ClientResponse:
@@ -294,7 +330,7 @@
 
     def _check_answer(
         self,
-        request: ServedRequest,
+        request: OutboundRequest,
         backend: BackendServer,
         response: aiohttp.ClientResponse,
     ) -> Result[BackendAnswer, SendFailure]:
--- a/packages/serving/src/fordhatch/serving/_node_state.py
+++ b/packages/serving/src/fordhatch/serving/_node_state.py
@@ -49,7 +49,8 @@
     has_served: bool = False
     """Whether any caller's request has arrived since the start."""
     in_flight: int = 0
-    """Number of callers' requests that are being served."""
+    """Number of requests that are being served, of this node's callers or through
+    it."""
     _starting_since_s: float | None = None
     """When the first request arrived before the tables were loaded."""
 
@@ -78,6 +79,15 @@
             metrics.IN_FLIGHT.dec()
             metrics.ANSWERS.labels(reply.outcome).inc()
 
+    @contextlib.contextmanager
+    def relaying(self) -> Iterator[None]:
+        """Count a request of another node's caller while it is served through here."""
+        self.in_flight += 1
+        try:
+            yield
+        finally:
+            self.in_flight -= 1
+
     def freshness(self) -> Freshness:
         """Return the freshness of this node's configuration."""
         nodes = len(self.view.shared.nodes)
--- a/packages/serving/src/fordhatch/serving/_request.py
+++ b/packages/serving/src/fordhatch/serving/_request.py
@@ -89,6 +89,11 @@
         if may_have_run:
             self.ran_at.append(backend_id)
 
+    @property
+    def workspace_name(self) -> str | None:
+        """Name of the caller's workspace, None without one."""
+        return self.workspace.name if self.workspace is not None else None
+
     @property
     def urgency(self) -> int:
         """Rank among waiting requests; a workspace's priority overrides the route's."""
--- a/packages/serving/src/fordhatch/serving/_request_path.py
+++ b/packages/serving/src/fordhatch/serving/_request_path.py
@@ -82,7 +82,7 @@
         health = BackendHealth(timer)
         contact = BackendContact(timer, view.directory)
         prober = BackendProber(backends, contact, timer)
-        routed = BackendExchange(exchange, contact, timer)
+        routed = BackendExchange(exchange, contact, prober, timer)
         cold = ColdBackends(timer, view.directory, lambda: state.bounds)
         cold.connect(view.configuration, backends)
         view.evacuations.subscribe_returns(cold.presume_zone_cold)
