What one node does not reach is lost only if another one says so too

What callers saw: with the planner's node cut off from all backend servers, all 16 groups of a site were dissolved though seven other nodes were served by them: 169 of 287 first attempts at the other nodes, 51 of 113 after the cut. At a cut-off node the only group of a model was left out after it had been found lost by that node. Cause: a probe that got no answer was taken for the loss of the server. It says as much about the links of the node that probes. Class: a conclusion about others from what only oneself can see. A failure counts if another server of the zone was reached meanwhile, or if a node in touch does not reach it either (ProbeBackend); otherwise it is inconclusive.

--- a/packages/core/src/fordhatch/core/_codes.py
+++ b/packages/core/src/fordhatch/core/_codes.py
@@ -144,7 +144,7 @@
         "in other tries; it is not run again for now.",
     ),
     ResultCode.PROBE_INCONCLUSIVE: _info(
-        503, Ran.NO, "The node was too slow to tell whether a backend server answers."
+        503, Ran.NO, "It cannot be told whether a backend server answers."
     ),
     ResultCode.ZONE_EVACUATED: _info(
         503,
--- a/packages/node/src/fordhatch/node/_node.py
+++ b/packages/node/src/fordhatch/node/_node.py
@@ -20,6 +20,7 @@
     CrashesSeen,
     LoadReport,
     PressureSeen,
+    ProbeBackend,
     QueryContact,
     QueryDemand,
     QueryPressure,
@@ -247,6 +248,8 @@
                 await self.load_gossip.receive(message, channel)
             case QueryContact():
                 await self.relays.server.answer_query(message, channel)
+            case ProbeBackend():
+                await self.relays.witnesses.answer(message, channel)
             case RelayRequest():
                 await self.relays.server.relay(message, channel)
             case QueryPressure():
--- a/packages/node/src/fordhatch/node/_node_relays.py
+++ b/packages/node/src/fordhatch/node/_node_relays.py
@@ -11,6 +11,7 @@
 from fordhatch.serving import RequestPath
 
 from ._contact_upkeep import ContactUpkeep
+from ._probe_witnesses import ProbeWitnesses
 from ._relay_client import RelayClient
 from ._relay_peers import RelayPeers
 from ._relay_server import RelayServer
@@ -24,6 +25,7 @@
     client: RelayClient
     server: RelayServer
     upkeep: ContactUpkeep
+    witnesses: ProbeWitnesses
 
     @classmethod
     def create(
@@ -38,11 +40,16 @@
         peers = RelayPeers(settings.node_name, settings.zone, view, pool, timer)
         client = RelayClient(peers, pool, timer)
         path.exchange.relay = client
+        witnesses = ProbeWitnesses(
+            settings.node_name, view, path.prober, peers, pool, timer
+        )
+        path.prober.witnesses = witnesses.ask
         return cls(
             peers,
             client,
             RelayServer(path, peers, timer),
             ContactUpkeep(view, path.contact, path.prober, peers, timer),
+            witnesses,
         )
 
     def start(self) -> None:
--- a/packages/registry/src/fordhatch/registry/_backend_prober.py
+++ b/packages/registry/src/fordhatch/registry/_backend_prober.py
@@ -1,14 +1,16 @@
-"""Probes backend servers and records which of them are reached."""
+"""Probes backend servers, and asks other nodes before one is taken for lost."""
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 import attrs
+from result import Err
 
 from fordhatch.adapter import BackendClient
 from fordhatch.catalog import BackendServer
-from fordhatch.core import ResultCode, Timer
+from fordhatch.core import Failure, ResultCode, Timer
 
 from ._backend_contact import MIN_FAILED_BACKENDS, BackendContact
 from ._liveness_probe import Report, probe
@@ -16,18 +18,64 @@
 COMPARED = MIN_FAILED_BACKENDS - 1
 """Backend servers that are probed to compare, after another one was not reached."""
 
+Witnesses = Callable[[BackendServer], Awaitable[Report | None]]
+"""Lets other nodes probe a backend server; returns None if none of them can tell."""
+
 
 @attrs.define(eq=False, repr=False)
 class BackendProber:
-    """Probes backend servers on behalf of the components of a node."""
+    """Probes backend servers on behalf of the components of a node.
+
+    What this node does not reach may be lost, or only its own links are. It concludes
+    that a backend server is lost if it has reached others in the same availability zone
+    meanwhile, or if another node in touch does not reach it either.
+    """
 
     client: BackendClient
     contact: BackendContact
     timer: Timer
+    witnesses: Witnesses | None = None
+    """None if there are no other nodes."""
 
     async def probe(self, backend: BackendServer) -> Report:
-        """Return a backend server's report, or why there is none; see ``probe``."""
-        return await self.reach(backend)
+        """Return a backend server's report, or why there is none; see ``probe``.
+
+        Returns:
+            The code ``PROBE_INCONCLUSIVE`` also if no node can tell whether the backend
+            server or the links of this node are at fault.
+        """
+        began_s = self.timer.now_s()
+        found = await self._try(backend)
+        if found.is_ok() or _is_inconclusive(found):
+            return found
+        if self.contact.has_reached_since(backend.zone, began_s):
+            await self.record_failure(backend, found.unwrap_err().code, began_s)
+            return found
+        answers = await asyncio.gather(
+            self._ask_others(backend),
+            self.record_failure(backend, found.unwrap_err().code, began_s),
+        )
+        told = answers[0]
+        if told is not None:
+            return told
+        if self.witnesses is not None and self.contact.is_cut_off(backend.service):
+            return Err(Failure.from_code(ResultCode.PROBE_INCONCLUSIVE))
+        return found
+
+    async def _ask_others(self, backend: BackendServer) -> Report | None:
+        return await self.witnesses(backend) if self.witnesses is not None else None
+
+    async def testify(self, backend: BackendServer) -> Report:
+        """Probe a backend server for another node, without asking further ones.
+
+        Returns:
+            The code ``PROBE_INCONCLUSIVE`` if this node does not reach other backend
+            servers of the service either.
+        """
+        found = await self.reach(backend)
+        if found.is_err() and self.contact.is_cut_off(backend.service):
+            return Err(Failure.from_code(ResultCode.PROBE_INCONCLUSIVE))
+        return found
 
     async def reach(self, backend: BackendServer) -> Report:
         """Probe a backend server on connections of this node and record the outcome."""
@@ -52,9 +100,8 @@
         """
         if code is ResultCode.PROBE_INCONCLUSIVE:
             return
-        service = backend.service
-        is_new = self.contact.is_news(backend, began_s)
-        if is_new and not self.contact.is_cut_off(service):
+        is_news = self.contact.is_news(backend, began_s)
+        if is_news and not self.contact.is_cut_off(backend.service):
             await self._probe_others(backend)
         self.contact.record_unreached(backend, began_s)
 
@@ -65,8 +112,8 @@
 
     async def _compare(self, backend: BackendServer) -> None:
         began_s = self.timer.now_s()
-        failure = (await self._try(backend)).err()
-        if failure is not None and failure.code is not ResultCode.PROBE_INCONCLUSIVE:
+        found = await self._try(backend)
+        if found.is_err() and not _is_inconclusive(found):
             self.contact.record_unreached(backend, began_s)
 
     async def _try(self, backend: BackendServer) -> Report:
@@ -74,3 +121,8 @@
         if found.is_ok():
             self.contact.record_reached(backend)
         return found
+
+
+def _is_inconclusive(found: Report) -> bool:
+    failure = found.err()
+    return failure is not None and failure.code is ResultCode.PROBE_INCONCLUSIVE
