A planner that reaches no backend server leaves the lease to a node that does

What callers saw: nothing at once; but with the planner's node cut off, groups that lost a member were not repaired for as long as the cut lasted. Cause: the lease was held by whoever reached the store, whether or not it reached the backend servers that it plans. Change: a holder that reaches no engine of a service releases the lease if it knows a node in touch, and polls for it again only after the cut. Nodes that have asked for help do not count when others rank themselves, and a waiting node looks at its rank every second, so that one in touch behind many that are cut off takes over in time.

--- a/packages/node/src/fordhatch/node/_node.py
+++ b/packages/node/src/fordhatch/node/_node.py
@@ -40,7 +40,6 @@
     SharedRows,
     StoreSource,
     StoreView,
-    planner_candidates,
     relay_wait_s,
 )
 from fordhatch.serving import CollectorChoice, NodeState, RequestPath
@@ -129,13 +128,15 @@
             exchange=clients.exchange,
             timer=timer,
         )
+        relays = NodeRelays.create(settings, view, clients.pool, timer, path)
         lease = PlannerLease(
             settings.node_name,
             clients.store,
             timer,
-            lambda: planner_candidates(view.shared.nodes),
+            relays.planner_candidates,
             lambda: state.is_leaving,
             lambda name: _query_holder(clients.pool, view, name),
+            relays.may_plan,
         )
         planner = Planner.create(
             view,
@@ -162,7 +163,6 @@
             path.load,
             CollectorChoice(settings.node_name),
         )
-        relays = NodeRelays.create(settings, view, clients.pool, timer, path)
         start_id = secrets.token_hex(START_ID_BYTES)
         return cls(
             settings,
--- a/packages/node/src/fordhatch/node/_node_relays.py
+++ b/packages/node/src/fordhatch/node/_node_relays.py
@@ -7,7 +7,7 @@
 from fordhatch.catalog import NodeSettings
 from fordhatch.core import Timer
 from fordhatch.protocol import PeerPool
-from fordhatch.registry import StoreView
+from fordhatch.registry import StoreView, planner_candidates
 from fordhatch.serving import RequestPath
 
 from ._contact_upkeep import ContactUpkeep
@@ -56,6 +56,22 @@
         """Begin to check services that are out of reach."""
         self.upkeep.start()
 
+    def may_plan(self) -> bool:
+        """Return whether this node can plan, or no other node could do it better."""
+        configuration = self.upkeep.view.configuration.current
+        services = configuration.engine_services() if configuration else ()
+        return not any(
+            self.upkeep.contact.is_cut_off(service.name)
+            and self.peers.in_touch(service.name)
+            for service in services
+        )
+
+    def planner_candidates(self) -> list[str]:
+        """Return the nodes that may plan, without those known to be cut off."""
+        cut_off = self.peers.are_cut_off()
+        names = planner_candidates(self.peers.view.shared.nodes)
+        return [name for name in names if name not in cut_off]
+
     async def close(self) -> None:
         """Stop checking, and cancel pending messages to other nodes."""
         await self.upkeep.close()
--- a/packages/placement/src/fordhatch/placement/_planner_lease.py
+++ b/packages/placement/src/fordhatch/placement/_planner_lease.py
@@ -67,6 +67,9 @@
 The total rate of polls then grows with the logarithm of the number of
 nodes, and the first few nodes poll often enough when the candidates are lost."""
 
+MAX_POLL_WAIT_S = 1.0
+"""Time after which a waiting node looks again how many nodes come before it."""
+
 
 @attrs.frozen
 class LeaseHolderStatus:
@@ -98,6 +101,8 @@
     query_holder: Callable[[str], Awaitable[LeaseHolderStatus | None]] | None = None
     """Queries a node for the state of the lease without a call to the store; returns
     None if the node does not answer."""
+    may_hold: Callable[[], bool] = lambda: True
+    """Returns whether this node can plan; otherwise it leaves the lease to another."""
     epoch_base: int = 0
     """Derived from the row's version at this node's last renewal. Epochs derived from
     it are higher than those of every earlier holder."""
@@ -137,19 +142,31 @@
         """Renew the lease, or poll it and take over, until cancelled."""
         await self._wait_for_nodes()
         while True:
+            if self.is_held() and not self.may_hold():
+                await self.release()
             if self.is_held():
                 await self._renew()
                 await self.timer.sleep(RENEW_INTERVAL_S)
             else:
                 self._record_loss()
-                if not await self._holder_renews():
+                if self.may_hold() and not await self._holder_renews():
                     await self._poll()
-                # A node that has just taken over must renew soon, even if its poll
-                # interval is long.
-                poll_interval_s = self.timer.jittered(self._poll_interval_s())
-                await self.timer.sleep(
-                    RENEW_INTERVAL_S if self.is_held() else poll_interval_s
-                )
+                await self._wait_for_next_poll()
+
+    async def _wait_for_next_poll(self) -> None:
+        """Wait one poll interval, or less if the node comes further to the front."""
+        factor = self.timer.jittered(1.0)
+        if self.is_held():
+            # A node that has just taken over must renew soon, even if its poll
+            # interval is long.
+            await self.timer.sleep(RENEW_INTERVAL_S)
+            return
+        began_s = self.timer.now_s()
+        left_s = factor * self._poll_interval_s()
+        while left_s > 0:
+            await self.timer.sleep(min(left_s, MAX_POLL_WAIT_S))
+            waited_s = self.timer.now_s() - began_s
+            left_s = factor * self._poll_interval_s() - waited_s
 
     async def _wait_for_nodes(self) -> None:
         """Wait for the names of the other nodes before the first poll.
