--- a/bench/soak.py
+++ b/bench/soak.py
@@ -1,9 +1,10 @@
 """Soak test: real processes under random faults, with all guarantees checked.
 
 Nodes reach the store through proxies that delay, reset or silence connections or drop
-one direction; signals kill, pause, stop and restart nodes; engines crash, drain, slow
-down, limit their load and are added; the store is busy, silent or restored from backup.
-Callers, which keep connections until a node terminates, and an operator send requests.
+one direction; links to all backend servers are cut; signals kill, pause, stop and
+restart nodes; engines crash, drain, slow down, limit their load and are added; the
+store is busy, silent or restored from backup. Callers, which keep connections until a
+node terminates, and an operator send requests.
 """
 
 from __future__ import annotations
@@ -18,14 +19,16 @@
 
 import aiohttp
 import attrs
+from cut_links import LinkCut
 from cyclopts import App, Parameter
-from fleet import ZONES, Fleet, NodeProcess, declared_state
+from fleet import Fleet, NodeProcess, declared_state
 from loopback_proxy import LoopbackProxy
 from soak_callers import Callers
+from soak_engine_faults import SPARE_ENGINES, EngineFaults
 from soak_ledger import Ledger
 
 NODES = 4
-ENGINES, SPARE_ENGINES = 10, 12
+ENGINES = 10
 CALLERS = 6
 ACTIVE_LIMIT_S = 8.0
 SETTLE_TIMEOUT_S = 60.0
@@ -41,6 +44,7 @@
 
     fleet: Fleet
     rng: random.Random
+    engines: EngineFaults
     ledger: Ledger = attrs.field(factory=Ledger)
     proxies: list[LoopbackProxy] = attrs.field(factory=list)
     revision: int = 0
@@ -52,7 +56,6 @@
     started_s: float = attrs.field(factory=time.monotonic)
     _busy: set[str] = attrs.field(factory=set)
     """Names of nodes with a process fault in progress."""
-    _spares_used: int = 0
     _is_store_healthy: bool = True
 
     async def start(self) -> None:
@@ -116,23 +119,26 @@
             self._silence_way,
             self._trouble_store,
             self._lose_store_answers,
-            self._kill_engine,
-            self._kill_engine,
-            self._drain_engine,
-            self._slow_engine,
-            self._late_orders,
-            self._lose_calls,
+            self._cut_links,
+            self._cut_links,
+            self.engines.kill_engine,
+            self.engines.kill_engine,
+            self.engines.drain_engine,
+            self.engines.slow_engine,
+            self.engines.late_orders,
+            self.engines.lose_calls,
         ]
         if self.asks_less:
-            kinds += [self._limit_engine, self._rest_engine] * 2
+            kinds += [self.engines.limit_engine, self.engines.rest_engine] * 2
         if self.loses_all:
             kinds += [self._lose_all_nodes] * 2
             await self.fleet.act("check_fencing")
         running: set[asyncio.Task[None]] = set()
         while not self.is_stopping:
             fault = self.rng.choice(kinds)
-            self.ledger.faults[fault.__name__[1:]] += 1
-            self._record_fault(fault.__name__[1:])
+            name = fault.__name__.removeprefix("_")
+            self.ledger.faults[name] += 1
+            self._record_fault(name)
             task = asyncio.ensure_future(fault())
             running.add(task)
             task.add_done_callback(running.discard)
@@ -248,59 +254,18 @@
     async def _lose_store_answers(self) -> None:
         await self.fleet.act("lose_answers", count=self.rng.randrange(1, 4))
 
-    async def _engine(self) -> str:
-        return self.rng.choice((await self.fleet.counts())["engines"])
-
-    async def _kill_engine(self) -> None:
-        if self._spares_used >= SPARE_ENGINES:
-            return
-        await self.fleet.act("kill", backend=await self._engine())
-        await asyncio.sleep(self.rng.uniform(0.2, 4.0))
-        await self._add_engine()
-
-    async def _add_engine(self) -> None:
-        port = self.fleet.spare_port + self._spares_used
-        self._spares_used += 1
-        zone = self.rng.choice(ZONES)
-        await self.fleet.act("add", port=port, domain="fabric-0", zone=zone)
-
-    async def _drain_engine(self) -> None:
-        if self._spares_used >= SPARE_ENGINES:
-            return
-        name = await self._engine()
-        await self.fleet.act("drain", backend=name)
-        await asyncio.sleep(4.0)
-        if name in (await self.fleet.counts())["engines"]:
-            await self.fleet.act("kill", backend=name)
-        await self._add_engine()
-
-    async def _slow_engine(self) -> None:
-        name = await self._engine()
-        await self.fleet.act("slow", backend=name, factor=self.rng.uniform(2.0, 8.0))
-        await asyncio.sleep(self.rng.uniform(1.0, 6.0))
-        await self.fleet.act("slow", backend=name, factor=1.0)
-
-    async def _limit_engine(self) -> None:
-        name, per_s = await self._engine(), self.rng.uniform(0.5, 3.0)
-        await self.fleet.act("limit", backend=name, per_s=per_s)
-        await asyncio.sleep(self.rng.uniform(4.0, 9.0))
-        await self.fleet.act("limit", backend=name, per_s=None)
-
-    async def _rest_engine(self) -> None:
-        name, backoff_s = await self._engine(), self.rng.uniform(0.5, 3.0)
-        await self.fleet.act("rest", backend=name, for_s=backoff_s, share=0.6)
-        await asyncio.sleep(self.rng.uniform(1.0, 5.0))
-        await self.fleet.act("rest", backend=name, for_s=None, share=1.0)
-
-    async def _late_orders(self) -> None:
-        await self.fleet.act("late_orders", share=0.4)
-        await asyncio.sleep(self.rng.uniform(1.0, 5.0))
-        await self.fleet.act("late_orders", share=0.0)
-
-    async def _lose_calls(self) -> None:
-        await self.fleet.act("lose_calls", share=0.3)
-        await asyncio.sleep(self.rng.uniform(0.5, 4.0))
-        await self.fleet.act("lose_calls", share=0.0)
+    async def _cut_links(self) -> None:
+        """Cut the links of some nodes to all backend servers, at times flapping."""
+        most = len(self.fleet.nodes) - 1
+        nodes = self.rng.sample(self.fleet.nodes, self.rng.randrange(1, most + 1))
+        kind = self.rng.choice([LinkCut.HANG, LinkCut.REFUSE, LinkCut.RESET])
+        for _ in range(self.rng.choice([1, 1, 3])):
+            for node in nodes:
+                node.cut_links(kind)
+            await asyncio.sleep(self.rng.uniform(0.3, 5.0))
+            for node in nodes:
+                node.cut_links(LinkCut.NONE)
+            await asyncio.sleep(self.rng.uniform(0.1, 1.0))
 
     # Complete run.
 
@@ -320,6 +285,7 @@
     async def _heal(self) -> None:
         for node in self.fleet.nodes:
             node.send(signal.SIGCONT)
+            node.cut_links(LinkCut.NONE)
         for proxy in self.proxies:
             proxy.heal()
         await self.fleet.act("heal_store")
@@ -359,8 +325,10 @@
     seed: int, duration_s: float, *, loses_all: bool = False, asks_less: bool = False
 ) -> Ledger:
     """Run the soak test with one seed; returns outcomes, faults and violations."""
-    async with Fleet.create() as fleet:
-        run = Soak(fleet, random.Random(seed), loses_all=loses_all, asks_less=asks_less)
+    async with Fleet.create(can_cut_links=True) as fleet:
+        rng = random.Random(seed)
+        engines = EngineFaults(fleet, rng)
+        run = Soak(fleet, rng, engines, loses_all=loses_all, asks_less=asks_less)
         await run.start()
         try:
             await run.run(duration_s)
--- /dev/null
+++ b/bench/soak_engine_faults.py
@@ -0,0 +1,82 @@
+"""Faults of engines in the soak test."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import attrs
+from fleet import ZONES, Fleet
+
+SPARE_ENGINES = 12
+"""Engines that are added in one run at the most."""
+
+
+@attrs.define(eq=False, repr=False)
+class EngineFaults:
+    """Brings about faults of random engines, and ends them."""
+
+    fleet: Fleet
+    rng: random.Random
+    _spares_used: int = 0
+
+    async def _engine(self) -> str:
+        return self.rng.choice((await self.fleet.counts())["engines"])
+
+    async def kill_engine(self) -> None:
+        """Crash an engine; another one is added later."""
+        if self._spares_used >= SPARE_ENGINES:
+            return
+        await self.fleet.act("kill", backend=await self._engine())
+        await asyncio.sleep(self.rng.uniform(0.2, 4.0))
+        await self._add_engine()
+
+    async def _add_engine(self) -> None:
+        port = self.fleet.spare_port + self._spares_used
+        self._spares_used += 1
+        zone = self.rng.choice(ZONES)
+        await self.fleet.act("add", port=port, domain="fabric-0", zone=zone)
+
+    async def drain_engine(self) -> None:
+        """Drain an engine, end it, and add another one."""
+        if self._spares_used >= SPARE_ENGINES:
+            return
+        name = await self._engine()
+        await self.fleet.act("drain", backend=name)
+        await asyncio.sleep(4.0)
+        if name in (await self.fleet.counts())["engines"]:
+            await self.fleet.act("kill", backend=name)
+        await self._add_engine()
+
+    async def slow_engine(self) -> None:
+        """Slow an engine down for some seconds."""
+        name = await self._engine()
+        await self.fleet.act("slow", backend=name, factor=self.rng.uniform(2.0, 8.0))
+        await asyncio.sleep(self.rng.uniform(1.0, 6.0))
+        await self.fleet.act("slow", backend=name, factor=1.0)
+
+    async def limit_engine(self) -> None:
+        """Let an engine report a rate limit for some seconds."""
+        name, per_s = await self._engine(), self.rng.uniform(0.5, 3.0)
+        await self.fleet.act("limit", backend=name, per_s=per_s)
+        await asyncio.sleep(self.rng.uniform(4.0, 9.0))
+        await self.fleet.act("limit", backend=name, per_s=None)
+
+    async def rest_engine(self) -> None:
+        """Let an engine request a back-off for some seconds."""
+        name, backoff_s = await self._engine(), self.rng.uniform(0.5, 3.0)
+        await self.fleet.act("rest", backend=name, for_s=backoff_s, share=0.6)
+        await asyncio.sleep(self.rng.uniform(1.0, 5.0))
+        await self.fleet.act("rest", backend=name, for_s=None, share=1.0)
+
+    async def late_orders(self) -> None:
+        """Carry out some orders late and unanswered for some seconds."""
+        await self.fleet.act("late_orders", share=0.4)
+        await asyncio.sleep(self.rng.uniform(1.0, 5.0))
+        await self.fleet.act("late_orders", share=0.0)
+
+    async def lose_calls(self) -> None:
+        """Lose some calls between nodes and engines for some seconds."""
+        await self.fleet.act("lose_calls", share=0.3)
+        await asyncio.sleep(self.rng.uniform(0.5, 4.0))
+        await self.fleet.act("lose_calls", share=0.0)
