--- a/packages/node/src/fordhatch/node/_node_relays.py
+++ b/packages/node/src/fordhatch/node/_node_relays.py
@@ -12,9 +12,9 @@
 
 from ._contact_upkeep import ContactUpkeep
 from ._probe_witnesses import ProbeWitnesses
-from ._relay_client import RelayClient
+from ._relay_client import ExchangeRelayClient
 from ._relay_peers import RelayPeers
-from ._relay_server import RelayServer
+from ._relay_server import ExchangeRelayServer
 
 
 @attrs.define(eq=False, repr=False)
@@ -22,8 +22,8 @@
     """Both sides of relayed requests on one node."""
 
     peers: RelayPeers
-    client: RelayClient
-    server: RelayServer
+    client: ExchangeRelayClient
+    server: ExchangeRelayServer
     upkeep: ContactUpkeep
     witnesses: ProbeWitnesses
 
@@ -38,7 +38,7 @@
     ) -> NodeRelays:
         """Create the components and let the request path use them."""
         peers = RelayPeers(settings.node_name, settings.zone, view, pool, timer)
-        client = RelayClient(peers, pool, timer)
+        client = ExchangeRelayClient(peers, pool, timer)
         path.exchange.relay = client
         witnesses = ProbeWitnesses(
             settings.node_name, view, path.prober, peers, pool, timer
@@ -47,7 +47,7 @@
         return cls(
             peers,
             client,
-            RelayServer(path, peers, timer),
+            ExchangeRelayServer(path, peers, timer),
             ContactUpkeep(view, path.contact, path.prober, peers, timer),
             witnesses,
         )
--- a/packages/node/src/fordhatch/node/_relay_client.py
+++ b/packages/node/src/fordhatch/node/_relay_client.py
@@ -36,7 +36,7 @@
 
 
 @attrs.define(eq=False, repr=False)
-class RelayClient:
+class ExchangeRelayClient:
     """Sends attempts to other nodes and returns the answers."""
 
     peers: RelayPeers
--- a/packages/node/src/fordhatch/node/_relay_server.py
+++ b/packages/node/src/fordhatch/node/_relay_server.py
@@ -33,8 +33,8 @@
 from ._relayed_answer import WINDOW_PIECES, to_wire
 
 MAX_RELAYED = 256
-"""Attempts that a node makes for others at once; a node of its size has a fifteenth of
-its descriptors in use then. Others are sent to the next node."""
+"""Attempts that a node makes for others at once, a sixteenth of the descriptors that it
+may open. Further ones are refused, and their nodes try another one."""
 
 
 @attrs.define(eq=False, repr=False)
@@ -87,7 +87,7 @@
 
 
 @attrs.define(eq=False, repr=False)
-class RelayServer:
+class ExchangeRelayServer:
     """Answers the messages of nodes that do not reach the backend servers.
 
     It uses this node's own connections only, so that no request passes through more
--- a/packages/node/tests/test_relayed_requests.py
+++ b/packages/node/tests/test_relayed_requests.py
@@ -14,9 +14,9 @@
 
 from fordhatch.catalog import AnswerFields, BackendServer, BackendState, RefusalKind
 from fordhatch.core import Timer
-from fordhatch.node._relay_client import RelayClient
+from fordhatch.node._relay_client import ExchangeRelayClient
 from fordhatch.node._relay_peers import RelayPeers
-from fordhatch.node._relay_server import MAX_RELAYED, RelayServer
+from fordhatch.node._relay_server import MAX_RELAYED, ExchangeRelayServer
 from fordhatch.node._relayed_answer import WINDOW_PIECES
 from fordhatch.protocol.messages import QueryContact, RelayRequest
 from fordhatch.registry import NodeAddress
@@ -82,9 +82,9 @@
 
     network: MemoryNetwork = attrs.field(factory=MemoryNetwork)
     nodes: dict[str, NodeAddress] = attrs.field(factory=dict)
-    servers: dict[str, RelayServer] = attrs.field(factory=dict)
+    servers: dict[str, ExchangeRelayServer] = attrs.field(factory=dict)
     asked: list[str] = attrs.field(factory=list)
-    client: RelayClient | None = None
+    client: ExchangeRelayClient | None = None
 
     def _peers(self, name: str) -> RelayPeers:
         timer = Timer.from_seed(name)
@@ -94,7 +94,7 @@
 
     def add_cut_off(self) -> None:
         peers = self._peers("cut")
-        self.client = RelayClient(peers, peers.pool, peers.timer)
+        self.client = ExchangeRelayClient(peers, peers.pool, peers.timer)
 
     def add(
         self,
@@ -122,7 +122,7 @@
             contact=SimpleNamespace(is_cut_off=lambda _: not reaches),
             exchange=SimpleNamespace(send_directly=send),
         )
-        server = self.servers[name] = RelayServer(path, peers, peers.timer)
+        server = self.servers[name] = ExchangeRelayServer(path, peers, peers.timer)
 
         async def handle(message: object, channel: object) -> None:
             self.asked.append(f"{name} {type(message).__name__}")
