Planner lease: a rest from rounding no longer stops the clock

Cause: the wait for the next poll slept for a rest of some 1e-15 s, which does not move a clock on; in virtual time nodes then waited forever without any. Change: a wait of a millisecond at the least.

--- a/packages/placement/src/fordhatch/placement/_planner_lease.py
+++ b/packages/placement/src/fordhatch/placement/_planner_lease.py
@@ -67,6 +67,9 @@
 The total rate of polls then grows with the logarithm of the number of
 nodes, and the first few nodes poll often enough when the candidates are lost."""
 
+MIN_POLL_WAIT_S = 0.001
+"""Shortest wait: a rest from rounding is too short to move the clock on."""
+
 MAX_POLL_WAIT_S = 1.0
 """Time after which a waiting node looks again how many nodes come before it."""
 
@@ -164,7 +167,7 @@
         began_s = self.timer.now_s()
         left_s = factor * self._poll_interval_s()
         while left_s > 0:
-            await self.timer.sleep(min(left_s, MAX_POLL_WAIT_S))
+            await self.timer.sleep(max(min(left_s, MAX_POLL_WAIT_S), MIN_POLL_WAIT_S))
             waited_s = self.timer.now_s() - began_s
             left_s = factor * self._poll_interval_s() - waited_s
 
