Crash watch: backend_ended names the shared parts of prompts

The adapter now decodes the names of a prompt's parts, all but the last one, and backend_ended gives their keyed digests with the most suspicious stage of the runs that had them. Nothing is decided by them.

--- a/packages/catalog/src/fordhatch/catalog/_calls.py
+++ b/packages/catalog/src/fordhatch/catalog/_calls.py
@@ -23,6 +23,9 @@
     """Event after which the caller's stream resumes; empty for a new stream."""
     length_hint_tokens: int | None = None
     """Length of the answer that the caller expects; None without a hint."""
+    shared_parts: tuple[str, ...] = ()
+    """Names of the parts of the prompt that other requests may have as well, in their
+    order. The last part of a prompt is its own and not among them."""
 
 
 class RefusalKind(StrEnum):
--- a/packages/serving/src/fordhatch/serving/_crash_watch.py
+++ b/packages/serving/src/fordhatch/serving/_crash_watch.py
@@ -14,7 +14,7 @@
 from ._crash_row_writer import CrashRowWriter
 from ._quarantine import Quarantine
 from ._request import ServedRequest
-from ._request_digest import request_digest
+from ._request_digest import part_digest, request_digest
 
 ENDED_RETENTION_S = 5.0
 """How long a crashed backend server is remembered, in seconds; its last connections
@@ -28,6 +28,10 @@
 """Maximum of requests named in one log line; as many as a group runs at once."""
 
 
+MAX_NAMED_PARTS = 8
+"""Maximum of parts of prompts named in one log line, the most suspicious ones first."""
+
+
 @attrs.frozen
 class BrokenRun:
     """A run of a request whose connection has broken."""
@@ -180,6 +184,18 @@
                 f"{self.digest(run.request)}:{run.stage.name.lower()}"
                 for run in check.runs[:MAX_NAMED_RUNS]
             ),
+            parts=self._named_parts(check.runs),
+        )
+
+    def _named_parts(self, runs: list[BrokenRun]) -> str:
+        """Return the shared parts of some runs, with the most suspicious stage each."""
+        stages: dict[str, RunStage] = {}
+        for run in runs:
+            for part in self.part_digests(run.request):
+                stages[part] = max(run.stage, stages.get(part, run.stage))
+        ranked = sorted(stages, key=stages.__getitem__, reverse=True)
+        return ",".join(
+            f"{part}:{stages[part].name.lower()}" for part in ranked[:MAX_NAMED_PARTS]
         )
 
     def digest(self, request: ServedRequest) -> str:
@@ -187,6 +203,13 @@
         secret = self.shared.secret
         return request_digest(request, secret) if secret else ""
 
+    def part_digests(self, request: ServedRequest) -> list[str]:
+        """Return the digests of the shared parts of a request's prompt."""
+        secret = self.shared.secret
+        if not secret:
+            return []
+        return [part_digest(part, secret) for part in request.fields.shared_parts]
+
     def prune(self) -> None:
         """Drop old checks of crashed backend servers, and old crash records."""
         now_s = self.timer.now_s()
--- a/packages/serving/src/fordhatch/serving/_request_digest.py
+++ b/packages/serving/src/fordhatch/serving/_request_digest.py
@@ -1,4 +1,4 @@
-"""Digests that identify a request's content across its retries."""
+"""Digests that identify a request's content, and the shared parts of its prompt."""
 
 from __future__ import annotations
 
@@ -10,6 +10,7 @@
 """Long enough that two contents of a day collide once in 10**30 days."""
 
 _PERSONALIZATION = b"request-content"
+_PART_PERSONALIZATION = b"prompt-part"
 _LENGTH_BYTES = 8
 
 
@@ -31,3 +32,18 @@
         digest.update(len(part).to_bytes(_LENGTH_BYTES))
         digest.update(part)
     return digest.hexdigest()
+
+
+def part_digest(part: str, key: bytes) -> str:
+    """Return a keyed digest of the name of a prompt's part.
+
+    Args:
+        part: The name as the caller sent it.
+        key: The key that all nodes share.
+    """
+    return hashlib.blake2b(
+        part.encode(),
+        digest_size=DIGEST_BYTES,
+        key=key,
+        person=_PART_PERSONALIZATION,
+    ).hexdigest()
--- a/packages/serving/tests/test_crash_watch.py
+++ b/packages/serving/tests/test_crash_watch.py
@@ -14,7 +14,7 @@
 from fordhatch.adapter import caller_fields
 from fordhatch.registry import SECRET_KEY, SHARED_TABLE
 from fordhatch.serving import ServedRequest
-from fordhatch.serving._request_digest import request_digest
+from fordhatch.serving._request_digest import part_digest, request_digest
 
 
 @pytest.fixture
@@ -51,7 +51,8 @@
     await site.until(lambda: site.view.shared.secret)
     await site.add_backend(breaks_off(site, after_events=after_events), group="small.1")
     await site.add_backend(streams, group="small.2", zone="z2")
-    await site.ask("/stream/1", body=b"a prompt")
+    parts = {"X-Prompt-Prefix": "a1:90,b2:40,c3:7"}
+    await site.ask("/stream/1", body=b"a prompt", **parts)
     await site.until(lambda: logged("backend_ended"))
     (ended,) = logged("backend_ended")
     assert (ended["backend"], ended["runs"]) == ("i-1", 1)
@@ -59,6 +60,8 @@
     assert seen_stage == stage
     assert len(name) == 32
     assert "prompt" not in ended["named"]
+    shared = [part_digest(part, b"k" * 32) for part in ("a1", "b2")]
+    assert ended["parts"] == ",".join(f"{part}:{stage}" for part in shared)
 
 
 async def test_a_broken_connection_is_not_a_crash(site, logged) -> None:
--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -41,6 +41,21 @@
     assert (fields.prompt_tokens, fields.max_output_tokens) == (1460, 80)
 
 
+@pytest.mark.parametrize(
+    ("text", "parts"),
+    [
+        ("", ()),
+        ("5c1e:800", ()),
+        ("5c1e:800,91bd:410,e440:250", ("5c1e", "91bd")),
+        ("5C1E:800, 5c1e:1,:3,91bd,e440:250", ("5c1e", "91bd")),
+        (",".join(f"{n:x}:1" for n in range(99)), tuple(f"{n:x}" for n in range(32))),
+    ],
+)
+def test_all_parts_of_a_prompt_but_the_last_are_shared(text, parts) -> None:
+    fields = caller_fields(CIMultiDict({"X-Prompt-Prefix": text}))
+    assert fields.shared_parts == parts
+
+
 @pytest.mark.parametrize("text", ["", "-5", "soon", "1e3"])
 def test_a_malformed_deadline_is_ignored(text: str) -> None:
     assert caller_fields(CIMultiDict({"X-Deadline-Ms": text})).deadline_s is None
