Failing tests: requests with one part in their prompts that crashes engines

Stand-ins crash an engine that begins to run a request with a bad part (in memory and over HTTP, for chat completions a message before the last), and start another one at its address. fordhatch_lab.PartTrial plays it in virtual time: first, behind a shared part, two at once, nearly always beside a sound part, ten at a time, with ordinary crashes, a restart of all nodes, an outage of the store and nodes without links.

--- a/standins/src/fordhatch_lab/__init__.py
+++ b/standins/src/fordhatch_lab/__init__.py
@@ -9,6 +9,7 @@
 from ._limit_trial import LimitPlay, LimitTrial, allowed, play_limit
 from ._load_trial import LoadFigures, LoadTrial, play_load
 from ._measures import Measures, Outcome
+from ._part_trial import PartFigures, PartTrial, play_parts
 from ._run import run_experiment, run_in_virtual_time
 
 __all__ = [
@@ -27,11 +28,14 @@
     "LoadTrial",
     "Measures",
     "Outcome",
+    "PartFigures",
+    "PartTrial",
     "RequestClass",
     "allowed",
     "play_cut",
     "play_limit",
     "play_load",
+    "play_parts",
     "run_experiment",
     "run_in_virtual_time",
 ]
--- a/standins/src/fordhatch_lab/_lab_load.py
+++ b/standins/src/fordhatch_lab/_lab_load.py
@@ -112,19 +112,27 @@
             observed.refusal = None
             await self._attempt(kind, observed)
 
-    async def ask_once(self, kind: RequestClass, target: str) -> Outcome:
+    async def ask_once(
+        self, kind: RequestClass, target: str, shared_parts: tuple[str, ...] = ()
+    ) -> Outcome:
         """Send a request to a random node, without a retry.
 
         Args:
             kind: Class of the request.
             target: The path, which is also sent as the body.
+            shared_parts: Parts of its prompt that other requests may have as well.
         """
         observed = Outcome(kind, asyncio.get_running_loop().time())
-        await self._attempt(kind, observed, target)
+        await self._attempt(kind, observed, target, shared_parts)
+        observed.is_first_served = observed.is_whole
         return observed
 
     async def _attempt(
-        self, kind: RequestClass, observed: Outcome, target: str = ""
+        self,
+        kind: RequestClass,
+        observed: Outcome,
+        target: str = "",
+        shared_parts: tuple[str, ...] = (),
     ) -> None:
         node = self.rng.choice(self._nodes())
         observed.node_name = observed.node_name or node.name
@@ -132,7 +140,7 @@
         self._count += 1
         target = target or f"/{kind.name}/{self._count}"
         with node.node.state.counted(reply):
-            await self._serve(node, kind, reply, target)
+            await self._serve(node, kind, reply, target, shared_parts)
 
     def _nodes(self) -> list[LabNode]:
         nodes = self.site.nodes
@@ -150,7 +158,12 @@
             await asyncio.sleep(READINESS_INTERVAL_S)
 
     async def _serve(
-        self, node: LabNode, kind: RequestClass, reply: LabReply, target: str
+        self,
+        node: LabNode,
+        kind: RequestClass,
+        reply: LabReply,
+        target: str,
+        shared_parts: tuple[str, ...],
     ) -> None:
         path = node.node.path
         found = path.admission.find_route("lab", target)
@@ -164,6 +177,7 @@
             model=kind.model,
             prompt_tokens=self._random_length(kind.prompt_tokens),
             max_output_tokens=self._random_length(kind.output_tokens),
+            shared_parts=shared_parts,
         )
         admitted = path.admission.admit(
             found.unwrap(),
--- a/standins/src/fordhatch_standins/_backend_http.py
+++ b/standins/src/fordhatch_standins/_backend_http.py
@@ -13,7 +13,9 @@
 
 from ._backends import Backends
 from ._calls import BackendCall, CutOff, NotExecuted
+from ._crashing_parts import message_parts
 from ._engine_fleet import EngineFleet
+from ._engine_model import EngineModel
 from ._engine_work import EngineWork
 from ._plain_service import PlainService
 from ._pressure_log import PressureLog
@@ -42,6 +44,18 @@
     host: str
     _listeners: dict[str, asyncio.Server] = attrs.field(factory=dict)
     _connections: dict[str, set[asyncio.BaseTransport]] = attrs.field(factory=dict)
+    _tasks: set[asyncio.Task[str]] = attrs.field(factory=set)
+
+    def __attrs_post_init__(self) -> None:
+        """Close the ports of engines that crash, until others start there."""
+        self.backends.crash_subscribers.append(self.cut_off)
+        self.backends.restart_subscribers.append(self._listen_again)
+
+    def _listen_again(self, address: str) -> None:
+        port = int(address.rpartition(":")[2])
+        task = asyncio.ensure_future(self.listen(port))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def listen(self, port: int) -> str:
         """Open a port and return its address, where a backend server can be added."""
@@ -91,7 +105,7 @@
         call = _build_call(request, own_id, await request.read())
         answers = _ResponseBuilder(request, self.backends.pressure, own_id, cold)
         if work is not None:
-            self.backends.arrived(work.engine)
+            self.backends.arrived(work.engine, call)
         if self.backends.pressure.arrived(own_id, UNKNOWN_NODE):
             return answers.refusal(_UNAVAILABLE, "")
         if plain is not None:
@@ -140,6 +154,7 @@
         output_tokens=fields.max_output_tokens,
         urgency=int(request.headers.get("X-Urgency-Class", _DEFAULT_URGENCY)),
         last_event=int(last) if last.isdigit() else -1,
+        shared_parts=fields.shared_parts or message_parts(body),
     )
 
 
@@ -228,8 +243,8 @@
     """Return a handler that lets a test inject faults and read the run counts.
 
     ``GET /counts``; ``POST /act`` with ``do`` (``kill``, ``drain``, ``add``,
-    ``slow``, ``cool``, ``limit``, ``rest``, ``fail_store``, ``heal_store``) and its
-    fields.
+    ``slow``, ``cool``, ``crash_under``, ``limit``, ``rest``, ``fail_store``,
+    ``heal_store``) and its fields.
     """
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
@@ -248,6 +263,8 @@
     return {
         "runs": {**backends.fleet.runs, **backends.plain_runs},
         "contents": dict(backends.plain_contents),
+        "crash_times_s": backends.crash_times_s,
+        "crashing_arrivals_s": backends.crashing_parts.arrivals_s,
         "violations": [
             *backends.fleet.violations,
             *backends.pressure.breaches,
@@ -278,6 +295,18 @@
     faults.is_silent = is_failing and body.get("how") == "silent"
 
 
+def _act_on_engines(
+    backends: Backends, engine: EngineModel | None, body: dict[str, Any]
+) -> None:
+    match body["do"]:
+        case "cool":
+            backends.fleet.make_cold(engine, float(body["for_s"]))
+        case "slow":
+            engine.slow_factor = float(body["factor"])
+        case _:
+            backends.crashing_parts.names = set(body["parts"])
+
+
 def _act_on_pressure(pressure: PressureLog, body: dict[str, Any]) -> None:
     match body["do"]:
         case "limit":
@@ -301,10 +330,8 @@
             backends.fleet.drain(engine)
         case "limit" | "rest" | "excuse":
             _act_on_pressure(backends.pressure, body)
-        case "cool":
-            backends.fleet.make_cold(engine, float(body["for_s"]))
-        case "slow":
-            engine.slow_factor = float(body["factor"])
+        case "cool" | "slow" | "crash_under":
+            _act_on_engines(backends, engine, body)
         case "add":
             address = await listeners.listen(int(body["port"]))
             backends.add_engine(body["domain"], body["zone"], address)
--- a/standins/src/fordhatch_standins/_backends.py
+++ b/standins/src/fordhatch_standins/_backends.py
@@ -11,6 +11,7 @@
 
 from ._calls import BackendCall
 from ._cold_starts import ColdStarts
+from ._crashing_parts import CrashingParts
 from ._engine_fleet import EngineFleet
 from ._engine_model import EngineModel
 from ._engine_work import EnginePace, EngineWork
@@ -43,8 +44,14 @@
     """Time of the last of them in each zone."""
     ends_under: Callable[[BackendCall], bool] = lambda call: False
     """Whether a request crashes the engine that begins to run it."""
+    crashing_parts: CrashingParts = attrs.field(factory=CrashingParts)
+    """Parts of prompts that crash the engine that begins to run a request with one."""
     crash_times_s: list[float] = attrs.field(factory=list)
     """Times of the crashes that such requests have caused."""
+    crash_subscribers: list[Callable[[str], None]] = attrs.field(factory=list)
+    """Called with the address of an engine that has crashed in this way."""
+    restart_subscribers: list[Callable[[str], None]] = attrs.field(factory=list)
+    """Called with the address at which another engine starts after such a crash."""
     restart_delay_s: float = 3.0
     """Time from a crash until another engine starts at the same address."""
     pressure: PressureLog = attrs.field(factory=PressureLog)
@@ -72,21 +79,29 @@
         )
 
     def _crashes_on(self, call: BackendCall) -> bool:
-        return self.ends_under(call)
+        return self.ends_under(call) or self.crashing_parts.crashes(call)
 
     def _crash(self, engine: EngineModel) -> None:
         """Crash an engine's process; its successor finds the weights on its host."""
         if engine.is_dead:
             return
+        self.crash_times_s.append(asyncio.get_running_loop().time())
+        self.fail(engine)
+
+    def fail(self, engine: EngineModel) -> None:
+        """End an engine's process for a reason of its own; a successor starts."""
         loop = asyncio.get_running_loop()
-        self.crash_times_s.append(loop.time())
         self.fleet.crash(engine)
+        for call in self.crash_subscribers:
+            call(engine.address)
         loop.call_later(self.restart_delay_s, self._restart_at_address, engine)
 
     def _restart_at_address(self, engine: EngineModel) -> None:
         started = self.add_engine(engine.domain, engine.zone, engine.address)
         started.staged = list(engine.staged)
         started.on_change(started)
+        for call in self.restart_subscribers:
+            call(engine.address)
 
     def restart_engine(self, engine: EngineModel) -> EngineModel:
         """Restart an engine under its id; its running requests are cut off."""
@@ -119,8 +134,9 @@
         engine = self.fleet.at(address)
         return self._work_by_id[engine.backend_id] if engine is not None else None
 
-    def arrived(self, engine: EngineModel) -> None:
+    def arrived(self, engine: EngineModel, call: BackendCall) -> None:
         """Record a request to an engine, which may crash it if it is cold."""
+        self.crashing_parts.arrived(call)
         if self.cold.arrived(engine.backend_id, engine.cold_left_s()):
             self._crash(engine)
 
--- a/standins/src/fordhatch_standins/_calls.py
+++ b/standins/src/fordhatch_standins/_calls.py
@@ -27,6 +27,8 @@
     urgency: int = 5
     last_event: int = -1
     """Index of the event after which a stream resumes; -1 for a new stream."""
+    shared_parts: tuple[str, ...] = ()
+    """Parts of the prompt that other requests may have as well."""
 
     @property
     def digest(self) -> str:
--- a/standins/src/fordhatch_standins/_memory_exchange.py
+++ b/standins/src/fordhatch_standins/_memory_exchange.py
@@ -156,6 +156,7 @@
             output_tokens=fields.max_output_tokens,
             urgency=_DEFAULT_URGENCY if urgency is None else urgency,
             last_event=int(last_event_id) if last_event_id is not None else -1,
+            shared_parts=fields.shared_parts,
         )
 
     def _pieces(
@@ -170,7 +171,7 @@
         if work is None:
             return None
         if call.backend_id == work.engine.backend_id:
-            self.backends.arrived(work.engine)
+            self.backends.arrived(work.engine, call)
         if self._is_refused(work.engine.backend_id):
             return _refusal()
         return work.serve(call)
