Crash watch: a request that has likely crashed its server is not run again

A request is a likely cause if its answer had just begun and a part of its prompt is not known to be sound; requests of proven parts are retried as before, which a test shows.

test_no_third_group_gets_a_part_that_crashed_two is red without the rule.

--- a/bench/crash_guards.py
+++ b/bench/crash_guards.py
@@ -23,7 +23,7 @@
     ),
     Guard(
         "crash: the cause of an end frees the others that were there",
-        "serving/_quarantine.py",
+        "serving/_crash_cause.py",
         "                del seen[backend]\n",
         "                pass\n",
         f"{SERVING}/test_quarantine.py -k explains_its_crashes",
@@ -31,10 +31,47 @@
     Guard(
         "crash: a whole answer clears a content",
         "serving/_crash_watch.py",
-        "            self.row_writer.remove(self.quarantine.clear(digest))\n",
+        "            self.row_writer.remove(self.quarantine.clear(features.content))\n",
         "            pass\n",
         f"{SERVING}/test_quarantined_calls.py -k removes_the_published",
     ),
+    Guard(
+        "crash: parts of prompts are features of requests",
+        "serving/_request_features.py",
+        "        return (self.content, *self.parts) if self.content else ()\n",
+        "        return (self.content,) if self.content else ()\n",
+        f"{SERVING}/test_quarantined_calls.py -k part_that_crashed_two",
+    ),
+    Guard(
+        "crash: parts at the same crashes are a cause only together",
+        "serving/_crash_cause.py",
+        "    return causes + together\n",
+        "    return causes + [\n"
+        "        CrashCause.of((f,), b) for b, fs in parts.items() for f in fs\n"
+        "    ]\n",
+        f"{SERVING}/test_quarantine.py -k all_parts_of_a_cause",
+    ),
+    Guard(
+        "crash: a proof excuses a part",
+        "serving/_part_proofs.py",
+        "        return crash_s <= proven_s + PROOF_HOLDS_S\n",
+        "        return False\n",
+        f"{SERVING}/test_quarantine.py -k proven_part",
+    ),
+    Guard(
+        "crash: proofs are shared",
+        "registry/_shared_rows.py",
+        "            self.proven_parts[part] = self.timer.now_s()\n",
+        "            pass\n",
+        f"{SERVING}/test_quarantine.py -k proof_in_the_store",
+    ),
+    Guard(
+        "crash: a likely cause has no second run",
+        "serving/_crash_watch.py",
+        "        return not (is_likely and check.has_crashed)\n",
+        "        return True\n",
+        f"{SERVING}/test_quarantined_calls.py -k part_that_crashed_two",
+    ),
     Guard(
         "crash: runs under way are stopped",
         "serving/_stream_run.py",
--- a/packages/serving/src/fordhatch/serving/_crash_watch.py
+++ b/packages/serving/src/fordhatch/serving/_crash_watch.py
@@ -232,7 +232,8 @@
         if is_unproven or self.quarantine.is_suspect(request):
             await check.is_resolved.wait()
         stages = {run.stage for run in check.runs if run.request is request}
-        return True
+        is_likely = is_unproven and RunStage.BEGUN in stages
+        return not (is_likely and check.has_crashed)
 
     async def _has_crashed(self, backend: BackendServer) -> bool:
         answer = await self.prober.probe(backend)
--- a/packages/serving/tests/test_quarantined_calls.py
+++ b/packages/serving/tests/test_quarantined_calls.py
@@ -69,6 +69,57 @@
     assert sound.status == 200
 
 
+def crashes_under(site, part: str):
+    """Return a script whose whole server stops when it begins to run a part."""
+
+    async def script(request, writer) -> None:
+        parts = request.headers.get("x-prompt-prefix", "").split(",")[:-1]
+        if f"{part}:9" not in parts:
+            await streams(request, writer)
+            return
+        writer.write(head(request))
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        server = next(b for b in site.scripted if request in b.seen)
+        await server.close()
+        writer.transport.abort()
+
+    return script
+
+
+# Guards against requests that share one bad part, no two of them alike.
+async def test_no_third_group_gets_a_part_that_crashed_two(site) -> None:
+    await share_secret(site)
+    for number in range(6):
+        await site.add_backend(crashes_under(site, "bad"), group=f"small.{number}")
+
+    async def ask(parts: str, body: str) -> int:
+        headers = {"X-Prompt-Prefix": parts}
+        return (await site.ask("/stream/1", body=body.encode(), **headers)).status
+
+    assert await ask("common:9,own1:9", "1") == 200
+    statuses = [await ask(f"common:9,bad:9,own{n}:9", f"bad {n}") for n in range(5)]
+    # Each of the first two crashes one server, as a second run could crash another.
+    assert statuses == [502, 502, 503, 503, 503]
+    assert await ask("common:9,own2:9", "2") == 200
+    assert await ask("common:9,other:9,own3:9", "3") == 200
+    # The last part belongs to its request.
+    assert await ask("common:9,bad:9", "4") == 200
+
+
+# Guards against callers who lose a retry because other requests crash their server.
+async def test_a_request_of_proven_parts_is_retried_after_a_crash(site) -> None:
+    await share_secret(site)
+    await site.add_backend(streams, group="small.0")
+    headers = {"X-Prompt-Prefix": "common:9,own:9"}
+    assert (await site.ask("/stream/1", body=b"1", **headers)).status == 200
+    await site.scripted[0].close()
+    await site.add_backend(crashes_on(site, b"2"), group="small.1")
+    await site.add_backend(streams, group="small.2", zone="z2")
+    got = await site.ask("/stream/1", body=b"2", **headers)
+    assert (got.status, len(site.scripted[1].seen)) == (200, 1)
+
+
 async def test_a_plain_call_is_quarantined_as_well(site) -> None:
     await share_secret(site)
 
