Chat completions: all messages but the last are shared parts of a prompt

Each message before the last one is a part now, by role and content. Separate processes: at most 3 late, sound chats served through every node, the bad one refused as REQUEST_QUARANTINED. Red without the change, green with it.

--- a/packages/chat/src/fordhatch/chat/_chat_body.py
+++ b/packages/chat/src/fordhatch/chat/_chat_body.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import hashlib
 import json
 from typing import Any
 
 import attrs
 from result import Err, Ok, Result
 
+from fordhatch.catalog import MAX_SHARED_PARTS
 from fordhatch.core import Failure, Ran, ResultCode
 
 MAX_OUTPUT_TOKENS = 32768
@@ -19,6 +21,9 @@
 CHARACTERS_PER_TOKEN = 4
 """Usual for English text; estimates a prompt's length for the engines' queues."""
 
+NAME_BYTES = 16
+"""Length of a message's digest, as which it is compared with others."""
+
 
 def bad_request(message: str) -> Failure:
     """Return the failure for a malformed request."""
@@ -69,6 +74,12 @@
         length = sum(len(entry["content"]) for entry in self.messages)
         return max(length // CHARACTERS_PER_TOKEN, 1)
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Names of the messages that other conversations may have: all but the last."""
+        shared = self.messages[:-1][:MAX_SHARED_PARTS]
+        return tuple(dict.fromkeys(map(_message_name, shared)))
+
     def to_engine_body(self, adapter: str) -> bytes:
         """Return the body to send to the engine."""
         fields: dict[str, Any] = {
@@ -78,3 +89,8 @@
         if adapter:
             fields["adapter"] = adapter
         return json.dumps(fields).encode()
+
+
+def _message_name(message: dict[str, Any]) -> str:
+    text = json.dumps([str(message.get("role", "")), message["content"]])
+    return hashlib.blake2b(text.encode(), digest_size=NAME_BYTES).hexdigest()
--- a/packages/chat/src/fordhatch/chat/_chat_server.py
+++ b/packages/chat/src/fordhatch/chat/_chat_server.py
@@ -162,6 +162,7 @@
             model=self._model(service),
             prompt_tokens=body.prompt_tokens,
             max_output_tokens=body.max_tokens,
+            shared_parts=body.shared_parts,
         )
         admitted = self.path.admission.admit(
             route_for(context, application, "POST", CHAT_PATH),
