Answers that end with their connection: a crash in the middle is no complete answer

Callers could get the beginning of an answer as a whole one, and requests that crash servers were not counted: an answer may have neither a length nor chunks, and then looks the same whether it is complete or its server has crashed.

Cause: the end of the connection was taken for the end of the body, and what ends within an event was a malformed answer, which the crash watch does not look at. Class: absence of an error taken for success.

A stream that ends with its connection inside an event, or before any, was broken off. One that ends between two events, and a plain answer, is complete unless a probe shows that its server has crashed (nothing listens there, or a later start or another server answers). What is broken off resumes elsewhere where the route allows it, is aborted otherwise, and counts as a crash. The probe is one report, only for such answers.

--- a/packages/node/src/fordhatch/node/_relayed_answer.py
+++ b/packages/node/src/fordhatch/node/_relayed_answer.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 import attrs
+from multidict import CIMultiDict
 
 from fordhatch.catalog import AnswerFields, BackendServer, Backpressure, RefusalKind
 from fordhatch.protocol import Channel
@@ -17,7 +18,7 @@
     RelayedPiece,
     WireBackpressure,
 )
-from fordhatch.serving import SendProblem
+from fordhatch.serving import SendProblem, ends_with_connection
 
 WINDOW_PIECES = 32
 """Pieces that may be on their way without an acknowledgement. It bounds the memory
@@ -83,6 +84,11 @@
         headers = [(name, value) for name, value in head.headers]
         return cls(backend, fields, head.status, headers, channel, end)
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection marks the end of the body."""
+        return ends_with_connection(CIMultiDict(self.headers))
+
     async def read_piece(self) -> bytes:
         """Return the next bytes of the body; empty at its complete end.
 
--- a/packages/serving/src/fordhatch/serving/__init__.py
+++ b/packages/serving/src/fordhatch/serving/__init__.py
@@ -20,6 +20,7 @@
     SendFailure,
     SendProblem,
     connection_problem,
+    ends_with_connection,
 )
 from ._group_progress import GroupProgress
 from ._head_choice import HeadChoice
@@ -76,5 +77,6 @@
     "StallWatch",
     "StreamCalls",
     "connection_problem",
+    "ends_with_connection",
     "is_evacuated",
 ]
--- a/packages/serving/src/fordhatch/serving/_exchange.py
+++ b/packages/serving/src/fordhatch/serving/_exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from enum import Enum
 from types import SimpleNamespace
 from typing import Protocol, Self
@@ -91,6 +92,18 @@
     return SendProblem.CONNECTION_LOST if is_lost else SendProblem.BROKEN
 
 
+def ends_with_connection(headers: Mapping[str, str]) -> bool:
+    """Return whether an answer has neither a length nor chunks.
+
+    Its body ends like this also if the backend server crashes in the middle.
+
+    Args:
+        headers: The answer's headers; upper and lower case are the same.
+    """
+    is_chunked = "chunked" in headers.get("Transfer-Encoding", "").lower()
+    return not is_chunked and "Content-Length" not in headers
+
+
 class OutboundRequest(Protocol):
     """A request to a backend server, of this node's callers or of another node's."""
 
@@ -181,6 +194,11 @@
         """The headers as received."""
         return list(self._response.headers.items())
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of its connection marks the end of the body."""
+        return ends_with_connection(self._response.headers)
+
     async def read_piece(self) -> bytes:
         """Return the next bytes of the body; empty at its complete end.
 
--- a/packages/serving/src/fordhatch/serving/_plain_call.py
+++ b/packages/serving/src/fordhatch/serving/_plain_call.py
@@ -246,6 +246,10 @@
             return Err(SendFailure(problem, repr(error)))
         finally:
             answer.close()
+        if answer.ends_with_connection and await self.crashes.has_crashed(backend):
+            self.crashes.connection_broken(request, backend, PLAIN_STAGE)
+            detail = "the connection ended as the backend server crashed"
+            return Err(SendFailure(SendProblem.CONNECTION_LOST, detail))
         return Ok(_complete_answer(answer, body))
 
     def _failure(self, request: ServedRequest, problem: SendFailure) -> Failure:
--- /dev/null
+++ b/packages/serving/src/fordhatch/serving/_stream_ending.py
@@ -0,0 +1,55 @@
+"""How a run of a stream ends: complete, broken off, or by a crash."""
+
+from __future__ import annotations
+
+from fordhatch.catalog import BackendServer
+from fordhatch.registry import RunStage
+
+from ._crash_watch import CrashWatch
+from ._events import EventSplitter
+from ._exchange import SendFailure, SendProblem
+from ._group_progress import RunProgress
+from ._stream import Stream
+
+
+class RunFailed(Exception):  # noqa: N818
+    """A run failed before its stream was complete."""
+
+    def __init__(self, problem: SendProblem, detail: str) -> None:
+        super().__init__(detail)
+        self.failure = SendFailure(problem, detail)
+
+
+async def check_ending(
+    crashes: CrashWatch, stream: Stream, head: BackendServer, splitter: EventSplitter
+) -> None:
+    """Check whether a stream that ended with its connection is complete.
+
+    Between two events, the end of a stream and the crash of its backend server look
+    alike: it is complete if the server has not crashed.
+
+    Args:
+        crashes: Probes the backend server.
+        stream: The stream.
+        head: The backend server that ran it.
+        splitter: Holds what has arrived of an event that is not complete.
+
+    Raises:
+        RunFailed: If it was broken off.
+    """
+    if splitter.has_partial_event:
+        detail = "the connection ended within an event"
+    elif stream.order.last is None and not stream.events:
+        detail = "the connection ended before the first event"
+    elif await crashes.has_crashed(head):
+        detail = "the connection ended as the backend server crashed"
+    else:
+        return
+    raise RunFailed(SendProblem.CONNECTION_LOST, detail)
+
+
+def reached_stage(progress: RunProgress, events: int) -> RunStage:
+    """Return the stage that a run reached, given the number of events it forwarded."""
+    if events > 0:
+        return RunStage.FLOWING
+    return RunStage.BEGUN if progress.has_answer else RunStage.WAITING
--- a/packages/serving/src/fordhatch/serving/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/_stream_run.py
@@ -11,7 +11,7 @@
 from fordhatch.adapter import answer_headers
 from fordhatch.catalog import BackendServer
 from fordhatch.core import Timer, log_event, metrics
-from fordhatch.registry import BackendDirectory, RunStage
+from fordhatch.registry import BackendDirectory
 
 from ._backend_exchange import BackendExchange
 from ._backend_health import BackendHealth
@@ -29,6 +29,7 @@
 from ._shared_load import SharedLoad
 from ._stall_watch import SLOW_CHECK_INTERVAL_S, SLOW_PACE, StallWatch
 from ._stream import Stream
+from ._stream_ending import RunFailed, check_ending, reached_stage
 
 RESUMED_URGENCY = 0
 """Resumed streams are first in the backend server's queue: their callers wait
@@ -42,14 +43,6 @@
 _SERVER_ERROR = 500
 
 
-class _RunFailed(Exception):  # noqa: N818
-    """A run failed before its stream was complete."""
-
-    def __init__(self, problem: SendProblem, detail: str) -> None:
-        super().__init__(detail)
-        self.failure = SendFailure(problem, detail)
-
-
 @attrs.define(eq=False, repr=False)
 class StreamRuns:
     """Sends a stream's request to a group and forwards its events."""
@@ -102,10 +95,10 @@
                 await self._forward(stream, head, progress)
             self.health.record_success(head_id, self.timer.now_s() - began_s)
             return Ok(None)
-        except _RunFailed as broken:
+        except RunFailed as broken:
             self._record_failure(stream, head, broken.failure, began_s, events)
             if broken.failure.problem is SendProblem.CONNECTION_LOST:
-                stage = _stage(progress, stream.events - events)
+                stage = reached_stage(progress, stream.events - events)
                 self.crashes.connection_broken(stream.request, head, stage)
             return Err(broken.failure)
         finally:
@@ -154,7 +147,7 @@
         progress.has_answer = True
         try:
             if answer.status != _OK:
-                await self._forward_complete(stream, answer)
+                await self._forward_complete(stream, head, answer)
                 return
             await self._forward_events(stream, head, answer, progress)
         finally:
@@ -166,7 +159,7 @@
         """Send the request and wait for the answer's head.
 
         Raises:
-            _RunFailed: If no usable head came, or the run was abandoned or cancelled.
+            RunFailed: If no usable head came, or the run was abandoned or cancelled.
         """
         request = stream.request
         resumed = stream.order.last is not None
@@ -181,7 +174,7 @@
         )
         try:
             await self._wait_for_step(stream, head, progress, send)
-        except _RunFailed:
+        except RunFailed:
             request.record_arrival(head.backend_id, may_have_run=True)
             raise
         finally:
@@ -191,7 +184,7 @@
         if sent.is_err():
             failure = sent.unwrap_err()
             self.pressure.process_answer(head, failure.backpressure)
-            raise _RunFailed(failure.problem, failure.detail)
+            raise RunFailed(failure.problem, failure.detail)
         answer = sent.unwrap()
         self.pressure.process_answer(head, answer.fields.backpressure)
         return answer
@@ -206,7 +199,7 @@
         """Wait for the next step of a run; give up when the group is silent.
 
         Raises:
-            _RunFailed: If the run was cancelled or abandoned, or the deadline passed.
+            RunFailed: If the run was cancelled or abandoned, or the deadline passed.
         """
         limit_s = silence_s(stream.profile, stream.model)
         waiting_since_s = self.timer.now_s()
@@ -215,14 +208,14 @@
             left_s = stream.request.left_s(self.timer.now_s())
             await asyncio.wait([step], timeout=max(min(limit_s, left_s), 0.0))
             if step.cancelled():
-                raise _RunFailed(
+                raise RunFailed(
                     SendProblem.HELD_BACK, "its content ends backend servers"
                 )
             if step.done():
                 return
             now_s = self.timer.now_s()
             if stream.request.left_s(now_s) <= 0:
-                raise _RunFailed(SendProblem.SILENT, "out of time")
+                raise RunFailed(SendProblem.SILENT, "out of time")
             silent_s = self._silent_s(stream, progress, limit_s)
             waited_s = now_s - waiting_since_s
             if silent_s > 0:
@@ -258,7 +251,7 @@
         complete.
 
         Raises:
-            _RunFailed: If the run is abandoned.
+            RunFailed: If the run is abandoned.
         """
         request = stream.request
         if not request.route.is_repeatable:
@@ -266,25 +259,29 @@
         other = self.choice.choose(request.service, stream.model, stream.tried)
         ran = request.counted_runs(self.directory.backends, head.backend_id)
         if other is not None and ran < request.route.attempts:
-            raise _RunFailed(SendProblem.SILENT, detail)
+            raise RunFailed(SendProblem.SILENT, detail)
 
-    async def _forward_complete(self, stream: Stream, answer: BackendAnswer) -> None:
+    async def _forward_complete(
+        self, stream: Stream, head: BackendServer, answer: BackendAnswer
+    ) -> None:
         """Forward an answer that is no stream: a failure of the backend server.
 
         Raises:
-            _RunFailed: If the answer is incomplete, or the request may be retried, or
+            RunFailed: If the answer is incomplete, or the request may be retried, or
                 the stream has begun already.
         """
         try:
             async with self.timer.timeout(stream.request.left_s(self.timer.now_s())):
                 body = await answer.read_all()
         except TimeoutError as error:
-            raise _RunFailed(SendProblem.SILENT, repr(error)) from error
+            raise RunFailed(SendProblem.SILENT, repr(error)) from error
         except (aiohttp.ClientError, OSError) as error:
-            raise _RunFailed(connection_problem(error), repr(error)) from error
+            raise RunFailed(connection_problem(error), repr(error)) from error
+        if answer.ends_with_connection and await self.crashes.has_crashed(head):
+            raise RunFailed(SendProblem.CONNECTION_LOST, "the backend server crashed")
         can_repeat = stream.request.may_run(self.directory.backends, self.timer.now_s())
         if stream.reply.has_begun or (answer.status >= _SERVER_ERROR and can_repeat):
-            raise _RunFailed(SendProblem.BROKEN, f"status {answer.status}")
+            raise RunFailed(SendProblem.BROKEN, f"status {answer.status}")
         await stream.reply.send_complete(
             answer.status, answer_headers(answer.headers), body
         )
@@ -305,8 +302,10 @@
             self.progress.record_event(progress, stream.model)
             last_s = self._record_pause(stream, head, last_s)
             await self._forward_piece(stream, answer, splitter, piece)
+        if answer.ends_with_connection:
+            await check_ending(self.crashes, stream, head, splitter)
         if splitter.has_partial_event:
-            raise _RunFailed(SendProblem.BROKEN, "ended within an event")
+            raise RunFailed(SendProblem.BROKEN, "ended within an event")
         if not stream.reply.has_begun:
             await stream.reply.begin(answer.status, answer_headers(answer.headers))
         await stream.reply.end()
@@ -349,7 +348,7 @@
             await self._write(stream, answer, b"".join(fresh))
             stream.events += len(fresh)
         if problem is not None:
-            raise _RunFailed(SendProblem.BROKEN, str(problem)) from problem
+            raise RunFailed(SendProblem.BROKEN, str(problem)) from problem
 
     async def _write(
         self, stream: Stream, answer: BackendAnswer, events: bytes
@@ -371,13 +370,6 @@
             await self._wait_for_step(stream, head, progress, read)
             return read.result()
         except (aiohttp.ClientError, OSError) as error:
-            raise _RunFailed(connection_problem(error), repr(error)) from error
+            raise RunFailed(connection_problem(error), repr(error)) from error
         finally:
             read.cancel()
-
-
-def _stage(progress: RunProgress, events: int) -> RunStage:
-    """Return the stage that a run reached, given the number of events it forwarded."""
-    if events > 0:
-        return RunStage.FLOWING
-    return RunStage.BEGUN if progress.has_answer else RunStage.WAITING
--- a/standins/src/fordhatch_standins/_memory_exchange.py
+++ b/standins/src/fordhatch_standins/_memory_exchange.py
@@ -41,6 +41,8 @@
     status: int
     _pieces: AsyncIterator[bytes]
     _first: bytes = b""
+    ends_with_connection: bool = False
+    """Whether only the end of the connection marks the end of the body."""
 
     @property
     def headers(self) -> list[tuple[str, str]]:
