--- a/standins/src/fordhatch_lab/_part_trial.py
+++ b/standins/src/fordhatch_lab/_part_trial.py
@@ -20,9 +20,6 @@
 KIND = CLASSES[1]
 """Class of all requests of a trial."""
 
-DOCUMENTS = 4
-"""Parts of which each sound request has one, behind the part that all have."""
-
 SHARED = "shared"
 """The part that all requests have."""
 
@@ -41,6 +38,8 @@
     burst: int = 1
     """Bad requests that arrive at the same time, each at a random node."""
     sound_per_s: float = 8.0
+    documents: int = 4
+    """Parts of which each sound request has one, behind the part that all have."""
     duration_s: float = 30.0
     quiet_s: float = 3.0
     """Time with sound requests only, before the first bad one."""
@@ -147,7 +146,7 @@
         trial = self.trial
         async with asyncio.TaskGroup() as tasks:
             for number in range(round(trial.duration_s * trial.sound_per_s)):
-                parts = SHARED, f"document{number % DOCUMENTS}"
+                parts = SHARED, f"document{number % trial.documents}"
                 tasks.create_task(self._ask(parts, self.sound))
                 await asyncio.sleep(1.0 / trial.sound_per_s)
 
