--- a/standins/src/fordhatch_lab/__init__.py
+++ b/standins/src/fordhatch_lab/__init__.py
@@ -9,11 +9,13 @@
 from ._limit_trial import LimitPlay, LimitTrial, allowed, play_limit
 from ._load_trial import LoadFigures, LoadTrial, play_load
 from ._measures import Measures, Outcome
+from ._part_report import PART_TRIALS
 from ._part_trial import PartFigures, PartTrial, play_parts
 from ._run import run_experiment, run_in_virtual_time
 
 __all__ = [
     "CLASSES",
+    "PART_TRIALS",
     "CutFigures",
     "CutNodes",
     "CutTrial",
--- a/standins/src/fordhatch_lab/main.py
+++ b/standins/src/fordhatch_lab/main.py
@@ -16,6 +16,7 @@
 from ._load_report import load_tables
 from ._measures import Measures
 from ._outage_run import OUTAGE_TABLE_HEAD, outage_row
+from ._part_report import PART_TABLE_HEAD, part_rows
 from ._run import run_experiment
 from ._store_outage import StoreOutage
 
@@ -289,6 +290,20 @@
         print(line, flush=True)
 
 
+@app.command
+def parts(*, seeds: int = 1) -> None:
+    """Show what parts of prompts that crash engines cost, and whom else.
+
+    Parameters
+    ----------
+    seeds
+        Number of seeds of each trial.
+    """
+    print(PART_TABLE_HEAD)
+    for row in part_rows(seeds):
+        print(row, flush=True)
+
+
 @app.command
 def returns(
     nodes: list[int] | None = None,
