--- a/packages/serving/src/fordhatch/serving/_crash_cause.py
+++ b/packages/serving/src/fordhatch/serving/_crash_cause.py
@@ -40,6 +40,11 @@
         """Return the cause with these features."""
         return cls(frozenset(features), frozenset(backends))
 
+    @property
+    def is_of_parts(self) -> bool:
+        """Whether it consists of parts of prompts, not of a content."""
+        return any(map(is_part, self.features))
+
     @property
     def name(self) -> str:
         """All its features, for logs."""
--- a/packages/serving/src/fordhatch/serving/_quarantine.py
+++ b/packages/serving/src/fordhatch/serving/_quarantine.py
@@ -136,16 +136,15 @@
         """Log and count what has changed, and notify the subscribers."""
         known = {cause.features for cause in before}
         now = {cause.features for cause in self._causes}
-        parts = sum(any(map(is_part, features)) for features in now)
+        parts = sum(cause.is_of_parts for cause in self._causes)
         metrics.QUARANTINED_CONTENTS.set(len(now) - parts)
         metrics.QUARANTINED_PARTS.set(parts)
         new = [cause for cause in self._causes if cause.features not in known]
         for cause in new:
-            backends = ",".join(sorted(cause.backends))
-            _log_cause("quarantined", cause, backends=backends)
+            _log_quarantined(cause)
         for cause in before:
             if cause.features not in now:
-                _log_cause("released", cause)
+                _log_released(cause)
         if new:
             for callback in self._subscribers:
                 callback()
@@ -224,9 +223,16 @@
                 self._drop(key)
 
 
-def _log_cause(change: str, cause: CrashCause, **fields: object) -> None:
-    """Log that a content or parts of prompts are quarantined or released."""
-    if any(map(is_part, cause.features)):
-        log_event(f"parts_{change}", parts=cause.name, **fields)
+def _log_quarantined(cause: CrashCause) -> None:
+    backends = ",".join(sorted(cause.backends))
+    if cause.is_of_parts:
+        log_event("parts_quarantined", parts=cause.name, backends=backends)
     else:
-        log_event(f"content_{change}", digest=cause.name, **fields)
+        log_event("content_quarantined", digest=cause.name, backends=backends)
+
+
+def _log_released(cause: CrashCause) -> None:
+    if cause.is_of_parts:
+        log_event("parts_released", parts=cause.name)
+    else:
+        log_event("content_released", digest=cause.name)
