--- a/packages/core/src/fordhatch/core/_codes.py
+++ b/packages/core/src/fordhatch/core/_codes.py
@@ -141,7 +141,8 @@
         503,
         Ran.NO,
         "Several backend servers have ended while they ran this request, in this or "
-        "in other tries; it is not run again for now.",
+        "in other tries, or others with the same part in their prompts; it is not run "
+        "again for now.",
     ),
     ResultCode.PROBE_INCONCLUSIVE: _info(
         503, Ran.NO, "It cannot be told whether a backend server answers."
