--- a/packages/serving/src/fordhatch/serving/_crash_watch.py
+++ b/packages/serving/src/fordhatch/serving/_crash_watch.py
@@ -13,6 +13,7 @@
 
 from ._crash_row_writer import CrashRowWriter
 from ._part_proofs import PartProofs
+from ._proof_sharing import ProofSharing
 from ._quarantine import Quarantine
 from ._request import ServedRequest
 from ._request_digest import part_digest, request_features
@@ -34,11 +35,6 @@
 """Maximum of parts of prompts named in one log line, the most suspicious ones first."""
 
 
-PROOF_DELAY_S = 0.01
-"""Mean of the time between two nodes that tell of the same proof, in seconds. The row
-of the first one arrives at most others before their turn."""
-
-
 @attrs.frozen
 class BrokenRun:
     """A run of a request whose connection has broken."""
@@ -75,21 +71,23 @@
     shared: SharedRows
     row_writer: CrashRowWriter
     quarantine: Quarantine = attrs.field(init=False)
+    proofs: ProofSharing = attrs.field(init=False)
     _subscribers: list[Callable[[list[CrashRecord]], None]] = attrs.field(factory=list)
     _checks: dict[str, _Check] = attrs.field(factory=dict)
-    _is_sharing: bool = False
-    """Whether proofs are about to be told to the other nodes."""
     _tasks: TaskSet = attrs.field(factory=TaskSet)
 
     def __attrs_post_init__(self) -> None:
         """Create the quarantine that the observed crashes are recorded in."""
         proofs = PartProofs(self.timer, self.shared)
         self.quarantine = Quarantine(self.shared, self.features, proofs)
+        self.proofs = ProofSharing(
+            self.node_name, self.timer, self.shared, self.row_writer, self.quarantine
+        )
         self.shared.subscribe(self._shared_changed)
 
     def _shared_changed(self) -> None:
         self.quarantine.refresh()
-        self.share_proofs()
+        self.proofs.share()
 
     def connection_broken(
         self, request: ServedRequest, backend: BackendServer, stage: RunStage
@@ -193,38 +191,12 @@
         features = self.features(request)
         if request.was_answered:
             self.row_writer.remove(self.quarantine.clear(features.content))
-            self.share_proofs()
+            self.proofs.share()
         else:
             now_s = self.timer.now_s()
             unproven = self._unproven(features.parts, now_s)
             self._publish([features.content, *unproven])
 
-    def share_proofs(self) -> None:
-        """Tell the other nodes which suspected parts crash no backend server.
-
-        Several nodes may know it. Each waits for a random time, in which the row of
-        another one may arrive.
-        """
-        if self._is_sharing or not self._unshared_proofs():
-            return
-        self._is_sharing = True
-        self._tasks.spawn(self._share_proofs(), "share-proofs")
-
-    async def _share_proofs(self) -> None:
-        most_s = PROOF_DELAY_S * max(len(self.shared.nodes), 1)
-        try:
-            await self.timer.sleep(self.timer.rng.uniform(0.0, most_s))
-        finally:
-            self._is_sharing = False
-        parts = self._unshared_proofs()
-        if parts:
-            log_event("parts_proven", parts=",".join(parts))
-            self.row_writer.put_proofs(parts, self.node_name)
-
-    def _unshared_proofs(self) -> list[str]:
-        quarantine = self.quarantine
-        return quarantine.proofs.unshared(sorted(quarantine.suspected_parts()))
-
     async def may_retry(self, request: ServedRequest, backend: BackendServer) -> bool:
         """Return whether a request whose connection broke may run elsewhere.
 
@@ -305,4 +277,5 @@
     async def close(self) -> None:
         """Stop checking, and stop writing rows."""
         await self._tasks.close()
+        await self.proofs.close()
         await self.row_writer.close()
