--- a/packages/serving/src/fordhatch/serving/_quarantine.py
+++ b/packages/serving/src/fordhatch/serving/_quarantine.py
@@ -41,6 +41,7 @@
     _causes: frozenset[CrashCause] = frozenset()
     _causes_by_feature: dict[str, list[CrashCause]] = attrs.field(factory=dict)
     """Each cause under one of its features."""
+    _suspected_parts: frozenset[str] = frozenset()
     _judged_at: tuple[int, int] = (0, 0)
     _own_changes: int = 0
 
@@ -100,9 +101,13 @@
         names = self.features(request).names
         return any(feature in names for feature, _ in self._unexcused())
 
-    def suspected_parts(self) -> set[str]:
-        """Return the parts of prompts under which backend servers have crashed."""
-        return {f for (f, _), _ in self._all_crashes() if is_part(f)}
+    def suspected_parts(self) -> frozenset[str]:
+        """Return the parts of prompts under which backend servers have crashed.
+
+        Those with a proof are among them.
+        """
+        self._judge_if_changed()
+        return self._suspected_parts
 
     def _all_crashes(self) -> Iterator[tuple[CrashKey, CrashRecord]]:
         yield from self.own.items()
@@ -126,6 +131,9 @@
         by_feature: dict[str, dict[str, RunStage]] = {}
         for feature, record in self._unexcused():
             by_feature.setdefault(feature, {})[record.backend_id] = record.stage
+        self._suspected_parts = frozenset(
+            feature for (feature, _), _ in self._all_crashes() if is_part(feature)
+        )
         before, self._causes = self._causes, judge(by_feature)
         self._causes_by_feature = {}
         for cause in self._causes:
