Answers without length: complete only if their server is reached afterwards

Cause: such an answer counted as complete unless a crash was shown, and a link that breaks ends a connection in the same way; other nodes then say truly that the server lives. Now the node that received the answer must reach the server over its own link; for a relayed answer the relaying node checks it and reports a lost connection otherwise.

--- a/packages/node/src/fordhatch/node/_relay_server.py
+++ b/packages/node/src/fordhatch/node/_relay_server.py
@@ -20,6 +20,7 @@
     RelayRequest,
 )
 from fordhatch.serving import (
+    UNCONFIRMED_END,
     BackendAnswer,
     RequestPath,
     SendFailure,
@@ -200,6 +201,8 @@
                     if ack.is_err():
                         return
                     on_their_way -= ack.unwrap().pieces
+            if not await self.path.exchange.confirms_end(answer):
+                raise aiohttp.ClientPayloadError(UNCONFIRMED_END)
             await channel.send(RelayedEnd())
         except (aiohttp.ClientError, OSError) as error:
             problem = connection_problem(error)
--- a/packages/node/src/fordhatch/node/_relayed_answer.py
+++ b/packages/node/src/fordhatch/node/_relayed_answer.py
@@ -63,6 +63,8 @@
     _end: Callable[[], None]
     """Ends the request to the relaying node."""
     _unacknowledged: int = 0
+    is_end_confirmed: bool = True
+    """The other node checks the end of a body without length."""
 
     @classmethod
     def from_head(
--- a/packages/node/tests/test_relayed_requests.py
+++ b/packages/node/tests/test_relayed_requests.py
@@ -62,6 +62,8 @@
     status: int = 200
     headers: list[tuple[str, str]] = attrs.field(factory=list)
     fields: AnswerFields = AnswerFields("r1", RefusalKind.NONE, True, False)
+    ends_with_connection: bool = False
+    is_end_confirmed: bool = False
 
     async def read_piece(self) -> bytes:
         await asyncio.sleep(self.pauses_s)
@@ -76,6 +78,11 @@
         self.is_closed = True
 
 
+async def confirms_end(answer: StubAnswer) -> bool:
+    """Return whether an answer is complete, as a node in touch finds by a probe."""
+    return answer.is_end_confirmed or not answer.ends_with_connection
+
+
 @attrs.define
 class RelaySite:
     """One node that is cut off, and others that may reach the backend server."""
@@ -120,7 +127,7 @@
         path = SimpleNamespace(
             state=state,
             contact=SimpleNamespace(is_cut_off=lambda _: not reaches),
-            exchange=SimpleNamespace(send_directly=send),
+            exchange=SimpleNamespace(send_directly=send, confirms_end=confirms_end),
         )
         server = self.servers[name] = ExchangeRelayServer(path, peers, peers.timer)
 
@@ -171,6 +178,22 @@
     run_in_virtual_time(scenario())
 
 
+# Guards against the beginning of an answer without length that looks like a whole one.
+def test_an_end_that_the_node_in_touch_does_not_confirm_is_a_broken_connection() -> (
+    None
+):
+    async def scenario() -> None:
+        answer = StubAnswer([b"a"], ends_with_connection=True)
+        async with site_of(a=answers(answer)) as site:
+            got = (await site.client.send(StubRequest(), BACKEND, OPTIONS)).unwrap()
+            assert await got.read_piece() == b"a"
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await got.read_piece()
+            assert got.is_end_confirmed
+
+    simulate(scenario)
+
+
 def test_an_answer_arrives_whole_through_a_node_in_touch() -> None:
     async def scenario() -> None:
         answer = StubAnswer([b"a", b"b"] * WINDOW_PIECES)
--- a/packages/serving/src/fordhatch/serving/__init__.py
+++ b/packages/serving/src/fordhatch/serving/__init__.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ._admission import Admission
-from ._backend_exchange import BackendExchange, SendOptions
+from ._backend_exchange import UNCONFIRMED_END, BackendExchange, SendOptions
 from ._backend_health import BackendHealth
 from ._backpressure import BackpressureTracker, ServerLimit
 from ._caller_server import CallerServer
@@ -39,6 +39,7 @@
 from ._stream_call import StreamCalls
 
 __all__ = [
+    "UNCONFIRMED_END",
     "Admission",
     "BackendAnswer",
     "BackendExchange",
--- a/packages/serving/src/fordhatch/serving/_backend_exchange.py
+++ b/packages/serving/src/fordhatch/serving/_backend_exchange.py
@@ -19,6 +19,9 @@
     SendProblem,
 )
 
+UNCONFIRMED_END = "the connection ended, and the backend server is not reached"
+"""Detail of failures for an answer whose end may be that of its connection only."""
+
 
 @attrs.frozen
 class SendOptions:
@@ -120,3 +123,19 @@
             await self.prober.record_failure(backend, code, began_s)
         elif failure.problem.is_answer:
             self.contact.record_reached(backend)
+
+    async def confirms_end(self, answer: BackendAnswer) -> bool:
+        """Return whether an answer that has ended without an error is complete.
+
+        One with neither a length nor chunks ends in the same way if its backend server
+        crashes, or if the link breaks. It is complete if this node reaches the server
+        afterwards; where another node made the attempt, that one has checked it.
+        """
+        if not answer.ends_with_connection or answer.is_end_confirmed:
+            return True
+        report = await self.prober.reach(answer.backend)
+        if report.is_err():
+            return False
+        # Plain services need not report an identity; any answer shows a live process.
+        is_engine = answer.backend.membership is not None
+        return not is_engine or report.unwrap().matches(answer.backend)
--- a/packages/serving/src/fordhatch/serving/_crash_watch.py
+++ b/packages/serving/src/fordhatch/serving/_crash_watch.py
@@ -110,18 +110,6 @@
         if check.has_crashed:
             self._record(check, run)
 
-    async def has_crashed(self, backend: BackendServer) -> bool:
-        """Return whether a backend server is known to have crashed; probes it.
-
-        Args:
-            backend: The backend server, whose answer has ended with its connection.
-        """
-        check = self._checks.get(backend.backend_id)
-        if check is None:
-            return await self._has_crashed(backend)
-        await check.is_resolved.wait()
-        return check.has_crashed
-
     async def _check(self, check: _Check) -> None:
         try:
             check.has_crashed = await self._has_crashed(check.backend)
--- a/packages/serving/src/fordhatch/serving/_exchange.py
+++ b/packages/serving/src/fordhatch/serving/_exchange.py
@@ -183,6 +183,8 @@
     backend: BackendServer
     fields: AnswerFields
     _response: _TrackedResponse
+    is_end_confirmed: bool = False
+    """Whether the end of a body without length has been checked already."""
 
     @property
     def status(self) -> int:
--- a/packages/serving/src/fordhatch/serving/_plain_call.py
+++ b/packages/serving/src/fordhatch/serving/_plain_call.py
@@ -15,7 +15,7 @@
 from fordhatch.registry import BackendDirectory, RunStage
 
 from ._admission import Admission
-from ._backend_exchange import BackendExchange
+from ._backend_exchange import UNCONFIRMED_END, BackendExchange
 from ._backend_health import TIE_BREAK_FRACTION, BackendHealth
 from ._backpressure import Block
 from ._crash_watch import CrashWatch
@@ -246,10 +246,9 @@
             return Err(SendFailure(problem, repr(error)))
         finally:
             answer.close()
-        if answer.ends_with_connection and await self.crashes.has_crashed(backend):
+        if not await self.exchange.confirms_end(answer):
             self.crashes.connection_broken(request, backend, PLAIN_STAGE)
-            detail = "the connection ended as the backend server crashed"
-            return Err(SendFailure(SendProblem.CONNECTION_LOST, detail))
+            return Err(SendFailure(SendProblem.CONNECTION_LOST, UNCONFIRMED_END))
         return Ok(_complete_answer(answer, body))
 
     def _failure(self, request: ServedRequest, problem: SendFailure) -> Failure:
--- a/packages/serving/src/fordhatch/serving/_stream_ending.py
+++ b/packages/serving/src/fordhatch/serving/_stream_ending.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-from fordhatch.catalog import BackendServer
 from fordhatch.registry import RunStage
 
-from ._crash_watch import CrashWatch
+from ._backend_exchange import UNCONFIRMED_END, BackendExchange
 from ._events import EventSplitter
-from ._exchange import SendFailure, SendProblem
+from ._exchange import BackendAnswer, SendFailure, SendProblem
 from ._group_progress import RunProgress
 from ._stream import Stream
 
@@ -21,17 +20,20 @@
 
 
 async def check_ending(
-    crashes: CrashWatch, stream: Stream, head: BackendServer, splitter: EventSplitter
+    exchange: BackendExchange,
+    stream: Stream,
+    answer: BackendAnswer,
+    splitter: EventSplitter,
 ) -> None:
     """Check whether a stream that ended with its connection is complete.
 
-    Between two events, the end of a stream and the crash of its backend server look
-    alike: it is complete if the server has not crashed.
+    Between two events, the end of a stream, the crash of its backend server and a
+    broken link look alike: it is complete if the server is reached afterwards.
 
     Args:
-        crashes: Probes the backend server.
+        exchange: Probes the backend server.
         stream: The stream.
-        head: The backend server that ran it.
+        answer: The answer that has ended.
         splitter: Holds what has arrived of an event that is not complete.
 
     Raises:
@@ -41,8 +43,8 @@
         detail = "the connection ended within an event"
     elif stream.order.last is None and not stream.events:
         detail = "the connection ended before the first event"
-    elif await crashes.has_crashed(head):
-        detail = "the connection ended as the backend server crashed"
+    elif not await exchange.confirms_end(answer):
+        detail = UNCONFIRMED_END
     else:
         return
     raise RunFailed(SendProblem.CONNECTION_LOST, detail)
--- a/packages/serving/src/fordhatch/serving/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/_stream_run.py
@@ -13,7 +13,7 @@
 from fordhatch.core import Timer, log_event, metrics
 from fordhatch.registry import BackendDirectory
 
-from ._backend_exchange import BackendExchange
+from ._backend_exchange import UNCONFIRMED_END, BackendExchange
 from ._backend_health import BackendHealth
 from ._backpressure import BackpressureTracker
 from ._crash_watch import CrashWatch
@@ -147,7 +147,7 @@
         progress.has_answer = True
         try:
             if answer.status != _OK:
-                await self._forward_complete(stream, head, answer)
+                await self._forward_complete(stream, answer)
                 return
             await self._forward_events(stream, head, answer, progress)
         finally:
@@ -261,9 +261,7 @@
         if other is not None and ran < request.route.attempts:
             raise RunFailed(SendProblem.SILENT, detail)
 
-    async def _forward_complete(
-        self, stream: Stream, head: BackendServer, answer: BackendAnswer
-    ) -> None:
+    async def _forward_complete(self, stream: Stream, answer: BackendAnswer) -> None:
         """Forward an answer that is no stream: a failure of the backend server.
 
         Raises:
@@ -277,8 +275,8 @@
             raise RunFailed(SendProblem.SILENT, repr(error)) from error
         except (aiohttp.ClientError, OSError) as error:
             raise RunFailed(connection_problem(error), repr(error)) from error
-        if answer.ends_with_connection and await self.crashes.has_crashed(head):
-            raise RunFailed(SendProblem.CONNECTION_LOST, "the backend server crashed")
+        if not await self.exchange.confirms_end(answer):
+            raise RunFailed(SendProblem.CONNECTION_LOST, UNCONFIRMED_END)
         can_repeat = stream.request.may_run(self.directory.backends, self.timer.now_s())
         if stream.reply.has_begun or (answer.status >= _SERVER_ERROR and can_repeat):
             raise RunFailed(SendProblem.BROKEN, f"status {answer.status}")
@@ -303,7 +301,7 @@
             last_s = self._record_pause(stream, head, last_s)
             await self._forward_piece(stream, answer, splitter, piece)
         if answer.ends_with_connection:
-            await check_ending(self.crashes, stream, head, splitter)
+            await check_ending(self.exchange, stream, answer, splitter)
         if splitter.has_partial_event:
             raise RunFailed(SendProblem.BROKEN, "ended within an event")
         if not stream.reply.has_begun:
--- a/packages/serving/tests/test_answers_without_length.py
+++ b/packages/serving/tests/test_answers_without_length.py
@@ -78,6 +78,17 @@
     assert first_due(good.seen[0]) == 3
 
 
+# Guards against a broken link that looks like the end of a whole stream.
+async def test_a_stream_of_a_server_that_is_not_reached_resumes_elsewhere(site) -> None:
+    script = stops_after(site, events(1, 2), is_crash=False)
+    bad = await site.add_backend(script, group="small.1")
+    bad.report = None
+    good = await site.add_backend(streams, group="small.2", zone="z2")
+    got = await site.ask("/stream/1", body=BAD)
+    assert (got.status, got.body) == (200, ALL)
+    assert first_due(good.seen[0]) == 3
+
+
 async def test_a_stream_of_a_server_that_is_gone_is_broken_off_if_it_runs_once(
     site,
 ) -> None:
--- a/standins/src/fordhatch_standins/_memory_exchange.py
+++ b/standins/src/fordhatch_standins/_memory_exchange.py
@@ -41,6 +41,7 @@
     status: int
     _pieces: AsyncIterator[bytes]
     _first: bytes = b""
+    is_end_confirmed: bool = False
     ends_with_connection: bool = False
     """Whether only the end of the connection marks the end of the body."""
 
@@ -139,7 +140,9 @@
             backpressure=self._backpressure(backend, refused=False),
         )
         is_lengthless = self.backends.is_lengthless()
-        return Ok(MemoryAnswer(backend, fields, _OK, pieces, first, is_lengthless))
+        answer = MemoryAnswer(backend, fields, _OK, pieces, first)
+        answer.ends_with_connection = is_lengthless
+        return Ok(answer)
 
     def _call(
         self,
