Test of the second run counts the runs: it was green without its guard

With the retry the callers' statuses are the same (502, 502, 503): three servers crash instead of two.

--- a/packages/serving/tests/test_quarantined_calls.py
+++ b/packages/serving/tests/test_quarantined_calls.py
@@ -101,6 +101,8 @@
     statuses = [await ask(f"common:9,bad:9,own{n}:9", f"bad {n}") for n in range(5)]
     # Each of the first two crashes one server, as a second run could crash another.
     assert statuses == [502, 502, 503, 503, 503]
+    bodies = [r.body for b in site.scripted for r in b.seen]
+    assert sum(body.startswith(b"bad") for body in bodies) == 2
     assert await ask("common:9,own2:9", "2") == 200
     assert await ask("common:9,other:9,own3:9", "3") == 200
     # The last part belongs to its request.
