--- a/bench/crash_guards.py
+++ b/bench/crash_guards.py
@@ -72,6 +72,27 @@
         "        return True\n",
         f"{SERVING}/test_quarantined_calls.py -k part_that_crashed_two",
     ),
+    Guard(
+        "answers without length: complete only if the server is reached",
+        "serving/_backend_exchange.py",
+        "        if report.is_err():\n            return False\n",
+        "        if report.is_err():\n            return True\n",
+        f"{SERVING}/test_answers_without_length.py -k not_reached",
+    ),
+    Guard(
+        "answers without length: a stream without an event is broken off",
+        "serving/_stream_ending.py",
+        "    elif stream.order.last is None and not stream.events:\n",
+        "    elif False:\n",
+        f"{SERVING}/test_answers_without_length.py -k without_any_event",
+    ),
+    Guard(
+        "answers without length: the relaying node confirms the end",
+        "node/_relay_server.py",
+        "            if not await self.path.exchange.confirms_end(answer):\n",
+        "            if False:\n",
+        "packages/node/tests/test_relayed_requests.py -k does_not_confirm",
+    ),
     Guard(
         "crash: runs under way are stopped",
         "serving/_stream_run.py",
