--- a/bench/soak.py
+++ b/bench/soak.py
@@ -19,13 +19,13 @@
 
 import aiohttp
 import attrs
-from cut_links import LinkCut
 from cyclopts import App, Parameter
 from fleet import Fleet, NodeProcess, declared_state
 from loopback_proxy import LoopbackProxy
 from soak_callers import Callers
 from soak_engine_faults import SPARE_ENGINES, EngineFaults
 from soak_ledger import Ledger
+from soak_link_faults import LinkFaults
 
 NODES = 4
 ENGINES = 10
@@ -48,8 +48,8 @@
     fleet: Fleet
     rng: random.Random
     engines: EngineFaults
+    links: LinkFaults
     ledger: Ledger = attrs.field(factory=Ledger)
-    proxies: list[LoopbackProxy] = attrs.field(factory=list)
     revision: int = 0
     is_stopping: bool = False
     loses_all: bool = False
@@ -67,7 +67,7 @@
         for index in range(NODES):
             proxy = LoopbackProxy(self.fleet.store_port)
             port = await proxy.start()
-            self.proxies.append(proxy)
+            self.links.proxies.append(proxy)
             settings = self.fleet.settings(index, port, drain_grace_s=1.0)
             await self.fleet.start_node(settings)
         await self._apply()
@@ -116,14 +116,14 @@
             self._kill_node,
             self._pause_node,
             self._stop_node,
-            self._trouble_way,
-            self._trouble_way,
-            self._reset_way,
-            self._silence_way,
+            self.links.trouble_way,
+            self.links.trouble_way,
+            self.links.reset_way,
+            self.links.silence_way,
             self._trouble_store,
             self._lose_store_answers,
-            self._cut_links,
-            self._cut_links,
+            self.links.cut_links,
+            self.links.cut_links,
             self.engines.kill_engine,
             self.engines.kill_engine,
             self.engines.drain_engine,
@@ -210,28 +210,6 @@
         await self.fleet.act("excuse")
         self._busy.discard(node.name)
 
-    async def _trouble_way(self) -> None:
-        proxy = self.rng.choice(self.proxies)
-        match self.rng.randrange(4):
-            case 0:
-                proxy.delay_s = self.rng.uniform(0.05, 0.6)
-            case 1:
-                proxy.drops_requests = True
-            case 2:
-                proxy.drops_answers = True
-            case _:
-                proxy.refuses = True
-                proxy.reset_all()
-        await asyncio.sleep(self.rng.uniform(0.5, 8.0))
-        proxy.heal()
-        proxy.reset_all()
-
-    async def _reset_way(self) -> None:
-        self.rng.choice(self.proxies).reset_all()
-
-    async def _silence_way(self) -> None:
-        self.rng.choice(self.proxies).silence_open()
-
     async def _trouble_store(self) -> None:
         if not self._is_store_healthy:
             return
@@ -262,19 +240,6 @@
     async def _lose_store_answers(self) -> None:
         await self.fleet.act("lose_answers", count=self.rng.randrange(1, 4))
 
-    async def _cut_links(self) -> None:
-        """Cut the links of some nodes to all backend servers, at times flapping."""
-        most = len(self.fleet.nodes) - 1
-        nodes = self.rng.sample(self.fleet.nodes, self.rng.randrange(1, most + 1))
-        kind = self.rng.choice([LinkCut.HANG, LinkCut.REFUSE, LinkCut.RESET])
-        for _ in range(self.rng.choice([1, 1, 3])):
-            for node in nodes:
-                node.cut_links(kind)
-            await asyncio.sleep(self.rng.uniform(0.3, 5.0))
-            for node in nodes:
-                node.cut_links(LinkCut.NONE)
-            await asyncio.sleep(self.rng.uniform(0.1, 1.0))
-
     # Complete run.
 
     async def run(self, duration_s: float) -> None:
@@ -299,9 +264,7 @@
     async def _heal(self) -> None:
         for node in self.fleet.nodes:
             node.send(signal.SIGCONT)
-            node.cut_links(LinkCut.NONE)
-        for proxy in self.proxies:
-            proxy.heal()
+        self.links.heal()
         await self.fleet.act("heal_store")
         await self.fleet.act("late_orders", share=0.0)
         await self.fleet.act("lose_calls", share=0.0)
@@ -343,13 +306,13 @@
     """Run the soak test with one seed; returns outcomes, faults and violations."""
     async with Fleet.create(can_cut_links=True) as fleet:
         rng = random.Random(seed)
-        engines = EngineFaults(fleet, rng)
-        run = Soak(fleet, rng, engines, loses_all=loses_all, asks_less=asks_less)
+        engines, links = EngineFaults(fleet, rng), LinkFaults(fleet, rng)
+        run = Soak(fleet, rng, engines, links, loses_all=loses_all, asks_less=asks_less)
         await run.start()
         try:
             await run.run(duration_s)
         finally:
-            for proxy in run.proxies:
+            for proxy in links.proxies:
                 await proxy.close()
         if run.ledger.violations:
             print(*run.ledger.fault_times, f"logs are in {fleet.directory}", sep="\n")
