Answers that have no body by their status have an end without a length

A 204 was probed like an answer that ends with its connection. Texts on contents speak of features where parts of prompts are meant as well.

--- a/packages/node/src/fordhatch/node/_relayed_answer.py
+++ b/packages/node/src/fordhatch/node/_relayed_answer.py
@@ -89,7 +89,7 @@
     @property
     def ends_with_connection(self) -> bool:
         """Whether only the end of the connection marks the end of the body."""
-        return ends_with_connection(CIMultiDict(self.headers))
+        return ends_with_connection(self.status, CIMultiDict(self.headers))
 
     async def read_piece(self) -> bytes:
         """Return the next bytes of the body; empty at its complete end.
--- a/packages/protocol/src/fordhatch/protocol/_messages.py
+++ b/packages/protocol/src/fordhatch/protocol/_messages.py
@@ -161,14 +161,14 @@
 @message(64)
 @attrs.frozen
 class CrashesSeen:
-    """Notifies a node of backend servers that crashed while running a content.
+    """Notifies a node of backend servers that crashed while running a feature.
 
-    A content is the work in a request without the request's identity: several requests,
-    such as a caller's retries, may have the same content.
+    A feature is what several requests may have in common: their whole content, as a
+    caller's retries have, or a shared part of their prompts.
     """
 
     crashes: list[tuple[str, str, int]] = attrs.field(validator=_crashes)
-    """Digest of the content, backend server id, and stage of the run."""
+    """Digest of the feature, backend server id, and stage of the run."""
 
 
 @message(65)
--- a/packages/serving/src/fordhatch/serving/_exchange.py
+++ b/packages/serving/src/fordhatch/serving/_exchange.py
@@ -29,6 +29,8 @@
 """Backend servers are a few milliseconds away; one that has not accepted by then does
 not respond, and nothing has been sent to it."""
 
+_STATUSES_WITHOUT_BODY = (204, 304)
+
 READ_BUFFER_BYTES = 64 * 1024
 """Most bytes that are read at once."""
 
@@ -92,14 +94,17 @@
     return SendProblem.CONNECTION_LOST if is_lost else SendProblem.BROKEN
 
 
-def ends_with_connection(headers: Mapping[str, str]) -> bool:
-    """Return whether an answer has neither a length nor chunks.
+def ends_with_connection(status: int, headers: Mapping[str, str]) -> bool:
+    """Return whether an answer has a body with neither a length nor chunks.
 
-    Its body ends like this also if the backend server crashes in the middle.
+    Its body ends in the same way if the backend server crashes in the middle.
 
     Args:
+        status: The HTTP status, which may exclude a body.
         headers: The answer's headers; upper and lower case are the same.
     """
+    if status in _STATUSES_WITHOUT_BODY:
+        return False
     is_chunked = "chunked" in headers.get("Transfer-Encoding", "").lower()
     return not is_chunked and "Content-Length" not in headers
 
@@ -199,7 +204,7 @@
     @property
     def ends_with_connection(self) -> bool:
         """Whether only the end of its connection marks the end of the body."""
-        return ends_with_connection(self._response.headers)
+        return ends_with_connection(self.status, self._response.headers)
 
     async def read_piece(self) -> bytes:
         """Return the next bytes of the body; empty at its complete end.
--- a/packages/serving/src/fordhatch/serving/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/_stream_run.py
@@ -208,9 +208,7 @@
             left_s = stream.request.left_s(self.timer.now_s())
             await asyncio.wait([step], timeout=max(min(limit_s, left_s), 0.0))
             if step.cancelled():
-                raise RunFailed(
-                    SendProblem.HELD_BACK, "its content ends backend servers"
-                )
+                raise RunFailed(SendProblem.HELD_BACK, "it was quarantined meanwhile")
             if step.done():
                 return
             now_s = self.timer.now_s()
--- a/packages/serving/tests/test_answers_without_length.py
+++ b/packages/serving/tests/test_answers_without_length.py
@@ -6,9 +6,11 @@
 
 import aiohttp
 import pytest
+from multidict import CIMultiDict
 from test_quarantined_calls import BAD, share_secret
 from test_stream_calls import ALL, events, first_due, head, streams
 
+from fordhatch.serving import ends_with_connection
 from fordhatch_standins import SIGNATURE
 
 PLAIN_BODY = b"a whole answer"
@@ -128,3 +130,19 @@
     await site.add_backend(answers_plainly(site, PLAIN_BODY, is_crash=False), zone="z2")
     got = await site.ask("/get/1")
     assert (got.status, got.body) == (200, PLAIN_BODY)
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "expected"),
+    [
+        (200, {}, True),
+        (200, {"content-length": "3"}, False),
+        (200, {"Transfer-Encoding": "gzip, Chunked"}, False),
+        (200, {"Transfer-Encoding": "gzip"}, True),
+        (204, {}, False),
+    ],
+)
+def test_an_answer_ends_with_its_connection_only_if_nothing_else_marks_its_end(
+    status, headers, expected
+) -> None:
+    assert ends_with_connection(status, CIMultiDict(headers)) is expected
