Answers without a length: timeline, hypotheses, and a log line that parts them

The check of an answer that ended with its connection logged nothing, so that three hypotheses (another process answers; the sign of life is old; no check is made) could not be told apart. answer_end_checked names request, server, status and start of the probe's answer. No logic has changed.

--- a/bench/crash_guards.py
+++ b/bench/crash_guards.py
@@ -75,8 +75,8 @@
     Guard(
         "answers without length: complete only if the server is reached",
         "serving/_backend_exchange.py",
-        "        if report.is_err():\n            return False\n",
-        "        if report.is_err():\n            return True\n",
+        "    if report.is_err():\n        return False\n",
+        "    if report.is_err():\n        return True\n",
         f"{SERVING}/test_answers_without_length.py -k not_reached",
     ),
     Guard(
--- a/packages/registry/src/fordhatch/registry/__init__.py
+++ b/packages/registry/src/fordhatch/registry/__init__.py
@@ -20,7 +20,7 @@
 )
 from ._evacuations import Evacuations
 from ._group_records import GroupRecord, record_key
-from ._liveness_probe import probe
+from ._liveness_probe import Report, probe
 from ._outage_evidence import NodeReport, OutageEvidence, min_witnesses
 from ._reader_choice import NodeAddress, ReaderChoice, planner_candidates, strong_first
 from ._relay import RelayClient, RelayServer, relay_wait_s
@@ -62,6 +62,7 @@
     "RelayClient",
     "RelayServer",
     "ReplicaGroup",
+    "Report",
     "RowRestorer",
     "RunStage",
     "SharedRows",
--- a/packages/serving/src/fordhatch/serving/_backend_exchange.py
+++ b/packages/serving/src/fordhatch/serving/_backend_exchange.py
@@ -8,8 +8,8 @@
 from result import Result
 
 from fordhatch.catalog import BackendServer
-from fordhatch.core import ResultCode, Timer
-from fordhatch.registry import BackendContact, BackendProber
+from fordhatch.core import ResultCode, Timer, log_event
+from fordhatch.registry import BackendContact, BackendProber, Report
 
 from ._exchange import (
     BackendAnswer,
@@ -133,9 +133,27 @@
         """
         if not answer.ends_with_connection or answer.is_end_confirmed:
             return True
+        began_s = self.timer.now_s()
         report = await self.prober.reach(answer.backend)
-        if report.is_err():
-            return False
-        # Plain services need not report an identity; any answer shows a live process.
-        is_engine = answer.backend.membership is not None
-        return not is_engine or report.unwrap().matches(answer.backend)
+        is_whole = _shows_living(answer.backend, report)
+        found = report.ok()
+        log_event(
+            "answer_end_checked",
+            request=answer.fields.request_id,
+            backend=answer.backend.backend_id,
+            whole=is_whole,
+            status=found.status if found is not None else "",
+            expected=found.is_expected if found is not None else "",
+            born_ms=found.born_ms if found is not None else "",
+            problem=report.unwrap_err().code.name if found is None else "",
+            took_s=round(self.timer.now_s() - began_s, 3),
+        )
+        return is_whole
+
+
+def _shows_living(backend: BackendServer, report: Report) -> bool:
+    if report.is_err():
+        return False
+    # Plain services need not report an identity; any answer shows a live process.
+    is_engine = backend.membership is not None
+    return not is_engine or report.unwrap().matches(backend)
