Answers without a length: complete only if their process is shown to run after them

A plain backend server was killed and started again while a node was frozen.

Cause: an answer from an address was taken for the word of a process. The check of an answer's end accepted any answer of a plain server and any 200 of an engine: another process, a later start of the same one, or a proxy.

Change: Responder says who answered, in one place, with four values. The end of an answer counts if its process answers after it on a second connection that it had accepted before (HeldQuery, ProcessWitness), or if an answer names this server and this start. Neither is a matter of time: a bound of 0.1 s for a restart was tried first and refuted by the test with real processes (a restart within 0.094 s). The crash watch reads the same value.

The stand-in of the tests now answers health checks with its id, as the published protocol has it, and its end closes its connections, as a process's does: no assertion has changed.

--- a/bench/crash_guards.py
+++ b/bench/crash_guards.py
@@ -74,11 +74,40 @@
     ),
     Guard(
         "answers without length: complete only if the server is reached",
-        "serving/_backend_exchange.py",
-        "    if report.is_err():\n        return False\n",
-        "    if report.is_err():\n        return True\n",
+        "serving/_answer_end.py",
+        "            return EndEvidence.NOT_REACHED\n",
+        "            return EndEvidence.THIS_START\n",
         f"{SERVING}/test_answers_without_length.py -k not_reached",
     ),
+    Guard(
+        "answers without length: another process is no sign of life",
+        "registry/_responder.py",
+        "        return Responder.OTHER_PROCESS\n    if is_misdirected:\n",
+        "        return Responder.THIS_START\n    if is_misdirected:\n",
+        f"{SERVING}/test_ends_of_answers.py -k another_process",
+    ),
+    Guard(
+        "answers without length: a nameless process is none on a new connection",
+        "serving/_answer_end.py",
+        "        case Responder.UNNAMED | Responder.UNKNOWN:\n"
+        "            return None\n",
+        "        case Responder.UNNAMED:\n            return EndEvidence.THIS_START\n",
+        f"{SERVING}/test_ends_of_answers.py -k another_process",
+    ),
+    Guard(
+        "answers without length: a start that isn't named proves nothing",
+        "registry/_responder.py",
+        "    if backend.born_ms:\n        return _compare_starts",
+        "    if False:\n        return _compare_starts",
+        f"{SERVING}/test_ends_of_answers.py -k start_again",
+    ),
+    Guard(
+        "answers without length: the sender holds another connection",
+        "serving/_process_witness.py",
+        "                self.query, query = query, self.query\n",
+        "                pass\n",
+        f"{SERVING}/test_ends_of_answers.py -k lasting_answer",
+    ),
     Guard(
         "answers without length: a stream without an event is broken off",
         "serving/_stream_ending.py",
@@ -89,7 +118,7 @@
     Guard(
         "answers without length: the relaying node confirms the end",
         "node/_relay_server.py",
-        "            if not await self.path.exchange.confirms_end(answer):\n",
+        "            if not await self.path.exchange.confirms_end(answer, left_s):\n",
         "            if False:\n",
         "packages/node/tests/test_relayed_requests.py -k does_not_confirm",
     ),
--- a/bench/entry_guards.py
+++ b/bench/entry_guards.py
@@ -59,7 +59,7 @@
     ),
     Guard(
         "TWO: another start under the id is no sign of life",
-        "adapter/_backend_client.py",
+        "adapter/_backend_report.py",
         "(not is_known or self.born_ms == backend.born_ms)\n",
         "True\n",
         "tests/adapter/test_backend_reports.py",
--- a/bench/platform_guards.py
+++ b/bench/platform_guards.py
@@ -26,7 +26,7 @@
     ),
     Guard(
         "MIXED: a reset does not end an answer without length",
-        "serving/_exchange.py",
+        "serving/_backend_answer.py",
         "        if isinstance(error, OSError):\n",
         "        if False:\n",
         f"{SERVING}/test_plain_calls.py -k resets_without_length",
--- a/packages/core/src/fordhatch/core/_metrics.py
+++ b/packages/core/src/fordhatch/core/_metrics.py
@@ -94,6 +94,12 @@
     ["service"],
     registry=REGISTRY,
 )
+ANSWER_ENDS = Counter(
+    "fordhatch_answer_ends_total",
+    "Answers without a length that have ended, by what shows that they are complete.",
+    ["evidence"],
+    registry=REGISTRY,
+)
 RELAYED_REQUESTS = Counter(
     "fordhatch_relayed_requests_total",
     "Attempts at backend servers through other nodes, by role and outcome.",
--- a/packages/core/src/fordhatch/core/_timer.py
+++ b/packages/core/src/fordhatch/core/_timer.py
@@ -167,6 +167,11 @@
         if error is not None:
             log_event("task_failed", part=task.get_name(), error=repr(error))
 
+    def cancel(self) -> None:
+        """Cancel every task without waiting for its end."""
+        for task in self._tasks:
+            task.cancel()
+
     async def drain(self, timeout_s: float = 5.0) -> None:
         """Wait for the tasks to finish, then cancel those that remain.
 
--- a/packages/node/src/fordhatch/node/_probe_witnesses.py
+++ b/packages/node/src/fordhatch/node/_probe_witnesses.py
@@ -7,7 +7,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from fordhatch.adapter import BackendReport
+from fordhatch.adapter import BackendReport, ReplyKind
 from fordhatch.catalog import BackendServer
 from fordhatch.core import Failure, ResultCode, Timer, log_event
 from fordhatch.protocol import Channel, PeerPool
@@ -75,7 +75,9 @@
         if not isinstance(reply, ProbeReply) or not reply.is_conclusive:
             return None
         if reply.code == ResultCode.OK:
-            return Ok(BackendReport(reply.is_expected, reply.pace, reply.born_ms))
+            # What else than a report the other node got is not in its reply.
+            kind = ReplyKind.ANSWERED if reply.is_expected else ReplyKind.FAILED
+            return Ok(BackendReport(kind, reply.pace, reply.born_ms))
         is_refused = reply.code == ResultCode.BACKEND_REFUSED
         code = ResultCode.BACKEND_REFUSED if is_refused else ResultCode.BACKEND_LOST
         return Err(Failure.from_code(code))
@@ -91,7 +93,7 @@
 
 def _to_reply(found: Report | None) -> ProbeReply:
     """Return the reply with what a probe found; None for an unknown backend server."""
-    unknown = BackendReport(is_expected=False)
+    unknown = BackendReport(ReplyKind.FAILED)
     if found is None:
         return _reply(ResultCode.PROBE_INCONCLUSIVE, unknown)
     if found.is_err():
--- a/packages/node/src/fordhatch/node/_relay_server.py
+++ b/packages/node/src/fordhatch/node/_relay_server.py
@@ -165,7 +165,7 @@
             return
         answer = sent.unwrap()
         try:
-            await self._pass_on(answer, channel)
+            await self._pass_on(request, answer, channel)
         finally:
             answer.close()
 
@@ -186,7 +186,9 @@
             outcome=outcome,
         )
 
-    async def _pass_on(self, answer: BackendAnswer, channel: Channel) -> None:
+    async def _pass_on(
+        self, request: RelayedRequest, answer: BackendAnswer, channel: Channel
+    ) -> None:
         """Send the head and the body of an answer, as fast as they are consumed."""
         wire = to_wire(answer.fields.backpressure)
         await channel.send(RelayedHead(answer.status, answer.headers, wire))
@@ -201,7 +203,8 @@
                     if ack.is_err():
                         return
                     on_their_way -= ack.unwrap().pieces
-            if not await self.path.exchange.confirms_end(answer):
+            left_s = request.left_s(self.timer.now_s())
+            if not await self.path.exchange.confirms_end(answer, left_s):
                 raise aiohttp.ClientPayloadError(UNCONFIRMED_END)
             await channel.send(RelayedEnd())
         except (aiohttp.ClientError, OSError) as error:
--- a/packages/node/tests/test_relayed_requests.py
+++ b/packages/node/tests/test_relayed_requests.py
@@ -78,7 +78,7 @@
         self.is_closed = True
 
 
-async def confirms_end(answer: StubAnswer) -> bool:
+async def confirms_end(answer: StubAnswer, left_s: float) -> bool:
     """Return whether an answer is complete, as a node in touch finds by a probe."""
     return answer.is_end_confirmed or not answer.ends_with_connection
 
--- a/packages/registry/src/fordhatch/registry/__init__.py
+++ b/packages/registry/src/fordhatch/registry/__init__.py
@@ -24,6 +24,7 @@
 from ._outage_evidence import NodeReport, OutageEvidence, min_witnesses
 from ._reader_choice import NodeAddress, ReaderChoice, planner_candidates, strong_first
 from ._relay import RelayClient, RelayServer, relay_wait_s
+from ._responder import Responder, identify
 from ._row_restorer import RowRestorer
 from ._shared_rows import (
     SECRET_KEY,
@@ -63,6 +64,7 @@
     "RelayServer",
     "ReplicaGroup",
     "Report",
+    "Responder",
     "RowRestorer",
     "RunStage",
     "SharedRows",
@@ -74,6 +76,7 @@
     "TableSource",
     "TableUpdate",
     "crash_key",
+    "identify",
     "min_witnesses",
     "node_key",
     "node_value",
--- a/packages/registry/src/fordhatch/registry/_backend_prober.py
+++ b/packages/registry/src/fordhatch/registry/_backend_prober.py
@@ -8,12 +8,12 @@
 import attrs
 from result import Err
 
-from fordhatch.adapter import BackendClient
+from fordhatch.adapter import BackendClient, HeldQuery
 from fordhatch.catalog import BackendServer
 from fordhatch.core import Failure, ResultCode, Timer
 
 from ._backend_contact import MIN_FAILED_BACKENDS, BackendContact
-from ._liveness_probe import Report, probe
+from ._liveness_probe import PROBE_TIMEOUT_S, Report, probe, probe_on
 
 COMPARED = MIN_FAILED_BACKENDS - 1
 """Backend servers that are probed to compare, after another one was not reached."""
@@ -85,6 +85,38 @@
             await self.record_failure(backend, found.unwrap_err().code, began_s)
         return found
 
+    def hold(self, backend: BackendServer) -> HeldQuery:
+        """Open a connection on which a backend server may be probed later."""
+        return self.client.hold_report(
+            backend.address, backend.registered_id, connect_timeout_s=PROBE_TIMEOUT_S
+        )
+
+    async def reach_on(self, query: HeldQuery, backend: BackendServer) -> Report:
+        """Probe a backend server on a connection that is open; see ``probe_on``."""
+        found = await probe_on(query)
+        if found.is_ok():
+            self.contact.record_reached(backend)
+        return found
+
+    async def check_health(
+        self, backend: BackendServer, path: str, timeout_s: float
+    ) -> Report:
+        """Return the answer to a health check, which names its sender.
+
+        Nothing follows from a failure: the check waits for a slot.
+
+        Args:
+            backend: The backend server.
+            path: The health path of its service.
+            timeout_s: Longest wait, in seconds.
+        """
+        found = await self.client.check_health(
+            backend.address, path, backend.registered_id, timeout_s=timeout_s
+        )
+        if found.is_ok():
+            self.contact.record_reached(backend)
+        return found
+
     async def record_failure(
         self, backend: BackendServer, code: ResultCode, began_s: float
     ) -> None:
--- a/packages/registry/src/fordhatch/registry/_liveness_probe.py
+++ b/packages/registry/src/fordhatch/registry/_liveness_probe.py
@@ -6,7 +6,7 @@
 
 from result import Err, Result
 
-from fordhatch.adapter import BackendClient, BackendReport
+from fordhatch.adapter import BackendClient, BackendReport, HeldQuery
 from fordhatch.catalog import BackendServer
 from fordhatch.core import Failure, Ran, ResultCode
 
@@ -54,6 +54,20 @@
             request.cancel()
 
 
+async def probe_on(query: HeldQuery) -> Report:
+    """Request a report on a connection that is open already.
+
+    Returns:
+        The report of the process that had accepted the connection; a failure says
+        nothing about it.
+    """
+    sent = query.send()
+    try:
+        return _outcome([sent], await wait_while_responsive([sent], PROBE_TIMEOUT_S))
+    finally:
+        sent.cancel()
+
+
 async def _wait_for_report(requests: list[asyncio.Future[Report]]) -> WaitEnd:
     """Wait until a report has arrived or every request has failed."""
     pending = set(requests)
--- a/packages/registry/tests/test_liveness_probe.py
+++ b/packages/registry/tests/test_liveness_probe.py
@@ -17,7 +17,7 @@
 from fordhatch_standins import spend_processor_time
 
 BACKEND = BackendServer("a", "llm", "10.0.0.1:1", "z", BackendState.READY, 13, "d0")
-LIVING = Ok(BackendReport(is_expected=True))
+LIVING = Ok(BackendReport())
 
 Report = Result[BackendReport, Failure]
 
--- a/packages/serving/src/fordhatch/serving/__init__.py
+++ b/packages/serving/src/fordhatch/serving/__init__.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from ._admission import Admission
-from ._backend_exchange import UNCONFIRMED_END, BackendExchange, SendOptions
+from ._answer_end import UNCONFIRMED_END, AnswerEndCheck
+from ._backend_answer import BackendAnswer, ends_with_connection
+from ._backend_exchange import BackendExchange, SendOptions
 from ._backend_health import BackendHealth
 from ._backpressure import BackpressureTracker, ServerLimit
 from ._caller_server import CallerServer
@@ -14,13 +16,11 @@
 from ._dispatch import Dispatch
 from ._evacuated_zones import is_evacuated
 from ._exchange import (
-    BackendAnswer,
     ExchangeClient,
     OutboundRequest,
     SendFailure,
     SendProblem,
     connection_problem,
-    ends_with_connection,
 )
 from ._group_progress import GroupProgress
 from ._head_choice import HeadChoice
@@ -30,6 +30,7 @@
 from ._permit_issuer import Permit
 from ._permits import Permits
 from ._plain_call import PlainCalls
+from ._process_witness import ProcessWitness
 from ._request import Reply, ServedRequest
 from ._request_path import RequestPath
 from ._retry_budget import RetryBudget, RetryLoan
@@ -41,6 +42,7 @@
 __all__ = [
     "UNCONFIRMED_END",
     "Admission",
+    "AnswerEndCheck",
     "BackendAnswer",
     "BackendExchange",
     "BackendHealth",
@@ -65,6 +67,7 @@
     "Permit",
     "Permits",
     "PlainCalls",
+    "ProcessWitness",
     "Reply",
     "RequestPath",
     "RetryBudget",
--- a/packages/serving/src/fordhatch/serving/_backend_exchange.py
+++ b/packages/serving/src/fordhatch/serving/_backend_exchange.py
@@ -8,19 +8,12 @@
 from result import Result
 
 from fordhatch.catalog import BackendServer
-from fordhatch.core import ResultCode, Timer, log_event
-from fordhatch.registry import BackendContact, BackendProber, Report
+from fordhatch.core import ResultCode, Timer
+from fordhatch.registry import BackendContact, BackendProber
 
-from ._exchange import (
-    BackendAnswer,
-    ExchangeClient,
-    OutboundRequest,
-    SendFailure,
-    SendProblem,
-)
-
-UNCONFIRMED_END = "the connection ended, and the backend server is not reached"
-"""Detail of failures for an answer whose end may be that of its connection only."""
+from ._answer_end import AnswerEndCheck
+from ._backend_answer import BackendAnswer
+from ._exchange import ExchangeClient, OutboundRequest, SendFailure, SendProblem
 
 
 @attrs.frozen
@@ -58,6 +51,7 @@
     contact: BackendContact
     prober: BackendProber
     timer: Timer
+    ends: AnswerEndCheck
     relay: ExchangeRelay | None = None
 
     async def send(
@@ -108,6 +102,8 @@
             urgency=options.urgency,
             last_event_id=options.last_event_id,
         )
+        if got.is_ok():
+            self.ends.watch(got.unwrap())
         await self._record(backend, got.err(), began_s)
         return got
 
@@ -124,36 +120,17 @@
         elif failure.problem.is_answer:
             self.contact.record_reached(backend)
 
-    async def confirms_end(self, answer: BackendAnswer) -> bool:
+    async def confirms_end(self, answer: BackendAnswer, left_s: float) -> bool:
         """Return whether an answer that has ended without an error is complete.
 
         One with neither a length nor chunks ends in the same way if its backend server
-        crashes, or if the link breaks. It is complete if this node reaches the server
-        afterwards; where another node made the attempt, that one has checked it.
+        crashes, or if the link breaks; see ``AnswerEndCheck``. Where another node made
+        the attempt, that one has checked it.
+
+        Args:
+            answer: The answer, after its end.
+            left_s: Time until the final answer is due, in seconds.
         """
         if not answer.ends_with_connection or answer.is_end_confirmed:
             return True
-        began_s = self.timer.now_s()
-        report = await self.prober.reach(answer.backend)
-        is_whole = _shows_living(answer.backend, report)
-        found = report.ok()
-        log_event(
-            "answer_end_checked",
-            request=answer.fields.request_id,
-            backend=answer.backend.backend_id,
-            whole=is_whole,
-            status=found.status if found is not None else "",
-            expected=found.is_expected if found is not None else "",
-            born_ms=found.born_ms if found is not None else "",
-            problem=report.unwrap_err().code.name if found is None else "",
-            took_s=round(self.timer.now_s() - began_s, 3),
-        )
-        return is_whole
-
-
-def _shows_living(backend: BackendServer, report: Report) -> bool:
-    if report.is_err():
-        return False
-    # Plain services need not report an identity; any answer shows a live process.
-    is_engine = backend.membership is not None
-    return not is_engine or report.unwrap().matches(backend)
+        return await self.ends.is_whole(answer, left_s)
--- a/packages/serving/src/fordhatch/serving/_crash_watch.py
+++ b/packages/serving/src/fordhatch/serving/_crash_watch.py
@@ -9,7 +9,14 @@
 
 from fordhatch.catalog import BackendServer
 from fordhatch.core import ResultCode, TaskSet, Timer, log_event, metrics
-from fordhatch.registry import BackendProber, CrashRecord, RunStage, SharedRows
+from fordhatch.registry import (
+    BackendProber,
+    CrashRecord,
+    Responder,
+    RunStage,
+    SharedRows,
+    identify,
+)
 
 from ._crash_row_writer import CrashRowWriter
 from ._part_proofs import PartProofs
@@ -211,9 +218,7 @@
         answer = await self.prober.probe(backend)
         if answer.is_err():
             return answer.unwrap_err().code is ResultCode.BACKEND_REFUSED
-        # Plain services need not report an identity; any answer shows a live process.
-        is_engine = backend.membership is not None
-        return is_engine and not answer.unwrap().matches(backend)
+        return identify(backend, answer.unwrap()) is Responder.OTHER_PROCESS
 
     def _log_crash(self, check: _Check) -> None:
         place = check.backend.membership
--- a/packages/serving/src/fordhatch/serving/_exchange.py
+++ b/packages/serving/src/fordhatch/serving/_exchange.py
@@ -2,22 +2,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from enum import Enum
 from types import SimpleNamespace
-from typing import Protocol, Self
+from typing import Protocol
 
 import aiohttp
 import attrs
-from aiohttp.base_protocol import BaseProtocol
-from aiohttp.connector import Connection
 from multidict import CIMultiDict
 from result import Err, Ok, Result
 from yarl import URL
 
 from fordhatch.adapter import decode_answer, encode_call
 from fordhatch.catalog import (
-    AnswerFields,
     BackendServer,
     Backpressure,
     CallFields,
@@ -25,12 +21,12 @@
 )
 from fordhatch.core import Failure, Timer
 
+from ._backend_answer import BackendAnswer, TrackedResponse
+
 CONNECT_TIMEOUT_S = 0.25
 """Backend servers are a few milliseconds away; one that has not accepted by then does
 not respond, and nothing has been sent to it."""
 
-_STATUSES_WITHOUT_BODY = (204, 304)
-
 READ_BUFFER_BYTES = 64 * 1024
 """Most bytes that are read at once."""
 
@@ -99,21 +95,6 @@
     return SendProblem.CONNECTION_LOST if is_lost else SendProblem.BROKEN
 
 
-def ends_with_connection(status: int, headers: Mapping[str, str]) -> bool:
-    """Return whether an answer has a body with neither a length nor chunks.
-
-    Its body ends in the same way if the backend server crashes in the middle.
-
-    Args:
-        status: The HTTP status, which may exclude a body.
-        headers: The answer's headers; upper and lower case are the same.
-    """
-    if status in _STATUSES_WITHOUT_BODY:
-        return False
-    is_chunked = "chunked" in headers.get("Transfer-Encoding", "").lower()
-    return not is_chunked and "Content-Length" not in headers
-
-
 class OutboundRequest(Protocol):
     """A request to a backend server, of this node's callers or of another node's."""
 
@@ -175,75 +156,6 @@
         raise _NotAllowed(stopped.code.name)
 
 
-class _TrackedResponse(aiohttp.ClientResponse):
-    """Keeps its connection, which the library releases at the end of the body."""
-
-    protocol: BaseProtocol
-
-    async def start(self, connection: Connection) -> Self:
-        """Read the head of the answer from its connection."""
-        self.protocol = connection.protocol
-        return await super().start(connection)
-
-
-@attrs.define(eq=False, repr=False)
-class BackendAnswer:
-    """An answer whose head was read; the body is read on request."""
-
-    backend: BackendServer
-    fields: AnswerFields
-    _response: _TrackedResponse
-    is_end_confirmed: bool = False
-    """Whether the end of a body without length has been checked already."""
-
-    @property
-    def status(self) -> int:
-        """The HTTP status."""
-        return self._response.status
-
-    @property
-    def headers(self) -> list[tuple[str, str]]:
-        """The headers as received."""
-        return list(self._response.headers.items())
-
-    @property
-    def ends_with_connection(self) -> bool:
-        """Whether only the end of its connection marks the end of the body."""
-        return ends_with_connection(self.status, self._response.headers)
-
-    async def read_piece(self) -> bytes:
-        """Return the next bytes of the body; empty at its complete end.
-
-        Raises:
-            aiohttp.ClientError, OSError: If the body is incomplete.
-        """
-        piece = await self._response.content.readany()
-        if not piece:
-            self._check_end()
-        return piece
-
-    async def read_all(self) -> bytes:
-        """Return the complete body.
-
-        Raises:
-            aiohttp.ClientError, OSError: If the body is incomplete.
-        """
-        body = await self._response.content.read()
-        self._check_end()
-        return body
-
-    def _check_end(self) -> None:
-        # The library takes the end of a connection for the end of a body without
-        # a length, even if the connection was reset.
-        error = self._response.protocol.exception()
-        if isinstance(error, OSError):
-            raise aiohttp.ClientPayloadError(f"reset: {error!r}")
-
-    def close(self) -> None:
-        """Close the connection, which cancels an unfinished request."""
-        self._response.close()
-
-
 @attrs.define(eq=False, repr=False)
 class ExchangeClient:
     """Sends requests to backend servers, each on its own connection.
@@ -273,7 +185,7 @@
                 "Accept-Encoding",
                 "Content-Type",
             ),
-            response_class=_TrackedResponse,
+            response_class=TrackedResponse,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
             read_bufsize=READ_BUFFER_BYTES,
             max_line_size=32 * 1024,
--- a/packages/serving/src/fordhatch/serving/_plain_call.py
+++ b/packages/serving/src/fordhatch/serving/_plain_call.py
@@ -15,18 +15,14 @@
 from fordhatch.registry import BackendDirectory, RunStage
 
 from ._admission import Admission
-from ._backend_exchange import UNCONFIRMED_END, BackendExchange
+from ._answer_end import UNCONFIRMED_END
+from ._backend_answer import BackendAnswer
+from ._backend_exchange import BackendExchange
 from ._backend_health import TIE_BREAK_FRACTION, BackendHealth
 from ._backpressure import Block
 from ._crash_watch import CrashWatch
 from ._evacuated_zones import EVACUATED_RETRY_AFTER_S, evacuated_plain_failure
-from ._exchange import (
-    BackendAnswer,
-    SendFailure,
-    SendProblem,
-    connection_problem,
-    is_sent,
-)
+from ._exchange import SendFailure, SendProblem, connection_problem, is_sent
 from ._group_wait import MAX_WAIT_FRACTION
 from ._permits import Permits
 from ._request import Reply, ServedRequest
@@ -236,6 +232,19 @@
             return Err(sent.unwrap_err())
         answer = sent.unwrap()
         self.permits.pressure.process_answer(backend, answer.fields.backpressure)
+        try:
+            return await self._read(request, backend, answer, ends_s)
+        finally:
+            answer.close()
+
+    async def _read(
+        self,
+        request: ServedRequest,
+        backend: BackendServer,
+        answer: BackendAnswer,
+        ends_s: float,
+    ) -> Result[CompleteAnswer, SendFailure]:
+        """Read the body of an answer; ``ends_s`` is when it has to be complete."""
         try:
             async with self.timer.timeout(max(ends_s - self.timer.now_s(), 0.0)):
                 body = await answer.read_all()
@@ -246,9 +255,8 @@
             if problem is SendProblem.CONNECTION_LOST:
                 self.crashes.connection_broken(request, backend, PLAIN_STAGE)
             return Err(SendFailure(problem, repr(error)))
-        finally:
-            answer.close()
-        if not await self.exchange.confirms_end(answer):
+        left_s = ends_s - self.timer.now_s()
+        if not await self.exchange.confirms_end(answer, left_s):
             self.crashes.connection_broken(request, backend, PLAIN_STAGE)
             return Err(SendFailure(SendProblem.CONNECTION_LOST, UNCONFIRMED_END))
         return Ok(_complete_answer(answer, body))
--- a/packages/serving/src/fordhatch/serving/_request_path.py
+++ b/packages/serving/src/fordhatch/serving/_request_path.py
@@ -10,6 +10,7 @@
 
 from ._admission import Admission
 from ._admission_control import AdmissionControl
+from ._answer_end import AnswerEndCheck
 from ._backend_exchange import BackendExchange
 from ._backend_health import BackendHealth
 from ._backpressure import BackpressureTracker
@@ -84,7 +85,8 @@
         health = BackendHealth(timer)
         contact = BackendContact(timer, view.directory)
         prober = BackendProber(backends, contact, timer)
-        routed = BackendExchange(exchange, contact, prober, timer)
+        ends = AnswerEndCheck(prober, timer, lambda: view.configuration.current)
+        routed = BackendExchange(exchange, contact, prober, timer, ends)
         cold = ColdBackends(timer, view.directory, lambda: state.bounds)
         cold.connect(view.configuration, backends)
         view.evacuations.subscribe_returns(cold.presume_zone_cold)
--- a/packages/serving/src/fordhatch/serving/_stream_ending.py
+++ b/packages/serving/src/fordhatch/serving/_stream_ending.py
@@ -4,9 +4,11 @@
 
 from fordhatch.registry import RunStage
 
-from ._backend_exchange import UNCONFIRMED_END, BackendExchange
+from ._answer_end import UNCONFIRMED_END
+from ._backend_answer import BackendAnswer
+from ._backend_exchange import BackendExchange
 from ._events import EventSplitter
-from ._exchange import BackendAnswer, SendFailure, SendProblem
+from ._exchange import SendFailure, SendProblem
 from ._group_progress import RunProgress
 from ._stream import Stream
 
@@ -24,17 +26,19 @@
     stream: Stream,
     answer: BackendAnswer,
     splitter: EventSplitter,
+    left_s: float,
 ) -> None:
     """Check whether a stream that ended with its connection is complete.
 
     Between two events, the end of a stream, the crash of its backend server and a
-    broken link look alike: it is complete if the server is reached afterwards.
+    broken link look alike: it is complete if the server still runs afterwards.
 
     Args:
         exchange: Probes the backend server.
         stream: The stream.
         answer: The answer that has ended.
         splitter: Holds what has arrived of an event that is not complete.
+        left_s: Time until the final answer is due, in seconds.
 
     Raises:
         RunFailed: If it was broken off.
@@ -43,7 +47,7 @@
         detail = "the connection ended within an event"
     elif stream.order.last is None and not stream.events:
         detail = "the connection ended before the first event"
-    elif not await exchange.confirms_end(answer):
+    elif not await exchange.confirms_end(answer, left_s):
         detail = UNCONFIRMED_END
     else:
         return
--- a/packages/serving/src/fordhatch/serving/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/_stream_run.py
@@ -13,17 +13,14 @@
 from fordhatch.core import Timer, log_event, metrics
 from fordhatch.registry import BackendDirectory
 
-from ._backend_exchange import UNCONFIRMED_END, BackendExchange
+from ._answer_end import UNCONFIRMED_END
+from ._backend_answer import BackendAnswer
+from ._backend_exchange import BackendExchange
 from ._backend_health import BackendHealth
 from ._backpressure import BackpressureTracker
 from ._crash_watch import CrashWatch
 from ._events import EventSplitter, StreamError
-from ._exchange import (
-    BackendAnswer,
-    SendFailure,
-    SendProblem,
-    connection_problem,
-)
+from ._exchange import SendFailure, SendProblem, connection_problem
 from ._group_progress import GroupProgress, RunProgress, silence_s
 from ._head_choice import HeadChoice
 from ._shared_load import SharedLoad
@@ -273,7 +270,8 @@
             raise RunFailed(SendProblem.SILENT, repr(error)) from error
         except (aiohttp.ClientError, OSError) as error:
             raise RunFailed(connection_problem(error), repr(error)) from error
-        if not await self.exchange.confirms_end(answer):
+        left_s = stream.request.left_s(self.timer.now_s())
+        if not await self.exchange.confirms_end(answer, left_s):
             raise RunFailed(SendProblem.CONNECTION_LOST, UNCONFIRMED_END)
         can_repeat = stream.request.may_run(self.directory.backends, self.timer.now_s())
         if stream.reply.has_begun or (answer.status >= _SERVER_ERROR and can_repeat):
@@ -299,7 +297,8 @@
             last_s = self._record_pause(stream, head, last_s)
             await self._forward_piece(stream, answer, splitter, piece)
         if answer.ends_with_connection:
-            await check_ending(self.exchange, stream, answer, splitter)
+            left_s = stream.request.left_s(self.timer.now_s())
+            await check_ending(self.exchange, stream, answer, splitter, left_s)
         if splitter.has_partial_event:
             raise RunFailed(SendProblem.BROKEN, "ended within an event")
         if not stream.reply.has_begun:
--- a/packages/serving/tests/serving_site.py
+++ b/packages/serving/tests/serving_site.py
@@ -162,7 +162,7 @@
             place = {"name": group, "epoch": 1, "rank": 0, "state": "open"}
             entry["group"] = place
         entry.update(changes)
-        name = backend_id or f"i-{len(self.scripted)}"
+        name = backend.runner_id = backend_id or f"i-{len(self.scripted)}"
         await self.register(name, entry)
         return backend
 
--- a/packages/serving/tests/test_answers_without_length.py
+++ b/packages/serving/tests/test_answers_without_length.py
@@ -24,9 +24,10 @@
 
 
 async def stop(site, request) -> None:
-    """Stop the server that got a request: nothing listens there any more."""
+    """End the server that got a request: its connections, and nothing listens there."""
     server = next(b for b in site.scripted if request in b.seen)
     await server.close()
+    server.close_connections()
 
 
 def stops_after(site, written: bytes, *, is_crash: bool = True):
--- a/packages/serving/tests/test_cold_backends.py
+++ b/packages/serving/tests/test_cold_backends.py
@@ -143,10 +143,12 @@
 def test_health_answers_count_for_the_start_that_sent_them() -> None:
     cold = cold_backends(NodeClock(), born=5)
     said = Backpressure(cold_left_s=2.0)
-    other = BackendReport(True, born_ms=6, backpressure=said)
+    other = BackendReport(born_ms=6, backpressure=said)
     cold.observe_health("10.0.0.1:1", "i-1", other)
     assert not is_cold(cold, "i-1@5")
-    cold.observe_health("10.0.0.1:1", "i-1", BackendReport(True, 1.0, 5, said))
+    cold.observe_health(
+        "10.0.0.1:1", "i-1", BackendReport(pace=1.0, born_ms=5, backpressure=said)
+    )
     assert is_cold(cold, "i-1@5")
 
 
--- a/standins/src/fordhatch_standins/_engine_model.py
+++ b/standins/src/fordhatch_standins/_engine_model.py
@@ -10,6 +10,7 @@
 import attrs
 
 from fordhatch.adapter import GroupOrder, OrderKind
+from fordhatch.catalog import GroupMembership, MemberState
 
 from ._entries import entry_fields
 
@@ -87,6 +88,14 @@
         """Return the time until the engine becomes warm, in seconds; 0 if it is."""
         return max(self.cold_until_s - asyncio.get_running_loop().time(), 0.0)
 
+    def membership(self) -> GroupMembership | None:
+        """Return the engine's group, as its report names it."""
+        place = self.place
+        if place is None:
+            return None
+        state = MemberState(place.state)
+        return GroupMembership(place.group, place.epoch, place.rank, state)
+
     def entry(self) -> bytes:
         """Return the engine's entry for the store."""
         data = entry_fields(
--- a/standins/src/fordhatch_standins/_memory_clients.py
+++ b/standins/src/fordhatch_standins/_memory_clients.py
@@ -17,7 +17,10 @@
     BackendReport,
     Changes,
     GroupOrder,
+    HeldQuery,
     OrderReply,
+    QueryGate,
+    ReplyKind,
     ReportSubscriber,
     Row,
     RowKey,
@@ -206,6 +209,37 @@
             self._report(address, registered_id, timeout_s), timeout_s
         )
 
+    async def check_health(
+        self, address: str, path: str, registered_id: str, *, timeout_s: float
+    ) -> Result[BackendReport, Failure]:
+        """Check the health of the engine at an address, which names itself."""
+        found = await self.report(address, registered_id, timeout_s=timeout_s)
+        engine = self.fleet.at(address)
+        if found.is_err() or engine is None:
+            return found
+        return Ok(attrs.evolve(found.unwrap(), registered_id=engine.backend_id))
+
+    def hold_report(
+        self, address: str, registered_id: str, *, connect_timeout_s: float
+    ) -> HeldQuery:
+        """Open a connection to the engine at an address, to request a report later."""
+        gate = QueryGate()
+        query = self._held_report(gate, address, registered_id, connect_timeout_s)
+        return HeldQuery(gate, asyncio.ensure_future(query))
+
+    async def _held_report(
+        self, gate: QueryGate, address: str, registered_id: str, timeout_s: float
+    ) -> Result[BackendReport, Failure]:
+        await asyncio.sleep(BACKEND_LATENCY_S)
+        engine = self.fleet.at(address)
+        if engine is None or self._is_cut_from(address):
+            return Err(Failure.from_code(ResultCode.BACKEND_LOST))
+        gate.is_open.set()
+        await gate.may_be_sent.wait()
+        if self.fleet.at(address) is not engine:
+            return Err(Failure.from_code(ResultCode.BACKEND_LOST))
+        return await self._report(address, registered_id, timeout_s)
+
     async def _paid(
         self, call: Coroutine[Any, Any, Result[T, Failure]], timeout_s: float
     ) -> Result[T, Failure]:
@@ -262,10 +296,11 @@
             return Err(Failure.from_code(ResultCode.BACKEND_LOST))
         is_expected = engine.backend_id == registered_id
         report = BackendReport(
-            is_expected,
+            ReplyKind.ANSWERED if is_expected else ReplyKind.MISDIRECTED,
             engine.slow_factor,
             engine.born_ms,
             Backpressure(cold_left_s=self.cold_left_s(engine)),
+            membership=engine.membership() if is_expected else None,
         )
         for call in self.report_subscribers:
             call(address, registered_id, report)
--- a/standins/src/fordhatch_standins/_memory_exchange.py
+++ b/standins/src/fordhatch_standins/_memory_exchange.py
@@ -16,7 +16,12 @@
     RefusalKind,
 )
 from fordhatch.core import Timer
-from fordhatch.serving import SendFailure, SendProblem, ServedRequest
+from fordhatch.serving import (
+    ProcessWitness,
+    SendFailure,
+    SendProblem,
+    ServedRequest,
+)
 
 from ._backend_links import BackendLinks
 from ._backends import Backends
@@ -41,10 +46,21 @@
     status: int
     _pieces: AsyncIterator[bytes]
     _first: bytes = b""
+    witness: ProcessWitness | None = None
     is_end_confirmed: bool = False
+    _has_ended: bool = False
     ends_with_connection: bool = False
     """Whether only the end of the connection marks the end of the body."""
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the end of the body has been read."""
+        return self._has_ended
+
+    async def is_open(self) -> bool:
+        """Return whether the connection is open: its end is read at once."""
+        return not self._has_ended
+
     @property
     def headers(self) -> list[tuple[str, str]]:
         """Headers of the answer."""
@@ -60,8 +76,11 @@
             first, self._first = self._first, b""
             return first
         try:
-            return await anext(self._pieces, b"")
+            piece = await anext(self._pieces, b"")
+            self._has_ended = not piece
+            return piece
         except CutOff as error:
+            self._has_ended = True
             if self.ends_with_connection and error.is_crash:
                 return b""
             raise aiohttp.ClientPayloadError("cut off") from error
@@ -75,6 +94,8 @@
 
     def close(self) -> None:
         """Cancel the rest of the request."""
+        if self.witness is not None:
+            self.witness.close()
         task = asyncio.ensure_future(self._pieces.aclose())  # type: ignore[attr-defined]
         task.add_done_callback(lambda t: t.cancelled() or t.exception())
 
--- a/standins/src/fordhatch_standins/_scripted_backend.py
+++ b/standins/src/fordhatch_standins/_scripted_backend.py
@@ -10,6 +10,9 @@
 REPORT_PATH = "/v1/report"
 """Path of reports, which are answered without a script."""
 
+HEALTH_PATH = "/health"
+"""Path of health checks, which are answered without a script if a test says how."""
+
 SIGNATURE = "3e1b.07.5a2.600.0.c9f2a4d1"
 
 
@@ -63,7 +66,16 @@
     report: bytes | None = b"{}"
     """Body of the report; None to leave the request unanswered."""
     report_headers: dict[str, str] = attrs.field(factory=dict)
+    report_status: int = 200
+    runner_id: str = ""
+    """Id that answers to health checks name; without it the script answers them."""
+    health: bytes | None = None
+    """Body of the answer to a health check; None for an empty one."""
+    health_headers: dict[str, str] | None = None
+    """Headers of that answer; None to name the id."""
+    health_status: int = 200
     _server: asyncio.Server | None = None
+    _writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
 
     async def start(self) -> str:
         """Start to listen and return ``host:port``."""
@@ -73,6 +85,15 @@
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            await self._answer(reader, writer)
+        finally:
+            self._writers.discard(writer)
+
+    async def _answer(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         try:
             request = await _read(reader)
@@ -85,10 +106,16 @@
                 await reader.read()
                 writer.close()
                 return
-            fields = {"Content-Length": len(self.report), **self.report_headers}
-            lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
-            head = f"HTTP/1.1 200 OK\r\n{lines}\r\n"
-            writer.write(head.encode() + self.report)
+            writer.write(
+                _plain_answer(self.report_status, self.report_headers, self.report)
+            )
+            writer.close()
+            return
+        if request.target == HEALTH_PATH and self._answers_health():
+            named = {"X-Runner-Id": self.runner_id} if self.runner_id else {}
+            headers = named if self.health_headers is None else self.health_headers
+            body = self.health or b""
+            writer.write(_plain_answer(self.health_status, headers, body))
             writer.close()
             return
         self.seen.append(request)
@@ -101,11 +128,28 @@
         disconnected.cancel()
         writer.close()
 
+    def _answers_health(self) -> bool:
+        return bool(self.runner_id) or self.health is not None
+
+    def close_connections(self, but: asyncio.StreamWriter | None = None) -> None:
+        """Close every connection but one, and listen on.
+
+        The end of the process and a start again do the same to all of them.
+        """
+        for writer in self._writers - {but}:
+            writer.close()
+
     async def close(self) -> None:
         """Stop listening."""
         self._server.close()
 
 
+def _plain_answer(status: int, headers: dict[str, str], body: bytes) -> bytes:
+    fields = {"Content-Length": len(body), **headers}
+    lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+    return f"HTTP/1.1 {status} X\r\n{lines}\r\n".encode() + body
+
+
 async def _read(reader: asyncio.StreamReader) -> SeenRequest:
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     first, *lines = head.strip().split("\r\n")
--- a/tests/adapter/test_backend_reports.py
+++ b/tests/adapter/test_backend_reports.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import pytest
+from multidict import CIMultiDict
 
-from fordhatch.adapter import BackendReport
-from fordhatch.adapter._backend_client import _decode_report
+from fordhatch.adapter import BackendReport, ReplyKind, decode_report
 from fordhatch.catalog import BackendServer, BackendState, incarnation_id
 
 BORN_MS = 1_760_000_000_000
@@ -36,12 +36,12 @@
 def test_a_report_of_another_start_is_no_sign_of_life(
     known_ms: int, reported_ms: int, matches: bool
 ) -> None:
-    report = BackendReport(is_expected=True, born_ms=reported_ms)
+    report = BackendReport(born_ms=reported_ms)
     assert report.matches(backend_born_at(known_ms)) is matches
 
 
 def test_a_report_of_another_id_is_no_sign_of_life() -> None:
-    assert not BackendReport(is_expected=False, born_ms=BORN_MS).matches(
+    assert not BackendReport(ReplyKind.MISDIRECTED, born_ms=BORN_MS).matches(
         backend_born_at(BORN_MS)
     )
 
@@ -62,12 +62,12 @@
     ],
 )
 def test_a_malformed_report_is_a_sign_of_life_only(body: bytes) -> None:
-    found = _decode_report(body, is_expected=True)
+    found = decode_report(200, CIMultiDict(), body)
     assert found.matches(backend_born_at(BORN_MS))
     assert 0.0 < found.pace < 10.0
     assert found.born_ms == 0
 
 
 def test_a_complete_report_has_pace_and_start() -> None:
-    found = _decode_report(b'{"pace": 2.5, "born": %d}' % BORN_MS, is_expected=True)
+    found = decode_report(200, CIMultiDict(), b'{"pace": 2.5, "born": %d}' % BORN_MS)
     assert (found.pace, found.born_ms) == (2.5, BORN_MS)
