Soak and stand-ins: crash and restart of plain servers within a node's pause

Change: plain servers of the stand-ins answer without a length in two halves, and crash and start again under another id at the same address. Each run of the soak begins with that within a node's pause, the fault comes again at random, and a bill that is no whole JSON object is a violation. A crash of a stand-in closes its idle connections too, as a process's end does.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -2,9 +2,10 @@
 
 Nodes reach the store through proxies that delay, reset or silence connections or drop
 one direction; links to all backend servers are cut; signals kill, pause, stop and
-restart nodes; engines crash, drain, slow down, limit their load and are added; the
-store is busy, silent or restored from backup. Callers, which keep connections until a
-node terminates, and an operator send requests.
+restart nodes; engines crash, drain, slow down, limit their load and are added; plain
+servers crash and start again, also while a node is paused, and answers have no length;
+the store is busy, silent or restored from backup. Callers, which keep connections
+until a node terminates, and an operator send requests.
 """
 
 from __future__ import annotations
@@ -35,7 +36,14 @@
 APPLY_ATTEMPTS, RESTORE_FRACTION = 3, 0.5
 """Attempts of an apply; fraction of store outages that end with a restored backup."""
 
-NODE_FAULTS = {"kill_node", "pause_node", "stop_node", "trouble_way", "silence_way"}
+NODE_FAULTS = {
+    "kill_node",
+    "pause_node",
+    "restart_within_a_pause",
+    "stop_node",
+    "trouble_way",
+    "silence_way",
+}
 """Faults after which a node may not know for some seconds what the others know."""
 
 app = App(name="soak", help="Random faults on separate processes.")
@@ -133,7 +141,11 @@
             self.engines.lose_calls,
             self.engines.crash_under_message,
             self.engines.crash_under_message,
-            self.engines.end_streams_with_connections,
+            self.engines.end_answers_with_connections,
+            self.engines.end_answers_with_connections,
+            self.engines.restart_plain_servers,
+            self._restart_within_a_pause,
+            self._restart_within_a_pause,
             self.engines.reject_requests,
             self.engines.reject_requests,
         ]
@@ -143,8 +155,8 @@
             kinds += [self._lose_all_nodes] * 2
             await self.fleet.act("check_fencing")
         running: set[asyncio.Task[None]] = set()
+        fault = self._restart_within_a_pause
         while not self.is_stopping:
-            fault = self.rng.choice(kinds)
             name = fault.__name__.removeprefix("_")
             self.ledger.faults[name] += 1
             self._record_fault(name)
@@ -152,6 +164,7 @@
             running.add(task)
             task.add_done_callback(running.discard)
             await asyncio.sleep(self.rng.uniform(0.3, 3.0))
+            fault = self.rng.choice(kinds)
         if running:
             await asyncio.wait(set(running))
 
@@ -189,6 +202,23 @@
         node.send(signal.SIGCONT)
         await self.fleet.act("excuse")
 
+    async def _restart_within_a_pause(self) -> None:
+        """Pause a node, and crash and restart the plain servers meanwhile."""
+        node = self._reserve_node()
+        if node is None:
+            return
+        await self.fleet.act("lengthless", share=1.0)
+        # Answers without a length begin, and the node reads their first halves.
+        await asyncio.sleep(self.rng.uniform(0.3, 1.0))
+        node.send(signal.SIGSTOP)
+        self._busy.discard(node.name)
+        await asyncio.sleep(self.rng.uniform(0.0, 0.8))
+        await self.engines.restart_plain_servers()
+        await asyncio.sleep(self.rng.uniform(0.0, 3.0))
+        node.send(signal.SIGCONT)
+        await self.fleet.act("lengthless", share=0.0)
+        await self.fleet.act("excuse")
+
     async def _stop_node(self) -> None:
         node = self._reserve_node()
         if node is None:
--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -39,6 +39,14 @@
     return json.loads(content)["error"]["code"]
 
 
+def _is_whole_bill(answer: str) -> bool:
+    """Return whether a plain answer is whole: only then it is a JSON object."""
+    try:
+        return isinstance(json.loads(answer), dict)
+    except ValueError:
+        return False
+
+
 @attrs.define(eq=False, repr=False)
 class Callers:
     """Callers that send each request to a node chosen as by a load balancer."""
@@ -143,7 +151,9 @@
             if status == 200:
                 all_not_run = False
                 self.ledger.outcomes["bill whole"] += 1
-                if json.loads(answer)["body"] != content:
+                if not _is_whole_bill(answer):
+                    self.ledger.add_violation(f"part of an answer to {text!r}")
+                elif json.loads(answer)["body"] != content:
                     self.ledger.add_violation(f"answer of another request to {text!r}")
                 break
             ran = json.loads(answer)["error"]["ran"] if status else "maybe"
--- a/bench/soak_engine_faults.py
+++ b/bench/soak_engine_faults.py
@@ -101,8 +101,12 @@
         await asyncio.sleep(self.rng.uniform(3.0, 12.0))
         await self.fleet.act("shed", share=0.0)
 
-    async def end_streams_with_connections(self) -> None:
-        """Let some streams have no chunks and end with their connection for a while."""
+    async def end_answers_with_connections(self) -> None:
+        """Let some answers have no length and end with their connection for a while."""
         await self.fleet.act("lengthless", share=self.rng.uniform(0.3, 1.0))
         await asyncio.sleep(self.rng.uniform(2.0, 8.0))
         await self.fleet.act("lengthless", share=0.0)
+
+    async def restart_plain_servers(self) -> None:
+        """Crash the plain servers; others start at their addresses at once."""
+        await self.fleet.act("restart_plain")
--- a/standins/src/fordhatch_standins/_backend_http.py
+++ b/standins/src/fordhatch_standins/_backend_http.py
@@ -27,6 +27,9 @@
 UNKNOWN_NODE = "any"
 """Name of the node for all requests, which do not identify their sender."""
 
+MAX_HALVES_APART_S = 0.8
+"""Longest time between the halves of a plain answer without length."""
+
 _OK, _BAD_REQUEST, _MISDIRECTED, _UNAVAILABLE = 200, 400, 421, 503
 _DEFAULT_URGENCY = 5
 
@@ -38,7 +41,7 @@
     backends: Backends
     host: str
     _listeners: dict[str, asyncio.Server] = attrs.field(factory=dict)
-    _connections: dict[str, set[asyncio.BaseTransport]] = attrs.field(factory=dict)
+    _servers: dict[str, web.Server] = attrs.field(factory=dict)
     _tasks: set[asyncio.Task[str]] = attrs.field(factory=set)
 
     def __attrs_post_init__(self) -> None:
@@ -55,27 +58,22 @@
     async def listen(self, port: int) -> str:
         """Open a port and return its address, where a backend server can be added."""
         address = f"{self.host}:{port}"
-        open_transports: set[asyncio.BaseTransport] = set()
-        self._connections[address] = open_transports
 
         async def handle(request: web.BaseRequest) -> web.StreamResponse:
-            transport = request.transport
-            open_transports.add(transport)
-            try:
-                return await self._respond(address, request)
-            finally:
-                open_transports.discard(transport)
+            return await self._respond(address, request)
 
         server = web.Server(handle, handler_cancellation=True, access_log=None)
+        self._servers[address] = server
         loop = asyncio.get_running_loop()
         self._listeners[address] = await loop.create_server(server, self.host, port)
         return address
 
     def cut_off(self, address: str) -> None:
-        """Close the port and abort every connection, as a crash does."""
+        """Close the port and abort every connection, idle ones too, as a crash does."""
         self._listeners.pop(address).close()
-        for transport in list(self._connections[address]):
-            transport.abort()
+        for connection in self._servers.pop(address).connections:
+            if connection.transport is not None:
+                connection.transport.abort()
 
     async def _respond(
         self, address: str, request: web.BaseRequest
@@ -106,6 +104,8 @@
                 return answers.refusal(_UNAVAILABLE, "")
         if self.backends.pressure.arrived(own_id, UNKNOWN_NODE):
             return answers.refusal(_UNAVAILABLE, "")
+        if plain is not None and self.backends.is_lengthless():
+            return await _serve_plain_lengthless(plain, call, answers)
         if plain is not None:
             return await _serve_plain(plain, call, answers)
         if self.backends.is_lengthless():
@@ -203,6 +203,12 @@
         """Return the headers of a response by the backend server itself."""
         return {**self.headers(), "X-Server-Seal": SIGNATURE}
 
+    def lengthless_head(self, content_type: str) -> bytes:
+        """Return the head of a response that ends with its connection."""
+        fields = {**self.signed(), "Content-Type": content_type}
+        lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+        return f"HTTP/1.1 200 OK\r\n{lines}Connection: close\r\n\r\n".encode()
+
 
 async def _serve_plain(
     server: PlainService, call: BackendCall, answers: _ResponseBuilder
@@ -222,6 +228,27 @@
     )
 
 
+async def _serve_plain_lengthless(
+    server: PlainService, call: BackendCall, answers: _ResponseBuilder
+) -> web.StreamResponse:
+    """Answer in two halves, without a length; a crash between them ends it too."""
+    transport = answers.request.transport
+    try:
+        body = await server.serve(call)
+    except NotExecuted as refusal:
+        return answers.refusal(refusal.status, refusal.at_fault)
+    except CutOff:
+        transport.abort()
+        return web.Response()
+    middle = len(body) // 2
+    transport.write(answers.lengthless_head("application/json") + body[:middle])
+    await asyncio.sleep(server.rng.uniform(0.0, MAX_HALVES_APART_S))
+    if not server.is_dead:
+        transport.write(body[middle:])
+    transport.close()
+    return web.Response()
+
+
 async def _serve_stream(
     work: EngineWork, call: BackendCall, answers: _ResponseBuilder
 ) -> web.StreamResponse:
@@ -243,9 +270,7 @@
 ) -> web.StreamResponse:
     """Serve a stream with neither a length nor chunks, which ends its connection."""
     transport = answers.request.transport
-    fields = {**answers.signed(), "Content-Type": "text/event-stream"}
-    lines = [f"{name}: {value}\r\n" for name, value in fields.items()]
-    head = f"HTTP/1.1 200 OK\r\n{''.join(lines)}Connection: close\r\n\r\n".encode()
+    head = answers.lengthless_head("text/event-stream")
     try:
         async for event in work.serve(call):
             transport.write(head + event)
--- a/standins/src/fordhatch_standins/_backends.py
+++ b/standins/src/fordhatch_standins/_backends.py
@@ -9,7 +9,9 @@
 
 import attrs
 
-from ._calls import BackendCall
+from fordhatch.adapter import BACKENDS_TABLE
+
+from ._calls import BackendCall, SlotQueue
 from ._cold_starts import ColdStarts
 from ._crashing_parts import CrashingParts
 from ._engine_fleet import EngineFleet
@@ -23,6 +25,9 @@
 FIRST_PLAIN_PORT = 8000
 """Base of the ports that distinguish plain services in memory."""
 
+MISSED_HEARTBEATS_S = 3.6
+"""Time after which the entry of a crashed plain server is removed."""
+
 COPIES = 4
 """Number of copies of the store that are kept; one is made each second."""
 
@@ -48,7 +53,8 @@
     crashing_parts: CrashingParts = attrs.field(factory=CrashingParts)
     """Parts of prompts that crash the engine that begins to run a request with one."""
     lengthless_share: float = 0.0
-    """Fraction of the streams that have no chunks and end with their connection."""
+    """Fraction of the answers with neither length nor chunks, of engines and plain
+    servers; they end with their connection."""
     crash_times_s: list[float] = attrs.field(factory=list)
     """Times of the crashes that such requests have caused."""
     crash_subscribers: list[Callable[[str], None]] = attrs.field(factory=list)
@@ -136,6 +142,37 @@
         server.register()
         return server
 
+    def restart_plain_servers(self) -> None:
+        """Crash all plain servers; others start at their addresses."""
+        for address in list(self.plain):
+            self.restart_plain(address)
+
+    def restart_plain(self, address: str) -> None:
+        """Crash the plain server at an address; one with a new id starts there.
+
+        The entry of the earlier one stays until its heartbeats are missed.
+        """
+        server = self.plain.pop(address)
+        server.is_dead = True
+        for call in self.crash_subscribers:
+            call(address)
+        self._plain_count += 1
+        started = attrs.evolve(
+            server,
+            backend_id=f"p-{self._plain_count:04d}",
+            is_dead=False,
+            running=0,
+            slot_queue=SlotQueue(),
+        )
+        self.plain[address] = started
+        started.register()
+        for call in self.restart_subscribers:
+            call(address)
+        loop = asyncio.get_running_loop()
+        loop.call_later(
+            MISSED_HEARTBEATS_S, self.store.remove, BACKENDS_TABLE, server.backend_id
+        )
+
     def work_at(self, address: str) -> EngineWork | None:
         """Return the request processing of the running engine at an address."""
         engine = self.fleet.at(address)
@@ -152,7 +189,7 @@
         return self.shed_share > 0.0 and self.rng.random() < self.shed_share
 
     def is_lengthless(self) -> bool:
-        """Return whether the next stream ends with its connection."""
+        """Return whether the next answer ends with its connection."""
         share = self.lengthless_share
         return share > 0.0 and self.rng.random() < share
 
--- a/standins/src/fordhatch_standins/_control_http.py
+++ b/standins/src/fordhatch_standins/_control_http.py
@@ -9,7 +9,6 @@
 from ._backend_http import BackendListeners
 from ._backends import Backends
 from ._crashing_parts import CrashingParts
-from ._engine_fleet import EngineFleet
 from ._engine_model import EngineModel
 from ._pressure_log import PressureLog
 
@@ -22,7 +21,7 @@
 
     ``GET /counts``; ``POST /act`` with ``do`` (``kill``, ``drain``, ``add``,
     ``slow``, ``cool``, ``crash_under``, ``lengthless``, ``shed``, ``limit``,
-    ``rest``, ``fail_store``, ``heal_store``) and its fields.
+    ``rest``, ``restart_plain``, ``fail_store``, ``heal_store``) and its fields.
     """
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
@@ -61,14 +60,16 @@
     }
 
 
-def _act_on_all(action: str, fleet: EngineFleet) -> None:
+def _act_on_all(action: str, backends: Backends) -> None:
     match action:
         case "lapse_all":
-            fleet.lapse_all()
+            backends.fleet.lapse_all()
         case "come_back":
-            fleet.come_back(within_s=HEARTBEAT_S)
+            backends.fleet.come_back(within_s=HEARTBEAT_S)
+        case "restart_plain":
+            backends.restart_plain_servers()
         case _:
-            fleet.check_fencing()
+            backends.fleet.check_fencing()
 
 
 def _act_on_store(backends: Backends, body: dict[str, Any]) -> None:
@@ -127,8 +128,8 @@
             backends.add_engine(body["domain"], body["zone"], address)
         case "fail_store" | "heal_store":
             _act_on_store(backends, body)
-        case "lapse_all" | "come_back" | "check_fencing":
-            _act_on_all(body["do"], backends.fleet)
+        case "lapse_all" | "come_back" | "check_fencing" | "restart_plain":
+            _act_on_all(body["do"], backends)
         case "lose_answers":
             backends.store.faults.lost_answers = int(body["count"])
         case "late_orders":
