Retry budget: a row that is missing in a store never restored was never written

Cause: without a row of the store's part of the slack a start doubts for 11.1 s whether grants were forgotten, unless the platform calls it the first start. The own interface has no such word, and nobody asked the store itself.

Change: in generation 0, named by the answer itself, a missing row is an empty one: the store loses nothing that it has acknowledged. A write whose answer is of another generation than the row that was read grants nothing.

Both guards red when taken out.

--- a/bench/retry_guards.py
+++ b/bench/retry_guards.py
@@ -8,6 +8,20 @@
 SERVING = "packages/serving/tests/test_retry_budget.py"
 
 RETRY_GUARDS = [
+    Guard(
+        "BUDGET: the first starts take retries from a store that was never restored",
+        "serving/_slack_pool.py",
+        "        was_never_restored = page.is_generation_named and generation == 0\n",
+        "        was_never_restored = False\n",
+        f"{SERVING} -k first_starts_take",
+    ),
+    Guard(
+        "BUDGET: a store that names no generation may have been restored",
+        "serving/_slack_pool.py",
+        "page.is_generation_named and generation == 0\n",
+        "generation == 0\n",
+        f"{SERVING} -k doubts_a_missing_row",
+    ),
     Guard(
         "BUDGET: nodes share the slack",
         "budgets/_slack_share.py",
--- a/packages/serving/src/fordhatch/serving/_slack_pool.py
+++ b/packages/serving/src/fordhatch/serving/_slack_pool.py
@@ -7,7 +7,14 @@
 import attrs
 from result import Err, Ok, Result
 
-from fordhatch.adapter import ABSENT, Row, RowKey, StoreClient, StoreVersion
+from fordhatch.adapter import (
+    ABSENT,
+    Row,
+    RowKey,
+    RowPage,
+    StoreClient,
+    StoreVersion,
+)
 from fordhatch.budgets import RetryTerms, SlackPoolRow
 from fordhatch.core import Failure, ResultCode, Timer, log_event, metrics
 
@@ -103,19 +110,37 @@
         for _ in range(MAX_TRIES):
             read = await self._read(service, terms)
             if read.is_err():
+                self._log_nothing(service, read.unwrap_err().code.name)
                 break
             state = read.unwrap()
             count = min(state.row.room(state.now_s, terms), most)
             if not count:
                 self._pause(service, state.row.next_free_s(state.now_s, terms))
+                self._log_nothing(service, "none left", state)
                 break
             row = state.row.granted(count, state.now_s, terms)
             if await self._replace(service, state, row):
                 self._ask_again_s.pop(service, None)
                 metrics.RETRIES_LENT.labels("from the store").inc(count)
                 return PoolLoan(count, state.asked_s)
+        else:
+            self._log_nothing(service, "replaced by others")
         return PoolLoan(0, self.timer.now_s())
 
+    def _log_nothing(
+        self, service: str, why: str, state: _PoolState | None = None
+    ) -> None:
+        """Log that the store gave nothing, and what is known of its row."""
+        known_s = self.timer.now_s() - self._generation_since_s
+        log_event(
+            "retry_pool_gave_nothing",
+            service=service,
+            why=why,
+            row="" if state is None else str(state.version),
+            generation=self._generation,
+            known_s=round(max(known_s, 0.0), 3),
+        )
+
     async def prepare(self, service: str, terms: RetryTerms) -> None:
         """Create the row of a service, so that starts need not doubt that it was lost.
 
@@ -149,7 +174,7 @@
         found = self._decode(rows[0], page.now_s, terms) if rows else None
         if found is None or found.generation != page.version.generation:
             # What was granted before the store was restored may have been forgotten.
-            found = self._unknown(page.version.generation, page.now_s, terms)
+            found = self._unknown(page, terms)
         version = rows[0].version if rows else ABSENT
         return Ok(_PoolState(found, version, page.now_s, asked_s))
 
@@ -161,14 +186,16 @@
             generation = row.version.generation
             return SlackPoolRow.closed(generation, now_s, terms)
 
-    def _unknown(
-        self, generation: int, now_s: float, terms: RetryTerms
-    ) -> SlackPoolRow:
+    def _unknown(self, page: RowPage, terms: RetryTerms) -> SlackPoolRow:
         """Return the row to assume where none of this generation is there."""
+        generation = page.version.generation
         known_s = self.timer.now_s() - self._generation_since_s
-        if known_s >= terms.window_s + terms.bucket_s + terms.loan_s:
+        # A store that was never restored has lost no row: nobody has had a grant.
+        was_never_restored = page.is_generation_named and generation == 0
+        longest_use_s = terms.window_s + terms.bucket_s + terms.loan_s
+        if was_never_restored or known_s >= longest_use_s:
             return SlackPoolRow(generation)
-        return SlackPoolRow.closed(generation, now_s, terms)
+        return SlackPoolRow.closed(generation, page.now_s, terms)
 
     async def _replace(
         self, service: str, state: _PoolState, row: SlackPoolRow
@@ -177,4 +204,7 @@
         written = await self.store.write(
             {key: state.version}, {key: row.to_bytes()}, timeout_s=CALL_TIMEOUT_S
         )
-        return written.is_ok() and written.unwrap().is_committed
+        if written.is_err() or not written.unwrap().is_committed:
+            return False
+        # The store may have been restored, and have lost a row, since it was read.
+        return written.unwrap().version.generation == row.generation
--- a/packages/serving/tests/test_retry_budget.py
+++ b/packages/serving/tests/test_retry_budget.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 import attrs
 import pytest
 from planning_site import BOUNDS
+from result import Ok
 
 from fordhatch.adapter import decode_settings
 from fordhatch.core import Timer
@@ -36,9 +38,13 @@
     service: str = SERVICE
     fields: Fields = attrs.field(factory=Fields)
     retry: object = None
+    due_s: float = math.inf
     end_attempt = ServedRequest.end_attempt
     may_still_send = ServedRequest.may_still_send
 
+    def left_s(self, now_s: float) -> float:
+        return self.due_s - now_s
+
 
 @attrs.define
 class Nodes:
@@ -66,6 +72,14 @@
             await asyncio.sleep(1.0)
 
 
+class UnnamedStore(MemoryStoreClient):
+    """A store whose answers do not name its generation."""
+
+    async def read(self, *args, **options):
+        page = await super().read(*args, **options)
+        return Ok(attrs.evolve(page.unwrap(), is_generation_named=False))
+
+
 async def spend(budget: RetryBudget) -> int:
     """Use all retries that are left; return how many there were."""
     count = 0
@@ -243,6 +257,37 @@
     assert fourth == POOL
 
 
+# Guards against a young site that refuses its first retries: no node has run as long
+# as a start must know the others, and nothing has been taken from the store.
+def test_the_first_starts_take_retries_at_once() -> None:
+    async def scenario() -> int:
+        nodes = Nodes()
+        for number in range(3):
+            nodes.start(f"n{number}")
+        await nodes.run(1.0)
+        return sum([await spend(b) for b in nodes.budgets.values()])
+
+    assert run_in_virtual_time(scenario()) == POOL
+
+
+# Guards against a grant on the word of a store that was restored, or may have been.
+@pytest.mark.parametrize("is_named", [False, True])
+def test_a_start_doubts_a_missing_row_unless_the_store_was_never_restored(
+    is_named,
+) -> None:
+    async def scenario() -> int:
+        nodes = Nodes()
+        one = nodes.start("n1")
+        if is_named:
+            nodes.model.restore(nodes.model.copy())
+        else:
+            one.pool.store = UnnamedStore(nodes.model, "n1")
+        await nodes.run(1.0)
+        return await spend(one)
+
+    assert run_in_virtual_time(scenario()) == 0
+
+
 # Guards against starts that read the same row and take the same retries.
 def test_starts_that_take_at_the_same_time_share_what_is_there() -> None:
     async def scenario() -> int:
--- a/standins/src/fordhatch_standins/_memory_clients.py
+++ b/standins/src/fordhatch_standins/_memory_clients.py
@@ -112,7 +112,8 @@
         version = self._version()
         shown = tuple(_row(r, version.generation) for r in rows[:limit])
         now_s = asyncio.get_running_loop().time()
-        return Ok(RowPage(shown, len(rows) > limit, version, now_s))
+        is_named = True
+        return Ok(RowPage(shown, len(rows) > limit, version, now_s, is_named))
 
     async def watch(
         self,
