Tools: runs in parallel reserve their ports

Ports were free when they were looked up and taken when they were used.

Change: a process reserves blocks of a hundred ports by locked files and looks only in those, until it ends.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import itertools
 import json
+import os
 import secrets
 import signal
 import socket
 import sys
 import tempfile
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -30,9 +33,39 @@
 """Range below the kernel's ephemeral ports. An outgoing connection could otherwise
 occupy a port between the check and its use."""
 
-_ports = itertools.cycle(range(FIRST_PORT, LAST_PORT))
-_start = secrets.randbelow(LAST_PORT - FIRST_PORT)
-next(itertools.islice(_ports, _start, _start), None)
+PORT_BLOCK = 100
+"""Ports that a process reserves at once; the next run in parallel uses others."""
+
+_reserved_blocks: dict[int, int] = {}
+"""Descriptors of locked files, by the block that each of them reserves for this
+process until it ends."""
+
+
+def _reserve(block: int) -> bool:
+    """Return whether this process has a block of ports for itself."""
+    if block in _reserved_blocks:
+        return True
+    path = Path(tempfile.gettempdir(), f"fordhatch-ports-{block}.lock")
+    lock = os.open(path, os.O_RDWR | os.O_CREAT)
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        os.close(lock)
+        return False
+    _reserved_blocks[block] = lock
+    return True
+
+
+def _reserved_ports() -> Iterator[int]:
+    """Yield ports that no other run uses, for ever, from a random block on."""
+    blocks = range(FIRST_PORT // PORT_BLOCK, LAST_PORT // PORT_BLOCK)
+    start = secrets.randbelow(len(blocks))
+    for block in itertools.cycle([*blocks[start:], *blocks[:start]]):
+        if _reserve(block):
+            yield from range(block * PORT_BLOCK, (block + 1) * PORT_BLOCK)
+
+
+_ports = _reserved_ports()
 
 
 def find_free_ports(count: int) -> int:
@@ -43,10 +76,11 @@
     """
     first, length = 0, 0
     for port in itertools.islice(_ports, LAST_PORT - FIRST_PORT):
-        if not _is_free(port) or port == FIRST_PORT:
+        if not _is_free(port):
             length = 0
             continue
-        first = first if length else port
+        if port != first + length:
+            first, length = port, 0
         length += 1
         if length == count:
             return first
