Planner: a server error is no proof that a process has ended

Cause: the answer to a probe was one boolean, "200 or not". The loss check read "not" as another process at the head's address, after which the members are free at once. A head that fails part of its requests answers reports with 500, too.

--- a/bench/entry_guards.py
+++ b/bench/entry_guards.py
@@ -57,11 +57,25 @@
         "                pass\n",
         f"{RESTARTS} -k new_planner_is_not_misled",
     ),
+    Guard(
+        "TWO: a server error does not prove that a process has ended",
+        "placement/_loss_check.py",
+        "                self._paused_until_s[backend.backend_id] = paused_until_s\n",
+        "                self._record_loss(backend.backend_id, is_replaced=True)\n",
+        "packages/placement/tests/test_grey_heads.py -k fails_reports",
+    ),
+    Guard(
+        "TWO: a server taken for ended by mistake is probed again",
+        "placement/_loss_check.py",
+        "        if backend_id in self.dead and backend_id not in self._probing:\n",
+        "        if False:\n",
+        "packages/placement/tests/test_grey_heads.py -k used_again",
+    ),
     Guard(
         "TWO: another start under the id is no sign of life",
-        "adapter/_backend_report.py",
-        "(not is_known or self.born_ms == backend.born_ms)\n",
-        "True\n",
+        "registry/_responder.py",
+        "    if report.born_ms == backend.born_ms:\n",
+        "    if report.born_ms:\n",
         "tests/adapter/test_backend_reports.py",
     ),
     Guard(
--- a/packages/node/src/fordhatch/node/_probe_witnesses.py
+++ b/packages/node/src/fordhatch/node/_probe_witnesses.py
@@ -12,7 +12,13 @@
 from fordhatch.core import Failure, ResultCode, Timer, log_event
 from fordhatch.protocol import Channel, PeerPool
 from fordhatch.protocol.messages import ProbeBackend, ProbeReply
-from fordhatch.registry import BackendProber, NodeAddress, StoreView
+from fordhatch.registry import (
+    BackendProber,
+    NodeAddress,
+    Responder,
+    StoreView,
+    identify,
+)
 
 from ._relay_peers import RelayPeers
 
@@ -75,8 +81,7 @@
         if not isinstance(reply, ProbeReply) or not reply.is_conclusive:
             return None
         if reply.code == ResultCode.OK:
-            # What else than a report the other node got is not in its reply.
-            kind = ReplyKind.ANSWERED if reply.is_expected else ReplyKind.FAILED
+            kind = ReplyKind.ANSWERED if reply.is_expected else ReplyKind.MISDIRECTED
             return Ok(BackendReport(kind, reply.pace, reply.born_ms))
         is_refused = reply.code == ResultCode.BACKEND_REFUSED
         code = ResultCode.BACKEND_REFUSED if is_refused else ResultCode.BACKEND_LOST
@@ -86,23 +91,25 @@
         """Probe a backend server for another node and reply."""
         backend = self.view.directory.backends.get(message.backend_id)
         if backend is None:
-            await channel.send(_to_reply(None))
+            await channel.send(_without_report(ResultCode.PROBE_INCONCLUSIVE))
             return
-        await channel.send(_to_reply(await self.prober.testify(backend)))
+        await channel.send(_to_reply(backend, await self.prober.testify(backend)))
 
 
-def _to_reply(found: Report | None) -> ProbeReply:
-    """Return the reply with what a probe found; None for an unknown backend server."""
-    unknown = BackendReport(ReplyKind.FAILED)
-    if found is None:
-        return _reply(ResultCode.PROBE_INCONCLUSIVE, unknown)
+def _to_reply(backend: BackendServer, found: Report) -> ProbeReply:
+    """Return the reply with what a probe found."""
     if found.is_err():
-        return _reply(found.unwrap_err().code, unknown)
-    return _reply(ResultCode.OK, found.unwrap())
+        return _without_report(found.unwrap_err().code)
+    report = found.unwrap()
+    responder = identify(backend, report)
+    if responder is Responder.UNKNOWN:
+        return _without_report(ResultCode.PROBE_INCONCLUSIVE)
+    is_expected = responder is not Responder.OTHER_PROCESS
+    return ProbeReply(
+        True, int(ResultCode.OK), is_expected, report.pace, report.born_ms
+    )
 
 
-def _reply(code: ResultCode, report: BackendReport) -> ProbeReply:
+def _without_report(code: ResultCode) -> ProbeReply:
     is_conclusive = code is not ResultCode.PROBE_INCONCLUSIVE
-    return ProbeReply(
-        is_conclusive, int(code), report.is_expected, report.pace, report.born_ms
-    )
+    return ProbeReply(is_conclusive, int(code), False, 1.0, 0)
--- a/packages/protocol/src/fordhatch/protocol/_relay_messages.py
+++ b/packages/protocol/src/fordhatch/protocol/_relay_messages.py
@@ -177,5 +177,7 @@
     code: int = typed_field(int)
     """Numbered result code; 0 if the backend server answered."""
     is_expected: bool = typed_field(bool)
+    """Whether it may have been the backend server itself that answered; if not, it was
+    certainly another process."""
     pace: float = seconds_field()
     born_ms: int = typed_field(int)
--- a/packages/serving/src/fordhatch/serving/_cold_backends.py
+++ b/packages/serving/src/fordhatch/serving/_cold_backends.py
@@ -16,7 +16,12 @@
 from fordhatch.adapter import BackendClient, BackendReport
 from fordhatch.catalog import BackendServer, Configuration, Service, SystemBounds
 from fordhatch.core import ResultCode, Timer, log_event, metrics
-from fordhatch.registry import ActiveConfiguration, BackendDirectory
+from fordhatch.registry import (
+    ActiveConfiguration,
+    BackendDirectory,
+    Responder,
+    identify,
+)
 
 from ._cold_budget import ColdBudget
 
@@ -188,7 +193,10 @@
         if not self._services:
             return
         for backend in list(self.directory.index.at_address(address)):
-            if backend.registered_id != registered_id or not report.matches(backend):
+            if backend.registered_id != registered_id:
+                continue
+            responder = identify(backend, report)
+            if responder not in (Responder.THIS_START, Responder.UNNAMED):
                 continue
             said = report.backpressure
             if said.is_cold_unreadable:
--- a/packages/serving/src/fordhatch/serving/_stall_watch.py
+++ b/packages/serving/src/fordhatch/serving/_stall_watch.py
@@ -19,8 +19,10 @@
     SHARED_TABLE,
     BackendDirectory,
     BackendProber,
+    Responder,
     SharedRows,
     Suspicion,
+    identify,
     slow_key,
     suspicion_key,
 )
@@ -231,4 +233,10 @@
         is_known = answer.unwrap_err().code is not ResultCode.PROBE_INCONCLUSIVE
         return None if is_known else 1.0
     report = answer.unwrap()
-    return report.pace if report.matches(member) else None
+    match identify(member, report):
+        case Responder.THIS_START | Responder.UNNAMED:
+            return report.pace
+        case Responder.OTHER_PROCESS:
+            return None
+        case Responder.UNKNOWN:
+            return 1.0
--- a/standins/src/fordhatch_standins/_engine_model.py
+++ b/standins/src/fordhatch_standins/_engine_model.py
@@ -76,6 +76,8 @@
     """Start time in Unix milliseconds; 0 if the engine does not report it."""
     ready_before: set[tuple[str, int, tuple[str, ...]]] = attrs.field(factory=set)
     """Values of ``ready_as`` from earlier starts under the same id."""
+    failed_reports: float = 0.0
+    """Fraction of its reports that are answered with a server error."""
     cold_until_s: float = -math.inf
     """When the engine becomes warm, on the event loop's clock."""
     tells_cold: bool = True
--- a/standins/src/fordhatch_standins/_memory_clients.py
+++ b/standins/src/fordhatch_standins/_memory_clients.py
@@ -296,6 +296,8 @@
             await asyncio.sleep(timeout_s)
             return Err(Failure.from_code(ResultCode.BACKEND_LOST))
         is_expected = engine.backend_id == registered_id
+        if engine.failed_reports and self.fleet.rng.random() < engine.failed_reports:
+            return Ok(BackendReport(ReplyKind.FAILED))
         report = BackendReport(
             ReplyKind.ANSWERED if is_expected else ReplyKind.MISDIRECTED,
             engine.slow_factor,
--- a/tests/adapter/test_backend_reports.py
+++ b/tests/adapter/test_backend_reports.py
@@ -7,6 +7,7 @@
 
 from fordhatch.adapter import BackendReport, ReplyKind, decode_report
 from fordhatch.catalog import BackendServer, BackendState, incarnation_id
+from fordhatch.registry import Responder, identify
 
 BORN_MS = 1_760_000_000_000
 
@@ -23,6 +24,10 @@
     )
 
 
+def is_sign_of_life(backend: BackendServer, report: BackendReport) -> bool:
+    return identify(backend, report) in (Responder.THIS_START, Responder.UNNAMED)
+
+
 @pytest.mark.parametrize(
     ("known_ms", "reported_ms", "matches"),
     [
@@ -37,13 +42,12 @@
     known_ms: int, reported_ms: int, matches: bool
 ) -> None:
     report = BackendReport(born_ms=reported_ms)
-    assert report.matches(backend_born_at(known_ms)) is matches
+    assert is_sign_of_life(backend_born_at(known_ms), report) is matches
 
 
 def test_a_report_of_another_id_is_no_sign_of_life() -> None:
-    assert not BackendReport(ReplyKind.MISDIRECTED, born_ms=BORN_MS).matches(
-        backend_born_at(BORN_MS)
-    )
+    report = BackendReport(ReplyKind.MISDIRECTED, born_ms=BORN_MS)
+    assert not is_sign_of_life(backend_born_at(BORN_MS), report)
 
 
 @pytest.mark.parametrize(
@@ -63,7 +67,7 @@
 )
 def test_a_malformed_report_is_a_sign_of_life_only(body: bytes) -> None:
     found = decode_report(200, CIMultiDict(), body)
-    assert found.matches(backend_born_at(BORN_MS))
+    assert is_sign_of_life(backend_born_at(BORN_MS), found)
     assert 0.0 < found.pace < 10.0
     assert found.born_ms == 0
 
