Retry budget: a malformed row is written anew and opens after a window

Found by reading.

Cause: each start took a malformed row for one from which everything had just been granted, and never wrote what it assumed. A row that claims a later generation than the store's counted as one of an earlier generation, so that a first start could grant on its word.

Change: the assumed row replaces the malformed one, under the condition that nobody else has replaced it, and opens for all starts once a window and a bit has passed. It is logged with code 231. A row ahead of the store is malformed.

The test of a restored store has a case with a row that survives in the copy, as its guard needs.

--- a/bench/retry_guards.py
+++ b/bench/retry_guards.py
@@ -11,17 +11,24 @@
     Guard(
         "BUDGET: the first starts take retries from a store that was never restored",
         "serving/_slack_pool.py",
-        "        was_never_restored = page.is_generation_named and generation == 0\n",
-        "        was_never_restored = False\n",
+        "        if page.is_generation_named and generation == 0:\n",
+        "        if False:\n",
         f"{SERVING} -k first_starts_take",
     ),
     Guard(
         "BUDGET: a store that names no generation may have been restored",
         "serving/_slack_pool.py",
-        "page.is_generation_named and generation == 0\n",
-        "generation == 0\n",
+        "page.is_generation_named and generation == 0:\n",
+        "generation == 0:\n",
         f"{SERVING} -k doubts_a_missing_row",
     ),
+    Guard(
+        "BUDGET: a malformed row is written anew",
+        "serving/_slack_pool.py",
+        "                if state.is_malformed:\n",
+        "                if False:\n",
+        f"{SERVING} -k written_anew",
+    ),
     Guard(
         "BUDGET: nodes share the slack",
         "budgets/_slack_share.py",
@@ -103,8 +110,8 @@
     Guard(
         "BUDGET: a restored store grants nothing twice",
         "serving/_slack_pool.py",
-        "        if found is None or found.generation != page.version.generation:\n",
-        "        if found is None:\n",
+        "        elif row.generation != page.version.generation:\n",
+        "        elif False:\n",
         f"{SERVING} -k restored",
     ),
     Guard(
--- a/packages/core/src/fordhatch/core/_codes.py
+++ b/packages/core/src/fordhatch/core/_codes.py
@@ -49,6 +49,7 @@
     PROBE_INCONCLUSIVE = 214
     ZONE_EVACUATED = 215
     COLD_UNREADABLE = 230
+    RETRY_POOL_UNREADABLE = 231
     STORE_UNAVAILABLE = 300
     STORE_OUTCOME_UNKNOWN = 301
     STORE_CONFLICT = 302
@@ -155,6 +156,9 @@
     ResultCode.COLD_UNREADABLE: _info(
         503, Ran.NO, "The time for which a backend server is cold is malformed."
     ),
+    ResultCode.RETRY_POOL_UNREADABLE: _info(
+        503, Ran.NO, "The row that counts retries in the store is malformed."
+    ),
     ResultCode.CLIENT_GONE: _info(499, Ran.MAYBE, "The caller closed its connection."),
     ResultCode.STORE_UNAVAILABLE: _info(
         503, Ran.NO, "The platform's store cannot be reached; nothing was decided."
--- a/packages/serving/src/fordhatch/serving/_slack_pool.py
+++ b/packages/serving/src/fordhatch/serving/_slack_pool.py
@@ -54,6 +54,8 @@
     """Version of the row."""
     now_s: float
     asked_s: float
+    is_malformed: bool = False
+    """Whether the row that is there could not be decoded."""
 
 
 @attrs.define(eq=False, repr=False)
@@ -117,6 +119,9 @@
             if not count:
                 self._pause(service, state.row.next_free_s(state.now_s, terms))
                 self._log_nothing(service, "none left", state)
+                if state.is_malformed:
+                    # Written anew, it opens for all starts once a window has passed.
+                    await self._replace(service, state, state.row)
                 break
             row = state.row.granted(count, state.now_s, terms)
             if await self._replace(service, state, row):
@@ -171,29 +176,32 @@
             text = "the store names no time"
             return Err(Failure.from_code(ResultCode.STORE_UNAVAILABLE, text))
         rows = [r for r in page.rows if r.row_key.key == service]
-        found = self._decode(rows[0], page.now_s, terms) if rows else None
-        if found is None or found.generation != page.version.generation:
+        if not rows:
+            found = self._absent(page, terms)
+            return Ok(_PoolState(found, ABSENT, page.now_s, asked_s))
+        row = _decode(rows[0], page.version.generation)
+        is_malformed = row is None
+        if row is None:
+            row = SlackPoolRow.closed(page.version.generation, page.now_s, terms)
+        elif row.generation != page.version.generation:
             # What was granted before the store was restored may have been forgotten.
-            found = self._unknown(page, terms)
-        version = rows[0].version if rows else ABSENT
-        return Ok(_PoolState(found, version, page.now_s, asked_s))
-
-    def _decode(self, row: Row, now_s: float, terms: RetryTerms) -> SlackPoolRow | None:
-        try:
-            return SlackPoolRow.from_bytes(row.value)
-        except _DECODE_ERRORS as error:
-            log_event("retry_pool_unreadable", error=repr(error))
-            generation = row.version.generation
-            return SlackPoolRow.closed(generation, now_s, terms)
+            row = self._unknown(page, terms)
+        version = rows[0].version
+        return Ok(_PoolState(row, version, page.now_s, asked_s, is_malformed))
+
+    def _absent(self, page: RowPage, terms: RetryTerms) -> SlackPoolRow:
+        """Return the row to assume where there is none."""
+        generation = page.version.generation
+        if page.is_generation_named and generation == 0:
+            # A store that was never restored has lost no row: nobody has had a grant.
+            return SlackPoolRow(generation)
+        return self._unknown(page, terms)
 
     def _unknown(self, page: RowPage, terms: RetryTerms) -> SlackPoolRow:
         """Return the row to assume where none of this generation is there."""
         generation = page.version.generation
         known_s = self.timer.now_s() - self._generation_since_s
-        # A store that was never restored has lost no row: nobody has had a grant.
-        was_never_restored = page.is_generation_named and generation == 0
-        longest_use_s = terms.window_s + terms.bucket_s + terms.loan_s
-        if was_never_restored or known_s >= longest_use_s:
+        if known_s >= terms.window_s + terms.bucket_s + terms.loan_s:
             return SlackPoolRow(generation)
         return SlackPoolRow.closed(generation, page.now_s, terms)
 
@@ -208,3 +216,21 @@
             return False
         # The store may have been restored, and have lost a row, since it was read.
         return written.unwrap().version.generation == row.generation
+
+
+def _decode(row: Row, generation: int) -> SlackPoolRow | None:
+    """Return the content of a row, None if it is malformed.
+
+    Args:
+        row: The row.
+        generation: Generation of the store, which no row is ahead of.
+    """
+    try:
+        found = SlackPoolRow.from_bytes(row.value)
+        if found.generation > generation:
+            raise ValueError(f"row of generation {found.generation} in {generation}")
+        return found
+    except _DECODE_ERRORS as error:
+        code = ResultCode.RETRY_POOL_UNREADABLE
+        log_event("retry_pool_unreadable", code=int(code), error=repr(error))
+        return None
--- a/packages/serving/tests/test_retry_budget.py
+++ b/packages/serving/tests/test_retry_budget.py
@@ -236,11 +236,14 @@
 
 # Guards against a store that was restored from an older copy and has forgotten what
 # was taken from it.
-def test_nothing_is_taken_from_a_restored_store_for_a_window() -> None:
+@pytest.mark.parametrize("has_row", [False, True])
+def test_nothing_is_taken_from_a_restored_store_for_a_window(has_row) -> None:
     async def scenario() -> list[int]:
         nodes = Nodes()
         one = nodes.start("n1", is_first_start=True)
         await nodes.run(SETTLED_S)
+        if has_row:
+            await one.pool.prepare(SERVICE, one.terms)
         copy = nodes.model.copy()
         spent = [await spend(one)]
         nodes.model.restore(copy)
@@ -300,10 +303,20 @@
     assert 0 < run_in_virtual_time(scenario()) <= POOL
 
 
-def test_an_unreadable_row_grants_nothing_for_a_window() -> None:
+MALFORMED_ROWS = [
+    b"{",
+    b"[]",
+    b"\xff",
+    b'{"generation": 0, "grants": [["x", 1]]}',
+    b'{"generation": 7, "grants": []}',
+]
+
+
+@pytest.mark.parametrize("value", MALFORMED_ROWS)
+def test_an_unreadable_row_grants_nothing_for_a_window(value) -> None:
     async def scenario() -> list[int]:
         nodes = Nodes()
-        nodes.model.put(POOL_TABLE, SERVICE, b"{")
+        nodes.model.put(POOL_TABLE, SERVICE, value)
         one = nodes.start("n1", is_first_start=True)
         await nodes.run(2.0)
         return [await spend(one)]
@@ -311,6 +324,21 @@
     assert run_in_virtual_time(scenario()) == [0]
 
 
+# Guards against a malformed row that stays, so that no start ever takes from it.
+@pytest.mark.parametrize("value", MALFORMED_ROWS)
+def test_a_malformed_row_is_written_anew_and_opens_after_a_window(value) -> None:
+    async def scenario() -> list[int]:
+        nodes = Nodes()
+        nodes.model.put(POOL_TABLE, SERVICE, value)
+        spent = [await spend(nodes.start("n1"))]
+        await nodes.run(5.0)
+        spent.append(await spend(nodes.start("n2")))
+        await nodes.run(8.0)
+        return [*spent, await spend(nodes.start("n3"))]
+
+    assert run_in_virtual_time(scenario()) == [0, 0, POOL]
+
+
 def test_without_the_store_nodes_keep_their_own_part() -> None:
     async def scenario() -> int:
         nodes = Nodes()
