Answers without a length: a new connection must answer as well

What callers saw: the beginning of a streamed chat as a whole one.

Cause: the process that sent an answer answered on the second connection it had accepted, and that alone was taken for the proof of a complete answer. A broken link may end one connection before the other: the answer's had ended, the second one answered 2 to 9 ms later (answer_end_checked evidence=same_connection).

Change: a report on a new connection, asked before for every such answer, has to come as well; while the link is broken it doesn't.

--- a/packages/serving/src/fordhatch/serving/_answer_end.py
+++ b/packages/serving/src/fordhatch/serving/_answer_end.py
@@ -86,16 +86,17 @@
 
     async def _find(self, answer: BackendAnswer, left_s: float) -> EndEvidence:
         backend = answer.backend
-        responder = await self._ask_witness(answer)
-        if responder is Responder.UNNAMED:
-            return EndEvidence.SAME_CONNECTION
-        if responder is not Responder.UNKNOWN:
-            return _named_evidence(responder)
+        sender = await self._ask_witness(answer)
+        # A link that breaks may end one connection before the other.
         report = await self.prober.reach(backend)
         if report.is_err() and not _is_inconclusive(report):
             return EndEvidence.NOT_REACHED
         named = _named_evidence(_responder(backend, report))
-        return named if named is not None else await self._ask_name(backend, left_s)
+        if named is not None:
+            return named
+        if sender in (Responder.THIS_START, Responder.UNNAMED):
+            return EndEvidence.SAME_CONNECTION
+        return await self._ask_name(backend, left_s)
 
     async def _ask_witness(self, answer: BackendAnswer) -> Responder:
         """Return who answers on a connection that the sender of an answer accepted."""
--- a/packages/serving/tests/test_ends_of_answers.py
+++ b/packages/serving/tests/test_ends_of_answers.py
@@ -197,6 +197,17 @@
     assert (await ask(site, script)).status == 200
 
 
+# Guards against a link that breaks: it may end the answer's connection first.
+async def test_a_server_that_takes_no_new_connection_confirms_no_end(site) -> None:
+    async def script(request, writer) -> None:
+        writer.write(plain_head(request) + PLAIN_BODY)
+        await writer.drain()
+        await asyncio.sleep(LASTS_S)
+        await script.server.close()
+
+    assert (await ask(site, script)).status == 502
+
+
 async def test_a_stream_of_another_process_resumes_elsewhere(site) -> None:
     async def script(request, writer) -> None:
         writer.write(head(request, chunked=False) + events(1, 2))
