--- a/bench/crash_guards.py
+++ b/bench/crash_guards.py
@@ -16,21 +16,21 @@
     ),
     Guard(
         "crash: a connection that breaks is no end of a server",
-        "serving/_crash_watch.py",
+        "serving/crashes/_crash_watch.py",
         "            return answer.unwrap_err().code is ResultCode.BACKEND_REFUSED\n",
         "            return True\n",
         f"{SERVING}/test_crash_watch.py -k unanswered_probe",
     ),
     Guard(
         "crash: the cause of an end frees the others that were there",
-        "serving/_crash_cause.py",
+        "serving/crashes/_crash_cause.py",
         "                del seen[backend]\n",
         "                pass\n",
         f"{SERVING}/test_quarantine.py -k explains_its_crashes",
     ),
     Guard(
         "crash: a whole answer clears a content",
-        "serving/_crash_watch.py",
+        "serving/crashes/_crash_watch.py",
         "            self.row_writer.remove(self.quarantine.clear(features.content))\n",
         "            pass\n",
         f"{SERVING}/test_quarantined_calls.py -k removes_the_published",
@@ -44,7 +44,7 @@
     ),
     Guard(
         "crash: parts at the same crashes are a cause only together",
-        "serving/_crash_cause.py",
+        "serving/crashes/_crash_cause.py",
         "    return causes + together\n",
         "    return causes + [\n"
         "        CrashCause.of((f,), b) for b, fs in parts.items() for f in fs\n"
@@ -53,7 +53,7 @@
     ),
     Guard(
         "crash: a proof excuses a part",
-        "serving/_part_proofs.py",
+        "serving/crashes/_part_proofs.py",
         "        return crash_s <= proven_s + PROOF_HOLDS_S\n",
         "        return False\n",
         f"{SERVING}/test_quarantine.py -k proven_part",
@@ -67,14 +67,14 @@
     ),
     Guard(
         "crash: a likely cause has no second run",
-        "serving/_crash_watch.py",
+        "serving/crashes/_crash_watch.py",
         "        return not (is_likely and check.has_crashed)\n",
         "        return True\n",
         f"{SERVING}/test_quarantined_calls.py -k part_that_crashed_two",
     ),
     Guard(
         "answers without length: complete only if the server is reached",
-        "serving/_answer_end.py",
+        "serving/exchange/_answer_end.py",
         "            return EndEvidence.NOT_REACHED\n",
         "            return EndEvidence.THIS_START\n",
         f"{SERVING}/test_answers_without_length.py -k not_reached",
@@ -88,7 +88,7 @@
     ),
     Guard(
         "answers without length: a nameless process is none on a new connection",
-        "serving/_answer_end.py",
+        "serving/exchange/_answer_end.py",
         "        case Responder.UNNAMED | Responder.UNKNOWN:\n"
         "            return None\n",
         "        case Responder.UNNAMED:\n            return EndEvidence.THIS_START\n",
@@ -103,7 +103,7 @@
     ),
     Guard(
         "answers without length: the sender holds another connection",
-        "serving/_process_witness.py",
+        "serving/exchange/_process_witness.py",
         "                self.query, query = query, self.query\n",
         "                pass\n",
         f"{SERVING}/test_ends_of_answers.py -k lasting_answer",
@@ -152,7 +152,7 @@
     ),
     Guard(
         "suspension: what may no longer be sent is not, once connected",
-        "serving/_exchange.py",
+        "serving/exchange/_exchange.py",
         "trace_configs=[trace]",
         "trace_configs=[]",
         f"{SERVING}/test_suspended_node.py -k connecting",
--- a/bench/entry_guards.py
+++ b/bench/entry_guards.py
@@ -87,7 +87,7 @@
     ),
     Guard(
         "routing: a zone's few groups are not drowned by its nodes",
-        "serving/_head_choice.py",
+        "serving/groups/_head_choice.py",
         "OTHER_ZONE_COST / max(self.node_count(), 1)",
         "OTHER_ZONE_COST / 8",
         "packages/serving/tests/test_head_choice.py -k overloaded",
--- a/bench/platform_guards.py
+++ b/bench/platform_guards.py
@@ -12,21 +12,21 @@
 PLATFORM_GUARDS = [
     Guard(
         "MIXED: an answer must bear the request's own id",
-        "serving/_exchange.py",
+        "serving/exchange/_exchange.py",
         "        if foreign or fields.has_encoding or not fields.is_signed:\n",
         "        if fields.has_encoding or not fields.is_signed:\n",
         f"{SERVING}/test_plain_calls.py -k answers_another",
     ),
     Guard(
         "MIXED: an answer must be signed and not encoded",
-        "serving/_exchange.py",
+        "serving/exchange/_exchange.py",
         "        if foreign or fields.has_encoding or not fields.is_signed:\n",
         "        if foreign:\n",
         f"{SERVING}/test_plain_calls.py -k encodes",
     ),
     Guard(
         "MIXED: a reset does not end an answer without length",
-        "serving/_backend_answer.py",
+        "serving/exchange/_backend_answer.py",
         "        if isinstance(error, OSError):\n",
         "        if False:\n",
         f"{SERVING}/test_plain_calls.py -k resets_without_length",
@@ -265,7 +265,7 @@
     ),
     Guard(
         "refusals: only a group on its way is waited for",
-        "serving/_group_wait.py",
+        "serving/groups/_group_wait.py",
         "    return {s for found in states.values() if found <= {*pending} for s in found}\n",
         "    return {s for found in states.values() for s in found}\n",
         f"{SERVING}/test_group_wait.py",
--- a/bench/retry_guards.py
+++ b/bench/retry_guards.py
@@ -10,21 +10,21 @@
 RETRY_GUARDS = [
     Guard(
         "BUDGET: the first starts take retries from a store that was never restored",
-        "serving/_slack_pool.py",
+        "serving/retries/_slack_pool.py",
         "        if page.is_generation_named and generation == 0:\n",
         "        if False:\n",
         f"{SERVING} -k first_starts_take",
     ),
     Guard(
         "BUDGET: a store that names no generation may have been restored",
-        "serving/_slack_pool.py",
+        "serving/retries/_slack_pool.py",
         "page.is_generation_named and generation == 0:\n",
         "generation == 0:\n",
         f"{SERVING} -k doubts_a_missing_row",
     ),
     Guard(
         "BUDGET: a malformed row is written anew",
-        "serving/_slack_pool.py",
+        "serving/retries/_slack_pool.py",
         "                if state.is_malformed:\n",
         "                if False:\n",
         f"{SERVING} -k written_anew",
@@ -81,14 +81,14 @@
     ),
     Guard(
         "BUDGET: a retry that is held up is checked again",
-        "serving/_retry_budget.py",
+        "serving/retries/_retry_budget.py",
         "        return self._spend(ticket.service) is not None\n",
         "        return True\n",
         f"{SERVING} -k opens_late",
     ),
     Guard(
         "BUDGET: requests that waited for a halted process earn nothing",
-        "serving/_retry_budget.py",
+        "serving/retries/_retry_budget.py",
         "        if now_s >= self._credit_from_s:\n",
         "        if True:\n",
         f"{SERVING} -k halt",
@@ -102,14 +102,14 @@
     ),
     Guard(
         "BUDGET: starts that take from the store at once share it",
-        "serving/_slack_pool.py",
+        "serving/retries/_slack_pool.py",
         "            {key: state.version}, {key: row.to_bytes()}",
         "            {}, {key: row.to_bytes()}",
         f"{SERVING} -k at_the_same_time",
     ),
     Guard(
         "BUDGET: a restored store grants nothing twice",
-        "serving/_slack_pool.py",
+        "serving/retries/_slack_pool.py",
         "        elif row.generation != page.version.generation:\n",
         "        elif False:\n",
         f"{SERVING} -k restored",
--- a/packages/node/tests/test_load_gossip.py
+++ b/packages/node/tests/test_load_gossip.py
@@ -16,7 +16,7 @@
 from fordhatch.protocol.messages import LoadReport
 from fordhatch.registry import NodeAddress
 from fordhatch.serving import CollectorChoice, SharedLoad
-from fordhatch.serving._collector_choice import rank_collectors
+from fordhatch.serving.load._collector_choice import rank_collectors
 from fordhatch_lab import run_in_virtual_time
 from fordhatch_standins._memory_network import MemoryNetwork
 
--- a/packages/serving/src/fordhatch/serving/_admission.py
+++ b/packages/serving/src/fordhatch/serving/_admission.py
@@ -16,13 +16,13 @@
 )
 from fordhatch.core import Failure, ResultCode, Timer
 
-from ._backpressure import BackpressureTracker
 from ._evacuated_zones import is_evacuated
 from ._knowledge import Freshness
 from ._node_state import OTHER_NODE_RETRY_AFTER_S, NodeState
-from ._quarantine import Quarantine
 from ._request import ServedRequest
 from ._route_table import RouteTable, choose_service
+from .crashes import Quarantine
+from .limits import BackpressureTracker
 
 
 @attrs.define(eq=False, repr=False)
--- a/packages/serving/src/fordhatch/serving/_admission_control.py
+++ b/packages/serving/src/fordhatch/serving/_admission_control.py
@@ -39,11 +39,9 @@
     stream_patience_s,
 )
 
-from ._demand_meter import MAX_PROMPT_RATIO
-from ._group_wait import group_wait
-from ._memory_need import MemoryNeed
-from ._model_load import ModelLoad, RequestSample
 from ._request import ServedRequest
+from .groups import ModelLoad, RequestSample, group_wait
+from .load import MAX_PROMPT_RATIO, MemoryNeed
 
 REVIEW_INTERVAL_S = 0.05
 """Interval at which waiting requests are decided on again, in seconds: a fifth of the
--- a/packages/serving/src/fordhatch/serving/_dispatch.py
+++ b/packages/serving/src/fordhatch/serving/_dispatch.py
@@ -6,12 +6,12 @@
 
 from fordhatch.core import Failure, Ran, ResultCode, Timer, log_event, metrics
 
-from ._crash_watch import CrashWatch
 from ._node_state import OTHER_NODE_RETRY_AFTER_S, NodeState
 from ._plain_call import PlainCalls
 from ._request import Reply, ServedRequest
-from ._retry_budget import RetryBudget
 from ._stream_call import StreamCalls
+from .crashes import CrashWatch
+from .retries import RetryBudget
 
 
 @attrs.define(eq=False, repr=False)
--- a/packages/serving/src/fordhatch/serving/_plain_call.py
+++ b/packages/serving/src/fordhatch/serving/_plain_call.py
@@ -15,19 +15,22 @@
 from fordhatch.registry import BackendDirectory, RunStage
 
 from ._admission import Admission
-from ._answer_end import UNCONFIRMED_END
-from ._backend_answer import BackendAnswer
-from ._backend_exchange import BackendExchange
-from ._backend_health import TIE_BREAK_FRACTION, BackendHealth
-from ._backpressure import Block
-from ._crash_watch import CrashWatch
 from ._evacuated_zones import EVACUATED_RETRY_AFTER_S, evacuated_plain_failure
-from ._exchange import SendFailure, SendProblem, connection_problem, is_sent
-from ._group_wait import MAX_WAIT_FRACTION
-from ._permits import Permits
 from ._request import Reply, ServedRequest
-from ._retry_budget import RetryBudget
-from ._shared_load import SharedLoad
+from .crashes import CrashWatch
+from .exchange import (
+    UNCONFIRMED_END,
+    BackendAnswer,
+    BackendExchange,
+    SendFailure,
+    SendProblem,
+    connection_problem,
+    is_sent,
+)
+from .groups import MAX_WAIT_FRACTION, TIE_BREAK_FRACTION, BackendHealth
+from .limits import Block, Permits
+from .load import SharedLoad
+from .retries import RetryBudget
 
 MAX_SENDS = 4
 """Maximum attempts per request, including refusals and failed connections."""
--- a/packages/serving/src/fordhatch/serving/_request_path.py
+++ b/packages/serving/src/fordhatch/serving/_request_path.py
@@ -10,28 +10,17 @@
 
 from ._admission import Admission
 from ._admission_control import AdmissionControl
-from ._answer_end import AnswerEndCheck
-from ._backend_exchange import BackendExchange
-from ._backend_health import BackendHealth
-from ._backpressure import BackpressureTracker
-from ._cold_backends import ColdBackends
-from ._crash_row_writer import CrashRowWriter
-from ._crash_watch import CrashWatch
-from ._demand_meter import DemandMeter
 from ._dispatch import Dispatch
-from ._exchange import ExchangeClient
-from ._group_progress import GroupProgress
-from ._head_choice import HeadChoice
-from ._model_load import ModelLoad
 from ._node_state import NodeState
-from ._permit_issuer import PermitIssuer
-from ._permits import Permits
 from ._plain_call import PlainCalls
-from ._retry_budget import RetryBudget
-from ._shared_load import SharedLoad
-from ._stall_watch import StallWatch
 from ._stream_call import StreamCalls
 from ._stream_run import StreamRuns
+from .crashes import CrashRowWriter, CrashWatch
+from .exchange import AnswerEndCheck, BackendExchange, ExchangeClient
+from .groups import BackendHealth, GroupProgress, HeadChoice, ModelLoad, StallWatch
+from .limits import BackpressureTracker, ColdBackends, PermitIssuer, Permits
+from .load import DemandMeter, SharedLoad
+from .retries import RetryBudget
 
 
 @attrs.define(eq=False, repr=False)
--- a/packages/serving/src/fordhatch/serving/_stream.py
+++ b/packages/serving/src/fordhatch/serving/_stream.py
@@ -7,9 +7,9 @@
 from fordhatch.catalog import EngineProfile
 
 from ._events import EventOrder
-from ._exchange import SendFailure
-from ._memory_need import MemoryNeed
 from ._request import Reply, ServedRequest
+from .exchange import SendFailure
+from .load import MemoryNeed
 
 
 @attrs.define(eq=False, repr=False)
--- a/packages/serving/src/fordhatch/serving/_stream_call.py
+++ b/packages/serving/src/fordhatch/serving/_stream_call.py
@@ -16,19 +16,18 @@
 
 from ._admission import Admission
 from ._admission_control import AdmissionControl
-from ._crash_watch import CrashWatch
-from ._demand_meter import DemandMeter
 from ._evacuated_zones import evacuated_stream_failure
 from ._events import EventOrder
-from ._exchange import SendFailure, is_sent
-from ._group_wait import MAX_WAIT_FRACTION, GroupWait, group_wait
-from ._head_choice import HeadChoice
 from ._node_state import OTHER_NODE_RETRY_AFTER_S
-from ._permits import Permits
 from ._request import Reply, ServedRequest
-from ._retry_budget import RetryBudget
 from ._stream import Stream
 from ._stream_run import StreamRuns
+from .crashes import CrashWatch
+from .exchange import SendFailure, is_sent
+from .groups import MAX_WAIT_FRACTION, GroupWait, HeadChoice, group_wait
+from .limits import Permits
+from .load import DemandMeter
+from .retries import RetryBudget
 
 MAX_SENDS = 6
 """Maximum attempts per request, including refusals and failed connections."""
--- a/packages/serving/src/fordhatch/serving/_stream_ending.py
+++ b/packages/serving/src/fordhatch/serving/_stream_ending.py
@@ -4,13 +4,16 @@
 
 from fordhatch.registry import RunStage
 
-from ._answer_end import UNCONFIRMED_END
-from ._backend_answer import BackendAnswer
-from ._backend_exchange import BackendExchange
 from ._events import EventSplitter
-from ._exchange import SendFailure, SendProblem
-from ._group_progress import RunProgress
 from ._stream import Stream
+from .exchange import (
+    UNCONFIRMED_END,
+    BackendAnswer,
+    BackendExchange,
+    SendFailure,
+    SendProblem,
+)
+from .groups import RunProgress
 
 
 class RunFailed(Exception):  # noqa: N818
--- a/packages/serving/src/fordhatch/serving/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/_stream_run.py
@@ -13,20 +13,30 @@
 from fordhatch.core import Timer, log_event, metrics
 from fordhatch.registry import BackendDirectory
 
-from ._answer_end import UNCONFIRMED_END
-from ._backend_answer import BackendAnswer
-from ._backend_exchange import BackendExchange
-from ._backend_health import BackendHealth
-from ._backpressure import BackpressureTracker
-from ._crash_watch import CrashWatch
 from ._events import EventSplitter, StreamError
-from ._exchange import SendFailure, SendProblem, connection_problem
-from ._group_progress import GroupProgress, RunProgress, silence_s
-from ._head_choice import HeadChoice
-from ._shared_load import SharedLoad
-from ._stall_watch import SLOW_CHECK_INTERVAL_S, SLOW_PACE, StallWatch
 from ._stream import Stream
 from ._stream_ending import RunFailed, check_ending, reached_stage
+from .crashes import CrashWatch
+from .exchange import (
+    UNCONFIRMED_END,
+    BackendAnswer,
+    BackendExchange,
+    SendFailure,
+    SendProblem,
+    connection_problem,
+)
+from .groups import (
+    SLOW_CHECK_INTERVAL_S,
+    SLOW_PACE,
+    BackendHealth,
+    GroupProgress,
+    HeadChoice,
+    RunProgress,
+    StallWatch,
+    silence_s,
+)
+from .limits import BackpressureTracker
+from .load import SharedLoad
 
 RESUMED_URGENCY = 0
 """Resumed streams are first in the backend server's queue: their callers wait
--- a/packages/serving/src/fordhatch/serving/_crash_cause.py
+++ b/packages/serving/src/fordhatch/serving/crashes/_crash_cause.py
@@ -12,7 +12,7 @@
 
 from fordhatch.registry import RunStage
 
-from ._request_features import is_part
+from .._request_features import is_part
 
 QUARANTINE_CRASHES = 3
 """A feature is not run again once this many backend servers have crashed under it. One
--- a/packages/serving/src/fordhatch/serving/_crash_watch.py
+++ b/packages/serving/src/fordhatch/serving/crashes/_crash_watch.py
@@ -18,13 +18,13 @@
     identify,
 )
 
+from .._request import ServedRequest
+from .._request_features import RequestFeatures
 from ._crash_row_writer import CrashRowWriter
 from ._part_proofs import PartProofs
 from ._proof_sharing import ProofSharing
 from ._quarantine import Quarantine
-from ._request import ServedRequest
 from ._request_digest import part_digest, request_features
-from ._request_features import RequestFeatures
 
 ENDED_RETENTION_S = 5.0
 """How long a crashed backend server is remembered, in seconds; its last connections
--- a/packages/serving/src/fordhatch/serving/_quarantine.py
+++ b/packages/serving/src/fordhatch/serving/crashes/_quarantine.py
@@ -15,10 +15,10 @@
 from fordhatch.core import Failure, ResultCode, log_event, metrics
 from fordhatch.registry import CrashKey, CrashRecord, RunStage, SharedRows
 
+from .._request import ServedRequest
+from .._request_features import RequestFeatures, is_part
 from ._crash_cause import CrashCause, judge
 from ._part_proofs import PartProofs
-from ._request import ServedRequest
-from ._request_features import RequestFeatures, is_part
 
 MAX_OWN_CRASHES = 1000
 """Crashes that a node remembers itself while the store does not accept them."""
--- a/packages/serving/src/fordhatch/serving/_request_digest.py
+++ b/packages/serving/src/fordhatch/serving/crashes/_request_digest.py
@@ -4,8 +4,8 @@
 
 import hashlib
 
-from ._request import ServedRequest
-from ._request_features import PART_PREFIX, RequestFeatures
+from .._request import ServedRequest
+from .._request_features import PART_PREFIX, RequestFeatures
 
 DIGEST_BYTES = 16
 """Long enough that two contents of a day collide once in 10**30 days."""
--- /dev/null
+++ b/packages/serving/src/fordhatch/serving/exchange/__init__.py
@@ -0,0 +1,32 @@
+"""Attempts at backend servers, and whether their answers are complete."""
+
+from __future__ import annotations
+
+from ._answer_end import UNCONFIRMED_END, AnswerEndCheck
+from ._backend_answer import BackendAnswer, ends_with_connection
+from ._backend_exchange import BackendExchange, SendOptions
+from ._exchange import (
+    ExchangeClient,
+    OutboundRequest,
+    SendFailure,
+    SendProblem,
+    connection_problem,
+    is_sent,
+)
+from ._process_witness import ProcessWitness
+
+__all__ = [
+    "UNCONFIRMED_END",
+    "AnswerEndCheck",
+    "BackendAnswer",
+    "BackendExchange",
+    "ExchangeClient",
+    "OutboundRequest",
+    "ProcessWitness",
+    "SendFailure",
+    "SendOptions",
+    "SendProblem",
+    "connection_problem",
+    "ends_with_connection",
+    "is_sent",
+]
--- a/packages/serving/src/fordhatch/serving/_head_choice.py
+++ b/packages/serving/src/fordhatch/serving/groups/_head_choice.py
@@ -10,10 +10,9 @@
 from fordhatch.catalog import BackendServer
 from fordhatch.registry import BackendDirectory
 
+from ..limits import BackpressureTracker, Block
+from ..load import NO_NEED, MemoryNeed, SharedLoad, Totals
 from ._backend_health import TIE_BREAK_FRACTION, BackendHealth
-from ._backpressure import BackpressureTracker, Block
-from ._memory_need import NO_NEED, MemoryNeed
-from ._shared_load import SharedLoad, Totals
 from ._stall_watch import StallWatch
 
 OTHER_ZONE_COST = 2.4
--- a/packages/serving/src/fordhatch/serving/_model_load.py
+++ b/packages/serving/src/fordhatch/serving/groups/_model_load.py
@@ -12,9 +12,9 @@
 from fordhatch.registry import BackendDirectory
 from fordhatch.scheduling import GroupCapacity, ModelCapacity, OpeningGroup
 
+from ..load import MAX_TOTAL_AGE_S, SharedLoad
 from ._group_wait import GroupKey, pending_groups
 from ._head_choice import HeadChoice
-from ._shared_load import MAX_TOTAL_AGE_S, SharedLoad
 
 MIN_SAMPLE = 3
 """Fewest own requests in flight for which their ratio to those of all nodes is used;
--- a/packages/serving/src/fordhatch/serving/_collector_choice.py
+++ b/packages/serving/src/fordhatch/serving/load/_collector_choice.py
@@ -10,7 +10,7 @@
 from fordhatch.core import log_event
 from fordhatch.registry import NodeAddress, strong_first
 
-from ._permit_issuer import issuers
+from ..limits import issuers
 
 COLLECTOR_PURPOSE = "load-collector"
 """Key of the rendezvous hashing."""
--- a/packages/serving/src/fordhatch/serving/_retry_budget.py
+++ b/packages/serving/src/fordhatch/serving/retries/_retry_budget.py
@@ -13,7 +13,7 @@
 from fordhatch.catalog import SystemBounds
 from fordhatch.core import TaskSet, Timer, log_event, metrics
 
-from ._request import ServedRequest
+from .._request import ServedRequest
 from ._slack_pool import SlackPool
 
 WAIT_FRACTION = 0.1
--- a/packages/serving/tests/cold_nodes.py
+++ b/packages/serving/tests/cold_nodes.py
@@ -17,7 +17,7 @@
     Permits,
     ServerLimit,
 )
-from fordhatch.serving._permit_issuer import PermitIssuer
+from fordhatch.serving.limits._permit_issuer import PermitIssuer
 from fordhatch_standins import entry_fields
 
 COLD_S = 3.0
--- a/packages/serving/tests/test_admission_control.py
+++ b/packages/serving/tests/test_admission_control.py
@@ -14,8 +14,8 @@
 
 from fordhatch.adapter import CONFIGURATION_KEY, OPERATOR_TABLE, decode_configuration
 from fordhatch.serving._admission_control import MAX_LINES_PER_S
-from fordhatch.serving._head_choice import HeadChoice
-from fordhatch.serving._memory_need import NO_NEED
+from fordhatch.serving.groups._head_choice import HeadChoice
+from fordhatch.serving.load._memory_need import NO_NEED
 
 GOAL_S = 0.4
 SLOTS = 13
--- a/packages/serving/tests/test_cold_backends.py
+++ b/packages/serving/tests/test_cold_backends.py
@@ -8,13 +8,13 @@
 from fordhatch.adapter import BackendReport
 from fordhatch.catalog import Backpressure
 from fordhatch.core import metrics
-from fordhatch.serving import (
+from fordhatch.serving.limits import (
     BackpressureTracker,
     ColdBackends,
     ColdReport,
     _cold_backends,
 )
-from fordhatch.serving._cold_backends import MAX_COLD_S, MAX_LOGGED_CHANGES
+from fordhatch.serving.limits._cold_backends import MAX_COLD_S, MAX_LOGGED_CHANGES
 
 COLD = "cold-left-ms"
 
--- a/packages/serving/tests/test_cold_permits.py
+++ b/packages/serving/tests/test_cold_permits.py
@@ -14,12 +14,12 @@
 from hypothesis import strategies as st
 
 from fordhatch.serving import ServerLimit
-from fordhatch.serving._cold_budget import (
+from fordhatch.serving.limits._cold_budget import (
     ARRIVAL_SPREAD_S,
     ISSUER_RANKS,
     ColdBudget,
 )
-from fordhatch.serving._permit_issuer import issuers
+from fordhatch.serving.limits._permit_issuer import issuers
 
 DRIFT = 0.01
 DELAY_S = 0.1
--- a/packages/serving/tests/test_crash_teller.py
+++ b/packages/serving/tests/test_crash_teller.py
@@ -9,7 +9,7 @@
 
 from fordhatch.core import Timer
 from fordhatch.registry import SHARED_TABLE, CrashRecord, RunStage
-from fordhatch.serving._crash_row_writer import (
+from fordhatch.serving.crashes._crash_row_writer import (
     BATCH_PAUSE_S,
     MAX_PENDING_ROWS,
     CrashRowWriter,
--- a/packages/serving/tests/test_crash_watch.py
+++ b/packages/serving/tests/test_crash_watch.py
@@ -14,7 +14,7 @@
 from fordhatch.adapter import caller_fields
 from fordhatch.registry import SECRET_KEY, SHARED_TABLE
 from fordhatch.serving import ServedRequest
-from fordhatch.serving._request_digest import part_digest, request_digest
+from fordhatch.serving.crashes._request_digest import part_digest, request_digest
 
 
 @pytest.fixture
--- a/packages/serving/tests/test_group_progress.py
+++ b/packages/serving/tests/test_group_progress.py
@@ -7,7 +7,10 @@
 
 from fordhatch.catalog import EngineProfile, ModelProfile
 from fordhatch.core import Timer
-from fordhatch.serving._group_progress import MAX_FIRST_EVENT_WAIT_S, GroupProgress
+from fordhatch.serving.groups._group_progress import (
+    MAX_FIRST_EVENT_WAIT_S,
+    GroupProgress,
+)
 
 MODEL = ModelProfile("m", size=4, share=1.0, pace=0.6, load_s=12.0, warm_s=1.1)
 PROFILE = EngineProfile(
--- a/packages/serving/tests/test_group_wait.py
+++ b/packages/serving/tests/test_group_wait.py
@@ -11,7 +11,7 @@
 
 from fordhatch.adapter import decode_backend, decode_configuration
 from fordhatch.catalog import BackendServer
-from fordhatch.serving._group_wait import group_wait
+from fordhatch.serving.groups._group_wait import group_wait
 from fordhatch_standins import backend_entry
 
 PROFILE = decode_configuration(engine_configuration()).services["llm"].engine
--- a/packages/serving/tests/test_head_choice.py
+++ b/packages/serving/tests/test_head_choice.py
@@ -26,7 +26,7 @@
 from fordhatch.core import Timer
 from fordhatch.registry import BackendDirectory
 from fordhatch.serving import BackendHealth, BackpressureTracker
-from fordhatch.serving._head_choice import HeadChoice
+from fordhatch.serving.groups._head_choice import HeadChoice
 from fordhatch_lab import run_in_virtual_time
 
 STREAM_S = 0.75
--- a/packages/serving/tests/test_limit_over_lossy_links.py
+++ b/packages/serving/tests/test_limit_over_lossy_links.py
@@ -10,7 +10,7 @@
 from fordhatch.catalog import Backpressure
 from fordhatch.registry import BackendDirectory
 from fordhatch.serving import BackpressureTracker, Permits
-from fordhatch.serving._permit_issuer import PermitIssuer
+from fordhatch.serving.limits._permit_issuer import PermitIssuer
 from fordhatch_lab import allowed
 from fordhatch_lab._limit_ways import SERVER
 
--- a/packages/serving/tests/test_load_book.py
+++ b/packages/serving/tests/test_load_book.py
@@ -5,9 +5,9 @@
 import pytest
 
 from fordhatch.registry import NodeAddress
-from fordhatch.serving._collector_choice import CollectorChoice, rank_collectors
-from fordhatch.serving._load_book import LoadBook
-from fordhatch.serving._shared_load import BackendLoad, SharedLoad, load_key
+from fordhatch.serving.load._collector_choice import CollectorChoice, rank_collectors
+from fordhatch.serving.load._load_book import LoadBook
+from fordhatch.serving.load._shared_load import BackendLoad, SharedLoad, load_key
 from fordhatch_lab._load_trial import ManualClock
 
 
--- a/packages/serving/tests/test_load_of_all_nodes.py
+++ b/packages/serving/tests/test_load_of_all_nodes.py
@@ -18,9 +18,9 @@
 from fordhatch.core import Timer
 from fordhatch.registry import BackendDirectory
 from fordhatch.serving import BackendHealth, BackpressureTracker
-from fordhatch.serving._head_choice import HeadChoice
-from fordhatch.serving._memory_need import MemoryNeed
-from fordhatch.serving._shared_load import BackendLoad, SharedLoad, load_key
+from fordhatch.serving.groups._head_choice import HeadChoice
+from fordhatch.serving.load._memory_need import MemoryNeed
+from fordhatch.serving.load._shared_load import BackendLoad, SharedLoad, load_key
 from fordhatch_lab import LoadTrial, play_load, run_in_virtual_time
 from fordhatch_lab._load_trial import FixedHeads, ManualClock, NoStalls, _entry
 from fordhatch_standins import http_answer
--- a/packages/serving/tests/test_permits.py
+++ b/packages/serving/tests/test_permits.py
@@ -14,7 +14,7 @@
 
 from fordhatch.catalog import Backpressure
 from fordhatch.serving import Permits, ServerLimit
-from fordhatch.serving._permit_issuer import issuers
+from fordhatch.serving.limits._permit_issuer import issuers
 from fordhatch_lab import (
     LimitPlay,
     LimitTrial,
--- a/packages/serving/tests/test_permits_stateful.py
+++ b/packages/serving/tests/test_permits_stateful.py
@@ -18,7 +18,7 @@
 from fordhatch.catalog import Backpressure
 from fordhatch.registry import BackendDirectory
 from fordhatch.serving import BackpressureTracker, Permit, Permits, ServerLimit
-from fordhatch.serving._permit_issuer import PermitIssuer
+from fordhatch.serving.limits._permit_issuer import PermitIssuer
 from fordhatch_lab import allowed
 from fordhatch_lab._limit_ways import SERVER
 
--- a/packages/serving/tests/test_quarantine.py
+++ b/packages/serving/tests/test_quarantine.py
@@ -18,10 +18,10 @@
     crash_key,
     proven_key,
 )
-from fordhatch.serving import _crash_cause
-from fordhatch.serving._part_proofs import MAX_PARTS, PROOF_HOLDS_S, PartProofs
-from fordhatch.serving._quarantine import MAX_OWN_CRASHES, Quarantine
 from fordhatch.serving._request_features import RequestFeatures
+from fordhatch.serving.crashes import _crash_cause
+from fordhatch.serving.crashes._part_proofs import MAX_PARTS, PROOF_HOLDS_S, PartProofs
+from fordhatch.serving.crashes._quarantine import MAX_OWN_CRASHES, Quarantine
 
 BEGUN, FLOWING, WAITING = RunStage.BEGUN, RunStage.FLOWING, RunStage.WAITING
 
--- a/packages/serving/tests/test_quarantined_calls.py
+++ b/packages/serving/tests/test_quarantined_calls.py
@@ -16,7 +16,7 @@
     RunStage,
     crash_key,
 )
-from fordhatch.serving._request_digest import request_digest
+from fordhatch.serving.crashes._request_digest import request_digest
 from fordhatch_standins import http_answer
 
 KEY = b"k" * 32
--- a/packages/serving/tests/test_retry_budget.py
+++ b/packages/serving/tests/test_retry_budget.py
@@ -14,7 +14,7 @@
 from fordhatch.core import Timer
 from fordhatch.serving import RetryBudget, RetryLoan
 from fordhatch.serving._request import ServedRequest
-from fordhatch.serving._slack_pool import POOL_TABLE
+from fordhatch.serving.retries._slack_pool import POOL_TABLE
 from fordhatch_lab import run_in_virtual_time
 from fordhatch_standins import MemoryStoreClient, StoreModel
 
--- a/packages/serving/tests/test_stream_calls.py
+++ b/packages/serving/tests/test_stream_calls.py
@@ -11,7 +11,7 @@
 
 from fordhatch.adapter import BACKENDS_TABLE, RowKey
 from fordhatch.registry import SHARED_TABLE, Suspicion, slow_key, suspicion_key
-from fordhatch.serving._group_progress import MIN_SILENCE_S
+from fordhatch.serving.groups._group_progress import MIN_SILENCE_S
 from fordhatch_standins import SIGNATURE, entry_fields, http_answer
 
 UNUSED_ADDRESS = "127.0.0.1:1"
@@ -304,10 +304,10 @@
 ) -> None:
     # Far above the delay that a busy machine may add.
     monkeypatch.setattr(
-        "fordhatch.serving._group_progress.MIN_FIRST_EVENT_SILENCES", 50.0
+        "fordhatch.serving.groups._group_progress.MIN_FIRST_EVENT_SILENCES", 50.0
     )
     monkeypatch.setattr(
-        "fordhatch.serving._group_progress.MAX_FIRST_EVENT_WAIT_S", 20.0
+        "fordhatch.serving.groups._group_progress.MAX_FIRST_EVENT_WAIT_S", 20.0
     )
 
     async def begins_late(request, writer) -> None:
--- a/standins/src/fordhatch_lab/_limit_trial.py
+++ b/standins/src/fordhatch_lab/_limit_trial.py
@@ -9,7 +9,7 @@
 import attrs
 
 from fordhatch.core import Timer
-from fordhatch.serving._permit_issuer import issuers as rank_nodes
+from fordhatch.serving.limits._permit_issuer import issuers as rank_nodes
 
 from ._limit_ways import LINK_LATENCY_S, SERVER, STRATEGIES, LimitStrategy, TrialNodes
 from ._run import run_in_virtual_time
--- a/standins/src/fordhatch_lab/_limit_ways.py
+++ b/standins/src/fordhatch_lab/_limit_ways.py
@@ -25,8 +25,8 @@
     Permits,
     ServerLimit,
 )
-from fordhatch.serving._cold_backends import MAX_COLD_S
-from fordhatch.serving._permit_issuer import PermitIssuer
+from fordhatch.serving.limits._cold_backends import MAX_COLD_S
+from fordhatch.serving.limits._permit_issuer import PermitIssuer
 
 SERVER = BackendServer("i-1", "llm", "10.0.0.1:1", "z1", BackendState.READY, 13)
 """The backend server that reports a limit."""
--- a/standins/src/fordhatch_lab/_load_trial.py
+++ b/standins/src/fordhatch_lab/_load_trial.py
@@ -22,11 +22,11 @@
     Permits,
     PlainCalls,
 )
-from fordhatch.serving._head_choice import HeadChoice
-from fordhatch.serving._load_book import LoadBook
-from fordhatch.serving._memory_need import MemoryNeed
-from fordhatch.serving._permit_issuer import PermitIssuer
-from fordhatch.serving._shared_load import SharedLoad, Totals
+from fordhatch.serving.groups._head_choice import HeadChoice
+from fordhatch.serving.limits._permit_issuer import PermitIssuer
+from fordhatch.serving.load._load_book import LoadBook
+from fordhatch.serving.load._memory_need import MemoryNeed
+from fordhatch.serving.load._shared_load import SharedLoad, Totals
 
 REPORT_INTERVAL_S = 0.2
 LINK_LATENCY_S = 0.0005
