--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -83,7 +83,7 @@
     ),
     Mechanism(
         "own finding of a lost group is kept",
-        f"{SERVING}/_stall_watch.py",
+        f"{SERVING}/groups/_stall_watch.py",
         "        if key in self._found_lost:\n            return True\n",
         "",
     ),
@@ -120,7 +120,7 @@
     ),
     Mechanism(
         "availability zones weighed",
-        f"{SERVING}/_head_choice.py",
+        f"{SERVING}/groups/_head_choice.py",
         "        if head.zone != self.zone:\n            cost += other_zone\n",
         "        if False:\n            cost += other_zone\n",
     ),
