Tests of stops: requests in progress at the end of the grace period (red)

Fails on the present code: a plain call, a stream in a queue, a stream that may run once and a stream that waits for a group get no answer at all, the connection just closes; a stream that has begun ends with a close and no reset. No line of the log names any of the five:

{'begun': ('200 closed', 0)} != {'begun': ('200 reset', 1)} {'plain': ('0 closed', 0)} != {'plain': ('may have run', 1)} {'queued': ('0 closed', 0)} != {'queued': ('may have run', 1)} {'runs-once': ('0 closed', 0)} != {'runs-once': ('may have run', 1)} {'without-a-group': ('0 closed', 0)} != {'without-a-group': ('not run', 1)}

--- a/packages/node/tests/test_answers_at_a_stop.py
+++ b/packages/node/tests/test_answers_at_a_stop.py
@@ -9,10 +9,16 @@
     Answer,
     Caller,
     StoppingSite,
+    request_bytes,
     streams,
+    until,
 )
 
 
+async def runs_on(request, writer) -> None:
+    await asyncio.sleep(60)
+
+
 def outcome(answer: Answer) -> str:
     """Return how an answer ended, for a failure whether its request may have run."""
     if answer.status < 500 or answer.end != "whole":
@@ -36,3 +42,57 @@
         await node.end()
     assert outcome(answer) == "not run", node.about("late")
     assert "late" not in [r.request_id for r in head.seen]
+
+
+async def as_the_path_says(request, writer) -> None:
+    """Stream what is asked for as long, and run anything else without an answer."""
+    _, _, kind = request.target.rpartition("/")
+    if kind in ("short", "long"):
+        await streams(10 if kind == "short" else 600, 0.05)(request, writer)
+    else:
+        await runs_on(request, writer)
+
+
+IN_PROGRESS = {
+    "plain": ("/once/1", {}),
+    "queued": ("/stream/1", {}),
+    "runs-once": ("/single/1", {}),
+    "without-a-group": ("/stream/1", {"X-Model": "big"}),
+    "begun": ("/stream/long", {}),
+}
+"""Path and headers of requests by their id."""
+
+ENDS = {
+    "plain": ("may have run", 1),
+    "queued": ("may have run", 1),
+    "runs-once": ("may have run", 1),
+    "without-a-group": ("not run", 1),
+    "begun": ("200 reset", 1),
+}
+"""How each ends, and how many lines of the log say that the stop ended it."""
+
+
+# Guards against a request that ends with the process: no answer, no line.
+async def test_requests_that_the_stop_ends_are_answered_and_logged(tmp_path) -> None:
+    async with StoppingSite.start(tmp_path) as site:
+        plain = await site.add_backend(as_the_path_says)
+        head = await site.add_backend(as_the_path_says, "small.1")
+        await site.add_backend(as_the_path_says, "big.1", "joining")
+        node = await site.add_node()
+        callers = {name: await Caller.connect(node) for name in IN_PROGRESS}
+
+        async def send(name: str) -> None:
+            path, headers = IN_PROGRESS[name]
+            await callers[name].send(request_bytes(path, name, **headers))
+
+        for name in ("plain", "queued", "runs-once", "begun"):
+            await send(name)
+        await until(lambda: len(plain.seen) + len(head.seen) == 4)
+        await callers["begun"].begun(b"id: 2\n")
+        node.stop()
+        await asyncio.sleep(2.4)
+        await send("without-a-group")
+        answers = {name: await caller.answer() for name, caller in callers.items()}
+        await node.end()
+    found = {n: (outcome(a), len(node.stop_lines(n))) for n, a in answers.items()}
+    assert found == ENDS
