Tests of stops: a process that gets late to the signal (red)

Stopped for 1.5 s around SIGTERM, or at a fifth of its time in slices of 200 ms, the process is still there when the period is over: it counts from the moment at which its event loop gets to the signal. A stream that ends in time is whole, one that lasts longer is cut by the kill, and no line names it:

assert (-9, 'whole', 'closed', 0) == (0, 'whole', 'reset', 1)

--- a/packages/node/tests/test_answers_at_a_stop.py
+++ b/packages/node/tests/test_answers_at_a_stop.py
@@ -4,8 +4,11 @@
 
 import asyncio
 import json
+import signal
 
+import pytest
 from stopping_node import (
+    GRACE_S,
     Answer,
     Caller,
     StoppingSite,
@@ -96,3 +99,31 @@
         await node.end()
     found = {n: (outcome(a), len(node.stop_lines(n))) for n, a in answers.items()}
     assert found == ENDS
+
+
+# Guards against a grace period that is counted from the moment at which the process
+# gets to the signal: the platform kills the process before it has answered.
+@pytest.mark.parametrize("case", ["stopped for 1.5 s", "a fifth of the time"])
+async def test_a_process_that_gets_late_to_the_signal_ends_by_itself(
+    tmp_path, case
+) -> None:
+    async with StoppingSite.start(tmp_path) as site:
+        await site.add_backend(as_the_path_says, "small.1")
+        node = await site.add_node()
+        callers = {name: await Caller.connect(node) for name in ("short", "long")}
+        for name, caller in callers.items():
+            await caller.send(request_bytes(f"/stream/{name}", name))
+        await callers["long"].begun(b"id: 2\n")
+        if case == "stopped for 1.5 s":
+            node.process.send_signal(signal.SIGSTOP)
+            node.stop()
+            await asyncio.sleep(1.5)
+            node.process.send_signal(signal.SIGCONT)
+            await node.end_or_kill(GRACE_S)
+        else:
+            async with node.slowed(0.2, 0.2):
+                node.stop()
+                await node.end_or_kill(GRACE_S)
+        ends = [(await caller.answer()).end for caller in callers.values()]
+    found = node.process.returncode, *ends, len(node.stop_lines("long"))
+    assert found == (0, "whole", "reset", 1), node.lines[-3:]
