Tests of errors inside the node while the caller waits (red)

Before the answer has begun: a ConnectionResetError or aiohttp's ClientConnectionResetError gives the caller an empty 200 that looks whole, CancelledError a closed connection, and TimeoutError, ServerDisconnectedError and RuntimeError a 5xx of the HTTP library that is not the node's own failure.

In the middle of an answer: a ConnectionResetError or ClientConnectionResetError makes the first half end like a whole answer (200, whole); the others end the connection within the answer.

In no case does a line of the log name the request: NodeState.counted takes any ConnectionError for the caller's leaving and logs caller_gone without an id.

--- /dev/null
+++ b/packages/serving/tests/test_unexpected_ends.py
@@ -0,0 +1,72 @@
+"""Requests whose serving is interrupted though their caller waits for the answer."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import aiohttp
+import attrs
+import eliot
+import pytest
+import pytest_asyncio
+from stopping_node import Caller
+
+
+@attrs.define
+class RaisingCalls:
+    """Raises an error in place of serving a request, or in the middle of its answer."""
+
+    error: BaseException
+    has_begun: bool
+
+    async def serve(self, _: object, reply: object) -> None:
+        """Begin the answer, if it has to have begun, and raise."""
+        if self.has_begun:
+            await reply.begin(200, [])
+            await reply.write(b"the first half")
+        raise self.error
+
+
+@pytest_asyncio.fixture
+async def log() -> AsyncIterator[list[dict]]:
+    """Messages of the log."""
+    messages: list[dict] = []
+    eliot.add_destinations(messages.append)
+    yield messages
+    eliot.remove_destination(messages.append)
+
+
+def about(log: list[dict], request_id: str) -> list[dict]:
+    """Return the messages that name a request."""
+    return [message for message in log if request_id in message.values()]
+
+
+ERRORS = [
+    ConnectionResetError("reset"),
+    aiohttp.ClientConnectionResetError("Cannot write to closing transport"),
+    aiohttp.ServerDisconnectedError(),
+    TimeoutError(),
+    asyncio.CancelledError(),
+    RuntimeError("unexpected"),
+]
+
+
+# Guards against an error inside the node that is taken for the caller's leaving: the
+# caller gets an empty 200, or nothing, and no line of the log names the request.
+@pytest.mark.parametrize("error", ERRORS, ids=lambda error: type(error).__name__)
+@pytest.mark.parametrize("has_begun", [False, True], ids=["no answer", "begun"])
+async def test_an_error_in_the_node_is_a_failure_with_a_line(
+    site, log, error, has_begun
+) -> None:
+    site.callers.dispatch.plain = RaisingCalls(error, has_begun)
+    caller = await Caller.connect(site)
+    answer = await caller.ask("/once/1", "r1")
+    lines = about(log, "r1")
+    caller.close()
+    if has_begun:
+        assert answer.end != "whole"
+    else:
+        assert (answer.status >= 500, answer.end) == (True, "whole"), answer
+        assert answer.headers["content-type"].startswith("application/json")
+    assert len(lines) == 1, lines
