Tests of callers that close their sending side (red)

A caller that sends its request, closes its own direction of the connection and waits gets nothing: the connection is closed at once, for a plain call and a stream, with Connection: close and with keep-alive, and no line names the request. The HTTP library's eof_received returns nothing, so the transport closes at the caller's FIN and the handler is cancelled.

AssertionError: [] assert (0, 'closed') == (200, 'whole')

--- a/packages/serving/tests/test_unexpected_ends.py
+++ b/packages/serving/tests/test_unexpected_ends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator
 
 import aiohttp
@@ -10,7 +11,9 @@
 import eliot
 import pytest
 import pytest_asyncio
-from stopping_node import Caller
+from stopping_node import Caller, request_bytes, streams
+
+from fordhatch_standins import http_answer
 
 
 @attrs.define
@@ -70,3 +73,27 @@
         assert (answer.status >= 500, answer.end) == (True, "whole"), answer
         assert answer.headers["content-type"].startswith("application/json")
     assert len(lines) == 1, lines
+
+
+async def answers_late(request, writer) -> None:
+    await asyncio.sleep(0.2)
+    writer.write(http_answer(request, b"whole"))
+
+
+# Guards against an answer that is given up because the caller has sent everything that
+# it will send and has closed its own direction of the connection.
+@pytest.mark.parametrize("connection", ["keep-alive", "close"])
+@pytest.mark.parametrize("path", ["/once/1", "/stream/1"])
+async def test_a_caller_that_has_closed_its_sending_side_gets_its_answer(
+    site, log, path, connection
+) -> None:
+    if path == "/once/1":
+        await site.add_backend(answers_late)
+    else:
+        await site.add_backend(streams(10, 0.02), group="small.1")
+    caller = await Caller.connect(site)
+    await caller.send(request_bytes(path, "r1", Connection=connection))
+    caller.connection.shutdown(socket.SHUT_WR)
+    answer = await caller.answer()
+    caller.close()
+    assert answer.seen == (200, "whole"), about(log, "r1")
