Tests of stops: the tail of an answer in the buffer of the process (red)

Fails on the present code, for a plain answer with a length and for a stream. A caller reads nothing until 4.2 s after SIGTERM (grace period 8 s); its kernel and the node's hold all of the answer but about 32 KB. The handler's last write returns at once, request_done says status_200 or complete, node_left says in_flight=0 at 3.2 s, and the process ends with those bytes:

assert [(200, 'closed'), (200, 'closed')] == [(200, 'whole'), (200, 'whole')]

With segments and buffers of loopback the kernels hold 3.9 MB of an answer, so that this shows there only beyond that; the test has the segments of an Ethernet and a small receive buffer, with which they hold about 70 KB.

--- a/packages/node/tests/stopping_node.py
+++ b/packages/node/tests/stopping_node.py
@@ -38,6 +38,13 @@
 """Time between writes that keep the planner's lease from the nodes, whose planner would
 dissolve groups of scripted backend servers."""
 
+ETHERNET_SEGMENT_BYTES = 1448
+"""Largest segment of a TCP connection over an Ethernet."""
+
+TCP_TABLE = Path("/proc/net/tcp")
+SAME_READINGS = 25
+"""After this number of equal readings of it, a connection is taken to be full."""
+
 ROUTE_TIMEOUT_MS = 20_000
 """Longer than any answer of these tests takes."""
 
@@ -282,6 +289,10 @@
         connection.setblocking(False)
         if receive_bytes:
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+            # The node's kernel holds more for the large segments of loopback.
+            connection.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_MAXSEG, ETHERNET_SEGMENT_BYTES
+            )
         host, _, port = node.address.rpartition(":")
         loop = asyncio.get_running_loop()
         await loop.sock_connect(connection, (host, int(port)))
@@ -337,11 +348,33 @@
         self._buffer = rest[used:]
         return Answer(status, headers, body, "whole")
 
+    def held_bytes(self) -> int:
+        """Return what both kernels hold of the answers: sent and not yet read."""
+        ends = [self.connection.getpeername(), self.connection.getsockname()]
+        node, own = (f"{_hexadecimal(ip)}:{port:04X}" for ip, port in ends)
+        rows = [x.split() for x in TCP_TABLE.read_text().splitlines()[1:]]
+        sent = [r[4].partition(":")[0] for r in rows if r[1:3] == [node, own]]
+        unread = [r[4].partition(":")[2] for r in rows if r[1:3] == [own, node]]
+        return sum(int(count, 16) for count in [*sent, *unread])
+
+    async def until_full(self) -> int:
+        """Wait until the kernels take no more of an answer; returns what they hold."""
+        held = [0]
+        async with asyncio.timeout(WAIT_LIMIT_S):
+            while not held[-1] or len({*held[-SAME_READINGS:]}) > 1:
+                await asyncio.sleep(0.02)
+                held.append(self.held_bytes())
+        return held[-1]
+
     def close(self) -> None:
         """Close the connection."""
         self.connection.close()
 
 
+def _hexadecimal(address: str) -> str:
+    return "".join(f"{int(part):02X}" for part in reversed(address.split(".")))
+
+
 def _body(headers: dict[str, str], rest: bytes) -> tuple[bytes, int | None]:
     """Return a body as far as it is there, and its length on the wire if whole."""
     if "chunked" not in headers.get("transfer-encoding", ""):
