--- /dev/null
+++ b/packages/serving/tests/test_unexpected_ends.py
@@ -0,0 +1,99 @@
+"""Requests whose serving is interrupted though their caller waits for the answer."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator
+
+import aiohttp
+import attrs
+import eliot
+import pytest
+import pytest_asyncio
+from stopping_node import Caller, request_bytes, streams
+
+from fordhatch_standins import http_answer
+
+
+@attrs.define
+class RaisingCalls:
+    """Raises an error in place of serving a request, or in the middle of its answer."""
+
+    error: BaseException
+    has_begun: bool
+
+    async def serve(self, _: object, reply: object) -> None:
+        """Begin the answer, if it has to have begun, and raise."""
+        if self.has_begun:
+            await reply.begin(200, [])
+            await reply.write(b"the first half")
+        raise self.error
+
+
+@pytest_asyncio.fixture
+async def log() -> AsyncIterator[list[dict]]:
+    """Messages of the log."""
+    messages: list[dict] = []
+    eliot.add_destinations(messages.append)
+    yield messages
+    eliot.remove_destination(messages.append)
+
+
+def about(log: list[dict], request_id: str) -> list[dict]:
+    """Return the messages that name a request."""
+    return [message for message in log if request_id in message.values()]
+
+
+ERRORS = [
+    ConnectionResetError("reset"),
+    aiohttp.ClientConnectionResetError("Cannot write to closing transport"),
+    aiohttp.ServerDisconnectedError(),
+    TimeoutError(),
+    asyncio.CancelledError(),
+    RuntimeError("unexpected"),
+]
+
+
+# Guards against an error inside the node that is taken for the caller's leaving: the
+# caller gets an empty 200, or nothing, and no line of the log names the request.
+@pytest.mark.parametrize("error", ERRORS, ids=lambda error: type(error).__name__)
+@pytest.mark.parametrize("has_begun", [False, True], ids=["no answer", "begun"])
+async def test_an_error_in_the_node_is_a_failure_with_a_line(
+    site, log, error, has_begun
+) -> None:
+    site.callers.dispatch.plain = RaisingCalls(error, has_begun)
+    caller = await Caller.connect(site)
+    answer = await caller.ask("/once/1", "r1")
+    lines = about(log, "r1")
+    caller.close()
+    if has_begun:
+        assert answer.end != "whole"
+    else:
+        assert (answer.status >= 500, answer.end) == (True, "whole"), answer
+        assert answer.headers["content-type"].startswith("application/json")
+    assert len(lines) == 1, lines
+
+
+async def answers_late(request, writer) -> None:
+    await asyncio.sleep(0.2)
+    writer.write(http_answer(request, b"whole"))
+
+
+# Guards against an answer that is given up because the caller has sent everything that
+# it will send and has closed its own direction of the connection.
+@pytest.mark.parametrize("connection", ["keep-alive", "close"])
+@pytest.mark.parametrize("path", ["/once/1", "/stream/1"])
+async def test_a_caller_that_has_closed_its_sending_side_gets_its_answer(
+    site, log, path, connection
+) -> None:
+    if path == "/once/1":
+        await site.add_backend(answers_late)
+    else:
+        await site.add_backend(streams(10, 0.02), group="small.1")
+    caller = await Caller.connect(site)
+    await caller.send(request_bytes(path, "r1", Connection=connection))
+    caller.connection.shutdown(socket.SHUT_WR)
+    answer = await caller.answer()
+    caller.close()
+    assert answer.seen == (200, "whole"), about(log, "r1")
