Requests: only the caller's own connection tells that it has left

What callers saw: if a ConnectionError that belongs to another connection (a backend server's, another node's) reached the handler, an empty 200 with the caller's request unanswered, or half of an answer with a proper end. Other errors closed the connection or became the HTTP library's own 500 or 504; a cancellation that was not the caller's closed it without a word.

Cause: NodeState.counted took every ConnectionError for the caller's leaving, and the handler then returned whatever response there was, an empty one if none. The class: who may end an answer was decided by the type of an exception.

Change: whatever is raised while the caller's connection is open is an error of this node: it is answered with INTERNAL if nothing was sent, and aborted otherwise; the line says ended_by=error and names it. The same for chat completions and plain calls of the own interface.

Evidence: the twelve cases of test_an_error_in_the_node_is_a_failure_with_a_line were red and are green; 103 tests of the request path, chat and the daemon's answers pass. Which component raises such an error in the users' runs isn't known: the line will say it.

--- a/packages/chat/src/fordhatch/chat/_chat_server.py
+++ b/packages/chat/src/fordhatch/chat/_chat_server.py
@@ -79,7 +79,7 @@
         reply_type = ChatReply if is_chat else CallReply
         reply = reply_type(http_request, self.path.state, request_id)
         accepted = AcceptedRequest(request_id, http_request, reply, self.timer.now_s())
-        with self.path.state.accept(accepted):
+        async with self.path.state.accept(accepted):
             await self._route(accepted)
         return reply.response or web.Response()
 
--- a/packages/chat/src/fordhatch/chat/_replies.py
+++ b/packages/chat/src/fordhatch/chat/_replies.py
@@ -61,10 +61,17 @@
     is_replayed: bool = False
     is_whole: bool = False
     """Whether a complete answer was sent."""
+    is_over: bool = False
+    """Whether an answer or a failure was sent to its end."""
     outcome: str = ""
     failure: Failure | None = None
     response: web.StreamResponse | None = None
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether any byte of the answer was sent."""
+        return self.response is not None
+
     async def refuse(self, failure: Failure) -> None:
         """Answer with the system's own failure."""
         self.failure = failure
@@ -73,7 +80,19 @@
 
     async def _send(self, response: web.Response) -> None:
         await self._prepare(response)
-        await response.write_eof()
+        await self._end_response()
+
+    async def _end_response(self) -> None:
+        await self.response.write_eof()
+        self.is_over = True
+
+    async def abort(self) -> None:
+        """Abort an answer so that the caller can't take it for a complete one."""
+        self.outcome = "aborted"
+        self.is_over = True
+        transport = self.http_request.transport
+        if transport is not None:
+            transport.abort()
 
     async def _prepare(self, response: web.StreamResponse) -> None:
         self.response = response
@@ -91,14 +110,19 @@
 
     application: str = ""
     is_streamed: bool = False
-    has_begun: bool = False
+    is_answering: bool = False
     """Whether the model's answer has begun."""
     pieces: list[str] = attrs.field(factory=list)
     """Text of the events so far; each counts as a completion token."""
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the model's answer has begun, so that no other can take its place."""
+        return self.is_answering
+
     async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Begin the reply; a streamed one sends its headers."""
-        self.has_begun = True
+        self.is_answering = True
         if self.is_streamed:
             response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
             response.enable_chunked_encoding()
@@ -121,7 +145,7 @@
             return
         last = self._chunk({}, "stop") + b"data: [DONE]\n\n"
         await self.response.write(last)
-        await self.response.write_eof()
+        await self._end_response()
         self.is_whole = True
 
     async def abort(self) -> None:
@@ -136,7 +160,7 @@
         # without ``[DONE]``.
         error = json.dumps(failure.to_json()).encode()
         await self.response.write(b"data: " + error + b"\n\n")
-        await self.response.write_eof()
+        await self._end_response()
 
     async def send_complete(
         self, status: int, headers: list[tuple[str, str]], body: bytes
@@ -209,6 +233,11 @@
         """Whether a complete answer was sent to the caller."""
         return self.inner.is_whole
 
+    @property
+    def is_over(self) -> bool:
+        """Whether an answer or a failure was sent to the caller to its end."""
+        return self.inner.is_over
+
     @property
     def has_begun(self) -> bool:
         """Whether a streamed answer has begun."""
--- a/packages/serving/src/fordhatch/serving/_caller_server.py
+++ b/packages/serving/src/fordhatch/serving/_caller_server.py
@@ -36,6 +36,8 @@
     """Result as the caller sees it, for logs and metrics."""
     is_whole: bool = False
     """Whether a complete answer of a backend server was sent."""
+    is_over: bool = False
+    """Whether an answer, a refusal or a failure was sent to its end, or aborted."""
 
     @property
     def has_begun(self) -> bool:
@@ -73,6 +75,7 @@
         self._close_if_leaving(response)
         await response.prepare(self.http_request)
         await response.write_eof()
+        self.is_over = True
 
     async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Start an answer whose body is streamed."""
@@ -93,11 +96,12 @@
         """Finish a complete answer."""
         self.outcome = "complete"
         await self.response.write_eof()
-        self.is_whole = True
+        self.is_whole = self.is_over = True
 
     async def abort(self) -> None:
         """Abort an answer so that the caller can't take it for a complete one."""
         self.outcome = "aborted"
+        self.is_over = True
         transport = self.http_request.transport
         if transport is not None:
             transport.abort()
@@ -127,7 +131,7 @@
             reply,
             self.timer.now_s(),
         )
-        with self.state.accept(accepted):
+        async with self.state.accept(accepted):
             admitted = await self._admit(http_request, accepted.arrived_s)
             if admitted.is_ok():
                 accepted.served = admitted.unwrap()
--- a/packages/serving/src/fordhatch/serving/_node_state.py
+++ b/packages/serving/src/fordhatch/serving/_node_state.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import contextlib
-from collections.abc import Iterator
+from contextlib import AbstractAsyncContextManager
 
 import attrs
 
@@ -64,12 +63,10 @@
         """Number of requests that are being served."""
         return len(self.requests)
 
-    @contextlib.contextmanager
-    def accept(self, accepted: AcceptedRequest) -> Iterator[None]:
+    def accept(self, accepted: AcceptedRequest) -> AbstractAsyncContextManager[None]:
         """Count a caller's request while it is served, and log its end."""
         self.has_served = True
-        with self.requests.accept(accepted):
-            yield
+        return self.requests.accept(accepted)
 
     def leave(self) -> None:
         """Record that the signal to stop was received."""
--- a/packages/serving/src/fordhatch/serving/_request.py
+++ b/packages/serving/src/fordhatch/serving/_request.py
@@ -172,6 +172,8 @@
     """Result as the caller sees it, for logs and metrics."""
     is_whole: bool
     """Whether a complete answer of a backend server was sent."""
+    is_over: bool
+    """Whether an answer, a refusal or a failure was sent to its end, or aborted."""
 
     @property
     def has_begun(self) -> bool:
--- a/packages/serving/src/fordhatch/serving/_requests_in_progress.py
+++ b/packages/serving/src/fordhatch/serving/_requests_in_progress.py
@@ -4,11 +4,11 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator
 
 import attrs
 
-from fordhatch.core import Timer, metrics
+from fordhatch.core import Failure, ResultCode, Timer, metrics
 
 from ._accepted_request import AcceptedRequest, EndedBy
 from ._request_log import log_end
@@ -30,30 +30,35 @@
     def __len__(self) -> int:
         return len(self._accepted) + self._relayed
 
-    @contextlib.contextmanager
-    def accept(self, accepted: AcceptedRequest) -> Iterator[None]:
-        """Count a request while it is served, and log its end, however it ends."""
+    @contextlib.asynccontextmanager
+    async def accept(self, accepted: AcceptedRequest) -> AsyncIterator[None]:
+        """Count a request while it is served, and log its end, however it ends.
+
+        Whatever is raised while the caller's connection is open is an error of this
+        node: the caller gets a failure, and never less than it that looks complete.
+        """
         self._accepted.add(accepted)
         metrics.IN_FLIGHT.inc()
         ended_by, error = EndedBy.ERROR, ""
         try:
             yield
             ended_by = EndedBy.BACKEND if accepted.reply.is_whole else EndedBy.NODE
-        except ConnectionError as raised:
-            # The caller has disconnected and gets no answer.
-            ended_by, error = self._who_disconnected(accepted), repr(raised)
-        except asyncio.CancelledError:
-            ended_by, error = self._who_disconnected(accepted), "cancelled"
-            raise
-        except BaseException as raised:
-            error = repr(raised)
-            raise
+        except asyncio.CancelledError as raised:
+            ended_by, error = self._who_interrupted(accepted), repr(raised)
+            if ended_by is not EndedBy.ERROR:
+                raise
+            asyncio.current_task().uncancel()
+            await _fail(accepted)
+        except Exception as raised:
+            ended_by, error = self._who_interrupted(accepted), repr(raised)
+            if ended_by is EndedBy.ERROR:
+                await _fail(accepted)
         finally:
             self._accepted.discard(accepted)
             metrics.IN_FLIGHT.dec()
             self._record_end(accepted, ended_by, error)
 
-    def _who_disconnected(self, accepted: AcceptedRequest) -> EndedBy:
+    def _who_interrupted(self, accepted: AcceptedRequest) -> EndedBy:
         if self.is_stopping:
             return EndedBy.STOP
         return EndedBy.ERROR if accepted.is_connected else EndedBy.CALLER
@@ -78,3 +83,14 @@
             yield
         finally:
             self._relayed -= 1
+
+
+async def _fail(accepted: AcceptedRequest) -> None:
+    """Answer a request whose serving was interrupted unexpectedly."""
+    with contextlib.suppress(ConnectionError):
+        if accepted.reply.is_over:
+            return
+        if accepted.reply.has_begun:
+            await accepted.reply.abort()
+        else:
+            await accepted.reply.refuse(Failure.from_code(ResultCode.INTERNAL))
