--- a/packages/node/tests/test_answers_at_a_stop.py
+++ b/packages/node/tests/test_answers_at_a_stop.py
@@ -7,15 +7,8 @@
 import signal
 
 import pytest
-from stopping_node import (
-    GRACE_S,
-    Answer,
-    Caller,
-    StoppingSite,
-    request_bytes,
-    streams,
-    until,
-)
+from raw_caller import Answer, Caller, request_bytes, streams, until
+from stopping_node import GRACE_S, StoppingSite
 
 
 async def runs_on(request, writer) -> None:
--- a/packages/serving/tests/test_unexpected_ends.py
+++ b/packages/serving/tests/test_unexpected_ends.py
@@ -11,7 +11,7 @@
 import eliot
 import pytest
 import pytest_asyncio
-from stopping_node import Caller, request_bytes, streams
+from raw_caller import Caller, request_bytes, streams
 
 from fordhatch_standins import http_answer
 
