--- a/packages/node/tests/raw_caller.py
+++ b/packages/node/tests/raw_caller.py
@@ -149,6 +149,15 @@
         self._buffer = rest[used:]
         return Answer(status, headers, body, "whole")
 
+    def is_closed(self) -> bool:
+        """Return whether the connection has ended, as far as it is known here."""
+        try:
+            return not self.connection.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except ConnectionError:
+            return True
+
     def held_bytes(self) -> int:
         """Return what both kernels hold of the answers: sent and not yet read."""
         ends = [self.connection.getpeername(), self.connection.getsockname()]
