Tests of stops: a stream through a node in touch that is stopped (red)

Two nodes' processes, one cut off from the backend server by bench/cut_links.py; the other one, which makes the attempts for it, gets SIGTERM. Green part: a stream of 0.5 s is whole. Red part: a stream that lasts beyond the grace period (4 s) is cut by the end of the process in between. The caller's connection ends within the stream; the node that the caller asked logs send_failed ("no answer from n1"), stream_given_up and request_done, but the node that ended it has only request_sent_for_node of the beginning and no line of the end:

assert (0, 1) == (1, 1)

--- a/packages/node/tests/raw_caller.py
+++ b/packages/node/tests/raw_caller.py
@@ -74,6 +74,11 @@
         """Status and end."""
         return self.status, self.end
 
+    @property
+    def is_whole(self) -> bool:
+        """Whether the answer is complete."""
+        return self.end == "whole"
+
 
 @attrs.define(eq=False, repr=False)
 class Caller:
--- a/packages/node/tests/stopping_node.py
+++ b/packages/node/tests/stopping_node.py
@@ -5,14 +5,17 @@
 import asyncio
 import contextlib
 import json
+import os
 import re
 import signal
+import sys
 import time
 from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 
 import aiohttp
 import attrs
+import cut_links
 from planning_site import BOUNDS
 from raw_caller import WAIT_LIMIT_S, until
 from serving_site import configuration
@@ -24,7 +27,12 @@
     wait_until_ready,
 )
 
-from fordhatch.adapter import BACKENDS_TABLE, CONFIGURATION_KEY, OPERATOR_TABLE
+from fordhatch.adapter import (
+    BACKENDS_TABLE,
+    CONFIGURATION_KEY,
+    OPERATOR_TABLE,
+    SETTINGS_VARIABLE,
+)
 from fordhatch.placement._planner_lease import LEASE_TABLE
 from fordhatch_standins import ScriptedBackend, StoreModel, entry_fields
 
@@ -113,6 +121,11 @@
         found = self.about(request_id)
         return [f for f in found if any(STOP.search(v) for v in f.values())]
 
+    def end_lines(self, request_id: str) -> list[LogLine]:
+        """Return the log lines that say how a request of this node ended."""
+        found = self.about(request_id)
+        return [f for f in found if f["event"] in ("request_done", "request_refused")]
+
     async def until_logged(self, event: str) -> None:
         """Wait for a line of the log."""
         await until(lambda: any(f"event={event} " in f"{x} " for x in self.lines))
@@ -160,6 +173,8 @@
     store_port: int
     scripted: list[ScriptedBackend] = attrs.field(factory=list)
     nodes: list[StoppingNode] = attrs.field(factory=list)
+    ports: dict[str, str] = attrs.field(factory=dict)
+    """Ports of the backend servers by their id."""
 
     @classmethod
     @contextlib.asynccontextmanager
@@ -187,15 +202,24 @@
         backend = ScriptedBackend(script)
         self.scripted.append(backend)
         name = backend.runner_id = f"i-{len(self.scripted)}"
-        entry = entry_fields("llm" if group else "app", await backend.start())
+        address = await backend.start()
+        self.ports[name] = address.rpartition(":")[2]
+        entry = entry_fields("llm" if group else "app", address)
         if group:
             place = {"name": group, "epoch": 1, "rank": 0, "state": state}
             entry["group"] = place
         self.model.put(BACKENDS_TABLE, name, json.dumps(entry).encode())
         return backend
 
-    async def add_node(self, grace_s: float = GRACE_S) -> StoppingNode:
-        """Start a node and wait until it is ready."""
+    async def add_node(
+        self, grace_s: float = GRACE_S, cut_from: ScriptedBackend | None = None
+    ) -> StoppingNode:
+        """Start a node and wait until it is ready.
+
+        Args:
+            grace_s: Its grace period, in seconds.
+            cut_from: A backend server to which its links are cut.
+        """
         number = len(self.nodes) + 1
         own_ip = OWN_IP.rpartition(".")[0] + f".{number}"
         front, ready, inner = free_ports(3)
@@ -209,7 +233,12 @@
             .replace("10.0.0.9:1", f"127.0.0.1:{self.store_port}")
             .replace("grace-s = 8", f"grace-s = {grace_s}")
         )
-        node = StoppingNode(await start_node(path), f"{own_ip}:{front}", ready)
+        starting = (
+            start_node(path)
+            if cut_from is None
+            else _start_cut(path, self.ports[cut_from.runner_id])
+        )
+        node = StoppingNode(await starting, f"{own_ip}:{front}", ready)
         self.nodes.append(node)
         node.read_output()
         async with aiohttp.ClientSession() as session:
@@ -217,6 +246,23 @@
         return node
 
 
+async def _start_cut(path: Path, port: str) -> asyncio.subprocess.Process:
+    """Start a node whose links to a backend server are refused."""
+    control = path.with_suffix(".cut")
+    control.write_text(cut_links.LinkCut.REFUSE)
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        cut_links.__file__,
+        str(control),
+        port,
+        port,
+        "on-platform",
+        env={**os.environ, SETTINGS_VARIABLE: str(path)},
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
+
+
 async def _hold_lease(model: StoreModel) -> None:
     while True:
         row = json.dumps({"holder": "another"}).encode()
