--- a/packages/node/tests/stopping_node.py
+++ b/packages/node/tests/stopping_node.py
@@ -66,6 +66,11 @@
     return {k: json.loads(v) if v.startswith('"') else v for k, v in found}
 
 
+def says_stop(fields: LogLine) -> bool:
+    """Return whether a log line names the stop of its node."""
+    return any(STOP.search(value) for value in fields.values())
+
+
 @attrs.define(eq=False, repr=False)
 class StoppingNode:
     """A node's process with its log lines."""
@@ -118,8 +123,7 @@
 
     def stop_lines(self, request_id: str) -> list[LogLine]:
         """Return the log lines that say that the stop ended a request."""
-        found = self.about(request_id)
-        return [f for f in found if any(STOP.search(v) for v in f.values())]
+        return [f for f in self.about(request_id) if says_stop(f)]
 
     def end_lines(self, request_id: str) -> list[LogLine]:
         """Return the log lines that say how a request of this node ended."""
