Stop: the grace period counts from when the signal may have come

What callers saw: streams cut by the platform's SIGKILL, named by no line, at nodes that were stopped for 1.5 s around SIGTERM or ran for a fifth of their time in slices of 200 ms.

Cause: the grace period was counted from the moment at which the event loop got to the signal, and the time kept back for closing was the same however slow the process is.

Change: LoopWatch ticks each 0.1 s; the signal is taken to have come at the tick before the newest one, and the reserve grows with the lateness of the ticks.

--- a/packages/core/src/fordhatch/core/__init__.py
+++ b/packages/core/src/fordhatch/core/__init__.py
@@ -8,6 +8,7 @@
 from ._invariant import InvariantGuard
 from ._line_writer import LineWriter
 from ._log import configure_line_log, configure_logging, format_line, log_event
+from ._loop_watch import LoopWatch
 from ._suspension import Suspension
 from ._timer import TaskSet, Timer
 
@@ -18,6 +19,7 @@
     "Failure",
     "InvariantGuard",
     "LineWriter",
+    "LoopWatch",
     "Ran",
     "ResultCode",
     "Suspension",
--- a/packages/daemon/src/fordhatch/daemon/_daemon.py
+++ b/packages/daemon/src/fordhatch/daemon/_daemon.py
@@ -10,7 +10,7 @@
 from fordhatch.chat import ChatServer, ClaimService
 from fordhatch.config import DECLARED_ROW, Address, Settings
 from fordhatch.core import TaskSet, Timer, log_event
-from fordhatch.node import Clients, Node, close_with_timeout, stop_event
+from fordhatch.node import Clients, Node, StopSignal, close_with_timeout
 from fordhatch.operators import OperatorsApp
 from fordhatch.serving import HttpServer
 
@@ -80,20 +80,22 @@
 
     async def run(self) -> None:
         """Serve until a stop signal arrives, then drain and close."""
-        stop = stop_event()
+        stop = StopSignal.listen(self.node.timer)
         await self.start()
         operators = await _listen(self.operators.app, self.settings.operators)
         callers = await HttpServer.listen(
             str(self.settings.callers), self.callers.handle
         )
         log_event("listening", callers=str(self.settings.callers))
-        await stop.wait()
+        since_s = await stop.wait()
         await self.node.leave(
             callers.stop_listening,
             listen_for_s=self.settings.timing.drain_grace_s,
+            since_s=since_s,
+            lateness_s=stop.lateness_s(),
         )
         operators.close()
-        await close_with_timeout(self.node, callers.close, self.close)
+        await close_with_timeout(self.node, callers.close, self.close, stop.close)
 
     async def close(self) -> None:
         """Stop the background tasks, the claim service and the node."""
--- a/packages/node/src/fordhatch/node/__init__.py
+++ b/packages/node/src/fordhatch/node/__init__.py
@@ -3,19 +3,20 @@
 from __future__ import annotations
 
 from ._clients import Clients
-from ._daemon import close_with_timeout, run_logged, run_on_platform, stop_event
+from ._daemon import close_with_timeout, run_logged, run_on_platform
 from ._node import Node
 from ._platform_edge import PlatformEdge, render
 from ._settings_watch import SettingsWatch
+from ._stop_signal import StopSignal
 
 __all__ = [
     "Clients",
     "Node",
     "PlatformEdge",
     "SettingsWatch",
+    "StopSignal",
     "close_with_timeout",
     "render",
     "run_logged",
     "run_on_platform",
-    "stop_event",
 ]
--- a/packages/node/src/fordhatch/node/_daemon.py
+++ b/packages/node/src/fordhatch/node/_daemon.py
@@ -20,6 +20,7 @@
 from ._node import Node
 from ._platform_edge import PlatformEdge
 from ._settings_watch import SettingsWatch
+from ._stop_signal import StopSignal
 
 EXIT_BAD_SETTINGS = 2
 """Exit status if the settings are invalid."""
@@ -74,15 +75,6 @@
         writer.flush()
 
 
-def stop_event() -> asyncio.Event:
-    """Return an event that SIGTERM and SIGINT set."""
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    return stop
-
-
 async def close_with_timeout(
     node: Node, *closing: Callable[[], Awaitable[None]]
 ) -> None:
@@ -109,8 +101,8 @@
     content: str,
     callers_socket: socket.socket | None,
 ) -> None:
-    stop = stop_event()
     timer = Timer.from_seed(settings.node_name)
+    stop = StopSignal.listen(timer)
     clients = Clients.from_settings(settings, timer)
     node = Node.create(settings, timer, clients)
     edge = PlatformEdge.from_node(node)
@@ -120,7 +112,12 @@
     await node.start()
     await edge.listen(callers_socket)
     watching = asyncio.ensure_future(settings_watch.run())
-    await stop.wait()
-    await node.leave(edge.stop_listening, listen_for_s=LISTEN_AFTER_TERM_S)
+    since_s = await stop.wait()
+    await node.leave(
+        edge.stop_listening,
+        listen_for_s=LISTEN_AFTER_TERM_S,
+        since_s=since_s,
+        lateness_s=stop.lateness_s(),
+    )
     watching.cancel()
-    await close_with_timeout(node, edge.close, node.close)
+    await close_with_timeout(node, edge.close, node.close, stop.close)
