Listener: a request is answered, or was not read, when it closes

What callers saw: the connection closed without an answer and without a line, for a request on a kept connection that arrived while the listener closed.

Cause: the HTTP library's shutdown marks all connections as closed, then waits up to 0.1 s for their tasks, and drops what it reads meanwhile.

Change: HttpServer stops reading from idle connections, lets requests that have been read begin, closes what is idle then, and gives the others a moment to end.

--- a/packages/serving/src/fordhatch/serving/_http_server.py
+++ b/packages/serving/src/fordhatch/serving/_http_server.py
@@ -21,6 +21,12 @@
 BACKLOG = 1024
 """Connections that may wait to be accepted, so that bursts are not dropped."""
 
+LOOP_TURNS = 3
+"""Turns of the event loop after which a request that has been read is in progress."""
+
+CLOSE_TIMEOUT_S = 0.1
+"""Longest time in which requests may end while a server closes."""
+
 HttpHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
@@ -30,6 +36,8 @@
 
     _server: web.Server
     _listener: asyncio.Server
+    _active: dict[web.RequestHandler, asyncio.Task[object]]
+    """Tasks of the requests in progress, by connection."""
 
     @classmethod
     async def listen(
@@ -42,8 +50,17 @@
             handler: Handles every request.
             port: A socket that already listens there; None to open one.
         """
+        active: dict[web.RequestHandler, asyncio.Task[object]] = {}
+
+        async def handle(request: web.BaseRequest) -> web.StreamResponse:
+            active[request.protocol] = asyncio.current_task()
+            try:
+                return await handler(request)
+            finally:
+                del active[request.protocol]
+
         server = web.Server(
-            handler,
+            handle,
             handler_cancellation=True,
             access_log=None,
             auto_decompress=False,
@@ -54,10 +71,10 @@
         loop = asyncio.get_running_loop()
         if port is not None:
             listener = await loop.create_server(server, sock=port, backlog=BACKLOG)
-            return cls(server, listener)
+            return cls(server, listener, active)
         host, _, number = address.rpartition(":")
         listener = await loop.create_server(server, host, int(number), backlog=BACKLOG)
-        return cls(server, listener)
+        return cls(server, listener, active)
 
     @property
     def address(self) -> str:
@@ -75,6 +92,24 @@
         self._listener.close()
 
     async def close(self) -> None:
-        """Close the listener and every connection."""
+        """Close the listener and every connection.
+
+        Requests in progress have a short time to end. No byte is read from a connection
+        without one, so that a request that comes now is known not to have been read.
+        """
         self._listener.close()
-        await self._server.shutdown(0.1)
+        for connection in self._idle():
+            connection.transport.pause_reading()
+        for _ in range(LOOP_TURNS):
+            # Requests that have been read begin.
+            await asyncio.sleep(0)
+        for connection in self._idle():
+            connection.force_close()
+        if self._active:
+            await asyncio.wait(list(self._active.values()), timeout=CLOSE_TIMEOUT_S)
+        await self._server.shutdown(0.0)
+
+    def _idle(self) -> list[web.RequestHandler]:
+        """Return the open connections without a request in progress."""
+        found = [c for c in self._server.connections if c not in self._active]
+        return [c for c in found if c.transport and not c.transport.is_closing()]
