Answers: a request is in progress until its last byte has left the process

What callers saw: 200 and a closed connection before the end, for a caller that read slowly while its node stopped; the log said status_200 or complete.

Cause: the HTTP library hands an answer's last bytes to the transport and returns; up to 64 KB stay in the process. Requests were counted, not bytes, so a stop closed the connection and ended the event loop with bytes still in it.

Change: finish() sets the transport's buffer limit to 0 before the last write and waits until it is empty; the request's line and its count end there. A caller that takes nothing for 30 s counts as gone. The same for chat.

--- a/packages/chat/src/fordhatch/chat/_replies.py
+++ b/packages/chat/src/fordhatch/chat/_replies.py
@@ -13,7 +13,7 @@
 from multidict import CIMultiDict
 
 from fordhatch.core import Failure, ResultCode
-from fordhatch.serving import NodeState, Reply
+from fordhatch.serving import NodeState, Reply, finish
 
 from ._claim_rows import StoredAnswer
 
@@ -83,7 +83,7 @@
         await self._end_response()
 
     async def _end_response(self) -> None:
-        await self.response.write_eof()
+        await finish(self.http_request, self.response)
         self.is_over = True
 
     async def abort(self) -> None:
--- a/packages/serving/src/fordhatch/serving/_caller_server.py
+++ b/packages/serving/src/fordhatch/serving/_caller_server.py
@@ -15,6 +15,7 @@
 
 from ._accepted_request import AcceptedRequest, EarlyRefusal, generate_request_id
 from ._admission import Admission
+from ._caller_connection import finish
 from ._dispatch import Dispatch
 from ._node_state import NodeState
 from ._request import ServedRequest
@@ -71,7 +72,7 @@
         self.response = response
         self._close_if_leaving(response)
         await response.prepare(self.http_request)
-        await response.write_eof()
+        await finish(self.http_request, response)
         self.is_over = True
 
     async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
@@ -92,7 +93,7 @@
     async def end(self) -> None:
         """Finish a complete answer."""
         self.outcome = "complete"
-        await self.response.write_eof()
+        await finish(self.http_request, self.response)
         self.is_whole = self.is_over = True
 
     async def abort(self) -> None:
