Connections: the caller closes first after the last answer

Cause: the connection was closed as soon as the answer was in the kernel; bytes that arrive afterwards make the kernel reset it and drop what it still holds.

Change: linger() closes the node's direction only, reads on and waits for the caller to close, at most 1 s after the caller's kernel has acknowledged everything. It isn't part of the request, which has ended.

--- a/packages/chat/src/fordhatch/chat/_chat_server.py
+++ b/packages/chat/src/fordhatch/chat/_chat_server.py
@@ -21,6 +21,7 @@
     RequestPath,
     ServedRequest,
     generate_request_id,
+    linger,
 )
 
 from ._caller_checks import CallerChecks, CallerContext, route_for
@@ -85,6 +86,7 @@
             # The caller has left; an empty answer must not reach anyone.
             await reply.abort()
             return web.Response()
+        await linger(http_request, reply.response, self.timer)
         return reply.response
 
     async def _route(self, accepted: AcceptedRequest) -> None:
--- a/packages/serving/src/fordhatch/serving/__init__.py
+++ b/packages/serving/src/fordhatch/serving/__init__.py
@@ -4,7 +4,7 @@
 
 from ._accepted_request import AcceptedRequest, EarlyRefusal, generate_request_id
 from ._admission import Admission
-from ._caller_connection import finish
+from ._caller_connection import finish, linger
 from ._caller_server import CallerServer
 from ._dispatch import Dispatch
 from ._evacuated_zones import is_evacuated
@@ -94,4 +94,5 @@
     "finish",
     "generate_request_id",
     "is_evacuated",
+    "linger",
 ]
--- a/packages/serving/src/fordhatch/serving/_caller_server.py
+++ b/packages/serving/src/fordhatch/serving/_caller_server.py
@@ -15,7 +15,7 @@
 
 from ._accepted_request import AcceptedRequest, EarlyRefusal, generate_request_id
 from ._admission import Admission
-from ._caller_connection import finish
+from ._caller_connection import finish, linger
 from ._dispatch import Dispatch
 from ._node_state import NodeState
 from ._request import ServedRequest
@@ -140,6 +140,7 @@
             # The caller has left; an empty answer must not reach anyone.
             await reply.abort()
             return web.Response()
+        await linger(http_request, reply.response, self.timer)
         return reply.response
 
     async def _admit(
