Tests of stops: an idle process with a short grace period, and a planner (red)

Both are killed at the end of the grace period on the present code (return code -9), with nothing in progress:

- grace-s = 3: a leaving node accepts connections for 3.2 s whatever its grace period is; a trial without a kill ended after 3.24 s (with 3.4 s after 3.29 s).
- grace-s = 4, the node holds the planner's lease and the store answers nothing: the release of the lease is awaited for up to 0.8 s before the 3.2 s begin; a trial without a kill ended after 4.04 s.

--- a/packages/node/tests/stopping_node.py
+++ b/packages/node/tests/stopping_node.py
@@ -182,12 +182,20 @@
 
     @classmethod
     @contextlib.asynccontextmanager
-    async def start(cls, folder: Path) -> AsyncIterator[StoppingSite]:
-        """Start a store; nodes and backend servers are added."""
+    async def start(
+        cls, folder: Path, *, may_plan: bool = False
+    ) -> AsyncIterator[StoppingSite]:
+        """Start a store; nodes and backend servers are added.
+
+        Args:
+            folder: Where the nodes' settings are written.
+            may_plan: Whether the nodes may get the planner's lease.
+        """
         model = StoreModel()
         model.put(OPERATOR_TABLE, CONFIGURATION_KEY, long_configuration())
         listener, store_port = await start_store(model)
-        lease = asyncio.create_task(_hold_lease(model))
+        held = asyncio.Event().wait() if may_plan else _hold_lease(model)
+        lease = asyncio.create_task(held)
         site = cls(folder, model, store_port)
         try:
             yield site
--- a/packages/node/tests/test_answers_at_a_stop.py
+++ b/packages/node/tests/test_answers_at_a_stop.py
@@ -122,3 +122,19 @@
         ends = [outcome(await caller.answer()) for caller in callers.values()]
     found = node.process.returncode, *ends, len(node.stop_lines("long"))
     assert found == (0, "whole", "cut", 1), node.lines[-3:]
+
+
+# Guards against fixed waits of a leaving node that are longer than its grace period:
+# the platform kills it.
+@pytest.mark.parametrize("case", ["short grace period", "planner, store silent"])
+async def test_an_idle_process_ends_within_its_grace_period(tmp_path, case) -> None:
+    is_planner = case.startswith("planner")
+    grace_s = GRACE_S if is_planner else GRACE_S - 1
+    async with StoppingSite.start(tmp_path, may_plan=is_planner) as site:
+        node = await site.add_node(grace_s)
+        if is_planner:
+            await node.until_logged("planner_became")
+            site.model.faults.is_silent = True
+        node.stop()
+        await node.end_or_kill(grace_s)
+    assert node.process.returncode == 0, node.lines[-3:]
