Tests of stops: a next request after the end of the process (red)

A caller with a small receive buffer has not read its answer of 50,000 bytes, which the kernels hold completely, when the idle process ends after 3.2 s. 4.2 s after SIGTERM it sends its next request on the connection: the kernel resets it and drops the rest, and the caller has 4,113 bytes of an answer that the log calls status_200:

assert (200, 'reset') == (200, 'whole')

In a trial a caller that sent nothing, and one that closed its sending side, got the whole answer after the process had ended.

--- a/packages/node/tests/test_slow_callers_at_a_stop.py
+++ b/packages/node/tests/test_slow_callers_at_a_stop.py
@@ -11,7 +11,13 @@
 LONG_GRACE_S = 8
 READS_AFTER_S = 4.2
 """When such callers begin to read, after the signal: later than an idle node ends."""
+PAUSE_S = 0.2
+"""How long a caller does not read after it has sent its next request."""
+
 FIRST_SIZE = 100_000
+KERNEL_SIZE = 50_000
+"""Size of an answer that the kernels hold, but not the caller's alone."""
+
 MIN_LEFT = 8_000
 MAX_LEFT = 48_000
 """Bytes of an answer that its node still has to hand to the kernel: a write of less
@@ -45,3 +51,23 @@
         seen = [(await caller.answer()).seen for caller in callers]
         await node.end()
     assert seen == [(200, "whole"), (200, "whole")], node.about("/once")
+
+
+# Guards against the tail of an answer that the kernel holds when the process ends: it
+# resets a connection on which the caller sends its next request, and drops the rest.
+async def test_a_next_request_after_the_end_does_not_cost_the_answer_before(
+    tmp_path,
+) -> None:
+    async with StoppingSite.start(tmp_path) as site:
+        await site.add_backend(answers_of_a_size)
+        node = await site.add_node(LONG_GRACE_S)
+        caller = await Caller.connect(node, RECEIVE_BYTES)
+        await caller.send(request_bytes(f"/once/{KERNEL_SIZE}", "first"))
+        await caller.until_full()
+        node.stop()
+        await asyncio.sleep(node.stopped_s + READS_AFTER_S - time.monotonic())
+        await caller.send(request_bytes(f"/once/{KERNEL_SIZE}", "next"))
+        await asyncio.sleep(PAUSE_S)
+        answer = await caller.answer()
+        await node.end()
+    assert answer.seen == (200, "whole"), (len(answer.body), node.about("first"))
