Tests of callers that leave: one line with the id (red)

Three of three cases fail on the present code: a caller that resets its connection during a plain call, a stream in a queue or a stream that has begun is named by no line of the log. Only caller_gone, without an id, may be written. Such a request can't be told from one that the node has lost:

AssertionError: [] assert 0 == 1

--- a/packages/node/tests/raw_caller.py
+++ b/packages/node/tests/raw_caller.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import socket
+import struct
 from collections.abc import Callable
 from pathlib import Path
 from typing import Protocol
@@ -181,6 +182,12 @@
                 held.append(self.held_bytes())
         return held[-1]
 
+    def reset(self) -> None:
+        """End the connection in both directions, by a reset."""
+        linger = struct.pack("ii", 1, 0)
+        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self.connection.close()
+
     def close(self) -> None:
         """Close the connection."""
         self.connection.close()
--- a/packages/serving/tests/test_unexpected_ends.py
+++ b/packages/serving/tests/test_unexpected_ends.py
@@ -97,3 +97,31 @@
     answer = await caller.answer()
     caller.close()
     assert answer.seen == (200, "whole"), about(log, "r1")
+
+
+async def runs_on(request, writer) -> None:
+    await asyncio.sleep(60)
+
+
+LEAVES = {
+    "a plain call": ("/once/1", runs_on, b""),
+    "a stream in a queue": ("/stream/1", runs_on, b""),
+    "a stream that has begun": ("/stream/1", streams(600, 0.02), b"id: 2\n"),
+}
+
+
+# Guards against a request whose caller leaves and that no line of the log names: it
+# looks like one that the node has lost.
+@pytest.mark.parametrize("case", LEAVES)
+async def test_a_caller_that_leaves_is_one_line(site, log, case) -> None:
+    path, script, mark = LEAVES[case]
+    backend = await site.add_backend(
+        script, group="small.1" if path != "/once/1" else ""
+    )
+    caller = await Caller.connect(site)
+    await caller.send(request_bytes(path, "r1"))
+    await caller.begun(mark)
+    await site.until(lambda: backend.seen)
+    caller.reset()
+    await site.until(lambda: backend.left and not site.state.in_flight)
+    assert len(about(log, "r1")) == 1, about(log, "r1")
