Answers: a reader of the body learns that the library has given it up

Cause: for a malformed chunk the HTTP library closes the connection and sets the error on its queue of messages, not on the body: who waits for the body is never woken, and who comes later gets RuntimeError, which nothing expects.

Change: TrackedResponse sets an error on an unfinished body when its connection has closed.

Evidence: three of the four cases of test_malformed_chunks.py were red and pass, with 177 other tests of answers.

--- a/packages/serving/src/fordhatch/serving/exchange/_backend_answer.py
+++ b/packages/serving/src/fordhatch/serving/exchange/_backend_answer.py
@@ -45,7 +45,21 @@
     async def start(self, connection: Connection) -> Self:
         """Read the head of the answer from its connection."""
         self.protocol = connection.protocol
-        return await super().start(connection)
+        closed = connection.protocol.closed
+        started = await super().start(connection)
+        if closed is not None:
+            closed.add_done_callback(self._on_closed)
+        return started
+
+    def _on_closed(self, closed: asyncio.Future[None]) -> None:
+        """Tell the reader of a body that the library has given up."""
+        if not closed.cancelled():
+            # The error, if any, is reported with the body.
+            closed.exception()
+        if not self.content.is_eof() and self.content.exception() is None:
+            self.content.set_exception(
+                aiohttp.ClientPayloadError("the connection ended within the body")
+            )
 
 
 @attrs.define(eq=False, repr=False)
