Links: a message on a connection that has just broken is a failure

Cause: between the loss of a connection and the turn of the task that reads it, Link.send wrote to a closed transport, which raises RuntimeError; in a relayed stream it reached the caller's handler, which ended without a line before. Change: a closing connection counts as unreachable.

Evidence: test_sending_on_a_connection_that_has_just_broken_is_a_failure was red and passes.

--- a/packages/protocol/src/fordhatch/protocol/_link.py
+++ b/packages/protocol/src/fordhatch/protocol/_link.py
@@ -250,7 +250,7 @@
             A failure with ``ran`` no when the link was already closed, and with
             ``ran`` maybe when it broke while sending.
         """
-        if not self.alive:
+        if not self.alive or self.writer.is_closing():
             return Err(Failure.from_code(ResultCode.PEER_UNREACHABLE))
         body = encode(channel, message)
         mac = compute_mac(self._send_key, self._sent, body)
