Stop: wait for answers that callers have not taken, listen from the signal on

What callers saw: a caller that had not read its answer of 50,000 bytes when its idle node's process ended, and sent its next request afterwards, had 4,113 bytes of it and a reset. Cause: the process ended with the answer in the kernel, which drops it when more arrives. Change: a stop waits for unacknowledged bytes as for requests.

Evidence: test_a_next_request_after_the_end_does_not_cost_the_answer_before was red and passes; 19 tests of stops and processes pass.

--- a/packages/daemon/src/fordhatch/daemon/_daemon.py
+++ b/packages/daemon/src/fordhatch/daemon/_daemon.py
@@ -93,6 +93,7 @@
             listen_for_s=self.settings.timing.drain_grace_s,
             since_s=since_s,
             lateness_s=stop.lateness_s(),
+            has_unread=callers.has_unread,
         )
         operators.close()
         await close_with_timeout(self.node, callers.close, self.close, stop.close)
--- a/packages/node/src/fordhatch/node/_daemon.py
+++ b/packages/node/src/fordhatch/node/_daemon.py
@@ -118,6 +118,7 @@
         listen_for_s=LISTEN_AFTER_TERM_S,
         since_s=since_s,
         lateness_s=stop.lateness_s(),
+        has_unread=edge.has_unread,
     )
     watching.cancel()
     await close_with_timeout(node, edge.close, node.close, stop.close)
--- a/packages/node/src/fordhatch/node/_node.py
+++ b/packages/node/src/fordhatch/node/_node.py
@@ -308,6 +308,7 @@
         listen_for_s: float,
         since_s: float | None = None,
         lateness_s: float = 0.0,
+        has_unread: Callable[[], bool] = lambda: False,
     ) -> None:
         """Take no new callers, end all requests, and release the planner lease.
 
@@ -317,6 +318,7 @@
             since_s: The earliest time at which the signal to stop may have come, in
                 monotonic seconds; None for now.
             lateness_s: How late the event loop has been lately, in seconds.
+            has_unread: Returns whether callers have not taken all of their answers.
         """
         self.state.leave(since_s, lateness_s)
         requests, plan = self.state.requests, self.state.stop
@@ -328,11 +330,14 @@
         )
         self._tasks.spawn(self.lease.release(), "release-lease")
         self._tasks.spawn(self.registration.withdraw(), "withdraw")
-        listens_until_s = min(plan.since_s + listen_for_s, plan.answers_until_s)
-        while self.timer.now_s() < listens_until_s:
+        # The balancer learns of it from now on, however late that is.
+        listens_until_s = self.timer.now_s() + listen_for_s
+        while self.timer.now_s() < min(listens_until_s, plan.answers_until_s):
             await self._drain_for_a_moment()
         stop_listening()
-        while requests and self.timer.now_s() < plan.answers_until_s:
+        while self.timer.now_s() < plan.answers_until_s:
+            if not (requests or has_unread()):
+                break
             await self._drain_for_a_moment()
         log_event("node_left", in_flight=len(requests))
         requests.end_all()
--- a/packages/node/src/fordhatch/node/_platform_edge.py
+++ b/packages/node/src/fordhatch/node/_platform_edge.py
@@ -60,6 +60,10 @@
         """Stop accepting new connections from callers."""
         self._servers[-1].stop_listening()
 
+    def has_unread(self) -> bool:
+        """Return whether callers have not taken all of their answers yet."""
+        return self._servers[-1].has_unread()
+
     async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
         if request.raw_path != READY_PATH:
             return web.Response(status=404)
--- a/packages/serving/src/fordhatch/serving/_caller_connection.py
+++ b/packages/serving/src/fordhatch/serving/_caller_connection.py
@@ -80,16 +80,16 @@
 
 async def _until_taken(transport: asyncio.Transport, timer: Timer) -> None:
     """Wait until the caller's kernel has acknowledged everything, or takes no more."""
-    left = _unacknowledged_bytes(transport)
+    left = unacknowledged_bytes(transport)
     changed_s = timer.now_s()
     while left and timer.now_s() - changed_s < READ_STALL_S:
         await timer.sleep(LINGER_POLL_INTERVAL_S)
-        before, left = left, _unacknowledged_bytes(transport)
+        before, left = left, unacknowledged_bytes(transport)
         if left != before:
             changed_s = timer.now_s()
 
 
-def _unacknowledged_bytes(transport: asyncio.Transport) -> int:
+def unacknowledged_bytes(transport: asyncio.Transport) -> int:
     """Return the bytes that this node's kernel still keeps to send; 0 if unknown."""
     connection = transport.get_extra_info("socket")
     found = bytearray(struct.calcsize("i"))
--- a/packages/serving/src/fordhatch/serving/_http_server.py
+++ b/packages/serving/src/fordhatch/serving/_http_server.py
@@ -9,6 +9,8 @@
 import attrs
 from aiohttp import web
 
+from ._caller_connection import unacknowledged_bytes
+
 KEEP_ALIVE_S = 120.0
 """Idle connections are closed after this time. Callers reuse connections that were
 idle for up to four fifths of a limit that the configuration sets and may raise; this
@@ -87,6 +89,16 @@
         """Number of open connections."""
         return len(self._server.connections)
 
+    def has_unread(self) -> bool:
+        """Return whether the kernel still holds bytes of answers to be sent.
+
+        They are lost if their caller sends more after this process has ended.
+        """
+        return any(
+            c.transport is not None and unacknowledged_bytes(c.transport)
+            for c in self._server.connections
+        )
+
     def stop_listening(self) -> None:
         """Stop accepting connections; open ones are kept."""
         self._listener.close()
