Requests between nodes: one limit for connecting, handshake, line and answer

Cause: the limit of PeerPool.request began once the connection was open. Before that it waited for the connection (1 s) and the handshake (3 s), and in line for the lock of the address, where each waiting request began a connection of its own after the one before it had failed. Sending waited without any limit for a peer that doesn't read.

PeerPool.open takes the same limit now, and it includes sending. One task connects for all that wait; none of them cancels it, and each leaves at its own limit. A channel whose request is given up while it is sent is closed, so that the other node ends the work.

--- a/packages/protocol/src/fordhatch/protocol/_pool.py
+++ b/packages/protocol/src/fordhatch/protocol/_pool.py
@@ -8,7 +8,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from fordhatch.core import Failure, ResultCode, TaskSet, Timer, log_event, metrics
+from fordhatch.core import Failure, Ran, ResultCode, TaskSet, Timer, log_event, metrics
 
 from ._codec import FrameError
 from ._link import CONNECT_TIMEOUT_S, HANDSHAKE_TIMEOUT_S, Channel, Handler, Link
@@ -33,7 +33,9 @@
     timer: Timer
     handler: Handler | None = None
     _links: dict[str, Link] = attrs.field(factory=dict)
-    _locks: dict[str, asyncio.Lock] = attrs.field(factory=dict)
+    _connecting: dict[str, asyncio.Task[Result[Link, Failure]]] = attrs.field(
+        factory=dict
+    )
     _incoming: set[Link] = attrs.field(factory=set)
     _tasks: TaskSet = attrs.field(factory=TaskSet)
     _server: asyncio.Server | None = None
@@ -80,30 +82,56 @@
         finally:
             self._incoming.discard(link)
 
-    async def open(self, address: str, message: object) -> Result[Channel, Failure]:
+    async def open(
+        self, address: str, message: object, timeout_s: float | None = None
+    ) -> Result[Channel, Failure]:
         """Send a request to a node.
 
         Args:
             address: ``host:port`` of the node.
             message: The request.
+            timeout_s: Longest wait for a connection with its handshake and until the
+                request is sent, in seconds; None for the limits of these alone.
 
         Returns:
-            The channel on which answers arrive. A failure has ``ran`` no: the
+            The channel on which answers arrive. A failure has ``ran`` no if the
             request was not sent. ``PEER_REFUSED`` means that the node answered but
             failed the handshake, for example because it has just started and does
             not have the shared key yet.
         """
-        connected = await self._connected(address)
+        ends_s = None if timeout_s is None else self.timer.now_s() + timeout_s
+        connected = await self._connected(address, timeout_s)
         if connected.is_err():
             return connected
         link = connected.unwrap()
         link.last_used_s = self.timer.now_s()
         channel = link.open(message)
-        sent = await channel.send(message)
+        sent: Result[None, Failure] | None = None
+        began_s = self.timer.now_s()
+        try:
+            # It waits for a node that doesn't read.
+            async with asyncio.timeout(self._left_s(ends_s)):
+                sent = await channel.send(message)
+        except TimeoutError:
+            await self._drop_if_silent(link, began_s)
+            failure = Failure.from_code(
+                ResultCode.PEER_UNREACHABLE, address, ran=Ran.MAYBE
+            )
+            return Err(failure)
+        finally:
+            if sent is None:
+                self._end(channel)
         if sent.is_err():
             return Err(sent.unwrap_err())
         return Ok(channel)
 
+    def _left_s(self, ends_s: float | None) -> float | None:
+        return None if ends_s is None else max(ends_s - self.timer.now_s(), 0.0)
+
+    def _end(self, channel: Channel) -> None:
+        """Close a channel without waiting for a node that doesn't read."""
+        self._tasks.spawn(channel.close(), "end-request")
+
     async def request(
         self, address: str, message: object, timeout_s: float
     ) -> Result[Any, Failure]:
@@ -112,22 +140,23 @@
         Args:
             address: ``host:port`` of the node.
             message: The request.
-            timeout_s: Maximum wait for the answer, in seconds.
+            timeout_s: Maximum wait for a connection and the answer, in seconds.
         """
-        opened = await self.open(address, message)
+        ends_s = self.timer.now_s() + timeout_s
+        opened = await self.open(address, message, timeout_s)
         if opened.is_err():
             return opened
         channel = opened.unwrap()
         sent_s = self.timer.now_s()
         is_answered = False
         try:
-            answer = await channel.receive(timeout_s)
+            answer = await channel.receive(self._left_s(ends_s))
             is_answered = answer.is_ok()
             return answer
         finally:
-            await channel.close()
             if not is_answered:
                 await self._drop_if_silent(channel.link, sent_s)
+            self._end(channel)
 
     async def _drop_if_silent(self, link: Link, since_s: float) -> None:
         """Close a link that received nothing since a request was sent.
@@ -139,16 +168,21 @@
             log_event("peer_link_silent", peer=link.peer_name)
             await link.close()
 
-    async def _connected(self, address: str) -> Result[Link, Failure]:
-        lock = self._locks.setdefault(address, asyncio.Lock())
-        async with lock:
-            link = self._links.get(address)
-            if link is not None and link.alive:
-                return Ok(link)
-            connected = await self._connect(address)
-            if connected.is_ok():
-                self._links[address] = connected.unwrap()
-            return connected
+    async def _connected(
+        self, address: str, timeout_s: float | None
+    ) -> Result[Link, Failure]:
+        link = self._links.get(address)
+        if link is not None and link.alive:
+            return Ok(link)
+        connecting = self._connecting.get(address)
+        if connecting is None or connecting.done():
+            connecting = self._tasks.spawn(self._connect(address), f"to-{address}")
+            self._connecting[address] = connecting
+        # It serves all that wait for the node, so none of them may cancel it.
+        await asyncio.wait([connecting], timeout=timeout_s)
+        if not connecting.done():
+            return Err(Failure.from_code(ResultCode.PEER_UNREACHABLE, address))
+        return connecting.result()
 
     async def _connect(self, address: str) -> Result[Link, Failure]:
         host, _, port = address.rpartition(":")
@@ -177,6 +211,7 @@
             code = ResultCode.PEER_UNREACHABLE if is_silent else ResultCode.PEER_REFUSED
             return Err(Failure.from_code(code, address))
         self._tasks.spawn(link.run(), f"link-{address}")
+        self._links[address] = link
         return Ok(link)
 
     async def _close_idle(self) -> None:
--- a/standins/src/fordhatch_standins/_memory_network.py
+++ b/standins/src/fordhatch_standins/_memory_network.py
@@ -90,11 +90,14 @@
         """Return the port: no socket is needed."""
         return port
 
-    async def open(self, address: str, message: object) -> Result[Any, Failure]:
+    async def open(
+        self, address: str, message: object, timeout_s: float | None = None
+    ) -> Result[Any, Failure]:
         """Start a request to another node."""
         target = self.network.pools.get(address)
         if target is None or self.network.cut(self.address, address):
-            await asyncio.sleep(CONNECT_TIMEOUT_S if target else 0.0)
+            wait_s = CONNECT_TIMEOUT_S if target else 0.0
+            await asyncio.sleep(wait_s if timeout_s is None else min(wait_s, timeout_s))
             return Err(Failure.from_code(ResultCode.PEER_UNREACHABLE))
         here = MemoryChannel(
             target.node_name,
@@ -115,7 +118,7 @@
         self, address: str, message: object, timeout_s: float
     ) -> Result[Any, Failure]:
         """Send a request that has exactly one answer and return the answer."""
-        opened = await self.open(address, message)
+        opened = await self.open(address, message, timeout_s)
         if opened.is_err():
             return opened
         try:
