Relays: a stopped node is waited for once, and no search outlasts its request

With a service down, every attempt first looks for a node that reaches it. Callers waited for that search without any limit of the request's own, and for each node that was asked, the stopped one among them, again every 0.5 s. An attempt through a stopped node also waited 0.1 s longer than the request had left, and its silence counted as a sign that the node was in touch.

- RelayPeers.choose takes the time that the request has left.
The search goes on for those that come later.
- A node that doesn't reply is left out until it is heard of: by a reply to a query that no request waits for, or by a question of its own.
Witnesses of probes are chosen among the others too.
- Once half of a batch has replied, requests wait 0.05 s for the rest.
- ExchangeRelayClient divides one deadline among search, connection and head.
The other node gets 0.1 s less (at most half) instead of this one waiting 0.1 s more.
Connections use the limit of PeerPool.open, which tells whether anything was sent, in place of a task that went on after a caller had left.
- Only a reply confirms that a node is in touch; silence denies it.

MemoryPool.is_stopped plays a stopped process: its open connection takes one request, new ones open and say nothing.

--- a/packages/node/src/fordhatch/node/_probe_witnesses.py
+++ b/packages/node/src/fordhatch/node/_probe_witnesses.py
@@ -69,7 +69,10 @@
         others = [
             node
             for name, node in self.view.shared.nodes.items()
-            if name != self.node_name and node.can_relay and name not in chosen
+            if name != self.node_name
+            and node.can_relay
+            and name not in chosen
+            and not self.peers.is_silent(name)
         ]
         missing = min(WITNESSES - len(chosen), len(others))
         return [*chosen.values(), *self.timer.rng.sample(others, missing)]
--- a/packages/node/src/fordhatch/node/_relay_client.py
+++ b/packages/node/src/fordhatch/node/_relay_client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 
 import attrs
@@ -21,7 +20,7 @@
     SendProblem,
 )
 
-from ._relay_peers import RelayPeers
+from ._relay_peers import QUERY_TIMEOUT_S, RelayPeers
 from ._relayed_answer import RelayedAnswer, from_wire
 
 MAX_PEERS = 3
@@ -48,20 +47,22 @@
         self, request: OutboundRequest, backend: BackendServer, options: SendOptions
     ) -> Result[BackendAnswer, SendFailure] | None:
         """Make an attempt through another node; None if none is in touch."""
+        ends_s = self.timer.now_s() + options.head_timeout_s
         tried: set[str] = set()
         got: Result[BackendAnswer, SendFailure] | None = None
         while len(tried) < MAX_PEERS:
-            node = await self.peers.choose(backend.service, tried)
-            if node is None:
+            wait_s = min(QUERY_TIMEOUT_S, ends_s - self.timer.now_s())
+            node = await self.peers.choose(backend.service, tried, wait_s)
+            left_s = ends_s - self.timer.now_s()
+            if node is None or left_s <= 0.0:
                 break
             tried.add(node.name)
+            options = attrs.evolve(options, head_timeout_s=left_s)
             got = await self._send_through(node, request, backend, options)
             failure = got.err()
             self._log(request, backend, node, failure)
             if failure is None or not failure.is_unreachable:
-                self.peers.confirm(backend.service, node.name)
                 break
-            self.peers.deny(backend.service, node.name)
         return got
 
     def _log(
@@ -96,11 +97,15 @@
         channel: Channel | None = None
         answer: RelayedAnswer | None = None
         try:
-            opened = await self._open(node, message)
+            ends_s = self.timer.now_s() + options.head_timeout_s
+            wait_s = min(OPEN_TIMEOUT_S, options.head_timeout_s)
+            opened = await self.pool.open(node.address, message, wait_s)
             if opened.is_err():
+                self.peers.record_silence(backend.service, node.name)
                 return self._unopened(request, backend, opened.unwrap_err())
             channel = opened.unwrap()
-            received = await channel.receive(options.head_timeout_s + HEAD_MARGIN_S)
+            received = await channel.receive(max(ends_s - self.timer.now_s(), 0.0))
+            self._note(node, backend, received)
             if isinstance(received.ok(), RelayedHead):
                 request.record_arrival(backend.backend_id, may_have_run=True)
                 answer = RelayedAnswer.from_head(
@@ -127,22 +132,24 @@
             request.body,
             request.workspace_name,
             request.left_s(self.timer.now_s()),
-            options.head_timeout_s,
+            max(options.head_timeout_s - HEAD_MARGIN_S, options.head_timeout_s / 2.0),
             options.urgency,
             options.last_event_id,
         )
 
-    async def _open(
-        self, node: NodeAddress, message: RelayRequest
-    ) -> Result[Channel, Failure]:
-        """Hand a request to the connection to another node."""
-        opening = self._tasks.spawn(self.pool.open(node.address, message), "relay")
-        await asyncio.wait([opening], timeout=OPEN_TIMEOUT_S)
-        if opening.done():
-            return opening.result()
-        opening.cancel()
-        # Part of the message may have left already.
-        return Err(Failure.from_code(ResultCode.PEER_UNREACHABLE, ran=Ran.MAYBE))
+    def _note(
+        self,
+        node: NodeAddress,
+        backend: BackendServer,
+        received: Result[object, Failure],
+    ) -> None:
+        """Note what the reply of another node, or its silence, says of the node."""
+        message = received.ok()
+        is_reply = isinstance(message, RelayedHead | RelayedFailure)
+        if not is_reply or getattr(message, "is_unreachable", False):
+            self.peers.deny(backend.service, node.name)
+        else:
+            self.peers.confirm(backend.service, node.name)
 
     def _unopened(
         self, request: OutboundRequest, backend: BackendServer, failure: Failure
--- a/packages/node/src/fordhatch/node/_relay_peers.py
+++ b/packages/node/src/fordhatch/node/_relay_peers.py
@@ -27,7 +27,10 @@
 """How long a reply counts, or an attempt that a node has made for this one."""
 
 DENIED_S = 0.5
-"""How long a node is left out that is cut off as well or does not reply."""
+"""How long a node is left out that is cut off as well."""
+
+STRAGGLERS_S = 0.05
+"""How long requests wait for the last replies once most of the nodes have replied."""
 
 ASKED_S = 2.0
 """How long a node that has asked counts as cut off; it asks again within this time."""
@@ -47,22 +50,30 @@
     _confirmed_s: dict[tuple[str, str], float] = attrs.field(factory=dict)
     """When a node was last known to be in touch, by service and name."""
     _denied_s: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    _silent: set[str] = attrs.field(factory=set)
+    """Nodes that did not reply and have not been heard of since. No request waits for
+    their replies."""
+    _querying: set[tuple[str, str]] = attrs.field(factory=set)
+    """The queries in progress, by service and name."""
     _asked_s: dict[str, float] = attrs.field(factory=dict)
     """When each node last showed that it is cut off, by asking this one."""
     _searches: dict[str, asyncio.Task[object]] = attrs.field(factory=dict)
     _tasks: TaskSet = attrs.field(factory=TaskSet)
 
-    async def choose(self, service: str, tried: Collection[str]) -> NodeAddress | None:
+    async def choose(
+        self, service: str, tried: Collection[str], wait_s: float = QUERY_TIMEOUT_S
+    ) -> NodeAddress | None:
         """Return the best node in touch, after a search if none is known.
 
         Args:
             service: The service whose backend servers are needed.
             tried: Names of nodes that are not to be returned.
+            wait_s: Longest wait for the search, in seconds.
         """
         node = self._best(service, tried)
         if node is not None:
             return node
-        await self.search(service)
+        await self.search(service, wait_s)
         return self._best(service, tried)
 
     def _best(self, service: str, tried: Collection[str]) -> NodeAddress | None:
@@ -94,53 +105,104 @@
         self._confirmed_s.pop((service, name), None)
         self._denied_s[service, name] = self.timer.now_s()
 
-    async def search(self, service: str) -> None:
-        """Query other nodes until one is in touch or all have been queried."""
+    def record_silence(self, service: str, name: str) -> None:
+        """Record that a node did not respond; it is left out until it is heard of."""
+        self.deny(service, name)
+        self._silent.add(name)
+
+    def is_silent(self, name: str) -> bool:
+        """Return whether a node did not respond and has not been heard of since."""
+        return name in self._silent
+
+    async def search(self, service: str, wait_s: float = QUERY_TIMEOUT_S) -> None:
+        """Query other nodes until one is in touch or most have replied.
+
+        Args:
+            service: The service.
+            wait_s: Longest wait, in seconds; the search goes on after it.
+        """
         task = self._searches.get(service)
         if task is None or task.done():
             task = self._tasks.spawn(self._search(service), f"search-{service}")
             self._searches[service] = task
         # The search serves every request that waits, so that none may cancel it.
-        await asyncio.wait([task])
+        await asyncio.wait([task], timeout=max(wait_s, 0.0))
 
     async def _search(self, service: str) -> None:
         candidates = self._candidates(service)
+        # Their replies count when they come.
+        self._query_silent(service)
         while candidates:
             batch = candidates[:QUERIES_AT_ONCE]
             candidates = candidates[QUERIES_AT_ONCE:]
-            queries = {
-                self._tasks.spawn(self._query(service, n), "query-contact")
-                for n in batch
-            }
-            while queries:
-                done, queries = await asyncio.wait(
-                    queries, return_when=asyncio.FIRST_COMPLETED
-                )
-                if any(query.result() for query in done):
-                    return
+            if await self._query_all(service, batch):
+                return
         log_event("no_node_in_touch", service=service)
 
+    async def _query_all(self, service: str, nodes: list[NodeAddress]) -> bool:
+        """Query nodes at once; return whether one of them knows a node in touch.
+
+        Those that reply late are not waited for once most have replied. Their replies
+        count when they come.
+        """
+        queries = {
+            self._tasks.spawn(self._query(service, n), "query-contact") for n in nodes
+        }
+        while queries:
+            are_few = len(queries) <= len(nodes) / 2
+            done, queries = await asyncio.wait(
+                queries,
+                timeout=STRAGGLERS_S if are_few else None,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if any(query.result() for query in done):
+                return True
+            if not done:
+                break
+        return False
+
     def _candidates(self, service: str) -> list[NodeAddress]:
         """Return the nodes to query, in random order."""
         since_s = self.timer.now_s() - DENIED_S
         nodes = [
             node
-            for name, node in self.view.shared.nodes.items()
-            if name != self.node_name
-            and node.can_relay
-            and self._denied_s.get((service, name), -math.inf) < since_s
+            for node in self._others()
+            if self._denied_s.get((service, node.name), -math.inf) < since_s
+            and not self.is_silent(node.name)
+            and (service, node.name) not in self._querying
         ]
         self.timer.rng.shuffle(nodes)
         return nodes
 
+    def _others(self) -> list[NodeAddress]:
+        """Return the other nodes that understand the messages."""
+        nodes = self.view.shared.nodes
+        self._silent.intersection_update(nodes)
+        return [n for m, n in nodes.items() if m != self.node_name and n.can_relay]
+
+    def _query_silent(self, service: str) -> None:
+        """Begin to query the nodes that did not reply, to learn when they do."""
+        for node in self._others():
+            if self.is_silent(node.name):
+                self._begin_query(service, node)
+
+    def _begin_query(self, service: str, node: NodeAddress) -> None:
+        if (service, node.name) not in self._querying:
+            self._tasks.spawn(self._query(service, node), "query-contact")
+
     async def _query(self, service: str, node: NodeAddress) -> bool:
         """Query a node; return whether it, or a node it names, is in touch."""
         message = QueryContact(service)
-        answer = await self.pool.request(node.address, message, QUERY_TIMEOUT_S)
+        self._querying.add((service, node.name))
+        try:
+            answer = await self.pool.request(node.address, message, QUERY_TIMEOUT_S)
+        finally:
+            self._querying.discard((service, node.name))
         reply = answer.ok()
         if not isinstance(reply, ContactReply):
-            self.deny(service, node.name)
+            self.record_silence(service, node.name)
             return False
+        self._silent.discard(node.name)
         if reply.is_in_touch:
             self.confirm(service, node.name)
             return True
@@ -153,7 +215,8 @@
     async def refresh(self, service: str) -> None:
         """Keep enough nodes known to be in touch, for requests that come next."""
         for node in self.in_touch(service):
-            self._tasks.spawn(self._query(service, node), "query-contact")
+            self._begin_query(service, node)
+        self._query_silent(service)
         if len(self.in_touch(service)) < WANTED_PEERS:
             await self.search(service)
 
@@ -164,6 +227,7 @@
     def record_asker(self, name: str) -> None:
         """Record that a node has asked for help and so is cut off."""
         self._asked_s[name] = self.timer.now_s()
+        self._silent.discard(name)
 
     def are_cut_off(self) -> set[str]:
         """Return the names of nodes that have asked this one for help lately."""
--- a/standins/src/fordhatch_standins/_memory_network.py
+++ b/standins/src/fordhatch_standins/_memory_network.py
@@ -15,6 +15,9 @@
 CONNECT_TIMEOUT_S = 1.0
 """Time until connecting across a partition fails."""
 
+HANDSHAKE_TIMEOUT_S = 3.0
+"""Time until a connection to a node that is stopped fails."""
+
 
 @attrs.define(eq=False, repr=False)
 class MemoryNetwork:
@@ -85,6 +88,10 @@
     network: MemoryNetwork
     handler: Handler | None = None
     shared_key: bytes = b""
+    is_stopped: bool = False
+    """Whether the process stands still: connections to it open, and nothing answers."""
+    _without_link: set[str] = attrs.field(factory=set)
+    """Stopped nodes to which the connection that was open before is given up."""
 
     async def listen(self, host: str, port: int) -> int:
         """Return the port: no socket is needed."""
@@ -99,6 +106,11 @@
             wait_s = CONNECT_TIMEOUT_S if target else 0.0
             await asyncio.sleep(wait_s if timeout_s is None else min(wait_s, timeout_s))
             return Err(Failure.from_code(ResultCode.PEER_UNREACHABLE))
+        if target.is_stopped and address in self._without_link:
+            limit_s = HANDSHAKE_TIMEOUT_S if timeout_s is None else timeout_s
+            await asyncio.sleep(min(HANDSHAKE_TIMEOUT_S, limit_s))
+            return Err(Failure.from_code(ResultCode.PEER_UNREACHABLE))
+        self._without_link.discard(address)
         here = MemoryChannel(
             target.node_name,
             self.network,
@@ -111,6 +123,9 @@
         )
         here.other, there.other = there, here
         arrived = self.network.carry(message)
+        if target.is_stopped:
+            self._without_link.add(address)
+            return Ok(here)
         here.task = asyncio.ensure_future(_serve(target, arrived, there, here))
         return Ok(here)
 
