Attempts: one limit for the search, the connection and the probes after it

An attempt got its limit several times over: for another node, for its own connection and again for another node; after a failure it waited for probes of other backend servers (0.15 s and more) whatever the request had left.

BackendExchange.send ends with its limit, with all its steps. If the search has used the time up, nothing is sent and the failure says so ("not run") instead of an attempt of 1 ms that may have run. Probes after a failure go on in a task of the exchange when the request has to answer.

--- a/packages/serving/src/fordhatch/serving/_request_path.py
+++ b/packages/serving/src/fordhatch/serving/_request_path.py
@@ -183,3 +183,4 @@
         await self.control.close()
         await self.stalls.close()
         await self.crashes.close()
+        await self.exchange.close()
--- a/packages/serving/src/fordhatch/serving/exchange/_backend_exchange.py
+++ b/packages/serving/src/fordhatch/serving/exchange/_backend_exchange.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Protocol
 
 import attrs
-from result import Result
+from result import Err, Result
 
 from fordhatch.catalog import BackendServer
-from fordhatch.core import ResultCode, Timer
+from fordhatch.core import ResultCode, TaskSet, Timer
 from fordhatch.registry import BackendContact, BackendProber
 
 from ._answer_end import AnswerEndCheck
@@ -53,6 +54,7 @@
     timer: Timer
     ends: AnswerEndCheck
     relay: ExchangeRelay | None = None
+    _tasks: TaskSet = attrs.field(factory=TaskSet)
 
     async def send(
         self,
@@ -64,13 +66,16 @@
         last_event_id: str | None = None,
     ) -> Result[BackendAnswer, SendFailure]:
         """Send a request and wait for the answer's head; see ``ExchangeClient``."""
+        ends_s = self.timer.now_s() + head_timeout_s
         options = SendOptions(head_timeout_s, urgency, last_event_id)
         is_cut_off = self.contact.is_cut_off(backend.service)
         if is_cut_off:
             relayed = await self._relay(request, backend, options)
             if relayed is not None:
                 return relayed
-        began_s = self.timer.now_s()
+            options = self._until(options, ends_s)
+        if options.head_timeout_s <= 0.0:
+            return Err(SendFailure(SendProblem.NOT_SENT, "no time left"))
         got = await self.send_directly(request, backend, options)
         failure = got.err()
         if is_cut_off or failure is None or not failure.is_unreachable:
@@ -78,11 +83,16 @@
         if not self.contact.is_cut_off(backend.service):
             return got
         # This attempt has shown that the service is out of reach.
-        left_s = max(head_timeout_s - (self.timer.now_s() - began_s), 0.001)
-        options = attrs.evolve(options, head_timeout_s=left_s)
+        options = self._until(options, ends_s)
+        if options.head_timeout_s <= 0.0:
+            return got
         relayed = await self._relay(request, backend, options)
         return relayed if relayed is not None else got
 
+    def _until(self, options: SendOptions, ends_s: float) -> SendOptions:
+        """Return the options with what is left of the time of an attempt."""
+        return attrs.evolve(options, head_timeout_s=ends_s - self.timer.now_s())
+
     async def _relay(
         self, request: OutboundRequest, backend: BackendServer, options: SendOptions
     ) -> Result[BackendAnswer, SendFailure] | None:
@@ -95,6 +105,7 @@
     ) -> Result[BackendAnswer, SendFailure]:
         """Make an attempt on a connection of this node, never through another one."""
         began_s = self.timer.now_s()
+        ends_s = began_s + options.head_timeout_s
         got = await self.direct.send(
             request,
             backend,
@@ -102,17 +113,26 @@
             urgency=options.urgency,
             last_event_id=options.last_event_id,
         )
-        if got.is_ok():
+        failure = got.err()
+        if failure is None:
             self.ends.watch(got.unwrap())
-        await self._record(backend, got.err(), began_s)
+            self.contact.record_reached(backend)
+            return got
+        recording = self._tasks.spawn(
+            self._record(backend, failure, began_s), "record-failure"
+        )
+        # It takes some probes, which may outlast the request.
+        left_s = max(ends_s - self.timer.now_s(), 0.0)
+        await asyncio.wait([recording], timeout=left_s)
         return got
 
+    async def close(self) -> None:
+        """Cancel probes in progress."""
+        await self._tasks.close()
+
     async def _record(
-        self, backend: BackendServer, failure: SendFailure | None, began_s: float
+        self, backend: BackendServer, failure: SendFailure, began_s: float
     ) -> None:
-        if failure is None:
-            self.contact.record_reached(backend)
-            return
         is_lost = failure.problem is SendProblem.CONNECTION_LOST
         if failure.is_unreachable or is_lost:
             code = ResultCode.BACKEND_LOST
