Crash watch: a request waits for the probe only as long as it has time

A request whose connection broke, and which may be the cause, waits until a probe has shown whether its backend server has crashed; with witnesses on other nodes, one of them stopped, that took more than 0.6 s whatever the request had left. CrashWatch.may_retry takes the request's deadline now and answers no at it: no retry could be sent any more.

--- a/packages/serving/src/fordhatch/serving/crashes/_crash_watch.py
+++ b/packages/serving/src/fordhatch/serving/crashes/_crash_watch.py
@@ -209,7 +209,12 @@
             self._unproven(self.part_digests(request), self.timer.now_s())
         )
         if is_unproven or self.quarantine.is_suspect(request):
-            await check.is_resolved.wait()
+            try:
+                left_s = request.left_s(self.timer.now_s())
+                async with self.timer.timeout(max(left_s, 0.0)):
+                    await check.is_resolved.wait()
+            except TimeoutError:
+                return False
         stages = {run.stage for run in check.runs if run.request is request}
         is_likely = is_unproven and RunStage.BEGUN in stages
         return not (is_likely and check.has_crashed)
