Permits: requests wait for an issuer only as long as they have time

Requests to a limited backend server ask its issuer for a permit, up to three nodes for 0.25 s each, and requests to a cold one do so in line behind each other. Neither knew of the request's deadline.

Permits.acquire takes the time that the request has left, in line too; plain calls and streams stop at their deadline. The question to the issuer goes on without the request, so that one that leaves early still finds out that the issuer is silent, and the others skip it. A permit that comes too late is lost, which errs on the side of the limit.

test_waits.py: nine requests at once to a silent issuer end at their limit, at a limited and at a cold server; so does a request behind a probe that never ends. LatePressure in test_plain_calls.py takes the new argument.

--- a/packages/node/src/fordhatch/node/_pressure_gossip.py
+++ b/packages/node/src/fordhatch/node/_pressure_gossip.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import attrs
 
 from fordhatch.core import TaskSet, Timer
@@ -190,9 +192,16 @@
             self._age_s(limit.received_s),
             None if limit.cold is None else limit.cold.left_s,
         )
+        # A request that stops waiting must not hide that the issuer is silent.
+        asking = self._tasks.spawn(self._ask_permit(node, message), "ask-permit")
+        await asyncio.wait([asking])
+        return asking.result()
+
+    async def _ask_permit(self, node: NodeAddress, message: AskPermit) -> Permit | None:
         answer = await self.pool.request(node.address, message, PERMIT_TIMEOUT_S)
         reply = answer.ok()
         if not isinstance(reply, PermitReply):
+            self.permits.record_unanswered(node.name, message.backend_id)
             return None
         return Permit(reply.is_granted, reply.again_s)
 
--- a/packages/serving/src/fordhatch/serving/_plain_call.py
+++ b/packages/serving/src/fordhatch/serving/_plain_call.py
@@ -139,9 +139,11 @@
         while True:
             backend = self._choose(request.service, tried)
             if backend is not None:
-                if await self.permits.acquire(backend):
+                left_s = request.left_s(self.timer.now_s())
+                if await self.permits.acquire(backend, left_s):
                     return backend
-                continue
+                if request.left_s(self.timer.now_s()) > 0:
+                    continue
             hold = self._first_block(request.service, tried)
             if hold is None:
                 return None
--- a/packages/serving/src/fordhatch/serving/_stream_call.py
+++ b/packages/serving/src/fordhatch/serving/_stream_call.py
@@ -114,8 +114,12 @@
             if head is None:
                 if not await self._wait_for_head(stream, began_s):
                     return None
-            elif await self.permits.acquire(head):
+                continue
+            left_s = request.left_s(self.timer.now_s())
+            if await self.permits.acquire(head, left_s):
                 return head if await self._may_retry(request) else None
+            if request.left_s(self.timer.now_s()) <= 0:
+                return None
         return None
 
     async def _may_retry(self, request: ServedRequest) -> bool:
--- a/packages/serving/src/fordhatch/serving/limits/_permits.py
+++ b/packages/serving/src/fordhatch/serving/limits/_permits.py
@@ -68,8 +68,25 @@
     """By cold backend server; held while a permit is requested, so that of many waiting
     requests only one is denied."""
 
-    async def acquire(self, backend: BackendServer) -> bool:
-        """Return whether a request may be sent to a backend server now."""
+    async def acquire(
+        self, backend: BackendServer, left_s: float | None = None
+    ) -> bool:
+        """Return whether a request may be sent to a backend server now.
+
+        Args:
+            backend: The backend server.
+            left_s: Longest wait, in seconds, for other nodes and in line for them;
+                None for the limits of the questions alone.
+        """
+        if left_s is None:
+            return await self._acquire(backend)
+        try:
+            async with self.timer.timeout(left_s):
+                return await self._acquire(backend)
+        except TimeoutError:
+            return False
+
+    async def _acquire(self, backend: BackendServer) -> bool:
         cold = self.pressure.cold
         if cold.is_active and cold.state(backend) is not None:
             return await self._acquire_cold(backend)
@@ -92,7 +109,7 @@
         async with self._asking.setdefault(backend_id, asyncio.Lock()):
             state = cold.state(backend)
             if state is None:
-                return await self.acquire(backend)
+                return await self._acquire(backend)
             if self.pressure.is_blocked(backend_id):
                 return False
             permit = await self._obtain_permit(self._cold_limit(backend, state))
@@ -149,21 +166,36 @@
         return self._issue(limit, self.node_name, 1.0 / len(nodes))
 
     async def _request_permit(self, node: str, limit: ServerLimit) -> Permit | None:
-        now_s = self.timer.now_s()
-        unreachable = self._unreachable.get(node)
-        if unreachable is not None and unreachable.until_s > now_s:
+        if self._is_unreachable(node):
             return None
         permit = await self.request_permit(node, limit)
-        if permit is not None:
+        if permit is None:
+            self.record_unanswered(node, limit.backend_id)
+        else:
             self._unreachable.pop(node, None)
-            return permit
+        return permit
+
+    def _is_unreachable(self, node: str) -> bool:
+        unreachable = self._unreachable.get(node)
+        return unreachable is not None and unreachable.until_s > self.timer.now_s()
+
+    def record_unanswered(self, node: str, backend_id: str) -> None:
+        """Skip an issuer that did not answer, also if the request no longer waits.
+
+        Args:
+            node: The name of the issuer.
+            backend_id: The backend server that a permit was requested for.
+        """
+        if self._is_unreachable(node):
+            return
         metrics.PERMITS.labels("unanswered").inc()
-        log_event("permit_unanswered", issuer=node, backend=limit.backend_id)
+        log_event("permit_unanswered", issuer=node, backend=backend_id)
+        unreachable = self._unreachable.get(node)
         pause_s = UNREACHABLE_PAUSE_S
         if unreachable is not None:
             pause_s = min(2.0 * unreachable.pause_s, MAX_UNREACHABLE_PAUSE_S)
-        self._unreachable[node] = _Unreachable(now_s + pause_s, pause_s)
-        return None
+        until_s = self.timer.now_s() + pause_s
+        self._unreachable[node] = _Unreachable(until_s, pause_s)
 
     def _issue_as(self, limit: ServerLimit, rank: int, requester: str) -> Permit:
         """Issue a permit as the issuer of a rank."""
--- a/packages/serving/tests/test_plain_calls.py
+++ b/packages/serving/tests/test_plain_calls.py
@@ -357,7 +357,7 @@
     pressure: BackpressureTracker
     reported: Backpressure
 
-    async def acquire(self, backend) -> bool:
+    async def acquire(self, backend, left_s=None) -> bool:
         self.pressure.process_answer(backend, self.reported)
         return True
 
--- a/packages/serving/tests/test_waits.py
+++ b/packages/serving/tests/test_waits.py
@@ -7,16 +7,24 @@
 from types import SimpleNamespace
 
 import pytest
+from cold_nodes import cold_backends
 from result import Err
 
 from fordhatch.catalog import BackendServer, BackendState
 from fordhatch.core import Timer
+from fordhatch.registry import RunStage
 from fordhatch.serving import SendFailure, SendProblem
+from fordhatch.serving.crashes import CrashWatch
 from fordhatch.serving.exchange import BackendExchange
-from fordhatch_lab import run_in_virtual_time
+from fordhatch.serving.limits._permit_issuer import issuers
+from fordhatch.serving.limits._permits import UNREACHABLE_PAUSE_S
+from fordhatch_lab import LimitPlay, LimitTrial, run_in_virtual_time
+from fordhatch_lab._limit_ways import SERVER
 
 BACKEND = BackendServer("b1", "app", "10.0.0.1:1", "z1", BackendState.READY, 4)
 LIMIT_S = 0.3
+SILENCE_S = 0.25
+"""Time after which a silent node is given up."""
 
 
 async def forever(*_: object, **__: object) -> None:
@@ -71,3 +79,54 @@
         await parts.close()
 
     run_in_virtual_time(scenario())
+
+
+async def silent_issuer(_: str, __: object) -> None:
+    await asyncio.sleep(SILENCE_S)
+
+
+# Guards against requests that wait longer than they have left for permits from a node
+# that is silent, or in line behind others that do.
+@pytest.mark.parametrize("cold_per_s", [0.0, 5.0])
+def test_requests_for_permits_end_in_time(cold_per_s) -> None:
+    async def scenario() -> None:
+        play = LimitPlay.create(LimitTrial("permits", 8, 5.0))
+        issuer, *_ = issuers("i-1", play.nodes.ways, 1)
+        name = next(n for n in play.nodes.ways if n != issuer)
+        permits = play.nodes.ways[name].permits
+        if cold_per_s:
+            permits.pressure.cold = cold_backends(permits.timer, cold_per_s)
+            backend = permits.pressure.cold.directory.backends["i-1"]
+        else:
+            backend = SERVER
+        permits.request_permit = silent_issuer
+        asks = [
+            took_s(permits.timer, permits.acquire(backend, LIMIT_S)) for _ in range(9)
+        ]
+        got = await asyncio.gather(*asks)
+        assert [is_granted for is_granted, _ in got] == [False] * 9
+        assert max(took for _, took in got) <= LIMIT_S + 0.001
+        permits.record_unanswered(issuer, "i-1")
+        permits.record_unanswered(issuer, "i-1")
+        assert permits._unreachable[issuer].pause_s == UNREACHABLE_PAUSE_S
+
+    run_in_virtual_time(scenario())
+
+
+# Guards against a request that waits longer than it has left for the probe that shows
+# whether its backend server has crashed.
+def test_a_request_waits_for_a_probe_only_as_long_as_it_has_time() -> None:
+    async def scenario() -> None:
+        timer = Timer.from_seed(1)
+        shared = SimpleNamespace(secret=b"", subscribe=lambda _: None)
+        watch = CrashWatch("n", timer, SimpleNamespace(probe=forever), shared, None)
+        watch.quarantine = SimpleNamespace(is_suspect=lambda _: True, proofs=None)
+        request = SimpleNamespace(
+            fields=SimpleNamespace(shared_parts=()), left_s=lambda _: LIMIT_S
+        )
+        watch.connection_broken(request, BACKEND, RunStage.BEGUN)
+        got, took = await took_s(timer, watch.may_retry(request, BACKEND))
+        assert (got, took) == (False, pytest.approx(LIMIT_S))
+        await watch._tasks.close()
+
+    run_in_virtual_time(scenario())
