Relays: an attempt for a node that reads nothing ends at the deadline

A node that makes an attempt for another one waited without a limit for the acknowledgements of its pieces. If the other node was stopped, the attempt, its connection to the backend server and one of the 256 places for others stayed taken until the link broke. The attempt ends when the final answer is due now (relay_out_of_time in the log). Red before: 3.1 s after the request the answer was still open, and the place taken.

--- a/packages/node/src/fordhatch/node/_relay_server.py
+++ b/packages/node/src/fordhatch/node/_relay_server.py
@@ -164,8 +164,13 @@
             await channel.send(_to_message(request, failure))
             return
         answer = sent.unwrap()
+        left_s = max(request.left_s(self.timer.now_s()), 0.0)
         try:
-            await self._pass_on(request, answer, channel)
+            # The other node may be stopped, and acknowledge nothing.
+            async with self.timer.timeout(left_s):
+                await self._pass_on(request, answer, channel)
+        except TimeoutError:
+            log_event("relay_out_of_time", request=request.fields.request_id)
         finally:
             answer.close()
 
--- a/packages/node/tests/test_relayed_requests.py
+++ b/packages/node/tests/test_relayed_requests.py
@@ -412,3 +412,16 @@
                 assert got.unwrap_err().problem is SendProblem.NOT_SENT
 
     simulate(scenario)
+
+
+# Guards against attempts that stay open for a node that is stopped and reads nothing.
+def test_an_attempt_for_a_node_that_reads_nothing_ends_at_the_deadline() -> None:
+    async def scenario() -> None:
+        answer = StubAnswer([b"x"] * 500)
+        async with site_of(a=answers(answer)) as site:
+            await site.client.send(StubRequest(), BACKEND, OPTIONS)
+            await asyncio.sleep(StubRequest().left_s(0.0) + 0.1)
+            assert answer.is_closed
+            assert site.servers["a"]._relayed == 0
+
+    simulate(scenario)
