Tests: silent partners of a request, in virtual time

MemoryExchange waited for a hanging connection longer than the limit of the attempt, which the real client doesn't.

--- a/standins/src/fordhatch_lab/_lab_site.py
+++ b/standins/src/fordhatch_lab/_lab_site.py
@@ -154,6 +154,11 @@
         """Crash a node; its callers' connections break."""
         await self._end(one)
 
+    def pause(self, one: LabNode) -> None:
+        """Stop a node's process: it is silent to the other nodes and the store."""
+        self.network.pools[one.node.settings.peer_address].is_stopped = True
+        one.store.is_frozen = True
+
     async def _end(self, one: LabNode) -> None:
         self.nodes.remove(one)
         await self._close(one)
--- a/standins/src/fordhatch_standins/_memory_exchange.py
+++ b/standins/src/fordhatch_standins/_memory_exchange.py
@@ -132,7 +132,10 @@
         pieces = None if is_cut else self._pieces(backend, call)
         if pieces is None:
             if not self._is_refused_at_once(backend.address):
-                await asyncio.sleep(CONNECT_TIMEOUT_S)
+                await asyncio.sleep(min(CONNECT_TIMEOUT_S, head_timeout_s))
+                if head_timeout_s < CONNECT_TIMEOUT_S:
+                    request.record_arrival(backend.backend_id, may_have_run=True)
+                    return Err(SendFailure(SendProblem.SILENT, "no head in time"))
             return Err(
                 SendFailure(SendProblem.NOT_SENT, "no connection", is_unreachable=True)
             )
--- a/standins/src/fordhatch_standins/_memory_network.py
+++ b/standins/src/fordhatch_standins/_memory_network.py
@@ -89,7 +89,8 @@
     handler: Handler | None = None
     shared_key: bytes = b""
     is_stopped: bool = False
-    """Whether the process stands still: connections to it open, and nothing answers."""
+    """Whether the process stands still: it sends nothing, connections to it open, and
+    nothing answers."""
     _without_link: set[str] = attrs.field(factory=set)
     """Stopped nodes to which the connection that was open before is given up."""
 
@@ -101,6 +102,9 @@
         self, address: str, message: object, timeout_s: float | None = None
     ) -> Result[Any, Failure]:
         """Start a request to another node."""
+        if self.is_stopped:
+            await asyncio.sleep(HANDSHAKE_TIMEOUT_S)
+            return Err(Failure.from_code(ResultCode.PEER_UNREACHABLE))
         target = self.network.pools.get(address)
         if target is None or self.network.cut(self.address, address):
             wait_s = CONNECT_TIMEOUT_S if target else 0.0
