Callers: a request waits for its caller's body, and for its reader, in time

A caller that sent half of a body, or that stopped reading an answer, kept its request, and what it held, for as long as its connection; a request at a node that reads no tables yet waited 0.8 s whatever deadline it named.

The body has to be complete when the final answer is due (504, not run). While bytes are written the caller has until then to read, and at least 1 s; after that its connection is broken and the request counts as one whose caller has left. until_loaded knows the caller's deadline.

What callers lose: an answer that is complete in time, if they stop reading it for a second after its deadline with the buffers between full. test_waits.py has the silent body, the writer and the tables in virtual time; none of these waits had a limit before (the tables: 0.8 s at 0.3 s).

--- a/packages/serving/src/fordhatch/serving/__init__.py
+++ b/packages/serving/src/fordhatch/serving/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ._admission import Admission
+from ._caller_pace import while_caller_reads
 from ._caller_server import CallerServer
 from ._dispatch import Dispatch
 from ._evacuated_zones import is_evacuated
@@ -86,4 +87,5 @@
     "connection_problem",
     "ends_with_connection",
     "is_evacuated",
+    "while_caller_reads",
 ]
--- a/packages/serving/src/fordhatch/serving/_admission.py
+++ b/packages/serving/src/fordhatch/serving/_admission.py
@@ -25,6 +25,14 @@
 from .limits import BackpressureTracker
 
 
+def due_s(route: Route, fields: CallFields, arrived_s: float) -> float:
+    """Return when the final answer to a request is due, in monotonic seconds."""
+    wait_s = route.timeout_s
+    if fields.deadline_s is not None:
+        wait_s = min(wait_s, fields.deadline_s)
+    return arrived_s + wait_s
+
+
 @attrs.define(eq=False, repr=False)
 class Admission:
     """Checks the route, the API key and the freshness of the configuration."""
@@ -95,9 +103,6 @@
         service = choose_service(route, self.rng)
         if service is None:
             return Err(Failure.from_code(ResultCode.NO_GROUP_READY))
-        wait_s = route.timeout_s
-        if fields.deadline_s is not None:
-            wait_s = min(wait_s, fields.deadline_s)
         request = ServedRequest(
             fields=fields,
             route=route,
@@ -108,7 +113,7 @@
             headers=headers,
             body=body,
             arrived_s=arrived_s,
-            due_s=arrived_s + wait_s,
+            due_s=due_s(route, fields, arrived_s),
         )
         request.recheck = lambda backend: self._recheck_for_backend(request, backend)
         return Ok(request)
--- a/packages/serving/src/fordhatch/serving/_caller_server.py
+++ b/packages/serving/src/fordhatch/serving/_caller_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from contextlib import AbstractAsyncContextManager
 
 import attrs
 from aiohttp import web
@@ -11,9 +12,10 @@
 from yarl import URL
 
 from fordhatch.adapter import caller_fields, client_headers, refusal_headers
-from fordhatch.core import Failure, ResultCode, Timer, log_event
+from fordhatch.core import Failure, Ran, ResultCode, Timer, log_event
 
-from ._admission import Admission
+from ._admission import Admission, due_s
+from ._caller_pace import while_caller_reads
 from ._dispatch import Dispatch
 from ._node_state import OTHER_NODE_RETRY_AFTER_S, NodeState
 from ._request_path import RequestPath
@@ -32,6 +34,8 @@
     response: web.StreamResponse | None = None
     outcome: str = ""
     """Result as the caller sees it, for logs and metrics."""
+    due_s: float = 0.0
+    """When the final answer is due, in monotonic seconds."""
 
     @property
     def has_begun(self) -> bool:
@@ -66,15 +70,20 @@
     async def _send(self, response: web.Response) -> None:
         self.response = response
         self._close_if_leaving(response)
-        await response.prepare(self.http_request)
-        await response.write_eof()
+        async with self._in_time():
+            await response.prepare(self.http_request)
+            await response.write_eof()
+
+    def _in_time(self) -> AbstractAsyncContextManager[None]:
+        return while_caller_reads(self.http_request, self.state.timer, self.due_s)
 
     async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Start an answer whose body is streamed."""
         self.response = web.StreamResponse(status=status, headers=CIMultiDict(headers))
         self.response.enable_chunked_encoding()
         self._close_if_leaving(self.response)
-        await self.response.prepare(self.http_request)
+        async with self._in_time():
+            await self.response.prepare(self.http_request)
 
     def _close_if_leaving(self, response: web.StreamResponse) -> None:
         if self.state.is_leaving:
@@ -82,12 +91,14 @@
 
     async def write(self, piece: bytes) -> None:
         """Send a piece of the body."""
-        await self.response.write(piece)
+        async with self._in_time():
+            await self.response.write(piece)
 
     async def end(self) -> None:
         """Finish a complete answer."""
         self.outcome = "complete"
-        await self.response.write_eof()
+        async with self._in_time():
+            await self.response.write_eof()
 
     async def abort(self) -> None:
         """Abort an answer so that the caller can't take it for a complete one."""
@@ -127,18 +138,21 @@
             await self._refuse(http_request, reply, checked.unwrap_err())
             return
         target = checked.unwrap()
-        await self.state.until_loaded()
+        fields = caller_fields(http_request.headers)
+        await self.state.until_loaded(fields.deadline_s)
         found = self.admission.find_route(http_request.headers["Host"], target)
         if found.is_err():
             await self._refuse(http_request, reply, found.unwrap_err())
             return
-        body = await self._read_body(http_request)
+        route = found.unwrap()
+        due = due_s(route, fields, arrived_s)
+        body = await self._read_body(http_request, due)
         if body.is_err():
             await self._refuse(http_request, reply, body.unwrap_err())
             return
         admitted = self.admission.admit(
-            found.unwrap(),
-            caller_fields(http_request.headers),
+            route,
+            fields,
             method=http_request.method,
             target=target,
             headers=client_headers(http_request.headers.items()),
@@ -148,6 +162,7 @@
         if admitted.is_err():
             await self._refuse(http_request, reply, admitted.unwrap_err())
             return
+        reply.due_s = due
         await self.dispatch.serve(admitted.unwrap(), reply)
 
     def _check_head(self, http_request: web.BaseRequest) -> Result[str, Failure]:
@@ -167,7 +182,9 @@
                 )
         return Ok(target)
 
-    async def _read_body(self, http_request: web.BaseRequest) -> Result[bytes, Failure]:
+    async def _read_body(
+        self, http_request: web.BaseRequest, due: float
+    ) -> Result[bytes, Failure]:
         if not http_request.can_read_body:
             return Ok(b"")
         if http_request.headers.get("Expect", "").lower() == "100-continue":
@@ -176,11 +193,16 @@
         pieces: list[bytes] = []
         size = 0
         try:
-            async for piece in http_request.content.iter_any():
-                pieces.append(piece)
-                size += len(piece)
-                if size > limit:
-                    return Err(Failure.from_code(ResultCode.BODY_TOO_LARGE))
+            async with self.timer.timeout(max(due - self.timer.now_s(), 0.0)):
+                async for piece in http_request.content.iter_any():
+                    pieces.append(piece)
+                    size += len(piece)
+                    if size > limit:
+                        return Err(Failure.from_code(ResultCode.BODY_TOO_LARGE))
+        except TimeoutError:
+            return Err(
+                Failure.from_code(ResultCode.DEADLINE_EXCEEDED, "body", ran=Ran.NO)
+            )
         except web.RequestPayloadError as error:
             return Err(Failure.from_code(ResultCode.BAD_REQUEST, repr(error)))
         return Ok(b"".join(pieces))
--- a/packages/serving/src/fordhatch/serving/_node_state.py
+++ b/packages/serving/src/fordhatch/serving/_node_state.py
@@ -102,8 +102,13 @@
         is_configured = self.view.configuration.current is not None
         return is_configured and self.view.backends.is_loaded
 
-    async def until_loaded(self) -> None:
-        """Wait a short time for the tables if the node has just started."""
+    async def until_loaded(self, deadline_s: float | None = None) -> None:
+        """Wait a short time for the tables if the node has just started.
+
+        Args:
+            deadline_s: Time that the caller gives its request, in seconds; None if it
+                names none.
+        """
         if self._is_loaded():
             return
         now_s = self.timer.now_s()
@@ -111,7 +116,7 @@
             self._starting_since_s = now_s
         if now_s - self._starting_since_s > START_PERIOD_S:
             return
-        until_s = now_s + START_WAIT_S
+        until_s = now_s + min(START_WAIT_S, deadline_s or START_WAIT_S)
         while not self._is_loaded() and self.timer.now_s() < until_s:
             await self.timer.sleep(START_POLL_INTERVAL_S)
 
--- a/packages/serving/tests/test_waits.py
+++ b/packages/serving/tests/test_waits.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from types import SimpleNamespace
 
 import pytest
@@ -11,9 +11,12 @@
 from result import Err
 
 from fordhatch.catalog import BackendServer, BackendState
-from fordhatch.core import Timer
+from fordhatch.core import Ran, ResultCode, Timer
 from fordhatch.registry import RunStage
-from fordhatch.serving import SendFailure, SendProblem
+from fordhatch.serving import NodeState, SendFailure, SendProblem
+from fordhatch.serving._caller_pace import MIN_WRITE_S
+from fordhatch.serving._caller_server import CallerReply, CallerServer
+from fordhatch.serving._node_state import START_POLL_INTERVAL_S
 from fordhatch.serving.crashes import CrashWatch
 from fordhatch.serving.exchange import BackendExchange
 from fordhatch.serving.limits._permit_issuer import issuers
@@ -130,3 +133,70 @@
         await watch._tasks.close()
 
     run_in_virtual_time(scenario())
+
+
+class Silent:
+    """A body that never comes, and an answer that is never read."""
+
+    write = write_eof = staticmethod(forever)
+
+    async def iter_any(self) -> AsyncIterator[bytes]:
+        await forever()
+        yield b""
+
+
+def caller(timer: Timer, left_s: float) -> tuple[CallerServer, CallerReply, list]:
+    """Return a server, and the reply to a caller that neither sends nor reads."""
+    aborted: list[bool] = []
+    request = SimpleNamespace(
+        can_read_body=True,
+        headers={},
+        content=Silent(),
+        transport=SimpleNamespace(abort=lambda: aborted.append(True)),
+    )
+    reply = CallerReply(request, SimpleNamespace(timer=timer), Silent())
+    reply.due_s = timer.now_s() + left_s
+    admission = SimpleNamespace(max_body_bytes=lambda: 1)
+    return CallerServer(reply.state, admission, None, timer), reply, aborted
+
+
+# Guards against requests of callers that stop in the middle of a body, or don't read
+# their answer, which stay for as long as their connection.
+@pytest.mark.parametrize("left_s", [-1.0, LIMIT_S, 2.0])
+def test_a_caller_that_stands_still_is_given_up_at_its_deadline(left_s) -> None:
+    async def scenario() -> None:
+        timer = Timer.from_seed(1)
+        server, reply, aborted = caller(timer, left_s)
+        reading = server._read_body(reply.http_request, reply.due_s)
+        got, took = await took_s(timer, reading)
+        assert (got.unwrap_err().code, got.unwrap_err().ran) == (
+            ResultCode.DEADLINE_EXCEEDED,
+            Ran.NO,
+        )
+        assert took == pytest.approx(max(left_s, 0.0))
+        for write in (reply.write(b"x"), reply.end()):
+            reply.due_s = timer.now_s() + left_s
+            began_s = timer.now_s()
+            with pytest.raises(ConnectionResetError):
+                await write
+            limit_s = max(left_s, MIN_WRITE_S)
+            assert timer.now_s() - began_s == pytest.approx(limit_s)
+        assert aborted == [True, True]
+
+    run_in_virtual_time(scenario())
+
+
+# Guards against requests at a node that has just started and reads no tables, which
+# wait longer than their callers.
+@pytest.mark.parametrize(("deadline_s", "wait_s"), [(LIMIT_S, LIMIT_S), (None, 0.8)])
+def test_a_request_waits_for_the_tables_only_until_its_deadline(
+    deadline_s, wait_s
+) -> None:
+    async def scenario() -> None:
+        timer = Timer.from_seed(1)
+        view = SimpleNamespace(configuration=SimpleNamespace(current=None))
+        state = NodeState(None, view, timer)
+        _, took = await took_s(timer, state.until_loaded(deadline_s))
+        assert took <= wait_s + START_POLL_INTERVAL_S
+
+    run_in_virtual_time(scenario())
