Claims: calls to the store and to a holder end with the request

A request with an idempotency key waited up to 1 s each for the write of its claim and for the look-up after it, and up to 2 s past its deadline while it waited for another request with the key (a query to the holder, a look-up).

The calls take what the request has left. A write that comes too late is released, as one without a response was before. A holder that there was no time to ask is not taken for ended. Bodies and writes of fordhatch's own interface have the limits of the other one.

--- a/packages/chat/src/fordhatch/chat/_caller_checks.py
+++ b/packages/chat/src/fordhatch/chat/_caller_checks.py
@@ -14,7 +14,7 @@
     ModelService,
     hash_key,
 )
-from fordhatch.core import Failure, ResultCode
+from fordhatch.core import Failure, Ran, ResultCode
 from fordhatch.serving import RequestPath
 
 from ._chat_body import bad_request
@@ -123,13 +123,27 @@
             return Err(Failure.from_code(ResultCode.UNKNOWN_MODEL, f"no {name!r}"))
         return Ok(application)
 
-    async def body(self, http_request: web.BaseRequest) -> Result[bytes, Failure]:
-        """Return the complete body, or a failure if it is longer than the limit."""
+    async def body(
+        self, http_request: web.BaseRequest, due_s: float
+    ) -> Result[bytes, Failure]:
+        """Return the complete body, or a failure if it is too long or too late.
+
+        Args:
+            http_request: The request.
+            due_s: When the final answer is due, in monotonic seconds.
+        """
         body = bytearray()
-        async for chunk in http_request.content.iter_any():
-            body += chunk
-            if len(body) > self.limits.max_body_bytes:
-                return Err(Failure.from_code(ResultCode.BODY_TOO_LARGE))
+        timer = self.path.state.timer
+        try:
+            async with timer.timeout(max(due_s - timer.now_s(), 0.0)):
+                async for chunk in http_request.content.iter_any():
+                    body += chunk
+                    if len(body) > self.limits.max_body_bytes:
+                        return Err(Failure.from_code(ResultCode.BODY_TOO_LARGE))
+        except TimeoutError:
+            return Err(
+                Failure.from_code(ResultCode.DEADLINE_EXCEEDED, "body", ran=Ran.NO)
+            )
         return Ok(bytes(body))
 
 
--- a/packages/chat/src/fordhatch/chat/_chat_server.py
+++ b/packages/chat/src/fordhatch/chat/_chat_server.py
@@ -141,7 +141,8 @@
         if checked.is_err():
             return checked
         context = checked.unwrap()
-        content = await self.checks.body(http_request)
+        due_s = arrived_s + context.timeout_s
+        content = await self.checks.body(http_request, due_s)
         if content.is_err():
             return content
         parsed = ChatBody.from_json(content.unwrap())
@@ -211,7 +212,8 @@
         found = self.checks.application(context, name, is_model=False)
         if found.is_err():
             return found
-        body = await self.checks.body(http_request)
+        due_s = arrived_s + context.timeout_s
+        body = await self.checks.body(http_request, due_s)
         if body.is_err():
             return body
         target = f"/{target}"
@@ -240,6 +242,7 @@
     async def _serve(
         self, request: ServedRequest, context: CallerContext, reply: Reply
     ) -> Reply:
+        reply.due_s = request.due_s
         name, limit = context.workspace.name, context.workspace.max_concurrent
         if limit is not None and self._running_by_workspace[name] >= limit:
             failure = Failure.from_code(
@@ -262,7 +265,7 @@
     ) -> None:
         digest = hashlib.sha256(request.body + request.target.encode()).hexdigest()
         key = ClaimKey(context.workspace.name, context.idempotency_key, digest)
-        claimed = await self.claims.acquire(key)
+        claimed = await self.claims.acquire(key, request.due_s)
         if claimed.is_err():
             await self._refuse(reply, claimed.unwrap_err())
         elif isinstance(claimed.unwrap(), Ticket):
--- a/packages/chat/src/fordhatch/chat/_claims.py
+++ b/packages/chat/src/fordhatch/chat/_claims.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable, Mapping
 
 import attrs
@@ -31,6 +32,9 @@
 STORE_TIMEOUT_S = 1.0
 """Timeout of a call to the store, which normally answers within milliseconds."""
 
+MIN_CALL_TIMEOUT_S = 0.001
+"""Least timeout of a call for a request that is due."""
+
 POLL_INTERVAL_S = 0.25
 """First interval between polls of a claim whose request is still running."""
 
@@ -88,11 +92,14 @@
 
     # Acquiring.
 
-    async def acquire(self, key: ClaimKey) -> Result[Ticket | Claim, Failure]:
+    async def acquire(
+        self, key: ClaimKey, due_s: float
+    ) -> Result[Ticket | Claim, Failure]:
         """Claim a key for a single dispatch.
 
         Args:
             key: Workspace, idempotency key and digest of the request.
+            due_s: When the final answer is due, in monotonic seconds.
 
         Returns:
             A ticket, or the claim that already exists. A failure has ``ran`` no:
@@ -111,13 +118,13 @@
         written = await self.store.write(
             {key.row_key: ABSENT},
             {key.row_key: claim.to_bytes()},
-            timeout_s=STORE_TIMEOUT_S,
+            timeout_s=self._call_timeout_s(due_s),
         )
         if written.is_err() and written.unwrap_err().ran is Ran.NO:
             return Err(_claim_failure())
         if written.is_ok() and written.unwrap().is_committed:
             return await self._issue_ticket(key, claim, written.unwrap().version)
-        found = await self.look_up(key)
+        found = await self.look_up(key, due_s)
         if found.is_ok() and found.unwrap() is not None:
             present = found.unwrap()
             if present.write_id == claim.write_id:
@@ -148,15 +155,26 @@
     def _new_write_id(self) -> str:
         return f"{self.start_id}-{self.timer.rng.getrandbits(64):016x}"
 
-    async def look_up(self, key: ClaimKey) -> Result[Claim | None, Failure]:
-        """Return the claim of a key, or None if the key is not claimed."""
+    def _call_timeout_s(self, due_s: float, limit_s: float = STORE_TIMEOUT_S) -> float:
+        """Return the timeout of a call for a request, at least a millisecond."""
+        return max(min(limit_s, due_s - self.timer.now_s()), MIN_CALL_TIMEOUT_S)
+
+    async def look_up(
+        self, key: ClaimKey, due_s: float = math.inf
+    ) -> Result[Claim | None, Failure]:
+        """Return the claim of a key, or None if the key is not claimed.
+
+        Args:
+            key: The claim's key.
+            due_s: When the answer that needs it is due, in monotonic seconds.
+        """
         row_key = key.row_key
         read = await self.store.read(
             CLAIM_TABLE,
             part=row_key.part,
             first_key=row_key.key,
             limit=1,
-            timeout_s=STORE_TIMEOUT_S,
+            timeout_s=self._call_timeout_s(due_s),
         )
         if read.is_err():
             return Err(_claim_failure())
@@ -274,8 +292,8 @@
             pause_s = min(pause_s * 1.5, MAX_POLL_INTERVAL_S)
             # Queried before the row is read: otherwise a holder that settles its claim
             # and then ends would look like one that left the claim open.
-            may_holder_run = await self._may_holder_run(claim)
-            found = await self.look_up(key)
+            may_holder_run = await self._may_holder_run(claim, deadline_s)
+            found = await self.look_up(key, deadline_s)
             if found.is_err():
                 continue
             if found.unwrap() is None:
@@ -285,7 +303,7 @@
                 return Err(Failure.from_code(ResultCode.OUTCOME_UNKNOWN))
         return Ok(claim)
 
-    async def _may_holder_run(self, claim: Claim) -> bool:
+    async def _may_holder_run(self, claim: Claim, due_s: float) -> bool:
         """Return whether the process that holds the claim may still be running.
 
         It counts as ended if the node is no longer registered, answers with another
@@ -297,11 +315,14 @@
         if address is None:
             return False
         answered = await self.pool.request(
-            address.address, QueryStatus(), STATUS_TIMEOUT_S
+            address.address,
+            QueryStatus(),
+            self._call_timeout_s(due_s, STATUS_TIMEOUT_S),
         )
         reply = answered.ok()
         if not isinstance(reply, StatusReply):
-            return answered.is_ok() or answered.unwrap_err().ran is Ran.MAYBE
+            is_due = self.timer.now_s() >= due_s
+            return is_due or answered.is_ok() or answered.unwrap_err().ran is Ran.MAYBE
         return reply.start_id == claim.start_id
 
     # Cleanup.
--- a/packages/chat/src/fordhatch/chat/_replies.py
+++ b/packages/chat/src/fordhatch/chat/_replies.py
@@ -6,6 +6,7 @@
 import math
 import re
 import time
+from contextlib import AbstractAsyncContextManager
 from typing import Any
 
 import attrs
@@ -13,7 +14,7 @@
 from multidict import CIMultiDict
 
 from fordhatch.core import Failure, ResultCode
-from fordhatch.serving import NodeState, Reply
+from fordhatch.serving import NodeState, Reply, while_caller_reads
 
 from ._claim_rows import StoredAnswer
 
@@ -58,6 +59,8 @@
     outcome: str = ""
     failure: Failure | None = None
     response: web.StreamResponse | None = None
+    due_s: float = 0.0
+    """When the final answer is due, in monotonic seconds."""
 
     async def refuse(self, failure: Failure) -> None:
         """Answer with the system's own failure."""
@@ -67,7 +70,20 @@
 
     async def _send(self, response: web.Response) -> None:
         await self._prepare(response)
-        await response.write_eof()
+        async with self._in_time():
+            await response.write_eof()
+
+    def _in_time(self) -> AbstractAsyncContextManager[None]:
+        return while_caller_reads(self.http_request, self.state.timer, self.due_s)
+
+    async def _write(self, piece: bytes) -> None:
+        async with self._in_time():
+            await self.response.write(piece)
+
+    async def _write_end(self, piece: bytes) -> None:
+        async with self._in_time():
+            await self.response.write(piece)
+            await self.response.write_eof()
 
     async def _prepare(self, response: web.StreamResponse) -> None:
         self.response = response
@@ -75,7 +91,8 @@
             response.headers[REPLAYED_HEADER] = "true"
         if self.state.is_leaving:
             response.force_close()
-        await response.prepare(self.http_request)
+        async with self._in_time():
+            await response.prepare(self.http_request)
 
 
 @attrs.define(eq=False, repr=False)
@@ -104,7 +121,7 @@
         self.pieces.extend(texts)
         if self.is_streamed:
             chunks = [self._chunk({"content": text}, None) for text in texts]
-            await self.response.write(b"".join(chunks))
+            await self._write(b"".join(chunks))
 
     async def end(self) -> None:
         """End an answer that is complete."""
@@ -113,8 +130,7 @@
             await self._send(web.json_response(self._body()))
             return
         last = self._chunk({}, "stop") + b"data: [DONE]\n\n"
-        await self.response.write(last)
-        await self.response.write_eof()
+        await self._write_end(last)
 
     async def abort(self) -> None:
         """Report that the answer is incomplete."""
@@ -127,8 +143,7 @@
         # The headers are already sent: the error goes into the stream, which then ends
         # without ``[DONE]``.
         error = json.dumps(failure.to_json()).encode()
-        await self.response.write(b"data: " + error + b"\n\n")
-        await self.response.write_eof()
+        await self._write_end(b"data: " + error + b"\n\n")
 
     async def send_complete(
         self, status: int, headers: list[tuple[str, str]], body: bytes
