--- a/standins/tests/test_waits_of_requests.py
+++ b/standins/tests/test_waits_of_requests.py
@@ -196,3 +196,44 @@
 ) -> None:
     longest_s = run_in_virtual_time(latest(silence, target, limit_s))
     assert longest_s <= limit_s + LATE_S
+
+
+async def latest_stream(kind: CutKind, deadline_s: float) -> float:
+    """Return the longest time of a stream without links and half of the nodes."""
+    experiment = Experiment(nodes=6, domains=2, seed=3)
+    lab = LabSite.create(experiment)
+    await lab.start()
+    await asyncio.sleep(30.0)
+    load = LabLoad(lab, lab.rng)
+    check = attrs.evolve(experiment.classes[1], deadline_s=deadline_s)
+    loop = asyncio.get_running_loop()
+
+    async def one(number: int) -> float:
+        began_s = loop.time()
+        await load.ask_once(check, f"/{check.name}/{number}")
+        return loop.time() - began_s
+
+    asks = [asyncio.ensure_future(one(n)) for n in range(20)]
+    await asyncio.sleep(0.1)
+    lab.store.faults.is_silent = True
+    stopped, lab.nodes = lab.nodes[3:], lab.nodes[:3]
+    for node in stopped:
+        lab.pause(node)
+    for node in lab.nodes:
+        node.links.cut(kind)
+    for number in range(20, 60):
+        asks.append(asyncio.ensure_future(one(number)))
+        await asyncio.sleep(0.02)
+    took_s = await asyncio.gather(*asks)
+    lab.nodes += stopped
+    await lab.close()
+    return max(took_s)
+
+
+@pytest.mark.parametrize("deadline_s", [0.4, 1.5])
+@pytest.mark.parametrize("kind", [CutKind.HANG, CutKind.RESET])
+def test_a_stream_ends_in_time_without_links_nodes_and_store(
+    kind: CutKind, deadline_s: float
+) -> None:
+    longest_s = run_in_virtual_time(latest_stream(kind, deadline_s))
+    assert longest_s <= deadline_s + LATE_S
