Attempts: a request whose connection does not open in time has not run

An attempt that was given up while its connection was still opening counted as one that may have run: callers of a service whose servers hang got 502, not to be repeated, for requests that were never sent, and a node whose attempts have less than 0.25 s for the head never took its servers for out of reach. ExchangeClient knows whether the connection was open. Without one the request has not run; from 0.15 s on, the limit of probes, the failure says that the server is not reached.

test_waits.py, red before in both cases ("silent" instead of "not sent").

--- a/packages/serving/src/fordhatch/serving/exchange/_exchange.py
+++ b/packages/serving/src/fordhatch/serving/exchange/_exchange.py
@@ -27,6 +27,10 @@
 """Backend servers are a few milliseconds away; one that has not accepted by then does
 not respond, and nothing has been sent to it."""
 
+UNREACHABLE_AFTER_S = 0.15
+"""A connection that has not opened for this long counts as one that does not, as with
+probes; one that was given up sooner says nothing."""
+
 READ_BUFFER_BYTES = 64 * 1024
 """Most bytes that are read at once."""
 
@@ -128,12 +132,14 @@
         ...
 
 
-@attrs.frozen
+@attrs.define
 class _Send:
     """A request and its destination."""
 
     request: OutboundRequest
     backend: BackendServer
+    is_connected: bool = False
+    """Whether the connection is open, so that the request may be sent."""
 
 
 class _NotAllowed(Exception):  # noqa: N818
@@ -151,6 +157,7 @@
         _NotAllowed: If it may not.
     """
     send: _Send = context.trace_request_ctx
+    send.is_connected = True
     stopped = send.request.recheck(send.backend)
     if stopped is not None:
         raise _NotAllowed(stopped.code.name)
@@ -221,9 +228,10 @@
             The answer with its head read, or why there is none.
         """
         headers = self._headers(request, backend, urgency, last_event_id)
+        send = _Send(request, backend)
         try:
             async with self.timer.timeout(head_timeout_s):
-                response = await self._start(request, backend, headers)
+                response = await self._start(send, headers)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Err(
                 SendFailure(SendProblem.NOT_SENT, repr(error), is_unreachable=True)
@@ -231,6 +239,12 @@
         except _NotAllowed as stopped:
             return Err(SendFailure(SendProblem.NOT_SENT, repr(stopped)))
         except TimeoutError:
+            if not send.is_connected:
+                detail = f"no connection in {head_timeout_s}"
+                is_unreachable = head_timeout_s >= UNREACHABLE_AFTER_S
+                return Err(
+                    SendFailure(SendProblem.NOT_SENT, detail, None, is_unreachable)
+                )
             request.record_arrival(backend.backend_id, may_have_run=True)
             return Err(SendFailure(SendProblem.SILENT, f"no head in {head_timeout_s}"))
         except (aiohttp.ClientError, OSError, ValueError) as error:
@@ -255,19 +269,17 @@
         )
 
     async def _start(
-        self,
-        request: OutboundRequest,
-        backend: BackendServer,
-        headers: CIMultiDict[str],
+        self, send: _Send, headers: CIMultiDict[str]
     ) -> aiohttp.ClientResponse:
-        url = URL(f"http://{backend.address}{request.target}", encoded=True)
+        request = send.request
+        url = URL(f"http://{send.backend.address}{request.target}", encoded=True)
         return await self._session.request(
             request.method,
             url,
             headers=headers,
             data=request.body or None,
             allow_redirects=False,
-            trace_request_ctx=_Send(request, backend),
+            trace_request_ctx=send,
         )
 
     def _check_answer(
--- a/packages/serving/tests/test_waits.py
+++ b/packages/serving/tests/test_waits.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from types import SimpleNamespace
 
+import aiohttp
 import pytest
 from cold_nodes import cold_backends
 from result import Err
@@ -18,7 +19,7 @@
 from fordhatch.serving._caller_server import CallerReply, CallerServer
 from fordhatch.serving._node_state import START_POLL_INTERVAL_S
 from fordhatch.serving.crashes import CrashWatch
-from fordhatch.serving.exchange import BackendExchange
+from fordhatch.serving.exchange import BackendExchange, ExchangeClient
 from fordhatch.serving.limits._permit_issuer import issuers
 from fordhatch.serving.limits._permits import UNREACHABLE_PAUSE_S
 from fordhatch_lab import LimitPlay, LimitTrial, run_in_virtual_time
@@ -200,3 +201,32 @@
         assert took <= wait_s + START_POLL_INTERVAL_S
 
     run_in_virtual_time(scenario())
+
+
+# Guards against "may have run" for a request that was never sent, because its time was
+# over before the connection was open.
+@pytest.mark.parametrize(("limit_s", "is_unreachable"), [(0.01, False), (0.2, True)])
+def test_a_request_whose_connection_does_not_open_in_time_has_not_run(
+    monkeypatch: pytest.MonkeyPatch, limit_s: float, is_unreachable: bool
+) -> None:
+    monkeypatch.setattr(aiohttp.TCPConnector, "_create_connection", forever)
+
+    async def scenario() -> None:
+        client = ExchangeClient.from_timer(Timer.from_seed(1))
+        request = SimpleNamespace(
+            method="GET",
+            target="/",
+            headers=[],
+            body=b"",
+            workspace_name=None,
+            left_s=lambda _: limit_s,
+        )
+        sending = client.send(request, BACKEND, head_timeout_s=limit_s)
+        got, took = await took_s(client.timer, sending)
+        failure = got.unwrap_err()
+        assert took == pytest.approx(limit_s)
+        assert failure.problem is SendProblem.NOT_SENT
+        assert failure.is_unreachable is is_unreachable
+        await client.close()
+
+    run_in_virtual_time(scenario())
--- a/standins/src/fordhatch_standins/_memory_exchange.py
+++ b/standins/src/fordhatch_standins/_memory_exchange.py
@@ -33,6 +33,9 @@
 CONNECT_TIMEOUT_S = 0.25
 """Time until a connection to an unreachable backend server fails."""
 
+UNREACHABLE_AFTER_S = 0.15
+"""Shortest attempt whose failure to connect shows that a server is unreachable."""
+
 _OK, _UNAVAILABLE, _MISDIRECTED = 200, 503, 421
 _DEFAULT_URGENCY = 5
 
@@ -133,11 +136,9 @@
         if pieces is None:
             if not self._is_refused_at_once(backend.address):
                 await asyncio.sleep(min(CONNECT_TIMEOUT_S, head_timeout_s))
-                if head_timeout_s < CONNECT_TIMEOUT_S:
-                    request.record_arrival(backend.backend_id, may_have_run=True)
-                    return Err(SendFailure(SendProblem.SILENT, "no head in time"))
+            is_unreachable = head_timeout_s >= UNREACHABLE_AFTER_S
             return Err(
-                SendFailure(SendProblem.NOT_SENT, "no connection", is_unreachable=True)
+                SendFailure(SendProblem.NOT_SENT, "no connection", None, is_unreachable)
             )
         pieces = self.links.carry(pieces, backend.address)
         try:
