Relays: after a search in vain, requests don't wait for the next one

While a service is down, each node searched again every half a second for one that reaches it, and requests waited for the other nodes' replies, up to 0.25 s where these are busy.

A search that found none is not waited for again within a second: the next one is begun, and whoever it finds serves the requests after it. Red before: requests took 0.2 s when the others replied after 0.2 s.

--- a/packages/node/src/fordhatch/node/_relay_peers.py
+++ b/packages/node/src/fordhatch/node/_relay_peers.py
@@ -32,6 +32,10 @@
 STRAGGLERS_S = 0.05
 """How long requests wait for the last replies once most of the nodes have replied."""
 
+NONE_FOUND_S = 1.0
+"""How long requests don't wait for a search after one that found none. A node that is
+cut off searches about twice in this time."""
+
 ASKED_S = 2.0
 """How long a node that has asked counts as cut off; it asks again within this time."""
 
@@ -57,6 +61,8 @@
     """The queries in progress, by service and name."""
     _asked_s: dict[str, float] = attrs.field(factory=dict)
     """When each node last showed that it is cut off, by asking this one."""
+    _none_found_s: dict[str, float] = attrs.field(factory=dict)
+    """When the last search found no node in touch, by service."""
     _searches: dict[str, asyncio.Task[object]] = attrs.field(factory=dict)
     _tasks: TaskSet = attrs.field(factory=TaskSet)
 
@@ -65,6 +71,8 @@
     ) -> NodeAddress | None:
         """Return the best node in touch, after a search if none is known.
 
+        While the last search has found none, the next one is begun and not waited for.
+
         Args:
             service: The service whose backend servers are needed.
             tried: Names of nodes that are not to be returned.
@@ -73,7 +81,10 @@
         node = self._best(service, tried)
         if node is not None:
             return node
-        await self.search(service, wait_s)
+        is_known = self._none_found_s.get(service, -math.inf) >= (
+            self.timer.now_s() - NONE_FOUND_S
+        )
+        await self.search(service, 0.0 if is_known else wait_s)
         return self._best(service, tried)
 
     def _best(self, service: str, tried: Collection[str]) -> NodeAddress | None:
@@ -137,6 +148,7 @@
             candidates = candidates[QUERIES_AT_ONCE:]
             if await self._query_all(service, batch):
                 return
+        self._none_found_s[service] = self.timer.now_s()
         log_event("no_node_in_touch", service=service)
 
     async def _query_all(self, service: str, nodes: list[NodeAddress]) -> bool:
--- a/packages/node/tests/test_relayed_requests.py
+++ b/packages/node/tests/test_relayed_requests.py
@@ -425,3 +425,21 @@
             assert site.servers["a"]._relayed == 0
 
     simulate(scenario)
+
+
+# Guards against requests that wait for one search after the other, each for nodes that
+# are slow to say that they are cut off as well.
+def test_after_a_search_in_vain_the_next_ones_are_not_waited_for() -> None:
+    async def scenario() -> None:
+        async with site_of() as site:
+            for n in range(6):
+                site.add(f"n{n}", unreachable, reaches=False)
+            assert await times_of(site, 5) == [(None, 0.0)] * 5
+            for pool in site.network.pools.values():
+                pool.handler = lambda *_: asyncio.sleep(0.2)
+            for _ in range(4):
+                await asyncio.sleep(DENIED_S + 0.1)
+                assert await times_of(site, 5) == [(None, 0.0)] * 5
+                assert len(site.client.peers._searches) == 1
+
+    simulate(scenario)
