Admission control: a held request is refused at its deadline

A held stream is decided on every 0.05 s and kept for 0.1 s after its caller should have given up, or after its deadline if that is earlier: up to 0.15 s too late. The wait ends at the deadline now; decisions are as before.

--- a/packages/serving/src/fordhatch/serving/_admission_control.py
+++ b/packages/serving/src/fordhatch/serving/_admission_control.py
@@ -53,6 +53,8 @@
 MAX_LINES_PER_S = 5
 """Most ``admission_decided`` lines of a node per second."""
 
+_OUT_OF_TIME = Refuse(0.0, RefusalReason.WAITED)
+
 
 @attrs.define(eq=False, repr=False)
 class HeldRequest(Ticket):
@@ -201,7 +203,9 @@
                 self._review_while_waiting(), "admission review"
             )
         try:
-            return await held.settled
+            left_s = max(held.due_s - self.timer.now_s(), 0.0)
+            done, _ = await asyncio.wait([held.settled], timeout=left_s)
+            return held.settled.result() if done else _OUT_OF_TIME
         finally:
             gauge.dec()
             waited_s = self.timer.now_s() - held.arrived_s
--- a/packages/serving/tests/test_waits.py
+++ b/packages/serving/tests/test_waits.py
@@ -12,9 +12,11 @@
 from result import Err
 
 from fordhatch.catalog import BackendServer, BackendState
-from fordhatch.core import Ran, ResultCode, Timer
+from fordhatch.core import Ran, ResultCode, TaskSet, Timer
 from fordhatch.registry import RunStage
+from fordhatch.scheduling import Refuse
 from fordhatch.serving import NodeState, SendFailure, SendProblem
+from fordhatch.serving._admission_control import AdmissionControl
 from fordhatch.serving._caller_pace import MIN_WRITE_S
 from fordhatch.serving._caller_server import CallerReply, CallerServer
 from fordhatch.serving._node_state import START_POLL_INTERVAL_S
@@ -230,3 +232,25 @@
         await client.close()
 
     run_in_virtual_time(scenario())
+
+
+# Guards against held requests that are refused after their deadline: the line keeps
+# them for 0.1 s longer, and decides every 0.05 s.
+def test_a_held_request_is_refused_at_its_deadline() -> None:
+    async def scenario() -> None:
+        timer = Timer.from_seed(1)
+        control = SimpleNamespace(
+            timer=timer, _reviewer=None, _tasks=TaskSet(), _review_while_waiting=forever
+        )
+        held = SimpleNamespace(
+            settled=asyncio.get_running_loop().create_future(),
+            arrived_s=timer.now_s(),
+            due_s=timer.now_s() + LIMIT_S,
+        )
+        waiting = AdmissionControl._wait(control, ("llm", "m"), held)
+        decision, took = await took_s(timer, waiting)
+        assert isinstance(decision, Refuse)
+        assert took == pytest.approx(LIMIT_S)
+        await control._tasks.close()
+
+    run_in_virtual_time(scenario())
