--- /dev/null
+++ b/packages/serving/src/fordhatch/serving/_http_reply.py
@@ -0,0 +1,73 @@
+"""An answer on a caller's connection."""
+
+from __future__ import annotations
+
+import attrs
+from aiohttp import HttpVersion11, web
+
+from ._caller_writes import finish, reset, while_caller_reads, write
+from ._node_state import NodeState
+
+
+@attrs.define(eq=False, repr=False)
+class HttpReply:
+    """Common base of the replies of all interfaces."""
+
+    http_request: web.BaseRequest
+    state: NodeState
+    response: web.StreamResponse | None = None
+    outcome: str = ""
+    """Result as the caller sees it, for logs and metrics."""
+    is_whole: bool = False
+    """Whether a complete answer of a backend server was sent."""
+    is_over: bool = False
+    """Whether an answer, a refusal or a failure was sent to its end, or aborted."""
+    due_s: float = 0.0
+    """When the final answer is due, in monotonic seconds."""
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether any byte of the answer was sent."""
+        return self.response is not None
+
+    async def _send(self, response: web.Response) -> None:
+        """Send an answer of one piece."""
+        await self._prepare(response)
+        await self._finish()
+
+    async def _begin_stream(self, response: web.StreamResponse) -> None:
+        """Start an answer whose body is streamed."""
+        if self.http_request.version >= HttpVersion11:
+            response.enable_chunked_encoding()
+        else:
+            response.force_close()
+        await self._prepare(response)
+
+    async def _prepare(self, response: web.StreamResponse) -> None:
+        if self.is_over:
+            raise ConnectionResetError("the answer is over")
+        self.response = response
+        if self.state.is_leaving:
+            response.force_close()
+        async with while_caller_reads(self.http_request, self.state.timer, self.due_s):
+            await response.prepare(self.http_request)
+
+    async def _write(self, piece: bytes) -> None:
+        await write(
+            self.http_request, self.response, piece, self.state.timer, self.due_s
+        )
+
+    async def _finish(self) -> None:
+        await finish(self.http_request, self.response, self.state.timer, self.due_s)
+        self.is_over = True
+
+    async def abort(self) -> None:
+        """Abort an answer so that the caller can't take it for a complete one."""
+        self.outcome = "aborted"
+        self.is_over = True
+        transport = self.http_request.transport
+        if self.http_request.version < HttpVersion11:
+            reset(self.http_request)
+        elif transport is not None:
+            # A close is enough: chunks and lengths show that the end is missing.
+            transport.abort()
