Tests of slow callers at a stop: sizes that leave little, and the process's end

Traced: a stream whose buffer had been above 64 KB for a moment keeps its handler waiting, so the node still had in_flight=1 and was there to send the rest. The size now leaves 8 to 24 KB, far from that limit, and the caller reads when the process has ended, or 5 s after the signal.

--- a/packages/node/tests/stopping_node.py
+++ b/packages/node/tests/stopping_node.py
@@ -107,14 +107,17 @@
             await asyncio.gather(*self._reading)
         return self.ended_s - self.stopped_s
 
-    async def end_or_kill(self, grace_s: float) -> float:
-        """Wait for the end, and kill the process as the platform does."""
-        left_s = self.stopped_s + grace_s - time.monotonic()
+    async def end_within(self, duration_s: float) -> None:
+        """Wait for the end, but not longer than this time after the signal."""
+        left_s = self.stopped_s + duration_s - time.monotonic()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(left_s):
                 await self.process.wait()
+
+    async def end_or_kill(self, grace_s: float) -> None:
+        """Wait for the end, and kill the process as the platform does."""
+        await self.end_within(grace_s)
         await self.kill()
-        return self.ended_s - self.stopped_s
 
     def about(self, request_id: str) -> list[LogLine]:
         """Return the log lines that name a request."""
--- a/packages/node/tests/test_slow_callers_at_a_stop.py
+++ b/packages/node/tests/test_slow_callers_at_a_stop.py
@@ -3,25 +3,25 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
 from raw_caller import RECEIVE_BYTES, Caller, answers_of_a_size, request_bytes
 from stopping_node import StoppingNode, StoppingSite
 
 LONG_GRACE_S = 8
-READS_AFTER_S = 4.2
-"""When such callers begin to read, after the signal: later than an idle node ends."""
+READS_AFTER_S = 5.0
+"""When such callers read, after the signal, unless the process has ended before."""
 PAUSE_S = 0.2
 """How long a caller does not read after it has sent its next request."""
 
-FIRST_SIZE = 100_000
+SETTLES_S = 0.5
+FIRST_SIZE = 90_000
 KERNEL_SIZE = 50_000
 """Size of an answer that the kernels hold, but not the caller's alone."""
 
 MIN_LEFT = 8_000
-MAX_LEFT = 48_000
-"""Bytes of an answer that its node still has to hand to the kernel: a write of less
-than 64 KB returns at once."""
+MAX_LEFT = 24_000
+"""Bytes of an answer that its node still has to hand to the kernel. A write returns at
+once until 64 KB wait, and the kernel takes up to 20 KB more while the answer comes."""
 
 
 async def full_caller(node: StoppingNode, path: str) -> Caller:
@@ -31,6 +31,10 @@
         caller = await Caller.connect(node, RECEIVE_BYTES)
         await caller.send(request_bytes(f"{path}/{size}", path))
         held = await caller.until_full()
+        if MIN_LEFT < size - held < MAX_LEFT:
+            # What a busy machine delays is still on its way.
+            await asyncio.sleep(SETTLES_S)
+            held = await caller.until_full()
         if MIN_LEFT < size - held < MAX_LEFT:
             return caller
         caller.close()
@@ -47,10 +51,10 @@
         node = await site.add_node(LONG_GRACE_S)
         callers = await asyncio.gather(*(full_caller(node, path) for path in paths))
         node.stop()
-        await asyncio.sleep(node.stopped_s + READS_AFTER_S - time.monotonic())
+        await node.end_within(READS_AFTER_S)
         seen = [(await caller.answer()).seen for caller in callers]
         await node.end()
-    assert seen == [(200, "whole"), (200, "whole")], node.about("/once")
+    assert seen == [(200, "whole"), (200, "whole")], node.lines[-3:]
 
 
 # Guards against the tail of an answer that the kernel holds when the process ends: it
@@ -65,7 +69,7 @@
         await caller.send(request_bytes(f"/once/{KERNEL_SIZE}", "first"))
         await caller.until_full()
         node.stop()
-        await asyncio.sleep(node.stopped_s + READS_AFTER_S - time.monotonic())
+        await node.end_within(READS_AFTER_S)
         await caller.send(request_bytes(f"/once/{KERNEL_SIZE}", "next"))
         await asyncio.sleep(PAUSE_S)
         answer = await caller.answer()
