Answers: heads, chunk extensions and trailers have a bound

A server that sent interim (1xx) answers without end, or the extension of a chunk without end, was read until the caller's deadline: the library bounds a line (32 KiB) and the number of fields (128), not the head as a whole, and drops interim answers and extensions without counting them.

Connections to backend servers and to the store now use a protocol that hands the parser no more than 128 KiB of a head, and closes the connection there; after the head it closes one that has sent 1 MiB without a byte of the body. A second final answer on a connection closes it instead of being queued. Each such end is counted (fordhatch_reads_bounded_total) and logged (read_bounded).

--- a/packages/core/src/fordhatch/core/__init__.py
+++ b/packages/core/src/fordhatch/core/__init__.py
@@ -8,6 +8,7 @@
 from ._invariant import InvariantGuard
 from ._line_writer import LineWriter
 from ._log import configure_line_log, configure_logging, format_line, log_event
+from ._read_bound import record_bound
 from ._suspension import Suspension
 from ._timer import TaskSet, Timer
 
@@ -29,4 +30,5 @@
     "format_line",
     "log_event",
     "metrics",
+    "record_bound",
 ]
--- a/packages/core/src/fordhatch/core/_metrics.py
+++ b/packages/core/src/fordhatch/core/_metrics.py
@@ -100,6 +100,12 @@
     ["evidence"],
     registry=REGISTRY,
 )
+READS_BOUNDED = Counter(
+    "fordhatch_reads_bounded_total",
+    "Reads from callers, backend servers, the store or nodes that a bound has ended.",
+    ["what"],
+    registry=REGISTRY,
+)
 RELAYED_REQUESTS = Counter(
     "fordhatch_relayed_requests_total",
     "Attempts at backend servers through other nodes, by role and outcome.",
--- a/packages/serving/src/fordhatch/serving/exchange/_exchange.py
+++ b/packages/serving/src/fordhatch/serving/exchange/_exchange.py
@@ -12,7 +12,7 @@
 from result import Err, Ok, Result
 from yarl import URL
 
-from fordhatch.adapter import decode_answer, encode_call
+from fordhatch.adapter import bounded_connector, decode_answer, encode_call
 from fordhatch.catalog import (
     BackendServer,
     Backpressure,
@@ -171,7 +171,7 @@
     @classmethod
     def from_timer(cls, timer: Timer) -> ExchangeClient:
         """Return a client; requires a running event loop."""
-        connector = aiohttp.TCPConnector(limit=0, force_close=True)
+        connector = bounded_connector(force_close=True)
         trace = aiohttp.TraceConfig()
         trace.on_connection_create_end.append(_recheck_before_send)
         session = aiohttp.ClientSession(
