Event streams: no byte is searched again with each piece

EventSplitter.feed searched its whole buffer for the end of an event with each piece. An event without end in small pieces blocked the event loop, and with it every other caller of the node, until it was a megabyte long.

The search now begins where the last one ended, less the three bytes that an end may be split over, and the buffer is extended in place.

--- a/packages/serving/src/fordhatch/serving/_events.py
+++ b/packages/serving/src/fordhatch/serving/_events.py
@@ -7,6 +7,7 @@
 import attrs
 
 _END_OF_EVENT = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_MAX_END_BYTES = 4
 _ID_LINE = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
 
 MAX_EVENT_BYTES = 1024 * 1024
@@ -29,7 +30,9 @@
 class EventSplitter:
     """Splits a body into complete events."""
 
-    _buffer: bytes = b""
+    _buffer: bytearray = attrs.field(factory=bytearray)
+    _searched_bytes: int = 0
+    """Beginning of the buffer in which no event ends."""
 
     def feed(self, piece: bytes) -> list[Event]:
         """Return the events that are complete with this piece.
@@ -40,11 +43,13 @@
         self._buffer += piece
         events = []
         begin = 0
-        for match in _END_OF_EVENT.finditer(self._buffer):
-            raw = self._buffer[begin : match.end()]
+        for match in _END_OF_EVENT.finditer(self._buffer, self._searched_bytes):
+            raw = bytes(self._buffer[begin : match.end()])
             events.append(Event(raw, _number(raw)))
             begin = match.end()
-        self._buffer = self._buffer[begin:]
+        del self._buffer[:begin]
+        # The end of an event may be split over two pieces.
+        self._searched_bytes = max(len(self._buffer) - _MAX_END_BYTES + 1, 0)
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise StreamError("event without end")
         return events
