Plain answers: a bound on what is held, longer ones are passed on

A node held the whole body of every plain answer, and of every failure to a stream, until it was complete.

A longer plain answer is passed on as it comes, so that sound ones of any length arrive; if it breaks off, the caller's connection is aborted, and an end with the connection is confirmed as before.

Own interface: answers of plain services can be streamed as well. Callers of HTTP/1.0 get long answers without chunks, which the library refuses there.

--- a/packages/chat/src/fordhatch/chat/_replies.py
+++ b/packages/chat/src/fordhatch/chat/_replies.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 import attrs
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from multidict import CIMultiDict
 
 from fordhatch.core import Failure, ResultCode
@@ -163,21 +163,53 @@
 
 @attrs.define(eq=False, repr=False)
 class CallReply(_HttpReply):
-    """A reply that is sent in full, such as the answer of a plain service."""
+    """The answer of a plain service; one that is too long is sent as it comes."""
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether any byte of the answer was sent."""
+        return self.response is not None
+
+    async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Begin a reply that is sent as it comes."""
+        response = web.StreamResponse(status=status, headers=_content_type(headers))
+        if self.http_request.version >= HttpVersion11:
+            response.enable_chunked_encoding()
+        else:
+            response.force_close()
+        await self._prepare(response)
+
+    async def write(self, piece: bytes) -> None:
+        """Send a piece of the body."""
+        await self.response.write(piece)
+
+    async def end(self) -> None:
+        """End a reply that is complete."""
+        self.outcome = "complete"
+        await self.response.write_eof()
+
+    async def abort(self) -> None:
+        """Abort a reply so that the caller can't take it for a complete one."""
+        self.outcome = "aborted"
+        transport = self.http_request.transport
+        if transport is not None:
+            transport.abort()
 
     async def send_complete(
         self, status: int, headers: list[tuple[str, str]], body: bytes
     ) -> None:
         """Answer with a backend server's complete answer."""
         self.outcome = f"status_{status}"
-        content_types = [
-            value for name, value in headers if name.lower() == "content-type"
-        ]
-        kind = content_types[0] if content_types else "application/octet-stream"
-        sent = CIMultiDict({"Content-Type": kind})
+        sent = _content_type(headers)
         await self._send(web.Response(status=status, headers=sent, body=body))
 
 
+def _content_type(headers: list[tuple[str, str]]) -> CIMultiDict[str]:
+    content_types = [v for name, v in headers if name.lower() == "content-type"]
+    kind = content_types[0] if content_types else "application/octet-stream"
+    return CIMultiDict({"Content-Type": kind})
+
+
 @attrs.define(eq=False, repr=False)
 class RecordedReply:
     """Records an answer for storage and forwards it until the caller disconnects."""
--- a/packages/node/src/fordhatch/node/_relayed_answer.py
+++ b/packages/node/src/fordhatch/node/_relayed_answer.py
@@ -117,17 +117,6 @@
             await self._channel.send(RelayAck(self._unacknowledged))
             self._unacknowledged = 0
 
-    async def read_all(self) -> bytes:
-        """Return the complete body.
-
-        Raises:
-            aiohttp.ClientError: If the body is incomplete.
-        """
-        pieces = []
-        while piece := await self.read_piece():
-            pieces.append(piece)
-        return b"".join(pieces)
-
     def close(self) -> None:
         """End the request, which cancels an unfinished one."""
         self._end()
--- a/packages/node/tests/test_relayed_requests.py
+++ b/packages/node/tests/test_relayed_requests.py
@@ -21,6 +21,7 @@
 from fordhatch.protocol.messages import QueryContact, RelayRequest
 from fordhatch.registry import NodeAddress
 from fordhatch.serving import SendFailure, SendOptions, SendProblem
+from fordhatch.serving.exchange import AnswerHold, HeldAnswers, HeldBody
 from fordhatch_lab import run_in_virtual_time
 from fordhatch_standins import MemoryNetwork
 
@@ -200,7 +201,8 @@
         async with site_of(a=answers(answer)) as site:
             request = StubRequest()
             got = (await site.client.send(request, BACKEND, OPTIONS)).unwrap()
-            assert await got.read_all() == b"ab" * WINDOW_PIECES
+            held = await AnswerHold(HeldAnswers()).read(got)
+            assert held == HeldBody(b"ab" * WINDOW_PIECES, is_whole=True)
             assert request.arrivals == [True]
             got.close()
             await asyncio.sleep(0.1)
--- a/packages/serving/src/fordhatch/serving/_caller_server.py
+++ b/packages/serving/src/fordhatch/serving/_caller_server.py
@@ -5,7 +5,7 @@
 import json
 
 import attrs
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from multidict import CIMultiDict
 from result import Err, Ok, Result
 from yarl import URL
@@ -72,7 +72,10 @@
     async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Start an answer whose body is streamed."""
         self.response = web.StreamResponse(status=status, headers=CIMultiDict(headers))
-        self.response.enable_chunked_encoding()
+        if self.http_request.version >= HttpVersion11:
+            self.response.enable_chunked_encoding()
+        else:
+            self.response.force_close()
         self._close_if_leaving(self.response)
         await self.response.prepare(self.http_request)
 
--- a/packages/serving/src/fordhatch/serving/_plain_call.py
+++ b/packages/serving/src/fordhatch/serving/_plain_call.py
@@ -7,21 +7,33 @@
 
 import aiohttp
 import attrs
+from multidict import CIMultiDict
 from result import Err, Ok, Result
 
 from fordhatch.adapter import answer_headers
 from fordhatch.catalog import BackendServer
-from fordhatch.core import Failure, Ran, ResultCode, Timer, log_event
+from fordhatch.core import (
+    Failure,
+    Ran,
+    ResultCode,
+    Timer,
+    log_event,
+    record_bound,
+)
 from fordhatch.registry import BackendDirectory, RunStage
 
 from ._admission import Admission
+from ._answer_passing import AnswerPassing, PassedAnswer
 from ._evacuated_zones import EVACUATED_RETRY_AFTER_S, evacuated_plain_failure
 from ._request import Reply, ServedRequest
 from .crashes import CrashWatch
 from .exchange import (
     UNCONFIRMED_END,
+    AnswerHold,
     BackendAnswer,
     BackendExchange,
+    HeldAnswers,
+    HeldBody,
     SendFailure,
     SendProblem,
     connection_problem,
@@ -80,6 +92,15 @@
     body: bytes
 
 
+@attrs.frozen
+class _Call:
+    """A request while it is served."""
+
+    request: ServedRequest
+    reply: Reply
+    hold: AnswerHold
+
+
 @attrs.define(eq=False, repr=False)
 class PlainCalls:
     """Serves requests of plain services."""
@@ -95,9 +116,16 @@
     crashes: CrashWatch
     permits: Permits
     load: SharedLoad
+    held: HeldAnswers
+    passing: AnswerPassing
 
     async def serve(self, request: ServedRequest, reply: Reply) -> None:
         """Serve one request; the reply is final when this returns."""
+        with self.held.hold() as hold:
+            await self._serve(_Call(request, reply, hold))
+
+    async def _serve(self, call: _Call) -> None:
+        request, reply = call.request, call.reply
         tried: list[str] = []
         last_answer: CompleteAnswer | None = None
         problem = SendFailure(SendProblem.NOT_SENT, "no backend server")
@@ -106,8 +134,12 @@
             if backend is None or not await self._may_send(request):
                 break
             tried.append(backend.backend_id)
-            got = await self._send(request, backend, tried)
+            got = await self._send(call, backend, tried)
             request.end_attempt(is_sent=is_sent(got.err()))
+            if reply.has_begun:
+                # The answer was too long to be held, and was passed on.
+                request.was_answered = request.has_output = got.is_ok()
+                return
             if got.is_err():
                 problem = got.unwrap_err()
                 if await self.crashes.may_retry(request, backend):
@@ -201,8 +233,9 @@
         return min(left_s, patience_s)
 
     async def _send(
-        self, request: ServedRequest, backend: BackendServer, tried: Collection[str]
-    ) -> Result[CompleteAnswer, SendFailure]:
+        self, call: _Call, backend: BackendServer, tried: Collection[str]
+    ) -> Result[CompleteAnswer | PassedAnswer, SendFailure]:
+        request = call.request
         began_s = self.timer.now_s()
         timeout_s = self._answer_timeout_s(request, backend, tried)
         in_flight = self.health.in_flight[backend.backend_id]
@@ -210,7 +243,7 @@
         self.health.in_flight[backend.backend_id] += 1
         try:
             with self.load.counted(request.service, backend.backend_id, 0):
-                got = await self._exchange(request, backend, timeout_s)
+                got = await self._exchange(call, backend, timeout_s, tried)
         finally:
             self.health.in_flight[backend.backend_id] -= 1
         took_s = self.timer.now_s() - began_s
@@ -222,8 +255,13 @@
         return got
 
     async def _exchange(
-        self, request: ServedRequest, backend: BackendServer, timeout_s: float
-    ) -> Result[CompleteAnswer, SendFailure]:
+        self,
+        call: _Call,
+        backend: BackendServer,
+        timeout_s: float,
+        tried: Collection[str],
+    ) -> Result[CompleteAnswer | PassedAnswer, SendFailure]:
+        request = call.request
         ends_s = self.timer.now_s() + timeout_s
         sent = await self.exchange.send(request, backend, head_timeout_s=timeout_s)
         if sent.is_err():
@@ -236,21 +274,27 @@
         answer = sent.unwrap()
         self.permits.pressure.process_answer(backend, answer.fields.backpressure)
         try:
-            return await self._read(request, backend, answer, ends_s)
+            held = await self._read(call, backend, answer, ends_s)
+            if held.is_err():
+                return held
+            if held.unwrap().is_whole:
+                return Ok(_complete_answer(answer, held.unwrap().data))
+            return await self._pass_on(call, answer, held.unwrap(), tried)
         finally:
             answer.close()
 
     async def _read(
         self,
-        request: ServedRequest,
+        call: _Call,
         backend: BackendServer,
         answer: BackendAnswer,
         ends_s: float,
-    ) -> Result[CompleteAnswer, SendFailure]:
+    ) -> Result[HeldBody, SendFailure]:
         """Read the body of an answer; ``ends_s`` is when it has to be complete."""
+        request = call.request
         try:
             async with self.timer.timeout(max(ends_s - self.timer.now_s(), 0.0)):
-                body = await answer.read_all()
+                held = await call.hold.read(answer)
         except TimeoutError:
             return Err(SendFailure(SendProblem.SILENT, "body not complete in time"))
         except (aiohttp.ClientError, OSError) as error:
@@ -258,11 +302,42 @@
             if problem is SendProblem.CONNECTION_LOST:
                 self.crashes.connection_broken(request, backend, PLAIN_STAGE)
             return Err(SendFailure(problem, repr(error)))
+        if not held.is_whole:
+            return Ok(held)
         left_s = ends_s - self.timer.now_s()
         if not await self.exchange.confirms_end(answer, left_s):
             self.crashes.connection_broken(request, backend, PLAIN_STAGE)
             return Err(SendFailure(SendProblem.CONNECTION_LOST, UNCONFIRMED_END))
-        return Ok(_complete_answer(answer, body))
+        return Ok(held)
+
+    async def _pass_on(
+        self,
+        call: _Call,
+        answer: BackendAnswer,
+        held: HeldBody,
+        tried: Collection[str],
+    ) -> Result[PassedAnswer, SendFailure]:
+        """Pass on an answer that is too long to be held, unless it can be none.
+
+        One without a declared length may have no end: as long as another backend
+        server may be asked, that one is. Failures of that length are no answers.
+        """
+        request = call.request
+        is_failure = answer.status >= _SERVER_ERROR
+        may_retry = (
+            "Content-Length" not in CIMultiDict(answer.headers)
+            and request.may_run(self.directory.backends, self.timer.now_s())
+            and self._choose(request.service, tried) is not None
+        )
+        if is_failure or may_retry:
+            record_bound("answer", request=request.fields.request_id)
+            detail = f"status {answer.status}, {held.excess}"
+            return Err(SendFailure(SendProblem.BROKEN, detail))
+        passed = await self.passing.pass_on(request, call.reply, answer, held)
+        failure = passed.err()
+        if failure is not None and failure.problem is SendProblem.CONNECTION_LOST:
+            self.crashes.connection_broken(request, answer.backend, PLAIN_STAGE)
+        return passed
 
     def _failure(self, request: ServedRequest, problem: SendFailure) -> Failure:
         if not request.ran_at:
@@ -299,7 +374,7 @@
 def _log_failed(
     request: ServedRequest,
     backend: BackendServer,
-    got: Result[CompleteAnswer, SendFailure],
+    got: Result[CompleteAnswer | PassedAnswer, SendFailure],
     took_s: float,
 ) -> None:
     failure = got.err()
--- a/packages/serving/src/fordhatch/serving/_request_path.py
+++ b/packages/serving/src/fordhatch/serving/_request_path.py
@@ -10,13 +10,14 @@
 
 from ._admission import Admission
 from ._admission_control import AdmissionControl
+from ._answer_passing import AnswerPassing
 from ._dispatch import Dispatch
 from ._node_state import NodeState
 from ._plain_call import PlainCalls
 from ._stream_call import StreamCalls
 from ._stream_run import StreamRuns
 from .crashes import CrashRowWriter, CrashWatch
-from .exchange import AnswerEndCheck, BackendExchange, ExchangeClient
+from .exchange import AnswerEndCheck, BackendExchange, ExchangeClient, HeldAnswers
 from .groups import BackendHealth, GroupProgress, HeadChoice, ModelLoad, StallWatch
 from .limits import BackpressureTracker, ColdBackends, PermitIssuer, Permits
 from .load import DemandMeter, SharedLoad
@@ -106,6 +107,7 @@
             zone, view.directory, health, stalls, pressure, timer.rng, node_count, load
         )
         progress = GroupProgress(timer)
+        held = HeldAnswers()
         runs = StreamRuns(
             timer,
             view.directory,
@@ -117,6 +119,7 @@
             crashes,
             pressure,
             load,
+            held,
         )
         demand = DemandMeter(timer)
         control = AdmissionControl(
@@ -148,6 +151,8 @@
             crashes,
             permits,
             load,
+            held,
+            AnswerPassing(timer, routed),
         )
         dispatch = Dispatch(state, budget, streams, plain, timer, crashes)
         return cls(
--- a/packages/serving/src/fordhatch/serving/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/_stream_run.py
@@ -10,7 +10,7 @@
 
 from fordhatch.adapter import answer_headers
 from fordhatch.catalog import BackendServer
-from fordhatch.core import Timer, log_event, metrics
+from fordhatch.core import Timer, log_event, metrics, record_bound
 from fordhatch.registry import BackendDirectory
 
 from ._events import EventSplitter, StreamError
@@ -19,8 +19,10 @@
 from .crashes import CrashWatch
 from .exchange import (
     UNCONFIRMED_END,
+    AnswerHold,
     BackendAnswer,
     BackendExchange,
+    HeldAnswers,
     SendFailure,
     SendProblem,
     connection_problem,
@@ -64,6 +66,7 @@
     crashes: CrashWatch
     pressure: BackpressureTracker
     load: SharedLoad
+    held: HeldAnswers
     _running: dict[int, tuple[Stream, RunProgress]] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
@@ -154,7 +157,8 @@
         progress.has_answer = True
         try:
             if answer.status != _OK:
-                await self._forward_complete(stream, answer)
+                with self.held.hold() as hold:
+                    await self._forward_complete(stream, answer, hold)
                 return
             await self._forward_events(stream, head, answer, progress)
         finally:
@@ -266,7 +270,9 @@
         if other is not None and ran < request.route.attempts:
             raise RunFailed(SendProblem.SILENT, detail)
 
-    async def _forward_complete(self, stream: Stream, answer: BackendAnswer) -> None:
+    async def _forward_complete(
+        self, stream: Stream, answer: BackendAnswer, hold: AnswerHold
+    ) -> None:
         """Forward an answer that is no stream: a failure of the backend server.
 
         Raises:
@@ -275,11 +281,16 @@
         """
         try:
             async with self.timer.timeout(stream.request.left_s(self.timer.now_s())):
-                body = await answer.read_all()
+                held = await hold.read(answer)
         except TimeoutError as error:
             raise RunFailed(SendProblem.SILENT, repr(error)) from error
         except (aiohttp.ClientError, OSError) as error:
             raise RunFailed(connection_problem(error), repr(error)) from error
+        if not held.is_whole:
+            record_bound("failed_answer", request=stream.request.fields.request_id)
+            raise RunFailed(
+                SendProblem.BROKEN, f"status {answer.status}, {held.excess}"
+            )
         left_s = stream.request.left_s(self.timer.now_s())
         if not await self.exchange.confirms_end(answer, left_s):
             raise RunFailed(SendProblem.CONNECTION_LOST, UNCONFIRMED_END)
@@ -287,7 +298,7 @@
         if stream.reply.has_begun or (answer.status >= _SERVER_ERROR and can_repeat):
             raise RunFailed(SendProblem.BROKEN, f"status {answer.status}")
         await stream.reply.send_complete(
-            answer.status, answer_headers(answer.headers), body
+            answer.status, answer_headers(answer.headers), held.data
         )
 
     async def _forward_events(
--- a/packages/serving/src/fordhatch/serving/exchange/__init__.py
+++ b/packages/serving/src/fordhatch/serving/exchange/__init__.py
@@ -13,14 +13,18 @@
     connection_problem,
     is_sent,
 )
+from ._held_answers import AnswerHold, HeldAnswers, HeldBody
 from ._process_witness import ProcessWitness
 
 __all__ = [
     "UNCONFIRMED_END",
     "AnswerEndCheck",
+    "AnswerHold",
     "BackendAnswer",
     "BackendExchange",
     "ExchangeClient",
+    "HeldAnswers",
+    "HeldBody",
     "OutboundRequest",
     "ProcessWitness",
     "SendFailure",
--- a/packages/serving/src/fordhatch/serving/exchange/_backend_answer.py
+++ b/packages/serving/src/fordhatch/serving/exchange/_backend_answer.py
@@ -106,16 +106,6 @@
             self._check_end()
         return piece
 
-    async def read_all(self) -> bytes:
-        """Return the complete body.
-
-        Raises:
-            aiohttp.ClientError, OSError: If the body is incomplete.
-        """
-        body = await self._response.content.read()
-        self._check_end()
-        return body
-
     def _check_end(self) -> None:
         # The library takes the end of a connection for the end of a body without
         # a length, even if the connection was reset.
--- a/standins/src/fordhatch_lab/_load_trial.py
+++ b/standins/src/fordhatch_lab/_load_trial.py
@@ -332,7 +332,21 @@
         nodes = trial.nodes
         return way(zone, heads, health, NoStalls(), pressure, rng, lambda: nodes, load)
     permits = Permits("n", clock, pressure, PermitIssuer("n", rng), dict)
-    return way(zone, clock, rng, heads, health, None, None, None, None, permits, load)
+    return way(
+        zone,
+        clock,
+        rng,
+        heads,
+        health,
+        None,
+        None,
+        None,
+        None,
+        permits,
+        load,
+        None,
+        None,
+    )
 
 
 def _entry(zone: str, index: int, slots: int) -> BackendServer:
--- a/standins/src/fordhatch_standins/_memory_exchange.py
+++ b/standins/src/fordhatch_standins/_memory_exchange.py
@@ -85,13 +85,6 @@
                 return b""
             raise aiohttp.ClientPayloadError("cut off") from error
 
-    async def read_all(self) -> bytes:
-        """Return the complete body."""
-        pieces = []
-        while piece := await self.read_piece():
-            pieces.append(piece)
-        return b"".join(pieces)
-
     def close(self) -> None:
         """Cancel the rest of the request."""
         if self.witness is not None:
