Streams: bytes that are always there don't outlast the deadline

A stream whose server always has the next piece ready, such as one that repeats old events, was never ended: the deadline was looked at only while the next piece was awaited. It held its caller, and a slot, for as long as the server went on.

A piece that comes after the deadline is not forwarded any more; the end of the body still is.

test_a_stream_without_end_ends_at_its_deadline: red before (no end within 30 s at a deadline of 0.5 s), green after.

--- a/packages/serving/src/fordhatch/serving/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/_stream_run.py
@@ -314,6 +314,9 @@
             piece = await self._next_piece(stream, head, answer, progress)
             if not piece:
                 break
+            if stream.request.left_s(self.timer.now_s()) <= 0:
+                # Bytes that are always there would let it go on for ever.
+                raise RunFailed(SendProblem.SILENT, "out of time")
             self.progress.record_event(progress, stream.model)
             last_s = self._record_pause(stream, head, last_s)
             await self._forward_piece(stream, answer, splitter, piece)
--- a/packages/serving/tests/test_long_answers.py
+++ b/packages/serving/tests/test_long_answers.py
@@ -9,7 +9,7 @@
 import pytest
 from test_answers_without_length import plain_head
 from test_plain_calls import answers
-from test_stream_calls import chunk, head
+from test_stream_calls import chunk, events, head
 
 from fordhatch.core import metrics
 from fordhatch.serving import _answer_passing as answer_passing
@@ -127,3 +127,19 @@
     got = await asyncio.gather(*(site.ask("/once/1") for _ in range(12)))
     assert all(answer.body == LONG for answer in got)
     assert most[0] < len(LONG) // 2 + 12 * 2**20
+
+
+async def repeats_an_event(request, writer) -> None:
+    writer.write(head(request) + chunk(events(1, 2)))
+    with contextlib.suppress(ConnectionError):
+        while True:
+            writer.write(chunk(events(1, 1) * 4096))
+            await writer.drain()
+
+
+# Guards against a stream that goes on for ever because there is always a next piece.
+async def test_a_stream_without_end_ends_at_its_deadline(site) -> None:
+    await site.add_backend(repeats_an_event, group="small.1")
+    async with asyncio.timeout(30):
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await site.ask("/stream/1", **{"X-Deadline-Ms": "500"})
