Reports, orders, health checks and the store: bounded bodies

A backend server that answers a query, a health check or an order with a body without end, and a store that does, were read into memory until the call's timeout; a held query has no timeout of its own.

Of answers to queries and orders, 64 KiB are read; a longer body counts as none, as a malformed one does, so that the status and the headers are still the sign of life that they were. A page of the store may take 48 MiB (500 rows of 64 KiB in base64), all answers being read 64 MiB together; a longer one is an outcome that is not known, and its connection is not used again. Of a refusal of the store 64 KiB are read, and its status counts.

Chunk extensions are tested with the bodies now: a body that is cut there counts as none as well; the end of the connection is asserted as before.

--- a/tests/adapter/test_bounded_reads.py
+++ b/tests/adapter/test_bounded_reads.py
@@ -11,6 +11,7 @@
 
 from fordhatch.adapter import BackendClient, GroupOrder, OrderKind, StoreClient
 from fordhatch.adapter import _bounded_http as bounded_http
+from fordhatch.adapter import _store as store
 
 JSON = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
 CHUNKED = JSON + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -18,9 +19,14 @@
     "line": (JSON + b"X-Long: ", b"x"),
     "fields": (JSON, b"X-Field: value\r\n"),
     "interim": (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
-    "extension": (CHUNKED + b"1;", b"x"),
     "trailers": (CHUNKED + b"0\r\n", b"X-Field: value\r\n"),
 }
+BODIES = {
+    "body": (JSON + b"\r\n", b" "),
+    "failed": (b"HTTP/1.1 503 X\r\n\r\n", b" "),
+    "extension": (CHUNKED + b"1;", b"x"),
+    "chunks": (CHUNKED, b"1000\r\n" + 4096 * b" " + b"\r\n"),
+}
 IN_BUFFERS_BYTES = 8 * 2**20
 """Bytes that may be in buffers of the kernel and of both ends on loopback."""
 
@@ -109,3 +115,28 @@
     await endless.until_left()
     assert got.is_err()
     assert endless.sent_bytes < bounded_http.MAX_HEAD_BYTES + IN_BUFFERS_BYTES
+
+
+# Guards against a client that holds a body without end. A long answer is still an
+# answer: its status and its headers count.
+@pytest.mark.parametrize("call", [report, order, read])
+@pytest.mark.parametrize("kind", BODIES)
+async def test_a_body_without_end_ends_its_connection(
+    endless: Endless, call: Callable, kind: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(store, "MAX_ANSWER_BYTES", 64 * 1024)
+    endless.beginning, endless.repeated = BODIES[kind]
+    got = await call(endless.address)
+    await endless.until_left()
+    assert got.is_ok() == (call is not read)
+    assert endless.sent_bytes < IN_BUFFERS_BYTES
+
+
+# Guards against short enough answers that are too much together.
+async def test_answers_of_the_store_share_what_may_be_held(
+    endless: Endless, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(store, "MAX_ANSWERS_BYTES", 64 * 1024)
+    endless.beginning, endless.repeated = BODIES["body"]
+    assert (await read(endless.address)).is_err()
+    await endless.until_left()
