Relayed answers: a window in bytes, and an end at the deadline

The window of a relayed answer was 32 pieces of any length; a piece is what was read at once, up to some hundred KiB, so that one slow caller could take ten MB on two nodes, and 256 of them all memory. And a node that made an attempt for another one read, or waited for an acknowledgement, without a limit of its own.

Pieces are at most 16 KiB now (512 KiB on their way; acknowledgements stay as they are, so that nodes of both versions understand each other), and the attempt ends when the request is due, which the other node is told.

--- a/packages/node/src/fordhatch/node/_relay_server.py
+++ b/packages/node/src/fordhatch/node/_relay_server.py
@@ -8,7 +8,7 @@
 
 from fordhatch.adapter import caller_fields
 from fordhatch.catalog import BackendServer, CallFields
-from fordhatch.core import Failure, ResultCode, Timer, log_event, metrics
+from fordhatch.core import Failure, ResultCode, Timer, log_event, metrics, record_bound
 from fordhatch.protocol import Channel
 from fordhatch.protocol.messages import (
     ContactReply,
@@ -31,7 +31,7 @@
 )
 
 from ._relay_peers import RelayPeers
-from ._relayed_answer import WINDOW_PIECES, to_wire
+from ._relayed_answer import PIECE_BYTES, WINDOW_PIECES, to_wire
 
 MAX_RELAYED = 256
 """Attempts that a node makes for others at once, a sixteenth of the descriptors that it
@@ -192,32 +192,46 @@
         """Send the head and the body of an answer, as fast as they are consumed."""
         wire = to_wire(answer.fields.backpressure)
         await channel.send(RelayedHead(answer.status, answer.headers, wire))
-        on_their_way = 0
         try:
-            while piece := await answer.read_piece():
-                if (await channel.send(RelayedPiece(piece))).is_err():
+            async with self.timer.timeout(request.left_s(self.timer.now_s())):
+                if not await _copy_body(answer, channel):
                     return
-                on_their_way += 1
-                while on_their_way >= WINDOW_PIECES:
-                    ack = await channel.receive()
-                    if ack.is_err():
-                        return
-                    on_their_way -= ack.unwrap().pieces
             left_s = request.left_s(self.timer.now_s())
             if not await self.path.exchange.confirms_end(answer, left_s):
                 raise aiohttp.ClientPayloadError(UNCONFIRMED_END)
             await channel.send(RelayedEnd())
+        except TimeoutError:
+            record_bound("relayed_answer", request=request.fields.request_id)
+            await channel.send(_broken(SendProblem.SILENT, "not complete in time"))
         except (aiohttp.ClientError, OSError) as error:
-            problem = connection_problem(error)
-            await channel.send(
-                RelayedFailure(
-                    problem.value,
-                    repr(error),
-                    arrivals=0,
-                    may_have_run=True,
-                    is_unreachable=False,
-                )
-            )
+            await channel.send(_broken(connection_problem(error), repr(error)))
+
+
+async def _copy_body(answer: BackendAnswer, channel: Channel) -> bool:
+    """Send the body of an answer; return whether all of it was sent.
+
+    Raises:
+        aiohttp.ClientError, OSError: If the body is incomplete.
+    """
+    on_their_way = 0
+    while received := await answer.read_piece():
+        for begin in range(0, len(received), PIECE_BYTES):
+            piece = received[begin : begin + PIECE_BYTES]
+            if (await channel.send(RelayedPiece(piece))).is_err():
+                return False
+            on_their_way += 1
+            while on_their_way >= WINDOW_PIECES:
+                ack = await channel.receive()
+                if ack.is_err():
+                    return False
+                on_their_way -= ack.unwrap().pieces
+    return True
+
+
+def _broken(problem: SendProblem, detail: str) -> RelayedFailure:
+    return RelayedFailure(
+        problem.value, detail, arrivals=0, may_have_run=True, is_unreachable=False
+    )
 
 
 def _to_message(request: RelayedRequest, failure: SendFailure) -> RelayedFailure:
--- a/packages/node/src/fordhatch/node/_relayed_answer.py
+++ b/packages/node/src/fordhatch/node/_relayed_answer.py
@@ -21,8 +21,12 @@
 from fordhatch.serving import SendProblem, ends_with_connection
 
 WINDOW_PIECES = 32
-"""Pieces that may be on their way without an acknowledgement. It bounds the memory
-that a slow caller takes on both nodes."""
+"""Pieces that may be on their way without an acknowledgement. With their length it
+bounds the memory that a slow caller takes on both nodes."""
+
+PIECE_BYTES = 16 * 1024
+"""Longest piece, so that 512 KiB of an answer are on their way at the most.
+Acknowledged are pieces and not bytes: earlier versions know no other window."""
 
 ACK_PIECES = WINDOW_PIECES // 2
 """Pieces that one acknowledgement covers."""
--- a/packages/node/tests/test_relayed_requests.py
+++ b/packages/node/tests/test_relayed_requests.py
@@ -17,7 +17,7 @@
 from fordhatch.node._relay_client import ExchangeRelayClient
 from fordhatch.node._relay_peers import RelayPeers
 from fordhatch.node._relay_server import MAX_RELAYED, ExchangeRelayServer
-from fordhatch.node._relayed_answer import WINDOW_PIECES
+from fordhatch.node._relayed_answer import PIECE_BYTES, WINDOW_PIECES
 from fordhatch.protocol.messages import QueryContact, RelayRequest
 from fordhatch.registry import NodeAddress
 from fordhatch.serving import SendFailure, SendOptions, SendProblem
@@ -26,6 +26,7 @@
 from fordhatch_standins import MemoryNetwork
 
 BACKEND = BackendServer("b1", "app", "10.0.0.1:1", "z1", BackendState.READY, 4)
+WINDOW_BYTES = WINDOW_PIECES * PIECE_BYTES
 OPTIONS = SendOptions(head_timeout_s=2.0)
 
 
@@ -225,6 +226,35 @@
     simulate(scenario)
 
 
+# Guards against a window that long pieces make too large.
+def test_long_pieces_wait_for_a_caller_that_reads_slowly() -> None:
+    async def scenario() -> None:
+        answer = StubAnswer([bytes(WINDOW_BYTES // 2)] * 50)
+        async with site_of(a=answers(answer)) as site:
+            got = (await site.client.send(StubRequest(), BACKEND, OPTIONS)).unwrap()
+            await asyncio.sleep(1.0)
+            assert answer.read <= 3
+            held = await AnswerHold(HeldAnswers()).read(got)
+            assert set(held.data) == {0}
+            got.close()
+
+    simulate(scenario)
+
+
+# Guards against a node that waits for a caller of another one without end.
+@pytest.mark.parametrize("pauses_s", [0.0, 1.0])
+def test_a_relayed_answer_ends_at_its_deadline(pauses_s: float) -> None:
+    async def scenario() -> None:
+        answer = StubAnswer([b"x"] * 500, pauses_s=pauses_s)
+        async with site_of(a=answers(answer)) as site:
+            got = (await site.client.send(StubRequest(), BACKEND, OPTIONS)).unwrap()
+            await asyncio.sleep(StubRequest().left_s(0.0) + 0.1)
+            assert answer.is_closed
+            got.close()
+
+    simulate(scenario)
+
+
 # Guards against work that goes on for a caller that has left.
 def test_a_caller_that_leaves_ends_the_attempt_at_the_other_node() -> None:
     async def scenario() -> None:
