Links between nodes: bounded inboxes and numbers of requests

A node kept what another one sent on a channel until it was received, and served any number of requests of one connection at the same time, each in a task of its own. Two programs of different versions, or one fault at a node, would have filled the memory of all others.

--- a/packages/protocol/src/fordhatch/protocol/_link.py
+++ b/packages/protocol/src/fordhatch/protocol/_link.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import secrets
+from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -19,6 +20,7 @@
     Timer,
     log_event,
     metrics,
+    record_bound,
 )
 
 from ._codec import (
@@ -52,6 +54,14 @@
 DRAIN_ABOVE_BYTES = 256 * 1024
 """A sender waits for the socket when its write buffer exceeds this size."""
 
+MAX_INBOX_BYTES = 2 * MAX_FRAME_BYTES
+"""Most bytes that wait on one channel to be received. A relayed answer, the longest
+exchange, has half a megabyte on its way."""
+
+MAX_CHANNELS = 16 * 1024
+"""Most requests that a node may have open on one link: several times those of a full
+node."""
+
 Handler = Callable[[Any, "Channel"], Awaitable[None]]
 """Serves one incoming request on its channel."""
 
@@ -112,6 +122,9 @@
     serving: asyncio.Task[object] | None = None
     """Task that serves the request; None on the side that sent it."""
     _inbox: asyncio.Queue[Any] = attrs.field(factory=asyncio.Queue)
+    _sizes_bytes: deque[int] = attrs.field(factory=deque)
+    """Sizes of the messages in the inbox, in its order."""
+    _inbox_bytes: int = 0
     closed: asyncio.Event = attrs.field(factory=asyncio.Event)
     """Set when the peer closed the channel or the link broke."""
 
@@ -142,7 +155,11 @@
             The message. A received ``Refused`` is returned as its failure;
             ``DEADLINE_EXCEEDED`` means that no message arrived within the timeout.
         """
-        return await receive_from(self._inbox, timeout_s)
+        received = await receive_from(self._inbox, timeout_s)
+        # Messages may have arrived, or been received by others, while this waited.
+        while len(self._sizes_bytes) > self._inbox.qsize():
+            self._inbox_bytes -= self._sizes_bytes.popleft()
+        return received
 
     async def close(self) -> None:
         """Close the channel; the peer cancels its work on the request."""
@@ -150,11 +167,20 @@
         if self.link.forget(self.number) and not (is_done or self.closed.is_set()):
             await self.link.send(self.number, Close())
 
-    def deliver(self, message: object | None) -> None:
-        """Queue a message received by the link; None means that the channel ended."""
+    def deliver(self, message: object | None, size_bytes: int = 0) -> None:
+        """Queue a message received by the link; None means that the channel ended.
+
+        Raises:
+            FrameError: If too much waits to be received.
+        """
         if message is not None:
             self.is_answered = True
+            self._inbox_bytes += size_bytes
+            if self._inbox_bytes > MAX_INBOX_BYTES:
+                record_bound("inbox", peer=self.peer_name)
+                raise FrameError("too many bytes wait on a channel")
             self._inbox.put_nowait(message)
+            self._sizes_bytes.append(size_bytes)
             return
         self.closed.set()
         self._inbox.put_nowait(None)
@@ -295,7 +321,7 @@
                 self._received += 1
                 self.last_received_s = self.timer.now_s()
                 metrics.PEER_BYTES_RECEIVED.inc(len(frame) + LENGTH_BYTES)
-                self._dispatch(*decode(body))
+                self._dispatch(*decode(body), len(body))
         except FrameError as error:
             metrics.FRAMES_REFUSED.labels("stream").inc()
             log_event(
@@ -309,12 +335,16 @@
         finally:
             await self.close()
 
-    def _dispatch(self, number: int, message: Any) -> None:
+    def _dispatch(self, number: int, message: Any, size_bytes: int) -> None:
         metrics.peer_messages("received", type(message).__name__).inc()
         channel = self._channels.get(number)
         if channel is not None:
-            channel.deliver(None if isinstance(message, Close) else message)
+            is_end = isinstance(message, Close)
+            channel.deliver(None if is_end else message, size_bytes)
         elif self.handler is not None and not isinstance(message, Close):
+            if len(self._channels) >= MAX_CHANNELS:
+                record_bound("channels", peer=self.peer_name)
+                raise FrameError("too many requests on a connection")
             channel = Channel(self, number, type(message) in SINGLE_ANSWER_REQUESTS)
             self._channels[number] = channel
             serving = self._serve(channel, message)
