Callers: bounds on the time of a head and of a body

A caller that sent a byte of its head or of its body now and then held its connection, and with a body a request in progress, for as long as it liked: the library bounds neither, and closes a connection on which nothing was ever sent only after its first request. A node that stops waits for such requests.

The head of a request has the configuration's header-timeout-ms (10 s where there is none, until now read and not used), a new connection 120 s until its first byte; the body has the time until the answer is due, on both interfaces. Such a body is answered with 504, DEADLINE_EXCEEDED and 'not run'.

--- a/packages/chat/src/fordhatch/chat/_caller_checks.py
+++ b/packages/chat/src/fordhatch/chat/_caller_checks.py
@@ -14,7 +14,7 @@
     ModelService,
     hash_key,
 )
-from fordhatch.core import Failure, ResultCode
+from fordhatch.core import Failure, Ran, ResultCode, record_bound
 from fordhatch.serving import RequestPath
 
 from ._chat_body import bad_request
@@ -123,13 +123,25 @@
             return Err(Failure.from_code(ResultCode.UNKNOWN_MODEL, f"no {name!r}"))
         return Ok(application)
 
-    async def body(self, http_request: web.BaseRequest) -> Result[bytes, Failure]:
-        """Return the complete body, or a failure if it is longer than the limit."""
+    async def body(
+        self, http_request: web.BaseRequest, timeout_s: float
+    ) -> Result[bytes, Failure]:
+        """Return the complete body, or why there is none within the limits.
+
+        Args:
+            http_request: The request.
+            timeout_s: Longest time for the body, in seconds.
+        """
         body = bytearray()
-        async for chunk in http_request.content.iter_any():
-            body += chunk
-            if len(body) > self.limits.max_body_bytes:
-                return Err(Failure.from_code(ResultCode.BODY_TOO_LARGE))
+        try:
+            async with self.path.state.timer.timeout(timeout_s):
+                async for chunk in http_request.content.iter_any():
+                    body += chunk
+                    if len(body) > self.limits.max_body_bytes:
+                        return Err(Failure.from_code(ResultCode.BODY_TOO_LARGE))
+        except TimeoutError:
+            record_bound("request_body")
+            return Err(Failure.from_code(ResultCode.DEADLINE_EXCEEDED, ran=Ran.NO))
         return Ok(bytes(body))
 
 
--- a/packages/chat/src/fordhatch/chat/_chat_server.py
+++ b/packages/chat/src/fordhatch/chat/_chat_server.py
@@ -141,7 +141,7 @@
         if checked.is_err():
             return checked
         context = checked.unwrap()
-        content = await self.checks.body(http_request)
+        content = await self.checks.body(http_request, context.timeout_s)
         if content.is_err():
             return content
         parsed = ChatBody.from_json(content.unwrap())
@@ -211,7 +211,7 @@
         found = self.checks.application(context, name, is_model=False)
         if found.is_err():
             return found
-        body = await self.checks.body(http_request)
+        body = await self.checks.body(http_request, context.timeout_s)
         if body.is_err():
             return body
         target = f"/{target}"
--- a/packages/node/src/fordhatch/node/_platform_edge.py
+++ b/packages/node/src/fordhatch/node/_platform_edge.py
@@ -54,7 +54,9 @@
     async def _listen(
         self, address: str, handler: HttpHandler, port: socket.socket | None = None
     ) -> None:
-        self._servers.append(await HttpServer.listen(address, handler, port))
+        head_timeout_s = self.callers.admission.head_timeout_s
+        server = await HttpServer.listen(address, handler, port, head_timeout_s)
+        self._servers.append(server)
 
     def stop_listening(self) -> None:
         """Stop accepting new connections from callers."""
--- a/packages/serving/src/fordhatch/serving/_admission.py
+++ b/packages/serving/src/fordhatch/serving/_admission.py
@@ -16,6 +16,7 @@
 )
 from fordhatch.core import Failure, ResultCode, Timer
 
+from ._caller_connection import HEAD_TIMEOUT_S
 from ._evacuated_zones import is_evacuated
 from ._knowledge import Freshness
 from ._node_state import OTHER_NODE_RETRY_AFTER_S, NodeState
@@ -57,6 +58,13 @@
         current = self.state.view.configuration.current
         return current.limits.max_body_bytes if current is not None else 0
 
+    def head_timeout_s(self) -> float:
+        """Return how long the head of a request may take, in seconds."""
+        current = self.state.view.configuration.current
+        return (
+            current.limits.header_timeout_s if current is not None else HEAD_TIMEOUT_S
+        )
+
     def find_route(self, host: str, target: str) -> Result[Route, Failure]:
         """Return the route of a request, or the refusal."""
         stopped = self.state.refusal()
@@ -95,9 +103,6 @@
         service = choose_service(route, self.rng)
         if service is None:
             return Err(Failure.from_code(ResultCode.NO_GROUP_READY))
-        wait_s = route.timeout_s
-        if fields.deadline_s is not None:
-            wait_s = min(wait_s, fields.deadline_s)
         request = ServedRequest(
             fields=fields,
             route=route,
@@ -108,7 +113,7 @@
             headers=headers,
             body=body,
             arrived_s=arrived_s,
-            due_s=arrived_s + wait_s,
+            due_s=arrived_s + wait_s(route, fields),
         )
         request.recheck = lambda backend: self._recheck_for_backend(request, backend)
         return Ok(request)
@@ -171,3 +176,10 @@
             return None
         known = self.authenticate(request.route, request.fields.api_keys)
         return known.err()
+
+
+def wait_s(route: Route, fields: CallFields) -> float:
+    """Return the time from a request's arrival until its answer is due, in seconds."""
+    if fields.deadline_s is None:
+        return route.timeout_s
+    return min(route.timeout_s, fields.deadline_s)
--- a/packages/serving/src/fordhatch/serving/_caller_server.py
+++ b/packages/serving/src/fordhatch/serving/_caller_server.py
@@ -11,9 +11,9 @@
 from yarl import URL
 
 from fordhatch.adapter import caller_fields, client_headers, refusal_headers
-from fordhatch.core import Failure, ResultCode, Timer, log_event
+from fordhatch.core import Failure, Ran, ResultCode, Timer, log_event, record_bound
 
-from ._admission import Admission
+from ._admission import Admission, wait_s
 from ._dispatch import Dispatch
 from ._node_state import OTHER_NODE_RETRY_AFTER_S, NodeState
 from ._request_path import RequestPath
@@ -135,13 +135,15 @@
         if found.is_err():
             await self._refuse(http_request, reply, found.unwrap_err())
             return
-        body = await self._read_body(http_request)
+        fields = caller_fields(http_request.headers)
+        due_s = arrived_s + wait_s(found.unwrap(), fields)
+        body = await self._read_body(http_request, due_s)
         if body.is_err():
             await self._refuse(http_request, reply, body.unwrap_err())
             return
         admitted = self.admission.admit(
             found.unwrap(),
-            caller_fields(http_request.headers),
+            fields,
             method=http_request.method,
             target=target,
             headers=client_headers(http_request.headers.items()),
@@ -170,7 +172,9 @@
                 )
         return Ok(target)
 
-    async def _read_body(self, http_request: web.BaseRequest) -> Result[bytes, Failure]:
+    async def _read_body(
+        self, http_request: web.BaseRequest, due_s: float
+    ) -> Result[bytes, Failure]:
         if not http_request.can_read_body:
             return Ok(b"")
         if http_request.headers.get("Expect", "").lower() == "100-continue":
@@ -179,11 +183,16 @@
         pieces: list[bytes] = []
         size = 0
         try:
-            async for piece in http_request.content.iter_any():
-                pieces.append(piece)
-                size += len(piece)
-                if size > limit:
-                    return Err(Failure.from_code(ResultCode.BODY_TOO_LARGE))
+            async with self.timer.timeout(due_s - self.timer.now_s()):
+                async for piece in http_request.content.iter_any():
+                    pieces.append(piece)
+                    size += len(piece)
+                    if size > limit:
+                        return Err(Failure.from_code(ResultCode.BODY_TOO_LARGE))
+        except TimeoutError:
+            request_id = caller_fields(http_request.headers).request_id
+            record_bound("request_body", request=request_id)
+            return Err(Failure.from_code(ResultCode.DEADLINE_EXCEEDED, ran=Ran.NO))
         except web.RequestPayloadError as error:
             return Err(Failure.from_code(ResultCode.BAD_REQUEST, repr(error)))
         return Ok(b"".join(pieces))
--- a/packages/serving/src/fordhatch/serving/_http_server.py
+++ b/packages/serving/src/fordhatch/serving/_http_server.py
@@ -9,10 +9,7 @@
 import attrs
 from aiohttp import web
 
-KEEP_ALIVE_S = 120.0
-"""Idle connections are closed after this time. Callers reuse connections that were
-idle for up to four fifths of a limit that the configuration sets and may raise; this
-is above any usual limit."""
+from ._caller_connection import HEAD_TIMEOUT_S, KEEP_ALIVE_S, CallerConnections
 
 MAX_HEADER_BYTES = 32 * 1024
 """Longest line of a request's head: twice the most that a configuration allows, so
@@ -33,7 +30,11 @@
 
     @classmethod
     async def listen(
-        cls, address: str, handler: HttpHandler, port: socket.socket | None = None
+        cls,
+        address: str,
+        handler: HttpHandler,
+        port: socket.socket | None = None,
+        head_timeout_s: Callable[[], float] = lambda: HEAD_TIMEOUT_S,
     ) -> HttpServer:
         """Start serving an address.
 
@@ -41,8 +42,9 @@
             address: ``host:port``.
             handler: Handles every request.
             port: A socket that already listens there; None to open one.
+            head_timeout_s: Returns how long the head of a request may take.
         """
-        server = web.Server(
+        server = CallerConnections(
             handler,
             handler_cancellation=True,
             access_log=None,
@@ -50,6 +52,7 @@
             keepalive_timeout=KEEP_ALIVE_S,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
+            head_timeout_s=head_timeout_s,
         )
         loop = asyncio.get_running_loop()
         if port is not None:
