Streams: many small events leave turns to other callers

What had arrived at once, up to some hundred KiB, was split and forwarded in one go. Beside a server that repeats small events without end, the longest sound answer took 1.16 s and 11 sound requests of 19 were refused, since the node's own connections to other servers were not seen open within 0.25 s.

A piece is split in parts of 16 KiB with a turn of the event loop in between, and a run that repeats more than 1 MiB of forwarded events without a new one is malformed.

--- a/packages/serving/src/fordhatch/serving/_events.py
+++ b/packages/serving/src/fordhatch/serving/_events.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterator
 
 import attrs
 
@@ -14,6 +15,15 @@
 """A stream with a longer event is malformed."""
 
 
+PART_BYTES = 16 * 1024
+"""Bytes that are split into events at once, so that many small events, of which some
+hundred KiB arrive together, don't keep the event loop from other callers."""
+
+MAX_REPEATED_BYTES = 1024 * 1024
+"""Most bytes of events that were forwarded already, between two others: a server that
+can't resume repeats the whole answer."""
+
+
 class StreamError(ValueError):
     """A stream is malformed or its events are out of order."""
 
@@ -60,6 +70,12 @@
         return bool(self._buffer)
 
 
+def in_parts(piece: bytes) -> Iterator[bytes]:
+    """Split what was read at once, for turns of other callers in between."""
+    for begin in range(0, len(piece), PART_BYTES):
+        yield piece[begin : begin + PART_BYTES]
+
+
 def _number(raw: bytes) -> int | None:
     found = _ID_LINE.search(raw)
     if found is None or not found.group(1).strip().isdigit():
@@ -73,6 +89,7 @@
 
     last: int | None = None
     """Number of the last event that was forwarded to the caller."""
+    _repeated_bytes: int = 0
 
     @classmethod
     def from_last_event_id(cls, text: str) -> EventOrder:
@@ -83,14 +100,18 @@
         """Return whether to forward an event; False for one already forwarded.
 
         Raises:
-            StreamError: If an event before it is missing.
+            StreamError: If an event before it is missing, or too much is repeated.
         """
         if event.number is None:
             return True
         if self.last is not None:
             if event.number <= self.last:
+                self._repeated_bytes += len(event.raw)
+                if self._repeated_bytes > MAX_REPEATED_BYTES:
+                    raise StreamError(f"repeats {self._repeated_bytes} bytes")
                 return False
             if event.number > self.last + 1:
                 raise StreamError(f"event {event.number} after {self.last}")
         self.last = event.number
+        self._repeated_bytes = 0
         return True
--- a/packages/serving/src/fordhatch/serving/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/_stream_run.py
@@ -13,7 +13,7 @@
 from fordhatch.core import Timer, log_event, metrics, record_bound
 from fordhatch.registry import BackendDirectory
 
-from ._events import EventSplitter, StreamError
+from ._events import PART_BYTES, EventSplitter, StreamError, in_parts
 from ._stream import Stream
 from ._stream_ending import RunFailed, check_ending, reached_stage
 from .crashes import CrashWatch
@@ -319,7 +319,10 @@
                 raise RunFailed(SendProblem.SILENT, "out of time")
             self.progress.record_event(progress, stream.model)
             last_s = self._record_pause(stream, head, last_s)
-            await self._forward_piece(stream, answer, splitter, piece)
+            for part in in_parts(piece):
+                await self._forward_piece(stream, answer, splitter, part)
+                if len(part) == PART_BYTES:
+                    await asyncio.sleep(0)
         if answer.ends_with_connection:
             left_s = stream.request.left_s(self.timer.now_s())
             await check_ending(self.exchange, stream, answer, splitter, left_s)
--- a/packages/serving/tests/test_long_answers.py
+++ b/packages/serving/tests/test_long_answers.py
@@ -13,6 +13,7 @@
 
 from fordhatch.core import metrics
 from fordhatch.serving import _answer_passing as answer_passing
+from fordhatch.serving._events import PART_BYTES, EventSplitter
 from fordhatch.serving.exchange import _held_answers as held_answers
 from fordhatch_standins import SIGNATURE, http_answer
 
@@ -143,3 +144,24 @@
     async with asyncio.timeout(30):
         with pytest.raises(aiohttp.ClientPayloadError):
             await site.ask("/stream/1", **{"X-Deadline-Ms": "500"})
+
+
+# Guards against an event loop that is kept from others by a piece with many events.
+async def test_a_long_piece_of_events_is_forwarded_in_parts(site, monkeypatch) -> None:
+    lengths = []
+    feed = EventSplitter.feed
+
+    def record(self, piece: bytes) -> list:
+        lengths.append(len(piece))
+        return feed(self, piece)
+
+    monkeypatch.setattr(EventSplitter, "feed", record)
+    body = events(1, 20_000)
+
+    async def at_once(request, writer) -> None:
+        writer.write(head(request) + chunk(body) + b"0\r\n\r\n")
+
+    await site.add_backend(at_once, group="small.1")
+    got = await site.ask("/stream/1")
+    assert (got.status, got.body == body) == (200, True)
+    assert max(lengths) <= PART_BYTES
