Own interface: bounds on recorded answers and on full completions

With an idempotency key an answer was recorded whole, though no row holds more than row_bytes; a chat completion that is sent in full kept the text of a stream without end until its deadline, and a streamed one kept every text only to count it.

An answer is recorded up to the length of a row, and then not at all, with the same outcome as before (answer_not_kept, the claim counts as lost). A completion that is sent in full has 4 MiB of events; the run is malformed beyond that, and the caller gets STREAM_INCOMPLETE. Streams keep no text.

--- a/packages/chat/src/fordhatch/chat/_chat_server.py
+++ b/packages/chat/src/fordhatch/chat/_chat_server.py
@@ -275,10 +275,13 @@
     async def _run_claimed(
         self, request: ServedRequest, ticket: Ticket, reply: Reply
     ) -> None:
-        recorded = RecordedReply(reply)
+        recorded = RecordedReply(reply, self.claims.row_bytes)
         await self.path.dispatch.serve(request, recorded)
         if recorded.stored is not None:
             await self.claims.settle(ticket, recorded.stored)
+        elif recorded.is_too_long:
+            log_event("answer_not_kept", key=ticket.key.row_key.key)
+            await self.claims.mark_lost(ticket)
         elif request.ran_at:
             await self.claims.mark_lost(ticket)
         else:
--- a/packages/chat/src/fordhatch/chat/_replies.py
+++ b/packages/chat/src/fordhatch/chat/_replies.py
@@ -12,8 +12,8 @@
 from aiohttp import HttpVersion11, web
 from multidict import CIMultiDict
 
-from fordhatch.core import Failure, ResultCode
-from fordhatch.serving import NodeState, Reply
+from fordhatch.core import Failure, ResultCode, record_bound
+from fordhatch.serving import NodeState, Reply, ReplyTooLong
 
 from ._claim_rows import StoredAnswer
 
@@ -23,6 +23,10 @@
 RAN_HEADER = "X-Ran"
 """``no`` or ``maybe``: whether the request may have run."""
 
+MAX_TEXT_BYTES = 4 * 1024 * 1024
+"""Longest chat completion that is sent in full, in bytes of the model's events: far
+above the longest output of a model. Streams have no such bound."""
+
 REPLAYED_HEADER = "X-Replayed"
 """``true`` if the reply is a stored answer."""
 
@@ -88,7 +92,9 @@
     has_begun: bool = False
     """Whether the model's answer has begun."""
     pieces: list[str] = attrs.field(factory=list)
-    """Text of the events so far; each counts as a completion token."""
+    """Text of the events so far, if it is sent in full; each counts as a completion
+    token."""
+    _text_bytes: int = 0
 
     async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Begin the reply; a streamed one sends its headers."""
@@ -101,10 +107,15 @@
     async def write(self, piece: bytes) -> None:
         """Process events of the model's answer."""
         texts = parse_texts(piece)
-        self.pieces.extend(texts)
         if self.is_streamed:
             chunks = [self._chunk({"content": text}, None) for text in texts]
             await self.response.write(b"".join(chunks))
+            return
+        self._text_bytes += len(piece)
+        if self._text_bytes > MAX_TEXT_BYTES:
+            record_bound("chat_answer", request=self.request_id)
+            raise ReplyTooLong(f"over {MAX_TEXT_BYTES} bytes")
+        self.pieces.extend(texts)
 
     async def end(self) -> None:
         """End an answer that is complete."""
@@ -215,10 +226,15 @@
     """Records an answer for storage and forwards it until the caller disconnects."""
 
     inner: Reply
+    max_stored_bytes: int
+    """Longest answer that can be stored: the length of a row's value."""
     stored: StoredAnswer | None = None
+    is_too_long: bool = False
+    """Whether an answer is not stored because it is too long."""
     failure: Failure | None = None
     _head: tuple[int, list[tuple[str, str]]] = (0, [])
     _events: list[bytes] = attrs.field(factory=list)
+    _recorded_bytes: int = 0
     _caller_left: bool = False
     _began: bool = False
 
@@ -263,14 +279,21 @@
 
     async def write(self, piece: bytes) -> None:
         """Record and forward events of a stream."""
-        self._events.append(piece)
+        self._recorded_bytes += len(piece)
+        if self._recorded_bytes > self.max_stored_bytes:
+            self.is_too_long = True
+            self._events.clear()
+        else:
+            self._events.append(piece)
         await self._forward(self.inner.write(piece))
 
     async def end(self) -> None:
         """End a stream that is complete."""
         status, headers = self._head
         header_lists = [list(h) for h in headers]
-        self.stored = StoredAnswer(status, header_lists, b"".join(self._events), True)
+        if not self.is_too_long:
+            body = b"".join(self._events)
+            self.stored = StoredAnswer(status, header_lists, body, True)
         await self._forward(self.inner.end())
 
     async def abort(self) -> None:
--- a/packages/serving/src/fordhatch/serving/__init__.py
+++ b/packages/serving/src/fordhatch/serving/__init__.py
@@ -9,7 +9,7 @@
 from ._http_server import HttpHandler, HttpServer
 from ._node_state import NodeState
 from ._plain_call import PlainCalls
-from ._request import Reply, ServedRequest
+from ._request import Reply, ReplyTooLong, ServedRequest
 from ._request_path import RequestPath
 from ._route_table import RouteTable
 from ._stream_call import StreamCalls
@@ -71,6 +71,7 @@
     "PlainCalls",
     "ProcessWitness",
     "Reply",
+    "ReplyTooLong",
     "RequestPath",
     "RetryBudget",
     "RetryLoan",
--- a/packages/serving/src/fordhatch/serving/_request.py
+++ b/packages/serving/src/fordhatch/serving/_request.py
@@ -165,6 +165,10 @@
         return self.due_s - now_s
 
 
+class ReplyTooLong(Exception):  # noqa: N818
+    """A reply that is sent in full is longer than it may be."""
+
+
 class Reply(Protocol):
     """Writes the answer to a caller."""
 
@@ -191,7 +195,11 @@
         ...
 
     async def write(self, piece: bytes) -> None:
-        """Send a piece of the body."""
+        """Send a piece of the body.
+
+        Raises:
+            ReplyTooLong: If the reply is sent in full at its end, and too long.
+        """
         ...
 
     async def end(self) -> None:
--- a/packages/serving/src/fordhatch/serving/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/_stream_run.py
@@ -14,6 +14,7 @@
 from fordhatch.registry import BackendDirectory
 
 from ._events import PART_BYTES, EventSplitter, StreamError, in_parts
+from ._request import ReplyTooLong
 from ._stream import Stream
 from ._stream_ending import RunFailed, check_ending, reached_stage
 from .crashes import CrashWatch
@@ -48,8 +49,7 @@
 """Multiple of the group's silence limit after which one silent stream is given up while
 other streams of the group advance."""
 
-_OK = 200
-_SERVER_ERROR = 500
+_OK, _SERVER_ERROR = 200, 500
 
 
 @attrs.define(eq=False, repr=False)
@@ -288,9 +288,8 @@
             raise RunFailed(connection_problem(error), repr(error)) from error
         if not held.is_whole:
             record_bound("failed_answer", request=stream.request.fields.request_id)
-            raise RunFailed(
-                SendProblem.BROKEN, f"status {answer.status}, {held.excess}"
-            )
+            detail = f"status {answer.status}, {held.excess}"
+            raise RunFailed(SendProblem.BROKEN, detail)
         left_s = stream.request.left_s(self.timer.now_s())
         if not await self.exchange.confirms_end(answer, left_s):
             raise RunFailed(SendProblem.CONNECTION_LOST, UNCONFIRMED_END)
@@ -378,7 +377,10 @@
         if not stream.reply.has_begun:
             await stream.reply.begin(answer.status, answer_headers(answer.headers))
         stream.request.timeline.record_output(self.timer.now_s())
-        await stream.reply.write(events)
+        try:
+            await stream.reply.write(events)
+        except ReplyTooLong as error:
+            raise RunFailed(SendProblem.BROKEN, str(error)) from error
 
     async def _next_piece(
         self,
