Callers: a bound on the bodies of all requests together

The configuration bounds one body (4 MiB where it names none); some seventy of that length at once took the 300 MB of a node, as each is kept for retries until its request has ended.

Beyond 96 MiB of all bodies together, a request whose body is longer than 64 KiB is refused with 503, OVERLOADED and 'not run', to be sent to another node; short ones are served as before.

test_long_bodies_are_refused_while_others_take_the_memory is red with the check taken out.

--- a/packages/serving/src/fordhatch/serving/_caller_server.py
+++ b/packages/serving/src/fordhatch/serving/_caller_server.py
@@ -23,6 +23,14 @@
 not complete before the process must exit. The balancer sends none by then."""
 
 
+MAX_BODIES_BYTES = 96 * 1024 * 1024
+"""Most bytes of the bodies of all requests in progress, of the 300 MB of a node; they
+are kept for retries."""
+
+SMALL_BODY_BYTES = 64 * 1024
+"""Longest body that is accepted even then."""
+
+
 @attrs.define(eq=False, repr=False)
 class CallerReply:
     """The answer to one request of a caller."""
@@ -30,6 +38,8 @@
     http_request: web.BaseRequest
     state: NodeState
     response: web.StreamResponse | None = None
+    body_bytes: int = 0
+    """Bytes of the request's body that are kept."""
     outcome: str = ""
     """Result as the caller sees it, for logs and metrics."""
 
@@ -108,6 +118,8 @@
     admission: Admission
     dispatch: Dispatch
     timer: Timer
+    _bodies_bytes: int = 0
+    """Bytes of the bodies of all requests in progress."""
 
     @classmethod
     def from_path(cls, path: RequestPath, timer: Timer) -> CallerServer:
@@ -119,7 +131,10 @@
         arrived_s = self.timer.now_s()
         reply = CallerReply(http_request, self.state)
         with self.state.counted(reply):
-            await self._serve(http_request, reply, arrived_s)
+            try:
+                await self._serve(http_request, reply, arrived_s)
+            finally:
+                self._bodies_bytes -= reply.body_bytes
         return reply.response if reply.response is not None else web.Response()
 
     async def _serve(
@@ -137,7 +152,7 @@
             return
         fields = caller_fields(http_request.headers)
         due_s = arrived_s + wait_s(found.unwrap(), fields)
-        body = await self._read_body(http_request, due_s)
+        body = await self._read_body(http_request, reply, due_s)
         if body.is_err():
             await self._refuse(http_request, reply, body.unwrap_err())
             return
@@ -173,7 +188,7 @@
         return Ok(target)
 
     async def _read_body(
-        self, http_request: web.BaseRequest, due_s: float
+        self, http_request: web.BaseRequest, reply: CallerReply, due_s: float
     ) -> Result[bytes, Failure]:
         if not http_request.can_read_body:
             return Ok(b"")
@@ -181,14 +196,16 @@
             http_request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         limit = self.admission.max_body_bytes()
         pieces: list[bytes] = []
-        size = 0
         try:
             async with self.timer.timeout(due_s - self.timer.now_s()):
                 async for piece in http_request.content.iter_any():
                     pieces.append(piece)
-                    size += len(piece)
-                    if size > limit:
+                    reply.body_bytes += len(piece)
+                    self._bodies_bytes += len(piece)
+                    if reply.body_bytes > limit:
                         return Err(Failure.from_code(ResultCode.BODY_TOO_LARGE))
+                    if self._is_full(reply):
+                        return Err(_bodies_failure())
         except TimeoutError:
             request_id = caller_fields(http_request.headers).request_id
             record_bound("request_body", request=request_id)
@@ -197,6 +214,11 @@
             return Err(Failure.from_code(ResultCode.BAD_REQUEST, repr(error)))
         return Ok(b"".join(pieces))
 
+    def _is_full(self, reply: CallerReply) -> bool:
+        if reply.body_bytes <= SMALL_BODY_BYTES:
+            return False
+        return self._bodies_bytes > MAX_BODIES_BYTES
+
     async def _refuse(
         self, http_request: web.BaseRequest, reply: CallerReply, failure: Failure
     ) -> None:
@@ -209,3 +231,12 @@
             age_s=round(self.state.view.configuration_age_s(), 3),
         )
         await reply.refuse(failure)
+
+
+def _bodies_failure() -> Failure:
+    record_bound("request_bodies")
+    return Failure.from_code(
+        ResultCode.OVERLOADED,
+        "the bodies of other requests take the memory",
+        retry_after_s=OTHER_NODE_RETRY_AFTER_S,
+    )
--- a/packages/serving/tests/test_slow_callers.py
+++ b/packages/serving/tests/test_slow_callers.py
@@ -78,3 +78,27 @@
     limits = {"max-body-bytes": 100_000, "header-timeout-ms": 500}
     site.model.put(OPERATOR_TABLE, CONFIGURATION_KEY, configuration(2, limits=limits))
     await site.until(lambda: site.callers.admission.head_timeout_s() == 0.5)
+
+
+# Guards against bodies that are each short enough, and too much together.
+async def test_long_bodies_are_refused_while_others_take_the_memory(
+    site, monkeypatch
+) -> None:
+    monkeypatch.setattr("fordhatch.serving._caller_server.MAX_BODIES_BYTES", 150_000)
+    may_end = asyncio.Event()
+
+    async def waits(request, writer) -> None:
+        await may_end.wait()
+        await answers(request, writer)
+
+    backend = await site.add_backend(waits)
+    long, short = bytes(90_000), bytes(1_000)
+    first = asyncio.create_task(site.ask("/once/1", body=long))
+    await site.until(lambda: backend.seen)
+    refused = await site.ask("/once/1", body=long)
+    assert (refused.status, b'"ran": "no"' in refused.body) == (503, True)
+    second = asyncio.create_task(site.ask("/once/1", body=short))
+    await site.until(lambda: len(backend.seen) == 2)
+    may_end.set()
+    assert [(await first).status, (await second).status] == [200, 200]
+    assert (await site.ask("/once/1", body=long)).status == 200
