Test of slow callers: a reset is an end as well

test_a_request_that_never_ends_is_ended[head] was red once in nine runs of the file: a byte of the head that crosses with the close of the connection resets it, and the test's caller raised. No answer had been sent to it. The requests that get an answer still have to get it: a reset counts as no bytes.

--- a/packages/serving/tests/test_slow_callers.py
+++ b/packages/serving/tests/test_slow_callers.py
@@ -28,7 +28,11 @@
         writer.write(unit)
         await asyncio.wait([received], timeout=0.02)
     writer.close()
-    return await received
+    try:
+        return await received
+    except ConnectionResetError:
+        # Bytes of a head were on their way when the connection was closed.
+        return b""
 
 
 # Guards against callers that hold connections, and requests in progress, without end.
