Callers: the rest of a body is no head

While the library reads on after an answer that did not wait for the whole body, the bytes of that body counted as a head without end, and the connection was closed after the head's time; the reset could take the answer with it. The bound now holds only while the connection awaits a request.

Found by test_a_request_that_never_ends_is_ended, red in one of six runs of its file (a reset in place of the 504).

--- a/packages/serving/src/fordhatch/serving/_caller_connection.py
+++ b/packages/serving/src/fordhatch/serving/_caller_connection.py
@@ -49,13 +49,14 @@
         """Parse bytes of a head, or of a body."""
         seen = self._request_count
         super().data_received(data)
-        if self._serves() or self._request_count > seen:
+        if not self._awaits_head() or self._request_count > seen:
             self._unlimit()
         elif data and self._head_timeout_s > 0:
             self._limit(self._head_timeout_s)
 
-    def _serves(self) -> bool:
-        return bool(self._messages) or self._request_in_progress
+    def _awaits_head(self) -> bool:
+        """Return whether no request is in progress, nor its body still read."""
+        return self._waiter is not None and not self._waiter.done()
 
     def _limit(self, time_s: float) -> None:
         """Bound the time of the head, unless an earlier bound is set."""
@@ -72,10 +73,9 @@
 
     def _end_head(self) -> None:
         self._head_handle = None
-        if self._serves():
-            return
-        record_bound("request_head")
-        self.force_close()
+        if self._awaits_head():
+            record_bound("request_head")
+            self.force_close()
 
 
 class CallerConnections(web.Server):
