--- a/packages/chat/src/fordhatch/chat/_caller_checks.py
+++ b/packages/chat/src/fordhatch/chat/_caller_checks.py
@@ -14,7 +14,7 @@
     ModelService,
     hash_key,
 )
-from fordhatch.core import Failure, Ran, ResultCode
+from fordhatch.core import Failure, Ran, ResultCode, record_bound
 from fordhatch.serving import RequestPath
 
 from ._chat_body import bad_request
@@ -141,6 +141,7 @@
                     if len(body) > self.limits.max_body_bytes:
                         return Err(Failure.from_code(ResultCode.BODY_TOO_LARGE))
         except TimeoutError:
+            record_bound("request_body")
             return Err(
                 Failure.from_code(ResultCode.DEADLINE_EXCEEDED, "body", ran=Ran.NO)
             )
--- a/packages/chat/src/fordhatch/chat/_replies.py
+++ b/packages/chat/src/fordhatch/chat/_replies.py
@@ -12,8 +12,8 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from fordhatch.core import Failure, ResultCode
-from fordhatch.serving import HttpReply, Reply
+from fordhatch.core import Failure, ResultCode, record_bound
+from fordhatch.serving import HttpReply, Reply, ReplyTooLong
 
 from ._claim_rows import StoredAnswer
 
@@ -26,6 +26,10 @@
 REQUEST_ID_HEADER = "X-Request-Id"
 """The id that the log names the request by."""
 
+MAX_TEXT_BYTES = 4 * 1024 * 1024
+"""Longest chat completion that is sent in full, in bytes of the model's events: far
+above the longest output of a model. Streams have no such bound."""
+
 REPLAYED_HEADER = "X-Replayed"
 """``true`` if the reply is a stored answer."""
 
@@ -81,7 +85,9 @@
     is_answering: bool = False
     """Whether the model's answer has begun."""
     pieces: list[str] = attrs.field(factory=list)
-    """Text of the events so far; each counts as a completion token."""
+    """Text of the events so far, if it is sent in full; each counts as a completion
+    token."""
+    _text_bytes: int = 0
 
     @property
     def has_begun(self) -> bool:
@@ -98,10 +104,15 @@
     async def write(self, piece: bytes) -> None:
         """Process events of the model's answer."""
         texts = parse_texts(piece)
-        self.pieces.extend(texts)
         if self.is_streamed:
             chunks = [self._chunk({"content": text}, None) for text in texts]
             await self._write(b"".join(chunks))
+            return
+        self._text_bytes += len(piece)
+        if self._text_bytes > MAX_TEXT_BYTES:
+            record_bound("chat_answer", request=self.request_id)
+            raise ReplyTooLong(f"over {MAX_TEXT_BYTES} bytes")
+        self.pieces.extend(texts)
 
     async def end(self) -> None:
         """End an answer that is complete."""
@@ -162,31 +173,53 @@
 
 @attrs.define(eq=False, repr=False)
 class CallReply(_OwnReply):
-    """A reply that is sent in full, such as the answer of a plain service."""
+    """The answer of a plain service; one that is too long is sent as it comes."""
+
+    async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Begin a reply that is sent as it comes."""
+        response = web.StreamResponse(status=status, headers=_content_type(headers))
+        await self._begin_stream(response)
+
+    async def write(self, piece: bytes) -> None:
+        """Send a piece of the body."""
+        await self._write(piece)
+
+    async def end(self) -> None:
+        """End a reply that is complete."""
+        self.outcome = "complete"
+        await self._finish()
+        self.is_whole = True
 
     async def send_complete(
         self, status: int, headers: list[tuple[str, str]], body: bytes
     ) -> None:
         """Answer with a backend server's complete answer."""
         self.outcome = f"status_{status}"
-        content_types = [
-            value for name, value in headers if name.lower() == "content-type"
-        ]
-        kind = content_types[0] if content_types else "application/octet-stream"
-        sent = CIMultiDict({"Content-Type": kind})
+        sent = _content_type(headers)
         await self._send(web.Response(status=status, headers=sent, body=body))
         self.is_whole = True
 
 
+def _content_type(headers: list[tuple[str, str]]) -> CIMultiDict[str]:
+    content_types = [v for name, v in headers if name.lower() == "content-type"]
+    kind = content_types[0] if content_types else "application/octet-stream"
+    return CIMultiDict({"Content-Type": kind})
+
+
 @attrs.define(eq=False, repr=False)
 class RecordedReply:
     """Records an answer for storage and forwards it until the caller disconnects."""
 
     inner: Reply
+    max_stored_bytes: int
+    """Longest answer that can be stored: the length of a row's value."""
     stored: StoredAnswer | None = None
+    is_too_long: bool = False
+    """Whether an answer is not stored because it is too long."""
     failure: Failure | None = None
     _head: tuple[int, list[tuple[str, str]]] = (0, [])
     _events: list[bytes] = attrs.field(factory=list)
+    _recorded_bytes: int = 0
     has_caller_left: bool = False
     _began: bool = False
 
@@ -240,14 +273,21 @@
 
     async def write(self, piece: bytes) -> None:
         """Record and forward events of a stream."""
-        self._events.append(piece)
+        self._recorded_bytes += len(piece)
+        if self._recorded_bytes > self.max_stored_bytes:
+            self.is_too_long = True
+            self._events.clear()
+        else:
+            self._events.append(piece)
         await self._forward(self.inner.write(piece))
 
     async def end(self) -> None:
         """End a stream that is complete."""
         status, headers = self._head
         header_lists = [list(h) for h in headers]
-        self.stored = StoredAnswer(status, header_lists, b"".join(self._events), True)
+        if not self.is_too_long:
+            body = b"".join(self._events)
+            self.stored = StoredAnswer(status, header_lists, body, True)
         await self._forward(self.inner.end())
 
     async def abort(self) -> None:
--- a/packages/serving/src/fordhatch/serving/_admission.py
+++ b/packages/serving/src/fordhatch/serving/_admission.py
@@ -16,6 +16,7 @@
 )
 from fordhatch.core import Failure, ResultCode, Timer
 
+from ._caller_connection import HEAD_TIMEOUT_S
 from ._evacuated_zones import is_evacuated
 from ._knowledge import Freshness
 from ._node_state import NodeState
@@ -66,6 +67,13 @@
         current = self.state.view.configuration.current
         return current.limits.max_body_bytes if current is not None else 0
 
+    def head_timeout_s(self) -> float:
+        """Return how long the head of a request may take, in seconds."""
+        current = self.state.view.configuration.current
+        return (
+            current.limits.header_timeout_s if current is not None else HEAD_TIMEOUT_S
+        )
+
     def find_route(self, host: str, target: str) -> Result[Route, Failure]:
         """Return the route of a request, or the refusal."""
         stopped = self.state.refusal()
--- a/packages/serving/src/fordhatch/serving/_events.py
+++ b/packages/serving/src/fordhatch/serving/_events.py
@@ -3,16 +3,27 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterator
 
 import attrs
 
 _END_OF_EVENT = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_MAX_END_BYTES = 4
 _ID_LINE = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
 
 MAX_EVENT_BYTES = 1024 * 1024
 """A stream with a longer event is malformed."""
 
 
+PART_BYTES = 16 * 1024
+"""Bytes that are split into events at once, so that many small events, of which some
+hundred KiB arrive together, don't keep the event loop from other callers."""
+
+MAX_REPEATED_BYTES = 1024 * 1024
+"""Most bytes of events that were forwarded already, between two others: a server that
+can't resume repeats the whole answer."""
+
+
 class StreamError(ValueError):
     """A stream is malformed or its events are out of order."""
 
@@ -29,7 +40,9 @@
 class EventSplitter:
     """Splits a body into complete events."""
 
-    _buffer: bytes = b""
+    _buffer: bytearray = attrs.field(factory=bytearray)
+    _searched_bytes: int = 0
+    """Beginning of the buffer in which no event ends."""
 
     def feed(self, piece: bytes) -> list[Event]:
         """Return the events that are complete with this piece.
@@ -40,11 +53,13 @@
         self._buffer += piece
         events = []
         begin = 0
-        for match in _END_OF_EVENT.finditer(self._buffer):
-            raw = self._buffer[begin : match.end()]
+        for match in _END_OF_EVENT.finditer(self._buffer, self._searched_bytes):
+            raw = bytes(self._buffer[begin : match.end()])
             events.append(Event(raw, _number(raw)))
             begin = match.end()
-        self._buffer = self._buffer[begin:]
+        del self._buffer[:begin]
+        # The end of an event may be split over two pieces.
+        self._searched_bytes = max(len(self._buffer) - _MAX_END_BYTES + 1, 0)
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise StreamError("event without end")
         return events
@@ -55,6 +70,12 @@
         return bool(self._buffer)
 
 
+def in_parts(piece: bytes) -> Iterator[bytes]:
+    """Split what was read at once, for turns of other callers in between."""
+    for begin in range(0, len(piece), PART_BYTES):
+        yield piece[begin : begin + PART_BYTES]
+
+
 def _number(raw: bytes) -> int | None:
     found = _ID_LINE.search(raw)
     if found is None or not found.group(1).strip().isdigit():
@@ -68,6 +89,7 @@
 
     last: int | None = None
     """Number of the last event that was forwarded to the caller."""
+    _repeated_bytes: int = 0
 
     @classmethod
     def from_last_event_id(cls, text: str) -> EventOrder:
@@ -78,14 +100,18 @@
         """Return whether to forward an event; False for one already forwarded.
 
         Raises:
-            StreamError: If an event before it is missing.
+            StreamError: If an event before it is missing, or too much is repeated.
         """
         if event.number is None:
             return True
         if self.last is not None:
             if event.number <= self.last:
+                self._repeated_bytes += len(event.raw)
+                if self._repeated_bytes > MAX_REPEATED_BYTES:
+                    raise StreamError(f"repeats {self._repeated_bytes} bytes")
                 return False
             if event.number > self.last + 1:
                 raise StreamError(f"event {event.number} after {self.last}")
         self.last = event.number
+        self._repeated_bytes = 0
         return True
--- a/packages/serving/src/fordhatch/serving/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/_stream_run.py
@@ -10,17 +10,20 @@
 
 from fordhatch.adapter import answer_headers
 from fordhatch.catalog import BackendServer
-from fordhatch.core import Timer, log_event, metrics
+from fordhatch.core import Timer, log_event, metrics, record_bound
 from fordhatch.registry import BackendDirectory
 
-from ._events import EventSplitter, StreamError
+from ._events import PART_BYTES, EventSplitter, StreamError, in_parts
+from ._request import ReplyTooLong
 from ._stream import Stream
 from ._stream_ending import RunFailed, check_ending, reached_stage
 from .crashes import CrashWatch
 from .exchange import (
     UNCONFIRMED_END,
+    AnswerHold,
     BackendAnswer,
     BackendExchange,
+    HeldAnswers,
     SendFailure,
     SendProblem,
     connection_problem,
@@ -46,8 +49,7 @@
 """Multiple of the group's silence limit after which one silent stream is given up while
 other streams of the group advance."""
 
-_OK = 200
-_SERVER_ERROR = 500
+_OK, _SERVER_ERROR = 200, 500
 
 
 @attrs.define(eq=False, repr=False)
@@ -64,6 +66,7 @@
     crashes: CrashWatch
     pressure: BackpressureTracker
     load: SharedLoad
+    held: HeldAnswers
     _running: dict[int, tuple[Stream, RunProgress]] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
@@ -154,7 +157,8 @@
         progress.has_answer = True
         try:
             if answer.status != _OK:
-                await self._forward_complete(stream, answer)
+                with self.held.hold() as hold:
+                    await self._forward_complete(stream, answer, hold)
                 return
             await self._forward_events(stream, head, answer, progress)
         finally:
@@ -266,7 +270,9 @@
         if other is not None and ran < request.route.attempts:
             raise RunFailed(SendProblem.SILENT, detail)
 
-    async def _forward_complete(self, stream: Stream, answer: BackendAnswer) -> None:
+    async def _forward_complete(
+        self, stream: Stream, answer: BackendAnswer, hold: AnswerHold
+    ) -> None:
         """Forward an answer that is no stream: a failure of the backend server.
 
         Raises:
@@ -275,11 +281,15 @@
         """
         try:
             async with self.timer.timeout(stream.request.left_s(self.timer.now_s())):
-                body = await answer.read_all()
+                held = await hold.read(answer)
         except TimeoutError as error:
             raise RunFailed(SendProblem.SILENT, repr(error)) from error
         except (aiohttp.ClientError, OSError) as error:
             raise RunFailed(connection_problem(error), repr(error)) from error
+        if not held.is_whole:
+            record_bound("failed_answer", request=stream.request.fields.request_id)
+            detail = f"status {answer.status}, {held.excess}"
+            raise RunFailed(SendProblem.BROKEN, detail)
         left_s = stream.request.left_s(self.timer.now_s())
         if not await self.exchange.confirms_end(answer, left_s):
             raise RunFailed(SendProblem.CONNECTION_LOST, UNCONFIRMED_END)
@@ -287,7 +297,7 @@
         if stream.reply.has_begun or (answer.status >= _SERVER_ERROR and can_repeat):
             raise RunFailed(SendProblem.BROKEN, f"status {answer.status}")
         await stream.reply.send_complete(
-            answer.status, answer_headers(answer.headers), body
+            answer.status, answer_headers(answer.headers), held.data
         )
 
     async def _forward_events(
@@ -303,9 +313,15 @@
             piece = await self._next_piece(stream, head, answer, progress)
             if not piece:
                 break
+            if stream.request.left_s(self.timer.now_s()) <= 0:
+                # Bytes that are always there would let it go on for ever.
+                raise RunFailed(SendProblem.SILENT, "out of time")
             self.progress.record_event(progress, stream.model)
             last_s = self._record_pause(stream, head, last_s)
-            await self._forward_piece(stream, answer, splitter, piece)
+            for part in in_parts(piece):
+                await self._forward_piece(stream, answer, splitter, part)
+                if len(part) == PART_BYTES:
+                    await asyncio.sleep(0)
         if answer.ends_with_connection:
             left_s = stream.request.left_s(self.timer.now_s())
             await check_ending(self.exchange, stream, answer, splitter, left_s)
@@ -361,7 +377,10 @@
         if not stream.reply.has_begun:
             await stream.reply.begin(answer.status, answer_headers(answer.headers))
         stream.request.timeline.record_output(self.timer.now_s())
-        await stream.reply.write(events)
+        try:
+            await stream.reply.write(events)
+        except ReplyTooLong as error:
+            raise RunFailed(SendProblem.BROKEN, str(error)) from error
 
     async def _next_piece(
         self,
--- a/packages/serving/tests/test_waits.py
+++ b/packages/serving/tests/test_waits.py
@@ -15,7 +15,7 @@
 from fordhatch.core import Ran, ResultCode, TaskSet, Timer
 from fordhatch.registry import RunStage
 from fordhatch.scheduling import Refuse
-from fordhatch.serving import NodeState, SendFailure, SendProblem
+from fordhatch.serving import AcceptedRequest, NodeState, SendFailure, SendProblem
 from fordhatch.serving._admission_control import AdmissionControl
 from fordhatch.serving._caller_server import CallerReply, CallerServer
 from fordhatch.serving._caller_writes import MIN_WRITE_S
@@ -177,7 +177,8 @@
     async def scenario() -> None:
         timer = Timer.from_seed(1)
         server, reply, aborted = caller(timer, left_s)
-        reading = server._read_body(reply.http_request, reply.due_s)
+        accepted = AcceptedRequest("r1", reply.http_request, reply, 0.0)
+        reading = server._read_body(accepted, reply.due_s)
         got, took = await took_s(timer, reading)
         assert (got.unwrap_err().code, got.unwrap_err().ran) == (
             ResultCode.DEADLINE_EXCEEDED,
