--- a/packages/node/tests/test_relayed_requests.py
+++ b/packages/node/tests/test_relayed_requests.py
@@ -174,10 +174,12 @@
     site.add_cut_off()
     for name, send in senders.items():
         site.add(name, send)
-    yield site
-    await asyncio.sleep(0.1)
-    await site.client.close()
-    await site.client.peers.close()
+    try:
+        yield site
+    finally:
+        await asyncio.sleep(0.1)
+        await site.client.close()
+        await site.client.peers.close()
 
 
 def simulate(scenario: Callable[[], Awaitable[None]]) -> None:
--- a/packages/serving/tests/test_waits.py
+++ b/packages/serving/tests/test_waits.py
@@ -29,6 +29,9 @@
 
 BACKEND = BackendServer("b1", "app", "10.0.0.1:1", "z1", BackendState.READY, 4)
 LIMIT_S = 0.3
+NEVER_S = 60.0
+"""Time after which a test gives up, instead of standing still."""
+
 SILENCE_S = 0.25
 """Time after which a silent node is given up."""
 
@@ -40,7 +43,8 @@
 async def took_s(timer: Timer, work: Awaitable[object]) -> tuple[object, float]:
     """Return the result of some work and the time that it took."""
     began_s = timer.now_s()
-    return await work, timer.now_s() - began_s
+    async with asyncio.timeout(NEVER_S):
+        return await work, timer.now_s() - began_s
 
 
 async def refused(*_: object, **__: object) -> object:
