Log: the end of the process waits 0.1 s for the log's reader, not for ever

By reading: a process that ended flushed its log in the main thread, which blocks while the pipe is full; with a reader that stands still it ended only by the platform's kill. LineWriter.close() lets its thread write what is queued and waits only so long. test_a_closing_writer covers both (a new method; the flush of before would not return there).

--- a/packages/core/src/fordhatch/core/_line_writer.py
+++ b/packages/core/src/fordhatch/core/_line_writer.py
@@ -42,6 +42,7 @@
     _lines: deque[str] = attrs.field(factory=deque)
     _wake: threading.Event = attrs.field(factory=threading.Event)
     _thread: threading.Thread | None = None
+    _is_closing: bool = False
 
     def start(self) -> None:
         """Start the writer thread."""
@@ -72,12 +73,25 @@
         self._tokens -= 1.0
         return True
 
+    def close(self, timeout_s: float) -> None:
+        """Write the queued lines, as far as the reader takes them in time.
+
+        Args:
+            timeout_s: Longest wait for the reader, in seconds.
+        """
+        self._is_closing = True
+        self._wake.set()
+        if self._thread is not None:
+            self._thread.join(timeout_s)
+
     def _write_loop(self) -> None:
-        while True:
+        while not self._is_closing:
             self._wake.wait()
-            time.sleep(BATCH_INTERVAL_S)
+            if not self._is_closing:
+                time.sleep(BATCH_INTERVAL_S)
             self._wake.clear()
             self.flush()
+        self.flush()
 
     def flush(self) -> None:
         """Write the queued lines; blocks while the pipe is full."""
--- a/packages/core/tests/test_line_writer.py
+++ b/packages/core/tests/test_line_writer.py
@@ -1,6 +1,8 @@
 from __future__ import annotations
 
+import fcntl
 import os
+import time
 
 from fordhatch.core import LineWriter
 from fordhatch.core._line_writer import MAX_QUEUED_LINES
@@ -34,3 +36,22 @@
         lines = pipe.read().splitlines()
     assert len(lines) == 1601
     assert lines[-1] == "event=lines_dropped count=400"
+
+
+# Guards against a process that does not end while the reader of its log stands still,
+# and against lines of its last moment that are lost.
+def test_a_closing_writer_waits_only_so_long_for_its_reader() -> None:
+    reader, descriptor = os.pipe()
+    writer = LineWriter(descriptor, lines_per_s=1e9)
+    writer.start()
+    writer.write("the last line", is_required=True)
+    writer.close(20.0)
+    assert os.read(reader, 100) == b"the last line\n"
+    fcntl.fcntl(descriptor, fcntl.F_SETPIPE_SZ, 4096)
+    full = LineWriter(descriptor, lines_per_s=1e9)
+    full.start()
+    full.write("x" * 100_000)
+    began_s = time.monotonic()
+    full.close(0.1)
+    assert time.monotonic() - began_s < 10.0
+    os.close(reader)
--- a/packages/node/src/fordhatch/node/_daemon.py
+++ b/packages/node/src/fordhatch/node/_daemon.py
@@ -32,6 +32,9 @@
 CLOSE_LIMIT_S = 0.4
 """Longest time in which the components of a node may close."""
 
+LOG_LIMIT_S = 0.1
+"""Longest wait for whoever reads the log when the process ends."""
+
 STANDARD_OUTPUT = 1
 """File descriptor to which the log is written."""
 
@@ -72,7 +75,7 @@
     try:
         uvloop.run(run())
     finally:
-        writer.flush()
+        writer.close(LOG_LIMIT_S)
 
 
 async def close_with_timeout(
