Streams: a silent run is left only if the retry budget has something

Cause: the run was abandoned before the budget was asked. A backend server's silence is no reason to end an answer sooner.

Change: StreamRuns asks RetryBudget.has_left first, which gets retries from elsewhere for later if there are none; the run goes on meanwhile.

Evidence: test_a_silent_run_goes_on_if_no_retry_is_left is red without the change. The log line of a failed run moved to _stream_ending.py.

--- a/packages/serving/src/fordhatch/serving/_request_path.py
+++ b/packages/serving/src/fordhatch/serving/_request_path.py
@@ -119,6 +119,7 @@
             crashes,
             pressure,
             load,
+            budget.has_left,
             held,
         )
         demand = DemandMeter(timer)
--- a/packages/serving/src/fordhatch/serving/_stream_ending.py
+++ b/packages/serving/src/fordhatch/serving/_stream_ending.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from fordhatch.catalog import BackendServer
+from fordhatch.core import log_event
 from fordhatch.registry import RunStage
 
 from ._events import EventSplitter
@@ -62,3 +64,31 @@
     if events > 0:
         return RunStage.FLOWING
     return RunStage.BEGUN if progress.has_answer else RunStage.WAITING
+
+
+def log_failed_run(
+    stream: Stream,
+    head: BackendServer,
+    failure: SendFailure,
+    events: int,
+    took_s: float,
+) -> None:
+    """Log a run that failed.
+
+    Args:
+        stream: The stream.
+        head: The head of the group that ran it.
+        failure: Why it failed.
+        events: Number of events that it forwarded.
+        took_s: Time from its begin, in seconds.
+    """
+    log_event(
+        "send_failed",
+        request=stream.request.fields.request_id,
+        backend=head.backend_id,
+        group=head.membership.group if head.membership else "",
+        problem=failure.problem.value,
+        detail=failure.detail,
+        events=events,
+        took_s=round(took_s, 3),
+    )
--- a/packages/serving/src/fordhatch/serving/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/_stream_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import aiohttp
 import attrs
@@ -10,13 +11,13 @@
 
 from fordhatch.adapter import answer_headers
 from fordhatch.catalog import BackendServer
-from fordhatch.core import Timer, log_event, metrics, record_bound
+from fordhatch.core import Timer, metrics, record_bound
 from fordhatch.registry import BackendDirectory
 
 from ._events import PART_BYTES, EventSplitter, StreamError, in_parts
-from ._request import ReplyTooLong
+from ._request import ReplyTooLong, ServedRequest
 from ._stream import Stream
-from ._stream_ending import RunFailed, check_ending, reached_stage
+from ._stream_ending import RunFailed, check_ending, log_failed_run, reached_stage
 from .crashes import CrashWatch
 from .exchange import (
     UNCONFIRMED_END,
@@ -66,6 +67,8 @@
     crashes: CrashWatch
     pressure: BackpressureTracker
     load: SharedLoad
+    has_retry: Callable[[ServedRequest], bool]
+    """Returns whether the retry budget allows another attempt now."""
     held: HeldAnswers
     _running: dict[int, tuple[Stream, RunProgress]] = attrs.field(factory=dict)
 
@@ -124,16 +127,8 @@
         began_s: float,
         events: int,
     ) -> None:
-        log_event(
-            "send_failed",
-            request=stream.request.fields.request_id,
-            backend=head.backend_id,
-            group=head.membership.group if head.membership else "",
-            problem=failure.problem.value,
-            detail=failure.detail,
-            events=stream.events - events,
-            took_s=round(self.timer.now_s() - began_s, 3),
-        )
+        took_s = self.timer.now_s() - began_s
+        log_failed_run(stream, head, failure, stream.events - events, took_s)
         if failure.problem is SendProblem.HELD_BACK:
             return
         self._check_group(stream, head, failure.problem)
@@ -267,7 +262,9 @@
             return
         other = self.choice.choose(request.service, stream.model, stream.tried)
         ran = request.counted_runs(self.directory.backends, head.backend_id)
-        if other is not None and ran < request.route.attempts:
+        if other is None or ran >= request.route.attempts:
+            return
+        if self.has_retry(request):
             raise RunFailed(SendProblem.SILENT, detail)
 
     async def _forward_complete(
--- a/packages/serving/src/fordhatch/serving/retries/_retry_budget.py
+++ b/packages/serving/src/fordhatch/serving/retries/_retry_budget.py
@@ -222,6 +222,13 @@
         request.retry = ticket
         return True
 
+    def has_left(self, request: ServedRequest) -> bool:
+        """Return whether a retry may be sent now; get some for later ones otherwise."""
+        if self.state(request.service).left > 0:
+            return True
+        self._start_getting(request.service)
+        return False
+
     def _spend(self, service: str) -> RetryTicket | None:
         budget, now_s = self._service(service), self.timer.now_s()
         if budget.borrowed.take(now_s):
@@ -244,13 +251,16 @@
 
     async def _wait_for_more(self, request: ServedRequest) -> None:
         """Get retries from elsewhere, once for all requests that wait for them."""
-        service = request.service
+        getting = self._start_getting(request.service)
+        left_s = max(request.left_s(self.timer.now_s()), 0.0)
+        wait_s = min(WAIT_FRACTION * left_s, MAX_WAIT_S)
+        await asyncio.wait([getting], timeout=wait_s)
+
+    def _start_getting(self, service: str) -> asyncio.Task[None]:
         budget = self._service(service)
         if budget.getting is None or budget.getting.done():
             budget.getting = self._tasks.spawn(self._get_more(service), "get-retries")
-        left_s = max(request.left_s(self.timer.now_s()), 0.0)
-        wait_s = min(WAIT_FRACTION * left_s, MAX_WAIT_S)
-        await asyncio.wait([budget.getting], timeout=wait_s)
+        return budget.getting
 
     async def _get_more(self, service: str) -> None:
         """Borrow from other nodes, and take the rest from the store."""
--- a/packages/serving/tests/test_stream_calls.py
+++ b/packages/serving/tests/test_stream_calls.py
@@ -329,3 +329,20 @@
     await site.until(lambda: ("small.1", 1) in site.view.shared.suspicions)
     assert (await site.ask("/stream/1")).status == 503
     assert not suspected.seen
+
+
+async def pauses(request, writer) -> None:
+    writer.write(head(request) + chunk(events(1, 2)))
+    await writer.drain()
+    await asyncio.sleep(4.0 * MIN_SILENCE_S)
+    writer.write(chunk(events(3, 6)) + b"0\r\n\r\n")
+
+
+# Guards against a stream that is given up though its group still works on it: it was
+# left for another group, and the retry budget had nothing for the change.
+async def test_a_silent_run_goes_on_if_no_retry_is_left(site) -> None:
+    busy = await site.add_backend(pauses, group="small.1", zone="z1")
+    other = await site.add_backend(streams, group="small.2", zone="z2")
+    site.callers.dispatch.budget._services.clear()
+    assert (await site.ask("/stream/1")).body == ALL
+    assert (len(busy.seen), len(other.seen)) == (1, 0)
