Log: a caller's bytes that are no text don't end it

Found by the review of this work, with a real process: one request with a byte 0xFF in Host or X-Attempt-Id, no key needed, raised UnicodeEncodeError in the thread that writes the log. Its batch was lost, nothing more was written until the process ended, and beyond 4000 lines nothing at all: requests after it were named by no line, as in the users' record.

Change: such bytes are written escaped. test_bytes_that_are_no_text_do_not_end_the_log fails without it.

--- a/packages/core/src/fordhatch/core/_line_writer.py
+++ b/packages/core/src/fordhatch/core/_line_writer.py
@@ -101,7 +101,9 @@
         if self.dropped:
             lines.append(f"event=lines_dropped count={self.dropped}")
             self.dropped = 0
-        data = ("\n".join(lines) + "\n").encode() if lines else b""
+        text = "\n".join(lines) + "\n" if lines else ""
+        # Fields may hold bytes of callers that are no text.
+        data = text.encode(errors="backslashreplace")
         while data:
             try:
                 data = data[os.write(self.descriptor, data) :]
--- a/packages/core/tests/test_line_writer.py
+++ b/packages/core/tests/test_line_writer.py
@@ -55,3 +55,17 @@
     full.close(0.1)
     assert time.monotonic() - began_s < 10.0
     os.close(reader)
+
+
+# Guards against a log that one caller ends for all others, with bytes that are no text
+# in a field of its request.
+def test_bytes_that_are_no_text_do_not_end_the_log() -> None:
+    reader, descriptor = os.pipe()
+    writer = LineWriter(descriptor, lines_per_s=1e9)
+    writer.start()
+    writer.write(b"host=a\xffb".decode(errors="surrogateescape"))
+    assert os.read(reader, 100) == b"host=a\\udcffb\n"
+    writer.write("event=next")
+    writer.close(20.0)
+    assert os.read(reader, 100) == b"event=next\n"
+    os.close(reader)
