Listener: its close has a limit also for connections that callers keep

Found by the review, with a real process: the close waited for lingering connections without a limit (0 is no limit for the library), ran into the limit of the whole close, and the node's components were not closed after it.

--- a/packages/serving/src/fordhatch/serving/_http_server.py
+++ b/packages/serving/src/fordhatch/serving/_http_server.py
@@ -108,8 +108,9 @@
     async def close(self) -> None:
         """Close the listener and every connection.
 
-        Requests in progress have a short time to end. No byte is read from a connection
-        without one, so that a request that comes now is known not to have been read.
+        Requests in progress have ``CLOSE_TIMEOUT_S`` to end. No byte is read from a
+        connection without one, so that a request that comes now is known not to have
+        been read.
         """
         self._listener.close()
         for connection in self._idle():
@@ -121,7 +122,10 @@
             connection.force_close()
         if self._active:
             await asyncio.wait(list(self._active.values()), timeout=CLOSE_TIMEOUT_S)
-        await self._server.shutdown(0.0)
+        for connection in list(self._active):
+            if connection.transport is not None:
+                connection.transport.abort()
+        await self._server.shutdown(CLOSE_TIMEOUT_S)
 
     def _idle(self) -> list[web.RequestHandler]:
         """Return the open connections without a request in progress."""
--- a/packages/serving/tests/test_closing_listener.py
+++ b/packages/serving/tests/test_closing_listener.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import pytest
 from aiohttp import web
 from raw_caller import Caller, request_bytes, streams
 
+from fordhatch.serving._caller_writes import LINGER_S
 from fordhatch_standins import http_answer
 
 
@@ -50,3 +52,16 @@
         assert answer.seen == (503, "whole") if was_read else answer.status == 0
     await closing
     assert len(plain.seen) + len(head.seen) == 1
+
+
+# Guards against a close that waits for callers without a limit.
+async def test_a_close_does_not_wait_for_callers_that_keep_the_connection(site) -> None:
+    await site.add_backend(answers)
+    site.state.leave()
+    caller = await Caller.connect(site)
+    asked = await caller.ask("/once/1", "r1", Connection="close")
+    assert asked.end == "whole"
+    began = time.monotonic()
+    await site.server.close()
+    took_s = time.monotonic() - began
+    assert took_s < LINGER_S
