Keys and chat at a stop: not run means never run, and one answer

Cause, the same for all: the stop ended the handler, and something else was serving. Change: a stop ends, and waits for, the task that serves; what is refused as not run stays refused (ServedRequest.is_refused); a claim without a taker is released, and one whose request may have run is marked as lost; a reply prepares one response, and nothing follows its error.

--- a/packages/chat/src/fordhatch/chat/_chat_server.py
+++ b/packages/chat/src/fordhatch/chat/_chat_server.py
@@ -273,23 +273,51 @@
         request = accepted.served
         digest = hashlib.sha256(request.body + request.target.encode()).hexdigest()
         key = ClaimKey(context.workspace.name, context.idempotency_key, digest)
-        claimed = await self.claims.acquire(key, request.due_s)
+        claimed = await self._claim(key, request.due_s)
         if claimed.is_err():
             await self._refuse(accepted, claimed.unwrap_err())
         elif isinstance(claimed.unwrap(), Ticket):
             # Continues after the caller disconnects, so that a retry finds the answer.
             recorded = RecordedReply(accepted.reply, self.claims.row_bytes)
             work = self._run_claimed(request, claimed.unwrap(), recorded)
-            await asyncio.shield(self.claims.run_to_completion(work, "claimed"))
+            task = self.claims.run_to_completion(work, "claimed")
+            self.path.state.requests.keep(accepted, task)
+            await asyncio.shield(task)
             if recorded.has_caller_left:
                 raise ConnectionResetError("the caller has left")
         else:
             await self._serve_retry(accepted, key, claimed.unwrap())
 
+    async def _claim(
+        self, key: ClaimKey, due_s: float
+    ) -> Result[Ticket | Claim, Failure]:
+        """Claim a key; a claim that its request doesn't wait for is released."""
+        claiming = self.claims.run_to_completion(
+            self.claims.acquire(key, due_s), "claim"
+        )
+        try:
+            return await asyncio.shield(claiming)
+        except asyncio.CancelledError:
+            claiming.add_done_callback(self._release_unused)
+            raise
+
+    def _release_unused(self, claiming: asyncio.Task[object]) -> None:
+        if claiming.cancelled() or claiming.exception() is not None:
+            return
+        ticket = claiming.result().ok()
+        if isinstance(ticket, Ticket):
+            self.claims.run_to_completion(self.claims.release(ticket), "release-unused")
+
     async def _run_claimed(
         self, request: ServedRequest, ticket: Ticket, recorded: RecordedReply
     ) -> None:
-        await self.path.dispatch.serve(request, recorded)
+        try:
+            await self.path.dispatch.serve(request, recorded)
+        except asyncio.CancelledError:
+            # The process ends; a retry finds out at another node whether it has run.
+            end = self.claims.mark_lost if request.may_have_run else self.claims.release
+            self.claims.run_to_completion(end(ticket), "end-claim")
+            raise
         if recorded.stored is not None:
             await self.claims.settle(ticket, recorded.stored)
         elif recorded.is_too_long:
--- a/packages/chat/src/fordhatch/chat/_replies.py
+++ b/packages/chat/src/fordhatch/chat/_replies.py
@@ -92,7 +92,7 @@
     @property
     def has_begun(self) -> bool:
         """Whether the model's answer has begun, so that no other can take its place."""
-        return self.is_answering
+        return self.is_answering or self.response is not None
 
     async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Begin the reply; a streamed one sends its headers."""
@@ -129,11 +129,16 @@
     async def abort(self) -> None:
         """Report that the answer is incomplete."""
         failure = Failure.from_code(ResultCode.STREAM_INCOMPLETE)
-        if not self.is_streamed:
+        if not self.is_streamed and self.response is None:
             await self.refuse(failure)
             return
+        if not self.is_streamed:
+            await HttpReply.abort(self)
+            return
         self.outcome = "aborted"
         self.failure = failure
+        # Nothing that is still being forwarded may follow the error.
+        self.is_over = True
         # The headers are already sent: the error goes into the stream, which then ends
         # without ``[DONE]``.
         error = json.dumps(failure.to_json()).encode()
--- a/packages/serving/src/fordhatch/serving/_accepted_request.py
+++ b/packages/serving/src/fordhatch/serving/_accepted_request.py
@@ -59,7 +59,7 @@
     """The request once it is admitted."""
     refusal: EarlyRefusal | None = None
     task: asyncio.Task[object] | None = None
-    """The task that serves it."""
+    """The task that serves it; ending it ends the request."""
     body_bytes: int = 0
     """Bytes of its body that are kept."""
     is_ended_by_stop: bool = False
@@ -83,6 +83,9 @@
 
     def end_by_stop(self) -> None:
         """Interrupt the task that serves it, because the process ends."""
-        if not self.is_ended_by_stop and self.task is not None:
-            self.is_ended_by_stop = True
-            self.task.cancel()
+        if self.is_ended_by_stop or self.task is None:
+            return
+        self.is_ended_by_stop = True
+        if self.served is not None:
+            self.served.is_refused = not self.served.may_have_run
+        self.task.cancel()
--- a/packages/serving/src/fordhatch/serving/_admission.py
+++ b/packages/serving/src/fordhatch/serving/_admission.py
@@ -182,6 +182,8 @@
 
     def recheck(self, request: ServedRequest) -> Failure | None:
         """Return why a request that has waited may no longer be sent, or None."""
+        if request.is_refused:
+            return shutting_down()
         stopped = (
             self.state.refusal()
             or self.state.stop_refusal(request)
--- a/packages/serving/src/fordhatch/serving/_http_reply.py
+++ b/packages/serving/src/fordhatch/serving/_http_reply.py
@@ -44,8 +44,8 @@
         await self._prepare(response)
 
     async def _prepare(self, response: web.StreamResponse) -> None:
-        if self.is_over:
-            raise ConnectionResetError("the answer is over")
+        if self.is_over or self.response is not None:
+            raise ConnectionResetError("another answer has been sent")
         self.response = response
         if self.state.is_leaving:
             response.force_close()
--- a/packages/serving/src/fordhatch/serving/_request.py
+++ b/packages/serving/src/fordhatch/serving/_request.py
@@ -97,6 +97,8 @@
     """What it can have in common with other requests, once it has been determined."""
     is_over: bool = False
     """Whether no further attempt will be made."""
+    is_refused: bool = False
+    """Whether its caller is told that it has not run and will not run."""
     is_being_sent: bool = False
     """Whether the attempt in progress may have reached its backend server."""
     is_quarantine_logged: bool = False
@@ -162,7 +164,7 @@
             listed: Registered backend servers.
             now_s: Current time in monotonic seconds.
         """
-        if self.left_s(now_s) <= 0:
+        if self.is_refused or self.left_s(now_s) <= 0:
             return False
         if self.ran_at and not self.route.is_repeatable:
             return False
--- a/packages/serving/src/fordhatch/serving/_requests_in_progress.py
+++ b/packages/serving/src/fordhatch/serving/_requests_in_progress.py
@@ -40,8 +40,23 @@
     _relaying: set[asyncio.Task[object]] = attrs.field(factory=set)
     """Tasks that make attempts for other nodes' callers."""
 
+    _kept: set[asyncio.Task[object]] = attrs.field(factory=set)
+    """Tasks that go on without their callers, for later retries."""
+
     def __len__(self) -> int:
-        return len(self._accepted) + len(self._relaying)
+        serving = {accepted.task for accepted in self._accepted}
+        return len(self._accepted) + len(self._relaying) + len(self._kept - serving)
+
+    def keep(self, accepted: AcceptedRequest, task: asyncio.Task[object]) -> None:
+        """Let a task serve a request, and go on if its caller leaves.
+
+        Args:
+            accepted: The request.
+            task: The task; a stop waits for it as for a request.
+        """
+        accepted.task = task
+        self._kept.add(task)
+        task.add_done_callback(self._kept.discard)
 
     @contextlib.asynccontextmanager
     async def accept(self, accepted: AcceptedRequest) -> AsyncIterator[None]:
@@ -118,7 +133,7 @@
         self.is_stopping = True
         for accepted in list(self._accepted):
             accepted.end_by_stop()
-        for task in self._relaying:
+        for task in self._relaying | self._kept:
             task.cancel()
 
     def log_unended(self) -> None:
