Callers that stand still on a used connection; small things of the review

The limit is put back.

Beside it: the time of the signal is taken in its handler, so that a signal during the start counts; chat sends 100 Continue too; pages and comments that said what the code no longer does.

--- a/packages/chat/src/fordhatch/chat/_caller_checks.py
+++ b/packages/chat/src/fordhatch/chat/_caller_checks.py
@@ -15,7 +15,7 @@
     hash_key,
 )
 from fordhatch.core import Failure, Ran, ResultCode, record_bound
-from fordhatch.serving import RequestPath
+from fordhatch.serving import RequestPath, send_continue
 
 from ._chat_body import bad_request
 
@@ -133,6 +133,7 @@
             due_s: When the final answer is due, in monotonic seconds.
         """
         body = bytearray()
+        send_continue(http_request)
         timer = self.path.state.timer
         try:
             async with timer.timeout(max(due_s - timer.now_s(), 0.0)):
--- a/packages/node/src/fordhatch/node/_stop_signal.py
+++ b/packages/node/src/fordhatch/node/_stop_signal.py
@@ -19,6 +19,8 @@
 
     watch: LoopWatch
     _received: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _since_s: float | None = None
+    """The earliest time at which the first signal may have come."""
     _tasks: TaskSet = attrs.field(factory=TaskSet)
 
     @classmethod
@@ -27,10 +29,15 @@
         stop = cls(LoopWatch(timer))
         loop = asyncio.get_running_loop()
         for number in STOP_SIGNALS:
-            loop.add_signal_handler(number, stop._received.set)
+            loop.add_signal_handler(number, stop._receive)
         stop._tasks.spawn(stop.watch.run(), "loop-watch")
         return stop
 
+    def _receive(self) -> None:
+        if self._since_s is None:
+            self._since_s = self.watch.earliest_s()
+        self._received.set()
+
     async def wait(self) -> float:
         """Wait for a signal.
 
@@ -38,7 +45,7 @@
             The earliest time at which it may have come, in monotonic seconds.
         """
         await self._received.wait()
-        return self.watch.earliest_s()
+        return self._since_s
 
     def lateness_s(self) -> float:
         """Return how late the event loop has been lately, in seconds."""
--- a/packages/serving/src/fordhatch/serving/__init__.py
+++ b/packages/serving/src/fordhatch/serving/__init__.py
@@ -5,7 +5,7 @@
 from ._accepted_request import AcceptedRequest, EarlyRefusal, generate_request_id
 from ._admission import Admission
 from ._caller_server import CallerServer
-from ._caller_writes import linger
+from ._caller_writes import linger, send_continue
 from ._dispatch import Dispatch
 from ._evacuated_zones import is_evacuated
 from ._http_reply import HttpReply
@@ -97,4 +97,5 @@
     "generate_request_id",
     "is_evacuated",
     "linger",
+    "send_continue",
 ]
--- a/packages/serving/src/fordhatch/serving/_caller_server.py
+++ b/packages/serving/src/fordhatch/serving/_caller_server.py
@@ -15,7 +15,7 @@
 
 from ._accepted_request import AcceptedRequest, EarlyRefusal, generate_request_id
 from ._admission import Admission, due_s
-from ._caller_writes import linger
+from ._caller_writes import linger, send_continue
 from ._dispatch import Dispatch
 from ._http_reply import HttpReply
 from ._node_state import NodeState
@@ -166,8 +166,7 @@
         http_request = accepted.http_request
         if not http_request.can_read_body:
             return Ok(b"")
-        if http_request.headers.get("Expect", "").lower() == "100-continue":
-            http_request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        send_continue(http_request)
         limit = self.admission.max_body_bytes()
         pieces: list[bytes] = []
         try:
--- a/packages/serving/src/fordhatch/serving/_caller_writes.py
+++ b/packages/serving/src/fordhatch/serving/_caller_writes.py
@@ -24,7 +24,7 @@
 deadline: packets that a link loses are sent again for some seconds."""
 
 MAX_UNWATCHED_BYTES = 32 * 1024
-"""Writes up to this size never wait on an empty connection."""
+"""Writes up to this size don't wait on an empty connection with usual limits."""
 
 LINGER_S = 1.0
 """How long a connection stays open for its caller to close it, once the caller's kernel
@@ -82,6 +82,13 @@
     return http_request.writer.output_size - left
 
 
+def send_continue(http_request: web.BaseRequest) -> None:
+    """Tell a caller that waits for it to send the body of its request."""
+    expects = http_request.headers.get("Expect", "").lower() == "100-continue"
+    if expects and http_request.transport is not None:
+        http_request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+
 async def write(
     http_request: web.BaseRequest,
     response: web.StreamResponse,
@@ -111,9 +118,12 @@
         ConnectionError: If the caller has disconnected, or takes nothing any more.
     """
     async with while_caller_reads(http_request, timer, due_s):
-        if http_request.transport is not None:
-            http_request.transport.set_write_buffer_limits(high=0)
+        transport = http_request.transport
+        if transport is not None:
+            transport.set_write_buffer_limits(high=0)
         await response.write_eof()
+        if transport is not None and not transport.is_closing():
+            transport.set_write_buffer_limits()
 
 
 def reset(http_request: web.BaseRequest) -> None:
--- a/packages/serving/src/fordhatch/serving/_stop_plan.py
+++ b/packages/serving/src/fordhatch/serving/_stop_plan.py
@@ -19,11 +19,11 @@
 all requests have ended."""
 
 LATENESS_FACTOR = 2.0
-"""How much longer that part is for each second by which the event loop is late: with
-little processor time, closing takes longer as well."""
+"""How much longer ``GRACE_RESERVE_S`` is for each second by which the event loop is
+late: with little processor time, closing takes longer as well."""
 
 EXIT_S = 0.15
-"""Part of it in which the interpreter exits, after everything is closed."""
+"""Part of ``GRACE_RESERVE_S`` in which the log is written and the process exits."""
 
 MIN_FRACTION = 5.0 / 6.0
 """Least part of the grace period in which requests may end: only those that a backend
--- a/packages/serving/tests/test_waits.py
+++ b/packages/serving/tests/test_waits.py
@@ -163,6 +163,7 @@
             abort=lambda: aborted.append(True),
             get_write_buffer_size=lambda: 1,
             set_write_buffer_limits=lambda high: None,
+            is_closing=lambda: False,
             get_extra_info=lambda _: None,
         ),
         writer=SimpleNamespace(output_size=1),
