Soak: callers that keep their connections, stops in series, shares of a core, endless answers

Callers of the soak picked a healthy node for each request and never met a node that was stopping. New callers use one connection until its process is gone, with streams of 5 to 300 events, pipelined requests, slow reading and half-closing. Nodes are stopped twice, while starting, in series, beside changes of the configuration and in outages, and are held to half or a fifth of a core.

Checks at the end of a run: an answer that is not whole has an allowed reason; a request refused as not run has not run; each known request id ends in one line of one log; a stopped process ends within its grace period of 8 s; no process takes more than 300 MB.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -178,12 +178,15 @@
         self._spawned.append(process)
         return process
 
-    async def start_standins(self, *, engines: int = 9, spare: int = 8) -> None:
+    async def start_standins(
+        self, *, engines: int = 9, spare: int = 8, step_s: float = 0.01
+    ) -> None:
         """Start the store, engines of one fabric domain and a plain service.
 
         Args:
             engines: Number of engines.
             spare: Number of ports to reserve for engines that are added later.
+            step_s: Time of a token step of an engine, in seconds.
         """
         first = find_free_ports(engines + spare + 3)
         self.store_port, control = first, first + 1
@@ -196,6 +199,7 @@
             f"--control-port={control}",
             f"--first-port={first + 2}",
             f"--per-domain={engines}",
+            f"--step-s={step_s}",
         ]
         await self.spawn("standins", command)
         self.control_url = f"http://127.0.0.1:{control}"
@@ -275,6 +279,11 @@
         async with self.session.get(f"{self.control_url}/counts") as reply:
             return await reply.json()
 
+    async def attempts(self) -> list[dict[str, Any]]:
+        """Return all attempts that reached backend servers."""
+        async with self.session.get(f"{self.control_url}/attempts") as reply:
+            return await reply.json()
+
     async def read(self, node: NodeProcess, path: str) -> dict[str, Any]:
         """Return the answer of a node to an operator's GET request."""
         headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -3,44 +3,62 @@
 Nodes reach the store through proxies that delay, reset or silence connections or drop
 one direction; links to all backend servers are cut; signals kill, pause, stop and
 restart nodes; engines crash, drain, slow down, limit their load and are added; plain
-servers crash and start again, also while a node is paused, and answers have no length;
-the store is busy, silent or restored from backup. Callers, which keep connections
-until a node terminates, and an operator send requests.
+servers crash and start again, also while a node is paused, and answers have no length
+or no end; nodes stop in series and get only a share of a core; the store is busy,
+silent or restored from backup. Callers, some of which use a connection until its node
+terminates, and an operator send requests.
 """
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import random
-import signal
 import sys
 import time
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Annotated
 
-import aiohttp
 import attrs
 from cyclopts import App, Parameter
-from fleet import Fleet, NodeProcess, declared_state
+from fleet import Fleet
 from loopback_proxy import LoopbackProxy
 from soak_callers import Callers
+from soak_endless_faults import EndlessFaults
 from soak_engine_faults import SPARE_ENGINES, EngineFaults
+from soak_exchanges import ExchangeChecks
+from soak_kept_callers import KeptCallers
 from soak_ledger import RETRY_RULE, Ledger
 from soak_link_faults import LinkFaults
+from soak_logs import check_end_lines, check_memory, read_logs
+from soak_node_faults import GRACE_S, LISTEN_S, NodeFaults
+from soak_operator import Operator
+from soak_shares import ProcessShares
+from soak_timeline import Timeline
 
 NODES = 4
 ENGINES = 10
 CALLERS = 6
-ACTIVE_LIMIT_S = 8.0
+KEPT_CALLERS_PER_NODE = 3
+ENGINES_PER_GROUP = 5
+STEP_S = 0.002
+"""Time of a token step, with which a stream of 300 events takes 5 to 10 s."""
+
 SETTLE_TIMEOUT_S = 60.0
-APPLY_ATTEMPTS, RESTORE_FRACTION = 3, 0.5
-"""Attempts of an apply; fraction of store outages that end with a restored backup."""
+RESTORE_FRACTION = 0.5
+"""Fraction of store outages that end with a restored backup."""
 
 NODE_FAULTS = {
     "kill_node",
     "pause_node",
     "restart_within_a_pause",
     "stop_node",
+    "stop_node_twice",
+    "stop_starting_node",
+    "stop_nodes_in_series",
+    "stop_beside_change",
+    "stop_in_outage",
+    "hold_one",
+    "hold_all",
     "trouble_way",
     "silence_way",
 }
@@ -57,74 +75,59 @@
     rng: random.Random
     engines: EngineFaults
     links: LinkFaults
-    ledger: Ledger = attrs.field(factory=Ledger)
-    revision: int = 0
+    nodes: NodeFaults
+    timeline: Timeline
+    ledger: Ledger
+    operator: Operator
+    engine_count: int = ENGINES
+    node_count: int = NODES
+    only: tuple[str, ...] = ()
+    """Names of the faults to bring about; empty for all."""
     is_stopping: bool = False
     loses_all: bool = False
     """Whether store outages kill all nodes; engines then check fencing tokens."""
     asks_less: bool = False
     """Whether engines report rate limits and request back-off."""
     started_s: float = attrs.field(factory=time.monotonic)
-    _busy: set[str] = attrs.field(factory=set)
-    """Names of nodes with a process fault in progress."""
     _is_store_healthy: bool = True
 
     async def start(self) -> None:
         """Start all processes and wait until all nodes serve."""
-        await self.fleet.start_standins(engines=ENGINES, spare=SPARE_ENGINES)
-        for index in range(NODES):
+        await self.fleet.start_standins(
+            engines=self.engine_count, spare=SPARE_ENGINES, step_s=STEP_S
+        )
+        for index in range(self.node_count):
             proxy = LoopbackProxy(self.fleet.store_port)
             port = await proxy.start()
             self.links.proxies.append(proxy)
-            settings = self.fleet.settings(index, port, drain_grace_s=1.0)
+            settings = self.fleet.settings(
+                index, port, drain_grace_s=LISTEN_S, drain_limit_s=GRACE_S
+            )
             settings["retries"] = attrs.asdict(RETRY_RULE)
-            await self.fleet.start_node(settings)
-        await self._apply()
-        await self.fleet.until_converged(self.fleet.nodes[0], NODES)
-
-    def _node(self) -> NodeProcess:
-        """Return a random node without a known fault, as a load balancer would."""
-        candidates = [n for n in self.fleet.nodes if n.name not in self._busy]
-        return self.rng.choice(candidates or self.fleet.nodes)
-
-    async def operator(self) -> None:
-        """Apply changed configuration files at random intervals until the run stops."""
-        while not self.is_stopping:
-            await asyncio.sleep(self.rng.uniform(3.0, 8.0))
-            await self._apply()
-
-    async def _apply(self) -> None:
-        document = declared_state(2)
-        document["workspaces"][0]["max_concurrent"] = 200 + self.rng.randrange(50)
-        name = f"apply-{self.revision}-{self.rng.random()}"
-        for _ in range(APPLY_ATTEMPTS):
-            with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
-                status, body = await self.fleet.apply(
-                    self._node(), document, self.revision, name
-                )
-                if status == 200:
-                    self.revision = body["revision"]
-                    self.ledger.outcomes["applied"] += 1
-                    return
-            await asyncio.sleep(1.0)
-        self.ledger.outcomes["apply given up"] += 1
-        await self._refresh_revision()
-
-    async def _refresh_revision(self) -> None:
-        """Read the current revision after an apply with an unknown outcome."""
-        for node in self.fleet.nodes:
-            with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
-                found = await self.fleet.read(node, "/config")
-                self.revision = max(self.revision, found.get("revision", 0))
+            node = await self.fleet.start_node(settings)
+            self.timeline.record_start(node).is_up = True
+        await self.operator.apply()
+        await self.fleet.until_converged(self.fleet.nodes[0], self.node_count)
 
     # Faults.
 
     async def faults(self) -> None:
         """Inject random faults, which may overlap, until the run stops."""
+        shares = ProcessShares(self.nodes.lives, self.rng)
+        endless = EndlessFaults(self.fleet, self.rng)
         kinds = [
-            self._kill_node,
-            self._pause_node,
-            self._stop_node,
+            self.nodes.kill_node,
+            self.nodes.pause_node,
+            self.nodes.stop_node,
+            self.nodes.stop_node_twice,
+            self.nodes.stop_starting_node,
+            self.nodes.stop_nodes_in_series,
+            self.nodes.stop_beside(self.operator.apply_often, "stop_beside_change"),
+            self.nodes.stop_beside(self._trouble_store, "stop_in_outage"),
+            shares.hold_one,
+            shares.hold_all,
+            endless.send_without_end,
+            endless.mix_without_end,
             self.links.trouble_way,
             self.links.trouble_way,
             self.links.reset_way,
@@ -144,8 +147,8 @@
             self.engines.end_answers_with_connections,
             self.engines.end_answers_with_connections,
             self.engines.restart_plain_servers,
-            self._restart_within_a_pause,
-            self._restart_within_a_pause,
+            self.nodes.restart_within_a_pause,
+            self.nodes.restart_within_a_pause,
             self.engines.reject_requests,
             self.engines.reject_requests,
         ]
@@ -154,10 +157,11 @@
         if self.loses_all:
             kinds += [self._lose_all_nodes] * 2
             await self.fleet.act("check_fencing")
+        kinds = [k for k in kinds if not self.only or _name(k) in self.only]
         running: set[asyncio.Task[None]] = set()
-        fault = self._restart_within_a_pause
+        fault = kinds[0] if self.only else self.nodes.restart_within_a_pause
         while not self.is_stopping:
-            name = fault.__name__.removeprefix("_")
+            name = _name(fault)
             self.ledger.faults[name] += 1
             self._record_fault(name)
             task = asyncio.ensure_future(fault())
@@ -174,75 +178,6 @@
         if name in NODE_FAULTS:
             self.ledger.node_faults += 1
 
-    def _reserve_node(self) -> NodeProcess | None:
-        free = [n for n in self.fleet.nodes if n.name not in self._busy]
-        if len(free) <= 1:
-            return None
-        node = self.rng.choice(free)
-        self._busy.add(node.name)
-        return node
-
-    async def _kill_node(self) -> None:
-        node = self._reserve_node()
-        if node is None:
-            return
-        node.send(signal.SIGKILL)
-        await node.process.wait()
-        await asyncio.sleep(self.rng.uniform(0.1, 2.0))
-        await self._restart_node(node)
-
-    async def _pause_node(self) -> None:
-        node = self._reserve_node()
-        if node is None:
-            return
-        node.send(signal.SIGSTOP)
-        # Callers connected to the node cannot detect the pause: keep choosing it.
-        self._busy.discard(node.name)
-        await asyncio.sleep(self.rng.uniform(0.5, 6.0))
-        node.send(signal.SIGCONT)
-        await self.fleet.act("excuse")
-
-    async def _restart_within_a_pause(self) -> None:
-        """Pause a node, and crash and restart the plain servers meanwhile."""
-        node = self._reserve_node()
-        if node is None:
-            return
-        await self.fleet.act("lengthless", share=1.0)
-        # Answers without a length begin, and the node reads their first halves.
-        await asyncio.sleep(self.rng.uniform(0.3, 1.0))
-        node.send(signal.SIGSTOP)
-        self._busy.discard(node.name)
-        await asyncio.sleep(self.rng.uniform(0.0, 0.8))
-        await self.engines.restart_plain_servers()
-        await asyncio.sleep(self.rng.uniform(0.0, 3.0))
-        node.send(signal.SIGCONT)
-        await self.fleet.act("lengthless", share=0.0)
-        await self.fleet.act("excuse")
-
-    async def _stop_node(self) -> None:
-        node = self._reserve_node()
-        if node is None:
-            return
-        node.send(signal.SIGCONT)
-        node.send(signal.SIGTERM)
-        try:
-            async with asyncio.timeout(30.0):
-                status = await node.process.wait()
-        except TimeoutError:
-            self.ledger.add_violation(f"{node.name} did not end within 30 s of SIGTERM")
-            node.send(signal.SIGKILL)
-            status = await node.process.wait()
-        if status not in (0, -signal.SIGKILL):
-            self.ledger.add_violation(f"{node.name} ended with {status} after SIGTERM")
-        await self._restart_node(node)
-
-    async def _restart_node(self, node: NodeProcess) -> None:
-        """Restart a node and make it available for faults once it handles signals."""
-        await self.fleet.restart(node)
-        await self.fleet.wait_until_up(f"{node.operators_url}/metrics")
-        await self.fleet.act("excuse")
-        self._busy.discard(node.name)
-
     async def _trouble_store(self) -> None:
         if not self._is_store_healthy:
             return
@@ -253,18 +188,17 @@
         self._is_store_healthy = True
 
     async def _lose_all_nodes(self) -> None:
-        if not self._is_store_healthy or self._busy:
+        if not self._is_store_healthy or self.nodes.busy:
             return
         nodes = list(self.fleet.nodes)
-        self._busy.update(n.name for n in nodes)
+        self.nodes.busy.update(n.name for n in nodes)
         self._is_store_healthy = False
         await self.fleet.act("fail_store", how="busy")
         await asyncio.sleep(self.rng.uniform(0.5, 3.0))
         await self.fleet.act("lapse_all")
         for node in nodes:
-            node.send(signal.SIGKILL)
-            await node.process.wait()
-        await asyncio.gather(*(self._restart_node(node) for node in nodes))
+            await self.nodes.kill(node)
+        await asyncio.gather(*(self.nodes.restart(node) for node in nodes))
         await asyncio.sleep(self.rng.uniform(0.0, 1.5))
         await self.fleet.act("heal_store")
         await self.fleet.act("come_back")
@@ -278,14 +212,25 @@
     async def run(self, duration_s: float) -> None:
         """Run under faults for ``duration_s``, end them, and check the guarantees."""
         callers = Callers(
-            self._node,
+            self.nodes.choose_healthy,
             lambda: self.is_stopping,
             self.ledger,
             self.rng,
+            self.timeline,
             lambda: self.engines.bad_message,
         )
+        kept = KeptCallers(
+            self.fleet.nodes,
+            self.timeline,
+            lambda: self.is_stopping,
+            self.ledger,
+            self.rng,
+        )
+        kept_count = self.node_count * KEPT_CALLERS_PER_NODE
         work = [asyncio.ensure_future(callers.run(n)) for n in range(CALLERS)]
-        work.append(asyncio.ensure_future(self.operator()))
+        work += [asyncio.ensure_future(kept.run(n)) for n in range(kept_count)]
+        monitor = asyncio.ensure_future(self.timeline.monitor())
+        work.append(asyncio.ensure_future(self.operator.run(lambda: self.is_stopping)))
         faults = asyncio.ensure_future(self.faults())
         await asyncio.sleep(duration_s)
         self.is_stopping = True
@@ -293,24 +238,25 @@
         await self._heal()
         await asyncio.gather(*work)
         await self._check()
+        await asyncio.gather(*(self.nodes.stop(node) for node in self.fleet.nodes))
+        monitor.cancel()
+        await self._check_exchanges()
 
     async def _heal(self) -> None:
-        for node in self.fleet.nodes:
-            node.send(signal.SIGCONT)
+        self.nodes.continue_all()
         self.links.heal()
         await self.fleet.act("heal_store")
         await self.fleet.act("late_orders", share=0.0)
         await self.fleet.act("lose_calls", share=0.0)
         await self.fleet.act("shed", share=0.0)
+        await self.fleet.act("endless", share=0.0)
 
     async def _check(self) -> None:
         try:
             async with asyncio.timeout(SETTLE_TIMEOUT_S):
                 for node in self.fleet.nodes:
                     await self.fleet.wait_until_up(f"{node.url}/ready")
-                await self._refresh_revision()
-                for node in self.fleet.nodes:
-                    await self._check_active(node)
+                await self.operator.check_active()
         except TimeoutError:
             self.ledger.add_violation("not every node serves again within a minute")
         counts = await self.fleet.counts()
@@ -326,23 +272,61 @@
         for part, figures in counts["crashing_parts"].items():
             self.ledger.check_part(part, figures["crashes"], figures["late"])
 
-    async def _check_active(self, node: NodeProcess) -> None:
-        query = f"/config?min_revision={self.revision}"
-        found = await self.fleet.read(node, query)
-        if found.get("revision", 0) < self.revision:
-            self.ledger.add_violation(
-                f"{node.name} has {found} {ACTIVE_LIMIT_S} s after everything healed"
-            )
+    async def _check_exchanges(self) -> None:
+        """Check the ends of all requests, the logs, and the memory of all processes."""
+        attempts, counts = await self.fleet.attempts(), await self.fleet.counts()
+        exchanges = self.ledger.exchanges
+        checks = ExchangeChecks(self.timeline, attempts, counts["runs"], GRACE_S)
+        for exchange in exchanges:
+            self.ledger.outcomes[f"{exchange.kind}: {checks.outcome(exchange)}"] += 1
+            for text in checks.violations(exchange):
+                self.ledger.add_violation(text)
+        logs = [self.fleet.directory / f"{n.name}.log" for n in self.fleet.nodes]
+        lives = self.timeline.all_lives()
+        for text in check_end_lines(read_logs(logs), exchanges, attempts):
+            self.ledger.add_violation(text)
+        for text in check_memory(lives):
+            self.ledger.add_violation(text)
+        peak_bytes = max(life.peak_bytes for life in lives)
+        self.ledger.outcomes["largest memory, MB"] = round(peak_bytes / 1e6)
+
+
+def _name(fault: Callable[[], Awaitable[None]]) -> str:
+    return fault.__name__.removeprefix("_")
 
 
 async def soak(
-    seed: int, duration_s: float, *, loses_all: bool = False, asks_less: bool = False
+    seed: int,
+    duration_s: float,
+    *,
+    loses_all: bool = False,
+    asks_less: bool = False,
+    nodes: int = NODES,
+    engines: int = ENGINES,
+    only: Sequence[str] = (),
 ) -> Ledger:
     """Run the soak test with one seed; returns outcomes, faults and violations."""
     async with Fleet.create(can_cut_links=True) as fleet:
-        rng = random.Random(seed)
-        engines, links = EngineFaults(fleet, rng), LinkFaults(fleet, rng)
-        run = Soak(fleet, rng, engines, links, loses_all=loses_all, asks_less=asks_less)
+        rng, timeline, ledger = random.Random(seed), Timeline(), Ledger()
+        engine_faults = EngineFaults(fleet, rng)
+        links = LinkFaults(fleet, rng, timeline)
+        node_faults = NodeFaults(fleet, rng, ledger, timeline, engine_faults)
+        groups = engines // ENGINES_PER_GROUP
+        run = Soak(
+            fleet,
+            rng,
+            engine_faults,
+            links,
+            node_faults,
+            timeline,
+            ledger,
+            Operator(fleet, rng, ledger, node_faults.choose_healthy, groups),
+            engine_count=engines,
+            node_count=nodes,
+            only=tuple(only),
+            loses_all=loses_all,
+            asks_less=asks_less,
+        )
         await run.start()
         try:
             await run.run(duration_s)
@@ -362,12 +346,25 @@
     duration_s: Annotated[float, Parameter(help="Seconds under faults.")] = 30.0,
     loses_all: Annotated[bool, Parameter(help="Lose all nodes in outages.")] = False,
     asks_less: Annotated[bool, Parameter(help="Engines ask for less.")] = False,
+    nodes: Annotated[int, Parameter(help="Number of nodes.")] = NODES,
+    engines: Annotated[int, Parameter(help="Number of engines.")] = ENGINES,
+    only: Annotated[
+        list[str] | None, Parameter(help="Names of the faults, for all if none.")
+    ] = None,
 ) -> None:
     """Run the soak; the exit status is 1 if a promise was broken."""
     broken = 0
     for number in range(seed, seed + seeds):
         ledger = asyncio.run(
-            soak(number, duration_s, loses_all=loses_all, asks_less=asks_less)
+            soak(
+                number,
+                duration_s,
+                loses_all=loses_all,
+                asks_less=asks_less,
+                nodes=nodes,
+                engines=engines,
+                only=only or (),
+            )
         )
         broken += len(ledger.violations)
         print(f"seed {number}: {len(ledger.violations)} violations")
--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -13,7 +13,9 @@
 import attrs
 from demo import chat_body, expected
 from fleet import API_KEY, NodeProcess
+from soak_exchanges import Exchange
 from soak_ledger import Ledger, body_text, streamed_text
+from soak_timeline import Timeline
 
 from fordhatch.core import ResultCode
 
@@ -23,6 +25,9 @@
 PLAIN_SERVICE = "yard-app"
 """Service of all other paths."""
 
+TIMEOUT_S = 15.0
+"""Time limit of each request."""
+
 KEYED_ATTEMPTS = 3
 """Attempts of a request that has an idempotency key."""
 
@@ -55,6 +60,7 @@
     is_stopping: Callable[[], bool]
     ledger: Ledger
     rng: random.Random
+    timeline: Timeline
     bad_message: Callable[[], str]
     """Returns the message that crashes engines now, or an empty text."""
 
@@ -91,27 +97,46 @@
         path: str,
         body: dict[str, Any],
         headers: dict[str, str],
-    ) -> tuple[int, str]:
-        """Return status and body; the status is 0 if the connection failed."""
+    ) -> Exchange:
+        """Send a request and read the answer, as far as it comes."""
         all_headers = {
             "Authorization": f"Bearer {API_KEY}",
-            "X-Timeout-S": "15",
+            "X-Timeout-S": f"{TIMEOUT_S:g}",
             **headers,
         }
         self.ledger.retries.requested(SERVICE_BY_PATH.get(path, PLAIN_SERVICE))
-        url = self.choose_node().url + path
+        node = self.choose_node()
+        exchange = Exchange(
+            body["messages"][-1]["content"] if "messages" in body else body["text"],
+            "chat" if "messages" in body else "bill",
+            self.timeline.life(node),
+            TIMEOUT_S,
+            is_stream=body.get("stream", False),
+            is_retried="Idempotency-Key" in headers,
+        )
+        self.ledger.exchanges.append(exchange)
         try:
+            url = node.url + path
             async with session.post(url, json=body, headers=all_headers) as reply:
-                return reply.status, await reply.text()
+                exchange.status = reply.status
+                exchange.headers = {k.lower(): v for k, v in reply.headers.items()}
+                async for piece in reply.content.iter_any():
+                    exchange.add(piece)
+                exchange.is_complete = True
         except (aiohttp.ClientError, TimeoutError, OSError):
-            return 0, ""
+            # The checks at the end find out whether the answer may be cut.
+            exchange.is_complete = False
+        finally:
+            exchange.end()
+        return exchange
 
     async def _chat(
         self, session: aiohttp.ClientSession, text: str, *, stream: bool
     ) -> None:
         body = chat_body(text, stream=stream)
         body["messages"].insert(0, {"role": "system", "content": COMMON_MESSAGE})
-        status, content = await self._send(session, "/v1/chat/completions", body, {})
+        exchange = await self._send(session, "/v1/chat/completions", body, {})
+        status, content = exchange.final_status, exchange.body.decode()
         if status != 200:
             self.ledger.outcomes[f"chat {status}"] += 1
             if status == 503 and _code(content) == ResultCode.REQUEST_QUARANTINED:
@@ -123,7 +148,7 @@
             return
         self.ledger.outcomes["chat whole"] += 1
         if answer != expected(text):
-            self.ledger.add_violation(f"wrong answer to {text!r}: {answer[:80]!r}")
+            exchange.wrong = f"wrong answer {answer[:80]!r}"
 
     async def _chat_badly(
         self, session: aiohttp.ClientSession, bad: str, text: str
@@ -133,8 +158,8 @@
             {"role": "system", "content": COMMON_MESSAGE},
             {"role": "user", "content": bad},
         ]
-        status, _ = await self._send(session, "/v1/chat/completions", body, {})
-        self.ledger.outcomes[f"bad chat {status}"] += 1
+        exchange = await self._send(session, "/v1/chat/completions", body, {})
+        self.ledger.outcomes[f"bad chat {exchange.final_status}"] += 1
 
     async def _bill(
         self, session: aiohttp.ClientSession, text: str, *, has_key: bool
@@ -145,16 +170,17 @@
         self.ledger.at_most_once.add(content)
         all_not_run = True
         for _ in range(KEYED_ATTEMPTS if has_key else 1):
-            status, answer = await self._send(
+            exchange = await self._send(
                 session, "/services/yard/billing/1", body, headers
             )
+            status, answer = exchange.final_status, exchange.body.decode()
             if status == 200:
                 all_not_run = False
                 self.ledger.outcomes["bill whole"] += 1
                 if not _is_whole_bill(answer):
-                    self.ledger.add_violation(f"part of an answer to {text!r}")
+                    exchange.wrong = "part of an answer"
                 elif json.loads(answer)["body"] != content:
-                    self.ledger.add_violation(f"answer of another request to {text!r}")
+                    exchange.wrong = "answer of another request"
                 break
             ran = json.loads(answer)["error"]["ran"] if status else "maybe"
             all_not_run &= ran == "no"
--- a/bench/soak_ledger.py
+++ b/bench/soak_ledger.py
@@ -6,6 +6,7 @@
 from collections import Counter
 
 import attrs
+from soak_exchanges import Exchange
 
 from fordhatch_standins import RetryLedger, RetryRule
 
@@ -33,6 +34,10 @@
     fault_times: list[str] = attrs.field(factory=list)
     """Faults with their time since the start, in seconds."""
 
+    exchanges: list[Exchange] = attrs.field(factory=list)
+    """All requests of callers."""
+    stop_times_s: list[float] = attrs.field(factory=list)
+    """Times from a signal to stop until the end of the process."""
     retries: RetryLedger = attrs.field(factory=RetryLedger)
     """Requests of the callers, and arrivals beyond the first of each."""
 
--- a/bench/soak_link_faults.py
+++ b/bench/soak_link_faults.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import random
+import time
 
 import attrs
 from cut_links import LinkCut
 from fleet import Fleet
 from loopback_proxy import LoopbackProxy
+from soak_timeline import Timeline
 
 
 @attrs.define(eq=False, repr=False)
@@ -17,6 +19,7 @@
 
     fleet: Fleet
     rng: random.Random
+    timeline: Timeline
     proxies: list[LoopbackProxy] = attrs.field(factory=list)
     """The nodes' ways to the store."""
 
@@ -58,9 +61,12 @@
         nodes = self.rng.sample(self.fleet.nodes, self.rng.randrange(1, most + 1))
         kind = self.rng.choice([LinkCut.HANG, LinkCut.REFUSE, LinkCut.RESET])
         for _ in range(self.rng.choice([1, 1, 3])):
+            cuts = [self.timeline.cut_links(node.name) for node in nodes]
             for node in nodes:
                 node.cut_links(kind)
             await asyncio.sleep(self.rng.uniform(0.3, 5.0))
             for node in nodes:
                 node.cut_links(LinkCut.NONE)
+            for cut in cuts:
+                cut.ended_s = time.monotonic()
             await asyncio.sleep(self.rng.uniform(0.1, 1.0))
--- /dev/null
+++ b/bench/soak_timeline.py
@@ -0,0 +1,121 @@
+"""What the soak test did to the nodes' processes and links, and when."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import time
+from pathlib import Path
+
+import attrs
+from fleet import NodeProcess
+
+MONITOR_INTERVAL_S = 0.25
+"""Time between two looks at the memory of the processes."""
+
+
+@attrs.define(eq=False)
+class Span:
+    """A time span that may still be open; monotonic times in seconds."""
+
+    began_s: float
+    ended_s: float | None = None
+
+    def overlaps(self, from_s: float, to_s: float) -> bool:
+        """Return whether the span shares a moment with another one."""
+        return self.began_s <= to_s and (self.ended_s is None or self.ended_s >= from_s)
+
+
+@attrs.define(eq=False, repr=False)
+class ProcessLife:
+    """One process of a node, from its start to its end."""
+
+    node: str
+    process: asyncio.subprocess.Process
+    started_s: float = attrs.field(factory=time.monotonic)
+    is_up: bool = False
+    """Whether it has served; before that, a signal to stop may end it at once."""
+    stop_signals_s: list[float] = attrs.field(factory=list)
+    killed_s: float | None = None
+    ended_s: float | None = None
+    pauses: list[Span] = attrs.field(factory=list)
+    peak_bytes: int = 0
+    """Largest resident memory, as far as it was read."""
+
+    @property
+    def is_paused(self) -> bool:
+        """Whether a fault keeps the process stopped now."""
+        return bool(self.pauses) and self.pauses[-1].ended_s is None
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal and record it, if the process is running."""
+        if self.process.returncode is not None:
+            return
+        now_s = time.monotonic()
+        match number:
+            case signal.SIGTERM:
+                self.stop_signals_s.append(now_s)
+            case signal.SIGKILL:
+                self.killed_s = self.killed_s or now_s
+            case signal.SIGSTOP if not self.is_paused:
+                self.pauses.append(Span(now_s))
+            case signal.SIGCONT if self.is_paused:
+                self.pauses[-1].ended_s = now_s
+        self.process.send_signal(number)
+
+    def read_memory(self) -> None:
+        """Read the process's peak of resident memory while it is running."""
+        if self.process.returncode is not None:
+            return
+        with contextlib.suppress(OSError):
+            status = Path(f"/proc/{self.process.pid}/status").read_text()
+            for line in status.splitlines():
+                if line.startswith("VmHWM:"):
+                    self.peak_bytes = int(line.split()[1]) * 1024
+
+    async def watch_end(self) -> None:
+        """Record when the process ends."""
+        await self.process.wait()
+        self.ended_s = time.monotonic()
+
+
+@attrs.define(eq=False, repr=False)
+class Timeline:
+    """The processes of all nodes, and the times in which links were cut."""
+
+    lives: dict[str, list[ProcessLife]] = attrs.field(factory=dict)
+    """Processes by node, in order of their start."""
+    link_cuts: dict[str, list[Span]] = attrs.field(factory=dict)
+    """Times in which a node had no links to backend servers."""
+    _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
+
+    def record_start(self, node: NodeProcess) -> ProcessLife:
+        """Record that a node's process was started."""
+        life = ProcessLife(node.name, node.process)
+        self.lives.setdefault(node.name, []).append(life)
+        task = asyncio.ensure_future(life.watch_end())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return life
+
+    def life(self, node: NodeProcess) -> ProcessLife:
+        """Return the latest process of a node."""
+        return self.lives[node.name][-1]
+
+    def all_lives(self) -> list[ProcessLife]:
+        """Return the processes of all nodes."""
+        return [life for lives in self.lives.values() for life in lives]
+
+    def cut_links(self, node: str) -> Span:
+        """Record that a node's links are cut from now on, until the span is ended."""
+        span = Span(time.monotonic())
+        self.link_cuts.setdefault(node, []).append(span)
+        return span
+
+    async def monitor(self) -> None:
+        """Read the memory of all processes many times a second, until cancelled."""
+        while True:
+            for lives in self.lives.values():
+                lives[-1].read_memory()
+            await asyncio.sleep(MONITOR_INTERVAL_S)
--- a/standins/src/fordhatch_standins/__init__.py
+++ b/standins/src/fordhatch_standins/__init__.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from ._attempt_log import Attempt, AttemptEnd, AttemptLog
 from ._backend_links import BackendLinks, CutKind
 from ._backends import Backends
 from ._calls import BackendCall, CutOff, NotExecuted, answer_text, event_bytes
 from ._cold_starts import ColdStarts
 from ._crashing_parts import KNOWN_CRASHES, SETTLED_S, CrashingParts
+from ._endless_answers import EndlessAnswers, EndlessKind
 from ._engine_fleet import EngineFleet, FleetFaults, Violation
 from ._engine_model import EngineModel, ModelTimes
 from ._engine_work import EnginePace, EngineWork
@@ -26,6 +28,9 @@
     "KNOWN_CRASHES",
     "SETTLED_S",
     "SIGNATURE",
+    "Attempt",
+    "AttemptEnd",
+    "AttemptLog",
     "BackendCall",
     "BackendLinks",
     "Backends",
@@ -33,6 +38,8 @@
     "CrashingParts",
     "CutKind",
     "CutOff",
+    "EndlessAnswers",
+    "EndlessKind",
     "EngineFleet",
     "EngineModel",
     "EnginePace",
--- a/standins/src/fordhatch_standins/_backend_http.py
+++ b/standins/src/fordhatch_standins/_backend_http.py
@@ -11,6 +11,7 @@
 
 from fordhatch.adapter import GroupOrder, OrderKind, caller_fields
 
+from ._attempt_log import Attempt, AttemptEnd
 from ._backends import Backends
 from ._calls import BackendCall, CutOff, NotExecuted
 from ._crashing_parts import message_parts
@@ -71,6 +72,7 @@
     def cut_off(self, address: str) -> None:
         """Close the port and abort every connection, idle ones too, as a crash does."""
         self._listeners.pop(address).close()
+        self.backends.attempts.break_off(address)
         for connection in self._servers.pop(address).connections:
             if connection.transport is not None:
                 connection.transport.abort()
@@ -89,7 +91,12 @@
         if expected_id and expected_id != own_id:
             answers = _ResponseBuilder(request, self.backends.pressure, own_id)
             return answers.refusal(_MISDIRECTED, own_id)
+        kind = self.backends.endless.choose()
         cold = {} if work is None else _cold_headers(self.backends, work)
+        if kind is not None and request.path in (REPORT_PATH, HEALTH_PATH, ORDER_PATH):
+            fields = {"X-Runner-Id": own_id, **cold}
+            await self.backends.endless.send(kind, request.transport, fields)
+            return web.Response()
         if request.path == REPORT_PATH:
             return web.json_response({"busy": False, "seq": 1}, headers=cold)
         if request.path == HEALTH_PATH:
@@ -97,12 +104,35 @@
         if request.path == ORDER_PATH:
             return self._order(work, await request.json())
         call = _build_call(request, own_id, await request.read())
-        answers = _ResponseBuilder(request, self.backends.pressure, own_id, cold)
+        attempt = self.backends.attempts.begin(call, address)
+        answers = _ResponseBuilder(
+            request, self.backends.pressure, own_id, cold, attempt
+        )
+        if kind is not None:
+            attempt.finish(AttemptEnd.ENDLESS)
+            fields = answers.signed()
+            await self.backends.endless.send(kind, request.transport, fields)
+            return web.Response()
+        try:
+            response = await self._answer(plain, work, call, answers)
+        except (asyncio.CancelledError, ConnectionError):
+            attempt.finish(AttemptEnd.LEFT)
+            raise
+        attempt.finish(AttemptEnd.WHOLE)
+        return response
+
+    async def _answer(
+        self,
+        plain: PlainService | None,
+        work: EngineWork | None,
+        call: BackendCall,
+        answers: _ResponseBuilder,
+    ) -> web.StreamResponse:
         if work is not None:
             self.backends.arrived(work.engine, call)
             if self.backends.is_shed():
                 return answers.refusal(_UNAVAILABLE, "")
-        if self.backends.pressure.arrived(own_id, UNKNOWN_NODE):
+        if self.backends.pressure.arrived(call.backend_id, UNKNOWN_NODE):
             return answers.refusal(_UNAVAILABLE, "")
         if plain is not None and self.backends.is_lengthless():
             return await _serve_plain_lengthless(plain, call, answers)
@@ -177,6 +207,7 @@
     pressure: PressureLog
     backend_id: str
     cold: dict[str, str] = attrs.field(factory=dict)
+    attempt: Attempt | None = None
 
     def headers(self, *, refused: bool = False) -> dict[str, str]:
         """Return the headers of a response that is sent now."""
@@ -197,8 +228,15 @@
         """Return a response that reports that the request has not run."""
         headers = self.headers(refused=True)
         headers |= {"X-Not-Executed": "1", "At-Server": at_fault}
+        if self.attempt is not None:
+            self.attempt.finish(AttemptEnd.REFUSED)
         return web.Response(status=status, headers=headers)
 
+    def break_off(self) -> None:
+        """Abort the connection, as a failed backend server does."""
+        self.attempt.finish(AttemptEnd.BROKEN)
+        self.request.transport.abort()
+
     def signed(self) -> dict[str, str]:
         """Return the headers of a response by the backend server itself."""
         return {**self.headers(), "X-Server-Seal": SIGNATURE}
@@ -218,7 +256,7 @@
     except NotExecuted as refusal:
         return answers.refusal(refusal.status, refusal.at_fault)
     except CutOff:
-        answers.request.transport.abort()
+        answers.break_off()
         return web.Response()
     return web.Response(
         status=_OK,
@@ -238,12 +276,14 @@
     except NotExecuted as refusal:
         return answers.refusal(refusal.status, refusal.at_fault)
     except CutOff:
-        transport.abort()
+        answers.break_off()
         return web.Response()
     middle = len(body) // 2
     transport.write(answers.lengthless_head("application/json") + body[:middle])
     await asyncio.sleep(server.rng.uniform(0.0, MAX_HALVES_APART_S))
-    if not server.is_dead:
+    if server.is_dead:
+        answers.attempt.finish(AttemptEnd.BROKEN)
+    else:
         transport.write(body[middle:])
     transport.close()
     return web.Response()
@@ -261,7 +301,7 @@
     except NotExecuted as refusal:
         return answers.refusal(refusal.status, refusal.at_fault)
     except CutOff:
-        answers.request.transport.abort()
+        answers.break_off()
     return response
 
 
@@ -278,6 +318,7 @@
     except NotExecuted as refusal:
         return answers.refusal(refusal.status, refusal.at_fault)
     except CutOff as cut_off:
+        answers.attempt.finish(AttemptEnd.BROKEN)
         # A process that ends closes its connections as one that is done does.
         if not cut_off.is_crash:
             transport.write(b"id: ")
--- a/standins/src/fordhatch_standins/_backends.py
+++ b/standins/src/fordhatch_standins/_backends.py
@@ -11,9 +11,11 @@
 
 from fordhatch.adapter import BACKENDS_TABLE
 
+from ._attempt_log import AttemptLog
 from ._calls import BackendCall, SlotQueue
 from ._cold_starts import ColdStarts
 from ._crashing_parts import CrashingParts
+from ._endless_answers import EndlessAnswers
 from ._engine_fleet import EngineFleet
 from ._engine_model import EngineModel
 from ._engine_work import EnginePace, EngineWork
@@ -73,9 +75,17 @@
     """Fraction of the requests that engines reject without running them."""
     copies: deque[StoreCopy] = attrs.field(factory=lambda: deque(maxlen=COPIES))
     """Copies of the store, the oldest first, from which it may be restored."""
+    attempts: AttemptLog = attrs.field(factory=AttemptLog)
+    """All attempts that reached a backend server."""
+    endless: EndlessAnswers = attrs.field(init=False)
+    """Answers without end, which a test may bring about."""
     _work_by_id: dict[str, EngineWork] = attrs.field(factory=dict)
     _plain_count: int = 0
 
+    def __attrs_post_init__(self) -> None:
+        """Draw the endless answers apart, so that other draws stay the same."""
+        self.endless = EndlessAnswers(random.Random(0))
+
     def add_engine(self, domain: str, zone: str, address: str = "") -> EngineModel:
         """Start an empty engine."""
         engine = self.fleet.add(domain, zone, address)
--- a/standins/src/fordhatch_standins/_control_http.py
+++ b/standins/src/fordhatch_standins/_control_http.py
@@ -9,6 +9,7 @@
 from ._backend_http import BackendListeners
 from ._backends import Backends
 from ._crashing_parts import CrashingParts
+from ._endless_answers import EndlessKind
 from ._engine_model import EngineModel
 from ._pressure_log import PressureLog
 
@@ -19,14 +20,18 @@
 def control_handler(backends: Backends, listeners: BackendListeners) -> Any:
     """Return a handler that lets a test inject faults and read the run counts.
 
-    ``GET /counts``; ``POST /act`` with ``do`` (``kill``, ``drain``, ``add``,
-    ``slow``, ``cool``, ``crash_under``, ``lengthless``, ``shed``, ``limit``,
-    ``rest``, ``restart_plain``, ``fail_store``, ``heal_store``) and its fields.
+    ``GET /counts`` and ``/attempts``; ``POST /act`` with ``do`` (``kill``, ``drain``,
+    ``add``, ``slow``, ``cool``, ``crash_under``, ``lengthless``, ``endless``,
+    ``shed``, ``limit``, ``rest``, ``restart_plain``, ``fail_store``, ``heal_store``)
+    and its fields.
     """
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         if request.path == "/counts":
             return web.json_response(_counts(backends))
+        if request.path == "/attempts":
+            found = [a.to_json() for a in backends.attempts.attempts]
+            return web.json_response(found)
         if request.path == "/act":
             await _act(backends, listeners, await request.json())
             return web.json_response({"done": True})
@@ -90,6 +95,10 @@
             backends.fleet.make_cold(engine, float(body["for_s"]))
         case "slow":
             engine.slow_factor = float(body["factor"])
+        case "endless":
+            backends.endless.share = float(body["share"])
+            kinds = body.get("kinds") or list(EndlessKind)
+            backends.endless.kinds = tuple(EndlessKind(kind) for kind in kinds)
         case "lengthless":
             backends.lengthless_share = float(body["share"])
         case "shed":
@@ -121,7 +130,7 @@
             backends.fleet.drain(engine)
         case "limit" | "rest" | "excuse":
             _act_on_pressure(backends.pressure, body)
-        case "cool" | "slow" | "crash_under" | "lengthless" | "shed":
+        case "cool" | "slow" | "crash_under" | "lengthless" | "shed" | "endless":
             _act_on_engines(backends, engine, body)
         case "add":
             address = await listeners.listen(int(body["port"]))
