--- a/bench/soak.py
+++ b/bench/soak.py
@@ -38,7 +38,7 @@
 NODES = 4
 ENGINES = 10
 CALLERS = 6
-KEPT_CALLERS_PER_NODE = 3
+KEPT_CALLERS_PER_NODE = 5
 ENGINES_PER_GROUP = 5
 STEP_S = 0.002
 """Time of a token step, with which a stream of 300 events takes 5 to 10 s."""
--- a/bench/soak_http.py
+++ b/bench/soak_http.py
@@ -30,13 +30,18 @@
     reads_slowly: bool = False
     half_closes: bool = False
     """Whether it closes its side after a request."""
+    idles: bool = False
+    """Whether it waits for seconds before some of its requests."""
 
     @classmethod
     def from_rng(cls, rng: random.Random) -> Habits:
         """Return random habits; half of the callers have none."""
         half_closes = rng.random() < 0.05
         return cls(
-            not half_closes and rng.random() < 0.3, rng.random() < 0.25, half_closes
+            not half_closes and rng.random() < 0.3,
+            rng.random() < 0.25,
+            half_closes,
+            rng.random() < 0.3,
         )
 
 
--- a/bench/soak_kept_callers.py
+++ b/bench/soak_kept_callers.py
@@ -18,7 +18,7 @@
 
 from fordhatch_standins import answer_text
 
-TIMEOUTS_S = (8.0, 15.0)
+TIMEOUTS_S = (8.0, 15.0, 15.0)
 """Time limits of requests."""
 
 PATIENCE_S = 8.0
@@ -27,7 +27,7 @@
 MAX_REQUESTS = 40
 """Requests on one connection at the most."""
 
-EVENTS = (5, 20, 60, 300)
+EVENTS = (5, 60, 300, 300)
 """Upper ends of the ranges from which the length of a stream is drawn."""
 
 TOKENS_PER_EVENT = 5
@@ -94,7 +94,8 @@
                     last = count
                 if not connection.is_open:
                     break
-                await asyncio.sleep(self.rng.random() * 0.1)
+                idles = connection.habits.idles and self.rng.random() < 0.3
+                await asyncio.sleep(self.rng.random() * (4.0 if idles else 0.1))
         self._restart_clocks(sent)
         for draft in sent:
             draft.exchange.end()
@@ -129,7 +130,7 @@
             self.ledger.retries.requested("yard-app")
             connection.send(PLAIN_PATH, {"text": text}, timeout_s)
             return Draft(exchange)
-        events = self.rng.randrange(5, 1 + self.rng.choice(EVENTS))
+        events = self.rng.randint(5, self.rng.choice(EVENTS))
         body = chat_body(text, stream=exchange.is_stream)
         body["max_tokens"] = events * TOKENS_PER_EVENT
         self.ledger.retries.requested("a100")
--- a/bench/soak_shares.py
+++ b/bench/soak_shares.py
@@ -16,6 +16,9 @@
 PERIOD_RANGE_S = (0.01, 0.3)
 """Range of the time in which a process runs once and is stopped once."""
 
+LENGTH_RANGE_S = (2.0, 10.0)
+"""Range of the time for which a fault lasts."""
+
 
 @attrs.define(eq=False, repr=False)
 class ProcessShares:
@@ -36,7 +39,7 @@
 
     async def _hold(self, lives: Callable[[], Sequence[ProcessLife]]) -> None:
         share = self.rng.choice(SHARES)
-        until_s = asyncio.get_running_loop().time() + self.rng.uniform(2.0, 10.0)
+        until_s = asyncio.get_running_loop().time() + self.rng.uniform(*LENGTH_RANGE_S)
         while asyncio.get_running_loop().time() < until_s:
             period_s = self.rng.uniform(*PERIOD_RANGE_S)
             held = [x for x in lives() if not x.is_paused]
--- /dev/null
+++ b/tests/test_soak_checks.py
@@ -0,0 +1,221 @@
+"""The checks of the soak test find the faults that they are there for."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import sys
+import time
+from types import SimpleNamespace
+
+import pytest
+import soak_node_faults
+from fleet import NodeProcess
+from soak_exchanges import Exchange, ExchangeChecks
+from soak_http import Connection, Habits
+from soak_ledger import Ledger
+from soak_logs import check_end_lines, check_memory
+from soak_node_faults import NodeFaults
+from soak_shares import ProcessShares
+from soak_timeline import ProcessLife, Span, Timeline
+
+GRACE_S = 8.0
+ID = "req-1"
+DONE = f"time=t node=n event=request_done request={ID} route=r outcome=complete"
+REFUSED = f"time=t node=n event=request_refused request={ID} code=SHUTTING_DOWN"
+READY = "import signal, sys, time; print(flush=True); "
+
+
+async def start(program: str) -> ProcessLife:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-c", READY + program, stdout=asyncio.subprocess.PIPE
+    )
+    await process.stdout.readline()
+    return ProcessLife("node-1", process, is_up=True)
+
+
+@pytest.fixture
+def life() -> ProcessLife:
+    """Return a process of which only the record is used, signalled at 100 s."""
+    process = SimpleNamespace(pid=1)
+    return ProcessLife("node-1", process, started_s=0.0, stop_signals_s=[100.0])
+
+
+def cut_exchange(life, *, sent_s=101.0, ended_s=107.5, **fields) -> Exchange:
+    exchange = Exchange("text", "stream", life, 15.0, True, sent_s, ended_s, status=200)
+    exchange.headers["x-request-id"] = ID
+    for name, value in fields.items():
+        setattr(exchange, name, value)
+    return exchange
+
+
+def attempt(end="left", ended_s=107.4) -> dict:
+    return {"text": "text", "request_id": ID, "end": end, "ended_s": ended_s}
+
+
+def checks(attempts=(), runs=None, cuts=()) -> ExchangeChecks:
+    timeline = Timeline(link_cuts={"node-1": list(cuts)})
+    return ExchangeChecks(timeline, list(attempts), runs or {}, GRACE_S)
+
+
+# Answers that are cut. Guards against excuses that are too wide.
+
+
+@pytest.mark.parametrize(
+    ("fields", "attempts"),
+    [
+        ({"ended_s": 104.0}, [attempt(ended_s=104.0)]),
+        ({"sent_s": 103.2}, [attempt()]),
+        ({}, [attempt(end="whole", ended_s=105.0)]),
+        ({}, []),
+        ({"status": 0, "ended_s": 101.2}, [attempt(ended_s=101.2)]),
+        ({"status": 0, "ended_s": 102.2}, []),
+        ({"is_complete": True, "body": bytearray(b'data: {"error": {}}')}, []),
+    ],
+    ids=[
+        "before the end of the grace period",
+        "sent late",
+        "backend server was done",
+        "no backend server was at work",
+        "no answer, but at a backend server",
+        "no answer for a second",
+        "ends with an error",
+    ],
+)
+def test_an_answer_cut_without_a_reason_is_found(life, fields, attempts) -> None:
+    exchange = cut_exchange(life, **fields)
+    found = checks(attempts).violations(exchange)
+    assert len(found) == 1
+    assert f"answer cut: {ID}" in found[0]
+
+
+def test_allowed_reasons_of_a_cut_answer(life) -> None:
+    def outcome(exchange=None, attempts=(), cuts=()) -> str:
+        return checks(attempts, cuts=cuts).outcome(exchange or cut_exchange(life))
+
+    assert outcome(attempts=[attempt()]) == "cut, grace"
+    assert outcome(attempts=[attempt("broken")]) == "cut, broken off"
+    assert outcome(cuts=[Span(102.0, 103.0)]) == "cut, links"
+    assert outcome(cut_exchange(life, sent_s=92.0)) == "cut, deadline"
+    assert outcome(cut_exchange(life, status=0, ended_s=101.1)) == "not taken"
+    life.pauses.append(Span(106.0, 107.0))
+    assert outcome() == "cut, frozen"
+    life.killed_s = 107.0
+    assert outcome() == "cut, killed"
+
+
+def test_a_request_refused_as_not_run_must_not_have_run(life) -> None:
+    refusal = bytearray(b'{"error": {"ran": "no"}}')
+    exchange = cut_exchange(life, status=503, is_complete=True, body=refusal)
+    assert checks([attempt()], {ID: 0}).violations(exchange) == []
+    assert "ran though" in checks([attempt()], {ID: 1}).violations(exchange)[0]
+    exchange.headers.clear()
+    assert "ran though" in checks([attempt()], {ID: 1}).violations(exchange)[0]
+
+
+@pytest.mark.parametrize("habits", [Habits(), Habits(pipelines=True)])
+async def test_a_connection_that_ends_within_an_answer_is_seen(life, habits) -> None:
+    async def answer_half(reader, writer) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n"
+        )
+        writer.close()
+
+    server = await asyncio.start_server(answer_half, "127.0.0.1", 0)
+    url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    opened = await Connection.open(url, life, habits)
+    exchange = Exchange("text", "stream", life, 15.0)
+    opened.send("/", {}, 15.0)
+    with pytest.raises(OSError, match="ended"):
+        await opened.receive(exchange)
+    server.close()
+    assert (exchange.status, exchange.received_bytes) == (200, 2)
+    assert not exchange.is_whole
+    assert not opened.is_open
+
+
+# The lines of a request's end.
+
+
+def test_each_known_request_needs_one_line(life) -> None:
+    exchange = cut_exchange(life)
+    assert check_end_lines([DONE], [exchange], []) == []
+    assert check_end_lines([REFUSED], [exchange], [attempt()]) == []
+    assert "0 lines" in check_end_lines([], [exchange], [])[0]
+    assert "2 lines" in check_end_lines([DONE, REFUSED], [exchange], [])[0]
+    exchange.headers.clear()
+    assert "0 lines" in check_end_lines([], [exchange], [attempt()])[0]
+
+
+def test_only_a_kill_excuses_a_missing_line(life) -> None:
+    exchange = cut_exchange(life)
+    life.killed_s = exchange.ended_s - 0.1
+    assert check_end_lines([], [exchange], []) == []
+    assert check_end_lines([DONE, DONE], [exchange], []) != []
+    life.killed_s = exchange.ended_s + 5.0
+    assert check_end_lines([], [exchange], []) != []
+
+
+# Processes.
+
+
+@pytest.mark.parametrize(
+    ("program", "text"),
+    [
+        ("signal.signal(signal.SIGTERM, signal.SIG_IGN); print(flush=True);"
+         "time.sleep(60)", "did not end within"),
+        ("signal.signal(signal.SIGTERM, lambda *_: sys.exit(3)); print(flush=True);"
+         "time.sleep(60)", "ended with 3"),
+        ("print(flush=True); time.sleep(60)", "ended with -15"),
+    ],
+)  # fmt: skip
+async def test_a_process_that_does_not_stop_well_is_found(
+    monkeypatch, program, text
+) -> None:
+    monkeypatch.setattr(soak_node_faults, "GRACE_S", 0.3)
+    life = await start(program)
+    await life.process.stdout.readline()
+    ledger, timeline = Ledger(), Timeline(lives={"node-1": [life]})
+    faults = NodeFaults(None, random.Random(1), ledger, timeline, None)
+    await faults.stop(NodeProcess("node-1", [], life.process))
+    assert len(ledger.violations) == 1
+    assert text in ledger.violations[0]
+
+
+async def test_memory_above_the_limit_is_found() -> None:
+    life = await start("x = b'x' * (310 * 10**6); print(flush=True); time.sleep(60)")
+    life.read_memory()
+    assert check_memory([life]) == []
+    await life.process.stdout.readline()
+    life.read_memory()
+    life.process.kill()
+    await life.process.wait()
+    assert len(check_memory([life])) == 1
+
+
+async def test_a_process_gets_only_its_share_and_continues(monkeypatch) -> None:
+    monkeypatch.setattr("soak_shares.SHARES", (0.2,))
+    monkeypatch.setattr("soak_shares.LENGTH_RANGE_S", (2.0, 2.0))
+    life = await start("t = time.monotonic()\nwhile time.monotonic() < t + 60: pass")
+    shares = ProcessShares(lambda: [life], random.Random(1))
+    began_s, used_s = time.monotonic(), cpu_s(life)
+    holding = asyncio.ensure_future(shares.hold_all())
+    await asyncio.sleep(1.5)
+    share = (cpu_s(life) - used_s) / (time.monotonic() - began_s)
+    assert 0.02 < share < 0.4
+    # A pause by another fault stays in effect.
+    life.send(signal.SIGSTOP)
+    await holding
+    used_s = cpu_s(life)
+    await asyncio.sleep(0.2)
+    assert cpu_s(life) == used_s
+    life.process.kill()
+    await life.process.wait()
+
+
+def cpu_s(life: ProcessLife) -> float:
+    with open(f"/proc/{life.process.pid}/stat") as stat:
+        fields = stat.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / 100.0
