Soak: nodes as on the platform, with the callers' own ids and SIGHUP

The incident was seen at nodes with the platform's interface, and there each request has an id that its caller gives, so the check of end lines covers refusals as well. The option --on-platform starts such nodes; the operator writes configurations and changes settings files, with SIGHUP.

A process that is killed because its grace period is over excuses no longer the cut answers and the missing lines around that kill.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -126,6 +126,12 @@
     operators_url: str = ""
     link_cut: Path | None = None
     """File that says how its links to backend servers are cut, see ``cut_links``."""
+    up_url: str = ""
+    """Answers as soon as the process serves."""
+    ready_url: str = ""
+    """Answers with a success status while the node takes callers."""
+    env: dict[str, str] | None = None
+    """Environment variables; None for those of this process."""
 
     def cut_links(self, kind: LinkCut) -> None:
         """Cut the node's links to all backend servers, or restore them."""
@@ -169,11 +175,13 @@
                 await process.wait()
         await self.session.close()
 
-    async def spawn(self, name: str, command: list[str]) -> asyncio.subprocess.Process:
+    async def spawn(
+        self, name: str, command: list[str], env: dict[str, str] | None = None
+    ) -> asyncio.subprocess.Process:
         """Start a process, which is killed when the fleet closes."""
         with (self.directory / f"{name}.log").open("ab") as log:
             process = await asyncio.create_subprocess_exec(
-                *command, stdout=log, stderr=log
+                *command, stdout=log, stderr=log, env=env
             )
         self._spawned.append(process)
         return process
@@ -229,18 +237,31 @@
         name = settings["node_name"]
         path = self.directory / f"{name}.json"
         path.write_text(json.dumps(settings))
-        link_cut = self.directory / f"{name}.cut"
-        command = [*self._program(link_cut), str(path)]
-        node = NodeProcess(
+        url = f"http://127.0.0.1:{settings['callers']['port']}"
+        operators_url = f"http://127.0.0.1:{settings['operators']['port']}"
+        return await self.launch_node(
             name,
-            command,
-            await self.spawn(name, command),
-            f"http://127.0.0.1:{settings['callers']['port']}",
-            f"http://127.0.0.1:{settings['operators']['port']}",
-            link_cut,
+            str(path),
+            url=url,
+            operators_url=operators_url,
+            up_url=f"{operators_url}/metrics",
+            ready_url=f"{url}/ready",
         )
+
+    async def launch_node(self, name: str, argument: str, **fields: Any) -> NodeProcess:
+        """Start a node's process and wait until it serves its metrics.
+
+        Args:
+            name: Name of the node and of its log.
+            argument: Argument of the command, such as the path of the settings.
+            **fields: Fields of the ``NodeProcess``.
+        """
+        link_cut = self.directory / f"{name}.cut"
+        command = [*self._program(link_cut), argument]
+        process = await self.spawn(name, command, fields.get("env"))
+        node = NodeProcess(name, command, process, link_cut=link_cut, **fields)
         self.nodes.append(node)
-        await self.wait_until_up(f"{node.operators_url}/metrics")
+        await self.wait_until_up(node.up_url)
         return node
 
     def _program(self, link_cut: Path) -> list[str]:
@@ -254,7 +275,7 @@
 
     async def restart(self, node: NodeProcess) -> None:
         """Start the process of a terminated node again."""
-        node.process = await self.spawn(node.name, node.command)
+        node.process = await self.spawn(node.name, node.command, node.env)
 
     async def wait_until_up(self, url: str) -> None:
         """Wait until a URL answers with a success status."""
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -15,14 +15,15 @@
 import random
 import sys
 import time
-from collections.abc import Awaitable, Callable, Sequence
-from typing import Annotated
+from collections.abc import Awaitable, Callable
+from typing import Annotated, Any
 
 import attrs
 from cyclopts import App, Parameter
-from fleet import Fleet
+from fleet import Fleet, NodeProcess
 from loopback_proxy import LoopbackProxy
 from soak_callers import Callers
+from soak_dialects import OwnDialect, PlatformDialect
 from soak_endless_faults import EndlessFaults
 from soak_engine_faults import SPARE_ENGINES, EngineFaults
 from soak_exchanges import ExchangeChecks
@@ -32,6 +33,7 @@
 from soak_logs import check_end_lines, check_memory, read_logs
 from soak_node_faults import GRACE_S, LISTEN_S, NodeFaults
 from soak_operator import Operator
+from soak_platform import PlatformOperator, start_platform_node
 from soak_shares import ProcessShares
 from soak_timeline import Timeline
 
@@ -67,6 +69,25 @@
 app = App(name="soak", help="Random faults on separate processes.")
 
 
+@Parameter(name="*")
+@attrs.frozen(kw_only=True)
+class SoakOptions:
+    """What runs, and which faults come about."""
+
+    loses_all: bool = False
+    """Store outages kill all nodes; engines then check fencing tokens."""
+    asks_less: bool = False
+    """Engines report rate limits and request back-off."""
+    nodes: int = NODES
+    """Number of nodes."""
+    engines: int = ENGINES
+    """Number of engines."""
+    on_platform: bool = False
+    """Nodes run as on the platform, not with fordhatch's own interface."""
+    only: tuple[str, ...] = ()
+    """Names of the faults to bring about; all if there are none."""
+
+
 @attrs.define(eq=False, repr=False)
 class Soak:
     """One run of the soak test with one seed."""
@@ -78,36 +99,34 @@
     nodes: NodeFaults
     timeline: Timeline
     ledger: Ledger
-    operator: Operator
-    engine_count: int = ENGINES
-    node_count: int = NODES
-    only: tuple[str, ...] = ()
-    """Names of the faults to bring about; empty for all."""
+    operator: Operator | PlatformOperator
+    options: SoakOptions
     is_stopping: bool = False
-    loses_all: bool = False
-    """Whether store outages kill all nodes; engines then check fencing tokens."""
-    asks_less: bool = False
-    """Whether engines report rate limits and request back-off."""
     started_s: float = attrs.field(factory=time.monotonic)
     _is_store_healthy: bool = True
 
     async def start(self) -> None:
         """Start all processes and wait until all nodes serve."""
         await self.fleet.start_standins(
-            engines=self.engine_count, spare=SPARE_ENGINES, step_s=STEP_S
+            engines=self.options.engines, spare=SPARE_ENGINES, step_s=STEP_S
         )
-        for index in range(self.node_count):
+        for index in range(self.options.nodes):
             proxy = LoopbackProxy(self.fleet.store_port)
             port = await proxy.start()
             self.links.proxies.append(proxy)
-            settings = self.fleet.settings(
-                index, port, drain_grace_s=LISTEN_S, drain_limit_s=GRACE_S
-            )
-            settings["retries"] = attrs.asdict(RETRY_RULE)
-            node = await self.fleet.start_node(settings)
+            node = await self._start_node(index, port)
             self.timeline.record_start(node).is_up = True
         await self.operator.apply()
-        await self.fleet.until_converged(self.fleet.nodes[0], self.node_count)
+        await self.operator.until_converged(self.options.nodes)
+
+    async def _start_node(self, index: int, store_port: int) -> NodeProcess:
+        if self.options.on_platform:
+            return await start_platform_node(self.fleet, index, store_port)
+        settings = self.fleet.settings(
+            index, store_port, drain_grace_s=LISTEN_S, drain_limit_s=GRACE_S
+        )
+        settings["retries"] = attrs.asdict(RETRY_RULE)
+        return await self.fleet.start_node(settings)
 
     # Faults.
 
@@ -152,14 +171,16 @@
             self.engines.reject_requests,
             self.engines.reject_requests,
         ]
-        if self.asks_less:
+        if self.options.asks_less:
             kinds += [self.engines.limit_engine, self.engines.rest_engine] * 2
-        if self.loses_all:
+        if self.options.loses_all:
             kinds += [self._lose_all_nodes] * 2
             await self.fleet.act("check_fencing")
-        kinds = [k for k in kinds if not self.only or _name(k) in self.only]
+        kinds = [
+            k for k in kinds if not self.options.only or _name(k) in self.options.only
+        ]
         running: set[asyncio.Task[None]] = set()
-        fault = kinds[0] if self.only else self.nodes.restart_within_a_pause
+        fault = kinds[0] if self.options.only else self.nodes.restart_within_a_pause
         while not self.is_stopping:
             name = _name(fault)
             self.ledger.faults[name] += 1
@@ -225,9 +246,12 @@
             lambda: self.is_stopping,
             self.ledger,
             self.rng,
+            PlatformDialect() if self.options.on_platform else OwnDialect(),
+            names_requests=self.options.on_platform,
         )
-        kept_count = self.node_count * KEPT_CALLERS_PER_NODE
-        work = [asyncio.ensure_future(callers.run(n)) for n in range(CALLERS)]
+        kept_count = self.options.nodes * KEPT_CALLERS_PER_NODE
+        callers_count = 0 if self.options.on_platform else CALLERS
+        work = [asyncio.ensure_future(callers.run(n)) for n in range(callers_count)]
         work += [asyncio.ensure_future(kept.run(n)) for n in range(kept_count)]
         monitor = asyncio.ensure_future(self.timeline.monitor())
         work.append(asyncio.ensure_future(self.operator.run(lambda: self.is_stopping)))
@@ -255,7 +279,7 @@
         try:
             async with asyncio.timeout(SETTLE_TIMEOUT_S):
                 for node in self.fleet.nodes:
-                    await self.fleet.wait_until_up(f"{node.url}/ready")
+                    await self.fleet.wait_until_up(node.ready_url)
                 await self.operator.check_active()
         except TimeoutError:
             self.ledger.add_violation("not every node serves again within a minute")
@@ -278,7 +302,9 @@
         exchanges = self.ledger.exchanges
         checks = ExchangeChecks(self.timeline, attempts, counts["runs"], GRACE_S)
         for exchange in exchanges:
-            self.ledger.outcomes[f"{exchange.kind}: {checks.outcome(exchange)}"] += 1
+            outcome = checks.outcome(exchange)
+            exchange.is_taken = outcome != "not taken"
+            self.ledger.outcomes[f"{exchange.kind}: {outcome}"] += 1
             for text in checks.violations(exchange):
                 self.ledger.add_violation(text)
         logs = [self.fleet.directory / f"{n.name}.log" for n in self.fleet.nodes]
@@ -295,37 +321,28 @@
     return fault.__name__.removeprefix("_")
 
 
-async def soak(
-    seed: int,
-    duration_s: float,
-    *,
-    loses_all: bool = False,
-    asks_less: bool = False,
-    nodes: int = NODES,
-    engines: int = ENGINES,
-    only: Sequence[str] = (),
-) -> Ledger:
-    """Run the soak test with one seed; returns outcomes, faults and violations."""
+async def soak(seed: int, duration_s: float, **options: Any) -> Ledger:
+    """Run the soak test with one seed; returns outcomes, faults and violations.
+
+    Args:
+        seed: Seed of the random faults and requests.
+        duration_s: Time under faults, in seconds.
+        **options: Fields of ``SoakOptions``.
+    """
+    chosen = SoakOptions(**options)
     async with Fleet.create(can_cut_links=True) as fleet:
         rng, timeline, ledger = random.Random(seed), Timeline(), Ledger()
         engine_faults = EngineFaults(fleet, rng)
         links = LinkFaults(fleet, rng, timeline)
-        node_faults = NodeFaults(fleet, rng, ledger, timeline, engine_faults)
-        groups = engines // ENGINES_PER_GROUP
+        nodes = NodeFaults(fleet, rng, ledger, timeline, engine_faults)
+        groups = chosen.engines // ENGINES_PER_GROUP
+        operator = (
+            PlatformOperator(fleet, rng, ledger, nodes.lives)
+            if chosen.on_platform
+            else Operator(fleet, rng, ledger, nodes.choose_healthy, groups)
+        )
         run = Soak(
-            fleet,
-            rng,
-            engine_faults,
-            links,
-            node_faults,
-            timeline,
-            ledger,
-            Operator(fleet, rng, ledger, node_faults.choose_healthy, groups),
-            engine_count=engines,
-            node_count=nodes,
-            only=tuple(only),
-            loses_all=loses_all,
-            asks_less=asks_less,
+            fleet, rng, engine_faults, links, nodes, timeline, ledger, operator, chosen
         )
         await run.start()
         try:
@@ -333,9 +350,9 @@
         finally:
             for proxy in links.proxies:
                 await proxy.close()
-        if run.ledger.violations:
-            print(*run.ledger.fault_times, f"logs are in {fleet.directory}", sep="\n")
-    return run.ledger
+        if ledger.violations:
+            print(*ledger.fault_times, f"logs are in {fleet.directory}", sep="\n")
+    return ledger
 
 
 @app.default
@@ -344,28 +361,13 @@
     seed: Annotated[int, Parameter(help="First seed.")] = 1,
     seeds: Annotated[int, Parameter(help="How many seeds.")] = 1,
     duration_s: Annotated[float, Parameter(help="Seconds under faults.")] = 30.0,
-    loses_all: Annotated[bool, Parameter(help="Lose all nodes in outages.")] = False,
-    asks_less: Annotated[bool, Parameter(help="Engines ask for less.")] = False,
-    nodes: Annotated[int, Parameter(help="Number of nodes.")] = NODES,
-    engines: Annotated[int, Parameter(help="Number of engines.")] = ENGINES,
-    only: Annotated[
-        list[str] | None, Parameter(help="Names of the faults, for all if none.")
-    ] = None,
+    options: SoakOptions | None = None,
 ) -> None:
     """Run the soak; the exit status is 1 if a promise was broken."""
     broken = 0
+    chosen = attrs.asdict(options or SoakOptions())
     for number in range(seed, seed + seeds):
-        ledger = asyncio.run(
-            soak(
-                number,
-                duration_s,
-                loses_all=loses_all,
-                asks_less=asks_less,
-                nodes=nodes,
-                engines=engines,
-                only=only or (),
-            )
-        )
+        ledger = asyncio.run(soak(number, duration_s, **chosen))
         broken += len(ledger.violations)
         print(f"seed {number}: {len(ledger.violations)} violations")
         print(f"  outcomes: {dict(sorted(ledger.outcomes.items()))}")
--- a/bench/soak_exchanges.py
+++ b/bench/soak_exchanges.py
@@ -55,6 +55,12 @@
     """What is wrong with the content of an answer that is whole, if anything."""
     is_complete: bool = False
     """Whether the message was received to its end."""
+    known_id: str = ""
+    """Id that the caller gave the request."""
+    has_last_line: bool = True
+    """Whether a whole stream ends with a line that says so."""
+    is_taken: bool = True
+    """Whether a node may have read the request."""
     is_retried: bool = False
     """Whether the caller may send the same text again, as another request."""
     is_half_closed: bool = False
@@ -77,8 +83,8 @@
 
     @property
     def request_id(self) -> str:
-        """Id that the answer names, empty if it names none."""
-        named = self.headers.get(REQUEST_ID_HEADER, "")
+        """Id that the caller or the answer names, empty if neither does."""
+        named = self.known_id or self.headers.get(REQUEST_ID_HEADER, "")
         found = _CHUNK_ID.search(bytes(self.body[:1000]))
         return named or (found.group(1).decode() if found else "")
 
@@ -92,7 +98,7 @@
         """Whether the answer is complete, be it a success or a refusal."""
         if not self.is_complete:
             return False
-        has_events = self.is_stream and self.status == 200
+        has_events = self.is_stream and self.status == 200 and self.has_last_line
         return not has_events or b"data: [DONE]" in self.body
 
     @property
--- a/bench/soak_http.py
+++ b/bench/soak_http.py
@@ -3,12 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import random
 import socket
 
 import attrs
-from fleet import API_KEY
 from soak_exchanges import Exchange
 from soak_timeline import ProcessLife
 
@@ -80,15 +78,9 @@
         opened = await asyncio.open_connection(sock=peer, limit=limit_bytes)
         return cls(habits, life, *opened)
 
-    def send(self, path: str, body: dict[str, object], timeout_s: float) -> None:
+    def send(self, message: bytes) -> None:
         """Send a request without waiting."""
-        content = json.dumps(body).encode()
-        head = (
-            f"POST {path} HTTP/1.1\r\nHost: node\r\nContent-Type: application/json\r\n"
-            f"Authorization: Bearer {API_KEY}\r\nX-Timeout-S: {timeout_s:g}\r\n"
-            f"Content-Length: {len(content)}\r\n\r\n"
-        )
-        self.writer.write(head.encode() + content)
+        self.writer.write(message)
         if self.habits.half_closes:
             self.writer.write_eof()
 
--- a/bench/soak_kept_callers.py
+++ b/bench/soak_kept_callers.py
@@ -9,15 +9,19 @@
 from collections.abc import Callable, Sequence
 
 import attrs
-from demo import chat_body
 from fleet import NodeProcess
+from soak_dialects import (
+    ENGINE_SERVICE,
+    PLAIN_SERVICE,
+    Dialect,
+    Message,
+    OwnDialect,
+)
 from soak_exchanges import Exchange
 from soak_http import Connection, Habits
-from soak_ledger import Ledger, body_text, streamed_text
+from soak_ledger import Ledger
 from soak_timeline import Timeline
 
-from fordhatch_standins import answer_text
-
 TIMEOUTS_S = (8.0, 15.0, 15.0)
 """Time limits of requests."""
 
@@ -30,18 +34,15 @@
 EVENTS = (5, 60, 300, 300)
 """Upper ends of the ranges from which the length of a stream is drawn."""
 
-TOKENS_PER_EVENT = 5
-
-CHAT_PATH, PLAIN_PATH = "/v1/chat/completions", "/services/yard/bookings/1"
-
 
 @attrs.frozen
 class Draft:
     """A request that was sent and not yet answered."""
 
     exchange: Exchange
-    events: int = 0
-    """Number of events of the right answer; 0 for a plain call."""
+    message: Message
+    events: int
+    """Number of events of the right answer to a request to a model."""
 
 
 @attrs.define(eq=False, repr=False)
@@ -53,6 +54,10 @@
     is_stopping: Callable[[], bool]
     ledger: Ledger
     rng: random.Random
+    dialect: Dialect = attrs.field(factory=OwnDialect)
+    names_requests: bool = False
+    """Whether callers give each request an id, as on the platform."""
+    _sent: int = 0
 
     async def run(self, number: int) -> None:
         """Use one connection after another until the run stops.
@@ -115,27 +120,25 @@
         return connection.habits.pipelines and self.rng.random() < 0.7
 
     def _send(self, connection: Connection, text: str) -> Draft:
-        kind = self.rng.choice(["stream", "stream", "chat", "plain"])
-        timeout_s = self.rng.choice(TIMEOUTS_S)
+        kind = self.rng.choice(self.dialect.kinds)
+        self._sent += 1
         exchange = Exchange(
             text,
             f"kept {kind}",
             connection.life,
-            timeout_s,
+            self.rng.choice(TIMEOUTS_S),
             is_stream=kind == "stream",
             is_half_closed=connection.habits.half_closes,
+            known_id=f"soak-{self._sent}" if self.names_requests else "",
+            has_last_line=not self.names_requests,
         )
-        self.ledger.exchanges.append(exchange)
-        if kind == "plain":
-            self.ledger.retries.requested("yard-app")
-            connection.send(PLAIN_PATH, {"text": text}, timeout_s)
-            return Draft(exchange)
         events = self.rng.randint(5, self.rng.choice(EVENTS))
-        body = chat_body(text, stream=exchange.is_stream)
-        body["max_tokens"] = events * TOKENS_PER_EVENT
-        self.ledger.retries.requested("a100")
-        connection.send(CHAT_PATH, body, timeout_s)
-        return Draft(exchange, events)
+        message = self.dialect.message(exchange, kind, events)
+        service = PLAIN_SERVICE if kind == "plain" else ENGINE_SERVICE
+        self.ledger.retries.requested(service)
+        self.ledger.exchanges.append(exchange)
+        connection.send(message.encode())
+        return Draft(exchange, message, events)
 
     async def _receive(self, connection: Connection, draft: Draft) -> None:
         exchange = draft.exchange
@@ -146,16 +149,4 @@
             self.ledger.outcomes["kept without an end"] += 1
             raise
         if exchange.status == 200 and exchange.is_whole:
-            self._check_content(draft)
-
-    def _check_content(self, draft: Draft) -> None:
-        exchange, content = draft.exchange, draft.exchange.body.decode()
-        if not draft.events:
-            if f'"{PLAIN_PATH.removeprefix("/services/yard")}"' not in content:
-                exchange.wrong = f"wrong answer {content!r:.80}"
-            return
-        answer = streamed_text(content) if exchange.is_stream else body_text(content)
-        text = exchange.text.encode()
-        wanted = "".join(answer_text(text, index) for index in range(draft.events))
-        if answer != wanted:
-            exchange.wrong = f"wrong answer {answer!r:.80}"
+            exchange.wrong = self.dialect.fault(exchange, draft.message, draft.events)
--- a/bench/soak_logs.py
+++ b/bench/soak_logs.py
@@ -66,7 +66,9 @@
 
 
 def _may_lack_line(exchange: Exchange) -> bool:
-    """Return whether a kill of the process may have lost the line."""
+    """Return whether a kill has lost the line, or no node has read the request."""
+    if not exchange.is_taken:
+        return True
     killed_s = exchange.life.killed_s
     return killed_s is not None and exchange.ended_s > killed_s - KILL_SLACK_S
 
--- a/bench/soak_node_faults.py
+++ b/bench/soak_node_faults.py
@@ -175,19 +175,17 @@
             async with asyncio.timeout(GRACE_S + EXIT_SLACK_S):
                 await node.process.wait()
         except TimeoutError:
-            life.read_memory()
-            if life.killed_s is None:
-                text = f"pid {node.process.pid} did not end within {GRACE_S} s"
-                self.ledger.add_violation(f"{node.name} {text} of SIGTERM")
-            await self.kill(node)
-        self._check_exit(node, life, time.monotonic() - signal_s)
-
-    def _check_exit(self, node: NodeProcess, life: ProcessLife, took_s: float) -> None:
+            text = f"pid {node.process.pid} did not end within {GRACE_S} s"
+            self.ledger.add_violation(f"{node.name} {text} of SIGTERM")
+            # No fault of the run, so it is not recorded and excuses nothing.
+            node.process.kill()
+            await node.process.wait()
+        self.ledger.stop_times_s.append(time.monotonic() - signal_s)
+        self._check_exit(node, life)
+
+    def _check_exit(self, node: NodeProcess, life: ProcessLife) -> None:
         status = node.process.returncode
-        self.ledger.stop_times_s.append(took_s)
-        allowed = {0}
-        if life.killed_s is not None:
-            allowed.add(-signal.SIGKILL)
+        allowed = {0, -signal.SIGKILL}
         if not life.is_up:
             # The process may not handle signals yet.
             allowed.add(-signal.SIGTERM)
@@ -202,7 +200,7 @@
     async def restart(self, node: NodeProcess) -> None:
         """Restart a node and make it available for faults once it handles signals."""
         await self._start(node)
-        await self.fleet.wait_until_up(f"{node.operators_url}/metrics")
+        await self.fleet.wait_until_up(node.up_url)
         self.timeline.life(node).is_up = True
         await self.fleet.act("excuse")
         self.busy.discard(node.name)
--- a/bench/soak_operator.py
+++ b/bench/soak_operator.py
@@ -67,6 +67,10 @@
                 found = await self.fleet.read(node, "/config")
                 self.revision = max(self.revision, found.get("revision", 0))
 
+    async def until_converged(self, nodes: int) -> None:
+        """Wait until the first file is active on all nodes and served."""
+        await self.fleet.until_converged(self.fleet.nodes[0], nodes)
+
     async def check_active(self) -> None:
         """Check that every node knows the current revision."""
         await self._refresh_revision()
--- a/standins/src/fordhatch_standins/_control_http.py
+++ b/standins/src/fordhatch_standins/_control_http.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any
 
 from aiohttp import web
 
+from fordhatch.adapter import CONFIGURATION_KEY, OPERATOR_TABLE
+
 from ._backend_http import BackendListeners
 from ._backends import Backends
 from ._crashing_parts import CrashingParts
@@ -139,6 +142,9 @@
             _act_on_store(backends, body)
         case "lapse_all" | "come_back" | "check_fencing" | "restart_plain":
             _act_on_all(body["do"], backends)
+        case "put_configuration":
+            content = json.dumps(body["document"]).encode()
+            backends.store.put(OPERATOR_TABLE, CONFIGURATION_KEY, content)
         case "lose_answers":
             backends.store.faults.lost_answers = int(body["count"])
         case "late_orders":
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -127,7 +127,7 @@
     url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
     opened = await Connection.open(url, life, habits)
     exchange = Exchange("text", "stream", life, 15.0)
-    opened.send("/", {}, 15.0)
+    opened.send(b"POST / HTTP/1.1\r\n\r\n")
     with pytest.raises(OSError, match="ended"):
         await opened.receive(exchange)
     server.close()
@@ -149,13 +149,15 @@
     assert "0 lines" in check_end_lines([], [exchange], [attempt()])[0]
 
 
-def test_only_a_kill_excuses_a_missing_line(life) -> None:
+def test_a_kill_or_an_unread_request_excuses_a_missing_line(life) -> None:
     exchange = cut_exchange(life)
     life.killed_s = exchange.ended_s - 0.1
     assert check_end_lines([], [exchange], []) == []
     assert check_end_lines([DONE, DONE], [exchange], []) != []
     life.killed_s = exchange.ended_s + 5.0
     assert check_end_lines([], [exchange], []) != []
+    exchange.is_taken = False
+    assert check_end_lines([], [exchange], []) == []
 
 
 # Processes.
