--- a/bench/soak.py
+++ b/bench/soak.py
@@ -147,6 +147,7 @@
             shares.hold_all,
             endless.send_without_end,
             endless.mix_without_end,
+            endless.store_without_end,
             self.links.trouble_way,
             self.links.trouble_way,
             self.links.reset_way,
@@ -274,6 +275,7 @@
         await self.fleet.act("lose_calls", share=0.0)
         await self.fleet.act("shed", share=0.0)
         await self.fleet.act("endless", share=0.0)
+        await self.fleet.act("endless", of="store", share=0.0)
 
     async def _check(self) -> None:
         try:
--- a/bench/soak_endless_faults.py
+++ b/bench/soak_endless_faults.py
@@ -1,4 +1,4 @@
-"""Faults in which backend servers send bytes without end."""
+"""Faults in which backend servers or the store send bytes without end."""
 
 from __future__ import annotations
 
@@ -13,20 +13,27 @@
 
 @attrs.define(eq=False, repr=False)
 class EndlessFaults:
-    """Lets some answers of backend servers have no end for some seconds."""
+    """Lets some answers have no end for some seconds."""
 
     fleet: Fleet
     rng: random.Random
 
     async def send_without_end(self) -> None:
-        """Send one kind of answer without end, as a share of all answers."""
+        """Let a share of the backend servers' answers have no end, all of one kind."""
         kind = self.rng.choice(list(EndlessKind))
         await self.fleet.act("endless", share=self.rng.uniform(0.02, 0.2), kinds=[kind])
-        await asyncio.sleep(self.rng.uniform(1.0, 5.0))
+        await asyncio.sleep(self.rng.uniform(2.0, 8.0))
         await self.fleet.act("endless", share=0.0)
 
     async def mix_without_end(self) -> None:
-        """Send all kinds of answers without end."""
+        """Let a share of the backend servers' answers have no end, of all kinds."""
         await self.fleet.act("endless", share=self.rng.uniform(0.02, 0.2))
-        await asyncio.sleep(self.rng.uniform(1.0, 5.0))
+        await asyncio.sleep(self.rng.uniform(2.0, 8.0))
         await self.fleet.act("endless", share=0.0)
+
+    async def store_without_end(self) -> None:
+        """Let answers of the store have no end."""
+        share = self.rng.uniform(0.02, 0.2)
+        await self.fleet.act("endless", of="store", share=share)
+        await asyncio.sleep(self.rng.uniform(2.0, 8.0))
+        await self.fleet.act("endless", of="store", share=0.0)
--- a/standins/src/fordhatch_standins/_backends.py
+++ b/standins/src/fordhatch_standins/_backends.py
@@ -79,12 +79,15 @@
     """All attempts that reached a backend server."""
     endless: EndlessAnswers = attrs.field(init=False)
     """Answers without end, which a test may bring about."""
+    endless_store: EndlessAnswers = attrs.field(init=False)
+    """The same for the store's answers."""
     _work_by_id: dict[str, EngineWork] = attrs.field(factory=dict)
     _plain_count: int = 0
 
     def __attrs_post_init__(self) -> None:
         """Draw the endless answers apart, so that other draws stay the same."""
         self.endless = EndlessAnswers(random.Random(0))
+        self.endless_store = EndlessAnswers(random.Random(0))
 
     def add_engine(self, domain: str, zone: str, address: str = "") -> EngineModel:
         """Start an empty engine."""
--- a/standins/src/fordhatch_standins/_control_http.py
+++ b/standins/src/fordhatch_standins/_control_http.py
@@ -99,9 +99,11 @@
         case "slow":
             engine.slow_factor = float(body["factor"])
         case "endless":
-            backends.endless.share = float(body["share"])
+            of_store = body.get("of") == "store"
+            endless = backends.endless_store if of_store else backends.endless
+            endless.share = float(body["share"])
             kinds = body.get("kinds") or list(EndlessKind)
-            backends.endless.kinds = tuple(EndlessKind(kind) for kind in kinds)
+            endless.kinds = tuple(EndlessKind(kind) for kind in kinds)
         case "lengthless":
             backends.lengthless_share = float(body["share"])
         case "shed":
--- a/standins/src/fordhatch_standins/_store_http.py
+++ b/standins/src/fordhatch_standins/_store_http.py
@@ -12,16 +12,27 @@
 
 from fordhatch.adapter import GENERATION_HEADER
 
+from ._endless_answers import EndlessAnswers
 from ._store_model import Name, StoredRow, StoreModel
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
-def store_handler(model: StoreModel) -> Handler:
-    """Return a handler that serves a store model over HTTP."""
+def store_handler(model: StoreModel, endless: EndlessAnswers | None = None) -> Handler:
+    """Return a handler that serves a store model over HTTP.
+
+    Args:
+        model: The store.
+        endless: Says which answers have no end; none if it is absent.
+    """
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         model.calls += 1
+        kind = endless.choose() if endless is not None else None
+        if kind is not None:
+            fields = {GENERATION_HEADER: str(model.generation)}
+            await endless.send(kind, request.transport, fields)
+            return web.Response()
         if model.faults.is_silent:
             await asyncio.sleep(3600)
         answer = await _dispatch(model, request)
