--- a/packages/chat/src/fordhatch/chat/_replies.py
+++ b/packages/chat/src/fordhatch/chat/_replies.py
@@ -23,6 +23,9 @@
 RAN_HEADER = "X-Ran"
 """``no`` or ``maybe``: whether the request may have run."""
 
+REQUEST_ID_HEADER = "X-Request-Id"
+"""The id that the log names the request by."""
+
 REPLAYED_HEADER = "X-Replayed"
 """``true`` if the reply is a stored answer."""
 
@@ -54,11 +57,21 @@
 
     http_request: web.BaseRequest
     state: NodeState
+    request_id: str
     is_replayed: bool = False
+    is_whole: bool = False
+    """Whether a complete answer was sent."""
+    is_over: bool = False
+    """Whether an answer or a failure was sent to its end."""
     outcome: str = ""
     failure: Failure | None = None
     response: web.StreamResponse | None = None
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether any byte of the answer was sent."""
+        return self.response is not None
+
     async def refuse(self, failure: Failure) -> None:
         """Answer with the system's own failure."""
         self.failure = failure
@@ -67,10 +80,25 @@
 
     async def _send(self, response: web.Response) -> None:
         await self._prepare(response)
-        await response.write_eof()
+        await self._end_response()
+
+    async def _end_response(self) -> None:
+        await self.response.write_eof()
+        self.is_over = True
+
+    async def abort(self) -> None:
+        """Abort an answer so that the caller can't take it for a complete one."""
+        self.outcome = "aborted"
+        self.is_over = True
+        transport = self.http_request.transport
+        if transport is not None:
+            transport.abort()
 
     async def _prepare(self, response: web.StreamResponse) -> None:
+        if self.is_over:
+            raise ConnectionResetError("the answer is over")
         self.response = response
+        response.headers[REQUEST_ID_HEADER] = self.request_id
         if self.is_replayed:
             response.headers[REPLAYED_HEADER] = "true"
         if self.state.is_leaving:
@@ -82,17 +110,21 @@
 class ChatReply(_HttpReply):
     """A chat completion, streamed as chunks or sent in full at its end."""
 
-    request_id: str = ""
     application: str = ""
     is_streamed: bool = False
-    has_begun: bool = False
+    is_answering: bool = False
     """Whether the model's answer has begun."""
     pieces: list[str] = attrs.field(factory=list)
     """Text of the events so far; each counts as a completion token."""
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the model's answer has begun, so that no other can take its place."""
+        return self.is_answering
+
     async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Begin the reply; a streamed one sends its headers."""
-        self.has_begun = True
+        self.is_answering = True
         if self.is_streamed:
             response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
             response.enable_chunked_encoding()
@@ -111,10 +143,12 @@
         self.outcome = "complete"
         if not self.is_streamed:
             await self._send(web.json_response(self._body()))
+            self.is_whole = True
             return
         last = self._chunk({}, "stop") + b"data: [DONE]\n\n"
         await self.response.write(last)
-        await self.response.write_eof()
+        await self._end_response()
+        self.is_whole = True
 
     async def abort(self) -> None:
         """Report that the answer is incomplete."""
@@ -128,7 +162,7 @@
         # without ``[DONE]``.
         error = json.dumps(failure.to_json()).encode()
         await self.response.write(b"data: " + error + b"\n\n")
-        await self.response.write_eof()
+        await self._end_response()
 
     async def send_complete(
         self, status: int, headers: list[tuple[str, str]], body: bytes
@@ -176,6 +210,7 @@
         kind = content_types[0] if content_types else "application/octet-stream"
         sent = CIMultiDict({"Content-Type": kind})
         await self._send(web.Response(status=status, headers=sent, body=body))
+        self.is_whole = True
 
 
 @attrs.define(eq=False, repr=False)
@@ -187,7 +222,7 @@
     failure: Failure | None = None
     _head: tuple[int, list[tuple[str, str]]] = (0, [])
     _events: list[bytes] = attrs.field(factory=list)
-    _caller_left: bool = False
+    has_caller_left: bool = False
     _began: bool = False
 
     @property
@@ -195,21 +230,30 @@
         """Outcome for the caller, for logs and metrics."""
         return self.inner.outcome
 
+    @property
+    def is_whole(self) -> bool:
+        """Whether a complete answer was sent to the caller."""
+        return self.inner.is_whole
+
+    @property
+    def is_over(self) -> bool:
+        """Whether an answer or a failure was sent to the caller to its end."""
+        return self.inner.is_over
+
     @property
     def has_begun(self) -> bool:
         """Whether a streamed answer has begun."""
         return self._began
 
     async def _forward(self, step: Any) -> None:
-        if self._caller_left:
+        if self.has_caller_left or self.inner.is_over:
             step.close()
             return
         try:
             await step
         except ConnectionError:
             # The request may run only once: its answer is recorded for a retry.
-            self._caller_left = True
-            self.inner.outcome = "caller_gone"
+            self.has_caller_left = True
 
     async def refuse(self, failure: Failure) -> None:
         """Answer with the system's own failure."""
--- /dev/null
+++ b/packages/node/tests/test_slow_callers_at_a_stop.py
@@ -0,0 +1,47 @@
+"""Callers that read slowly, or send on, while their node's process stops."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from raw_caller import RECEIVE_BYTES, Caller, answers_of_a_size, request_bytes
+from stopping_node import StoppingNode, StoppingSite
+
+LONG_GRACE_S = 8
+READS_AFTER_S = 4.2
+"""When such callers begin to read, after the signal: later than an idle node ends."""
+FIRST_SIZE = 100_000
+MIN_LEFT = 8_000
+MAX_LEFT = 48_000
+"""Bytes of an answer that its node still has to hand to the kernel: a write of less
+than 64 KB returns at once."""
+
+
+async def full_caller(node: StoppingNode, path: str) -> Caller:
+    """Return a caller of whose answer the kernels hold all but a little."""
+    size = FIRST_SIZE
+    while True:
+        caller = await Caller.connect(node, RECEIVE_BYTES)
+        await caller.send(request_bytes(f"{path}/{size}", path))
+        held = await caller.until_full()
+        if MIN_LEFT < size - held < MAX_LEFT:
+            return caller
+        caller.close()
+        size = held + (MIN_LEFT + MAX_LEFT) // 2
+
+
+# Guards against the tail of an answer that is lost in the buffer of a process that
+# ends: its last byte has been handed to the connection, but not to the kernel.
+async def test_a_caller_that_reads_late_gets_its_whole_answer(tmp_path) -> None:
+    paths = ("/once", "/stream")
+    async with StoppingSite.start(tmp_path) as site:
+        await site.add_backend(answers_of_a_size)
+        await site.add_backend(answers_of_a_size, "small.1")
+        node = await site.add_node(LONG_GRACE_S)
+        callers = await asyncio.gather(*(full_caller(node, path) for path in paths))
+        node.stop()
+        await asyncio.sleep(node.stopped_s + READS_AFTER_S - time.monotonic())
+        seen = [(await caller.answer()).seen for caller in callers]
+        await node.end()
+    assert seen == [(200, "whole"), (200, "whole")], node.about("/once")
--- a/packages/serving/src/fordhatch/serving/_caller_server.py
+++ b/packages/serving/src/fordhatch/serving/_caller_server.py
@@ -11,16 +11,15 @@
 from yarl import URL
 
 from fordhatch.adapter import caller_fields, client_headers, refusal_headers
-from fordhatch.core import Failure, ResultCode, Timer, log_event
+from fordhatch.core import Failure, ResultCode, Timer
 
+from ._accepted_request import AcceptedRequest, EarlyRefusal, generate_request_id
 from ._admission import Admission
 from ._dispatch import Dispatch
-from ._node_state import OTHER_NODE_RETRY_AFTER_S, NodeState
+from ._node_state import NodeState
+from ._request import ServedRequest
 from ._request_path import RequestPath
-
-MAX_LATE_REQUEST_S = 3.0
-"""Requests that arrive later than this after the signal to stop are refused: they may
-not complete before the process must exit. The balancer sends none by then."""
+from ._stop_plan import shutting_down
 
 
 @attrs.define(eq=False, repr=False)
@@ -32,6 +31,10 @@
     response: web.StreamResponse | None = None
     outcome: str = ""
     """Result as the caller sees it, for logs and metrics."""
+    is_whole: bool = False
+    """Whether a complete answer of a backend server was sent."""
+    is_over: bool = False
+    """Whether an answer, a refusal or a failure was sent to its end, or aborted."""
 
     @property
     def has_begun(self) -> bool:
@@ -62,12 +65,14 @@
         self.outcome = f"status_{status}"
         response = web.Response(status=status, headers=CIMultiDict(headers), body=body)
         await self._send(response)
+        self.is_whole = True
 
     async def _send(self, response: web.Response) -> None:
         self.response = response
         self._close_if_leaving(response)
         await response.prepare(self.http_request)
         await response.write_eof()
+        self.is_over = True
 
     async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Start an answer whose body is streamed."""
@@ -88,10 +93,12 @@
         """Finish a complete answer."""
         self.outcome = "complete"
         await self.response.write_eof()
+        self.is_whole = self.is_over = True
 
     async def abort(self) -> None:
         """Abort an answer so that the caller can't take it for a complete one."""
         self.outcome = "aborted"
+        self.is_over = True
         transport = self.http_request.transport
         if transport is not None:
             transport.abort()
@@ -113,30 +120,42 @@
 
     async def handle(self, http_request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request of a caller and return the response."""
-        arrived_s = self.timer.now_s()
         reply = CallerReply(http_request, self.state)
-        with self.state.counted(reply):
-            await self._serve(http_request, reply, arrived_s)
-        return reply.response if reply.response is not None else web.Response()
-
-    async def _serve(
-        self, http_request: web.BaseRequest, reply: CallerReply, arrived_s: float
-    ) -> None:
+        request_id = caller_fields(http_request.headers).request_id
+        accepted = AcceptedRequest(
+            request_id or generate_request_id(),
+            http_request,
+            reply,
+            self.timer.now_s(),
+        )
+        async with self.state.accept(accepted):
+            admitted = await self._admit(http_request, accepted.arrived_s)
+            if admitted.is_ok():
+                accepted.served = admitted.unwrap()
+                await self.dispatch.serve(accepted.served, reply)
+            else:
+                await self._refuse(accepted, admitted.unwrap_err())
+        if reply.response is None:
+            # The caller has left; an empty answer must not reach anyone.
+            await reply.abort()
+            return web.Response()
+        return reply.response
+
+    async def _admit(
+        self, http_request: web.BaseRequest, arrived_s: float
+    ) -> Result[ServedRequest, Failure]:
         checked = self._check_head(http_request)
         if checked.is_err():
-            await self._refuse(http_request, reply, checked.unwrap_err())
-            return
+            return checked
         target = checked.unwrap()
         await self.state.until_loaded()
         found = self.admission.find_route(http_request.headers["Host"], target)
         if found.is_err():
-            await self._refuse(http_request, reply, found.unwrap_err())
-            return
+            return found
         body = await self._read_body(http_request)
         if body.is_err():
-            await self._refuse(http_request, reply, body.unwrap_err())
-            return
-        admitted = self.admission.admit(
+            return body
+        return self.admission.admit(
             found.unwrap(),
             caller_fields(http_request.headers),
             method=http_request.method,
@@ -145,10 +164,6 @@
             body=body.unwrap(),
             arrived_s=arrived_s,
         )
-        if admitted.is_err():
-            await self._refuse(http_request, reply, admitted.unwrap_err())
-            return
-        await self.dispatch.serve(admitted.unwrap(), reply)
 
     def _check_head(self, http_request: web.BaseRequest) -> Result[str, Failure]:
         target = http_request.raw_path
@@ -157,14 +172,8 @@
         if URL(f"http://x{target}", encoded=True).raw_path_qs != target:
             # The target could not be forwarded unchanged.
             return Err(Failure.from_code(ResultCode.BAD_REQUEST, "path"))
-        if self.state.is_leaving:
-            leaving_s = self.timer.now_s() - self.state.leaving_since_s
-            if leaving_s > MAX_LATE_REQUEST_S:
-                return Err(
-                    Failure.from_code(
-                        ResultCode.SHUTTING_DOWN, retry_after_s=OTHER_NODE_RETRY_AFTER_S
-                    )
-                )
+        if self.state.is_past_admission(self.timer.now_s()):
+            return Err(shutting_down())
         return Ok(target)
 
     async def _read_body(self, http_request: web.BaseRequest) -> Result[bytes, Failure]:
@@ -185,15 +194,10 @@
             return Err(Failure.from_code(ResultCode.BAD_REQUEST, repr(error)))
         return Ok(b"".join(pieces))
 
-    async def _refuse(
-        self, http_request: web.BaseRequest, reply: CallerReply, failure: Failure
-    ) -> None:
-        log_event(
-            "request_refused",
-            request=caller_fields(http_request.headers).request_id,
-            code=failure.code.name,
-            host=http_request.headers.get("Host", ""),
-            version=self.state.view.configuration.version,
-            age_s=round(self.state.view.configuration_age_s(), 3),
+    async def _refuse(self, accepted: AcceptedRequest, failure: Failure) -> None:
+        accepted.refusal = EarlyRefusal(
+            failure.code.name,
+            accepted.http_request.headers.get("Host", ""),
+            round(self.state.view.configuration_age_s(), 3),
         )
-        await reply.refuse(failure)
+        await accepted.reply.refuse(failure)
