--- a/standins/src/fordhatch_standins/_backend_http.py
+++ b/standins/src/fordhatch_standins/_backend_http.py
@@ -116,7 +116,9 @@
         try:
             response = await self._answer(plain, work, call, answers)
         except (asyncio.CancelledError, ConnectionError):
-            attempt.finish(AttemptEnd.LEFT)
+            # The answers of a head whose group has lost a member do not go on.
+            is_stalled = work is not None and work.engine.is_stalled
+            attempt.finish(AttemptEnd.BROKEN if is_stalled else AttemptEnd.LEFT)
             raise
         attempt.finish(AttemptEnd.WHOLE)
         return response
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,4 +1,4 @@
-"""Short soak run with a fixed seed; longer runs are started by hand."""
+"""Short soak runs with a fixed seed; longer runs are started by hand."""
 
 from __future__ import annotations
 
@@ -14,4 +14,13 @@
     assert ledger.violations == []
     assert ledger.outcomes["chat whole"]
     assert ledger.outcomes["bill whole"]
+    assert ledger.outcomes["kept stream: whole"]
+    assert ledger.faults
+
+
+async def test_a_short_soak_on_the_platform_violates_no_guarantee() -> None:
+    ledger = await soak(SEED, DURATION_S, on_platform=True)
+    assert ledger.violations == []
+    assert ledger.outcomes["kept stream: whole"]
+    assert ledger.outcomes["kept plain: whole"]
     assert ledger.faults
