--- a/bench/soak_exchanges.py
+++ b/bench/soak_exchanges.py
@@ -23,6 +23,9 @@
 """A connection that ends within this time of a request may not have been read; a
 request that no backend server has seen and that got no byte is then not accepted."""
 
+PATIENCE_S = 8.0
+"""How long a caller waits for an answer after its time limit."""
+
 MAX_KEPT_BYTES = 1 << 20
 """Length of a body beyond which the rest is only counted."""
 
@@ -61,6 +64,8 @@
     """Whether a whole stream ends with a line that says so."""
     is_taken: bool = True
     """Whether a node may have read the request."""
+    reads_slowly: bool = False
+    """Whether the caller itself delays the end of the answer."""
     is_retried: bool = False
     """Whether the caller may send the same text again, as another request."""
     is_half_closed: bool = False
@@ -197,12 +202,21 @@
         # What a backend server sends without end is no answer of the service.
         if exchange.wrong and "endless" not in ends:
             found.append(f"{exchange.wrong}: {exchange}")
+        if self._never_ended(exchange):
+            found.append(f"no end {PATIENCE_S} s after the time limit: {exchange}")
         if self.outcome(exchange) == "answer cut":
             found.append(f"answer cut: {exchange}; attempts {sorted(ends)}")
         if exchange.says_not_run and self._has_run(exchange):
             found.append(f"ran though refused as not run: {exchange}")
         return found
 
+    def _never_ended(self, exchange: Exchange) -> bool:
+        took_s = exchange.ended_s - exchange.sent_s
+        if exchange.reads_slowly or took_s < exchange.timeout_s + PATIENCE_S - SLACK_S:
+            return False
+        from_s, to_s = exchange.sent_s, exchange.ended_s
+        return not any(pause.overlaps(from_s, to_s) for pause in exchange.life.pauses)
+
     def _has_run(self, exchange: Exchange) -> bool:
         ids = {exchange.request_id}
         if not exchange.request_id and not exchange.is_retried:
--- a/bench/soak_kept_callers.py
+++ b/bench/soak_kept_callers.py
@@ -17,7 +17,7 @@
     Message,
     OwnDialect,
 )
-from soak_exchanges import Exchange
+from soak_exchanges import PATIENCE_S, Exchange
 from soak_http import Connection, Habits
 from soak_ledger import Ledger
 from soak_timeline import Timeline
@@ -25,9 +25,6 @@
 TIMEOUTS_S = (8.0, 15.0, 15.0)
 """Time limits of requests."""
 
-PATIENCE_S = 8.0
-"""How long a caller waits for an answer after its time limit."""
-
 MAX_REQUESTS = 40
 """Requests on one connection at the most."""
 
@@ -128,6 +125,7 @@
             connection.life,
             self.rng.choice(TIMEOUTS_S),
             is_stream=kind == "stream",
+            reads_slowly=connection.habits.reads_slowly,
             is_half_closed=connection.habits.half_closes,
             known_id=f"soak-{self._sent}" if self.names_requests else "",
             has_last_line=not self.names_requests,
@@ -142,11 +140,7 @@
 
     async def _receive(self, connection: Connection, draft: Draft) -> None:
         exchange = draft.exchange
-        try:
-            async with asyncio.timeout(exchange.timeout_s + PATIENCE_S):
-                await connection.receive(exchange)
-        except TimeoutError:
-            self.ledger.outcomes["kept without an end"] += 1
-            raise
+        async with asyncio.timeout(exchange.timeout_s + PATIENCE_S):
+            await connection.receive(exchange)
         if exchange.status == 200 and exchange.is_whole:
             exchange.wrong = self.dialect.fault(exchange, draft.message, draft.events)
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -105,6 +105,15 @@
     assert outcome() == "cut, killed"
 
 
+def test_an_answer_that_never_ends_is_found(life) -> None:
+    exchange = cut_exchange(life, sent_s=80.0, ended_s=103.0)
+    assert "no end" in checks().violations(exchange)[0]
+    exchange.reads_slowly = True
+    assert checks().violations(exchange) == []
+    exchange = cut_exchange(life, sent_s=80.0, ended_s=96.0)
+    assert checks().violations(exchange) == []
+
+
 def test_a_request_refused_as_not_run_must_not_have_run(life) -> None:
     refusal = bytearray(b'{"error": {"ran": "no"}}')
     exchange = cut_exchange(life, status=503, is_complete=True, body=refusal)
