--- a/bench/soak.py
+++ b/bench/soak.py
@@ -189,7 +189,9 @@
             task = asyncio.ensure_future(fault())
             running.add(task)
             task.add_done_callback(running.discard)
-            await asyncio.sleep(self.rng.uniform(0.3, 3.0))
+            # More nodes get more faults in the same time.
+            pause_s = self.rng.uniform(0.3, 3.0) * NODES / self.options.nodes
+            await asyncio.sleep(pause_s)
             fault = self.rng.choice(kinds)
         if running:
             await asyncio.wait(set(running))
