--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -182,9 +182,8 @@
                 elif json.loads(answer)["body"] != content:
                     exchange.wrong = "answer of another request"
                 break
-            ran = json.loads(answer)["error"]["ran"] if status else "maybe"
-            all_not_run &= ran == "no"
-            self.ledger.outcomes[f"bill {status} {ran}"] += 1
+            all_not_run &= exchange.ran == "no"
+            self.ledger.outcomes[f"bill {status} {exchange.ran}"] += 1
             await asyncio.sleep(0.2)
         if all_not_run:
             self.ledger.not_run.add(content)
--- a/bench/soak_exchanges.py
+++ b/bench/soak_exchanges.py
@@ -107,14 +107,18 @@
         return not has_events or b"data: [DONE]" in self.body
 
     @property
-    def says_not_run(self) -> bool:
-        """Whether the answer reports that the request has not run."""
-        if self.status not in (429, 503) or not self.is_complete:
-            return False
+    def ran(self) -> str:
+        """What the answer says about whether the request has run."""
         try:
-            return json.loads(bytes(self.body))["error"]["ran"] == "no"
+            return str(json.loads(bytes(self.body))["error"]["ran"])
         except (ValueError, KeyError, TypeError):
-            return False
+            # No failure of the service itself, or a part of it.
+            return "maybe"
+
+    @property
+    def says_not_run(self) -> bool:
+        """Whether the answer reports that the request has not run."""
+        return self.final_status in (429, 503) and self.ran == "no"
 
     def __str__(self) -> str:
         signals_s = self.life.stop_signals_s
