--- a/packages/chat/src/fordhatch/chat/_chat_server.py
+++ b/packages/chat/src/fordhatch/chat/_chat_server.py
@@ -78,7 +78,7 @@
         request_id = generate_request_id()
         is_chat = (http_request.path, http_request.method) == (CHAT_PATH, "POST")
         reply_type = ChatReply if is_chat else CallReply
-        reply = reply_type(http_request, self.path.state, request_id)
+        reply = reply_type(http_request, self.path.state, request_id=request_id)
         accepted = AcceptedRequest(request_id, http_request, reply, self.timer.now_s())
         async with self.path.state.accept(accepted):
             await self._route(accepted)
@@ -153,7 +153,8 @@
         if checked.is_err():
             return checked
         context = checked.unwrap()
-        content = await self.checks.body(accepted.http_request)
+        due_s = accepted.arrived_s + context.timeout_s
+        content = await self.checks.body(accepted.http_request, due_s)
         if content.is_err():
             return content
         parsed = ChatBody.from_json(content.unwrap())
@@ -223,7 +224,8 @@
         found = self.checks.application(context, name, is_model=False)
         if found.is_err():
             return found
-        body = await self.checks.body(http_request)
+        due_s = accepted.arrived_s + context.timeout_s
+        body = await self.checks.body(http_request, due_s)
         if body.is_err():
             return body
         target = f"/{target}"
@@ -248,6 +250,7 @@
     # Serving.
 
     async def _serve(self, accepted: AcceptedRequest, context: CallerContext) -> None:
+        accepted.reply.due_s = accepted.served.due_s
         name, limit = context.workspace.name, context.workspace.max_concurrent
         if limit is not None and self._running_by_workspace[name] >= limit:
             failure = Failure.from_code(
@@ -270,7 +273,7 @@
         request = accepted.served
         digest = hashlib.sha256(request.body + request.target.encode()).hexdigest()
         key = ClaimKey(context.workspace.name, context.idempotency_key, digest)
-        claimed = await self.claims.acquire(key)
+        claimed = await self.claims.acquire(key, request.due_s)
         if claimed.is_err():
             await self._refuse(accepted, claimed.unwrap_err())
         elif isinstance(claimed.unwrap(), Ticket):
--- a/packages/chat/src/fordhatch/chat/_replies.py
+++ b/packages/chat/src/fordhatch/chat/_replies.py
@@ -13,7 +13,7 @@
 from multidict import CIMultiDict
 
 from fordhatch.core import Failure, ResultCode
-from fordhatch.serving import NodeState, Reply, finish
+from fordhatch.serving import HttpReply, Reply
 
 from ._claim_rows import StoredAnswer
 
@@ -52,25 +52,12 @@
 
 
 @attrs.define(eq=False, repr=False)
-class _HttpReply:
-    """Common base of the replies."""
+class _OwnReply(HttpReply):
+    """Common base of the replies of fordhatch's own interface."""
 
-    http_request: web.BaseRequest
-    state: NodeState
-    request_id: str
+    request_id: str = ""
     is_replayed: bool = False
-    is_whole: bool = False
-    """Whether a complete answer was sent."""
-    is_over: bool = False
-    """Whether an answer or a failure was sent to its end."""
-    outcome: str = ""
     failure: Failure | None = None
-    response: web.StreamResponse | None = None
-
-    @property
-    def has_begun(self) -> bool:
-        """Whether any byte of the answer was sent."""
-        return self.response is not None
 
     async def refuse(self, failure: Failure) -> None:
         """Answer with the system's own failure."""
@@ -78,36 +65,15 @@
         self.outcome = failure.code.name.lower()
         await self._send(failure_response(failure))
 
-    async def _send(self, response: web.Response) -> None:
-        await self._prepare(response)
-        await self._end_response()
-
-    async def _end_response(self) -> None:
-        await finish(self.http_request, self.response)
-        self.is_over = True
-
-    async def abort(self) -> None:
-        """Abort an answer so that the caller can't take it for a complete one."""
-        self.outcome = "aborted"
-        self.is_over = True
-        transport = self.http_request.transport
-        if transport is not None:
-            transport.abort()
-
     async def _prepare(self, response: web.StreamResponse) -> None:
-        if self.is_over:
-            raise ConnectionResetError("the answer is over")
-        self.response = response
         response.headers[REQUEST_ID_HEADER] = self.request_id
         if self.is_replayed:
             response.headers[REPLAYED_HEADER] = "true"
-        if self.state.is_leaving:
-            response.force_close()
-        await response.prepare(self.http_request)
+        await HttpReply._prepare(self, response)
 
 
 @attrs.define(eq=False, repr=False)
-class ChatReply(_HttpReply):
+class ChatReply(_OwnReply):
     """A chat completion, streamed as chunks or sent in full at its end."""
 
     application: str = ""
@@ -127,8 +93,7 @@
         self.is_answering = True
         if self.is_streamed:
             response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
-            response.enable_chunked_encoding()
-            await self._prepare(response)
+            await self._begin_stream(response)
 
     async def write(self, piece: bytes) -> None:
         """Process events of the model's answer."""
@@ -136,7 +101,7 @@
         self.pieces.extend(texts)
         if self.is_streamed:
             chunks = [self._chunk({"content": text}, None) for text in texts]
-            await self.response.write(b"".join(chunks))
+            await self._write(b"".join(chunks))
 
     async def end(self) -> None:
         """End an answer that is complete."""
@@ -146,8 +111,8 @@
             self.is_whole = True
             return
         last = self._chunk({}, "stop") + b"data: [DONE]\n\n"
-        await self.response.write(last)
-        await self._end_response()
+        await self._write(last)
+        await self._finish()
         self.is_whole = True
 
     async def abort(self) -> None:
@@ -161,8 +126,8 @@
         # The headers are already sent: the error goes into the stream, which then ends
         # without ``[DONE]``.
         error = json.dumps(failure.to_json()).encode()
-        await self.response.write(b"data: " + error + b"\n\n")
-        await self._end_response()
+        await self._write(b"data: " + error + b"\n\n")
+        await self._finish()
 
     async def send_complete(
         self, status: int, headers: list[tuple[str, str]], body: bytes
@@ -196,7 +161,7 @@
 
 
 @attrs.define(eq=False, repr=False)
-class CallReply(_HttpReply):
+class CallReply(_OwnReply):
     """A reply that is sent in full, such as the answer of a plain service."""
 
     async def send_complete(
--- a/packages/serving/src/fordhatch/serving/__init__.py
+++ b/packages/serving/src/fordhatch/serving/__init__.py
@@ -4,10 +4,11 @@
 
 from ._accepted_request import AcceptedRequest, EarlyRefusal, generate_request_id
 from ._admission import Admission
-from ._caller_connection import finish, linger
 from ._caller_server import CallerServer
+from ._caller_writes import linger
 from ._dispatch import Dispatch
 from ._evacuated_zones import is_evacuated
+from ._http_reply import HttpReply
 from ._http_server import HttpHandler, HttpServer
 from ._node_state import NodeState
 from ._plain_call import PlainCalls
@@ -67,6 +68,7 @@
     "GroupProgress",
     "HeadChoice",
     "HttpHandler",
+    "HttpReply",
     "HttpServer",
     "LoadBook",
     "NodeState",
@@ -91,7 +93,6 @@
     "StreamCalls",
     "connection_problem",
     "ends_with_connection",
-    "finish",
     "generate_request_id",
     "is_evacuated",
     "linger",
--- a/packages/serving/src/fordhatch/serving/_caller_server.py
+++ b/packages/serving/src/fordhatch/serving/_caller_server.py
@@ -11,12 +11,13 @@
 from yarl import URL
 
 from fordhatch.adapter import caller_fields, client_headers, refusal_headers
-from fordhatch.core import Failure, ResultCode, Timer
+from fordhatch.core import Failure, Ran, ResultCode, Timer
 
 from ._accepted_request import AcceptedRequest, EarlyRefusal, generate_request_id
-from ._admission import Admission
-from ._caller_connection import finish, linger
+from ._admission import Admission, due_s
+from ._caller_writes import linger
 from ._dispatch import Dispatch
+from ._http_reply import HttpReply
 from ._node_state import NodeState
 from ._request import ServedRequest
 from ._request_path import RequestPath
@@ -24,24 +25,9 @@
 
 
 @attrs.define(eq=False, repr=False)
-class CallerReply:
+class CallerReply(HttpReply):
     """The answer to one request of a caller."""
 
-    http_request: web.BaseRequest
-    state: NodeState
-    response: web.StreamResponse | None = None
-    outcome: str = ""
-    """Result as the caller sees it, for logs and metrics."""
-    is_whole: bool = False
-    """Whether a complete answer of a backend server was sent."""
-    is_over: bool = False
-    """Whether an answer, a refusal or a failure was sent to its end, or aborted."""
-
-    @property
-    def has_begun(self) -> bool:
-        """Whether any byte of the answer was sent."""
-        return self.response is not None
-
     async def refuse(self, failure: Failure) -> None:
         """Answer with a failure of the system itself."""
         request_id = caller_fields(self.http_request.headers).request_id
@@ -68,41 +54,20 @@
         await self._send(response)
         self.is_whole = True
 
-    async def _send(self, response: web.Response) -> None:
-        self.response = response
-        self._close_if_leaving(response)
-        await response.prepare(self.http_request)
-        await finish(self.http_request, response)
-        self.is_over = True
-
     async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Start an answer whose body is streamed."""
-        self.response = web.StreamResponse(status=status, headers=CIMultiDict(headers))
-        self.response.enable_chunked_encoding()
-        self._close_if_leaving(self.response)
-        await self.response.prepare(self.http_request)
-
-    def _close_if_leaving(self, response: web.StreamResponse) -> None:
-        if self.state.is_leaving:
-            response.force_close()
+        response = web.StreamResponse(status=status, headers=CIMultiDict(headers))
+        await self._begin_stream(response)
 
     async def write(self, piece: bytes) -> None:
         """Send a piece of the body."""
-        await self.response.write(piece)
+        await self._write(piece)
 
     async def end(self) -> None:
         """Finish a complete answer."""
         self.outcome = "complete"
-        await finish(self.http_request, self.response)
-        self.is_whole = self.is_over = True
-
-    async def abort(self) -> None:
-        """Abort an answer so that the caller can't take it for a complete one."""
-        self.outcome = "aborted"
-        self.is_over = True
-        transport = self.http_request.transport
-        if transport is not None:
-            transport.abort()
+        await self._finish()
+        self.is_whole = True
 
 
 @attrs.define(eq=False, repr=False)
@@ -133,6 +98,7 @@
             admitted = await self._admit(http_request, accepted.arrived_s)
             if admitted.is_ok():
                 accepted.served = admitted.unwrap()
+                reply.due_s = accepted.served.due_s
                 await self.dispatch.serve(accepted.served, reply)
             else:
                 await self._refuse(accepted, admitted.unwrap_err())
@@ -150,16 +116,18 @@
         if checked.is_err():
             return checked
         target = checked.unwrap()
-        await self.state.until_loaded()
+        fields = caller_fields(http_request.headers)
+        await self.state.until_loaded(fields.deadline_s)
         found = self.admission.find_route(http_request.headers["Host"], target)
         if found.is_err():
             return found
-        body = await self._read_body(http_request)
+        route = found.unwrap()
+        body = await self._read_body(http_request, due_s(route, fields, arrived_s))
         if body.is_err():
             return body
         return self.admission.admit(
-            found.unwrap(),
-            caller_fields(http_request.headers),
+            route,
+            fields,
             method=http_request.method,
             target=target,
             headers=client_headers(http_request.headers.items()),
@@ -178,7 +146,9 @@
             return Err(shutting_down())
         return Ok(target)
 
-    async def _read_body(self, http_request: web.BaseRequest) -> Result[bytes, Failure]:
+    async def _read_body(
+        self, http_request: web.BaseRequest, due: float
+    ) -> Result[bytes, Failure]:
         if not http_request.can_read_body:
             return Ok(b"")
         if http_request.headers.get("Expect", "").lower() == "100-continue":
@@ -187,11 +157,16 @@
         pieces: list[bytes] = []
         size = 0
         try:
-            async for piece in http_request.content.iter_any():
-                pieces.append(piece)
-                size += len(piece)
-                if size > limit:
-                    return Err(Failure.from_code(ResultCode.BODY_TOO_LARGE))
+            async with self.timer.timeout(max(due - self.timer.now_s(), 0.0)):
+                async for piece in http_request.content.iter_any():
+                    pieces.append(piece)
+                    size += len(piece)
+                    if size > limit:
+                        return Err(Failure.from_code(ResultCode.BODY_TOO_LARGE))
+        except TimeoutError:
+            return Err(
+                Failure.from_code(ResultCode.DEADLINE_EXCEEDED, "body", ran=Ran.NO)
+            )
         except web.RequestPayloadError as error:
             return Err(Failure.from_code(ResultCode.BAD_REQUEST, repr(error)))
         return Ok(b"".join(pieces))
--- a/packages/serving/src/fordhatch/serving/_http_server.py
+++ b/packages/serving/src/fordhatch/serving/_http_server.py
@@ -9,7 +9,7 @@
 import attrs
 from aiohttp import web
 
-from ._caller_connection import unacknowledged_bytes
+from ._caller_writes import unacknowledged_bytes
 
 KEEP_ALIVE_S = 120.0
 """Idle connections are closed after this time. Callers reuse connections that were
--- a/packages/serving/tests/test_retry_budget.py
+++ b/packages/serving/tests/test_retry_budget.py
@@ -39,6 +39,7 @@
     fields: Fields = attrs.field(factory=Fields)
     retry: object = None
     due_s: float = math.inf
+    is_being_sent: bool = False
     end_attempt = ServedRequest.end_attempt
     may_still_send = ServedRequest.may_still_send
 
--- a/standins/src/fordhatch_lab/_lab_load.py
+++ b/standins/src/fordhatch_lab/_lab_load.py
@@ -10,6 +10,7 @@
 from fordhatch.adapter import model_call_headers
 from fordhatch.catalog import CallFields
 from fordhatch.core import Failure
+from fordhatch.serving import AcceptedRequest
 
 from ._experiment import RequestClass
 from ._lab_site import LabNode, LabSite
@@ -29,6 +30,8 @@
     observed: Outcome
     outcome: str = ""
     has_begun: bool = False
+    is_whole: bool = False
+    is_over: bool = False
 
     def _now_s(self) -> float:
         return asyncio.get_running_loop().time()
@@ -37,12 +40,14 @@
         """Record a refusal."""
         self.outcome = failure.code.name.lower()
         self.observed.refusal = failure
+        self.is_over = True
 
     async def send_complete(
         self, status: int, headers: list[tuple[str, str]], body: bytes
     ) -> None:
         """Record a complete answer that was not streamed."""
         self.outcome = f"status_{status}"
+        self.is_whole = self.is_over = True
 
     async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Record the status and headers of a stream."""
@@ -62,10 +67,36 @@
         """Record the end of a complete stream."""
         self.outcome = "complete"
         self.observed.is_whole = True
+        self.is_whole = self.is_over = True
 
     async def abort(self) -> None:
         """Record the end of an incomplete stream."""
         self.outcome = "aborted"
+        self.is_over = True
+
+
+@attrs.frozen
+class LabTransport:
+    """A connection that its caller keeps open."""
+
+    def is_closing(self) -> bool:
+        """Return whether it is being closed."""
+        return False
+
+
+@attrs.frozen
+class LabWriter:
+    """Counts nothing; stands for what writes to a connection."""
+
+    output_size: int = 0
+
+
+@attrs.frozen
+class LabHttpRequest:
+    """What an accepted request knows of its caller's connection."""
+
+    transport: LabTransport = attrs.field(factory=LabTransport)
+    writer: LabWriter = attrs.field(factory=LabWriter)
 
 
 @attrs.frozen
@@ -195,10 +226,18 @@
             await asyncio.sleep(READINESS_INTERVAL_S)
 
     async def _serve(self, node: LabNode, attempt: _Attempt) -> None:
-        with node.node.state.counted(attempt.reply):
-            await self._dispatch(node, attempt)
+        accepted = AcceptedRequest(
+            attempt.request_id,
+            LabHttpRequest(),
+            attempt.reply,
+            node.node.timer.now_s(),
+        )
+        async with node.node.state.accept(accepted):
+            await self._dispatch(node, attempt, accepted)
 
-    async def _dispatch(self, node: LabNode, attempt: _Attempt) -> None:
+    async def _dispatch(
+        self, node: LabNode, attempt: _Attempt, accepted: AcceptedRequest
+    ) -> None:
         path, kind, reply = node.node.path, attempt.kind, attempt.reply
         found = path.admission.find_route("lab", attempt.target)
         if found.is_err():
@@ -226,7 +265,8 @@
         if admitted.is_err():
             await reply.refuse(admitted.unwrap_err())
             return
-        await path.dispatch.serve(admitted.unwrap(), reply)
+        accepted.served = admitted.unwrap()
+        await path.dispatch.serve(accepted.served, reply)
 
     def _random_length(self, mean: int) -> int:
         return max(int(mean * self.rng.uniform(*LENGTH_RANGE)), 1)
