--- a/packages/chat/src/fordhatch/chat/_chat_server.py
+++ b/packages/chat/src/fordhatch/chat/_chat_server.py
@@ -278,7 +278,7 @@
             await self._refuse(accepted, claimed.unwrap_err())
         elif isinstance(claimed.unwrap(), Ticket):
             # Continues after the caller disconnects, so that a retry finds the answer.
-            recorded = RecordedReply(accepted.reply)
+            recorded = RecordedReply(accepted.reply, self.claims.row_bytes)
             work = self._run_claimed(request, claimed.unwrap(), recorded)
             await asyncio.shield(self.claims.run_to_completion(work, "claimed"))
             if recorded.has_caller_left:
@@ -292,6 +292,9 @@
         await self.path.dispatch.serve(request, recorded)
         if recorded.stored is not None:
             await self.claims.settle(ticket, recorded.stored)
+        elif recorded.is_too_long:
+            log_event("answer_not_kept", key=ticket.key.row_key.key)
+            await self.claims.mark_lost(ticket)
         elif request.ran_at:
             await self.claims.mark_lost(ticket)
         else:
--- a/packages/node/src/fordhatch/node/_relay_server.py
+++ b/packages/node/src/fordhatch/node/_relay_server.py
@@ -12,7 +12,7 @@
 
 from fordhatch.adapter import caller_fields
 from fordhatch.catalog import BackendServer, CallFields
-from fordhatch.core import Failure, ResultCode, Timer, log_event, metrics
+from fordhatch.core import Failure, ResultCode, Timer, log_event, metrics, record_bound
 from fordhatch.protocol import Channel
 from fordhatch.protocol.messages import (
     ContactReply,
@@ -35,13 +35,17 @@
 )
 
 from ._relay_peers import RelayPeers
-from ._relayed_answer import WINDOW_PIECES, to_wire
+from ._relayed_answer import PIECE_BYTES, WINDOW_PIECES, to_wire
 
 MAX_RELAYED = 256
 """Attempts that a node makes for others at once, a sixteenth of the descriptors that it
 may open. Further ones are refused, and their nodes try another one."""
 
 
+LAST_MESSAGE_S = 0.1
+"""Longest wait until the other node has been told that an answer is late."""
+
+
 @attrs.define(eq=False, repr=False)
 class RelayedRequest:
     """A request of another node's caller; counterpart of ``ServedRequest``."""
@@ -208,10 +212,19 @@
             async with self.timer.timeout(left_s):
                 await self._pass_on(request, answer, channel)
         except TimeoutError:
-            log_event("relay_out_of_time", request=request.fields.request_id)
+            request.outcome = SendProblem.SILENT.value
+            record_bound("relayed_answer", request=request.fields.request_id)
+            await self._say_late(channel)
         finally:
             answer.close()
 
+    async def _say_late(self, channel: Channel) -> None:
+        """Tell the other node that an answer is late, unless it reads nothing."""
+        with contextlib.suppress(TimeoutError):
+            async with self.timer.timeout(LAST_MESSAGE_S):
+                late = _broken(SendProblem.SILENT, "not complete in time")
+                await channel.send(late)
+
     def _log(
         self,
         request: RelayedRequest,
@@ -235,18 +248,9 @@
         """Send the head and the body of an answer, as fast as they are consumed."""
         wire = to_wire(answer.fields.backpressure)
         await channel.send(RelayedHead(answer.status, answer.headers, wire))
-        on_their_way = 0
         try:
-            while piece := await answer.read_piece():
-                if (await channel.send(RelayedPiece(piece))).is_err():
-                    return
-                request.sent_bytes += len(piece)
-                on_their_way += 1
-                while on_their_way >= WINDOW_PIECES:
-                    ack = await channel.receive()
-                    if ack.is_err():
-                        return
-                    on_their_way -= ack.unwrap().pieces
+            if not await _copy_body(request, answer, channel):
+                return
             left_s = request.left_s(self.timer.now_s())
             if not await self.path.exchange.confirms_end(answer, left_s):
                 raise aiohttp.ClientPayloadError(UNCONFIRMED_END)
@@ -255,15 +259,37 @@
         except (aiohttp.ClientError, OSError) as error:
             problem = connection_problem(error)
             request.outcome = problem.value
-            await channel.send(
-                RelayedFailure(
-                    problem.value,
-                    repr(error),
-                    arrivals=0,
-                    may_have_run=True,
-                    is_unreachable=False,
-                )
-            )
+            await channel.send(_broken(problem, repr(error)))
+
+
+async def _copy_body(
+    request: RelayedRequest, answer: BackendAnswer, channel: Channel
+) -> bool:
+    """Send the body of an answer; return whether all of it was sent.
+
+    Raises:
+        aiohttp.ClientError, OSError: If the body is incomplete.
+    """
+    on_their_way = 0
+    while received := await answer.read_piece():
+        for begin in range(0, len(received), PIECE_BYTES):
+            piece = received[begin : begin + PIECE_BYTES]
+            if (await channel.send(RelayedPiece(piece))).is_err():
+                return False
+            request.sent_bytes += len(piece)
+            on_their_way += 1
+            while on_their_way >= WINDOW_PIECES:
+                ack = await channel.receive()
+                if ack.is_err():
+                    return False
+                on_their_way -= ack.unwrap().pieces
+    return True
+
+
+def _broken(problem: SendProblem, detail: str) -> RelayedFailure:
+    return RelayedFailure(
+        problem.value, detail, arrivals=0, may_have_run=True, is_unreachable=False
+    )
 
 
 def _to_message(request: RelayedRequest, failure: SendFailure) -> RelayedFailure:
--- a/packages/node/src/fordhatch/node/_relayed_answer.py
+++ b/packages/node/src/fordhatch/node/_relayed_answer.py
@@ -21,8 +21,12 @@
 from fordhatch.serving import SendProblem, ends_with_connection
 
 WINDOW_PIECES = 32
-"""Pieces that may be on their way without an acknowledgement. It bounds the memory
-that a slow caller takes on both nodes."""
+"""Pieces that may be on their way without an acknowledgement. With their length it
+bounds the memory that a slow caller takes on both nodes."""
+
+PIECE_BYTES = 16 * 1024
+"""Longest piece, so that 512 KiB of an answer are on their way at the most.
+Acknowledged are pieces and not bytes: earlier versions know no other window."""
 
 ACK_PIECES = WINDOW_PIECES // 2
 """Pieces that one acknowledgement covers."""
@@ -117,17 +121,6 @@
             await self._channel.send(RelayAck(self._unacknowledged))
             self._unacknowledged = 0
 
-    async def read_all(self) -> bytes:
-        """Return the complete body.
-
-        Raises:
-            aiohttp.ClientError: If the body is incomplete.
-        """
-        pieces = []
-        while piece := await self.read_piece():
-            pieces.append(piece)
-        return b"".join(pieces)
-
     def close(self) -> None:
         """End the request, which cancels an unfinished one."""
         self._end()
--- a/packages/serving/src/fordhatch/serving/__init__.py
+++ b/packages/serving/src/fordhatch/serving/__init__.py
@@ -12,7 +12,7 @@
 from ._http_server import HttpHandler, HttpServer
 from ._node_state import NodeState
 from ._plain_call import PlainCalls
-from ._request import Reply, ServedRequest
+from ._request import Reply, ReplyTooLong, ServedRequest
 from ._request_path import RequestPath
 from ._requests_in_progress import RequestsInProgress
 from ._route_table import RouteTable
@@ -78,6 +78,7 @@
     "PlainCalls",
     "ProcessWitness",
     "Reply",
+    "ReplyTooLong",
     "RequestPath",
     "RequestsInProgress",
     "RetryBudget",
--- a/packages/serving/src/fordhatch/serving/_accepted_request.py
+++ b/packages/serving/src/fordhatch/serving/_accepted_request.py
@@ -60,6 +60,8 @@
     refusal: EarlyRefusal | None = None
     task: asyncio.Task[object] | None = None
     """The task that serves it."""
+    body_bytes: int = 0
+    """Bytes of its body that are kept."""
     is_ended_by_stop: bool = False
     """Whether the node ends it because its process ends."""
 
--- a/packages/serving/src/fordhatch/serving/_caller_server.py
+++ b/packages/serving/src/fordhatch/serving/_caller_server.py
@@ -11,7 +11,7 @@
 from yarl import URL
 
 from fordhatch.adapter import caller_fields, client_headers, refusal_headers
-from fordhatch.core import Failure, Ran, ResultCode, Timer
+from fordhatch.core import Failure, Ran, ResultCode, Timer, record_bound
 
 from ._accepted_request import AcceptedRequest, EarlyRefusal, generate_request_id
 from ._admission import Admission, due_s
@@ -21,7 +21,14 @@
 from ._node_state import NodeState
 from ._request import ServedRequest
 from ._request_path import RequestPath
-from ._stop_plan import shutting_down
+from ._stop_plan import OTHER_NODE_RETRY_AFTER_S, shutting_down
+
+MAX_BODIES_BYTES = 96 * 1024 * 1024
+"""Most bytes of the bodies of all requests in progress, of the 300 MB of a node; they
+are kept for retries."""
+
+SMALL_BODY_BYTES = 64 * 1024
+"""Longest body that is accepted even then."""
 
 
 @attrs.define(eq=False, repr=False)
@@ -78,6 +85,8 @@
     admission: Admission
     dispatch: Dispatch
     timer: Timer
+    _bodies_bytes: int = 0
+    """Bytes of the bodies of all requests in progress."""
 
     @classmethod
     def from_path(cls, path: RequestPath, timer: Timer) -> CallerServer:
@@ -95,13 +104,10 @@
             self.timer.now_s(),
         )
         async with self.state.accept(accepted):
-            admitted = await self._admit(http_request, accepted.arrived_s)
-            if admitted.is_ok():
-                accepted.served = admitted.unwrap()
-                reply.due_s = accepted.served.due_s
-                await self.dispatch.serve(accepted.served, reply)
-            else:
-                await self._refuse(accepted, admitted.unwrap_err())
+            try:
+                await self._serve(accepted, reply)
+            finally:
+                self._bodies_bytes -= accepted.body_bytes
         if reply.response is None:
             # The caller has left; an empty answer must not reach anyone.
             await reply.abort()
@@ -109,9 +115,17 @@
         await linger(http_request, reply.response, self.timer)
         return reply.response
 
-    async def _admit(
-        self, http_request: web.BaseRequest, arrived_s: float
-    ) -> Result[ServedRequest, Failure]:
+    async def _serve(self, accepted: AcceptedRequest, reply: CallerReply) -> None:
+        admitted = await self._admit(accepted)
+        if admitted.is_err():
+            await self._refuse(accepted, admitted.unwrap_err())
+            return
+        accepted.served = admitted.unwrap()
+        reply.due_s = accepted.served.due_s
+        await self.dispatch.serve(accepted.served, reply)
+
+    async def _admit(self, accepted: AcceptedRequest) -> Result[ServedRequest, Failure]:
+        http_request, arrived_s = accepted.http_request, accepted.arrived_s
         checked = self._check_head(http_request)
         if checked.is_err():
             return checked
@@ -122,7 +136,7 @@
         if found.is_err():
             return found
         route = found.unwrap()
-        body = await self._read_body(http_request, due_s(route, fields, arrived_s))
+        body = await self._read_body(accepted, due_s(route, fields, arrived_s))
         if body.is_err():
             return body
         return self.admission.admit(
@@ -147,23 +161,27 @@
         return Ok(target)
 
     async def _read_body(
-        self, http_request: web.BaseRequest, due: float
+        self, accepted: AcceptedRequest, due: float
     ) -> Result[bytes, Failure]:
+        http_request = accepted.http_request
         if not http_request.can_read_body:
             return Ok(b"")
         if http_request.headers.get("Expect", "").lower() == "100-continue":
             http_request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         limit = self.admission.max_body_bytes()
         pieces: list[bytes] = []
-        size = 0
         try:
             async with self.timer.timeout(max(due - self.timer.now_s(), 0.0)):
                 async for piece in http_request.content.iter_any():
                     pieces.append(piece)
-                    size += len(piece)
-                    if size > limit:
+                    accepted.body_bytes += len(piece)
+                    self._bodies_bytes += len(piece)
+                    if accepted.body_bytes > limit:
                         return Err(Failure.from_code(ResultCode.BODY_TOO_LARGE))
+                    if self._is_full(accepted):
+                        return Err(_bodies_failure())
         except TimeoutError:
+            record_bound("request_body", request=accepted.request_id)
             return Err(
                 Failure.from_code(ResultCode.DEADLINE_EXCEEDED, "body", ran=Ran.NO)
             )
@@ -171,6 +189,11 @@
             return Err(Failure.from_code(ResultCode.BAD_REQUEST, repr(error)))
         return Ok(b"".join(pieces))
 
+    def _is_full(self, accepted: AcceptedRequest) -> bool:
+        if accepted.body_bytes <= SMALL_BODY_BYTES:
+            return False
+        return self._bodies_bytes > MAX_BODIES_BYTES
+
     async def _refuse(self, accepted: AcceptedRequest, failure: Failure) -> None:
         accepted.refusal = EarlyRefusal(
             failure.code.name,
@@ -178,3 +201,12 @@
             round(self.state.view.configuration_age_s(), 3),
         )
         await accepted.reply.refuse(failure)
+
+
+def _bodies_failure() -> Failure:
+    record_bound("request_bodies")
+    return Failure.from_code(
+        ResultCode.OVERLOADED,
+        "the bodies of other requests take the memory",
+        retry_after_s=OTHER_NODE_RETRY_AFTER_S,
+    )
--- a/packages/serving/src/fordhatch/serving/_http_server.py
+++ b/packages/serving/src/fordhatch/serving/_http_server.py
@@ -9,13 +9,9 @@
 import attrs
 from aiohttp import web
 
+from ._caller_connection import HEAD_TIMEOUT_S, KEEP_ALIVE_S, CallerConnections
 from ._caller_writes import unacknowledged_bytes
 
-KEEP_ALIVE_S = 120.0
-"""Idle connections are closed after this time. Callers reuse connections that were
-idle for up to four fifths of a limit that the configuration sets and may raise; this
-is above any usual limit."""
-
 MAX_HEADER_BYTES = 32 * 1024
 """Longest line of a request's head: twice the most that a configuration allows, so
 that the configured limit decides."""
@@ -43,7 +39,11 @@
 
     @classmethod
     async def listen(
-        cls, address: str, handler: HttpHandler, port: socket.socket | None = None
+        cls,
+        address: str,
+        handler: HttpHandler,
+        port: socket.socket | None = None,
+        head_timeout_s: Callable[[], float] = lambda: HEAD_TIMEOUT_S,
     ) -> HttpServer:
         """Start serving an address.
 
@@ -51,6 +51,7 @@
             address: ``host:port``.
             handler: Handles every request.
             port: A socket that already listens there; None to open one.
+            head_timeout_s: Returns how long the head of a request may take.
         """
         active: dict[web.RequestHandler, asyncio.Task[object]] = {}
 
@@ -61,7 +62,7 @@
             finally:
                 del active[request.protocol]
 
-        server = web.Server(
+        server = CallerConnections(
             handle,
             handler_cancellation=True,
             access_log=None,
@@ -69,6 +70,7 @@
             keepalive_timeout=KEEP_ALIVE_S,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
+            head_timeout_s=head_timeout_s,
         )
         loop = asyncio.get_running_loop()
         if port is not None:
--- a/packages/serving/tests/test_waits.py
+++ b/packages/serving/tests/test_waits.py
@@ -15,7 +15,7 @@
 from fordhatch.core import Ran, ResultCode, TaskSet, Timer
 from fordhatch.registry import RunStage
 from fordhatch.scheduling import Refuse
-from fordhatch.serving import NodeState, SendFailure, SendProblem
+from fordhatch.serving import AcceptedRequest, NodeState, SendFailure, SendProblem
 from fordhatch.serving._admission_control import AdmissionControl
 from fordhatch.serving._caller_server import CallerReply, CallerServer
 from fordhatch.serving._caller_writes import MIN_WRITE_S
@@ -29,6 +29,9 @@
 
 BACKEND = BackendServer("b1", "app", "10.0.0.1:1", "z1", BackendState.READY, 4)
 LIMIT_S = 0.3
+NEVER_S = 60.0
+"""Time after which a test gives up, instead of standing still."""
+
 SILENCE_S = 0.25
 """Time after which a silent node is given up."""
 
@@ -40,7 +43,8 @@
 async def took_s(timer: Timer, work: Awaitable[object]) -> tuple[object, float]:
     """Return the result of some work and the time that it took."""
     began_s = timer.now_s()
-    return await work, timer.now_s() - began_s
+    async with asyncio.timeout(NEVER_S):
+        return await work, timer.now_s() - began_s
 
 
 async def refused(*_: object, **__: object) -> object:
@@ -177,7 +181,8 @@
     async def scenario() -> None:
         timer = Timer.from_seed(1)
         server, reply, aborted = caller(timer, left_s)
-        reading = server._read_body(reply.http_request, reply.due_s)
+        accepted = AcceptedRequest("r1", reply.http_request, reply, 0.0)
+        reading = server._read_body(accepted, reply.due_s)
         got, took = await took_s(timer, reading)
         assert (got.unwrap_err().code, got.unwrap_err().ran) == (
             ResultCode.DEADLINE_EXCEEDED,
