--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -126,6 +126,12 @@
     operators_url: str = ""
     link_cut: Path | None = None
     """File that says how its links to backend servers are cut, see ``cut_links``."""
+    up_url: str = ""
+    """Answers as soon as the process serves."""
+    ready_url: str = ""
+    """Answers with a success status while the node takes callers."""
+    env: dict[str, str] | None = None
+    """Environment variables; None for those of this process."""
 
     def cut_links(self, kind: LinkCut) -> None:
         """Cut the node's links to all backend servers, or restore them."""
@@ -169,21 +175,26 @@
                 await process.wait()
         await self.session.close()
 
-    async def spawn(self, name: str, command: list[str]) -> asyncio.subprocess.Process:
+    async def spawn(
+        self, name: str, command: list[str], env: dict[str, str] | None = None
+    ) -> asyncio.subprocess.Process:
         """Start a process, which is killed when the fleet closes."""
         with (self.directory / f"{name}.log").open("ab") as log:
             process = await asyncio.create_subprocess_exec(
-                *command, stdout=log, stderr=log
+                *command, stdout=log, stderr=log, env=env
             )
         self._spawned.append(process)
         return process
 
-    async def start_standins(self, *, engines: int = 9, spare: int = 8) -> None:
+    async def start_standins(
+        self, *, engines: int = 9, spare: int = 8, step_s: float = 0.01
+    ) -> None:
         """Start the store, engines of one fabric domain and a plain service.
 
         Args:
             engines: Number of engines.
             spare: Number of ports to reserve for engines that are added later.
+            step_s: Time of a token step of an engine, in seconds.
         """
         first = find_free_ports(engines + spare + 3)
         self.store_port, control = first, first + 1
@@ -196,6 +207,7 @@
             f"--control-port={control}",
             f"--first-port={first + 2}",
             f"--per-domain={engines}",
+            f"--step-s={step_s}",
         ]
         await self.spawn("standins", command)
         self.control_url = f"http://127.0.0.1:{control}"
@@ -225,18 +237,31 @@
         name = settings["node_name"]
         path = self.directory / f"{name}.json"
         path.write_text(json.dumps(settings))
-        link_cut = self.directory / f"{name}.cut"
-        command = [*self._program(link_cut), str(path)]
-        node = NodeProcess(
+        url = f"http://127.0.0.1:{settings['callers']['port']}"
+        operators_url = f"http://127.0.0.1:{settings['operators']['port']}"
+        return await self.launch_node(
             name,
-            command,
-            await self.spawn(name, command),
-            f"http://127.0.0.1:{settings['callers']['port']}",
-            f"http://127.0.0.1:{settings['operators']['port']}",
-            link_cut,
+            str(path),
+            url=url,
+            operators_url=operators_url,
+            up_url=f"{operators_url}/metrics",
+            ready_url=f"{url}/ready",
         )
+
+    async def launch_node(self, name: str, argument: str, **fields: Any) -> NodeProcess:
+        """Start a node's process and wait until it serves its metrics.
+
+        Args:
+            name: Name of the node and of its log.
+            argument: Argument of the command, such as the path of the settings.
+            **fields: Fields of the ``NodeProcess``.
+        """
+        link_cut = self.directory / f"{name}.cut"
+        command = [*self._program(link_cut), argument]
+        process = await self.spawn(name, command, fields.get("env"))
+        node = NodeProcess(name, command, process, link_cut=link_cut, **fields)
         self.nodes.append(node)
-        await self.wait_until_up(f"{node.operators_url}/metrics")
+        await self.wait_until_up(node.up_url)
         return node
 
     def _program(self, link_cut: Path) -> list[str]:
@@ -250,7 +275,7 @@
 
     async def restart(self, node: NodeProcess) -> None:
         """Start the process of a terminated node again."""
-        node.process = await self.spawn(node.name, node.command)
+        node.process = await self.spawn(node.name, node.command, node.env)
 
     async def wait_until_up(self, url: str) -> None:
         """Wait until a URL answers with a success status."""
@@ -275,6 +300,11 @@
         async with self.session.get(f"{self.control_url}/counts") as reply:
             return await reply.json()
 
+    async def attempts(self) -> list[dict[str, Any]]:
+        """Return all attempts that reached backend servers."""
+        async with self.session.get(f"{self.control_url}/attempts") as reply:
+            return await reply.json()
+
     async def read(self, node: NodeProcess, path: str) -> dict[str, Any]:
         """Return the answer of a node to an operator's GET request."""
         headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
