Stop: five sixths count from the latest time of the signal; soak types have no repr

test_components_have_no_recursive_repr: two types of the soak and its stand-ins had a generated repr.

--- a/bench/soak_timeline.py
+++ b/bench/soak_timeline.py
@@ -15,7 +15,7 @@
 """Time between two looks at the memory of the processes."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Span:
     """A time span that may still be open; monotonic times in seconds."""
 
--- a/packages/serving/src/fordhatch/serving/_node_state.py
+++ b/packages/serving/src/fordhatch/serving/_node_state.py
@@ -78,8 +78,10 @@
                 None for now.
             lateness_s: How late the event loop has been lately, in seconds.
         """
-        began_s = self.timer.now_s() if since_s is None else since_s
-        self.stop = StopPlan.from_grace(began_s, self.bounds.grace_s, lateness_s)
+        now_s = self.timer.now_s()
+        began_s = now_s if since_s is None else since_s
+        grace_s = self.bounds.grace_s
+        self.stop = StopPlan.from_grace(began_s, now_s, grace_s, lateness_s)
 
     def stop_refusal(self, request: ServedRequest) -> Failure | None:
         """Return why a request may not be sent, as it would outlast the process."""
--- a/packages/serving/src/fordhatch/serving/_stop_plan.py
+++ b/packages/serving/src/fordhatch/serving/_stop_plan.py
@@ -44,17 +44,22 @@
     """The process is killed at this time."""
 
     @classmethod
-    def from_grace(cls, since_s: float, grace_s: float, lateness_s: float) -> StopPlan:
+    def from_grace(
+        cls, since_s: float, now_s: float, grace_s: float, lateness_s: float
+    ) -> StopPlan:
         """Return the plan of a stop.
 
         Args:
             since_s: The earliest time at which the signal may have come, in monotonic
                 seconds.
+            now_s: The latest time at which it may have come.
             grace_s: Time from the signal until the process is killed.
             lateness_s: How late the event loop has been lately.
         """
-        reserve_s = GRACE_RESERVE_S + LATENESS_FACTOR * lateness_s
-        answers_s = max(grace_s - reserve_s, MIN_FRACTION * grace_s)
+        spare_s = (1.0 - MIN_FRACTION) * grace_s - (now_s - since_s)
+        late_s = min(LATENESS_FACTOR * lateness_s, spare_s - GRACE_RESERVE_S)
+        reserve_s = GRACE_RESERVE_S + max(late_s, 0.0)
+        answers_s = max(grace_s - reserve_s, 0.0)
         return cls(
             since_s,
             since_s + min(MAX_LATE_REQUEST_S, answers_s),
--- a/standins/src/fordhatch_standins/_attempt_log.py
+++ b/standins/src/fordhatch_standins/_attempt_log.py
@@ -29,7 +29,7 @@
     """The node closed the connection before the end of the answer."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Attempt:
     """One attempt of a request; times are monotonic, in seconds."""
 
