Streams: a silent run goes on until another one has something new

Callers saw streams cut in the middle, or before their first event, with time left and a sound run at the backend server, most of all around the stop of their node.

What comes between (the stop's refusal of new attempts, permits, the retry, a refused or broken connection) could still say no, and the answer ended with its only run.

Change: silence only begins another attempt beside the run (Hedging, SilenceWatch). The first with a new event in order leads, the others end. An attempt is an object of its own (Attempt), so that two can be in progress: its retry, its connection, whether it has arrived. The request holds no closure on itself any more.

--- a/packages/core/src/fordhatch/core/_metrics.py
+++ b/packages/core/src/fordhatch/core/_metrics.py
@@ -35,6 +35,12 @@
     ["outcome"],
     registry=REGISTRY,
 )
+HEDGES = Counter(
+    "fordhatch_hedges_total",
+    "Attempts begun beside one that was silent, and those that took over from it.",
+    ["outcome"],
+    registry=REGISTRY,
+)
 RETRY_BUDGET = Gauge(
     "fordhatch_retry_budget",
     "This node's part of the retry budget by service: retries spent (with those lent), "
--- a/packages/serving/src/fordhatch/serving/_admission.py
+++ b/packages/serving/src/fordhatch/serving/_admission.py
@@ -124,13 +124,12 @@
             arrived_s=arrived_s,
             due_s=due_s(route, fields, arrived_s),
         )
-        request.recheck = lambda backend: self._recheck_for_backend(request, backend)
         if self.state.is_past_admission(arrived_s):
             return Err(shutting_down())
         stopped = self.state.stop_refusal(request)
         return Ok(request) if stopped is None else Err(stopped)
 
-    def _recheck_for_backend(
+    def recheck_for_backend(
         self, request: ServedRequest, backend: BackendServer
     ) -> Failure | None:
         """Return why a request may not be sent on a connection that is now open."""
@@ -143,9 +142,6 @@
         if pressure is not None:
             detail = f"asked for {pressure}"
             return Failure.from_code(ResultCode.BACKEND_REFUSED, detail)
-        if not request.may_still_send():
-            return Failure.from_code(ResultCode.BACKEND_REFUSED, "no retry is left")
-        request.is_being_sent = True
         return None
 
     def authenticate(
--- a/packages/serving/src/fordhatch/serving/_events.py
+++ b/packages/serving/src/fordhatch/serving/_events.py
@@ -96,6 +96,21 @@
         """Return the order of a stream that resumes after an event."""
         return cls(int(text) if text.strip().isdigit() else None)
 
+    def is_new(self, event: Event) -> bool:
+        """Return whether an event has not been forwarded yet."""
+        return event.number is None or self.last is None or event.number > self.last
+
+    def check_next(self, event: Event) -> None:
+        """Check that no event is missing before a new one.
+
+        Raises:
+            StreamError: If one is.
+        """
+        if event.number is None or self.last is None:
+            return
+        if event.number > self.last + 1:
+            raise StreamError(f"event {event.number} after {self.last}")
+
     def accept(self, event: Event) -> bool:
         """Return whether to forward an event; False for one already forwarded.
 
@@ -110,8 +125,7 @@
                 if self._repeated_bytes > MAX_REPEATED_BYTES:
                     raise StreamError(f"repeats {self._repeated_bytes} bytes")
                 return False
-            if event.number > self.last + 1:
-                raise StreamError(f"event {event.number} after {self.last}")
+            self.check_next(event)
         self.last = event.number
         self._repeated_bytes = 0
         return True
--- a/packages/serving/src/fordhatch/serving/_plain_call.py
+++ b/packages/serving/src/fordhatch/serving/_plain_call.py
@@ -25,7 +25,7 @@
 from ._admission import Admission
 from ._answer_passing import AnswerPassing, PassedAnswer
 from ._evacuated_zones import EVACUATED_RETRY_AFTER_S, evacuated_plain_failure
-from ._request import Reply, ServedRequest
+from ._request import Attempt, Reply, ServedRequest
 from .crashes import CrashWatch
 from .exchange import (
     UNCONFIRMED_END,
@@ -37,7 +37,6 @@
     SendFailure,
     SendProblem,
     connection_problem,
-    is_sent,
 )
 from .groups import MAX_WAIT_FRACTION, TIE_BREAK_FRACTION, BackendHealth
 from .limits import Block, Permits
@@ -134,8 +133,10 @@
             if backend is None or not await self._may_send(request):
                 break
             tried.append(backend.backend_id)
-            got = await self._send(call, backend, tried)
-            request.end_attempt(is_sent=is_sent(got.err()))
+            with request.attempt(
+                backend, self.admission.recheck_for_backend
+            ) as attempt:
+                got = await self._send(call, attempt, tried)
             if reply.has_begun:
                 # The answer was too long to be held, and was passed on.
                 request.was_answered = request.has_output = got.is_ok()
@@ -200,7 +201,7 @@
             return False
         if self.admission.recheck(request) is not None:
             return False
-        return request.arrivals == 0 or await self.budget.acquire(request)
+        return request.is_first_arrival or await self.budget.acquire(request)
 
     def _choose(self, service: str, tried: Collection[str]) -> BackendServer | None:
         blocked = self.permits.pressure.blocked_backends()
@@ -235,9 +236,9 @@
         return min(left_s, patience_s)
 
     async def _send(
-        self, call: _Call, backend: BackendServer, tried: Collection[str]
+        self, call: _Call, attempt: Attempt, tried: Collection[str]
     ) -> Result[CompleteAnswer | PassedAnswer, SendFailure]:
-        request = call.request
+        request, backend = call.request, attempt.backend
         began_s = self.timer.now_s()
         timeout_s = self._answer_timeout_s(request, backend, tried)
         in_flight = self.health.in_flight[backend.backend_id]
@@ -245,7 +246,7 @@
         self.health.in_flight[backend.backend_id] += 1
         try:
             with self.load.counted(request.service, backend.backend_id, 0):
-                got = await self._exchange(call, backend, timeout_s, tried)
+                got = await self._exchange(call, attempt, timeout_s, tried)
         finally:
             self.health.in_flight[backend.backend_id] -= 1
         took_s = self.timer.now_s() - began_s
@@ -259,14 +260,16 @@
     async def _exchange(
         self,
         call: _Call,
-        backend: BackendServer,
+        attempt: Attempt,
         timeout_s: float,
         tried: Collection[str],
     ) -> Result[CompleteAnswer | PassedAnswer, SendFailure]:
-        request = call.request
+        request, backend = call.request, attempt.backend
         ends_s = self.timer.now_s() + timeout_s
-        sent = await self.exchange.send(request, backend, head_timeout_s=timeout_s)
+        sent = await self.exchange.send(attempt, backend, head_timeout_s=timeout_s)
         if sent.is_err():
+            if sent.unwrap_err().problem is SendProblem.NOT_SENT:
+                attempt.record_unsent()
             self.permits.pressure.process_answer(
                 backend, sent.unwrap_err().backpressure
             )
--- a/packages/serving/src/fordhatch/serving/_request.py
+++ b/packages/serving/src/fordhatch/serving/_request.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Container
+from collections.abc import Callable, Container, Iterator
+from contextlib import contextmanager
 from typing import Protocol
 
 import attrs
 
 from fordhatch.catalog import BackendServer, CallFields, Route, Workspace
-from fordhatch.core import Failure
+from fordhatch.core import Failure, ResultCode
 
 from ._request_features import RequestFeatures
 
@@ -79,12 +80,10 @@
     """Number of times it reached a backend server, including refusals."""
     ran_at: list[str] = attrs.field(factory=list)
     """Backend servers that may have run it."""
-    recheck: Callable[[BackendServer], Failure | None] = lambda _: None
-    """Returns why the request may no longer be sent to a backend server, or None. It
-    is called again once the connection is open, because the instance may have been
-    suspended while connecting."""
+    attempts: list[Attempt] = attrs.field(factory=list)
+    """Attempts in progress; a second one may stand by while the first is silent."""
     retry: UsedRetry | None = None
-    """The retry that the attempt in progress uses; None for the first arrival."""
+    """The retry that the next attempt will use; None for the first arrival."""
     urgency_class: int | None = None
     """Class for the queues of engines; None to use the urgency itself."""
     timeline: Timeline = attrs.field(factory=Timeline)
@@ -99,8 +98,6 @@
     """Whether no further attempt will be made."""
     is_refused: bool = False
     """Whether its caller is told that it has not run and will not run."""
-    is_being_sent: bool = False
-    """Whether the attempt in progress may have reached its backend server."""
     is_quarantine_logged: bool = False
     """Whether the log says why it is not run any more."""
 
@@ -115,21 +112,34 @@
         if may_have_run:
             self.ran_at.append(backend_id)
 
-    def may_still_send(self) -> bool:
-        """Return whether the retry budget allows the attempt on an open connection."""
-        return self.retry is None or self.retry.may_still_send()
+    @contextmanager
+    def attempt(
+        self, backend: BackendServer, permission: Permission
+    ) -> Iterator[Attempt]:
+        """Make an attempt, which counts as in progress until its end.
 
-    def end_attempt(self, *, is_sent: bool) -> None:
-        """Record the end of an attempt; one that was not sent gives its retry back."""
-        if self.retry is not None and not is_sent:
-            self.retry.take_back()
+        Args:
+            backend: The backend server.
+            permission: Tells why the request may no longer be sent there.
+        """
+        attempt = Attempt(self, backend, permission, self.retry)
         self.retry = None
-        self.is_being_sent = False
+        self.attempts.append(attempt)
+        try:
+            yield attempt
+        finally:
+            self.attempts.remove(attempt)
+            attempt.end()
+
+    @property
+    def is_first_arrival(self) -> bool:
+        """Whether the next attempt is the first one, which needs no retry."""
+        return self.arrivals == 0 and not self.attempts
 
     @property
     def may_have_run(self) -> bool:
         """Whether a backend server may have run it, or may be running it."""
-        return bool(self.ran_at) or self.is_being_sent
+        return bool(self.ran_at) or any(a.is_being_sent for a in self.attempts)
 
     @property
     def workspace_name(self) -> str | None:
@@ -148,14 +158,16 @@
         """Class that engines queue the request by; 0 is first."""
         return self.urgency if self.urgency_class is None else self.urgency_class
 
-    def counted_runs(self, listed: Container[str], *also: str) -> int:
+    def counted_runs(self, listed: Container[str]) -> int:
         """Return how many runs count towards the attempts that the route allows.
 
+        Those of attempts in progress count before it is known that they run.
+
         Args:
             listed: Registered backend servers; runs at other ones don't count.
-            also: Backend servers that may be running it now.
         """
-        return sum(b in listed for b in {*self.ran_at, *also})
+        running = {attempt.backend.backend_id for attempt in self.attempts}
+        return sum(b in listed for b in {*self.ran_at, *running})
 
     def may_run(self, listed: Container[str], now_s: float) -> bool:
         """Return whether the route and the deadline allow an attempt or a retry.
@@ -175,6 +187,89 @@
         return self.due_s - now_s
 
 
+Permission = Callable[[ServedRequest, BackendServer], Failure | None]
+"""Returns why a request may no longer be sent to a backend server, or None."""
+
+
+@attrs.define(eq=False, repr=False)
+class Attempt:
+    """One attempt of a request at one backend server."""
+
+    request: ServedRequest
+    backend: BackendServer
+    permission: Permission
+    retry: UsedRetry | None
+    """The retry that it uses; None for the first arrival."""
+    is_being_sent: bool = False
+    """Whether it may have reached the backend server."""
+    has_arrived: bool = False
+    """Whether its arrival was recorded."""
+
+    @property
+    def fields(self) -> CallFields:
+        """Fields of the caller's headers."""
+        return self.request.fields
+
+    @property
+    def method(self) -> str:
+        """HTTP method."""
+        return self.request.method
+
+    @property
+    def target(self) -> str:
+        """Path and query exactly as the caller sent them."""
+        return self.request.target
+
+    @property
+    def headers(self) -> list[tuple[str, str]]:
+        """Headers to forward to the backend server."""
+        return self.request.headers
+
+    @property
+    def body(self) -> bytes:
+        """The request's body."""
+        return self.request.body
+
+    @property
+    def workspace_name(self) -> str | None:
+        """Name of the caller's workspace, None without one."""
+        return self.request.workspace_name
+
+    def left_s(self, now_s: float) -> float:
+        """Return the time until the final answer is due, in seconds."""
+        return self.request.left_s(now_s)
+
+    def recheck(self, backend: BackendServer) -> Failure | None:
+        """Return why the request may no longer be sent, or None if it is sent now.
+
+        To be called once the connection is open, because the instance may have been
+        suspended while connecting.
+        """
+        stopped = self.permission(self.request, backend)
+        if stopped is not None:
+            return stopped
+        if self.retry is not None and not self.retry.may_still_send():
+            return Failure.from_code(ResultCode.BACKEND_REFUSED, "no retry is left")
+        self.is_being_sent = True
+        return None
+
+    def record_arrival(self, backend_id: str, *, may_have_run: bool) -> None:
+        """Record that the backend server received the request."""
+        self.has_arrived = True
+        self.request.record_arrival(backend_id, may_have_run=may_have_run)
+
+    def record_unsent(self) -> None:
+        """Record that the backend server certainly did not get it."""
+        self.is_being_sent = False
+
+    def end(self) -> None:
+        """End it: one that wasn't sent gives its retry back, others have arrived."""
+        if self.is_being_sent and not self.has_arrived:
+            self.record_arrival(self.backend.backend_id, may_have_run=True)
+        if self.retry is not None and not (self.is_being_sent or self.has_arrived):
+            self.retry.take_back()
+
+
 class ReplyTooLong(Exception):  # noqa: N818
     """A reply that is sent in full is longer than it may be."""
 
--- a/packages/serving/src/fordhatch/serving/_request_path.py
+++ b/packages/serving/src/fordhatch/serving/_request_path.py
@@ -14,6 +14,7 @@
 from ._dispatch import Dispatch
 from ._node_state import NodeState
 from ._plain_call import PlainCalls
+from ._silence_watch import SilenceWatch
 from ._stream_call import StreamCalls
 from ._stream_run import StreamRuns
 from .crashes import CrashRowWriter, CrashWatch
@@ -108,18 +109,20 @@
         )
         progress = GroupProgress(timer)
         held = HeldAnswers()
+        silence = SilenceWatch(
+            timer, view.directory, progress, stalls, choice, load, budget.has_left
+        )
         runs = StreamRuns(
             timer,
             view.directory,
             health,
             progress,
             stalls,
-            choice,
+            silence,
             routed,
             crashes,
             pressure,
             load,
-            budget.has_left,
             held,
         )
         demand = DemandMeter(timer)
--- /dev/null
+++ b/packages/serving/src/fordhatch/serving/_silence_watch.py
@@ -0,0 +1,122 @@
+"""Waits for the next step of a stream's run, and hedges a run that is silent."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+
+import attrs
+
+from fordhatch.catalog import BackendServer
+from fordhatch.core import Timer, log_event
+from fordhatch.registry import BackendDirectory
+
+from ._hedging import AttemptEnd
+from ._request import ServedRequest
+from ._stream import Stream
+from ._stream_ending import RunFailed
+from .exchange import SendProblem
+from .groups import GroupProgress, HeadChoice, RunProgress, StallWatch, silence_s
+from .load import SharedLoad
+
+STREAM_SILENCE_FACTOR = 4.0
+"""Multiple of the group's silence limit after which one silent stream is hedged while
+other streams of the group advance."""
+
+BeginAttempt = Callable[[Stream], Coroutine[object, object, AttemptEnd]]
+"""Makes another attempt of a stream."""
+
+
+@attrs.define(eq=False, repr=False)
+class SilenceWatch:
+    """Waits for runs, each until its deadline; silence alone never ends one."""
+
+    timer: Timer
+    directory: BackendDirectory
+    progress: GroupProgress
+    stalls: StallWatch
+    choice: HeadChoice
+    load: SharedLoad
+    has_retry: Callable[[ServedRequest], bool]
+    """Returns whether the retry budget allows another attempt now."""
+    begin_attempt: BeginAttempt | None = None
+    """Set by whoever makes the attempts of streams."""
+
+    async def wait(
+        self,
+        stream: Stream,
+        head: BackendServer,
+        run: RunProgress,
+        step: asyncio.Future[object],
+    ) -> None:
+        """Wait for the next step of a run; begin another attempt while it is silent.
+
+        Raises:
+            RunFailed: If the run was cancelled, another one has taken over, or the
+                deadline passed.
+        """
+        limit_s = silence_s(stream.profile, stream.model)
+        waiting_since_s = self.timer.now_s()
+        run.step = step
+        while True:
+            left_s = stream.request.left_s(self.timer.now_s())
+            await asyncio.wait([step], timeout=max(min(limit_s, left_s), 0.0))
+            now_s = self.timer.now_s()
+            if run.is_superseded:
+                silent_s = now_s - waiting_since_s
+                raise RunFailed(SendProblem.SILENT, f"silent for {silent_s:.3f}")
+            if step.cancelled():
+                raise RunFailed(SendProblem.HELD_BACK, "it was quarantined meanwhile")
+            if step.done():
+                stream.hedging.advanced(run)
+                return
+            if stream.request.left_s(now_s) <= 0:
+                raise RunFailed(SendProblem.SILENT, "out of time")
+            silent_s = self._silent_s(stream, run, limit_s)
+            waited_s = now_s - waiting_since_s
+            if silent_s > 0:
+                self.stalls.report_silence(head)
+                self._hedge(stream, run, f"silent for {silent_s:.3f}")
+            elif waited_s >= STREAM_SILENCE_FACTOR * limit_s:
+                self._hedge(stream, run, f"waited for {waited_s:.3f}")
+
+    def _silent_s(self, stream: Stream, run: RunProgress, limit_s: float) -> float:
+        """Return how long a group has been silent, in seconds; 0 below its limit."""
+        silent_s = self.progress.silent_for_s(run.head_id)
+        if silent_s >= limit_s:
+            return silent_s
+        if silent_s > 0:
+            # Other streams of the group advanced within the limit.
+            return 0.0
+        waited_s = self.timer.now_s() - run.began_s
+        in_flight = 0.0
+        if self.load.is_used_for(stream.request.service):
+            in_flight = self.load.total_in_flight(run.head_id)
+        timeout_s = self.progress.first_event_timeout_s(
+            stream.profile, stream.model, in_flight
+        )
+        return waited_s if waited_s >= timeout_s else 0.0
+
+    def _hedge(self, stream: Stream, run: RunProgress, detail: str) -> None:
+        """Begin another attempt, if one is allowed and a group could take it.
+
+        An attempt counts towards the route's attempts, even before its first event.
+        """
+        request = stream.request
+        if not (request.route.is_repeatable and stream.can_resume):
+            return
+        if not request.may_run(self.directory.backends, self.timer.now_s()):
+            return
+        if not stream.hedging.wants_hedge(run):
+            return
+        other = self.choice.choose(request.service, stream.model, stream.tried)
+        if other is None or not self.has_retry(request):
+            return
+        log_event(
+            "stream_hedged",
+            request=request.fields.request_id,
+            backend=run.head_id,
+            detail=detail,
+            events=run.events,
+        )
+        stream.hedging.hedge(self.begin_attempt(stream))
--- a/packages/serving/src/fordhatch/serving/_stream.py
+++ b/packages/serving/src/fordhatch/serving/_stream.py
@@ -7,6 +7,7 @@
 from fordhatch.catalog import EngineProfile
 
 from ._events import EventOrder
+from ._hedging import Hedging
 from ._request import Reply, ServedRequest
 from .exchange import SendFailure
 from .load import MemoryNeed
@@ -25,6 +26,10 @@
     last_problem: SendFailure | None = None
     events: int = 0
     """Number of events forwarded so far."""
+    may_not_retry: bool = False
+    """Whether no further attempt is made, as it may crash its backend server."""
+    hedging: Hedging = attrs.field(factory=Hedging)
+    """Its runs in progress."""
     is_hold_logged: bool = False
     """Whether the log tells that it waits for a blocked head."""
 
@@ -33,6 +38,11 @@
         """The requested model."""
         return self.request.fields.model
 
+    @property
+    def can_resume(self) -> bool:
+        """Whether another run can go on after what the caller has received."""
+        return not self.events or self.order.last is not None
+
     @property
     def need(self) -> MemoryNeed:
         """Memory that the request needs at a group."""
--- a/packages/serving/src/fordhatch/serving/_stream_call.py
+++ b/packages/serving/src/fordhatch/serving/_stream_call.py
@@ -18,12 +18,13 @@
 from ._admission_control import AdmissionControl
 from ._evacuated_zones import evacuated_stream_failure
 from ._events import EventOrder
+from ._hedging import AttemptEnd
 from ._request import Reply, ServedRequest
 from ._stop_plan import OTHER_NODE_RETRY_AFTER_S
 from ._stream import Stream
 from ._stream_run import StreamRuns
 from .crashes import CrashWatch
-from .exchange import SendFailure, is_sent
+from .exchange import SendFailure
 from .groups import MAX_WAIT_FRACTION, GroupWait, HeadChoice, group_wait
 from .limits import Permits
 from .load import DemandMeter
@@ -57,6 +58,7 @@
     def create(cls, directory: BackendDirectory, **parts: object) -> StreamCalls:
         """Create an instance and subscribe it to changes of the directory."""
         calls = cls(directory=directory, **parts)  # type: ignore[arg-type]
+        calls.runs.silence.begin_attempt = calls._attempt
         directory.subscribe(calls._wake)
         return calls
 
@@ -84,24 +86,39 @@
 
     async def _run(self, stream: Stream) -> None:
         """Run a stream at one group after another until it is complete."""
-        request, route = stream.request, stream.request.route.name
-        for _ in range(MAX_SENDS):
-            head = await self._next_head(stream)
-            if head is None:
-                break
-            stream.tried.append(head.backend_id)
-            done = await self.runs.run(stream, head)
-            request.end_attempt(is_sent=is_sent(done.err()))
-            if done.is_ok():
-                request.was_answered = True
-                request.has_output = stream.events > 0
-                self.demand.record_answer(route, stream.profile, stream.events)
-                return
-            stream.last_problem = done.unwrap_err()
-            if not await self.crashes.may_retry(request, head):
-                break
+        try:
+            while True:
+                first = await self._attempt(stream)
+                if first is None:
+                    break
+                ended = await stream.hedging.outcome(first)
+                if ended.is_ok():
+                    return
+        finally:
+            stream.hedging.end()
         await self._give_up(stream)
 
+    async def _attempt(self, stream: Stream) -> AttemptEnd:
+        """Run a stream at the next group; None if there is none for it."""
+        request = stream.request
+        if len(stream.tried) >= MAX_SENDS or stream.may_not_retry:
+            return None
+        head = await self._next_head(stream)
+        if head is None:
+            return None
+        stream.tried.append(head.backend_id)
+        with request.attempt(head, self.admission.recheck_for_backend) as attempt:
+            done = await self.runs.run(stream, attempt)
+        if done.is_ok():
+            request.was_answered = True
+            request.has_output = stream.events > 0
+            self.demand.record_answer(request.route.name, stream.profile, stream.events)
+            return done
+        stream.last_problem = done.unwrap_err()
+        if not await self.crashes.may_retry(request, head):
+            stream.may_not_retry = True
+        return done
+
     # Choice of the next group.
 
     async def _next_head(self, stream: Stream) -> BackendServer | None:
@@ -124,7 +141,7 @@
 
     async def _may_retry(self, request: ServedRequest) -> bool:
         """Return whether the retry budget allows an attempt; the first one is free."""
-        return request.arrivals == 0 or await self.budget.acquire(request)
+        return request.is_first_arrival or await self.budget.acquire(request)
 
     async def _wait_for_head(self, stream: Stream, began_s: float) -> bool:
         """Wait until a group opens or a blocked head is free again.
--- a/packages/serving/src/fordhatch/serving/_stream_ending.py
+++ b/packages/serving/src/fordhatch/serving/_stream_ending.py
@@ -59,9 +59,9 @@
     raise RunFailed(SendProblem.CONNECTION_LOST, detail)
 
 
-def reached_stage(progress: RunProgress, events: int) -> RunStage:
-    """Return the stage that a run reached, given the number of events it forwarded."""
-    if events > 0:
+def reached_stage(progress: RunProgress) -> RunStage:
+    """Return the stage that a run reached."""
+    if progress.events > 0:
         return RunStage.FLOWING
     return RunStage.BEGUN if progress.has_answer else RunStage.WAITING
 
--- a/packages/serving/src/fordhatch/serving/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/_stream_run.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 
 import aiohttp
 import attrs
@@ -14,8 +13,9 @@
 from fordhatch.core import Timer, metrics, record_bound
 from fordhatch.registry import BackendDirectory
 
-from ._events import PART_BYTES, EventSplitter, StreamError, in_parts
-from ._request import ReplyTooLong, ServedRequest
+from ._events import PART_BYTES, Event, EventSplitter, StreamError, in_parts
+from ._request import Attempt, ReplyTooLong
+from ._silence_watch import SilenceWatch
 from ._stream import Stream
 from ._stream_ending import RunFailed, check_ending, log_failed_run, reached_stage
 from .crashes import CrashWatch
@@ -34,10 +34,8 @@
     SLOW_PACE,
     BackendHealth,
     GroupProgress,
-    HeadChoice,
     RunProgress,
     StallWatch,
-    silence_s,
 )
 from .limits import BackpressureTracker
 from .load import SharedLoad
@@ -46,10 +44,6 @@
 """Resumed streams are first in the backend server's queue: their callers wait
 already."""
 
-STREAM_SILENCE_FACTOR = 4.0
-"""Multiple of the group's silence limit after which one silent stream is given up while
-other streams of the group advance."""
-
 _OK, _SERVER_ERROR = 200, 500
 
 
@@ -62,13 +56,11 @@
     health: BackendHealth
     progress: GroupProgress
     stalls: StallWatch
-    choice: HeadChoice
+    silence: SilenceWatch
     exchange: BackendExchange
     crashes: CrashWatch
     pressure: BackpressureTracker
     load: SharedLoad
-    has_retry: Callable[[ServedRequest], bool]
-    """Returns whether the retry budget allows another attempt now."""
     held: HeldAnswers
     _running: dict[int, tuple[Stream, RunProgress]] = attrs.field(factory=dict)
 
@@ -88,33 +80,33 @@
             if self.crashes.quarantine.is_quarantined(stream.request):
                 progress.step.cancel()
 
-    async def run(
-        self, stream: Stream, head: BackendServer
-    ) -> Result[None, SendFailure]:
+    async def run(self, stream: Stream, attempt: Attempt) -> Result[None, SendFailure]:
         """Run a stream at a group.
 
         Returns:
             Success once the stream is complete, otherwise the failure of this run.
         """
+        head = attempt.backend
         head_id = head.backend_id
         began_s = self.timer.now_s()
-        events = stream.events
         stream.request.timeline.record_send(began_s, self.health.in_flight[head_id])
         self.health.in_flight[head_id] += 1
         progress = self.progress.start_run(head_id)
         self._running[id(progress)] = stream, progress
+        stream.hedging.join(progress)
         try:
             with self.load.counted(stream.request.service, head_id, stream.need.tokens):
-                await self._forward(stream, head, progress)
+                await self._forward(stream, attempt, progress)
             self.health.record_success(head_id, self.timer.now_s() - began_s)
             return Ok(None)
         except RunFailed as broken:
-            self._record_failure(stream, head, broken.failure, began_s, events)
+            self._record_failure(stream, head, broken.failure, progress)
             if broken.failure.problem is SendProblem.CONNECTION_LOST:
-                stage = reached_stage(progress, stream.events - events)
+                stage = reached_stage(progress)
                 self.crashes.connection_broken(stream.request, head, stage)
             return Err(broken.failure)
         finally:
+            stream.hedging.leave(progress)
             del self._running[id(progress)]
             self.progress.end_run(progress)
             self.health.in_flight[head_id] -= 1
@@ -124,11 +116,10 @@
         stream: Stream,
         head: BackendServer,
         failure: SendFailure,
-        began_s: float,
-        events: int,
+        progress: RunProgress,
     ) -> None:
-        took_s = self.timer.now_s() - began_s
-        log_failed_run(stream, head, failure, stream.events - events, took_s)
+        took_s = self.timer.now_s() - progress.began_s
+        log_failed_run(stream, head, failure, progress.events, took_s)
         if failure.problem is SendProblem.HELD_BACK:
             return
         self._check_group(stream, head, failure.problem)
@@ -146,32 +137,32 @@
             self.stalls.report_silence(head)
 
     async def _forward(
-        self, stream: Stream, head: BackendServer, progress: RunProgress
+        self, stream: Stream, attempt: Attempt, progress: RunProgress
     ) -> None:
-        answer = await self._open(stream, head, progress)
+        answer = await self._open(stream, attempt, progress)
         progress.has_answer = True
         try:
             if answer.status != _OK:
                 with self.held.hold() as hold:
-                    await self._forward_complete(stream, answer, hold)
+                    await self._forward_complete(stream, answer, progress, hold)
                 return
-            await self._forward_events(stream, head, answer, progress)
+            await self._forward_events(stream, answer, progress)
         finally:
             answer.close()
 
     async def _open(
-        self, stream: Stream, head: BackendServer, progress: RunProgress
+        self, stream: Stream, attempt: Attempt, progress: RunProgress
     ) -> BackendAnswer:
         """Send the request and wait for the answer's head.
 
         Raises:
-            RunFailed: If no usable head came, or the run was abandoned or cancelled.
+            RunFailed: If no usable head came, or the run was cancelled.
         """
-        request = stream.request
+        request, head = stream.request, attempt.backend
         resumed = stream.order.last is not None
         send = asyncio.ensure_future(
             self.exchange.send(
-                request,
+                attempt,
                 head,
                 head_timeout_s=max(request.left_s(self.timer.now_s()), 0.001),
                 urgency=RESUMED_URGENCY if resumed else request.wire_urgency,
@@ -179,102 +170,33 @@
             )
         )
         try:
-            await self._wait_for_step(stream, head, progress, send)
-        except RunFailed:
-            request.record_arrival(head.backend_id, may_have_run=True)
-            raise
+            await self.silence.wait(stream, head, progress, send)
         finally:
             if not send.done():
                 send.cancel()
         sent = send.result()
         if sent.is_err():
             failure = sent.unwrap_err()
+            if failure.problem is SendProblem.NOT_SENT:
+                attempt.record_unsent()
             self.pressure.process_answer(head, failure.backpressure)
             raise RunFailed(failure.problem, failure.detail)
         answer = sent.unwrap()
         self.pressure.process_answer(head, answer.fields.backpressure)
         return answer
 
-    async def _wait_for_step(
+    async def _forward_complete(
         self,
         stream: Stream,
-        head: BackendServer,
+        answer: BackendAnswer,
         progress: RunProgress,
-        step: asyncio.Future[object],
-    ) -> None:
-        """Wait for the next step of a run; give up when the group is silent.
-
-        Raises:
-            RunFailed: If the run was cancelled or abandoned, or the deadline passed.
-        """
-        limit_s = silence_s(stream.profile, stream.model)
-        waiting_since_s = self.timer.now_s()
-        progress.step = step
-        while True:
-            left_s = stream.request.left_s(self.timer.now_s())
-            await asyncio.wait([step], timeout=max(min(limit_s, left_s), 0.0))
-            if step.cancelled():
-                raise RunFailed(SendProblem.HELD_BACK, "it was quarantined meanwhile")
-            if step.done():
-                return
-            now_s = self.timer.now_s()
-            if stream.request.left_s(now_s) <= 0:
-                raise RunFailed(SendProblem.SILENT, "out of time")
-            silent_s = self._silent_s(stream, progress, limit_s)
-            waited_s = now_s - waiting_since_s
-            if silent_s > 0:
-                self.stalls.report_silence(head)
-                self._abandon_if_possible(stream, head, f"silent for {silent_s:.3f}")
-            elif waited_s >= STREAM_SILENCE_FACTOR * limit_s:
-                self._abandon_if_possible(stream, head, f"waited for {waited_s:.3f}")
-
-    def _silent_s(self, stream: Stream, progress: RunProgress, limit_s: float) -> float:
-        """Return how long a group has been silent, in seconds; 0 below its limit."""
-        silent_s = self.progress.silent_for_s(progress.head_id)
-        if silent_s >= limit_s:
-            return silent_s
-        if silent_s > 0:
-            # Other streams of the group advanced within the limit.
-            return 0.0
-        waited_s = self.timer.now_s() - progress.began_s
-        in_flight = 0.0
-        if self.load.is_used_for(stream.request.service):
-            in_flight = self.load.total_in_flight(progress.head_id)
-        timeout_s = self.progress.first_event_timeout_s(
-            stream.profile, stream.model, in_flight
-        )
-        return waited_s if waited_s >= timeout_s else 0.0
-
-    def _abandon_if_possible(
-        self, stream: Stream, head: BackendServer, detail: str
-    ) -> None:
-        """Abandon a silent run if another group may take over.
-
-        The abandoned run counts towards the route's attempts, even before its first
-        event. The last attempt is therefore never abandoned: it may be slow and still
-        complete.
-
-        Raises:
-            RunFailed: If the run is abandoned.
-        """
-        request = stream.request
-        if not request.route.is_repeatable:
-            return
-        other = self.choice.choose(request.service, stream.model, stream.tried)
-        ran = request.counted_runs(self.directory.backends, head.backend_id)
-        if other is None or ran >= request.route.attempts:
-            return
-        if self.has_retry(request):
-            raise RunFailed(SendProblem.SILENT, detail)
-
-    async def _forward_complete(
-        self, stream: Stream, answer: BackendAnswer, hold: AnswerHold
+        hold: AnswerHold,
     ) -> None:
         """Forward an answer that is no stream: a failure of the backend server.
 
         Raises:
-            RunFailed: If the answer is incomplete, or the request may be retried, or
-                the stream has begun already.
+            RunFailed: If the answer is incomplete, or the request may be retried or
+                another run of it goes on, or the stream has begun already.
         """
         try:
             async with self.timer.timeout(stream.request.left_s(self.timer.now_s())):
@@ -290,33 +212,32 @@
         left_s = stream.request.left_s(self.timer.now_s())
         if not await self.exchange.confirms_end(answer, left_s):
             raise RunFailed(SendProblem.CONNECTION_LOST, UNCONFIRMED_END)
-        can_repeat = stream.request.may_run(self.directory.backends, self.timer.now_s())
+        can_repeat = stream.hedging.has_others(progress) or stream.request.may_run(
+            self.directory.backends, self.timer.now_s()
+        )
         if stream.reply.has_begun or (answer.status >= _SERVER_ERROR and can_repeat):
             raise RunFailed(SendProblem.BROKEN, f"status {answer.status}")
+        self._lead(stream, progress)
         await stream.reply.send_complete(
             answer.status, answer_headers(answer.headers), held.data
         )
 
     async def _forward_events(
-        self,
-        stream: Stream,
-        head: BackendServer,
-        answer: BackendAnswer,
-        progress: RunProgress,
+        self, stream: Stream, answer: BackendAnswer, progress: RunProgress
     ) -> None:
         splitter = EventSplitter()
         last_s: float | None = None
         while True:
-            piece = await self._next_piece(stream, head, answer, progress)
+            piece = await self._next_piece(stream, answer, progress)
             if not piece:
                 break
             if stream.request.left_s(self.timer.now_s()) <= 0:
                 # Bytes that are always there would let it go on for ever.
                 raise RunFailed(SendProblem.SILENT, "out of time")
             self.progress.record_event(progress, stream.model)
-            last_s = self._record_pause(stream, head, last_s)
+            last_s = self._record_pause(stream, answer.backend, last_s)
             for part in in_parts(piece):
-                await self._forward_piece(stream, answer, splitter, part)
+                await self._forward_piece(stream, answer, progress, splitter, part)
                 if len(part) == PART_BYTES:
                     await asyncio.sleep(0)
         if answer.ends_with_connection:
@@ -324,6 +245,7 @@
             await check_ending(self.exchange, stream, answer, splitter, left_s)
         if splitter.has_partial_event:
             raise RunFailed(SendProblem.BROKEN, "ended within an event")
+        self._lead(stream, progress)
         if not stream.reply.has_begun:
             await stream.reply.begin(answer.status, answer_headers(answer.headers))
         await stream.reply.end()
@@ -346,17 +268,44 @@
                 self.stalls.check(head, SLOW_CHECK_INTERVAL_S)
         return now_s
 
+    def _lead(self, stream: Stream, progress: RunProgress) -> None:
+        """Let a run lead before it writes to the caller.
+
+        Raises:
+            RunFailed: If another run has taken over.
+        """
+        if progress.is_superseded:
+            raise RunFailed(SendProblem.SILENT, "another run has taken over")
+        stream.hedging.lead(progress)
+
+    def _lead_with(
+        self, stream: Stream, progress: RunProgress, events: list[Event]
+    ) -> None:
+        """Let a run lead if one of its events is new to the caller.
+
+        Raises:
+            StreamError: If an event before it is missing; the run does not lead then.
+            RunFailed: If another run has taken over.
+        """
+        new = next(filter(stream.order.is_new, events), None)
+        if new is not None:
+            stream.order.check_next(new)
+            self._lead(stream, progress)
+
     async def _forward_piece(
         self,
         stream: Stream,
         answer: BackendAnswer,
+        progress: RunProgress,
         splitter: EventSplitter,
         piece: bytes,
     ) -> None:
         fresh: list[bytes] = []
         problem: StreamError | None = None
         try:
-            for event in splitter.feed(piece):
+            events = splitter.feed(piece)
+            self._lead_with(stream, progress, events)
+            for event in events:
                 if stream.order.accept(event):
                     fresh.append(event.raw)
         except StreamError as error:
@@ -365,6 +314,7 @@
         if fresh:
             await self._write(stream, answer, b"".join(fresh))
             stream.events += len(fresh)
+            progress.events += len(fresh)
         if problem is not None:
             raise RunFailed(SendProblem.BROKEN, str(problem)) from problem
 
@@ -380,15 +330,11 @@
             raise RunFailed(SendProblem.BROKEN, str(error)) from error
 
     async def _next_piece(
-        self,
-        stream: Stream,
-        head: BackendServer,
-        answer: BackendAnswer,
-        progress: RunProgress,
+        self, stream: Stream, answer: BackendAnswer, progress: RunProgress
     ) -> bytes:
         read = asyncio.ensure_future(answer.read_piece())
         try:
-            await self._wait_for_step(stream, head, progress, read)
+            await self.silence.wait(stream, answer.backend, progress, read)
             return read.result()
         except (aiohttp.ClientError, OSError) as error:
             raise RunFailed(connection_problem(error), repr(error)) from error
--- a/packages/serving/src/fordhatch/serving/exchange/__init__.py
+++ b/packages/serving/src/fordhatch/serving/exchange/__init__.py
@@ -11,7 +11,6 @@
     SendFailure,
     SendProblem,
     connection_problem,
-    is_sent,
 )
 from ._held_answers import AnswerHold, HeldAnswers, HeldBody
 from ._process_witness import ProcessWitness
@@ -32,5 +31,4 @@
     "SendProblem",
     "connection_problem",
     "ends_with_connection",
-    "is_sent",
 ]
--- a/packages/serving/src/fordhatch/serving/exchange/_exchange.py
+++ b/packages/serving/src/fordhatch/serving/exchange/_exchange.py
@@ -86,11 +86,6 @@
     """Whether no connection could be opened."""
 
 
-def is_sent(failure: SendFailure | None) -> bool:
-    """Return whether an attempt has been sent, as far as is known."""
-    return failure is None or failure.problem is not SendProblem.NOT_SENT
-
-
 def connection_problem(error: Exception) -> SendProblem:
     """Return whether a connection broke or delivered a malformed answer."""
     is_lost = isinstance(
--- a/packages/serving/src/fordhatch/serving/groups/_group_progress.py
+++ b/packages/serving/src/fordhatch/serving/groups/_group_progress.py
@@ -53,6 +53,18 @@
     """The operation that the run waits for."""
     has_answer: bool = False
     """Whether the head of the answer has been received."""
+    events: int = 0
+    """Number of events that it forwarded."""
+    is_silent: bool = False
+    """Whether it has been silent for longer than its group's pace explains."""
+    is_superseded: bool = False
+    """Whether another run of its stream has taken over."""
+
+    def supersede(self) -> None:
+        """End it, as another run of its stream has taken over."""
+        self.is_superseded = True
+        if self.step is not None:
+            self.step.cancel()
 
 
 @attrs.define
--- a/packages/serving/tests/test_retry_budget.py
+++ b/packages/serving/tests/test_retry_budget.py
@@ -13,7 +13,7 @@
 from fordhatch.adapter import decode_settings
 from fordhatch.core import Timer
 from fordhatch.serving import RetryBudget, RetryLoan
-from fordhatch.serving._request import ServedRequest
+from fordhatch.serving._request import Attempt, ServedRequest
 from fordhatch.serving.retries._slack_pool import POOL_TABLE
 from fordhatch_lab import run_in_virtual_time
 from fordhatch_standins import MemoryStoreClient, StoreModel
@@ -39,9 +39,8 @@
     fields: Fields = attrs.field(factory=Fields)
     retry: object = None
     due_s: float = math.inf
-    is_being_sent: bool = False
-    end_attempt = ServedRequest.end_attempt
-    may_still_send = ServedRequest.may_still_send
+    attempts: list[Attempt] = attrs.field(factory=list)
+    attempt = ServedRequest.attempt
 
     def left_s(self, now_s: float) -> float:
         return self.due_s - now_s
@@ -171,7 +170,8 @@
         request = Request()
         before = one.state(SERVICE).left
         assert await one.acquire(request)
-        request.end_attempt(is_sent=False)
+        with request.attempt(None, lambda *_: None):
+            pass
         return before, one.state(SERVICE).left
 
     before, after = run_in_virtual_time(scenario())
@@ -187,11 +187,14 @@
         await nodes.run(SETTLED_S)
         request, late = Request(), Request()
         assert await one.acquire(request)
-        at_once = request.may_still_send()
+        with request.attempt(None, lambda *_: None) as attempt:
+            at_once = attempt.recheck(None) is None
+            attempt.record_unsent()
         assert await one.acquire(late)
         await spend(one)
         await asyncio.sleep(5.0)
-        return at_once, late.may_still_send()
+        with late.attempt(None, lambda *_: None) as attempt:
+            return at_once, attempt.recheck(None) is None
 
     assert run_in_virtual_time(scenario()) == (True, False)
 
