Plain calls: one that takes long is sent to another server as well, not instead

Callers got 502 for a call that may be repeated though its first backend server would have answered.

After 0.6 of the route's objective the first attempt was ended, before the second one had been accepted anywhere.

Change: the second attempt begins beside the first (call_hedged); the first complete answer that is no failure of its server ends the others, a 5xx ends none.

--- a/bench/guards.py
+++ b/bench/guards.py
@@ -18,6 +18,7 @@
 from crash_guards import CRASH_GUARDS
 from entry_guards import ENTRY_GUARDS
 from guards_types import Guard
+from hedge_guards import HEDGE_GUARDS
 from own_guards import OWN_GUARDS
 from platform_guards import PLATFORM_GUARDS
 from pressure_guards import PRESSURE_GUARDS
@@ -78,6 +79,7 @@
             *STORE_GUARDS,
             *ZONE_GUARDS,
             *SCARCITY_GUARDS,
+            *HEDGE_GUARDS,
             *RETRY_GUARDS,
         ]
         if wanted in f"{g.promise} {g.module}"
--- /dev/null
+++ b/bench/hedge_guards.py
@@ -0,0 +1,46 @@
+"""Guards on attempts beside a run that is silent."""
+
+from __future__ import annotations
+
+from guards_types import Guard
+
+STREAMS = "packages/serving/tests/test_hedged_streams.py"
+CALLS = "packages/serving/tests/test_hedged_calls.py"
+
+HEDGE_GUARDS = [
+    Guard(
+        "LOST: silence ends no run of a stream",
+        "serving/_silence_watch.py",
+        "        stream.hedging.hedge(self.begin_attempt(stream))\n",
+        "        raise RunFailed(SendProblem.SILENT, detail)\n",
+        f"{STREAMS} -k if_no_other_run_can",
+    ),
+    Guard(
+        "LOST: a failure of another backend server ends no run of a call",
+        "serving/_plain_run.py",
+        "    if answer.status >= _SERVER_ERROR:\n",
+        "    if False:\n",
+        f"{CALLS} -k late_answer",
+    ),
+    Guard(
+        "ORDER: a run leads only with the event that is next",
+        "serving/_stream_run.py",
+        "            stream.order.check_next(new)\n",
+        "",
+        f"{STREAMS} -k skips_an_event",
+    ),
+    Guard(
+        "BUDGET: an attempt beside the first one uses a retry",
+        "serving/_request.py",
+        "        return self.arrivals == 0 and not self.attempts\n",
+        "        return self.arrivals == 0\n",
+        f"{STREAMS} -k uses_a_retry",
+    ),
+    Guard(
+        "BUDGET: an attempt that is cancelled may have run",
+        "serving/_request.py",
+        "        if self.is_being_sent and not self.has_arrived:\n",
+        "        if False:\n",
+        f"{STREAMS} -k counts_as_run",
+    ),
+]
--- a/bench/platform_guards.py
+++ b/bench/platform_guards.py
@@ -48,8 +48,8 @@
     Guard(
         "ORDER: no event is missing",
         "serving/_events.py",
-        "            if event.number > self.last + 1:\n",
-        "            if False:\n",
+        "        if event.number > self.last + 1:\n",
+        "        if False:\n",
         f"{SERVING}/test_stream_calls.py -k skips_an_event",
     ),
     Guard(
--- a/packages/daemon/tests/test_own_interface_at_a_stop.py
+++ b/packages/daemon/tests/test_own_interface_at_a_stop.py
@@ -28,10 +28,10 @@
     free = asyncio.Event()
     choose = PlainCalls._next_backend
 
-    async def wait_for_permit(self, request, tried):
+    async def wait_for_permit(self, call):
         if self is node.path.dispatch.plain:
             await free.wait()
-        return await choose(self, request, tried)
+        return await choose(self, call)
 
     monkeypatch.setattr(PlainCalls, "_next_backend", wait_for_permit)
     asked = asyncio.create_task(site.post_bill("k1"))
--- a/packages/serving/src/fordhatch/serving/__init__.py
+++ b/packages/serving/src/fordhatch/serving/__init__.py
@@ -4,6 +4,7 @@
 
 from ._accepted_request import AcceptedRequest, EarlyRefusal, generate_request_id
 from ._admission import Admission
+from ._backend_choice import BackendChoice
 from ._caller_server import CallerServer
 from ._caller_writes import linger, send_continue
 from ._dispatch import Dispatch
@@ -51,6 +52,7 @@
     "Admission",
     "AnswerEndCheck",
     "BackendAnswer",
+    "BackendChoice",
     "BackendExchange",
     "BackendHealth",
     "BackendLoad",
--- a/packages/serving/src/fordhatch/serving/_answer_passing.py
+++ b/packages/serving/src/fordhatch/serving/_answer_passing.py
@@ -26,13 +26,6 @@
 length takes seconds, one without end would go on until the caller's deadline."""
 
 
-@attrs.frozen
-class PassedAnswer:
-    """An answer that the caller has received already, completely."""
-
-    status: int
-
-
 @attrs.define(eq=False, repr=False)
 class AnswerPassing:
     """Passes an answer on while it is read; an incomplete one is aborted."""
@@ -46,7 +39,7 @@
         reply: Reply,
         answer: BackendAnswer,
         held: HeldBody,
-    ) -> Result[PassedAnswer, SendFailure]:
+    ) -> Result[None, SendFailure]:
         """Pass on what is held of an answer and then the rest of it.
 
         Args:
@@ -67,7 +60,7 @@
             await reply.abort()
             return Err(failure)
         await reply.end()
-        return Ok(PassedAnswer(answer.status))
+        return Ok(None)
 
     async def _forward(
         self,
--- a/packages/serving/src/fordhatch/serving/_plain_call.py
+++ b/packages/serving/src/fordhatch/serving/_plain_call.py
@@ -2,45 +2,22 @@
 
 from __future__ import annotations
 
-import random
-from collections.abc import Collection
-
-import aiohttp
 import attrs
-from multidict import CIMultiDict
-from result import Err, Ok, Result
 
-from fordhatch.adapter import answer_headers
 from fordhatch.catalog import BackendServer
-from fordhatch.core import (
-    Failure,
-    Ran,
-    ResultCode,
-    Timer,
-    log_event,
-    record_bound,
-)
-from fordhatch.registry import BackendDirectory, RunStage
+from fordhatch.core import Failure, Ran, ResultCode, Timer, log_event
+from fordhatch.registry import BackendDirectory
 
 from ._admission import Admission
-from ._answer_passing import AnswerPassing, PassedAnswer
+from ._backend_choice import BackendChoice
 from ._evacuated_zones import EVACUATED_RETRY_AFTER_S, evacuated_plain_failure
+from ._plain_run import PlainCall, PlainRuns
 from ._request import Attempt, Reply, ServedRequest
 from .crashes import CrashWatch
-from .exchange import (
-    UNCONFIRMED_END,
-    AnswerHold,
-    BackendAnswer,
-    BackendExchange,
-    HeldAnswers,
-    HeldBody,
-    SendFailure,
-    SendProblem,
-    connection_problem,
-)
-from .groups import MAX_WAIT_FRACTION, TIE_BREAK_FRACTION, BackendHealth
-from .limits import Block, Permits
-from .load import SharedLoad
+from .exchange import HeldAnswers, SendFailure, SendProblem
+from .groups import MAX_WAIT_FRACTION, BackendHealth
+from .hedging import AttemptEnd, HedgedRun
+from .limits import Permits
 from .retries import RetryBudget
 
 MAX_SENDS = 4
@@ -52,132 +29,135 @@
 
 RETRY_OBJECTIVE_FRACTION = 0.6
 """Fraction of the route's latency objective after which a repeatable request without
-an answer is retried at another backend server: the second answer may still be on
+an answer is sent to another backend server as well: the second answer may still be on
 time."""
 
-OTHER_ZONE_COST = 0.5
-"""Cost of a backend server in another availability zone, in requests in flight."""
-
-FILL_COST = 0.5
-"""Cost of a backend server whose slots are all in use on average, in requests in
-flight. At a higher cost the nodes of a zone move to another zone and back together,
-because all of them follow the same totals."""
-
-MAX_FILL = 2.0
-"""Maximum of that average, as a fraction of the slots."""
-
-FILL_SPREAD = 0.5
-"""Random part of the cost where that average counts, in requests in flight. It makes
-the fraction of the requests that go to another zone follow the load gradually."""
-
-MIN_TYPICAL_S = 0.05
-"""Lower bound of the typical time to answer: faster backend servers, and those whose
-typical time is not known yet, count as equally fast."""
-
-PLAIN_STAGE = RunStage.BEGUN
-"""Stage recorded for a plain call whose backend server has crashed. Plain calls take
-50 ms, so that a harmless one is hardly ever present at two crashes; and a service has
-three to five backend servers, so that a third crash could take the last of them."""
-
-_CALLER_ERROR, _SERVER_ERROR = 400, 500
-
+USUAL_TIMES = 3.0
+"""Multiple of a backend server's typical time to answer before which none is."""
 
-@attrs.frozen
-class CompleteAnswer:
-    """A complete answer of a backend server."""
-
-    status: int
-    headers: list[tuple[str, str]]
-    body: bytes
-
-
-@attrs.frozen
-class _Call:
-    """A request while it is served."""
-
-    request: ServedRequest
-    reply: Reply
-    hold: AnswerHold
+MIN_PATIENCE_S = 0.05
+"""Shortest time between two attempts at hedging a call."""
 
 
 @attrs.define(eq=False, repr=False)
 class PlainCalls:
     """Serves requests of plain services."""
 
-    zone: str
     timer: Timer
-    rng: random.Random
     directory: BackendDirectory
     health: BackendHealth
     budget: RetryBudget
-    exchange: BackendExchange
     admission: Admission
     crashes: CrashWatch
     permits: Permits
-    load: SharedLoad
+    choice: BackendChoice
     held: HeldAnswers
-    passing: AnswerPassing
+    runs: PlainRuns
+
+    @classmethod
+    def create(cls, **parts: object) -> PlainCalls:
+        """Create an instance, which makes further attempts for its runs."""
+        calls = cls(**parts)  # type: ignore[arg-type]
+        calls.runs.further = calls
+        return calls
 
     async def serve(self, request: ServedRequest, reply: Reply) -> None:
         """Serve one request; the reply is final when this returns."""
         with self.held.hold() as hold:
-            await self._serve(_Call(request, reply, hold))
+            await self._serve(PlainCall(request, reply, hold))
 
-    async def _serve(self, call: _Call) -> None:
-        request, reply = call.request, call.reply
-        tried: list[str] = []
-        last_answer: CompleteAnswer | None = None
-        problem = SendFailure(SendProblem.NOT_SENT, "no backend server")
-        for _ in range(MAX_SENDS):
-            backend = await self._next_backend(request, tried)
-            if backend is None or not await self._may_send(request):
-                break
-            tried.append(backend.backend_id)
-            with request.attempt(
-                backend, self.admission.recheck_for_backend
-            ) as attempt:
-                got = await self._send(call, attempt, tried)
-            if reply.has_begun:
-                # The answer was too long to be held, and was passed on.
-                request.was_answered = request.has_output = got.is_ok()
-                return
-            if got.is_err():
-                problem = got.unwrap_err()
-                if await self.crashes.may_retry(request, backend):
-                    continue
-                break
-            request.was_answered = True
-            last_answer = got.unwrap()
-            request.has_output = last_answer.status < _CALLER_ERROR
-            if last_answer.status < _SERVER_ERROR:
-                break
-        if last_answer is not None:
-            request.timeline.record_output(self.timer.now_s())
-            await reply.send_complete(
-                last_answer.status, last_answer.headers, last_answer.body
-            )
+    async def _serve(self, call: PlainCall) -> None:
+        """Ask one backend server after another until the call has its answer."""
+        try:
+            while True:
+                first = await self._attempt(call)
+                if first is None:
+                    break
+                ended = await call.hedging.outcome(first)
+                if ended.is_ok():
+                    break
+        finally:
+            call.hedging.end()
+        if not call.reply.has_begun:
+            # Otherwise its answer was too long to be held, and was passed on.
+            await self._answer(call)
+
+    async def _attempt(self, call: PlainCall) -> AttemptEnd:
+        """Ask the next backend server; None if there is none for the request."""
+        request = call.request
+        if len(call.tried) >= MAX_SENDS or call.may_not_retry or call.reply.has_begun:
+            return None
+        backend = await self._next_backend(call)
+        if backend is None or not await self._may_send(request):
+            return None
+        call.tried.append(backend.backend_id)
+        with request.attempt(backend, self.admission.recheck_for_backend) as attempt:
+            done = await self.runs.run(call, attempt)
+        if done.is_ok():
+            return done
+        call.last_problem = done.unwrap_err()
+        is_answer = call.last_problem.problem is SendProblem.ERROR_STATUS
+        if not is_answer and not await self.crashes.may_retry(request, backend):
+            call.may_not_retry = True
+        return done
+
+    async def _answer(self, call: PlainCall) -> None:
+        if call.answer is None:
+            await call.reply.refuse(self._failure(call.request, call.last_problem))
+            return
+        call.request.timeline.record_output(self.timer.now_s())
+        answer = call.answer
+        await call.reply.send_complete(answer.status, answer.headers, answer.body)
+
+    # Attempts beside one that takes long.
+
+    def patience_s(self, call: PlainCall, attempt: Attempt) -> float:
+        """Return after how many seconds without an answer another one is asked."""
+        request = call.request
+        left_s = max(request.left_s(self.timer.now_s()), MIN_PATIENCE_S)
+        if not request.route.is_repeatable:
+            return left_s
+        usual_s = self.health.typical_s(attempt.backend.backend_id)
+        objective_s = RETRY_OBJECTIVE_FRACTION * request.route.goal_s
+        return min(left_s, max(objective_s, USUAL_TIMES * usual_s))
+
+    def hedge(self, call: PlainCall, run: HedgedRun) -> None:
+        """Begin another attempt, if one is allowed and a backend server is left."""
+        request = call.request
+        if not request.route.is_repeatable or call.reply.has_begun:
+            return
+        if not request.may_run(self.directory.backends, self.timer.now_s()):
+            return
+        if not call.hedging.wants_hedge(run):
             return
-        await reply.refuse(self._failure(request, problem))
+        if self.has_other(call) and self.budget.has_left(request):
+            log_event("call_hedged", request=request.fields.request_id)
+            call.hedging.hedge(self._attempt(call))
 
-    async def _next_backend(
-        self, request: ServedRequest, tried: Collection[str]
-    ) -> BackendServer | None:
+    def has_other(self, call: PlainCall) -> bool:
+        """Return whether another backend server may be asked."""
+        return self.choice.choose(call.request.service, call.tried) is not None
+
+    # Choice of the next backend server.
+
+    async def _next_backend(self, call: PlainCall) -> BackendServer | None:
         """Return the next backend server, once a permit for it is granted.
 
         Waits while the untried ones are all blocked, if one is free again early enough.
         """
+        request, service = call.request, call.request.service
         began_s = self.timer.now_s()
         until_s = began_s + MAX_WAIT_FRACTION * request.left_s(began_s)
         is_logged = False
         while True:
-            backend = self._choose(request.service, tried)
+            backend = self.choice.choose(service, call.tried)
             if backend is not None:
                 left_s = request.left_s(self.timer.now_s())
                 if await self.permits.acquire(backend, left_s):
                     return backend
                 if request.left_s(self.timer.now_s()) > 0:
                     continue
-            hold = self._first_block(request.service, tried)
+            hold = self.choice.first_block(service, call.tried)
             if hold is None:
                 return None
             now_s = self.timer.now_s()
@@ -189,13 +169,6 @@
                 return None
             await self.timer.sleep(hold.free_s)
 
-    def _first_block(self, service: str, tried: Collection[str]) -> Block | None:
-        return self.permits.pressure.first_block(self._untried(service, tried))
-
-    def _untried(self, service: str, tried: Collection[str]) -> list[BackendServer]:
-        backends = self.directory.plain(service)
-        return [b for b in backends if b.backend_id not in tried]
-
     async def _may_send(self, request: ServedRequest) -> bool:
         if not request.may_run(self.directory.backends, self.timer.now_s()):
             return False
@@ -203,147 +176,6 @@
             return False
         return request.is_first_arrival or await self.budget.acquire(request)
 
-    def _choose(self, service: str, tried: Collection[str]) -> BackendServer | None:
-        blocked = self.permits.pressure.blocked_backends()
-        untried = self._untried(service, tried)
-        backends = [b for b in untried if b.backend_id not in blocked]
-        healthy = [b for b in backends if not self.health.is_avoided(b.backend_id)]
-        return min(healthy or backends, key=self._cost, default=None)
-
-    def _cost(self, backend: BackendServer) -> float:
-        cost = 1.0 + self.health.in_flight[backend.backend_id]
-        if backend.zone != self.zone:
-            cost += OTHER_ZONE_COST
-        spread = TIE_BREAK_FRACTION
-        if self.load.is_used_for(backend.service):
-            fill = self.load.mean_in_flight(backend.backend_id) / max(backend.slots, 1)
-            cost += FILL_COST * min(fill, MAX_FILL)
-            spread = FILL_SPREAD
-        usual_s = max(self.health.typical_s(backend.backend_id), MIN_TYPICAL_S)
-        return cost * usual_s + self.rng.random() * spread * MIN_TYPICAL_S
-
-    def _answer_timeout_s(
-        self, request: ServedRequest, backend: BackendServer, tried: Collection[str]
-    ) -> float:
-        left_s = request.left_s(self.timer.now_s())
-        is_last = len(request.ran_at) + 1 >= request.route.attempts
-        if not request.route.is_repeatable or is_last:
-            return left_s
-        if self._choose(request.service, tried) is None:
-            return left_s
-        usual_s = 3.0 * self.health.typical_s(backend.backend_id)
-        patience_s = max(RETRY_OBJECTIVE_FRACTION * request.route.goal_s, usual_s)
-        return min(left_s, patience_s)
-
-    async def _send(
-        self, call: _Call, attempt: Attempt, tried: Collection[str]
-    ) -> Result[CompleteAnswer | PassedAnswer, SendFailure]:
-        request, backend = call.request, attempt.backend
-        began_s = self.timer.now_s()
-        timeout_s = self._answer_timeout_s(request, backend, tried)
-        in_flight = self.health.in_flight[backend.backend_id]
-        request.timeline.record_send(began_s, in_flight)
-        self.health.in_flight[backend.backend_id] += 1
-        try:
-            with self.load.counted(request.service, backend.backend_id, 0):
-                got = await self._exchange(call, attempt, timeout_s, tried)
-        finally:
-            self.health.in_flight[backend.backend_id] -= 1
-        took_s = self.timer.now_s() - began_s
-        if got.is_ok() and got.unwrap().status < _SERVER_ERROR:
-            self.health.record_success(backend.backend_id, took_s)
-            return got
-        self.health.record_failure(backend.backend_id)
-        _log_failed(request, backend, got, took_s)
-        return got
-
-    async def _exchange(
-        self,
-        call: _Call,
-        attempt: Attempt,
-        timeout_s: float,
-        tried: Collection[str],
-    ) -> Result[CompleteAnswer | PassedAnswer, SendFailure]:
-        request, backend = call.request, attempt.backend
-        ends_s = self.timer.now_s() + timeout_s
-        sent = await self.exchange.send(attempt, backend, head_timeout_s=timeout_s)
-        if sent.is_err():
-            if sent.unwrap_err().problem is SendProblem.NOT_SENT:
-                attempt.record_unsent()
-            self.permits.pressure.process_answer(
-                backend, sent.unwrap_err().backpressure
-            )
-            if sent.unwrap_err().problem is SendProblem.CONNECTION_LOST:
-                self.crashes.connection_broken(request, backend, PLAIN_STAGE)
-            return Err(sent.unwrap_err())
-        answer = sent.unwrap()
-        self.permits.pressure.process_answer(backend, answer.fields.backpressure)
-        try:
-            held = await self._read(call, backend, answer, ends_s)
-            if held.is_err():
-                return held
-            if held.unwrap().is_whole:
-                return Ok(_complete_answer(answer, held.unwrap().data))
-            return await self._pass_on(call, answer, held.unwrap(), tried)
-        finally:
-            answer.close()
-
-    async def _read(
-        self,
-        call: _Call,
-        backend: BackendServer,
-        answer: BackendAnswer,
-        ends_s: float,
-    ) -> Result[HeldBody, SendFailure]:
-        """Read the body of an answer; ``ends_s`` is when it has to be complete."""
-        request = call.request
-        try:
-            async with self.timer.timeout(max(ends_s - self.timer.now_s(), 0.0)):
-                held = await call.hold.read(answer)
-        except TimeoutError:
-            return Err(SendFailure(SendProblem.SILENT, "body not complete in time"))
-        except (aiohttp.ClientError, OSError) as error:
-            problem = connection_problem(error)
-            if problem is SendProblem.CONNECTION_LOST:
-                self.crashes.connection_broken(request, backend, PLAIN_STAGE)
-            return Err(SendFailure(problem, repr(error)))
-        if not held.is_whole:
-            return Ok(held)
-        left_s = ends_s - self.timer.now_s()
-        if not await self.exchange.confirms_end(answer, left_s):
-            self.crashes.connection_broken(request, backend, PLAIN_STAGE)
-            return Err(SendFailure(SendProblem.CONNECTION_LOST, UNCONFIRMED_END))
-        return Ok(held)
-
-    async def _pass_on(
-        self,
-        call: _Call,
-        answer: BackendAnswer,
-        held: HeldBody,
-        tried: Collection[str],
-    ) -> Result[PassedAnswer, SendFailure]:
-        """Pass on an answer that is too long to be held, unless it can be none.
-
-        One without a declared length may have no end: as long as another backend
-        server may be asked, that one is. Failures of that length are no answers.
-        """
-        request = call.request
-        is_failure = answer.status >= _SERVER_ERROR
-        may_retry = (
-            "Content-Length" not in CIMultiDict(answer.headers)
-            and request.may_run(self.directory.backends, self.timer.now_s())
-            and self._choose(request.service, tried) is not None
-        )
-        if is_failure or may_retry:
-            record_bound("answer", request=request.fields.request_id)
-            detail = f"status {answer.status}, {held.excess}"
-            return Err(SendFailure(SendProblem.BROKEN, detail))
-        passed = await self.passing.pass_on(request, call.reply, answer, held)
-        failure = passed.err()
-        if failure is not None and failure.problem is SendProblem.CONNECTION_LOST:
-            self.crashes.connection_broken(request, answer.backend, PLAIN_STAGE)
-        return passed
-
     def _failure(self, request: ServedRequest, problem: SendFailure) -> Failure:
         if not request.ran_at:
             stopped = self.admission.recheck(request)
@@ -365,29 +197,8 @@
 
     def _retry_after_s(self, request: ServedRequest) -> float:
         """Return when to retry a request that every backend server refused."""
-        hold = self._first_block(request.service, ())
+        hold = self.choice.first_block(request.service, ())
         if hold is None:
             return CAPACITY_RETRY_AFTER_S
         left_s = max(request.left_s(self.timer.now_s()), 0.0)
         return max(min(hold.free_s, MAX_WAIT_FRACTION * left_s), CAPACITY_RETRY_AFTER_S)
-
-
-def _complete_answer(answer: BackendAnswer, body: bytes) -> CompleteAnswer:
-    return CompleteAnswer(answer.status, answer_headers(answer.headers), body)
-
-
-def _log_failed(
-    request: ServedRequest,
-    backend: BackendServer,
-    got: Result[CompleteAnswer | PassedAnswer, SendFailure],
-    took_s: float,
-) -> None:
-    failure = got.err()
-    log_event(
-        "send_failed",
-        request=request.fields.request_id,
-        backend=backend.backend_id,
-        problem=failure.problem.value if failure else "error_status",
-        detail=failure.detail if failure else got.unwrap().status,
-        took_s=round(took_s, 3),
-    )
--- a/packages/serving/src/fordhatch/serving/_request_path.py
+++ b/packages/serving/src/fordhatch/serving/_request_path.py
@@ -11,9 +11,11 @@
 from ._admission import Admission
 from ._admission_control import AdmissionControl
 from ._answer_passing import AnswerPassing
+from ._backend_choice import BackendChoice
 from ._dispatch import Dispatch
 from ._node_state import NodeState
 from ._plain_call import PlainCalls
+from ._plain_run import PlainRuns
 from ._silence_watch import SilenceWatch
 from ._stream_call import StreamCalls
 from ._stream_run import StreamRuns
@@ -143,21 +145,30 @@
             demand=demand,
             control=control,
         )
-        plain = PlainCalls(
-            zone,
+        plain_runs = PlainRuns(
             timer,
-            timer.rng,
             view.directory,
             health,
-            budget,
             routed,
-            admission,
             crashes,
-            permits,
+            pressure,
             load,
-            held,
             AnswerPassing(timer, routed),
         )
+        plain = PlainCalls.create(
+            timer=timer,
+            directory=view.directory,
+            health=health,
+            budget=budget,
+            admission=admission,
+            crashes=crashes,
+            permits=permits,
+            choice=BackendChoice(
+                zone, view.directory, health, pressure, load, timer.rng
+            ),
+            held=held,
+            runs=plain_runs,
+        )
         dispatch = Dispatch(state, budget, streams, plain, timer, crashes)
         return cls(
             state,
--- a/packages/serving/src/fordhatch/serving/_silence_watch.py
+++ b/packages/serving/src/fordhatch/serving/_silence_watch.py
@@ -11,12 +11,12 @@
 from fordhatch.core import Timer, log_event
 from fordhatch.registry import BackendDirectory
 
-from ._hedging import AttemptEnd
 from ._request import ServedRequest
 from ._stream import Stream
 from ._stream_ending import RunFailed
 from .exchange import SendProblem
 from .groups import GroupProgress, HeadChoice, RunProgress, StallWatch, silence_s
+from .hedging import AttemptEnd
 from .load import SharedLoad
 
 STREAM_SILENCE_FACTOR = 4.0
--- a/packages/serving/src/fordhatch/serving/_stream.py
+++ b/packages/serving/src/fordhatch/serving/_stream.py
@@ -7,9 +7,9 @@
 from fordhatch.catalog import EngineProfile
 
 from ._events import EventOrder
-from ._hedging import Hedging
 from ._request import Reply, ServedRequest
 from .exchange import SendFailure
+from .hedging import Hedging
 from .load import MemoryNeed
 
 
--- a/packages/serving/src/fordhatch/serving/_stream_call.py
+++ b/packages/serving/src/fordhatch/serving/_stream_call.py
@@ -18,7 +18,6 @@
 from ._admission_control import AdmissionControl
 from ._evacuated_zones import evacuated_stream_failure
 from ._events import EventOrder
-from ._hedging import AttemptEnd
 from ._request import Reply, ServedRequest
 from ._stop_plan import OTHER_NODE_RETRY_AFTER_S
 from ._stream import Stream
@@ -26,6 +25,7 @@
 from .crashes import CrashWatch
 from .exchange import SendFailure
 from .groups import MAX_WAIT_FRACTION, GroupWait, HeadChoice, group_wait
+from .hedging import AttemptEnd
 from .limits import Permits
 from .load import DemandMeter
 from .retries import RetryBudget
--- a/packages/serving/src/fordhatch/serving/exchange/_exchange.py
+++ b/packages/serving/src/fordhatch/serving/exchange/_exchange.py
@@ -46,6 +46,9 @@
     """Another backend server uses the address; the request has not run."""
     BROKEN = "broken"
     """The answer was malformed or not the expected one: the request may have run."""
+    ERROR_STATUS = "error_status"
+    """The complete answer reports a failure of the backend server: the request has
+    run."""
     CONNECTION_LOST = "connection_lost"
     """The connection broke before the answer was complete: the request may have run."""
     HELD_BACK = "held_back"
@@ -61,6 +64,7 @@
             SendProblem.REFUSED,
             SendProblem.OTHER_BACKEND,
             SendProblem.BROKEN,
+            SendProblem.ERROR_STATUS,
         )
 
     @property
@@ -68,6 +72,7 @@
         """Whether the request may have been executed."""
         return self in (
             SendProblem.BROKEN,
+            SendProblem.ERROR_STATUS,
             SendProblem.CONNECTION_LOST,
             SendProblem.HELD_BACK,
             SendProblem.SILENT,
--- a/packages/serving/src/fordhatch/serving/groups/_group_progress.py
+++ b/packages/serving/src/fordhatch/serving/groups/_group_progress.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
-
 import attrs
 
 from fordhatch.catalog import EngineProfile
 from fordhatch.core import Timer
 
+from ..hedging import HedgedRun
+
 MIN_SILENCE_S = 0.35
 """Shortest silence that indicates a fault, in seconds; a single lost packet delays an
 event by a fifth of a second or more."""
@@ -42,29 +42,17 @@
 
 
 @attrs.define(eq=False, repr=False)
-class RunProgress:
+class RunProgress(HedgedRun):
     """One run of a stream at a head."""
 
     head_id: str
     began_s: float
     is_flowing: bool = False
     """Whether the first event has been received."""
-    step: asyncio.Future[object] | None = None
-    """The operation that the run waits for."""
     has_answer: bool = False
     """Whether the head of the answer has been received."""
     events: int = 0
     """Number of events that it forwarded."""
-    is_silent: bool = False
-    """Whether it has been silent for longer than its group's pace explains."""
-    is_superseded: bool = False
-    """Whether another run of its stream has taken over."""
-
-    def supersede(self) -> None:
-        """End it, as another run of its stream has taken over."""
-        self.is_superseded = True
-        if self.step is not None:
-            self.step.cancel()
 
 
 @attrs.define
--- a/packages/serving/tests/test_hedged_streams.py
+++ b/packages/serving/tests/test_hedged_streams.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import aiohttp
 import pytest
 from test_stream_calls import (
     ALL,
@@ -92,6 +93,38 @@
     await site.until(lambda: first.left)
 
 
+# Guards against an attempt beside the first one that counts as the first one's.
+async def test_an_attempt_beside_the_first_one_uses_a_retry(site) -> None:
+    first = await site.add_backend(begins_late, group="small.1", zone="z1")
+    second = await site.add_backend(never_begins, group="small.2", zone="z2")
+    budget = site.callers.dispatch.budget
+    before = budget.state("llm").left
+    assert (await site.ask("/stream/1")).body == ALL
+    assert (len(first.seen), len(second.seen)) == (1, 1)
+    assert before - budget.state("llm").left == 1
+
+
+# Guards against more runs than the route allows.
+async def test_an_attempt_that_was_dropped_counts_as_run(site) -> None:
+    async def breaks_after_a_pause(request, writer) -> None:
+        writer.write(head(request) + chunk(events(1, 2)))
+        await writer.drain()
+        await asyncio.sleep(PAUSE_S)
+        writer.write(chunk(events(3, 3)))
+        await writer.drain()
+        await asyncio.sleep(0.1)
+        writer.transport.abort()
+
+    await site.add_backend(breaks_after_a_pause, group="small.1", zone="z1")
+    others = [
+        await site.add_backend(never_begins, group=f"small.{n}", zone="z2")
+        for n in (2, 3)
+    ]
+    with pytest.raises(aiohttp.ClientPayloadError):
+        await site.ask("/stream/1")
+    assert sum(len(other.seen) for other in others) == 1
+
+
 # Guards against events of two runs that are mixed, or come twice.
 async def test_a_run_that_speaks_again_first_goes_on_alone(site) -> None:
     async def is_slower(request, writer) -> None:
--- a/packages/serving/tests/test_load_of_all_nodes.py
+++ b/packages/serving/tests/test_load_of_all_nodes.py
@@ -175,7 +175,7 @@
 
 async def test_requests_are_counted_while_they_are_at_a_backend_server(site) -> None:
     """Only of services with urgency classes, and with the caller's length hint."""
-    load = site.callers.dispatch.plain.load
+    load = site.callers.dispatch.plain.runs.load
     seen: list[tuple[float, float]] = []
 
     def counts(name: str, answer: Callable) -> Callable:
--- a/standins/src/fordhatch_lab/_load_trial.py
+++ b/standins/src/fordhatch_lab/_load_trial.py
@@ -17,13 +17,11 @@
 )
 from fordhatch.registry import BackendDirectory
 from fordhatch.serving import (
+    BackendChoice,
     BackendHealth,
     BackpressureTracker,
-    Permits,
-    PlainCalls,
 )
 from fordhatch.serving.groups._head_choice import HeadChoice
-from fordhatch.serving.limits._permit_issuer import PermitIssuer
 from fordhatch.serving.load._load_book import LoadBook
 from fordhatch.serving.load._memory_need import MemoryNeed
 from fordhatch.serving.load._shared_load import SharedLoad, Totals
@@ -89,12 +87,12 @@
         return min(sampled, key=lambda head: self._total_cost(head, need, totals))
 
 
-class PlainChoice(PlainCalls):
+class PlainChoice(BackendChoice):
     """Chooses as calls to plain services do."""
 
     def choose(self, service: str, *_: object) -> BackendServer | None:
         """Return the backend server of a request."""
-        return self._choose(service, ())
+        return super().choose(service, ())
 
 
 WAYS = {
@@ -331,22 +329,7 @@
     if issubclass(way, HeadChoice):
         nodes = trial.nodes
         return way(zone, heads, health, NoStalls(), pressure, rng, lambda: nodes, load)
-    permits = Permits("n", clock, pressure, PermitIssuer("n", rng), dict)
-    return way(
-        zone,
-        clock,
-        rng,
-        heads,
-        health,
-        None,
-        None,
-        None,
-        None,
-        permits,
-        load,
-        None,
-        None,
-    )
+    return way(zone, heads, health, pressure, load, rng)
 
 
 def _entry(zone: str, index: int, slots: int) -> BackendServer:
