A write to the log that fails loses no line

Cause: LineWriter took all queued lines into one write; any OSError dropped what was left of it, so a log pipe that another process has made non-blocking (EAGAIN) lost the batch and split a line at each full pipe, and EIO or ENOSPC lost it as well. Anything else raised (MemoryError) ended the thread, and with it the log of the process. Change: the rest of a write is kept and tried again every 0.02 s; only a reader that has closed the pipe ends it. At most 200 lines are in one write, so that the bound of the queue holds what waits. A close does not wait out the time for which lines are collected.

--- a/packages/core/src/fordhatch/core/_line_writer.py
+++ b/packages/core/src/fordhatch/core/_line_writer.py
@@ -25,6 +25,12 @@
 BATCH_INTERVAL_S = 0.05
 """Time for which lines are collected into one write."""
 
+MAX_BATCH_LINES = 200
+"""Most lines in one write."""
+
+RETRY_INTERVAL_S = 0.02
+"""Time between attempts to write to a reader that takes nothing."""
+
 
 @attrs.define(eq=False, repr=False)
 class LineWriter:
@@ -42,7 +48,9 @@
     _lines: deque[str] = attrs.field(factory=deque)
     _wake: threading.Event = attrs.field(factory=threading.Event)
     _thread: threading.Thread | None = None
-    _is_closing: bool = False
+    _is_closing: threading.Event = attrs.field(factory=threading.Event)
+    _rest: bytes = b""
+    """What is left of the lines that are being written."""
 
     def start(self) -> None:
         """Start the writer thread."""
@@ -79,35 +87,48 @@
         Args:
             timeout_s: Longest wait for the reader, in seconds.
         """
-        self._is_closing = True
+        self._is_closing.set()
         self._wake.set()
         if self._thread is not None:
             self._thread.join(timeout_s)
 
     def _write_loop(self) -> None:
-        while not self._is_closing:
+        while not self._is_closing.is_set():
             self._wake.wait()
-            if not self._is_closing:
-                time.sleep(BATCH_INTERVAL_S)
+            self._is_closing.wait(BATCH_INTERVAL_S)
             self._wake.clear()
             self.flush()
         self.flush()
 
     def flush(self) -> None:
-        """Write the queued lines; blocks while the pipe is full."""
+        """Write the queued lines; waits while the pipe is full."""
+        while not self._write_queued():
+            time.sleep(RETRY_INTERVAL_S)
+
+    def _write_queued(self) -> bool:
+        """Write the queued lines; returns whether nothing is left of them."""
+        try:
+            while self._rest or self._lines or self.dropped:
+                if not self._rest:
+                    self._rest = self._take_batch()
+                self._rest = self._rest[os.write(self.descriptor, self._rest) :]
+        except BrokenPipeError:
+            # The reader has closed the pipe, so the error cannot be logged.
+            self.dropped += self._rest.count(b"\n")
+            self._rest = b""
+            return not self._lines
+        except (OSError, MemoryError):
+            # The reader takes nothing now, or the system has no room for it.
+            return False
+        return True
+
+    def _take_batch(self) -> bytes:
+        """Return the next lines as they are written."""
         lines = []
-        while self._lines:
+        while self._lines and len(lines) < MAX_BATCH_LINES:
             lines.append(self._lines.popleft())
-        if self.dropped:
+        if self.dropped and not self._lines:
             lines.append(f"event=lines_dropped count={self.dropped}")
             self.dropped = 0
-        text = "\n".join(lines) + "\n" if lines else ""
         # Fields may hold bytes of callers that are no text.
-        data = text.encode(errors="backslashreplace")
-        while data:
-            try:
-                data = data[os.write(self.descriptor, data) :]
-            except OSError:
-                # The reader has closed the pipe, so the error cannot be logged.
-                self.dropped += len(lines)
-                return
+        return "".join(f"{x}\n" for x in lines).encode(errors="backslashreplace")
