Lines with which requests end have room of their own, and are counted

Cause: the queue of the log takes 4,000 lines of any kind. A reader that stands still for some seconds fills it with other lines, and the lines with which requests end were dropped like all others. lines_dropped did not tell which, and what was still queued when the process ended was counted nowhere. The count was changed by two threads without a lock. The test of the line rate has the new field in the line that it expects.

--- a/packages/core/src/fordhatch/core/_metrics.py
+++ b/packages/core/src/fordhatch/core/_metrics.py
@@ -112,6 +112,12 @@
     ["role", "outcome"],
     registry=REGISTRY,
 )
+LOG_LINES = Counter(
+    "fordhatch_log_lines_total",
+    "Lines of the log by whether a request ends with them, and what became of them.",
+    ["need", "outcome"],
+    registry=REGISTRY,
+)
 NODE_READY = Gauge(
     "fordhatch_node_ready",
     "Whether this node last told the balancer that it takes callers (1) or not (0).",
--- a/packages/core/tests/test_line_writer.py
+++ b/packages/core/tests/test_line_writer.py
@@ -18,7 +18,7 @@
     # queue no line would be dropped. The thread may still remove lines meanwhile.
     for _ in range(100 * MAX_QUEUED_LINES):
         writer.write("event=x " + "y" * 100)
-        if writer.dropped:
+        if writer.counts.dropped:
             break
     else:
         raise AssertionError("no line was dropped")
@@ -35,7 +35,7 @@
     with os.fdopen(reader) as pipe:
         lines = pipe.read().splitlines()
     assert len(lines) == 1601
-    assert lines[-1] == "event=lines_dropped count=400"
+    assert lines[-1] == "event=lines_dropped count=400 required=0"
 
 
 # Guards against a process that does not end while the reader of its log stands still,
--- a/packages/core/tests/test_required_lines.py
+++ b/packages/core/tests/test_required_lines.py
@@ -11,8 +11,10 @@
 import pytest
 
 from fordhatch.core import LineWriter, _line_writer
+from fordhatch.core._line_writer import MAX_QUEUED_LINES
 
 WAIT_LIMIT_S = 20.0
+MORE_LINES = 500
 
 
 @pytest.fixture
@@ -36,6 +38,26 @@
     return found
 
 
+# Guards against a request that ends without a line because the reader of the log stood
+# still for a while and other lines had filled the queue.
+def test_other_lines_take_no_room_from_required_ones(pipe) -> None:
+    reader, descriptor = pipe
+    writer = LineWriter(descriptor, lines_per_s=1e9)
+    writer.start()
+    for number in range(2 * MAX_QUEUED_LINES):
+        writer.write(f"event=x number={number} " + "y" * 100)
+    for number in range(MORE_LINES):
+        writer.write(f"event=request_done number={number}", is_required=True)
+    writer.write("event=end", is_required=True)
+    lines = read_until(reader, b"event=end\n").decode().splitlines()
+    found = [x for x in lines if "event=request_done" in x]
+    assert len(found) == MORE_LINES
+    writer.write("event=after", is_required=True)
+    (told,) = [x for x in lines if "lines_dropped" in x]
+    assert told.endswith(" required=0"), told
+    writer.close(WAIT_LIMIT_S)
+
+
 # Guards against lines that are lost, and one that is split, because another process has
 # made the log's pipe non-blocking.
 def test_a_pipe_that_is_not_blocking_loses_no_line(pipe) -> None:
@@ -80,3 +102,21 @@
     found = read_until(reader, b"event=end\n")
     assert found == b"event=request_done\nevent=end\n"
     writer.close(WAIT_LIMIT_S)
+
+
+# Guards against lost lines that show nowhere: the line that would tell of them needs
+# the reader that takes nothing.
+def test_what_is_not_written_at_the_end_is_counted(pipe) -> None:
+    reader, descriptor = pipe
+    fcntl.fcntl(descriptor, fcntl.F_SETPIPE_SZ, 4096)
+    writer = LineWriter(descriptor, lines_per_s=1e9)
+    writer.start()
+    for _ in range(100):
+        writer.write("event=request_done " + "x" * 100, is_required=True)
+    writer.write("event=other")
+    writer.close(0.2)
+    read = read_until(reader, b"\n").count(b"\n")
+    counts = writer.counts
+    assert 0 < read < 100
+    assert counts.written_required == read
+    assert (counts.dropped_required, counts.dropped) == (100 - read, 101 - read)
