The line with which a request ends is written at once

Cause: lines wait up to 0.05 s in the process, longer where its thread gets no processor time. A kill lost the lines of requests that had ended. Change: a required line is written by the caller, with all that waits before it, if the pipe takes them without blocking and the thread is not writing. Result: test_a_required_line_is_in_the_pipe_when_its_request_has_ended failed before (nothing in the pipe), passes.

--- a/packages/core/src/fordhatch/core/_line_writer.py
+++ b/packages/core/src/fordhatch/core/_line_writer.py
@@ -63,6 +63,9 @@
 class LineWriter:
     """Passes lines to a thread that writes them to a file descriptor.
 
+    Required lines are written at once, with those that wait, if the pipe takes them: a
+    process that is killed then loses none of them.
+
     A pipe is opened once more, without blocking: a thread that is blocked in a write
     can't tell how much of it was taken.
 
@@ -80,6 +83,7 @@
     _wake: threading.Event = attrs.field(factory=threading.Event)
     _thread: threading.Thread | None = None
     _is_closing: threading.Event = attrs.field(factory=threading.Event)
+    _writing: threading.Lock = attrs.field(factory=threading.Lock)
     _counting: threading.RLock = attrs.field(factory=threading.RLock)
     _opened: int | None = None
     """The pipe once more, as a descriptor that does not block."""
@@ -111,7 +115,21 @@
             self._count(False, is_required)
             return
         self._lines.append((line, is_required))
-        self._wake.set()
+        if not (is_required and self._write_now()):
+            self._wake.set()
+
+    def _write_now(self) -> bool:
+        """Write the queued lines if the pipe takes them at once.
+
+        Returns:
+            Whether nothing is left of them.
+        """
+        if self._opened is None or not self._writing.acquire(blocking=False):
+            return False
+        try:
+            return self._write_queued()
+        finally:
+            self._writing.release()
 
     def _count(self, is_written: bool, is_required: bool) -> None:
         with self._counting:
@@ -161,7 +179,10 @@
 
     def flush(self) -> None:
         """Write the queued lines; waits while the pipe is full."""
-        while not self._write_queued():
+        while True:
+            with self._writing:
+                if self._write_queued():
+                    return
             time.sleep(RETRY_INTERVAL_S)
 
     def _write_queued(self) -> bool:
--- a/packages/core/tests/test_required_lines.py
+++ b/packages/core/tests/test_required_lines.py
@@ -5,6 +5,9 @@
 import errno
 import fcntl
 import os
+import signal
+import subprocess
+import sys
 import time
 from collections.abc import Iterator
 
@@ -58,6 +61,30 @@
     writer.close(WAIT_LIMIT_S)
 
 
+KILLED_AFTER_A_LINE = """
+import os, signal
+from fordhatch.core import LineWriter
+writer = LineWriter(1)
+writer.start()
+writer.write("event=before")
+writer.write("event=request_done", is_required=True)
+os.kill(os.getpid(), signal.SIGKILL)
+"""
+
+
+# Guards against the line of a request that has ended and is lost, as its process is
+# killed while lines are collected.
+def test_a_required_line_is_in_the_pipe_when_its_request_has_ended() -> None:
+    killed = subprocess.run(
+        [sys.executable, "-c", KILLED_AFTER_A_LINE],
+        capture_output=True,
+        check=False,
+        timeout=60,
+    )
+    assert killed.returncode == -signal.SIGKILL
+    assert killed.stdout == b"event=before\nevent=request_done\n"
+
+
 # Guards against lines that are lost, and one that is split, because another process has
 # made the log's pipe non-blocking.
 def test_a_pipe_that_is_not_blocking_loses_no_line(pipe) -> None:
