A field that can't be printed costs only that field

Cause: an exception while a line is formatted ends in the logging library, which swallows it; the line was lost. Change: such a value is written as unprintable:TYPE. Result: test_a_field_that_cannot_be_printed_costs_only_that_field failed before (ValueError), passes. No value of the present lines is known to raise.

--- a/packages/core/src/fordhatch/core/_log.py
+++ b/packages/core/src/fordhatch/core/_log.py
@@ -75,7 +75,11 @@
 
 
 def _format_value(value: object) -> str:
-    text = str(value)
+    try:
+        text = str(value)
+    except Exception:
+        # Otherwise the whole line would be lost.
+        text = f"unprintable:{type(value).__name__}"
     if text and not any(c in ' "=\n\\' for c in text):
         return text
     return json.dumps(text)
--- a/packages/core/tests/test_required_lines.py
+++ b/packages/core/tests/test_required_lines.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from fordhatch.core import LineWriter, _line_writer
+from fordhatch.core import LineWriter, _line_writer, format_line
 from fordhatch.core._line_writer import MAX_QUEUED_LINES
 
 WAIT_LIMIT_S = 20.0
@@ -147,3 +147,18 @@
     assert 0 < read < 100
     assert counts.written_required == read
     assert (counts.dropped_required, counts.dropped) == (100 - read, 101 - read)
+
+
+class Unprintable:
+    """A value whose text can't be made."""
+
+    def __str__(self) -> str:
+        raise ValueError("no text")
+
+
+# Guards against a line without its request's id, or none, because one of its fields
+# can't be printed: the logging library swallows what a destination raises.
+def test_a_field_that_cannot_be_printed_costs_only_that_field() -> None:
+    message = {"message_type": "request_done", "request": "r1", "error": Unprintable()}
+    line = format_line("n1", message)
+    assert "event=request_done request=r1 error=unprintable:Unprintable" in line
