A node's process ends within its grace period, with its lines

Cause: nothing held the end of a process to the time of its signal but the event loop itself. An exception of the node (an address in use) went through the shutdown of the event loop, which waits for all tasks, before it was shown: with a task that swallows its cancellation the process stayed, without a line. The limit on closing was a cancellation, which TaskSet.close swallows as well, so that the components after it were closed without any. An event loop that stands still or is late was killed, with the lines of the requests it had. The reader of the log had 0.5 s, whatever the plan left. Change: ProcessEnd ends a process, once: from the event loop, or from a thread at half of the time after the last answers (0.15 s before the kill at least), which logs the requests that have not ended and exits. Closing is waited for and not cancelled. The reader has what is left of the grace period. node_stopped has the requests accepted and ended, and the lines written and dropped; lines with which requests end that were lost at the end are counted on standard error.

--- a/packages/daemon/src/fordhatch/daemon/_daemon.py
+++ b/packages/daemon/src/fordhatch/daemon/_daemon.py
@@ -10,7 +10,7 @@
 from fordhatch.chat import ChatServer, ClaimService
 from fordhatch.config import DECLARED_ROW, Address, Settings
 from fordhatch.core import TaskSet, Timer, log_event
-from fordhatch.node import Clients, Node, StopSignal, close_with_timeout
+from fordhatch.node import Clients, Node, ProcessEnd, StopSignal
 from fordhatch.operators import OperatorsApp
 from fordhatch.serving import HttpServer
 
@@ -78,8 +78,12 @@
         if self.node.lease.is_held():
             await self.claims.clean()
 
-    async def run(self) -> None:
-        """Serve until a stop signal arrives, then drain and close."""
+    async def run(self, end: ProcessEnd) -> None:
+        """Serve until a stop signal arrives, then drain and close.
+
+        Args:
+            end: The end of the process.
+        """
         stop = StopSignal.listen(self.node.timer)
         await self.start()
         operators = await _listen(self.operators.app, self.settings.operators)
@@ -94,9 +98,10 @@
             since_s=since_s,
             lateness_s=stop.lateness_s(),
             has_unread=callers.has_unread,
+            on_plan=lambda plan: end.limit(self.node.state, plan),
         )
         operators.close()
-        await close_with_timeout(self.node, callers.close, self.close, stop.close)
+        await end.close(self.node.state, callers.close, self.close, stop.close)
 
     async def close(self) -> None:
         """Stop the background tasks, the claim service and the node."""
--- a/packages/daemon/src/fordhatch/daemon/main.py
+++ b/packages/daemon/src/fordhatch/daemon/main.py
@@ -8,7 +8,7 @@
 from cyclopts import App
 
 from fordhatch.config import SETTINGS_SCHEMA, Settings, schema_text
-from fordhatch.node import run_logged, run_on_platform
+from fordhatch.node import ProcessEnd, run_logged, run_on_platform
 
 from ._daemon import Daemon
 
@@ -39,8 +39,8 @@
         sys.exit(EXIT_BAD_SETTINGS)
     valid_settings = parsed.unwrap()
 
-    async def serve() -> None:
-        await Daemon.from_settings(valid_settings).run()
+    async def serve(end: ProcessEnd) -> None:
+        await Daemon.from_settings(valid_settings).run(end)
 
     run_logged(valid_settings.node_name, serve)
 
--- a/packages/node/src/fordhatch/node/__init__.py
+++ b/packages/node/src/fordhatch/node/__init__.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from ._clients import Clients
-from ._daemon import close_with_timeout, run_logged, run_on_platform
+from ._daemon import run_logged, run_on_platform
 from ._node import Node
 from ._platform_edge import PlatformEdge, render
+from ._process_end import ProcessEnd
 from ._settings_watch import SettingsWatch
 from ._stop_signal import StopSignal
 
@@ -13,9 +14,9 @@
     "Clients",
     "Node",
     "PlatformEdge",
+    "ProcessEnd",
     "SettingsWatch",
     "StopSignal",
-    "close_with_timeout",
     "render",
     "run_logged",
     "run_on_platform",
--- a/packages/node/src/fordhatch/node/_daemon.py
+++ b/packages/node/src/fordhatch/node/_daemon.py
@@ -9,16 +9,18 @@
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from typing import NoReturn
 
 import uvloop
 
 from fordhatch.adapter import SETTINGS_VARIABLE, DecodeError, decode_settings
 from fordhatch.catalog import NodeSettings
-from fordhatch.core import LineWriter, Timer, configure_line_log, log_event
+from fordhatch.core import Timer, configure_line_log
 
 from ._clients import Clients
 from ._node import Node
 from ._platform_edge import PlatformEdge
+from ._process_end import ProcessEnd
 from ._settings_watch import SettingsWatch
 from ._stop_signal import StopSignal
 
@@ -29,12 +31,6 @@
 """How long a leaving node still accepts connections: the load balancer probes once a
 second and removes a node after two failed probes."""
 
-CLOSE_LIMIT_S = 0.4
-"""Longest time in which the components of a node may close."""
-
-LOG_LIMIT_S = 0.5
-"""Longest wait for whoever reads the log when the process ends."""
-
 STANDARD_OUTPUT = 1
 """File descriptor to which the log is written."""
 
@@ -58,53 +54,32 @@
             print(f"fordhatchd: code=502 {path}: {mistake}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
     run_logged(
-        settings.node_name, lambda: _run(settings, path, content, callers_socket)
+        settings.node_name,
+        lambda end: _run(settings, path, content, callers_socket, end),
     )
 
 
-def run_logged(node_name: str, run: Callable[[], Awaitable[None]]) -> None:
+def run_logged(
+    node_name: str, run: Callable[[ProcessEnd], Awaitable[None]]
+) -> NoReturn:
     """Run a node until it stops, with its log on standard output; ends the process.
 
     Args:
         node_name: Written into every log line.
-        run: The coroutine function that runs the node.
+        run: The coroutine function that runs the node; gets the end of its process.
     """
-    writer = LineWriter(STANDARD_OUTPUT)
-    writer.start()
-    configure_line_log(node_name, writer)
-
-    async def run_and_exit() -> None:
-        await run()
-        writer.close(LOG_LIMIT_S)
-        # Nothing is left to do. An interpreter with little processor time takes longer
-        # to clear its memory than is left of the grace period.
-        os._exit(0)
-
-    try:
-        uvloop.run(run_and_exit())
-    finally:
-        writer.close(LOG_LIMIT_S)
+    end = ProcessEnd.from_descriptor(STANDARD_OUTPUT)
+    configure_line_log(node_name, end.writer)
 
+    async def run_and_exit() -> NoReturn:
+        try:
+            await run(end)
+        except Exception as error:
+            # The event loop would wait for all tasks before it ends.
+            end.fail(error)
+        end.exit()
 
-async def close_with_timeout(
-    node: Node, *closing: Callable[[], Awaitable[None]]
-) -> None:
-    """Close the components of a node in order, within its grace period.
-
-    Args:
-        node: The node, which has left.
-        closing: The functions that close the components.
-    """
-    limit_s = min(CLOSE_LIMIT_S, node.state.stop.close_limit_s(node.timer.now_s()))
-    try:
-        async with asyncio.timeout(limit_s):
-            for close in closing:
-                await close()
-    except TimeoutError:
-        # Every request is answered by now, so the process need not wait any longer.
-        log_event("close_cut_short", limit_s=round(limit_s, 3))
-    node.state.requests.log_unended()
-    log_event("node_stopped")
+    uvloop.run(run_and_exit())
 
 
 async def _run(
@@ -112,6 +87,7 @@
     path: Path,
     content: str,
     callers_socket: socket.socket | None,
+    end: ProcessEnd,
 ) -> None:
     timer = Timer.from_seed(settings.node_name)
     stop = StopSignal.listen(timer)
@@ -131,6 +107,7 @@
         since_s=since_s,
         lateness_s=stop.lateness_s(),
         has_unread=edge.has_unread,
+        on_plan=lambda plan: end.limit(node.state, plan),
     )
     watching.cancel()
-    await close_with_timeout(node, edge.close, node.close, stop.close)
+    await end.close(node.state, edge.close, node.close, stop.close)
--- a/packages/node/src/fordhatch/node/_node.py
+++ b/packages/node/src/fordhatch/node/_node.py
@@ -43,7 +43,7 @@
     StoreView,
     relay_wait_s,
 )
-from fordhatch.serving import CollectorChoice, NodeState, RequestPath
+from fordhatch.serving import CollectorChoice, NodeState, RequestPath, StopPlan
 
 from ._clients import Clients
 from ._crash_gossip import CrashGossip
@@ -301,6 +301,7 @@
         since_s: float | None = None,
         lateness_s: float = 0.0,
         has_unread: Callable[[], bool] = lambda: False,
+        on_plan: Callable[[StopPlan], None] = lambda _: None,
     ) -> None:
         """Take no new callers, end all requests, and release the planner lease.
 
@@ -311,8 +312,10 @@
                 monotonic seconds; None for now.
             lateness_s: How late the event loop has been lately, in seconds.
             has_unread: Returns whether callers have not taken all of their answers.
+            on_plan: Called with the plan of the stop.
         """
         self.state.leave(since_s, lateness_s)
+        on_plan(self.state.stop)
         log_event(
             "node_leaving",
             in_flight=self.state.in_flight,
--- a/packages/serving/src/fordhatch/serving/__init__.py
+++ b/packages/serving/src/fordhatch/serving/__init__.py
@@ -16,6 +16,7 @@
 from ._request_path import RequestPath
 from ._requests_in_progress import RequestsInProgress
 from ._route_table import RouteTable
+from ._stop_plan import StopPlan
 from ._stream_call import StreamCalls
 from .crashes import CrashWatch
 from .exchange import (
@@ -91,6 +92,7 @@
     "ServerLimit",
     "SharedLoad",
     "StallWatch",
+    "StopPlan",
     "StreamCalls",
     "connection_problem",
     "ends_with_connection",
--- a/packages/serving/src/fordhatch/serving/_requests_in_progress.py
+++ b/packages/serving/src/fordhatch/serving/_requests_in_progress.py
@@ -33,6 +33,8 @@
     timer: Timer
     version: Callable[[], int]
     """Returns the version of the configuration in effect."""
+    accepted_count: int = 0
+    """Number of callers' requests since the start."""
     is_stopping: bool = False
     """Whether the process ends without waiting for more requests."""
     times: AnswerTimes = attrs.field(factory=AnswerTimes)
@@ -66,6 +68,7 @@
         node: the caller gets a failure, and never less than it that looks complete.
         """
         self._accepted.add(accepted)
+        self.accepted_count += 1
         accepted.task = asyncio.current_task()
         accepted.is_ended_by_stop = self.is_stopping
         metrics.IN_FLIGHT.inc()
@@ -83,18 +86,20 @@
             ended_by, error = _who_interrupted(accepted), repr(raised)
             await _answer_interrupted(accepted, ended_by)
         finally:
-            if accepted in self._accepted:
-                self._record_end(accepted, ended_by, error)
+            self._record_end(accepted, ended_by, error, self.timer.now_s())
 
     def _record_end(
-        self, accepted: AcceptedRequest, ended_by: EndedBy, error: str
+        self, accepted: AcceptedRequest, ended_by: EndedBy, error: str, now_s: float
     ) -> None:
-        self._accepted.discard(accepted)
+        try:
+            self._accepted.remove(accepted)
+        except KeyError:
+            # The end of the process has logged it.
+            return
         metrics.IN_FLIGHT.dec()
         if not accepted.reply.is_over:
             accepted.reply.outcome = _OUTCOME_WITHOUT_ANSWER[ended_by]
         metrics.ANSWERS.labels(accepted.reply.outcome).inc()
-        now_s = self.timer.now_s()
         self._record_time(accepted, now_s)
         log_end(accepted, ended_by, error, now_s, self.version())
 
@@ -136,10 +141,21 @@
         for task in self._relaying | self._kept:
             task.cancel()
 
-    def log_unended(self) -> None:
-        """Log the requests that have not ended when the process exits."""
+    def log_unended(self, now_s: float) -> None:
+        """Log the requests that have not ended when the process exits.
+
+        Args:
+            now_s: The current time, in monotonic seconds: a thread without an event
+                loop may call this.
+        """
         for accepted in list(self._accepted):
-            self._record_end(accepted, EndedBy.STOP, "the process had no time left")
+            error = "the process had no time left"
+            self._record_end(accepted, EndedBy.STOP, error, now_s)
+
+    @property
+    def ended_count(self) -> int:
+        """Number of callers' requests that have ended since the start."""
+        return self.accepted_count - len(self._accepted)
 
     @contextlib.contextmanager
     def relaying(self) -> Iterator[None]:
--- a/packages/serving/src/fordhatch/serving/_stop_plan.py
+++ b/packages/serving/src/fordhatch/serving/_stop_plan.py
@@ -25,6 +25,10 @@
 EXIT_S = 0.15
 """Part of ``GRACE_RESERVE_S`` in which the log is written and the process exits."""
 
+EXIT_FRACTION = 0.5
+"""Part of the time after the last answers in which the process exits, where that is
+more than ``EXIT_S``."""
+
 MIN_FRACTION = 5.0 / 6.0
 """Least part of the grace period in which requests may end: only those that a backend
 server still works on then may be cut."""
@@ -67,13 +71,22 @@
             since_s + grace_s,
         )
 
+    @property
+    def exit_by_s(self) -> float:
+        """When the process exits even if its event loop doesn't get to it.
+
+        A process with little processor time gets to it late as well.
+        """
+        reserve_s = self.grace_until_s - self.answers_until_s
+        return self.grace_until_s - max(EXIT_S, EXIT_FRACTION * reserve_s)
+
     def close_limit_s(self, now_s: float) -> float:
         """Return how long closing may take, in seconds.
 
         Args:
             now_s: The current time, in monotonic seconds.
         """
-        return max(self.grace_until_s - EXIT_S - now_s, 0.0)
+        return max(self.exit_by_s - now_s, 0.0)
 
 
 def shutting_down() -> Failure:
