A stop answers what waits on new and kept connections

Cause: after a pause of the process the event loop runs its timers before it reads its sockets. The drain closed the listener while connections waited to be accepted, which the kernel then resets, with the requests that had come on them; with nothing in progress it went on, in the same turn, to close kept connections without reading what had come on them meanwhile. Change: the listener closes in a turn in which no connection waits. From then on the drain closes idle connections on which the kernel holds nothing, and ends only when none is left on which a request may have come (0.5 s for the first one on a connection); what has come is read and answered with Connection: close.

--- a/packages/daemon/src/fordhatch/daemon/_daemon.py
+++ b/packages/daemon/src/fordhatch/daemon/_daemon.py
@@ -93,11 +93,10 @@
         log_event("listening", callers=str(self.settings.callers))
         since_s = await stop.wait()
         await self.node.leave(
-            callers.stop_listening,
+            callers,
             listen_for_s=self.settings.timing.drain_grace_s,
             since_s=since_s,
             lateness_s=stop.lateness_s(),
-            has_unread=callers.has_unread,
             on_plan=lambda plan: end.limit(self.node.state, plan),
         )
         operators.close()
--- a/packages/daemon/tests/test_own_interface_at_a_stop.py
+++ b/packages/daemon/tests/test_own_interface_at_a_stop.py
@@ -37,9 +37,7 @@
     asked = asyncio.create_task(site.post_bill("k1"))
     await site.until(lambda: len(site.claims()) == 1)
     await asyncio.sleep(0.1)
-    leaving = asyncio.create_task(
-        node.leave(site.nodes[0].server.stop_listening, listen_for_s=1.0)
-    )
+    leaving = asyncio.create_task(node.leave(site.nodes[0].server, listen_for_s=1.0))
     answer = await asked
     assert answer.error["ran"] == "no"
     if has_times:
@@ -75,7 +73,7 @@
     with contextlib.suppress(asyncio.CancelledError):
         await asked
     await asyncio.sleep(0.1)
-    await node.leave(site.nodes[0].server.stop_listening, listen_for_s=0.5)
+    await node.leave(site.nodes[0].server, listen_for_s=0.5)
     states = [c.state for c in site.claims()]
     await site.session.close()
     assert states == [ClaimState.DONE]
--- a/packages/node/src/fordhatch/node/_daemon.py
+++ b/packages/node/src/fordhatch/node/_daemon.py
@@ -102,11 +102,10 @@
     watching = asyncio.ensure_future(settings_watch.run())
     since_s = await stop.wait()
     await node.leave(
-        edge.stop_listening,
+        edge.callers_server,
         listen_for_s=LISTEN_AFTER_TERM_S,
         since_s=since_s,
         lateness_s=stop.lateness_s(),
-        has_unread=edge.has_unread,
         on_plan=lambda plan: end.limit(node.state, plan),
     )
     watching.cancel()
--- a/packages/node/src/fordhatch/node/_drain.py
+++ b/packages/node/src/fordhatch/node/_drain.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from typing import Protocol
 
 import attrs
 
@@ -19,30 +19,40 @@
 """Time between checks whether they have."""
 
 
+class Listener(Protocol):
+    """The listener for callers, with their connections."""
+
+    async def stop_listening(self) -> None:
+        """Accept no more connections; open ones are kept."""
+
+    def close_idle(self) -> int:
+        """Close connections without a request; returns how many may have one."""
+
+    def has_unread(self) -> bool:
+        """Return whether callers have not taken all of their answers."""
+
+
 @attrs.define(eq=False, repr=False)
 class Drain:
     """Lets the requests of a leaving node end, and ends those that are left."""
 
     state: NodeState
     timer: Timer
-    has_unread: Callable[[], bool]
-    """Returns whether callers have not taken all of their answers."""
+    listener: Listener
 
-    async def run(
-        self, stop_listening: Callable[[], None], listens_until_s: float
-    ) -> None:
+    async def run(self, listens_until_s: float) -> None:
         """End all requests within the time that the plan of the stop leaves.
 
         Args:
-            stop_listening: Closes the callers' listener; open connections stay open.
             listens_until_s: How long connections are accepted, in monotonic seconds.
         """
         answers_until_s = self.state.stop.answers_until_s
         while self.timer.now_s() < min(listens_until_s, answers_until_s):
             await self._wait(answers_until_s)
-        stop_listening()
+        await self.listener.stop_listening()
         while self.timer.now_s() < answers_until_s:
-            if not (self.state.requests or self.has_unread()):
+            left = self.listener.close_idle()
+            if not (left or self.state.requests or self.listener.has_unread()):
                 break
             await self._wait(answers_until_s)
         log_event("node_left", in_flight=self.state.in_flight)
--- a/packages/node/src/fordhatch/node/_node.py
+++ b/packages/node/src/fordhatch/node/_node.py
@@ -48,7 +48,7 @@
 from ._clients import Clients
 from ._crash_gossip import CrashGossip
 from ._demand_survey import DemandSurvey, demand_reply
-from ._drain import Drain
+from ._drain import Drain, Listener
 from ._load_gossip import LoadGossip
 from ._message_router import MessageRouter
 from ._node_relays import NodeRelays
@@ -295,23 +295,21 @@
 
     async def leave(
         self,
-        stop_listening: Callable[[], None],
+        listener: Listener,
         *,
         listen_for_s: float,
         since_s: float | None = None,
         lateness_s: float = 0.0,
-        has_unread: Callable[[], bool] = lambda: False,
         on_plan: Callable[[StopPlan], None] = lambda _: None,
     ) -> None:
         """Take no new callers, end all requests, and release the planner lease.
 
         Args:
-            stop_listening: Closes the callers' listener; open connections stay open.
+            listener: The callers' listener.
             listen_for_s: How long connections are still accepted, in seconds.
             since_s: The earliest time at which the signal to stop may have come, in
                 monotonic seconds; None for now.
             lateness_s: How late the event loop has been lately, in seconds.
-            has_unread: Returns whether callers have not taken all of their answers.
             on_plan: Called with the plan of the stop.
         """
         self.state.leave(since_s, lateness_s)
@@ -326,8 +324,7 @@
         self._tasks.spawn(self.registration.withdraw(), "withdraw")
         # The balancer learns of it from now on, however late that is.
         listens_until_s = self.timer.now_s() + listen_for_s
-        drain = Drain(self.state, self.timer, has_unread)
-        await drain.run(stop_listening, listens_until_s)
+        await Drain(self.state, self.timer, listener).run(listens_until_s)
 
     async def close(self) -> None:
         """Close every component."""
--- a/packages/node/src/fordhatch/node/_platform_edge.py
+++ b/packages/node/src/fordhatch/node/_platform_edge.py
@@ -58,13 +58,10 @@
         server = await HttpServer.listen(address, handler, port, head_timeout_s)
         self._servers.append(server)
 
-    def stop_listening(self) -> None:
-        """Stop accepting new connections from callers."""
-        self._servers[-1].stop_listening()
-
-    def has_unread(self) -> bool:
-        """Return whether callers have not taken all of their answers yet."""
-        return self._servers[-1].has_unread()
+    @property
+    def callers_server(self) -> HttpServer:
+        """The listener for callers, once it listens."""
+        return self._servers[-1]
 
     async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
         if request.raw_path != READY_PATH:
--- a/packages/serving/src/fordhatch/serving/_caller_connection.py
+++ b/packages/serving/src/fordhatch/serving/_caller_connection.py
@@ -10,6 +10,8 @@
 
 from fordhatch.core import record_bound
 
+from ._caller_writes import unread_bytes
+
 HEAD_TIMEOUT_S = 10.0
 """Longest time from the first byte of a head to its last, where the configuration names
 none."""
@@ -20,6 +22,10 @@
 is above any usual limit."""
 
 
+FIRST_REQUEST_S = 0.5
+"""Time in which a caller sends the first bytes after it has connected."""
+
+
 class CallerConnection(web.RequestHandler):
     """Reads requests on one connection; closes it at a head without end.
 
@@ -28,16 +34,19 @@
     """
 
     # The base class has slots.
-    __slots__ = ("_head_handle", "_head_timeout_s")
+    __slots__ = ("_began_s", "_has_partial_head", "_head_handle", "_head_timeout_s")
 
     def __init__(self, *args: Any, head_timeout_s: float, **options: Any) -> None:
         super().__init__(*args, **options)
         self._head_timeout_s = head_timeout_s
         self._head_handle: asyncio.TimerHandle | None = None
+        self._began_s = 0.0
+        self._has_partial_head = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Bound the time until the first head."""
         super().connection_made(transport)
+        self._began_s = self._loop.time()
         self._limit(KEEP_ALIVE_S)
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -50,9 +59,24 @@
         seen = self._request_count
         super().data_received(data)
         if not self._awaits_head() or self._request_count > seen:
+            self._has_partial_head = False
             self._unlimit()
-        elif data and self._head_timeout_s > 0:
-            self._limit(self._head_timeout_s)
+        elif data:
+            self._has_partial_head = True
+            if self._head_timeout_s > 0:
+                self._limit(self._head_timeout_s)
+
+    def is_idle(self) -> bool:
+        """Return whether nothing of a request has come, and none is expected now.
+
+        A caller connects to send a request, but has some time for it.
+        """
+        if not self._awaits_head() or self._has_partial_head:
+            return False
+        age_s = self._loop.time() - self._began_s
+        if not self._request_count and age_s < FIRST_REQUEST_S:
+            return False
+        return unread_bytes(self.transport) == 0
 
     def _awaits_head(self) -> bool:
         """Return whether no request is in progress, nor its body still read."""
--- a/packages/serving/src/fordhatch/serving/_caller_writes.py
+++ b/packages/serving/src/fordhatch/serving/_caller_writes.py
@@ -175,10 +175,19 @@
 
 def unacknowledged_bytes(transport: asyncio.Transport) -> int:
     """Return the bytes that this node's kernel still keeps to send; 0 if unknown."""
+    return _kernel_bytes(transport, termios.TIOCOUTQ)
+
+
+def unread_bytes(transport: asyncio.Transport) -> int:
+    """Return the bytes that the kernel has received and not passed on; 0 if unknown."""
+    return _kernel_bytes(transport, termios.FIONREAD)
+
+
+def _kernel_bytes(transport: asyncio.Transport, request: int) -> int:
     connection = transport.get_extra_info("socket")
     found = bytearray(struct.calcsize("i"))
     try:
-        fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, found)
+        fcntl.ioctl(connection.fileno(), request, found)
     except (OSError, ValueError):
         # Closed meanwhile, or the system does not tell.
         return 0
--- a/packages/serving/src/fordhatch/serving/_http_server.py
+++ b/packages/serving/src/fordhatch/serving/_http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 from collections.abc import Awaitable, Callable
 
@@ -22,6 +23,9 @@
 LOOP_TURNS = 3
 """Turns of the event loop after which a request that has been read is in progress."""
 
+ACCEPT_TURNS = 20
+"""Most turns of the event loop in which waiting connections are accepted."""
+
 CLOSE_TIMEOUT_S = 0.1
 """Longest time in which requests may end while a server closes."""
 
@@ -101,10 +105,38 @@
             for c in self._server.connections
         )
 
-    def stop_listening(self) -> None:
-        """Stop accepting connections; open ones are kept."""
+    async def stop_listening(self) -> None:
+        """Stop accepting connections; open ones are kept.
+
+        Those that wait are accepted before: the kernel resets them with the listener,
+        and a process with little processor time gets to them late.
+        """
+        for _ in range(ACCEPT_TURNS):
+            if not self._has_waiting():
+                break
+            await asyncio.sleep(0)
         self._listener.close()
 
+    def _has_waiting(self) -> bool:
+        """Return whether connections wait to be accepted."""
+        waiting, _, _ = select.select(self._listener.sockets, (), (), 0)
+        return bool(waiting)
+
+    def close_idle(self) -> int:
+        """Close the connections on which nothing has come and nothing is owed.
+
+        Returns:
+            Number of connections on which a request has come or may come at once;
+            without those on which one is in progress.
+        """
+        left = 0
+        for connection in self._idle():
+            if not connection.is_idle():
+                left += 1
+            elif not unacknowledged_bytes(connection.transport):
+                connection.force_close()
+        return left
+
     async def close(self) -> None:
         """Close the listener and every connection.
 
