The thread that ends a process is not held up by its event loop

Cause: each write of a line lets the thread of the event loop go on, for 5 ms if it is busy. With 500 requests in progress the last lines took longer than the 0.3 s that the plan leaves for them. Change: the interval is 0.1 ms once the thread ends the process. No test: its bound would be one of time on a busy machine.

--- a/packages/node/src/fordhatch/node/_process_end.py
+++ b/packages/node/src/fordhatch/node/_process_end.py
@@ -26,6 +26,9 @@
 """Least time for the last lines, also if the plan leaves none: the process may still be
 there to write them."""
 
+SWITCH_INTERVAL_S = 0.0001
+"""How long another thread may run before the one that ends the process goes on."""
+
 EXIT_FAILED = 1
 """Exit status if the node's main coroutine has raised an exception."""
 
@@ -69,6 +72,8 @@
         watching.start()
 
     def _end_late(self) -> None:
+        # Each write of a line lets the other thread go on.
+        sys.setswitchinterval(SWITCH_INTERVAL_S)
         self.exit(is_forced=True)
 
     async def close(
