A closed terminal stops a daemon like any other signal to stop

Cause: with our own interface nothing handles SIGHUP, so its default ended the process at once: requests in progress got no answer and no line. Change: it is a signal to stop there (on the platform it reads the settings).

--- a/packages/daemon/src/fordhatch/daemon/_daemon.py
+++ b/packages/daemon/src/fordhatch/daemon/_daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 
 import attrs
 from sanic import Sanic
@@ -10,7 +11,7 @@
 from fordhatch.chat import ChatServer, ClaimService
 from fordhatch.config import DECLARED_ROW, Address, Settings
 from fordhatch.core import TaskSet, Timer, log_event
-from fordhatch.node import Clients, Node, ProcessEnd, StopSignal
+from fordhatch.node import STOP_SIGNALS, Clients, Node, ProcessEnd, StopSignal
 from fordhatch.operators import OperatorsApp
 from fordhatch.serving import HttpServer
 
@@ -84,7 +85,9 @@
         Args:
             end: The end of the process.
         """
-        stop = StopSignal.listen(self.node.timer)
+        # Nothing is reloaded, and a closed terminal would end the process at once.
+        numbers = (*STOP_SIGNALS, signal.SIGHUP)
+        stop = StopSignal.listen(self.node.timer, numbers)
         await self.start()
         operators = await _listen(self.operators.app, self.settings.operators)
         callers = await HttpServer.listen(
--- a/packages/daemon/tests/test_answers_at_a_stop_of_the_daemon.py
+++ b/packages/daemon/tests/test_answers_at_a_stop_of_the_daemon.py
@@ -6,6 +6,7 @@
 import signal
 from types import SimpleNamespace
 
+import pytest
 from fleet import API_KEY, Fleet, declared_state
 from raw_caller import Answer, Caller
 from stopping_node import parse_line, says_stop
@@ -44,8 +45,19 @@
 }
 
 
-# Guards against completions that end with the process: no answer, no line.
-async def test_completions_that_the_stop_ends_are_answered_and_logged() -> None:
+# Guards against completions that end with the process: no answer, no line; also if its
+# terminal is closed, or a signal comes more than once or beside another.
+@pytest.mark.parametrize(
+    "signals",
+    [
+        [signal.SIGTERM],
+        [signal.SIGTERM, signal.SIGTERM, signal.SIGINT],
+        [signal.SIGHUP, signal.SIGTERM],
+        [signal.SIGHUP],
+    ],
+    ids=lambda found: "+".join(x.name for x in found),
+)
+async def test_completions_that_the_stop_ends_are_answered_and_logged(signals) -> None:
     async with Fleet.create() as fleet:
         await fleet.start_standins(engines=4, spare=0)
         node = await fleet.start_node(fleet.settings(0, **TIMING))
@@ -58,7 +70,8 @@
             await caller.send(CASES[name][0])
             if CASES[name][1] == "cut":
                 await caller.begun(b"content")
-        node.send(signal.SIGTERM)
+        for number in signals:
+            node.send(number)
         found = {n: outcome(await caller.answer()) for n, caller in callers.items()}
         await node.process.wait()
         log = (fleet.directory / f"{node.name}.log").read_text().splitlines()
--- a/packages/node/src/fordhatch/node/__init__.py
+++ b/packages/node/src/fordhatch/node/__init__.py
@@ -8,9 +8,10 @@
 from ._platform_edge import PlatformEdge, render
 from ._process_end import ProcessEnd
 from ._settings_watch import SettingsWatch
-from ._stop_signal import StopSignal
+from ._stop_signal import STOP_SIGNALS, StopSignal
 
 __all__ = [
+    "STOP_SIGNALS",
     "Clients",
     "Node",
     "PlatformEdge",
--- a/packages/node/src/fordhatch/node/_stop_signal.py
+++ b/packages/node/src/fordhatch/node/_stop_signal.py
@@ -24,11 +24,18 @@
     _tasks: TaskSet = attrs.field(factory=TaskSet)
 
     @classmethod
-    def listen(cls, timer: Timer) -> Self:
-        """Listen for the signals; a running event loop is required."""
+    def listen(
+        cls, timer: Timer, numbers: tuple[signal.Signals, ...] = STOP_SIGNALS
+    ) -> Self:
+        """Listen for the signals; a running event loop is required.
+
+        Args:
+            timer: The node's timer.
+            numbers: The signals that tell the process to stop.
+        """
         stop = cls(LoopWatch(timer))
         loop = asyncio.get_running_loop()
-        for number in STOP_SIGNALS:
+        for number in numbers:
             loop.add_signal_handler(number, stop._receive)
         stop._tasks.spawn(stop.watch.run(), "loop-watch")
         return stop
--- a/packages/node/tests/test_answers_at_a_stop.py
+++ b/packages/node/tests/test_answers_at_a_stop.py
@@ -70,8 +70,16 @@
 """How each ends, and how many lines of the log say that the stop ended it."""
 
 
-# Guards against a request that ends with the process: no answer, no line.
-async def test_requests_that_the_stop_ends_are_answered_and_logged(tmp_path) -> None:
+# Guards against a request that ends with the process: no answer, no line; also if the
+# signal comes more than once, or the one to read the settings comes with it.
+@pytest.mark.parametrize(
+    "signals",
+    [[], [signal.SIGTERM, signal.SIGINT], [signal.SIGHUP]],
+    ids=["alone", "again", "with SIGHUP"],
+)
+async def test_requests_that_the_stop_ends_are_answered_and_logged(
+    tmp_path, signals
+) -> None:
     async with StoppingSite.start(tmp_path) as site:
         plain = await site.add_backend(as_the_path_says)
         head = await site.add_backend(as_the_path_says, "small.1")
@@ -87,7 +95,11 @@
             await send(name)
         await until(lambda: len(plain.seen) + len(head.seen) == 4)
         await callers["begun"].begun(b"id: 2\n")
+        if signals == [signal.SIGHUP]:
+            node.process.send_signal(signal.SIGHUP)
         node.stop()
+        for number in signals:
+            node.process.send_signal(number)
         await asyncio.sleep(2.4)
         await send("without-a-group")
         answers = {name: await caller.answer() for name, caller in callers.items()}
