--- a/packages/serving/src/fordhatch/serving/_http_server.py
+++ b/packages/serving/src/fordhatch/serving/_http_server.py
@@ -119,8 +119,10 @@
 
     def _has_waiting(self) -> bool:
         """Return whether connections wait to be accepted."""
-        waiting, _, _ = select.select(self._listener.sockets, (), (), 0)
-        return bool(waiting)
+        poll = select.poll()
+        for listening in self._listener.sockets:
+            poll.register(listening.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
 
     def close_idle(self) -> int:
         """Close the connections on which nothing has come and nothing is owed.
