The thread that ends a process waits for the line that is being logged

Cause: the event loop takes a request out of those in progress and then logs its end; the thread that ends the process could come in between and exit. Change: a lock around both. node_stopped names the attempts for other nodes' callers that get no line then (relaying=). Result: test_the_end_of_the_process_waits_for_a_line_that_is_being_logged failed before, passes.

--- a/packages/node/src/fordhatch/node/_process_end.py
+++ b/packages/node/src/fordhatch/node/_process_end.py
@@ -142,6 +142,7 @@
             forced=is_forced,
             accepted=requests.accepted_count if requests is not None else "",
             ended=requests.ended_count if requests is not None else "",
+            relaying=requests.relaying_count if requests is not None else "",
             required_lines=counts.written_required,
             lines_dropped=counts.dropped,
             required_dropped=counts.dropped_required,
--- a/packages/serving/src/fordhatch/serving/_requests_in_progress.py
+++ b/packages/serving/src/fordhatch/serving/_requests_in_progress.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import threading
 from collections.abc import AsyncIterator, Callable, Iterator
 
 import attrs
@@ -39,6 +40,7 @@
     """Whether the process ends without waiting for more requests."""
     times: AnswerTimes = attrs.field(factory=AnswerTimes)
     _accepted: set[AcceptedRequest] = attrs.field(factory=set)
+    _recording: threading.Lock = attrs.field(factory=threading.Lock)
     _relaying: set[asyncio.Task[object]] = attrs.field(factory=set)
     """Tasks that make attempts for other nodes' callers."""
 
@@ -90,6 +92,12 @@
 
     def _record_end(
         self, accepted: AcceptedRequest, ended_by: EndedBy, error: str, now_s: float
+    ) -> None:
+        with self._recording:
+            self._record(accepted, ended_by, error, now_s)
+
+    def _record(
+        self, accepted: AcceptedRequest, ended_by: EndedBy, error: str, now_s: float
     ) -> None:
         try:
             self._accepted.remove(accepted)
@@ -148,15 +156,22 @@
             now_s: The current time, in monotonic seconds: a thread without an event
                 loop may call this.
         """
-        for accepted in list(self._accepted):
-            error = "the process had no time left"
-            self._record_end(accepted, EndedBy.STOP, error, now_s)
+        error = "the process had no time left"
+        # The event loop may be about to log the end of a request.
+        with self._recording:
+            for accepted in list(self._accepted):
+                self._record(accepted, EndedBy.STOP, error, now_s)
 
     @property
     def ended_count(self) -> int:
         """Number of callers' requests that have ended since the start."""
         return self.accepted_count - len(self._accepted)
 
+    @property
+    def relaying_count(self) -> int:
+        """Number of attempts for other nodes' callers in progress."""
+        return len(self._relaying)
+
     @contextlib.contextmanager
     def relaying(self) -> Iterator[None]:
         """Count a request of another node's caller while it is served through here."""
--- a/packages/serving/tests/test_ends_of_requests.py
+++ b/packages/serving/tests/test_ends_of_requests.py
@@ -3,12 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import threading
+import time
+from types import SimpleNamespace
 
 import eliot
 import pytest
 from serving_site import CALL_HEADERS, ServingSite
 
-from fordhatch.serving import Dispatch
+from fordhatch.core import Timer
+from fordhatch.serving import (
+    AcceptedRequest,
+    Dispatch,
+    RequestsInProgress,
+    _requests_in_progress,
+)
+from fordhatch.serving._accepted_request import EndedBy
 from fordhatch_standins import http_answer
 
 LAST_EVENTS = ("request_done", "request_refused")
@@ -124,3 +134,29 @@
     ids = [line["request"] for line in lines if line["message_type"] == "request_done"]
     assert len(ids) == 1
     assert ids[0].startswith("req-")
+
+
+# Guards against a request without a line: the event loop is about to log its end while
+# another thread ends the process.
+def test_the_end_of_the_process_waits_for_a_line_that_is_being_logged(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    logged, has_begun = [], threading.Event()
+
+    def log_slowly(accepted: AcceptedRequest, *_: object) -> None:
+        has_begun.set()
+        time.sleep(0.2)
+        logged.append(accepted)
+
+    monkeypatch.setattr(_requests_in_progress, "log_end", log_slowly)
+    requests = RequestsInProgress(Timer(), lambda: 1)
+    reply = SimpleNamespace(is_over=True, is_whole=False, outcome="complete")
+    accepted = AcceptedRequest("r-1", None, reply, 0.0)
+    requests._accepted.add(accepted)
+    end = (accepted, EndedBy.NODE, "", 1.0)
+    event_loop = threading.Thread(target=requests._record_end, args=end)
+    event_loop.start()
+    has_begun.wait()
+    requests.log_unended(1.0)
+    assert logged == [accepted]
+    event_loop.join()
