--- a/packages/node/src/fordhatch/node/_drain.py
+++ b/packages/node/src/fordhatch/node/_drain.py
@@ -51,8 +51,10 @@
             await self._wait(answers_until_s)
         await self.listener.stop_listening()
         while self.timer.now_s() < answers_until_s:
-            left = self.listener.close_idle()
-            if not (left or self.state.requests or self.listener.has_unread()):
+            is_owed = self.state.requests or self.listener.has_unread()
+            # As long as the process is there, a request on a kept connection gets an
+            # answer, and its connection ends with it.
+            if not is_owed and not self.listener.close_idle():
                 break
             await self._wait(answers_until_s)
         log_event("node_left", in_flight=self.state.in_flight)
--- a/packages/node/tests/test_connections_at_a_stop.py
+++ b/packages/node/tests/test_connections_at_a_stop.py
@@ -6,7 +6,7 @@
 import signal
 
 import pytest
-from raw_caller import Answer, Caller, request_bytes
+from raw_caller import Answer, Caller, request_bytes, streams
 from stopping_node import StoppingNode, StoppingSite
 from test_plain_calls import answers
 
@@ -71,3 +71,23 @@
     assert was_there
     assert took_s < GRACE_S / 2
     assert len(head.seen) == has_asked
+
+
+# Guards against a kept connection that ends, where a request on it could still be
+# refused as not run: the process is there for other requests.
+async def test_a_kept_connection_is_answered_as_long_as_requests_go_on(
+    tmp_path,
+) -> None:
+    async with StoppingSite.start(tmp_path) as site:
+        await site.add_backend(answers)
+        await site.add_backend(streams(600, 0.05), "small.1")
+        node = await site.add_node(GRACE_S)
+        kept, streamed = [await Caller.connect(node) for _ in range(2)]
+        assert (await kept.ask("/once/1", "first")).status == 200
+        await streamed.send(request_bytes("/stream/1", "stream"))
+        await streamed.begun(b"id: 2\n")
+        node.stop()
+        await asyncio.sleep(STOPPED_AT_S + PAUSE_S)
+        late = await kept.ask("/once/1", "late")
+        await node.end()
+    assert late.seen == (503, "whole")
