--- a/packages/daemon/src/fordhatch/daemon/_daemon.py
+++ b/packages/daemon/src/fordhatch/daemon/_daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 
 import attrs
 from sanic import Sanic
@@ -10,7 +11,7 @@
 from fordhatch.chat import ChatServer, ClaimService
 from fordhatch.config import DECLARED_ROW, Address, Settings
 from fordhatch.core import TaskSet, Timer, log_event
-from fordhatch.node import Clients, Node, StopSignal, close_with_timeout
+from fordhatch.node import STOP_SIGNALS, Clients, Node, ProcessEnd, StopSignal
 from fordhatch.operators import OperatorsApp
 from fordhatch.serving import HttpServer
 
@@ -78,9 +79,15 @@
         if self.node.lease.is_held():
             await self.claims.clean()
 
-    async def run(self) -> None:
-        """Serve until a stop signal arrives, then drain and close."""
-        stop = StopSignal.listen(self.node.timer)
+    async def run(self, end: ProcessEnd) -> None:
+        """Serve until a stop signal arrives, then drain and close.
+
+        Args:
+            end: The end of the process.
+        """
+        # Nothing is reloaded, and a closed terminal would end the process at once.
+        numbers = (*STOP_SIGNALS, signal.SIGHUP)
+        stop = StopSignal.listen(self.node.timer, numbers)
         await self.start()
         operators = await _listen(self.operators.app, self.settings.operators)
         callers = await HttpServer.listen(
@@ -89,14 +96,14 @@
         log_event("listening", callers=str(self.settings.callers))
         since_s = await stop.wait()
         await self.node.leave(
-            callers.stop_listening,
+            callers,
             listen_for_s=self.settings.timing.drain_grace_s,
             since_s=since_s,
             lateness_s=stop.lateness_s(),
-            has_unread=callers.has_unread,
+            on_plan=lambda plan: end.limit(self.node.state, plan),
         )
         operators.close()
-        await close_with_timeout(self.node, callers.close, self.close, stop.close)
+        await end.close(self.node.state, callers.close, self.close, stop.close)
 
     async def close(self) -> None:
         """Stop the background tasks, the claim service and the node."""
--- a/packages/serving/src/fordhatch/serving/_requests_in_progress.py
+++ b/packages/serving/src/fordhatch/serving/_requests_in_progress.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import threading
 from collections.abc import AsyncIterator, Callable, Iterator
 
 import attrs
@@ -33,10 +34,13 @@
     timer: Timer
     version: Callable[[], int]
     """Returns the version of the configuration in effect."""
+    accepted_count: int = 0
+    """Number of callers' requests since the start."""
     is_stopping: bool = False
     """Whether the process ends without waiting for more requests."""
     times: AnswerTimes = attrs.field(factory=AnswerTimes)
     _accepted: set[AcceptedRequest] = attrs.field(factory=set)
+    _recording: threading.Lock = attrs.field(factory=threading.Lock)
     _relaying: set[asyncio.Task[object]] = attrs.field(factory=set)
     """Tasks that make attempts for other nodes' callers."""
 
@@ -66,6 +70,7 @@
         node: the caller gets a failure, and never less than it that looks complete.
         """
         self._accepted.add(accepted)
+        self.accepted_count += 1
         accepted.task = asyncio.current_task()
         accepted.is_ended_by_stop = self.is_stopping
         metrics.IN_FLIGHT.inc()
@@ -83,18 +88,26 @@
             ended_by, error = _who_interrupted(accepted), repr(raised)
             await _answer_interrupted(accepted, ended_by)
         finally:
-            if accepted in self._accepted:
-                self._record_end(accepted, ended_by, error)
+            self._record_end(accepted, ended_by, error, self.timer.now_s())
 
     def _record_end(
-        self, accepted: AcceptedRequest, ended_by: EndedBy, error: str
+        self, accepted: AcceptedRequest, ended_by: EndedBy, error: str, now_s: float
     ) -> None:
-        self._accepted.discard(accepted)
+        with self._recording:
+            self._record(accepted, ended_by, error, now_s)
+
+    def _record(
+        self, accepted: AcceptedRequest, ended_by: EndedBy, error: str, now_s: float
+    ) -> None:
+        try:
+            self._accepted.remove(accepted)
+        except KeyError:
+            # The end of the process has logged it.
+            return
         metrics.IN_FLIGHT.dec()
         if not accepted.reply.is_over:
             accepted.reply.outcome = _OUTCOME_WITHOUT_ANSWER[ended_by]
         metrics.ANSWERS.labels(accepted.reply.outcome).inc()
-        now_s = self.timer.now_s()
         self._record_time(accepted, now_s)
         log_end(accepted, ended_by, error, now_s, self.version())
 
@@ -136,10 +149,28 @@
         for task in self._relaying | self._kept:
             task.cancel()
 
-    def log_unended(self) -> None:
-        """Log the requests that have not ended when the process exits."""
-        for accepted in list(self._accepted):
-            self._record_end(accepted, EndedBy.STOP, "the process had no time left")
+    def log_unended(self, now_s: float) -> None:
+        """Log the requests that have not ended when the process exits.
+
+        Args:
+            now_s: The current time, in monotonic seconds: a thread without an event
+                loop may call this.
+        """
+        error = "the process had no time left"
+        # The event loop may be about to log the end of a request.
+        with self._recording:
+            for accepted in list(self._accepted):
+                self._record(accepted, EndedBy.STOP, error, now_s)
+
+    @property
+    def ended_count(self) -> int:
+        """Number of callers' requests that have ended since the start."""
+        return self.accepted_count - len(self._accepted)
+
+    @property
+    def relaying_count(self) -> int:
+        """Number of attempts for other nodes' callers in progress."""
+        return len(self._relaying)
 
     @contextlib.contextmanager
     def relaying(self) -> Iterator[None]:
