A planner opens only the groups that it forms itself

Cause: a group whose members all report ready was opened whoever had begun to form it.

Change: a complete group is opened only while its formation is this planner's. The members of a formation are ordered to join no other group, and earlier joins have a lower epoch, which a backend server refuses once it is a member. Any other complete group is dissolved and formed anew under a new epoch, which voids what is outstanding. No memory of orders is needed, so a change of planner loses none.

--- a/packages/placement/src/fordhatch/placement/_group_supervisor.py
+++ b/packages/placement/src/fordhatch/placement/_group_supervisor.py
@@ -91,7 +91,7 @@
                     self.crash_loops.record_opened(group.model)
                     self.lost_groups.record_opened(group.model)
             case GroupCondition.COMPLETE:
-                self.formations.open(group)
+                return self._open_own(group)
             case GroupCondition.LEAVING:
                 return self._advance_draining(layout, group, model)
             case GroupCondition.INCOMPLETE:
@@ -104,6 +104,20 @@
                 return self._may_complete(group.key)
         return True
 
+    def _open_own(self, group: ReplicaGroup) -> bool:
+        """Open a complete group if this planner still forms it, or else dissolve it.
+
+        A later join of a member, by an earlier planner or for a group that was given
+        up, may be unanswered: once carried out, it takes the member from the group. A
+        formation's members are ordered to join no other group, and earlier joins have
+        lower epochs.
+        """
+        if group.key in self.formations.active:
+            self.formations.open(group)
+            return True
+        self.dissolve(group, "not formed by this planner")
+        return False
+
     def _advance_undeclared(self, layout: Layout, group: ReplicaGroup) -> bool:
         """Keep a group whose model is no longer declared until it is replaced.
 
--- /dev/null
+++ b/packages/placement/tests/test_unanswered_orders.py
@@ -0,0 +1,104 @@
+"""Orders that get no answer and are carried out seconds later."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+from planning_site import PlanningNode, Site, SiteShape, run_scenario
+from result import Err, Result
+
+from fordhatch.adapter import GroupOrder, OrderKind, OrderReply
+from fordhatch.core import Failure, Ran, ResultCode
+from fordhatch_standins import MemoryBackendClient, ModelTimes
+
+SMALL_ONLY = SiteShape({"small": ModelTimes(2, 12.0, 0.2)})
+"""Groups of two that are ready before an order is sent again."""
+
+MIN_LATE_S = 2.0
+"""Shortest time from an order without an answer until it is carried out."""
+
+IsLate = Callable[[str, GroupOrder], bool]
+"""Returns whether an order to a backend server gets no answer for now."""
+
+
+@attrs.define(eq=False)
+class LateOrders:
+    """A node's client that leaves some orders unanswered until they are released."""
+
+    client: MemoryBackendClient
+    is_late: IsLate
+    held: list[tuple[str, GroupOrder]]
+
+    async def order(
+        self, address: str, registered_id: str, order: GroupOrder, *, timeout_s: float
+    ) -> Result[OrderReply, Failure]:
+        """Send an order, or keep it."""
+        if not self.is_late(registered_id, order):
+            return await self.client.order(
+                address, registered_id, order, timeout_s=timeout_s
+            )
+        self.held.append((registered_id, order))
+        await asyncio.sleep(timeout_s)
+        return Err(Failure.from_code(ResultCode.BACKEND_LOST, ran=Ran.MAYBE))
+
+
+def carry_out(site: Site, held: tuple[str, GroupOrder]) -> None:
+    """Carry out an order that was kept."""
+    backend_id, order = held
+    site.fleet._carry_out(site.fleet.engines[backend_id], order)
+
+
+def add_staged(site: Site, domain: str) -> None:
+    """Start an engine on a host that keeps the weights of the model."""
+    engine = site.fleet.add(domain)
+    engine.staged.append("small")
+    site.fleet.make_cold(engine, 0.0)
+
+
+async def replace(site: Site, node: PlanningNode) -> None:
+    """Kill the planner and wait for the next one."""
+    del site.nodes[node.name]
+    await node.kill()
+    await site.until(lambda: site.planner() is not None, 10)
+
+
+# Guards against a group that is opened while a member may still take an earlier
+# unanswered join of a newer group.
+def test_a_group_is_not_opened_while_a_member_may_join_a_newer_one() -> None:
+    async def scenario(site: Site) -> None:
+        held: list[tuple[str, GroupOrder]] = []
+        unanswered: set[tuple[str, int]] = set()
+
+        def is_late(backend_id: str, order: GroupOrder) -> bool:
+            """Keep one engine's first join of each of the first two groups."""
+            key = order.group, order.epoch
+            late = held[0][0] if held else order.members[-1:]
+            is_kept = order.kind is OrderKind.JOIN and backend_id in late
+            if not is_kept or key in unanswered or len(held) == 2:
+                return False
+            unanswered.add(key)
+            return True
+
+        for name in ("a", "b", "c"):
+            node = site.add_node(name)
+            node.planner.order_sender.backends = LateOrders(
+                node.backends, is_late, held
+            )
+        await site.until(lambda: site.planner() is not None, 10)
+        await site.watch(3.0)
+        for _ in range(3):
+            add_staged(site, "d0")
+        await site.until(lambda: len(held) == 1, 10)
+        await site.watch(0.1)
+        await replace(site, site.planner())
+        await site.until(lambda: len(held) == 2, 10)
+        await site.watch(0.2)
+        carry_out(site, held[0])
+        await site.watch(MIN_LATE_S)
+        carry_out(site, held[1])
+        await site.watch(8.0)
+        assert site.working() == 1
+
+    run_scenario(scenario, shape=SMALL_ONLY)
