Tests: streams and answers that are lost while their first run only pauses

Cause: a run without an event for 0.35 s is given up before it is known that another may begin. What follows can refuse: the stop, the other head, its connection, the budget. The stream is then cut though its run would go on. A plain call ends its first attempt after 0.6 of the objective in the same way.

Nodes of StoppingSite can be started without slack for retries, and cut from several backend servers.

--- a/packages/node/tests/stopping_node.py
+++ b/packages/node/tests/stopping_node.py
@@ -227,20 +227,28 @@
         return backend
 
     async def add_node(
-        self, grace_s: float = GRACE_S, cut_from: ScriptedBackend | None = None
+        self,
+        grace_s: float = GRACE_S,
+        cut_from: ScriptedBackend | tuple[ScriptedBackend, ...] = (),
+        *,
+        has_retry_slack: bool = True,
     ) -> StoppingNode:
         """Start a node and wait until it is ready.
 
         Args:
             grace_s: Its grace period, in seconds.
-            cut_from: A backend server to which its links are cut.
+            cut_from: Backend servers to which its links are cut, as are those to the
+                ports in between.
+            has_retry_slack: Whether it may send retries that no request has earned.
         """
         number = len(self.nodes) + 1
         own_ip = OWN_IP.rpartition(".")[0] + f".{number}"
         front, ready, inner = free_ports(3)
         path = self.folder / f"node-{number}.toml"
+        slack = "retry-slack = 136"
+        bounds = BOUNDS if has_retry_slack else BOUNDS.replace(slack, "retry-slack = 0")
         path.write_text(
-            BOUNDS.replace('ip = "10.0.0.1"', f'ip = "{own_ip}"')
+            bounds.replace('ip = "10.0.0.1"', f'ip = "{own_ip}"')
             .replace('node-name = "n"', f'node-name = "n{number}"')
             .replace("10.0.0.1:1", f"{own_ip}:{front}")
             .replace("10.0.0.1:2", f"{OWN_IP}:{ready}")
@@ -248,11 +256,9 @@
             .replace("10.0.0.9:1", f"127.0.0.1:{self.store_port}")
             .replace("grace-s = 8", f"grace-s = {grace_s}")
         )
-        starting = (
-            start_node(path)
-            if cut_from is None
-            else _start_cut(path, self.ports[cut_from.runner_id])
-        )
+        cut = cut_from if isinstance(cut_from, tuple) else (cut_from,)
+        ports = sorted((self.ports[b.runner_id] for b in cut), key=int)
+        starting = _start_cut(path, ports[0], ports[-1]) if cut else start_node(path)
         node = StoppingNode(await starting, f"{own_ip}:{front}", ready)
         self.nodes.append(node)
         node.read_output()
@@ -261,16 +267,18 @@
         return node
 
 
-async def _start_cut(path: Path, port: str) -> asyncio.subprocess.Process:
-    """Start a node whose links to a backend server are refused."""
+async def _start_cut(
+    path: Path, first_port: str, last_port: str
+) -> asyncio.subprocess.Process:
+    """Start a node whose links to a range of ports are refused."""
     control = path.with_suffix(".cut")
     control.write_text(cut_links.LinkCut.REFUSE)
     return await asyncio.create_subprocess_exec(
         sys.executable,
         cut_links.__file__,
         str(control),
-        port,
-        port,
+        first_port,
+        last_port,
         "on-platform",
         env={**os.environ, SETTINGS_VARIABLE: str(path)},
         stdout=asyncio.subprocess.PIPE,
