node_stopped agrees with the requests that callers sent

Cause: the counts of node_stopped were checked beside a stub alone. Change: the test with real processes compares them with its requests.

--- a/packages/node/tests/test_connections_at_a_stop.py
+++ b/packages/node/tests/test_connections_at_a_stop.py
@@ -7,7 +7,7 @@
 
 import pytest
 from raw_caller import Answer, Caller, request_bytes, streams
-from stopping_node import StoppingNode, StoppingSite
+from stopping_node import StoppingNode, StoppingSite, parse_line
 from test_plain_calls import answers
 
 GRACE_S = 8
@@ -46,6 +46,9 @@
     assert [a.end for a in seen] == 2 * CALLERS * ["whole"], seen
     assert {a.headers.get("connection") for a in seen} == {"close"}
     assert all(node.end_lines(f"late{n}") for n in range(2 * CALLERS))
+    last = parse_line(node.lines[-1])
+    counts = [last[x] for x in ("accepted", "ended", "required_lines")]
+    assert (last["event"], counts) == ("node_stopped", 3 * [str(3 * CALLERS)])
     assert took_s < GRACE_S
 
 
