--- a/packages/node/tests/test_late_plain_answers.py
+++ b/packages/node/tests/test_late_plain_answers.py
@@ -5,7 +5,7 @@
 import asyncio
 
 import pytest
-from raw_caller import Caller, until
+from raw_caller import Caller, request_bytes, until
 from silent_heads import CLOSED_WITHIN_S, earn_retries, refuse, told
 from stopping_node import StoppingSite
 
@@ -39,8 +39,10 @@
 class TwoServers:
     """Two plain servers; the one that gets a request first is late with its answer."""
 
-    def __init__(self, second) -> None:
+    def __init__(self, second, first=None) -> None:
         self.second = second
+        self.first = first
+        """What the late server does at last; None to answer."""
         self.runs: dict[str, list[object]] = {}
 
     async def add_to(self, site: StoppingSite) -> None:
@@ -56,6 +58,9 @@
             await self.second(request, writer)
             return
         await asyncio.sleep(60 if self.second is answers else LATE_S)
+        if self.first is not None:
+            await self.first(request, writer)
+            return
         writer.write(http_answer(request, b"first"))
 
 
@@ -104,3 +109,41 @@
         async with asyncio.timeout(CLOSED_WITHIN_S):
             await until(lambda: any("late" in s.left for s in servers.servers))
     assert (answer.seen, answer.body) == ((200, "whole"), b"second"), lines
+
+
+async def answers_late(request, writer) -> None:
+    await asyncio.sleep(LATE_S)
+    writer.write(http_answer(request, b"second"))
+
+
+# Guards against a second attempt that ends because the late one has failed meanwhile.
+@pytest.mark.parametrize(
+    "first",
+    [refuses, fails, ends_without_an_answer],
+    ids=lambda script: script.__name__,
+)
+async def test_a_second_answer_counts_when_the_late_attempt_fails(
+    tmp_path, first
+) -> None:
+    servers = TwoServers(answers_late, first)
+    async with StoppingSite.start(tmp_path) as site:
+        answer, lines = await ask_late(site, servers)
+    assert (answer.seen, answer.body) == ((200, "whole"), b"second"), lines
+    assert len(servers.runs["late"]) == 2
+
+
+# Guards against an attempt that goes on for a caller that has left.
+async def test_both_attempts_end_when_the_caller_leaves(tmp_path) -> None:
+    servers = TwoServers(runs_on, runs_on)
+    async with StoppingSite.start(tmp_path) as site:
+        await servers.add_to(site)
+        node = await site.add_node()
+        await earn_retries(node, "/get/1")
+        caller = await Caller.connect(node)
+        await caller.send(request_bytes("/get/late", "late"))
+        await until(lambda: len(servers.runs.get("late", ())) == 2)
+        left = [s.left for s in servers.servers]
+        assert not any("late" in ids for ids in left)
+        caller.close()
+        async with asyncio.timeout(CLOSED_WITHIN_S):
+            await until(lambda: all("late" in ids for ids in left))
