--- a/packages/serving/src/fordhatch/serving/_plain_call.py
+++ b/packages/serving/src/fordhatch/serving/_plain_call.py
@@ -77,7 +77,7 @@
                 if ended.is_ok():
                     break
         finally:
-            call.hedging.end()
+            await call.hedging.end()
         if not call.reply.has_begun:
             # Otherwise its answer was too long to be held, and was passed on.
             await self._answer(call)
--- a/packages/serving/src/fordhatch/serving/_stream_call.py
+++ b/packages/serving/src/fordhatch/serving/_stream_call.py
@@ -95,7 +95,7 @@
                 if ended.is_ok():
                     return
         finally:
-            stream.hedging.end()
+            await stream.hedging.end()
         await self._give_up(stream)
 
     async def _attempt(self, stream: Stream) -> AttemptEnd:
--- a/packages/serving/src/fordhatch/serving/hedging/_hedging.py
+++ b/packages/serving/src/fordhatch/serving/hedging/_hedging.py
@@ -19,6 +19,9 @@
 from ..exchange import SendFailure
 from ._hedged_run import HedgedRun
 
+END_LIMIT_S = 0.5
+"""Longest wait for attempts that were cancelled, so that they are counted."""
+
 AttemptEnd = Result[None, SendFailure] | None
 """How an attempt ended: complete, a failure, or None if none could be made."""
 
@@ -117,11 +120,14 @@
                     ended = task.result() or ended
         return ended
 
-    def end(self) -> None:
+    async def end(self) -> None:
         """End the attempts that are left, as the answer is over."""
-        for task in list(self._hedges):
-            if not task.done():
-                task.cancel()
-            elif not task.cancelled() and task.exception() is not None:
+        if not self._hedges:
+            return
+        for task in self._hedges:
+            task.cancel()
+        ended, _ = await asyncio.wait(self._hedges, timeout=END_LIMIT_S)
+        for task in ended:
+            if not task.cancelled() and task.exception() is not None:
                 log_event("task_failed", part="hedge", error=repr(task.exception()))
         self._hedges.clear()
