--- a/deploy/entry.py
+++ b/deploy/entry.py
@@ -5,6 +5,7 @@
 
 import gc
 import os
+import signal
 import sys
 from pathlib import Path
 
@@ -12,6 +13,10 @@
 # time until the node listens.
 gc.disable()
 
+# Settings that change while the node starts are read by it; by default the signal that
+# tells of them ends the process.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 ROOT = Path(__file__).resolve().parent.parent
 
 # The HTTP library loads TLS certificates on import, which takes a fifth of the start-up
--- a/packages/core/src/fordhatch/core/_line_writer.py
+++ b/packages/core/src/fordhatch/core/_line_writer.py
@@ -83,6 +83,8 @@
     _wake: threading.Event = attrs.field(factory=threading.Event)
     _thread: threading.Thread | None = None
     _is_closing: threading.Event = attrs.field(factory=threading.Event)
+    _is_closed: bool = False
+    """Whether what comes now is counted as dropped."""
     _writing: threading.Lock = attrs.field(factory=threading.Lock)
     _counting: threading.RLock = attrs.field(factory=threading.RLock)
     _opened: int | None = None
@@ -109,6 +111,9 @@
             is_required: Whether the line is dropped only if the queue is full, and
                 other lines take no room from it.
         """
+        if self._is_closed:
+            self._count(False, is_required)
+            return
         has_token = self._take_token() or is_required
         room = MAX_QUEUED_WITH_REQUIRED if is_required else MAX_QUEUED_LINES
         if len(self._lines) >= room or not has_token:
@@ -148,7 +153,8 @@
     def close(self, timeout_s: float) -> None:
         """Write the queued lines, as far as the reader takes them in time.
 
-        What it has not taken by then counts as dropped.
+        What it has not taken by then counts as dropped. The pipe stays open until the
+        process ends: another thread may be about to write to it.
 
         Args:
             timeout_s: Longest wait for the reader, in seconds.
@@ -159,16 +165,11 @@
         self._wake.set()
         if self._thread is not None:
             self._thread.join(timeout_s)
-            self._close_opened()
+        self._is_closed = True
         left = list(self._rest_required) + [x for _, x in list(self._lines)]
         for is_required in left:
             self._count(False, is_required)
 
-    def _close_opened(self) -> None:
-        if self._opened is not None and not self._thread.is_alive():
-            os.close(self._opened)
-            self._opened = None
-
     def _write_loop(self) -> None:
         while not self._is_closing.is_set():
             self._wake.wait()
--- a/packages/core/tests/test_required_lines.py
+++ b/packages/core/tests/test_required_lines.py
@@ -162,3 +162,15 @@
     message = {"message_type": "request_done", "request": "r1", "error": Unprintable()}
     line = format_line("n1", message)
     assert "event=request_done request=r1 error=unprintable:Unprintable" in line
+
+
+# Guards against a line after the end of the log that is neither written nor counted.
+def test_a_required_line_after_the_close_is_counted() -> None:
+    reading, writing = os.pipe()
+    writer = LineWriter(writing)
+    writer.start()
+    writer.write("before", is_required=True)
+    writer.close(1.0)
+    writer.write("after", is_required=True)
+    assert os.read(reading, 1000) == b"before\n"
+    assert writer.counts.dropped_required == 1
--- a/packages/daemon/src/fordhatch/daemon/_daemon.py
+++ b/packages/daemon/src/fordhatch/daemon/_daemon.py
@@ -88,6 +88,7 @@
         # Nothing is reloaded, and a closed terminal would end the process at once.
         numbers = (*STOP_SIGNALS, signal.SIGHUP)
         stop = StopSignal.listen(self.node.timer, numbers)
+        end.observe(self.node.state.requests)
         await self.start()
         operators = await _listen(self.operators.app, self.settings.operators)
         callers = await HttpServer.listen(
--- a/packages/node/src/fordhatch/node/_daemon.py
+++ b/packages/node/src/fordhatch/node/_daemon.py
@@ -93,6 +93,7 @@
     stop = StopSignal.listen(timer)
     clients = Clients.from_settings(settings, timer)
     node = Node.create(settings, timer, clients)
+    end.observe(node.state.requests)
     edge = PlatformEdge.from_node(node)
     settings_watch = SettingsWatch(node, path, content)
     loop = asyncio.get_running_loop()
--- a/packages/node/src/fordhatch/node/_process_end.py
+++ b/packages/node/src/fordhatch/node/_process_end.py
@@ -9,6 +9,7 @@
 import time
 import traceback
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import NoReturn, Self
 
 import attrs
@@ -56,6 +57,10 @@
         writer.start()
         return cls(writer)
 
+    def observe(self, requests: RequestsInProgress) -> None:
+        """Log the ends of these requests as well, however the process ends."""
+        self._requests = requests
+
     def limit(self, state: NodeState, plan: StopPlan) -> None:
         """End the process in time, even if the event loop doesn't.
 
@@ -63,7 +68,6 @@
             state: The state of the node, which stops.
             plan: The plan of the stop.
         """
-        self._requests = state.requests
         self._ahead_s = state.timer.suspension.total_s
         self._until_s = plan.grace_until_s - self._ahead_s
         left_s = plan.exit_by_s - self._ahead_s - time.monotonic()
@@ -117,12 +121,12 @@
         if not self._ending.acquire(blocking=False):
             # The other thread ends the process.
             threading.Event().wait()
-        try:
-            self._log_end(is_forced)
-            self.writer.close(self._log_limit_s())
-            self._report_lost_lines()
-        except Exception as error:
-            traceback.print_exception(error)
+        log_end = partial(self._log_end, is_forced)
+        for step in (self._log_unended, log_end, self._close_log, self._report_lost):
+            try:
+                step()
+            except Exception as error:
+                traceback.print_exception(error)
         # Nothing is left to do. An interpreter with little processor time takes longer
         # to clear its memory than is left of the grace period.
         os._exit(status)
@@ -132,10 +136,15 @@
             return LOG_LIMIT_S
         return max(self._until_s - time.monotonic() - MIN_LOG_S, MIN_LOG_S)
 
+    def _close_log(self) -> None:
+        self.writer.close(self._log_limit_s())
+
+    def _log_unended(self) -> None:
+        if self._requests is not None:
+            self._requests.log_unended(time.monotonic() + self._ahead_s)
+
     def _log_end(self, is_forced: bool) -> None:
         requests = self._requests
-        if requests is not None:
-            requests.log_unended(time.monotonic() + self._ahead_s)
         counts = self.writer.counts
         log_event(
             "node_stopped",
@@ -148,7 +157,7 @@
             required_dropped=counts.dropped_required,
         )
 
-    def _report_lost_lines(self) -> None:
+    def _report_lost(self) -> None:
         """Tell of lost lines on another stream than the one that lost them."""
         counts = self.writer.counts
         if counts.dropped_required:
--- a/packages/node/tests/test_process_end.py
+++ b/packages/node/tests/test_process_end.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import re
+import subprocess
 import sys
 import time
 
@@ -92,3 +93,23 @@
     written = log.count("event=request_done")
     lost = re.findall(r"event=lines_lost count=\d+ required=(\d+)", errors)
     assert (written, lost) == (LINES, []) if reads else lost == [str(LINES - written)]
+
+
+# Guards against queued lines that are lost because one line could not be logged.
+def test_lines_are_written_if_logging_an_unended_request_fails() -> None:
+    code = """
+from fordhatch.core import configure_line_log, log_event
+from fordhatch.node import ProcessEnd
+end = ProcessEnd.from_descriptor(1)
+configure_line_log("n", end.writer)
+class Requests:
+    accepted_count = ended_count = relaying_count = 0
+    def log_unended(self, now_s):
+        raise RuntimeError("a line that cannot be logged")
+end.observe(Requests())
+log_event("queued_before")
+end.exit()
+"""
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
+    assert "queued_before" in done.stdout
+    assert "node_stopped" in done.stdout
--- a/packages/serving/src/fordhatch/serving/_plain_call.py
+++ b/packages/serving/src/fordhatch/serving/_plain_call.py
@@ -74,7 +74,7 @@
                 if first is None:
                     break
                 ended = await call.hedging.outcome(first)
-                if ended.is_ok():
+                if ended.is_ok() or call.reply.is_over:
                     break
         finally:
             await call.hedging.end()
@@ -130,6 +130,8 @@
             return
         if not call.hedging.wants_hedge(run):
             return
+        if self.admission.recheck(request) is not None:
+            return
         if self.has_other(call) and self.budget.has_left(request):
             log_event("call_hedged", request=request.fields.request_id)
             call.hedging.hedge(self._attempt(call))
--- a/packages/serving/src/fordhatch/serving/_plain_run.py
+++ b/packages/serving/src/fordhatch/serving/_plain_run.py
@@ -135,6 +135,8 @@
             return run.step.result()
         finally:
             run.step.cancel()
+            # It holds the request, and this run.
+            run.step = None
 
     async def _exchange(
         self, call: PlainCall, attempt: Attempt, run: HedgedRun
@@ -204,6 +206,8 @@
             record_bound("answer", request=request.fields.request_id)
             detail = f"status {answer.status}, {held.excess}"
             return Err(SendFailure(SendProblem.BROKEN, detail))
+        if run.is_superseded:
+            return _superseded()
         call.hedging.lead(run)
         passed = await self.passing.pass_on(request, call.reply, answer, held)
         request.was_answered = request.has_output = passed.is_ok()
@@ -217,6 +221,8 @@
     call: PlainCall, answer: BackendAnswer, body: bytes, run: HedgedRun
 ) -> Result[None, SendFailure]:
     """Take a complete answer; one that reports a failure ends no other run."""
+    if run.is_superseded:
+        return _superseded()
     call.answer = CompleteAnswer(answer.status, answer_headers(answer.headers), body)
     call.request.was_answered = True
     call.request.has_output = answer.status < _CALLER_ERROR
@@ -226,6 +232,10 @@
     return Ok(None)
 
 
+def _superseded() -> Result[None, SendFailure]:
+    return Err(SendFailure(SendProblem.SILENT, "another run has taken over"))
+
+
 def _log_failed(attempt: Attempt, failure: SendFailure, took_s: float) -> None:
     log_event(
         "send_failed",
--- a/packages/serving/src/fordhatch/serving/_request_path.py
+++ b/packages/serving/src/fordhatch/serving/_request_path.py
@@ -112,7 +112,14 @@
         progress = GroupProgress(timer)
         held = HeldAnswers()
         silence = SilenceWatch(
-            timer, view.directory, progress, stalls, choice, load, budget.has_left
+            timer,
+            view.directory,
+            progress,
+            stalls,
+            choice,
+            load,
+            admission.recheck,
+            budget.has_left,
         )
         runs = StreamRuns(
             timer,
--- a/packages/serving/src/fordhatch/serving/_requests_in_progress.py
+++ b/packages/serving/src/fordhatch/serving/_requests_in_progress.py
@@ -78,6 +78,10 @@
         try:
             yield
             ended_by = EndedBy.BACKEND if accepted.reply.is_whole else EndedBy.NODE
+            if accepted.reply.has_begun and not accepted.reply.is_over:
+                # The HTTP library would end it as if it were complete.
+                ended_by, error = EndedBy.ERROR, "the answer was not ended"
+                await accepted.reply.abort()
         except asyncio.CancelledError as raised:
             ended_by, error = _who_interrupted(accepted), repr(raised)
             if ended_by is EndedBy.CALLER:
--- a/packages/serving/src/fordhatch/serving/_silence_watch.py
+++ b/packages/serving/src/fordhatch/serving/_silence_watch.py
@@ -8,7 +8,7 @@
 import attrs
 
 from fordhatch.catalog import BackendServer
-from fordhatch.core import Timer, log_event
+from fordhatch.core import Failure, Timer, log_event
 from fordhatch.registry import BackendDirectory
 
 from ._request import ServedRequest
@@ -37,6 +37,8 @@
     stalls: StallWatch
     choice: HeadChoice
     load: SharedLoad
+    recheck: Callable[[ServedRequest], Failure | None]
+    """Returns why no further attempt may be made, or None."""
     has_retry: Callable[[ServedRequest], bool]
     """Returns whether the retry budget allows another attempt now."""
     begin_attempt: BeginAttempt | None = None
@@ -110,7 +112,9 @@
         if not stream.hedging.wants_hedge(run):
             return
         other = self.choice.choose(request.service, stream.model, stream.tried)
-        if other is None or not self.has_retry(request):
+        if other is None or self.recheck(request) is not None:
+            return
+        if not self.has_retry(request):
             return
         log_event(
             "stream_hedged",
--- a/packages/serving/src/fordhatch/serving/_stream.py
+++ b/packages/serving/src/fordhatch/serving/_stream.py
@@ -23,6 +23,10 @@
     profile: EngineProfile
     tried: list[str] = attrs.field(factory=list)
     """Heads that the request was sent to, in order."""
+    refused_beside: list[str] = attrs.field(factory=list)
+    """Those of them that refused it while another run was in progress."""
+    sends: int = 0
+    """Number of attempts so far."""
     last_problem: SendFailure | None = None
     events: int = 0
     """Number of events forwarded so far."""
@@ -38,6 +42,11 @@
         """The requested model."""
         return self.request.fields.model
 
+    def forget_refusals(self) -> None:
+        """Let heads be asked again that refused while no attempt was needed yet."""
+        self.tried = [h for h in self.tried if h not in self.refused_beside]
+        self.refused_beside.clear()
+
     @property
     def can_resume(self) -> bool:
         """Whether another run can go on after what the caller has received."""
--- a/packages/serving/src/fordhatch/serving/_stream_call.py
+++ b/packages/serving/src/fordhatch/serving/_stream_call.py
@@ -92,8 +92,9 @@
                 if first is None:
                     break
                 ended = await stream.hedging.outcome(first)
-                if ended.is_ok():
+                if ended.is_ok() or stream.reply.is_over:
                     return
+                stream.forget_refusals()
         finally:
             await stream.hedging.end()
         await self._give_up(stream)
@@ -101,12 +102,13 @@
     async def _attempt(self, stream: Stream) -> AttemptEnd:
         """Run a stream at the next group; None if there is none for it."""
         request = stream.request
-        if len(stream.tried) >= MAX_SENDS or stream.may_not_retry:
+        if stream.sends >= MAX_SENDS or stream.may_not_retry:
             return None
         head = await self._next_head(stream)
         if head is None:
             return None
         stream.tried.append(head.backend_id)
+        stream.sends += 1
         with request.attempt(head, self.admission.recheck_for_backend) as attempt:
             done = await self.runs.run(stream, attempt)
         if done.is_ok():
@@ -115,6 +117,8 @@
             self.demand.record_answer(request.route.name, stream.profile, stream.events)
             return done
         stream.last_problem = done.unwrap_err()
+        if not stream.last_problem.problem.may_have_run and stream.hedging.has_runs:
+            stream.refused_beside.append(head.backend_id)
         if not await self.crashes.may_retry(request, head):
             stream.may_not_retry = True
         return done
--- a/packages/serving/src/fordhatch/serving/exchange/_held_answers.py
+++ b/packages/serving/src/fordhatch/serving/exchange/_held_answers.py
@@ -58,6 +58,7 @@
         try:
             yield hold
         finally:
+            hold.is_over = True
             self.held_bytes -= hold.held_bytes
 
 
@@ -67,6 +68,8 @@
 
     answers: HeldAnswers
     held_bytes: int = 0
+    is_over: bool = False
+    """Whether the reply is final; what is still read is not held any more."""
 
     async def read(self, answer: PiecewiseAnswer) -> HeldBody:
         """Return the body of an answer, or its beginning if it is too long.
@@ -82,8 +85,9 @@
                 return HeldBody(b"".join(pieces), is_whole=True)
             pieces.append(piece)
             size_bytes += len(piece)
-            self.held_bytes += len(piece)
-            self.answers.held_bytes += len(piece)
+            if not self.is_over:
+                self.held_bytes += len(piece)
+                self.answers.held_bytes += len(piece)
         return HeldBody(b"".join(pieces), is_whole=False)
 
     def _may_hold(self, size_bytes: int) -> bool:
--- a/packages/serving/src/fordhatch/serving/hedging/_hedging.py
+++ b/packages/serving/src/fordhatch/serving/hedging/_hedging.py
@@ -61,6 +61,11 @@
         is_beginning = None in self._hedges.values()
         return is_beginning or any(other is not run for other in self._runs)
 
+    @property
+    def has_runs(self) -> bool:
+        """Whether a run is in progress."""
+        return bool(self._runs)
+
     def lead(self, run: HedgedRun) -> None:
         """Let a run that has something for the caller lead; the others end.
 
@@ -77,11 +82,9 @@
 
     def _drop_others(self, run: HedgedRun, former: HedgedRun | None) -> None:
         for task, hedge in self._hedges.items():
-            if hedge is None:
-                task.cancel()
-            elif hedge is not run and hedge is not former:
-                hedge.is_superseded = True
-                task.cancel()
+            if hedge is not None and hedge in (run, former):
+                continue
+            _drop(task, hedge)
 
     def wants_hedge(self, run: HedgedRun) -> bool:
         """Note that a run is silent; return whether another attempt may help."""
@@ -97,8 +100,14 @@
         task.add_done_callback(self._note_end)
 
     def _note_end(self, task: asyncio.Task[AttemptEnd]) -> None:
-        """Forget a hedge that was dropped, or that could not be made."""
-        if task.cancelled() or (task.exception() is None and task.result() is None):
+        """Forget a hedge that was dropped, has had no run, or failed beside others."""
+        if task.cancelled():
+            self._hedges.pop(task, None)
+        elif task.exception() is not None:
+            log_event("task_failed", part="hedge", error=repr(task.exception()))
+            if self._hedges.get(task) is None:
+                self._hedges.pop(task, None)
+        elif task.result() is None:
             self._hedges.pop(task, None)
 
     async def outcome(self, ended: AttemptEnd) -> AttemptEnd:
@@ -108,7 +117,7 @@
             ended: The end of the first one.
 
         Returns:
-            Complete, if one of them is; otherwise the newest failure.
+            Complete, if one of them is; otherwise a failure.
         """
         while self._hedges and (ended is None or ended.is_err()):
             done, _ = await asyncio.wait(
@@ -116,7 +125,7 @@
             )
             for task in done:
                 self._hedges.pop(task, None)
-                if not task.cancelled():
+                if not task.cancelled() and (ended is None or ended.is_err()):
                     ended = task.result() or ended
         return ended
 
@@ -124,10 +133,14 @@
         """End the attempts that are left, as the answer is over."""
         if not self._hedges:
             return
-        for task in self._hedges:
-            task.cancel()
-        ended, _ = await asyncio.wait(self._hedges, timeout=END_LIMIT_S)
-        for task in ended:
-            if not task.cancelled() and task.exception() is not None:
-                log_event("task_failed", part="hedge", error=repr(task.exception()))
+        for task, hedge in self._hedges.items():
+            _drop(task, hedge)
+        await asyncio.wait(self._hedges, timeout=END_LIMIT_S)
         self._hedges.clear()
+
+
+def _drop(task: asyncio.Task[AttemptEnd], run: HedgedRun | None) -> None:
+    """End an attempt and, in the same turn of the event loop, what its run does."""
+    if run is not None:
+        run.supersede()
+    task.cancel()
