Soak: engines stand still and go on, and a run that could go on is no excuse

Cause: the soak excused each cut answer for which any attempt had been broken off, or whose node had been paused or had cut links at any time, also when another run of it was alive. No fault let an engine be silent and go on.

Change: the stand-ins let a backend server stand still for a time, with its answers to probes or without; they record the first event of an attempt and the end of the process that it ran at. The soak pauses engines one after the other, alone, beside one stop, and beside stops in series with changes of the configuration and ends of engines. A run that neither the engine nor a fault of the soak has ended, and that no later run had replaced, makes the end of its answer a violation, unless the process was killed, the deadline or the grace period had come, or the caller had left; a failure that was sent as a whole message as well. The reasons are in a module of their own.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -2,11 +2,11 @@
 
 Nodes reach the store through proxies that delay, reset or silence connections or drop
 one direction; links to all backend servers are cut; signals kill, pause, stop and
-restart nodes; engines crash, drain, slow down, limit their load and are added; plain
-servers crash and start again, also while a node is paused, and answers have no length
-or no end; nodes stop in series and get only a share of a core; the store is busy,
-silent or restored from backup. Callers, some of which use a connection until its node
-terminates, and an operator send requests.
+restart nodes; engines crash, drain, slow down, stand still, limit their load and are
+added; plain servers crash and start again, also while a node is paused, and answers
+have no length or no end; nodes stop in series, also while all of this happens, and get
+only a share of a core; the store is busy, silent or restored from backup. Callers, some
+of which use a connection until its node terminates, and an operator send requests.
 """
 
 from __future__ import annotations
@@ -26,15 +26,16 @@
 from soak_dialects import OwnDialect, PlatformDialect
 from soak_endless_faults import EndlessFaults
 from soak_engine_faults import SPARE_ENGINES, EngineFaults
-from soak_exchanges import ExchangeChecks
+from soak_exchange_checks import ExchangeChecks
 from soak_kept_callers import KeptCallers
 from soak_ledger import RETRY_RULE, Ledger
 from soak_link_faults import LinkFaults
-from soak_logs import check_end_lines, check_memory, read_logs
+from soak_logs import check_end_lines, check_memory, lines_about, read_logs
 from soak_node_faults import GRACE_S, LISTEN_S, NodeFaults
 from soak_operator import Operator
 from soak_platform import PlatformOperator, start_platform_node
 from soak_shares import ProcessShares
+from soak_store_faults import StoreFaults
 from soak_timeline import Timeline
 
 NODES = 4
@@ -46,8 +47,6 @@
 """Time of a token step, with which a stream of 300 events takes 5 to 10 s."""
 
 SETTLE_TIMEOUT_S = 60.0
-RESTORE_FRACTION = 0.5
-"""Fraction of store outages that end with a restored backup."""
 
 NODE_FAULTS = {
     "kill_node",
@@ -59,6 +58,8 @@
     "stop_nodes_in_series",
     "stop_beside_change",
     "stop_in_outage",
+    "stop_beside_pauses",
+    "stop_beside_all",
     "hold_one",
     "hold_all",
     "trouble_way",
@@ -103,7 +104,6 @@
     options: SoakOptions
     is_stopping: bool = False
     started_s: float = attrs.field(factory=time.monotonic)
-    _is_store_healthy: bool = True
 
     async def start(self) -> None:
         """Start all processes and wait until all nodes serve."""
@@ -134,6 +134,7 @@
         """Inject random faults, which may overlap, until the run stops."""
         shares = ProcessShares(self.nodes.lives, self.rng)
         endless = EndlessFaults(self.fleet, self.rng)
+        store = StoreFaults(self.fleet, self.rng, self.nodes)
         kinds = [
             self.nodes.kill_node,
             self.nodes.pause_node,
@@ -142,7 +143,9 @@
             self.nodes.stop_starting_node,
             self.nodes.stop_nodes_in_series,
             self.nodes.stop_beside(self.operator.apply_often, "stop_beside_change"),
-            self.nodes.stop_beside(self._trouble_store, "stop_in_outage"),
+            self.nodes.stop_beside(store.trouble_store, "stop_in_outage"),
+            self.nodes.stop_beside(self.engines.pause_engines, "stop_beside_pauses"),
+            self._stop_beside_all,
             shares.hold_one,
             shares.hold_all,
             endless.send_without_end,
@@ -152,14 +155,16 @@
             self.links.trouble_way,
             self.links.reset_way,
             self.links.silence_way,
-            self._trouble_store,
-            self._lose_store_answers,
+            store.trouble_store,
+            store.lose_store_answers,
             self.links.cut_links,
             self.links.cut_links,
             self.engines.kill_engine,
             self.engines.kill_engine,
             self.engines.drain_engine,
             self.engines.slow_engine,
+            self.engines.pause_engines,
+            self.engines.pause_engines,
             self.engines.late_orders,
             self.engines.lose_calls,
             self.engines.crash_under_message,
@@ -175,7 +180,7 @@
         if self.options.asks_less:
             kinds += [self.engines.limit_engine, self.engines.rest_engine] * 2
         if self.options.loses_all:
-            kinds += [self._lose_all_nodes] * 2
+            kinds += [store.lose_all_nodes] * 2
             await self.fleet.act("check_fencing")
         kinds = [
             k for k in kinds if not self.options.only or _name(k) in self.options.only
@@ -196,41 +201,20 @@
         if running:
             await asyncio.wait(set(running))
 
+    async def _stop_beside_all(self) -> None:
+        """Stop nodes in series while engines pause or end and configurations change."""
+        acts = [self.engines.pause_engines, self.operator.apply_often]
+        acts += [self.engines.kill_engine] * self.rng.randrange(2)
+        await asyncio.gather(
+            self.nodes.stop_nodes_in_series(), *(act() for act in acts)
+        )
+
     def _record_fault(self, name: str) -> None:
         at_s = time.monotonic() - self.started_s
         self.ledger.fault_times.append(f"{at_s:.2f} {name}")
         if name in NODE_FAULTS:
             self.ledger.node_faults += 1
 
-    async def _trouble_store(self) -> None:
-        if not self._is_store_healthy:
-            return
-        self._is_store_healthy = False
-        await self.fleet.act("fail_store", how=self.rng.choice(["silent", "busy"]))
-        await asyncio.sleep(self.rng.uniform(0.5, 6.0))
-        await self.fleet.act("heal_store", older=self.rng.random() < RESTORE_FRACTION)
-        self._is_store_healthy = True
-
-    async def _lose_all_nodes(self) -> None:
-        if not self._is_store_healthy or self.nodes.busy:
-            return
-        nodes = list(self.fleet.nodes)
-        self.nodes.busy.update(n.name for n in nodes)
-        self._is_store_healthy = False
-        await self.fleet.act("fail_store", how="busy")
-        await asyncio.sleep(self.rng.uniform(0.5, 3.0))
-        await self.fleet.act("lapse_all")
-        for node in nodes:
-            await self.nodes.kill(node)
-        await asyncio.gather(*(self.nodes.restart(node) for node in nodes))
-        await asyncio.sleep(self.rng.uniform(0.0, 1.5))
-        await self.fleet.act("heal_store")
-        await self.fleet.act("come_back")
-        self._is_store_healthy = True
-
-    async def _lose_store_answers(self) -> None:
-        await self.fleet.act("lose_answers", count=self.rng.randrange(1, 4))
-
     # Complete run.
 
     async def run(self, duration_s: float) -> None:
@@ -304,6 +288,9 @@
         """Check the ends of all requests, the logs, and the memory of all processes."""
         attempts, counts = await self.fleet.attempts(), await self.fleet.counts()
         exchanges = self.ledger.exchanges
+        lines = read_logs(
+            self.fleet.directory / f"{node.name}.log" for node in self.fleet.nodes
+        )
         checks = ExchangeChecks(self.timeline, attempts, counts["runs"], GRACE_S)
         for exchange in exchanges:
             outcome = checks.outcome(exchange)
@@ -311,9 +298,9 @@
             self.ledger.outcomes[f"{exchange.kind}: {outcome}"] += 1
             for text in checks.violations(exchange):
                 self.ledger.add_violation(text)
-        logs = [self.fleet.directory / f"{n.name}.log" for n in self.fleet.nodes]
+                print(*lines_about(lines, exchange, attempts), sep="\n", flush=True)
         lives = self.timeline.all_lives()
-        for text in check_end_lines(read_logs(logs), exchanges, attempts):
+        for text in check_end_lines(lines, exchanges, attempts):
             self.ledger.add_violation(text)
         for text in check_memory(lives):
             self.ledger.add_violation(text)
--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -97,6 +97,8 @@
         path: str,
         body: dict[str, Any],
         headers: dict[str, str],
+        *,
+        is_bad: bool = False,
     ) -> Exchange:
         """Send a request and read the answer, as far as it comes."""
         all_headers = {
@@ -113,6 +115,7 @@
             TIMEOUT_S,
             is_stream=body.get("stream", False),
             is_retried="Idempotency-Key" in headers,
+            crashes_engines=is_bad,
         )
         self.ledger.exchanges.append(exchange)
         try:
@@ -158,7 +161,8 @@
             {"role": "system", "content": COMMON_MESSAGE},
             {"role": "user", "content": bad},
         ]
-        exchange = await self._send(session, "/v1/chat/completions", body, {})
+        path = "/v1/chat/completions"
+        exchange = await self._send(session, path, body, {}, is_bad=True)
         self.ledger.outcomes[f"bad chat {exchange.final_status}"] += 1
 
     async def _bill(
--- a/bench/soak_engine_faults.py
+++ b/bench/soak_engine_faults.py
@@ -11,6 +11,15 @@
 SPARE_ENGINES = 12
 """Engines that are added in one run at the most."""
 
+PAUSE_RANGE_S = (0.3, 2.0)
+"""Range of the time for which a backend server stands still."""
+
+MOST_PAUSES = 6
+"""Backend servers that stand still in one fault at the most, one after the other."""
+
+PLAIN_FRACTION = 0.15
+"""Fraction of the pauses that concern the plain servers."""
+
 
 @attrs.define(eq=False, repr=False)
 class EngineFaults:
@@ -58,6 +67,22 @@
         await asyncio.sleep(self.rng.uniform(1.0, 6.0))
         await self.fleet.act("slow", backend=name, factor=1.0)
 
+    async def pause_engines(self) -> None:
+        """Let one engine after another stand still, and go on; at times the plain ones.
+
+        All of its work pauses, in half of the cases its answers to probes as well.
+        """
+        for _ in range(self.rng.randrange(1, MOST_PAUSES + 1)):
+            pause_s = self.rng.uniform(*PAUSE_RANGE_S)
+            is_plain = self.rng.random() < PLAIN_FRACTION
+            await self.fleet.act(
+                "stand_still",
+                backend="" if is_plain else await self._engine(),
+                for_s=pause_s,
+                mutes_probes=self.rng.random() < 0.5,
+            )
+            await asyncio.sleep(self.rng.uniform(0.0, pause_s))
+
     async def limit_engine(self) -> None:
         """Let an engine report a rate limit for some seconds."""
         name, per_s = await self._engine(), self.rng.uniform(0.5, 3.0)
--- a/bench/soak_link_faults.py
+++ b/bench/soak_link_faults.py
@@ -61,7 +61,7 @@
         nodes = self.rng.sample(self.fleet.nodes, self.rng.randrange(1, most + 1))
         kind = self.rng.choice([LinkCut.HANG, LinkCut.REFUSE, LinkCut.RESET])
         for _ in range(self.rng.choice([1, 1, 3])):
-            cuts = [self.timeline.cut_links(node.name) for node in nodes]
+            cuts = [self.timeline.cut_links(node.name, kind) for node in nodes]
             for node in nodes:
                 node.cut_links(kind)
             await asyncio.sleep(self.rng.uniform(0.3, 5.0))
--- a/bench/soak_logs.py
+++ b/bench/soak_logs.py
@@ -17,6 +17,9 @@
 KILL_SLACK_S = 1.0
 """Lines of requests that ended within this time before a kill may be lost."""
 
+MAX_LINES = 20
+"""Lines of the logs that are shown for one request."""
+
 _END_LINE = re.compile(r" event=(?:request_done|request_refused) request=(\S+)")
 
 
@@ -25,6 +28,17 @@
     return [line for path in paths for line in path.read_text().splitlines()]
 
 
+def lines_about(
+    lines: Iterable[str], exchange: Exchange, attempts: Iterable[dict[str, Any]]
+) -> list[str]:
+    """Return the first lines that name the request of an exchange."""
+    ids = {a["request_id"] for a in attempts if a["text"] == exchange.text}
+    ids = (ids | {exchange.request_id}) - {""}
+    named = re.compile("=(?:" + "|".join(map(re.escape, sorted(ids))) + r")(?:\s|$)")
+    found = [line for line in lines if ids and named.search(line)]
+    return [f"  {line}" for line in found[:MAX_LINES]]
+
+
 def end_lines(lines: Iterable[str]) -> Counter[str]:
     """Return how many lines report the end of each request, by its id."""
     found = (_END_LINE.search(line) for line in lines)
--- /dev/null
+++ b/bench/soak_runs.py
@@ -0,0 +1,110 @@
+"""Whether the runs of a request at backend servers could have gone on."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+from cut_links import LinkCut
+from soak_exchanges import SLACK_S, Exchange
+from soak_timeline import ProcessLife, Timeline
+
+_MAY_GO_ON = frozenset(("open", "whole", "left"))
+"""Ends of attempts that no backend server has brought about by a failure."""
+
+
+@attrs.frozen(eq=False, repr=False)
+class LiveRuns:
+    """Finds runs that were given up although they could have gone on.
+
+    A backend server that is silent for a while is no reason to end an answer: its run
+    goes on, or another one does.
+    """
+
+    timeline: Timeline
+
+    def find(
+        self, exchange: Exchange, attempts: list[dict[str, Any]]
+    ) -> list[dict[str, Any]]:
+        """Return the attempts that neither a backend server nor a fault has ended."""
+        if exchange.crashes_engines:
+            return []
+        return [
+            attempt
+            for attempt in attempts
+            if attempt["end"] in _MAY_GO_ON
+            and _was_sent_for(exchange, attempt)
+            and not self._was_lost(exchange, attempt)
+            and not self._was_cut(exchange, attempt)
+            and not any(_replaces(other, attempt) for other in attempts)
+        ]
+
+    def _was_lost(self, exchange: Exchange, attempt: dict[str, Any]) -> bool:
+        """Return whether the backend server's process ended before the answer did.
+
+        Only a node that reaches the backend server knows that an answer without a
+        length was whole.
+        """
+        lost_s = attempt["lost_s"]
+        return lost_s is not None and lost_s <= exchange.ended_s + SLACK_S
+
+    def _was_cut(self, exchange: Exchange, attempt: dict[str, Any]) -> bool:
+        """Return whether a fault has ended the connection to the backend server."""
+        from_s = attempt["ended_s"] - SLACK_S
+        to_s = attempt["ended_s"] + SLACK_S
+        if attempt["end"] == "open":
+            from_s = to_s = exchange.ended_s
+        for node in self._nodes_between(exchange):
+            cuts = self.timeline.link_cuts.get(node, ())
+            if any(c.kind is LinkCut.RESET and c.overlaps(from_s, to_s) for c in cuts):
+                return True
+        return any(
+            life.killed_s is not None and from_s <= life.killed_s <= to_s
+            for life in self._relays(exchange)
+        )
+
+    def _nodes_between(self, exchange: Exchange) -> Iterator[str]:
+        """Yield the nodes whose links the attempts may have used.
+
+        A node sends attempts through others while its own links are cut.
+        """
+        yield exchange.node
+        yield from {life.node for life in self._relays(exchange)}
+
+    def _relays(self, exchange: Exchange) -> Iterator[ProcessLife]:
+        cuts = self.timeline.link_cuts.get(exchange.node, ())
+        if not any(cut.overlaps(exchange.sent_s, exchange.ended_s) for cut in cuts):
+            return
+        for life in self.timeline.all_lives():
+            if life.node != exchange.node:
+                yield life
+
+
+def _replaces(other: dict[str, Any], attempt: dict[str, Any]) -> bool:
+    """Return whether an attempt had sent events before another one was given up.
+
+    The answer then depends on the later attempt alone.
+    """
+    if attempt["end"] != "left" or other["first_event_s"] is None:
+        return False
+    is_later = other["began_s"] > attempt["began_s"]
+    was_open = other["end"] == "open" or other["ended_s"] >= attempt["ended_s"]
+    return is_later and other["first_event_s"] <= attempt["ended_s"] and was_open
+
+
+def _was_sent_for(exchange: Exchange, attempt: dict[str, Any]) -> bool:
+    """Return whether an attempt began during an exchange, not one with equal text."""
+    began_s = attempt["began_s"]
+    return exchange.sent_s - SLACK_S <= began_s <= exchange.ended_s + SLACK_S
+
+
+def describe(attempts: list[dict[str, Any]], exchange: Exchange) -> str:
+    """Return the attempts with their times since the request was sent."""
+    found = []
+    for attempt in attempts:
+        began_s = attempt["began_s"] - exchange.sent_s
+        ended_s = attempt["ended_s"] - exchange.sent_s
+        until = "" if attempt["end"] == "open" else f" to {ended_s:.2f}"
+        found.append(f"{attempt['end']} at {attempt['address']} {began_s:.2f}{until} s")
+    return "; ".join(found) or "none"
--- a/bench/soak_shares.py
+++ b/bench/soak_shares.py
@@ -5,10 +5,11 @@
 import asyncio
 import random
 import signal
+import time
 from collections.abc import Callable, Sequence
 
 import attrs
-from soak_timeline import ProcessLife
+from soak_timeline import ProcessLife, Span
 
 SHARES = (0.5, 0.2)
 """Fractions of the time in which a process may run."""
@@ -39,11 +40,15 @@
 
     async def _hold(self, lives: Callable[[], Sequence[ProcessLife]]) -> None:
         share = self.rng.choice(SHARES)
-        until_s = asyncio.get_running_loop().time() + self.rng.uniform(*LENGTH_RANGE_S)
-        while asyncio.get_running_loop().time() < until_s:
+        until_s = time.monotonic() + self.rng.uniform(*LENGTH_RANGE_S)
+        recorded: set[int] = set()
+        while time.monotonic() < until_s:
             period_s = self.rng.uniform(*PERIOD_RANGE_S)
             held = [x for x in lives() if not x.is_paused]
             for life in held:
+                if id(life) not in recorded:
+                    recorded.add(id(life))
+                    life.holds.append(Span(time.monotonic(), until_s))
                 _send(life, signal.SIGSTOP)
             await asyncio.sleep(period_s * (1.0 - share))
             for life in held:
--- a/bench/soak_timeline.py
+++ b/bench/soak_timeline.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 import attrs
+from cut_links import LinkCut
 from fleet import NodeProcess
 
 MONITOR_INTERVAL_S = 0.25
@@ -21,6 +22,8 @@
 
     began_s: float
     ended_s: float | None = None
+    kind: LinkCut = LinkCut.NONE
+    """How the links are cut, if it is a cut of links."""
 
     def overlaps(self, from_s: float, to_s: float) -> bool:
         """Return whether the span shares a moment with another one."""
@@ -40,6 +43,8 @@
     killed_s: float | None = None
     ended_s: float | None = None
     pauses: list[Span] = attrs.field(factory=list)
+    holds: list[Span] = attrs.field(factory=list)
+    """Times in which it got only a share of a core."""
     peak_bytes: int = 0
     """Largest resident memory, as far as it was read."""
 
@@ -107,9 +112,9 @@
         """Return the processes of all nodes."""
         return [life for lives in self.lives.values() for life in lives]
 
-    def cut_links(self, node: str) -> Span:
+    def cut_links(self, node: str, kind: LinkCut) -> Span:
         """Record that a node's links are cut from now on, until the span is ended."""
-        span = Span(time.monotonic())
+        span = Span(time.monotonic(), kind=kind)
         self.link_cuts.setdefault(node, []).append(span)
         return span
 
--- a/standins/src/fordhatch_standins/_attempt_log.py
+++ b/standins/src/fordhatch_standins/_attempt_log.py
@@ -40,12 +40,21 @@
     began_s: float
     ended_s: float = 0.0
     end: AttemptEnd = AttemptEnd.OPEN
+    first_event_s: float | None = None
+    """When its first event was sent, None if none was."""
+    lost_s: float | None = None
+    """When the process at the address ended, None if it has not."""
 
     def finish(self, end: AttemptEnd) -> None:
         """Record the end of the attempt; the first record counts."""
         if self.end is AttemptEnd.OPEN:
             self.end, self.ended_s = end, time.monotonic()
 
+    def record_event(self, event: bytes) -> None:
+        """Record that an event is sent; an empty one marks the answer's head."""
+        if event and self.first_event_s is None:
+            self.first_event_s = time.monotonic()
+
     def to_json(self) -> dict[str, Any]:
         """Return the fields for the control interface."""
         return attrs.asdict(self)
@@ -67,8 +76,9 @@
     def break_off(self, address: str) -> None:
         """Record that the process at an address ended with its open attempts."""
         for attempt in self.attempts:
-            if attempt.address == address:
+            if attempt.address == address and attempt.lost_s is None:
                 attempt.finish(AttemptEnd.BROKEN)
+                attempt.lost_s = time.monotonic()
 
 
 def _identifying_text(body: bytes) -> str:
--- a/standins/src/fordhatch_standins/_backend_http.py
+++ b/standins/src/fordhatch_standins/_backend_http.py
@@ -88,6 +88,7 @@
         self._record_arrival(plain, work, request)
         expected_id = request.headers.get("X-Expect-Instance", "")
         own_id = plain.backend_id if plain is not None else work.engine.backend_id
+        stand_still = (plain or work.engine).stand_still
         if expected_id and expected_id != own_id:
             answers = _ResponseBuilder(request, self.backends.pressure, own_id)
             return answers.refusal(_MISDIRECTED, own_id)
@@ -97,11 +98,14 @@
             fields = {"X-Runner-Id": own_id, **cold}
             await self.backends.endless.send(kind, request.transport, fields)
             return web.Response()
+        if request.path in (REPORT_PATH, HEALTH_PATH):
+            await stand_still.wait_to_answer_probe()
         if request.path == REPORT_PATH:
             return web.json_response({"busy": False, "seq": 1}, headers=cold)
         if request.path == HEALTH_PATH:
             return web.Response(headers={"X-Runner-Id": own_id, **cold})
         if request.path == ORDER_PATH:
+            await stand_still.wait()
             return self._order(work, await request.json())
         call = _build_call(request, own_id, await request.read())
         attempt = self.backends.attempts.begin(call, address)
@@ -114,6 +118,7 @@
             await self.backends.endless.send(kind, request.transport, fields)
             return web.Response()
         try:
+            await stand_still.wait()
             response = await self._answer(plain, work, call, answers)
         except (asyncio.CancelledError, ConnectionError):
             # The answers of a head whose group has lost a member do not go on.
@@ -299,7 +304,7 @@
     )
     response.enable_chunked_encoding()
     try:
-        await _forward_events(work.serve(call), response, answers.request)
+        await _forward_events(work.serve(call), response, answers)
     except NotExecuted as refusal:
         return answers.refusal(refusal.status, refusal.at_fault)
     except CutOff:
@@ -315,6 +320,7 @@
     head = answers.lengthless_head("text/event-stream")
     try:
         async for event in work.serve(call):
+            answers.attempt.record_event(event)
             transport.write(head + event)
             head = b""
     except NotExecuted as refusal:
@@ -331,10 +337,11 @@
 async def _forward_events(
     events: AsyncIterator[bytes],
     response: web.StreamResponse,
-    request: web.BaseRequest,
+    answers: _ResponseBuilder,
 ) -> None:
     async for event in events:
         if not response.prepared:
-            await response.prepare(request)
+            await response.prepare(answers.request)
+        answers.attempt.record_event(event)
         await response.write(event)
     await response.write_eof()
--- a/standins/src/fordhatch_standins/_backends.py
+++ b/standins/src/fordhatch_standins/_backends.py
@@ -22,6 +22,7 @@
 from ._plain_service import PlainService
 from ._pressure_log import PressureLog
 from ._retry_ledger import RetryLedger
+from ._stand_still import StandStill
 from ._store_model import StoreCopy, StoreModel
 
 FIRST_PLAIN_PORT = 8000
@@ -175,6 +176,7 @@
             backend_id=f"p-{self._plain_count:04d}",
             is_dead=False,
             running=0,
+            stand_still=StandStill(),
             slot_queue=SlotQueue(),
         )
         self.plain[address] = started
--- a/standins/src/fordhatch_standins/_control_http.py
+++ b/standins/src/fordhatch_standins/_control_http.py
@@ -19,14 +19,18 @@
 HEARTBEAT_S = 1.2
 """Time within which all engines register again once the store is available."""
 
+_ENGINE_ACTIONS = frozenset(
+    ("cool", "slow", "stand_still", "crash_under", "lengthless", "shed", "endless")
+)
+
 
 def control_handler(backends: Backends, listeners: BackendListeners) -> Any:
     """Return a handler that lets a test inject faults and read the run counts.
 
     ``GET /counts`` and ``/attempts``; ``POST /act`` with ``do`` (``kill``, ``drain``,
     ``add``, ``slow``, ``cool``, ``crash_under``, ``lengthless``, ``endless``,
-    ``shed``, ``limit``, ``rest``, ``restart_plain``, ``fail_store``, ``heal_store``)
-    and its fields.
+    ``stand_still``, ``shed``, ``limit``, ``rest``, ``restart_plain``, ``fail_store``,
+    ``heal_store``) and its fields.
     """
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
@@ -98,6 +102,11 @@
             backends.fleet.make_cold(engine, float(body["for_s"]))
         case "slow":
             engine.slow_factor = float(body["factor"])
+        case "stand_still":
+            for server in [engine] if engine else backends.plain.values():
+                server.stand_still.begin(
+                    float(body["for_s"]), mutes_probes=bool(body["mutes_probes"])
+                )
         case "endless":
             of_store = body.get("of") == "store"
             endless = backends.endless_store if of_store else backends.endless
@@ -135,7 +144,7 @@
             backends.fleet.drain(engine)
         case "limit" | "rest" | "excuse":
             _act_on_pressure(backends.pressure, body)
-        case "cool" | "slow" | "crash_under" | "lengthless" | "shed" | "endless":
+        case _ if body["do"] in _ENGINE_ACTIONS:
             _act_on_engines(backends, engine, body)
         case "add":
             address = await listeners.listen(int(body["port"]))
--- a/standins/src/fordhatch_standins/_engine_fleet.py
+++ b/standins/src/fordhatch_standins/_engine_fleet.py
@@ -159,6 +159,7 @@
     def kill(self, engine: EngineModel) -> None:
         """Terminate an engine without notice; its entry expires after ``lapse_s``."""
         engine.is_dead = True
+        engine.stand_still.end()
         engine.wake_waiters()
         loop = asyncio.get_running_loop()
         loop.call_later(self.lapse_s, self._lapse, engine)
@@ -175,6 +176,7 @@
         The models staged on its host remain; all other state is lost.
         """
         engine.is_dead = True
+        engine.stand_still.end()
         engine.wake_waiters()
         self._break_group_of(engine)
         self._restart_count += 1
--- a/standins/src/fordhatch_standins/_engine_model.py
+++ b/standins/src/fordhatch_standins/_engine_model.py
@@ -13,6 +13,7 @@
 from fordhatch.catalog import GroupMembership, MemberState
 
 from ._entries import entry_fields
+from ._stand_still import StandStill
 
 REJOIN_S = 0.2
 BEGUN, DONE, CONFLICT, OUTDATED = 202, 200, 409, 412
@@ -84,6 +85,7 @@
     """Whether the entry reports the coldness."""
     version: str = "v1"
     """Version of the engine's software."""
+    stand_still: StandStill = attrs.field(factory=StandStill)
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def cold_left_s(self) -> float:
--- a/standins/src/fordhatch_standins/_engine_work.py
+++ b/standins/src/fordhatch_standins/_engine_work.py
@@ -114,11 +114,12 @@
         Raises:
             CutOff: If the engine has left the place or no longer serves there.
         """
-        factor = max(
-            (m.slow_factor for m in self.fleet.members(self.engine)), default=1
-        )
+        members = self.fleet.members(self.engine)
+        factor = max((m.slow_factor for m in members), default=1)
         factor *= self.pace.model_factor.get(self.engine.place.model, 1.0)
         await asyncio.sleep(duration_s * factor)
+        for member in members:
+            await member.stand_still.wait()
         while self.engine.is_stalled and self._is_serving_at(place):
             await self.engine.wait_for_change()
         if not self._is_serving_at(place):
--- a/standins/src/fordhatch_standins/_plain_service.py
+++ b/standins/src/fordhatch_standins/_plain_service.py
@@ -13,6 +13,7 @@
 
 from ._calls import BackendCall, CutOff, NotExecuted, SlotQueue
 from ._entries import backend_entry
+from ._stand_still import StandStill
 from ._store_model import StoreModel
 
 _UNAVAILABLE, _MISDIRECTED = 503, 421
@@ -41,6 +42,7 @@
     """Fraction of the requests that run but whose answer is lost."""
     refuses: bool = False
     """Whether every request is refused without being run."""
+    stand_still: StandStill = attrs.field(factory=StandStill)
     _slot_queue: SlotQueue = attrs.field(factory=SlotQueue)
 
     def register(self, state: str = "ready") -> None:
@@ -70,6 +72,7 @@
             self.runs[call.request_id] += 1
             self.contents[call.digest] += 1
             await asyncio.sleep(self.work_s * self.rng.uniform(0.5, 1.5))
+            await self.stand_still.wait()
             if self.is_dead or self.rng.random() < self.lost_share:
                 raise CutOff
             answer = {"path": call.target.partition("?")[0], "body": call.digest}
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -12,7 +12,8 @@
 import pytest
 import soak_node_faults
 from fleet import NodeProcess
-from soak_exchanges import Exchange, ExchangeChecks
+from soak_exchange_checks import ExchangeChecks
+from soak_exchanges import Exchange
 from soak_http import Connection, Habits
 from soak_ledger import Ledger
 from soak_logs import check_end_lines, check_memory
@@ -50,8 +51,10 @@
     return exchange
 
 
-def attempt(end="left", ended_s=107.4) -> dict:
-    return {"text": "text", "request_id": ID, "end": end, "ended_s": ended_s}
+def attempt(end="left", ended_s=107.4, began_s=101.1, **fields) -> dict:
+    times = {"began_s": began_s, "ended_s": ended_s, "first_event_s": None}
+    record = {"text": "text", "request_id": ID, "address": "a:1", "end": end, **times}
+    return {**record, "lost_s": None, **fields}
 
 
 def checks(attempts=(), runs=None, cuts=()) -> ExchangeChecks:
@@ -95,7 +98,7 @@
         return checks(attempts, cuts=cuts).outcome(exchange or cut_exchange(life))
 
     assert outcome(attempts=[attempt()]) == "cut, grace"
-    assert outcome(attempts=[attempt("broken")]) == "cut, broken off"
+    assert outcome(attempts=[attempt("broken", 104.0)]) == "cut, broken off"
     assert outcome(cuts=[Span(102.0, 103.0)]) == "cut, links"
     assert outcome(cut_exchange(life, sent_s=92.0)) == "cut, deadline"
     assert outcome(cut_exchange(life, status=0, ended_s=101.1)) == "not taken"
