Soak: each process's end is checked, and each cut request has its line

Cause: only a process that the soak stopped was checked for its exit status, and a kill by anything was allowed. A request that got no answer and whose id no caller knows needed no line. The end of a process counted from when the soak's own event loop noticed it, which is late on a busy machine.

Change: all processes are checked at the end of a run: 0 after a signal, killed by the soak alone, never without a signal. A thread of its own records when a process ends. For each node, requests that were cut and have no known id need as many lines that no known request accounts for. Whether the soak itself had slowed a process that outlived its grace period is counted; it stays a violation. The soak reports how late its own event loop has been.

An attempt counts for an exchange by its request's id where that is known: a bill that was refused and sent again had the second request's run.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -34,6 +34,7 @@
 from soak_node_faults import GRACE_S, LISTEN_S, NodeFaults
 from soak_operator import Operator
 from soak_platform import PlatformOperator, start_platform_node
+from soak_processes import check_process_ends
 from soak_shares import ProcessShares
 from soak_store_faults import StoreFaults
 from soak_timeline import Timeline
@@ -300,12 +301,16 @@
                 self.ledger.add_violation(text)
                 print(*lines_about(lines, exchange, attempts), sep="\n", flush=True)
         lives = self.timeline.all_lives()
-        for text in check_end_lines(lines, exchanges, attempts):
-            self.ledger.add_violation(text)
-        for text in check_memory(lives):
+        for text in (
+            *check_end_lines(lines, exchanges, attempts),
+            *check_process_ends(lives),
+            *check_memory(lives),
+        ):
             self.ledger.add_violation(text)
         peak_bytes = max(life.peak_bytes for life in lives)
         self.ledger.outcomes["largest memory, MB"] = round(peak_bytes / 1e6)
+        lateness_ms = round(1000.0 * self.timeline.lateness_s)
+        self.ledger.outcomes["largest lateness of the soak itself, ms"] = lateness_ms
 
 
 def _name(fault: Callable[[], Awaitable[None]]) -> str:
--- a/bench/soak_logs.py
+++ b/bench/soak_logs.py
@@ -4,7 +4,7 @@
 
 import re
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Container, Iterable, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -20,7 +20,9 @@
 MAX_LINES = 20
 """Lines of the logs that are shown for one request."""
 
-_END_LINE = re.compile(r" event=(?:request_done|request_refused) request=(\S+)")
+_END_LINE = re.compile(
+    r" node=(\S+) event=(?:request_done|request_refused) request=(\S+)"
+)
 
 
 def read_logs(paths: Iterable[Path]) -> list[str]:
@@ -42,7 +44,7 @@
 def end_lines(lines: Iterable[str]) -> Counter[str]:
     """Return how many lines report the end of each request, by its id."""
     found = (_END_LINE.search(line) for line in lines)
-    return Counter(match.group(1) for match in found if match)
+    return Counter(match.group(2) for match in found if match)
 
 
 def check_end_lines(
@@ -71,7 +73,9 @@
         sources = by_text.get(attempt["text"])
         if sources:
             by_id.setdefault(attempt["request_id"], sources)
-    return [
+    named = {id(source) for sources in by_id.values() for source in sources}
+    unnamed = [x for x in exchanges if not x.is_whole and id(x) not in named]
+    return _check_unnamed(lines, unnamed, by_id) + [
         f"{ends[request_id]} lines for the end of {request_id}: {sources[-1]}"
         for request_id, sources in by_id.items()
         if ends[request_id] != 1
@@ -79,6 +83,23 @@
     ]
 
 
+def _check_unnamed(
+    lines: Iterable[str], unnamed: Iterable[Exchange], known_ids: Container[str]
+) -> list[str]:
+    """Check that each node has a line for each cut request whose id no caller knows."""
+    found = (_END_LINE.search(line) for line in lines)
+    others = Counter(
+        match.group(1) for match in found if match and match.group(2) not in known_ids
+    )
+    cut = [x for x in unnamed if not _may_lack_line(x)]
+    missing = Counter(exchange.node for exchange in cut) - others
+    return [
+        f"no line for {count} of {node}'s requests without an id, the last is "
+        f"{[x for x in cut if x.node == node][-1]}"
+        for node, count in missing.items()
+    ]
+
+
 def _may_lack_line(exchange: Exchange) -> bool:
     """Return whether a kill has lost the line, or no node has read the request."""
     if not exchange.is_taken:
--- a/bench/soak_node_faults.py
+++ b/bench/soak_node_faults.py
@@ -12,6 +12,7 @@
 from fleet import Fleet, NodeProcess
 from soak_engine_faults import EngineFaults
 from soak_ledger import Ledger
+from soak_processes import was_slowed
 from soak_timeline import ProcessLife, Timeline
 
 GRACE_S = 8.0
@@ -173,25 +174,25 @@
         signal_s = time.monotonic()
         try:
             async with asyncio.timeout(GRACE_S + EXIT_SLACK_S):
-                await node.process.wait()
+                await life.wait()
         except TimeoutError:
+            self._kill_overdue(life)
+            await life.wait()
+        took_s = life.ended_s - signal_s
+        self.ledger.stop_times_s.append(took_s)
+        if took_s > GRACE_S + EXIT_SLACK_S:
             text = f"pid {node.process.pid} did not end within {GRACE_S} s"
-            self.ledger.add_violation(f"{node.name} {text} of SIGTERM")
-            # No fault of the run, so it is not recorded and excuses nothing.
-            node.process.kill()
-            await node.process.wait()
-        self.ledger.stop_times_s.append(time.monotonic() - signal_s)
-        self._check_exit(node, life)
-
-    def _check_exit(self, node: NodeProcess, life: ProcessLife) -> None:
-        status = node.process.returncode
-        allowed = {0, -signal.SIGKILL}
-        if not life.is_up:
-            # The process may not handle signals yet.
-            allowed.add(-signal.SIGTERM)
-        if status not in allowed:
-            text = f"{node.name} ended with {status} after SIGTERM"
-            self.ledger.add_violation(text)
+            way = "slowed" if was_slowed(life, GRACE_S) else "not slowed"
+            self.ledger.outcomes[f"ended after the grace period, {way}"] += 1
+            self.ledger.add_violation(
+                f"{node.name} {text} of SIGTERM, {way} by the soak: {took_s:.2f} s"
+            )
+
+    def _kill_overdue(self, life: ProcessLife) -> None:
+        """Kill a process as the platform does; this excuses no cut answer."""
+        if life.ended_s is None:
+            life.is_overdue = True
+            life.process.kill()
 
     async def _start(self, node: NodeProcess) -> None:
         await self.fleet.restart(node)
--- a/bench/soak_runs.py
+++ b/bench/soak_runs.py
@@ -94,9 +94,10 @@
 
 
 def _was_sent_for(exchange: Exchange, attempt: dict[str, Any]) -> bool:
-    """Return whether an attempt began during an exchange, not one with equal text."""
-    began_s = attempt["began_s"]
-    return exchange.sent_s - SLACK_S <= began_s <= exchange.ended_s + SLACK_S
+    """Return whether an attempt is of this exchange, not of one with equal text."""
+    if exchange.request_id:
+        return attempt["request_id"] == exchange.request_id
+    return exchange.sent_s - SLACK_S <= attempt["began_s"] <= exchange.ended_s
 
 
 def describe(attempts: list[dict[str, Any]], exchange: Exchange) -> str:
--- a/bench/soak_timeline.py
+++ b/bench/soak_timeline.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import contextlib
+import os
 import signal
+import threading
 import time
 from pathlib import Path
 
@@ -41,12 +43,15 @@
     """Whether it has served; before that, a signal to stop may end it at once."""
     stop_signals_s: list[float] = attrs.field(factory=list)
     killed_s: float | None = None
+    is_overdue: bool = False
+    """Whether it had to be killed at the end of its grace period."""
     ended_s: float | None = None
     pauses: list[Span] = attrs.field(factory=list)
     holds: list[Span] = attrs.field(factory=list)
     """Times in which it got only a share of a core."""
     peak_bytes: int = 0
     """Largest resident memory, as far as it was read."""
+    _has_ended: threading.Event = attrs.field(factory=threading.Event)
 
     @property
     def is_paused(self) -> bool:
@@ -79,10 +84,21 @@
                 if line.startswith("VmHWM:"):
                     self.peak_bytes = int(line.split()[1]) * 1024
 
-    async def watch_end(self) -> None:
-        """Record when the process ends."""
-        await self.process.wait()
+    def watch_end(self) -> None:
+        """Record when the process ends; blocks until then.
+
+        A thread of its own sees the end also while this process's event loop is late.
+        """
+        with contextlib.suppress(ChildProcessError):
+            # Another thread of this process may have read the exit status already.
+            os.waitid(os.P_PID, self.process.pid, os.WEXITED | os.WNOWAIT)
         self.ended_s = time.monotonic()
+        self._has_ended.set()
+
+    async def wait(self) -> None:
+        """Wait until the process has ended and the time of that is recorded."""
+        await self.process.wait()
+        await asyncio.to_thread(self._has_ended.wait)
 
 
 @attrs.define(eq=False, repr=False)
@@ -93,15 +109,14 @@
     """Processes by node, in order of their start."""
     link_cuts: dict[str, list[Span]] = attrs.field(factory=dict)
     """Times in which a node had no links to backend servers."""
-    _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
+    lateness_s: float = 0.0
+    """How late the event loop of the soak itself has been at the most."""
 
     def record_start(self, node: NodeProcess) -> ProcessLife:
         """Record that a node's process was started."""
         life = ProcessLife(node.name, node.process)
         self.lives.setdefault(node.name, []).append(life)
-        task = asyncio.ensure_future(life.watch_end())
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        threading.Thread(target=life.watch_end, daemon=True).start()
         return life
 
     def life(self, node: NodeProcess) -> ProcessLife:
@@ -119,8 +134,10 @@
         return span
 
     async def monitor(self) -> None:
-        """Read the memory of all processes many times a second, until cancelled."""
+        """Watch the memory of all processes and the event loop, until cancelled."""
         while True:
             for lives in self.lives.values():
                 lives[-1].read_memory()
+            due_s = time.monotonic() + MONITOR_INTERVAL_S
             await asyncio.sleep(MONITOR_INTERVAL_S)
+            self.lateness_s = max(self.lateness_s, time.monotonic() - due_s)
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -6,11 +6,13 @@
 import random
 import signal
 import sys
+import threading
 import time
 from types import SimpleNamespace
 
 import pytest
 import soak_node_faults
+from cut_links import LinkCut
 from fleet import NodeProcess
 from soak_exchange_checks import ExchangeChecks
 from soak_exchanges import Exchange
@@ -18,6 +20,7 @@
 from soak_ledger import Ledger
 from soak_logs import check_end_lines, check_memory
 from soak_node_faults import NodeFaults
+from soak_processes import check_process_ends, was_slowed
 from soak_shares import ProcessShares
 from soak_timeline import ProcessLife, Span, Timeline
 
@@ -108,6 +111,53 @@
     assert outcome() == "cut, killed"
 
 
+@pytest.mark.parametrize(
+    ("fields", "others", "cuts"),
+    [
+        ({}, [attempt("broken", 103.9, 103.0)], []),
+        ({}, [attempt("endless", 103.9, 103.0)], []),
+        ({}, [], [Span(103.0, 105.0, k) for k in (LinkCut.HANG, LinkCut.REFUSE)]),
+        ({}, [], [Span(100.5, 101.5, LinkCut.RESET)]),
+        ({"status": 502, "is_complete": True}, [], []),
+        ({"status": 503, "is_complete": True, "is_stream": False}, [], []),
+    ],
+    ids=["broken off later", "endless later", "no new links", "links broke before",
+         "refused", "plain call"],
+)  # fmt: skip
+def test_a_run_that_could_go_on_is_no_excuse(life, fields, others, cuts) -> None:
+    life.pauses.append(Span(102.0, 102.5))
+    exchange = cut_exchange(life, ended_s=104.0, **fields)
+    runs = [attempt(ended_s=103.0), *others]
+    assert "answer cut" in checks(runs, cuts=cuts).violations(exchange)[0]
+    # Without that run, they are reasons.
+    assert checks(others, cuts=cuts).violations(exchange) == []
+
+
+@pytest.mark.parametrize(
+    ("fields", "runs", "cuts"),
+    [
+        ({}, [attempt(ended_s=103.0, lost_s=103.5)], []),
+        ({}, [attempt(ended_s=103.0)], [Span(102.0, 102.9, LinkCut.RESET)]),
+        ({}, [attempt(ended_s=103.0), attempt("broken", 103.9, 102.0,
+              first_event_s=102.9)], []),
+        ({"crashes_engines": True}, [attempt(ended_s=103.0)], []),
+        ({"known_id": "req-2"}, [attempt(ended_s=103.0)], []),
+    ],
+    ids=["lost", "links broke", "replaced", "crashes engines", "other request"],
+)  # fmt: skip
+def test_runs_that_could_not_go_on(life, fields, runs, cuts) -> None:
+    exchange = cut_exchange(life, ended_s=104.0, **fields)
+    assert checks(runs, cuts=cuts).live_runs(exchange) == []
+
+
+def test_a_run_is_not_replaced_by_one_without_events(life) -> None:
+    exchange = cut_exchange(life, ended_s=104.0)
+    for first_event_s in (None, 103.1):
+        later = attempt("broken", 103.9, 102.0, first_event_s=first_event_s)
+        runs = [attempt(ended_s=103.0), later]
+        assert checks(runs).live_runs(exchange) == runs[:1]
+
+
 def test_an_answer_that_never_ends_is_found(life) -> None:
     exchange = cut_exchange(life, sent_s=80.0, ended_s=103.0)
     assert "no end" in checks().violations(exchange)[0]
@@ -172,9 +222,54 @@
     assert check_end_lines([], [exchange], []) == []
 
 
+def test_cut_requests_without_an_id_need_a_line_each(life) -> None:
+    cut = [cut_exchange(life, headers={}, status=0) for _ in range(2)]
+    other = DONE.replace("node=n ", "node=node-1 ")
+    assert "no line for 2 of node-1" in check_end_lines([], cut, [])[0]
+    assert "no line for 1 of node-1" in check_end_lines([other], cut, [])[0]
+    assert check_end_lines([other, other], cut, []) == []
+    # A line of a request that another caller knows is none of theirs.
+    lines = [other, other.replace(ID, "req-2")]
+    named = cut_exchange(life)
+    assert "no line for 1" in check_end_lines(lines, [*cut, named], [])[0]
+    life.killed_s = 107.0
+    assert check_end_lines([], cut, []) == []
+
+
 # Processes.
 
 
+@pytest.mark.parametrize(
+    ("status", "fields", "fault"),
+    [
+        (0, {}, ""),
+        (0, {"stop_signals_s": []}, "without a signal"),
+        (None, {}, "has not ended"),
+        (1, {}, "ended with 1"),
+        (-9, {}, "not by the soak"),
+        (-9, {"killed_s": 1.0}, ""),
+        (-9, {"is_overdue": True}, ""),
+        (-15, {"is_up": True}, "ended with -15"),
+        (-15, {}, ""),
+    ],
+)
+def test_each_process_ends_as_it_was_told(life, status, fields, fault) -> None:
+    life.process.returncode = status
+    for name, value in fields.items():
+        setattr(life, name, value)
+    found = check_process_ends([life])
+    assert len(found) == bool(fault)
+    assert fault in "".join(found)
+
+
+def test_a_process_held_after_its_signal_counts_as_slowed(life) -> None:
+    assert not was_slowed(life, GRACE_S)
+    life.holds.append(Span(90.0, 99.0))
+    assert not was_slowed(life, GRACE_S)
+    life.holds.append(Span(107.0, 120.0))
+    assert was_slowed(life, GRACE_S)
+
+
 @pytest.mark.parametrize(
     ("program", "text"),
     [
@@ -191,11 +286,13 @@
     monkeypatch.setattr(soak_node_faults, "GRACE_S", 0.3)
     life = await start(program)
     await life.process.stdout.readline()
+    threading.Thread(target=life.watch_end, daemon=True).start()
     ledger, timeline = Ledger(), Timeline(lives={"node-1": [life]})
     faults = NodeFaults(None, random.Random(1), ledger, timeline, None)
     await faults.stop(NodeProcess("node-1", [], life.process))
-    assert len(ledger.violations) == 1
-    assert text in ledger.violations[0]
+    found = ledger.violations + check_process_ends([life])
+    assert len(found) == 1
+    assert text in found[0]
 
 
 async def test_memory_above_the_limit_is_found() -> None:
@@ -222,6 +319,7 @@
     # A pause by another fault stays in effect.
     life.send(signal.SIGSTOP)
     await holding
+    assert len(life.holds) == 1
     used_s = cpu_s(life)
     await asyncio.sleep(0.2)
     assert cpu_s(life) == used_s
