Soak: the grace period of a paused process counts from the pause's beginning

Cause: a process that is paused finds the signal to stop when it goes on, and can't know that it did not come at the beginning of the pause; its answers end five sixths of the grace period after that. The soak counted from its own sending of the signal. Until now a pause excused all answers that it overlapped, and none of those sent after it.

Change: the last sixth counts from the beginning of a pause that ended at most 0.2 s before the signal. An event loop that is late without a pause excuses nothing.

--- a/bench/soak_timeline.py
+++ b/bench/soak_timeline.py
@@ -18,6 +18,10 @@
 """Time between two looks at the memory of the processes."""
 
 
+WAKE_UP_S = 0.2
+"""Time until a process that goes on after a pause has looked at the clock."""
+
+
 @attrs.define(eq=False, repr=False)
 class Span:
     """A time span that may still be open; monotonic times in seconds."""
@@ -58,6 +62,18 @@
         """Whether a fault keeps the process stopped now."""
         return bool(self.pauses) and self.pauses[-1].ended_s is None
 
+    @property
+    def earliest_stop_s(self) -> float:
+        """Earliest time at which its first signal to stop may have come, as it knows.
+
+        A process that has been paused finds the signal when it goes on, and may have to
+        end before its grace period, counted from the beginning of the pause, is over.
+        """
+        signal_s = self.stop_signals_s[0]
+        from_s = signal_s - WAKE_UP_S
+        paused_s = [p.began_s for p in self.pauses if p.overlaps(from_s, signal_s)]
+        return min([signal_s, *paused_s])
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal and record it, if the process is running."""
         if self.process.returncode is not None:
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -158,6 +158,19 @@
         assert checks(runs).live_runs(exchange) == runs[:1]
 
 
+def test_the_grace_period_counts_from_a_pause_that_the_signal_ends(life) -> None:
+    # The process can't know that the signal did not come at 98.3 s.
+    exchange = cut_exchange(life, ended_s=105.1)
+    runs = [attempt(ended_s=105.0)]
+    for began_s, ended_s, outcome in [
+        (98.3, 99.95, "cut, grace"),
+        (98.5, 99.95, "answer cut"),
+        (98.3, 99.7, "answer cut"),
+    ]:
+        life.pauses[:] = [Span(began_s, ended_s)]
+        assert checks(runs).outcome(exchange) == outcome
+
+
 def test_an_answer_that_never_ends_is_found(life) -> None:
     exchange = cut_exchange(life, sent_s=80.0, ended_s=103.0)
     assert "no end" in checks().violations(exchange)[0]
