Soak: an end with the connection can't be confirmed while links are cut

Cause: an answer without a length that an engine has sent whole counted as a run that could have gone on, also if the node's links were cut when it ended. Without a link, it looks like an answer that broke off.

Change: the stand-ins record which answers have no length; such an answer that is whole at the engine is excused if a cut of the node's links overlaps the time from its end to the end of the exchange. An answer with a length, a run in progress and an end without a cut excuse nothing.

--- a/bench/soak_runs.py
+++ b/bench/soak_runs.py
@@ -37,6 +37,7 @@
             and _was_sent_for(exchange, attempt)
             and not self._was_lost(exchange, attempt)
             and not self._was_cut(exchange, attempt)
+            and not self._is_unconfirmed(exchange, attempt)
             and not any(_replaces(other, attempt) for other in attempts)
         ]
 
@@ -64,6 +65,17 @@
             for life in self._relays(exchange)
         )
 
+    def _is_unconfirmed(self, exchange: Exchange, attempt: dict[str, Any]) -> bool:
+        """Return whether an answer that ended with its connection can't be confirmed.
+
+        Without a link to the backend server, it looks like one that broke off.
+        """
+        if attempt["end"] != "whole" or not attempt["is_lengthless"]:
+            return False
+        from_s, to_s = attempt["ended_s"] - SLACK_S, exchange.ended_s
+        cuts = self.timeline.link_cuts.get(exchange.node, ())
+        return any(cut.overlaps(from_s, to_s) for cut in cuts)
+
     def _nodes_between(self, exchange: Exchange) -> Iterator[str]:
         """Yield the nodes whose links the attempts may have used.
 
--- a/standins/src/fordhatch_standins/_attempt_log.py
+++ b/standins/src/fordhatch_standins/_attempt_log.py
@@ -42,6 +42,8 @@
     end: AttemptEnd = AttemptEnd.OPEN
     first_event_s: float | None = None
     """When its first event was sent, None if none was."""
+    is_lengthless: bool = False
+    """Whether the answer ends with its connection."""
     lost_s: float | None = None
     """When the process at the address ended, None if it has not."""
 
--- a/standins/src/fordhatch_standins/_backend_http.py
+++ b/standins/src/fordhatch_standins/_backend_http.py
@@ -250,6 +250,7 @@
 
     def lengthless_head(self, content_type: str) -> bytes:
         """Return the head of a response that ends with its connection."""
+        self.attempt.is_lengthless = True
         fields = {**self.signed(), "Content-Type": content_type}
         lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
         return f"HTTP/1.1 200 OK\r\n{lines}Connection: close\r\n\r\n".encode()
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -57,7 +57,7 @@
 def attempt(end="left", ended_s=107.4, began_s=101.1, **fields) -> dict:
     times = {"began_s": began_s, "ended_s": ended_s, "first_event_s": None}
     record = {"text": "text", "request_id": ID, "address": "a:1", "end": end, **times}
-    return {**record, "lost_s": None, **fields}
+    return {**record, "is_lengthless": False, "lost_s": None, **fields}
 
 
 def checks(attempts=(), runs=None, cuts=()) -> ExchangeChecks:
@@ -140,16 +140,34 @@
         ({}, [attempt(ended_s=103.0)], [Span(102.0, 102.9, LinkCut.RESET)]),
         ({}, [attempt(ended_s=103.0), attempt("broken", 103.9, 102.0,
               first_event_s=102.9)], []),
+        ({}, [attempt("whole", 103.0, is_lengthless=True)],
+         [Span(103.2, 103.9, LinkCut.HANG)]),
         ({"crashes_engines": True}, [attempt(ended_s=103.0)], []),
         ({"known_id": "req-2"}, [attempt(ended_s=103.0)], []),
     ],
-    ids=["lost", "links broke", "replaced", "crashes engines", "other request"],
+    ids=["lost", "links broke", "replaced", "end not confirmed", "crashes engines",
+         "other request"],
 )  # fmt: skip
 def test_runs_that_could_not_go_on(life, fields, runs, cuts) -> None:
     exchange = cut_exchange(life, ended_s=104.0, **fields)
     assert checks(runs, cuts=cuts).live_runs(exchange) == []
 
 
+@pytest.mark.parametrize(
+    ("fields", "cut"),
+    [
+        ({}, Span(103.2, 103.9, LinkCut.HANG)),
+        ({"is_lengthless": True}, Span(104.1, 105.0, LinkCut.HANG)),
+        ({"is_lengthless": True, "end": "left"}, Span(103.2, 103.9, LinkCut.HANG)),
+    ],
+    ids=["has a length", "cut later", "was in progress"],
+)
+def test_an_end_that_need_not_be_confirmed_or_could_be(life, fields, cut) -> None:
+    runs = [attempt(**{"end": "whole", "ended_s": 103.0, **fields})]
+    exchange = cut_exchange(life, ended_s=104.0)
+    assert checks(runs, cuts=[cut]).live_runs(exchange) == runs
+
+
 def test_a_run_is_not_replaced_by_one_without_events(life) -> None:
     exchange = cut_exchange(life, ended_s=104.0)
     for first_event_s in (None, 103.1):
