--- a/standins/src/fordhatch_standins/_attempt_log.py
+++ b/standins/src/fordhatch_standins/_attempt_log.py
@@ -40,8 +40,8 @@
     began_s: float
     ended_s: float = 0.0
     end: AttemptEnd = AttemptEnd.OPEN
-    first_event_s: float | None = None
-    """When its first event was sent, None if none was."""
+    event_times_s: list[float] = attrs.field(factory=list)
+    """When its events were sent."""
     is_lengthless: bool = False
     """Whether the answer ends with its connection."""
     lost_s: float | None = None
@@ -54,8 +54,8 @@
 
     def record_event(self, event: bytes) -> None:
         """Record that an event is sent; an empty one marks the answer's head."""
-        if event and self.first_event_s is None:
-            self.first_event_s = time.monotonic()
+        if event:
+            self.event_times_s.append(time.monotonic())
 
     def to_json(self) -> dict[str, Any]:
         """Return the fields for the control interface."""
