A member that only stands still is not taken for lost

Cause: the stall watch and the planner's loss check took a backend server that did not answer a probe for 0.21 s for lost. On a machine with half a core a working process may get no processor time for that long; its group was told to all nodes as lost and dissolved, which broke the streams on it.

Change: silence is a suspicion. BackendProber.check_loss opens another connection: if none opens within 0.15 s, the server is lost; if one does, its host still accepts connections for it, and the report has 2 s to come. A refused connection or another process proves the loss at once, as before. The stub in test_grey_heads.py has the method that the loss check now calls; its cases are the same. Engines of the stand-ins can stand still.

--- a/packages/placement/src/fordhatch/placement/_loss_check.py
+++ b/packages/placement/src/fordhatch/placement/_loss_check.py
@@ -68,7 +68,7 @@
         try:
             async with self._limiter.slot():
                 sent_s = self.timer.now_s()
-                found = await self.prober.probe(backend)
+                found = await self.prober.check_loss(backend)
         finally:
             self._probing.discard(backend_id)
         if found.is_ok():
--- a/packages/placement/tests/test_grey_heads.py
+++ b/packages/placement/tests/test_grey_heads.py
@@ -86,7 +86,9 @@
     answer: Result[BackendReport, Failure]
     probes: int = 0
 
-    async def probe(self, backend: BackendServer) -> Result[BackendReport, Failure]:
+    async def check_loss(
+        self, backend: BackendServer
+    ) -> Result[BackendReport, Failure]:
         self.probes += 1
         return self.answer
 
--- a/packages/registry/src/fordhatch/registry/_backend_prober.py
+++ b/packages/registry/src/fordhatch/registry/_backend_prober.py
@@ -10,10 +10,10 @@
 
 from fordhatch.adapter import BackendClient, HeldQuery
 from fordhatch.catalog import BackendServer
-from fordhatch.core import Failure, ResultCode, Timer
+from fordhatch.core import Failure, ResultCode, Timer, log_event
 
 from ._backend_contact import MIN_FAILED_BACKENDS, BackendContact
-from ._liveness_probe import PROBE_TIMEOUT_S, Report, probe, probe_on
+from ._liveness_probe import PROBE_TIMEOUT_S, Report, probe, probe_on, probe_patiently
 
 COMPARED = MIN_FAILED_BACKENDS - 1
 """Backend servers that are probed to compare, after another one was not reached."""
@@ -62,6 +62,29 @@
             return Err(Failure.from_code(ResultCode.PROBE_INCONCLUSIVE))
         return found
 
+    async def check_loss(self, backend: BackendServer) -> Report:
+        """Probe a backend server, and tell one that stands still from a lost one.
+
+        A process that gets no processor time answers as late as one that has hung. Its
+        host still accepts connections for it, which the host of a lost one does not.
+
+        Returns:
+            A failure as of ``probe``; silence is one only if no connection opens, or if
+            nothing comes on it for a longer time.
+        """
+        found = await self.probe(backend)
+        if found.is_ok() or found.unwrap_err().code is not ResultCode.BACKEND_LOST:
+            return found
+        query = self.hold(backend)
+        try:
+            answer = await probe_patiently(query)
+        finally:
+            query.close()
+        if answer.is_ok():
+            self.contact.record_reached(backend)
+            log_event("backend_stood_still", backend=backend.backend_id)
+        return answer
+
     async def _ask_others(self, backend: BackendServer) -> Report | None:
         return await self.witnesses(backend) if self.witnesses is not None else None
 
--- a/packages/registry/src/fordhatch/registry/_liveness_probe.py
+++ b/packages/registry/src/fordhatch/registry/_liveness_probe.py
@@ -19,6 +19,10 @@
 """Time without an answer after which a second probe is sent in parallel. A lost packet
 does not mean a lost instance, and probing in sequence would take longer."""
 
+MAX_STANDSTILL_S = 2.0
+"""Longest time for which a process that accepts connections may read nothing: on a busy
+machine one gets no processor time for that long, and its streams go on afterwards."""
+
 Report = Result[BackendReport, Failure]
 
 
@@ -54,16 +58,36 @@
             request.cancel()
 
 
-async def probe_on(query: HeldQuery) -> Report:
+async def probe_patiently(query: HeldQuery) -> Report:
+    """Request a report from a process that may stand still.
+
+    Args:
+        query: A connection that is being opened. Whether it opens is up to the host of
+            the process, which answers while the process itself does not.
+
+    Returns:
+        The report; a failure if the connection did not open, was closed, or the process
+        sent nothing for ``MAX_STANDSTILL_S``.
+    """
+    if not await query.wait_until_open():
+        return Err(Failure.from_code(ResultCode.BACKEND_LOST, ran=Ran.NO))
+    return await probe_on(query, MAX_STANDSTILL_S)
+
+
+async def probe_on(query: HeldQuery, timeout_s: float = PROBE_TIMEOUT_S) -> Report:
     """Request a report on a connection that is open already.
 
+    Args:
+        query: The connection.
+        timeout_s: Longest wait, in seconds in which this node was responsive.
+
     Returns:
         The report of the process that had accepted the connection; a failure says
         nothing about it.
     """
     sent = query.send()
     try:
-        return _outcome([sent], await wait_while_responsive([sent], PROBE_TIMEOUT_S))
+        return _outcome([sent], await wait_while_responsive([sent], timeout_s))
     finally:
         sent.cancel()
 
--- a/packages/serving/src/fordhatch/serving/groups/_stall_watch.py
+++ b/packages/serving/src/fordhatch/serving/groups/_stall_watch.py
@@ -181,7 +181,7 @@
 
         Members about which this node was too slow to tell count as usual.
         """
-        answers = await asyncio.gather(*(self.prober.probe(m) for m in members))
+        answers = await asyncio.gather(*(self.prober.check_loss(m) for m in members))
         return {
             m.backend_id: _pace(m, answer)
             for m, answer in zip(members, answers, strict=True)
--- a/standins/src/fordhatch_standins/_engine_model.py
+++ b/standins/src/fordhatch_standins/_engine_model.py
@@ -76,6 +76,9 @@
     """Start time in Unix milliseconds; 0 if the engine does not report it."""
     ready_before: set[tuple[str, int, tuple[str, ...]]] = attrs.field(factory=set)
     """Values of ``ready_as`` from earlier starts under the same id."""
+    still_until_s: float = -math.inf
+    """Until when the engine stands still: the host accepts connections for it, and it
+    reads what was sent when it goes on. On the event loop's clock."""
     failed_reports: float = 0.0
     """Fraction of its reports that are answered with a server error."""
     cold_until_s: float = -math.inf
@@ -86,6 +89,20 @@
     """Version of the engine's software."""
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
+    def stand_still(self, for_s: float) -> None:
+        """Let the engine read nothing for a while, in seconds."""
+        self.still_until_s = asyncio.get_running_loop().time() + for_s
+
+    async def until_it_reads(self, timeout_s: float) -> bool:
+        """Wait while the engine stands still; return whether it went on in time.
+
+        Args:
+            timeout_s: Longest wait, in seconds.
+        """
+        left_s = self.still_until_s - asyncio.get_running_loop().time()
+        await asyncio.sleep(min(max(left_s, 0.0), timeout_s))
+        return left_s <= timeout_s
+
     def cold_left_s(self) -> float:
         """Return the time until the engine becomes warm, in seconds; 0 if it is."""
         return max(self.cold_until_s - asyncio.get_running_loop().time(), 0.0)
--- a/standins/src/fordhatch_standins/_memory_clients.py
+++ b/standins/src/fordhatch_standins/_memory_clients.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import Counter
 from collections.abc import Callable, Coroutine, Mapping
 from typing import Any, TypeVar
@@ -234,9 +235,12 @@
         await asyncio.sleep(BACKEND_LATENCY_S)
         engine = self.fleet.at(address)
         if engine is None or self._is_cut_from(address):
+            is_refused = address in self.fleet.refusing and not self.is_cut
+            await asyncio.sleep(0.0 if is_refused else timeout_s)
             return Err(Failure.from_code(ResultCode.BACKEND_LOST))
         gate.is_open.set()
         await gate.may_be_sent.wait()
+        await engine.until_it_reads(math.inf)
         if self.fleet.at(address) is not engine:
             return Err(Failure.from_code(ResultCode.BACKEND_LOST))
         return await self._report(address, registered_id, timeout_s)
@@ -274,6 +278,12 @@
         if self._is_cut_from(address) or engine is None:
             await asyncio.sleep(timeout_s)
             return Err(Failure.from_code(ResultCode.BACKEND_LOST, ran=Ran.NO))
+        if not await engine.until_it_reads(timeout_s):
+            # It is carried out when the engine goes on.
+            asyncio.get_running_loop().call_at(
+                engine.still_until_s, self.fleet.order, engine, order
+            )
+            return Err(Failure.from_code(ResultCode.BACKEND_LOST, ran=Ran.MAYBE))
         if engine.backend_id != registered_id:
             return Ok(OrderReply(421, is_started=False, is_done=False))
         status = self.fleet.order(engine, order)
@@ -295,6 +305,8 @@
         if self._is_cut_from(address) or engine is None:
             await asyncio.sleep(timeout_s)
             return Err(Failure.from_code(ResultCode.BACKEND_LOST))
+        if not await engine.until_it_reads(timeout_s):
+            return Err(Failure.from_code(ResultCode.BACKEND_LOST))
         is_expected = engine.backend_id == registered_id
         if engine.failed_reports and self.fleet.rng.random() < engine.failed_reports:
             return Ok(BackendReport(ReplyKind.FAILED))
