Test planners that follow each other while orders are late

Change: a random test with late and lost orders, engines that end and drain, and planners that are killed, on the four seeds 35, 64, 95 and 151.

--- a/packages/placement/tests/test_unanswered_orders.py
+++ b/packages/placement/tests/test_unanswered_orders.py
@@ -6,12 +6,13 @@
 from collections.abc import Callable
 
 import attrs
+import pytest
 from planning_site import PlanningNode, Site, SiteShape, run_scenario
 from result import Err, Result
 
 from fordhatch.adapter import GroupOrder, OrderKind, OrderReply
 from fordhatch.core import Failure, Ran, ResultCode
-from fordhatch_standins import MemoryBackendClient, ModelTimes
+from fordhatch_standins import EngineModel, MemoryBackendClient, ModelTimes
 
 SMALL_ONLY = SiteShape({"small": ModelTimes(2, 12.0, 0.2)})
 """Groups of two that are ready before an order is sent again."""
@@ -19,6 +20,9 @@
 MIN_LATE_S = 2.0
 """Shortest time from an order without an answer until it is carried out."""
 
+DRAIN_S = 2.5
+"""Time from the draining of an engine until it ends."""
+
 IsLate = Callable[[str, GroupOrder], bool]
 """Returns whether an order to a backend server gets no answer for now."""
 
@@ -57,6 +61,13 @@
     site.fleet.make_cold(engine, 0.0)
 
 
+def replace_engine(site: Site, engine: EngineModel) -> None:
+    """Kill an engine, unless it has ended, and start another one in its domain."""
+    if not engine.is_dead:
+        site.fleet.kill(engine)
+        add_staged(site, engine.domain)
+
+
 async def replace(site: Site, node: PlanningNode) -> None:
     """Kill the planner and wait for the next one."""
     del site.nodes[node.name]
@@ -102,3 +113,36 @@
         assert site.working() == 1
 
     run_scenario(scenario, shape=SMALL_ONLY)
+
+
+# Guards against the same with orders that are late at random: before only forming
+# Guards against planners that open groups which they do not form: with late orders, lost
+# engines and killed planners, a member of an open group then takes another join.
+@pytest.mark.parametrize("seed", [35, 64, 95, 151])
+def test_planners_that_follow_each_other_keep_the_members_of_open_groups(seed) -> None:
+    async def scenario(site: Site) -> None:
+        rng = site.rng
+        for name in "abc":
+            site.add_node(name)
+        for index in range(9):
+            add_staged(site, f"d{index // 5}")
+        site.fleet.faults.late_share = rng.choice([0.2, 0.35, 0.5])
+        site.fleet.faults.lost_share = rng.choice([0, 0.3])
+        for step in range(60):
+            await site.watch(rng.uniform(0.05, 2.0))
+            planner = site.planner()
+            if planner is not None and rng.random() < 0.4:
+                del site.nodes[planner.name]
+                await planner.kill()
+                site.add_node(f"n{step}")
+            living = [e for e in site.fleet.engines.values() if not e.is_dead]
+            kind = rng.random()
+            if kind < 0.2:
+                replace_engine(site, rng.choice(living))
+            elif kind < 0.4:
+                leaving = rng.choice(living)
+                site.fleet.drain(leaving)
+                loop = asyncio.get_running_loop()
+                loop.call_later(DRAIN_S, replace_engine, site, leaving)
+
+    run_scenario(scenario, seed, shape=SMALL_ONLY)
