--- a/bench/silent_stops.py
+++ b/bench/silent_stops.py
@@ -102,7 +102,7 @@
             self.incomplete_since = None
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Scale:
     """A deployment under callers and faults."""
 
--- a/bench/silent_stops_report.py
+++ b/bench/silent_stops_report.py
@@ -38,7 +38,7 @@
 """Lines of the logs by the request that they name."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Run:
     """One attempt at an engine; times are monotonic, in seconds."""
 
@@ -65,7 +65,7 @@
         super().add(piece)
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Stop:
     """The end of a node's process after SIGTERM."""
 
--- a/packages/node/src/fordhatch/node/_process_end.py
+++ b/packages/node/src/fordhatch/node/_process_end.py
@@ -68,6 +68,7 @@
             state: The state of the node, which stops.
             plan: The plan of the stop.
         """
+        self.observe(state.requests)
         self._ahead_s = state.timer.suspension.total_s
         self._until_s = plan.grace_until_s - self._ahead_s
         left_s = plan.exit_by_s - self._ahead_s - time.monotonic()
--- a/packages/node/tests/test_process_end.py
+++ b/packages/node/tests/test_process_end.py
@@ -110,6 +110,8 @@
 log_event("queued_before")
 end.exit()
 """
-    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
+    done = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    )
     assert "queued_before" in done.stdout
     assert "node_stopped" in done.stdout
--- a/packages/serving/tests/test_stall_watch.py
+++ b/packages/serving/tests/test_stall_watch.py
@@ -65,7 +65,7 @@
     async def scenario(site: Site, node: PlanningNode, watch: StallWatch) -> None:
         head, member = head_and_member(site, "big")
         place = head.place
-        (head, member)[rank].stand_still(still_s)
+        (head, member)[rank].stop_reading(still_s)
         report_silence(node, watch, head)
         end_s = asyncio.get_running_loop().time() + SETTLE_S
         while asyncio.get_running_loop().time() < end_s:
@@ -84,7 +84,7 @@
         engines = engines_of(site, "big") + engines_of(site, "small")
         places = [e.place for e in engines]
         for engine in engines:
-            engine.stand_still(still_s)
+            engine.stop_reading(still_s)
         for engine in engines:
             if engine.place.rank == 0:
                 report_silence(node, watch, engine)
@@ -119,7 +119,7 @@
 def test_a_member_that_never_goes_on_is_found_within_the_stall_time() -> None:
     async def scenario(site: Site, node: PlanningNode, watch: StallWatch) -> None:
         took_s = await dissolve_after(
-            site, node, watch, lambda member: member.stand_still(60.0)
+            site, node, watch, lambda member: member.stop_reading(60.0)
         )
         assert took_s < site.fleet.stall_s + 1.0
 
--- a/standins/src/fordhatch_standins/_engine_model.py
+++ b/standins/src/fordhatch_standins/_engine_model.py
@@ -91,7 +91,7 @@
     stand_still: StandStill = attrs.field(factory=StandStill)
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
-    def stand_still(self, for_s: float) -> None:
+    def stop_reading(self, for_s: float) -> None:
         """Let the engine read nothing for a while, in seconds."""
         self.still_until_s = asyncio.get_running_loop().time() + for_s
 
