--- a/packages/placement/tests/test_unanswered_orders.py
+++ b/packages/placement/tests/test_unanswered_orders.py
@@ -115,9 +115,8 @@
     run_scenario(scenario, shape=SMALL_ONLY)
 
 
-# Guards against the same with orders that are late at random: before only forming
-# Guards against planners that open groups which they do not form: with late orders, lost
-# engines and killed planners, a member of an open group then takes another join.
+# Guards against planners that open groups which they do not form: with late orders,
+# lost engines and killed planners, a member of an open group then takes another join.
 @pytest.mark.parametrize("seed", [35, 64, 95, 151])
 def test_planners_that_follow_each_other_keep_the_members_of_open_groups(seed) -> None:
     async def scenario(site: Site) -> None:
--- a/packages/registry/src/fordhatch/registry/_backend_prober.py
+++ b/packages/registry/src/fordhatch/registry/_backend_prober.py
@@ -13,7 +13,14 @@
 from fordhatch.core import Failure, ResultCode, Timer, log_event
 
 from ._backend_contact import MIN_FAILED_BACKENDS, BackendContact
-from ._liveness_probe import PROBE_TIMEOUT_S, Report, probe, probe_on, probe_patiently
+from ._liveness_probe import (
+    PROBE_TIMEOUT_S,
+    SECOND_PROBE_AFTER_S,
+    Report,
+    probe,
+    probe_on,
+    probe_patiently,
+)
 
 COMPARED = MIN_FAILED_BACKENDS - 1
 """Backend servers that are probed to compare, after another one was not reached."""
@@ -72,14 +79,24 @@
             A failure as of ``probe``; silence is one only if no connection opens, or if
             nothing comes on it for a longer time.
         """
-        found = await self.probe(backend)
-        if found.is_ok() or found.unwrap_err().code is not ResultCode.BACKEND_LOST:
-            return found
-        query = self.hold(backend)
+        probing = asyncio.ensure_future(self.probe(backend))
+        query: HeldQuery | None = None
         try:
+            await asyncio.wait([probing], timeout=SECOND_PROBE_AFTER_S)
+            if not probing.done():
+                # Opened beside the probe, so that a lost server is found no later.
+                query = self.hold(backend)
+            found = await probing
+            is_silent = found.is_err() and (
+                found.unwrap_err().code is ResultCode.BACKEND_LOST
+            )
+            if query is None or not is_silent:
+                return found
             answer = await probe_patiently(query)
         finally:
-            query.close()
+            probing.cancel()
+            if query is not None:
+                query.close()
         if answer.is_ok():
             self.contact.record_reached(backend)
             log_event("backend_stood_still", backend=backend.backend_id)
