serving: streams and plain calls are folders of their own

Change: six modules of streams and four of plain calls move into folders with thin public modules; nothing else changes.

--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -95,7 +95,7 @@
     ),
     Mechanism(
         "requests wait for a group on its way",
-        f"{SERVING}/_stream_call.py",
+        f"{SERVING}/streams/_stream_call.py",
         "            hold_s = self._group_wait(stream).hold_s\n",
         "            hold_s = 0.0\n",
     ),
@@ -114,7 +114,7 @@
     ),
     Mechanism(
         "second runs of broken streams",
-        f"{SERVING}/_stream_call.py",
+        f"{SERVING}/streams/_stream_call.py",
         "MAX_SENDS = 6\n",
         "MAX_SENDS = 1\n",
     ),
--- a/bench/crash_guards.py
+++ b/bench/crash_guards.py
@@ -110,7 +110,7 @@
     ),
     Guard(
         "answers without length: a stream without an event is broken off",
-        "serving/_stream_ending.py",
+        "serving/streams/_stream_ending.py",
         "    elif stream.order.last is None and not stream.events:\n",
         "    elif False:\n",
         f"{SERVING}/test_answers_without_length.py -k without_any_event",
@@ -124,7 +124,7 @@
     ),
     Guard(
         "crash: runs under way are stopped",
-        "serving/_stream_run.py",
+        "serving/streams/_stream_run.py",
         "                progress.step.cancel()\n",
         "                pass\n",
         "standins/tests/test_requests_that_end_engines.py -k all_at_once",
--- a/bench/hedge_guards.py
+++ b/bench/hedge_guards.py
@@ -10,21 +10,21 @@
 HEDGE_GUARDS = [
     Guard(
         "LOST: silence ends no run of a stream",
-        "serving/_silence_watch.py",
+        "serving/streams/_silence_watch.py",
         "        stream.hedging.hedge(self.begin_attempt(stream))\n",
         "        raise RunFailed(SendProblem.SILENT, detail)\n",
         f"{STREAMS} -k if_no_other_run_can",
     ),
     Guard(
         "LOST: a failure of another backend server ends no run of a call",
-        "serving/_plain_run.py",
+        "serving/plain/_plain_run.py",
         "    if answer.status >= _SERVER_ERROR:\n",
         "    if False:\n",
         f"{CALLS} -k late_answer",
     ),
     Guard(
         "ORDER: a run leads only with the event that is next",
-        "serving/_stream_run.py",
+        "serving/streams/_stream_run.py",
         "        stream.order.check_next(new)\n",
         "",
         f"{STREAMS} -k skips_an_event",
--- a/bench/pressure_guards.py
+++ b/bench/pressure_guards.py
@@ -37,7 +37,7 @@
     ),
     Guard(
         "rest: who rests is no last resort",
-        "serving/_backend_choice.py",
+        "serving/plain/_backend_choice.py",
         " if b.backend_id not in blocked]",
         "]",
         f"{SERVING}/test_plain_calls.py -k short_backoff",
--- a/bench/zone_guards.py
+++ b/bench/zone_guards.py
@@ -48,7 +48,7 @@
     ),
     Guard(
         "evacuation: a group that forms there is not waited for",
-        "serving/_stream_call.py",
+        "serving/streams/_stream_call.py",
         "self.directory.in_use(stream.request.service)",
         "self.directory.of_service(stream.request.service)",
         f"{SERVING} -k not_waited_for",
--- a/packages/daemon/tests/test_own_interface_at_a_stop.py
+++ b/packages/daemon/tests/test_own_interface_at_a_stop.py
@@ -13,7 +13,7 @@
 
 from fordhatch.chat import ClaimState
 from fordhatch.serving import Dispatch
-from fordhatch.serving._plain_call import PlainCalls
+from fordhatch.serving.plain._plain_call import PlainCalls
 
 
 # Guards against work behind a refused request that is sent afterwards, and against a
--- a/packages/serving/src/fordhatch/serving/__init__.py
+++ b/packages/serving/src/fordhatch/serving/__init__.py
@@ -4,7 +4,6 @@
 
 from ._accepted_request import AcceptedRequest, EarlyRefusal, generate_request_id
 from ._admission import Admission
-from ._backend_choice import BackendChoice
 from ._caller_server import CallerServer
 from ._caller_writes import linger, send_continue
 from ._dispatch import Dispatch
@@ -12,13 +11,11 @@
 from ._http_reply import HttpReply
 from ._http_server import HttpHandler, HttpServer
 from ._node_state import NodeState
-from ._plain_call import PlainCalls
 from ._request import Reply, ReplyTooLong, ServedRequest
 from ._request_path import RequestPath
 from ._requests_in_progress import RequestsInProgress
 from ._route_table import RouteTable
 from ._stop_plan import StopPlan
-from ._stream_call import StreamCalls
 from .crashes import CrashWatch
 from .exchange import (
     UNCONFIRMED_END,
@@ -45,7 +42,9 @@
     ServerLimit,
 )
 from .load import BackendLoad, CollectorChoice, DemandMeter, LoadBook, SharedLoad
+from .plain import BackendChoice, PlainCalls
 from .retries import RetryBudget, RetryLoan
+from .streams import StreamCalls
 
 __all__ = [
     "UNCONFIRMED_END",
--- a/packages/serving/src/fordhatch/serving/_dispatch.py
+++ b/packages/serving/src/fordhatch/serving/_dispatch.py
@@ -7,12 +7,12 @@
 from fordhatch.core import Failure, Ran, ResultCode, Timer, metrics
 
 from ._node_state import NodeState
-from ._plain_call import PlainCalls
 from ._request import Reply, ServedRequest
 from ._stop_plan import OTHER_NODE_RETRY_AFTER_S
-from ._stream_call import StreamCalls
 from .crashes import CrashWatch
+from .plain import PlainCalls
 from .retries import RetryBudget
+from .streams import StreamCalls
 
 
 @attrs.define(eq=False, repr=False)
--- a/packages/serving/src/fordhatch/serving/_request_path.py
+++ b/packages/serving/src/fordhatch/serving/_request_path.py
@@ -10,21 +10,16 @@
 
 from ._admission import Admission
 from ._admission_control import AdmissionControl
-from ._answer_passing import AnswerPassing
-from ._backend_choice import BackendChoice
 from ._dispatch import Dispatch
 from ._node_state import NodeState
-from ._plain_call import PlainCalls
-from ._plain_run import PlainRuns
-from ._silence_watch import SilenceWatch
-from ._stream_call import StreamCalls
-from ._stream_run import StreamRuns
 from .crashes import CrashRowWriter, CrashWatch
 from .exchange import AnswerEndCheck, BackendExchange, ExchangeClient, HeldAnswers
 from .groups import BackendHealth, GroupProgress, HeadChoice, ModelLoad, StallWatch
 from .limits import BackpressureTracker, ColdBackends, PermitIssuer, Permits
 from .load import DemandMeter, SharedLoad
+from .plain import AnswerPassing, BackendChoice, PlainCalls, PlainRuns
 from .retries import RetryBudget
+from .streams import SilenceWatch, StreamCalls, StreamRuns
 
 
 @attrs.define(eq=False, repr=False)
--- a/packages/serving/src/fordhatch/serving/_answer_passing.py
+++ b/packages/serving/src/fordhatch/serving/plain/_answer_passing.py
@@ -10,8 +10,8 @@
 from fordhatch.adapter import answer_headers
 from fordhatch.core import Timer, log_event, record_bound
 
-from ._request import Reply, ServedRequest
-from .exchange import (
+from .._request import Reply, ServedRequest
+from ..exchange import (
     UNCONFIRMED_END,
     BackendAnswer,
     BackendExchange,
--- a/packages/serving/src/fordhatch/serving/_backend_choice.py
+++ b/packages/serving/src/fordhatch/serving/plain/_backend_choice.py
@@ -10,9 +10,9 @@
 from fordhatch.catalog import BackendServer
 from fordhatch.registry import BackendDirectory
 
-from .groups import TIE_BREAK_FRACTION, BackendHealth
-from .limits import BackpressureTracker, Block
-from .load import SharedLoad
+from ..groups import TIE_BREAK_FRACTION, BackendHealth
+from ..limits import BackpressureTracker, Block
+from ..load import SharedLoad
 
 OTHER_ZONE_COST = 0.5
 """Cost of a backend server in another availability zone, in requests in flight."""
--- a/packages/serving/src/fordhatch/serving/_plain_call.py
+++ b/packages/serving/src/fordhatch/serving/plain/_plain_call.py
@@ -8,17 +8,17 @@
 from fordhatch.core import Failure, Ran, ResultCode, Timer, log_event
 from fordhatch.registry import BackendDirectory
 
-from ._admission import Admission
+from .._admission import Admission
+from .._evacuated_zones import EVACUATED_RETRY_AFTER_S, evacuated_plain_failure
+from .._request import Attempt, Reply, ServedRequest
+from ..crashes import CrashWatch
+from ..exchange import HeldAnswers, SendFailure, SendProblem
+from ..groups import MAX_WAIT_FRACTION, BackendHealth
+from ..hedging import AttemptEnd, HedgedRun
+from ..limits import Permits
+from ..retries import RetryBudget
 from ._backend_choice import BackendChoice
-from ._evacuated_zones import EVACUATED_RETRY_AFTER_S, evacuated_plain_failure
 from ._plain_run import PlainCall, PlainRuns
-from ._request import Attempt, Reply, ServedRequest
-from .crashes import CrashWatch
-from .exchange import HeldAnswers, SendFailure, SendProblem
-from .groups import MAX_WAIT_FRACTION, BackendHealth
-from .hedging import AttemptEnd, HedgedRun
-from .limits import Permits
-from .retries import RetryBudget
 
 MAX_SENDS = 4
 """Maximum attempts per request, including refusals and failed connections."""
--- a/packages/serving/src/fordhatch/serving/_plain_run.py
+++ b/packages/serving/src/fordhatch/serving/plain/_plain_run.py
@@ -14,10 +14,9 @@
 from fordhatch.core import Timer, log_event, record_bound
 from fordhatch.registry import BackendDirectory, RunStage
 
-from ._answer_passing import AnswerPassing
-from ._request import Attempt, Reply, ServedRequest
-from .crashes import CrashWatch
-from .exchange import (
+from .._request import Attempt, Reply, ServedRequest
+from ..crashes import CrashWatch
+from ..exchange import (
     UNCONFIRMED_END,
     AnswerHold,
     BackendAnswer,
@@ -27,10 +26,11 @@
     SendProblem,
     connection_problem,
 )
-from .groups import BackendHealth
-from .hedging import AttemptEnd, HedgedRun, Hedging
-from .limits import BackpressureTracker
-from .load import SharedLoad
+from ..groups import BackendHealth
+from ..hedging import AttemptEnd, HedgedRun, Hedging
+from ..limits import BackpressureTracker
+from ..load import SharedLoad
+from ._answer_passing import AnswerPassing
 
 PLAIN_STAGE = RunStage.BEGUN
 """Stage recorded for a plain call whose backend server has crashed. Plain calls take
--- a/packages/serving/src/fordhatch/serving/_silence_watch.py
+++ b/packages/serving/src/fordhatch/serving/streams/_silence_watch.py
@@ -11,13 +11,13 @@
 from fordhatch.core import Failure, Timer, log_event
 from fordhatch.registry import BackendDirectory
 
-from ._request import ServedRequest
+from .._request import ServedRequest
+from ..exchange import SendProblem
+from ..groups import GroupProgress, HeadChoice, RunProgress, StallWatch, silence_s
+from ..hedging import AttemptEnd
+from ..load import SharedLoad
 from ._stream import Stream
 from ._stream_ending import RunFailed
-from .exchange import SendProblem
-from .groups import GroupProgress, HeadChoice, RunProgress, StallWatch, silence_s
-from .hedging import AttemptEnd
-from .load import SharedLoad
 
 STREAM_SILENCE_FACTOR = 4.0
 """Multiple of the group's silence limit after which one silent stream is hedged while
--- a/packages/serving/src/fordhatch/serving/_stream.py
+++ b/packages/serving/src/fordhatch/serving/streams/_stream.py
@@ -6,11 +6,11 @@
 
 from fordhatch.catalog import EngineProfile
 
+from .._request import Reply, ServedRequest
+from ..exchange import SendFailure
+from ..hedging import Hedging
+from ..load import MemoryNeed
 from ._events import EventOrder
-from ._request import Reply, ServedRequest
-from .exchange import SendFailure
-from .hedging import Hedging
-from .load import MemoryNeed
 
 
 @attrs.define(eq=False, repr=False)
--- a/packages/serving/src/fordhatch/serving/_stream_call.py
+++ b/packages/serving/src/fordhatch/serving/streams/_stream_call.py
@@ -14,21 +14,21 @@
 from fordhatch.core import Failure, Ran, ResultCode, Timer, log_event
 from fordhatch.registry import BackendDirectory
 
-from ._admission import Admission
-from ._admission_control import AdmissionControl
-from ._evacuated_zones import evacuated_stream_failure
+from .._admission import Admission
+from .._admission_control import AdmissionControl
+from .._evacuated_zones import evacuated_stream_failure
+from .._request import Reply, ServedRequest
+from .._stop_plan import OTHER_NODE_RETRY_AFTER_S
+from ..crashes import CrashWatch
+from ..exchange import SendFailure
+from ..groups import MAX_WAIT_FRACTION, GroupWait, HeadChoice, group_wait
+from ..hedging import AttemptEnd
+from ..limits import Permits
+from ..load import DemandMeter
+from ..retries import RetryBudget
 from ._events import EventOrder
-from ._request import Reply, ServedRequest
-from ._stop_plan import OTHER_NODE_RETRY_AFTER_S
 from ._stream import Stream
 from ._stream_run import StreamRuns
-from .crashes import CrashWatch
-from .exchange import SendFailure
-from .groups import MAX_WAIT_FRACTION, GroupWait, HeadChoice, group_wait
-from .hedging import AttemptEnd
-from .limits import Permits
-from .load import DemandMeter
-from .retries import RetryBudget
 
 MAX_SENDS = 6
 """Maximum attempts per request, including refusals and failed connections."""
--- a/packages/serving/src/fordhatch/serving/_stream_ending.py
+++ b/packages/serving/src/fordhatch/serving/streams/_stream_ending.py
@@ -6,16 +6,16 @@
 from fordhatch.core import log_event
 from fordhatch.registry import RunStage
 
-from ._events import EventSplitter
-from ._stream import Stream
-from .exchange import (
+from ..exchange import (
     UNCONFIRMED_END,
     BackendAnswer,
     BackendExchange,
     SendFailure,
     SendProblem,
 )
-from .groups import RunProgress
+from ..groups import RunProgress
+from ._events import EventSplitter
+from ._stream import Stream
 
 
 class RunFailed(Exception):  # noqa: N818
--- a/packages/serving/src/fordhatch/serving/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/streams/_stream_run.py
@@ -13,13 +13,9 @@
 from fordhatch.core import Timer, metrics, record_bound
 from fordhatch.registry import BackendDirectory
 
-from ._events import PART_BYTES, Event, EventSplitter, StreamError, in_parts
-from ._request import Attempt, ReplyTooLong
-from ._silence_watch import SilenceWatch
-from ._stream import Stream
-from ._stream_ending import RunFailed, check_ending, log_failed_run, reached_stage
-from .crashes import CrashWatch
-from .exchange import (
+from .._request import Attempt, ReplyTooLong
+from ..crashes import CrashWatch
+from ..exchange import (
     UNCONFIRMED_END,
     AnswerHold,
     BackendAnswer,
@@ -29,7 +25,7 @@
     SendProblem,
     connection_problem,
 )
-from .groups import (
+from ..groups import (
     SLOW_CHECK_INTERVAL_S,
     SLOW_PACE,
     BackendHealth,
@@ -37,8 +33,12 @@
     RunProgress,
     StallWatch,
 )
-from .limits import BackpressureTracker
-from .load import SharedLoad
+from ..limits import BackpressureTracker
+from ..load import SharedLoad
+from ._events import PART_BYTES, Event, EventSplitter, StreamError, in_parts
+from ._silence_watch import SilenceWatch
+from ._stream import Stream
+from ._stream_ending import RunFailed, check_ending, log_failed_run, reached_stage
 
 RESUMED_URGENCY = 0
 """Resumed streams are first in the backend server's queue: their callers wait
--- a/packages/serving/tests/test_evacuated_zones.py
+++ b/packages/serving/tests/test_evacuated_zones.py
@@ -8,8 +8,8 @@
 from test_stream_calls import ALL, breaks_within_an_event, chunk, head, streams
 
 from fordhatch.core import ResultCode
-from fordhatch.serving._stream_call import StreamCalls
 from fordhatch.serving.limits._permits import Permits
+from fordhatch.serving.streams._stream_call import StreamCalls
 from fordhatch_standins import entry_fields, http_answer
 
 
--- a/packages/serving/tests/test_events.py
+++ b/packages/serving/tests/test_events.py
@@ -7,7 +7,7 @@
 import pytest
 
 from fordhatch.serving import _events
-from fordhatch.serving._events import (
+from fordhatch.serving.streams._events import (
     MAX_EVENT_BYTES,
     Event,
     EventOrder,
--- a/packages/serving/tests/test_long_answers.py
+++ b/packages/serving/tests/test_long_answers.py
@@ -13,8 +13,8 @@
 
 from fordhatch.core import metrics
 from fordhatch.serving import _answer_passing as answer_passing
-from fordhatch.serving._events import PART_BYTES, EventSplitter
 from fordhatch.serving.exchange import _held_answers as held_answers
+from fordhatch.serving.streams._events import PART_BYTES, EventSplitter
 from fordhatch_standins import SIGNATURE, http_answer
 
 LONG = bytes(range(256)) * 4096 * 6
--- a/packages/serving/tests/test_parts.py
+++ b/packages/serving/tests/test_parts.py
@@ -12,9 +12,9 @@
 from fordhatch.adapter import decode_configuration
 from fordhatch.catalog import RouteTarget
 from fordhatch.serving import BackendHealth, RouteTable
-from fordhatch.serving._events import EventOrder, EventSplitter, StreamError
 from fordhatch.serving._route_table import choose_service
 from fordhatch.serving.groups._group_progress import GroupProgress, silence_s
+from fordhatch.serving.streams._events import EventOrder, EventSplitter, StreamError
 
 
 @attrs.define
