--- a/packages/serving/tests/test_events.py
+++ b/packages/serving/tests/test_events.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from fordhatch.serving import _events
+from fordhatch.serving.streams import _events
 from fordhatch.serving.streams._events import (
     MAX_EVENT_BYTES,
     Event,
--- a/packages/serving/tests/test_long_answers.py
+++ b/packages/serving/tests/test_long_answers.py
@@ -12,8 +12,8 @@
 from test_stream_calls import chunk, events, head
 
 from fordhatch.core import metrics
-from fordhatch.serving import _answer_passing as answer_passing
 from fordhatch.serving.exchange import _held_answers as held_answers
+from fordhatch.serving.plain import _answer_passing as answer_passing
 from fordhatch.serving.streams._events import PART_BYTES, EventSplitter
 from fordhatch_standins import SIGNATURE, http_answer
 
