Test double of replies: says whether it is over, as the protocol does

Cause: a stream whose runs fail asks its reply whether it is over; RecordedReply of the stateful tests lacked the field, which the protocol Reply has.

--- a/packages/node/tests/test_stateful_site.py
+++ b/packages/node/tests/test_stateful_site.py
@@ -48,6 +48,10 @@
     failure: Failure | None = None
     is_final: bool = False
 
+    @property
+    def is_over(self) -> bool:
+        return self.is_final
+
     async def refuse(self, failure: Failure) -> None:
         self.failure = failure
         self.is_final = True
