--- a/standins/src/fordhatch_lab/_lab_site.py
+++ b/standins/src/fordhatch_lab/_lab_site.py
@@ -55,6 +55,21 @@
 """The retry budget of all nodes together, as the stand-ins count it."""
 
 
+class NoListener:
+    """The listener of a node whose callers have no connections."""
+
+    async def stop_listening(self) -> None:
+        """Do nothing."""
+
+    def close_idle(self) -> int:
+        """Return that no connection may have a request."""
+        return 0
+
+    def has_unread(self) -> bool:
+        """Return that no answer waits for its caller."""
+        return False
+
+
 @attrs.define(eq=False, repr=False)
 class LabNode:
     """A node, its client of the store and its links to the engines."""
@@ -137,7 +152,7 @@
     async def stop(self, one: LabNode) -> None:
         """Let a node finish its requests and leave, as on SIGTERM."""
         self.nodes.remove(one)
-        await one.node.leave(lambda: None, listen_for_s=LISTEN_S)
+        await one.node.leave(NoListener(), listen_for_s=LISTEN_S)
         await self._close(one)
 
     async def start_again(self, one: LabNode) -> None:
