--- a/packages/serving/src/fordhatch/serving/_request.py
+++ b/packages/serving/src/fordhatch/serving/_request.py
@@ -81,7 +81,7 @@
     ran_at: list[str] = attrs.field(factory=list)
     """Backend servers that may have run it."""
     attempts: list[Attempt] = attrs.field(factory=list)
-    """Attempts in progress; a second one may stand by while the first is silent."""
+    """Attempts in progress; another one may be made beside one that is silent."""
     retry: UsedRetry | None = None
     """The retry that the next attempt will use; None for the first arrival."""
     urgency_class: int | None = None
--- a/packages/serving/src/fordhatch/serving/hedging/_hedged_run.py
+++ b/packages/serving/src/fordhatch/serving/hedging/_hedged_run.py
@@ -9,7 +9,7 @@
 
 @attrs.define(eq=False, repr=False, kw_only=True)
 class HedgedRun:
-    """One run of a request at a backend server."""
+    """One run of a request at a backend server, the first one or one beside it."""
 
     step: asyncio.Future[object] | None = None
     """The operation that it waits for."""
--- a/packages/serving/src/fordhatch/serving/hedging/_hedging.py
+++ b/packages/serving/src/fordhatch/serving/hedging/_hedging.py
@@ -87,7 +87,10 @@
             _drop(task, hedge)
 
     def wants_hedge(self, run: HedgedRun) -> bool:
-        """Note that a run is silent; return whether another attempt may help."""
+        """Note that a run is silent, and return whether another attempt may help.
+
+        It may if all runs are silent, and no attempt is about to begin.
+        """
         run.is_silent = True
         is_searching = None in self._hedges.values()
         return not is_searching and all(r.is_silent for r in self._runs)
--- a/packages/serving/src/fordhatch/serving/plain/_plain_call.py
+++ b/packages/serving/src/fordhatch/serving/plain/_plain_call.py
@@ -36,7 +36,7 @@
 """Multiple of a backend server's typical time to answer before which none is."""
 
 MIN_PATIENCE_S = 0.05
-"""Shortest time between two attempts at hedging a call."""
+"""Shortest wait of a call whose time is over for the end of its run."""
 
 
 @attrs.define(eq=False, repr=False)
