A process that stands still at the end of its answer has not ended

Cause: such an answer counts as complete once its process is seen to run after its end, and a process that gave no answer within 0.36 s counted as not reached. One that stands still for a second, as a busy machine lets it, is not told apart from one that has ended.

Change: the node waits for up to 2 s on connections that the process, or its host for it, accepted before or at once after the end; a refusal or another process ends the wait at once. The run counts as silent meanwhile, so that a stream or a repeatable call has another attempt beside it. A late name alone proves nothing after a failed probe.

One that hangs for good is given up after 2.4 s instead of 0.36 s.

--- a/bench/hedge_guards.py
+++ b/bench/hedge_guards.py
@@ -6,6 +6,7 @@
 
 STREAMS = "packages/serving/tests/test_hedged_streams.py"
 CALLS = "packages/serving/tests/test_hedged_calls.py"
+ENDS = "packages/serving/tests/test_ends_of_answers.py"
 
 HEDGE_GUARDS = [
     Guard(
@@ -43,4 +44,11 @@
         "        if False:\n",
         f"{STREAMS} -k counts_as_run",
     ),
+    Guard(
+        "LOST: a process that stands still at the end of its answer has not ended",
+        "serving/exchange/_answer_end.py",
+        "reach_patiently(backend)\n            if _is_unreached(report) and",
+        "reach(backend)\n            if _is_unreached(report) and",
+        f"{ENDS} -k stands_still_after",
+    ),
 ]
--- a/packages/registry/src/fordhatch/registry/__init__.py
+++ b/packages/registry/src/fordhatch/registry/__init__.py
@@ -20,7 +20,7 @@
 )
 from ._evacuations import Evacuations
 from ._group_records import GroupRecord, record_key
-from ._liveness_probe import Report, probe
+from ._liveness_probe import PROBE_TIMEOUT_S, Report, probe
 from ._outage_evidence import NodeReport, OutageEvidence, min_witnesses
 from ._reader_choice import NodeAddress, ReaderChoice, planner_candidates, strong_first
 from ._relay import RelayClient, RelayServer, relay_wait_s
@@ -44,6 +44,7 @@
 __all__ = [
     "BACKENDS_GATHER_S",
     "OPERATORS_ROW",
+    "PROBE_TIMEOUT_S",
     "SECRET_KEY",
     "SHARED_TABLE",
     "ActiveConfiguration",
--- a/packages/registry/src/fordhatch/registry/_backend_prober.py
+++ b/packages/registry/src/fordhatch/registry/_backend_prober.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 
 import attrs
 from result import Err
@@ -14,6 +14,7 @@
 
 from ._backend_contact import MIN_FAILED_BACKENDS, BackendContact
 from ._liveness_probe import (
+    MAX_STANDSTILL_S,
     PROBE_TIMEOUT_S,
     SECOND_PROBE_AFTER_S,
     Report,
@@ -72,14 +73,28 @@
     async def check_loss(self, backend: BackendServer) -> Report:
         """Probe a backend server, and tell one that stands still from a lost one.
 
-        A process that gets no processor time answers as late as one that has hung. Its
-        host still accepts connections for it, which the host of a lost one does not.
+        Returns:
+            A failure as of ``probe``; silence is one only as of ``probe_patiently``.
+        """
+        return await self._ask_patiently(backend, self.probe(backend))
+
+    async def reach_patiently(self, backend: BackendServer) -> Report:
+        """Probe a backend server that may stand still, without asking other nodes.
 
         Returns:
-            A failure as of ``probe``; silence is one only if no connection opens, or if
-            nothing comes on it for a longer time.
+            A failure as of ``reach``; silence is one only as of ``probe_patiently``.
+        """
+        return await self._ask_patiently(backend, self.reach(backend))
+
+    async def _ask_patiently(
+        self, backend: BackendServer, probe: Coroutine[object, object, Report]
+    ) -> Report:
+        """Make a probe; if it is late, wait for a process that stands still beside it.
+
+        A process that gets no processor time answers as late as one that has hung. Its
+        host still accepts connections for it, which the host of a lost one does not.
         """
-        probing = asyncio.ensure_future(self.probe(backend))
+        probing = asyncio.ensure_future(probe)
         query: HeldQuery | None = None
         try:
             await asyncio.wait([probing], timeout=SECOND_PROBE_AFTER_S)
@@ -132,8 +147,12 @@
         )
 
     async def reach_on(self, query: HeldQuery, backend: BackendServer) -> Report:
-        """Probe a backend server on a connection that is open; see ``probe_on``."""
-        found = await probe_on(query)
+        """Probe a backend server on a connection that it accepted earlier.
+
+        Returns:
+            A failure, after ``MAX_STANDSTILL_S`` without an answer, says nothing.
+        """
+        found = await probe_on(query, MAX_STANDSTILL_S)
         if found.is_ok():
             self.contact.record_reached(backend)
         return found
--- a/packages/serving/src/fordhatch/serving/exchange/_answer_end.py
+++ b/packages/serving/src/fordhatch/serving/exchange/_answer_end.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from enum import Enum
 
@@ -14,7 +15,13 @@
 
 from fordhatch.catalog import BackendServer, Configuration
 from fordhatch.core import ResultCode, Timer, log_event, metrics
-from fordhatch.registry import BackendProber, Report, Responder, identify
+from fordhatch.registry import (
+    PROBE_TIMEOUT_S,
+    BackendProber,
+    Report,
+    Responder,
+    identify,
+)
 
 from ._backend_answer import BackendAnswer
 from ._process_witness import ProcessWitness
@@ -25,6 +32,10 @@
 """Detail of failures for an answer whose end may be that of its connection only."""
 
 
+_SENDER = frozenset((Responder.THIS_START, Responder.UNNAMED))
+"""Who answers on a connection that the sender of an answer accepted."""
+
+
 class EndEvidence(Enum):
     """What is known about the process after the end of its answer."""
 
@@ -86,17 +97,25 @@
 
     async def _find(self, answer: BackendAnswer, left_s: float) -> EndEvidence:
         backend = answer.backend
-        sender = await self._ask_witness(answer)
-        # A link that breaks may end one connection before the other.
-        report = await self.prober.reach(backend)
-        if report.is_err() and not _is_inconclusive(report):
-            return EndEvidence.NOT_REACHED
-        named = _named_evidence(_responder(backend, report))
-        if named is not None:
-            return named
-        if sender in (Responder.THIS_START, Responder.UNNAMED):
-            return EndEvidence.SAME_CONNECTION
-        return await self._ask_name(backend, left_s)
+        witness = asyncio.ensure_future(self._ask_witness(answer))
+        try:
+            await asyncio.wait([witness], timeout=PROBE_TIMEOUT_S)
+            # A link that breaks may end one connection before the other.
+            report = await self.prober.reach_patiently(backend)
+            if _is_unreached(report) and await witness in _SENDER:
+                # The link has lost what was sent, and has kept its connections.
+                report = await self.prober.reach_patiently(backend)
+            if _is_unreached(report):
+                return EndEvidence.NOT_REACHED
+            named = _named_evidence(_responder(backend, report))
+            if named is not None:
+                return named
+            await asyncio.wait([witness], timeout=PROBE_TIMEOUT_S)
+            if witness.done() and witness.result() in _SENDER:
+                return EndEvidence.SAME_CONNECTION
+            return await self._ask_name(backend, left_s)
+        finally:
+            witness.cancel()
 
     async def _ask_witness(self, answer: BackendAnswer) -> Responder:
         """Return who answers on a connection that the sender of an answer accepted."""
@@ -119,8 +138,9 @@
         return named if named is not None else EndEvidence.UNPROVEN
 
 
-def _is_inconclusive(report: Report) -> bool:
-    return report.unwrap_err().code is ResultCode.PROBE_INCONCLUSIVE
+def _is_unreached(report: Report) -> bool:
+    failure = report.err()
+    return failure is not None and failure.code is not ResultCode.PROBE_INCONCLUSIVE
 
 
 def _responder(backend: BackendServer, report: Report) -> Responder:
--- a/packages/serving/src/fordhatch/serving/streams/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/streams/_stream_run.py
@@ -241,8 +241,7 @@
                 if len(part) == PART_BYTES:
                     await asyncio.sleep(0)
         if answer.ends_with_connection:
-            left_s = stream.request.left_s(self.timer.now_s())
-            await check_ending(self.exchange, stream, answer, splitter, left_s)
+            await self._check_ending(stream, answer, progress, splitter)
         if splitter.has_partial_event:
             raise RunFailed(SendProblem.BROKEN, "ended within an event")
         self._lead(stream, progress)
@@ -250,6 +249,24 @@
             await stream.reply.begin(answer.status, answer_headers(answer.headers))
         await stream.reply.end()
 
+    async def _check_ending(
+        self,
+        stream: Stream,
+        answer: BackendAnswer,
+        progress: RunProgress,
+        splitter: EventSplitter,
+    ) -> None:
+        """Check an end as of ``check_ending``; the run is silent meanwhile."""
+        left_s = stream.request.left_s(self.timer.now_s())
+        check = asyncio.ensure_future(
+            check_ending(self.exchange, stream, answer, splitter, left_s)
+        )
+        try:
+            await self.silence.wait(stream, answer.backend, progress, check)
+            check.result()
+        finally:
+            check.cancel()
+
     def _record_pause(
         self, stream: Stream, head: BackendServer, last_s: float | None
     ) -> float:
--- a/packages/serving/tests/test_ends_of_answers.py
+++ b/packages/serving/tests/test_ends_of_answers.py
@@ -13,6 +13,8 @@
 BORN_MS = 1_760_000_000_000
 STANDSTILL_S = 0.1
 """Time for which the node stands still."""
+STILL_S, HUNG_S = 1.2, 6.0
+"""Times for which a backend server stands still, and hangs."""
 LASTS_S = 0.1
 """Time from the last byte of an answer to its end, if it doesn't end at once."""
 
@@ -42,6 +44,7 @@
 OWN, OTHER = "i-1", "i-2"
 NAMELESS = Says()
 OWN_HEALTH = Says(health_status=200, health_id=OWN)
+OWN_REPORT = Says(report_status=200, report=b'{"born": %d}' % BORN_MS, report_id=OWN)
 
 OTHER_PROCESS = {
     "misdirected": Says(report_status=421, report_id=OTHER),
@@ -243,3 +246,59 @@
     got = await site.ask("/once/1", **{"X-Deadline-Ms": "800"})
     assert got.status in (502, 504)
     assert health_checks == ["GET"]
+
+
+# Guards against a process that stands still at the end of its answer, and goes on: the
+# answer is whole, and its request may not run again.
+@ANY_START
+@pytest.mark.parametrize(
+    ("says", "lasts_s"),
+    [(NAMELESS, LASTS_S), (OWN_REPORT, LASTS_S), (OWN_REPORT, 0)],
+    ids=["nameless", "lasting", "short"],
+)
+async def test_a_process_that_stands_still_after_its_answer_confirms_it(
+    site, says, lasts_s, entry
+) -> None:
+    whole = answers(says, restarts=False, lasts_s=lasts_s)
+
+    async def script(request, writer) -> None:
+        script.server.late_s = STILL_S
+        await whole(request, writer)
+
+    whole.server = script.server = await site.add_backend(
+        script, backend_id=OWN, **entry
+    )
+    got = await site.ask("/once/1")
+    assert (got.status, got.body) == (200, PLAIN_BODY)
+
+
+async def test_a_stream_goes_on_elsewhere_while_its_process_stands_still(site) -> None:
+    async def script(request, writer) -> None:
+        writer.write(head(request, chunked=False) + ALL)
+        await writer.drain()
+        script.server.late_s = HUNG_S
+        await asyncio.sleep(LASTS_S)
+
+    async def rest(request, writer) -> None:
+        writer.write(head(request, chunked=False))
+        await writer.drain()
+        await asyncio.sleep(LASTS_S)
+
+    script.server = await site.add_backend(script, group="small.1")
+    await site.add_backend(rest, group="small.2", zone="z2")
+    began_s = time.monotonic()
+    got = await site.ask("/stream/1")
+    assert (got.status, got.body) == (200, ALL)
+    assert time.monotonic() - began_s < HUNG_S / 2
+
+
+async def test_a_process_that_hangs_after_its_answer_confirms_no_end(site) -> None:
+    whole = answers(NAMELESS, restarts=False)
+
+    async def script(request, writer) -> None:
+        script.server.late_s = HUNG_S
+        await whole(request, writer)
+
+    whole.server = script.server = await site.add_backend(script)
+    got = await site.ask("/long/1", **{"X-Deadline-Ms": "5000"})
+    assert got.status == 502
--- a/standins/src/fordhatch_standins/_scripted_backend.py
+++ b/standins/src/fordhatch_standins/_scripted_backend.py
@@ -67,6 +67,8 @@
     """Body of the report; None to leave the request unanswered."""
     report_headers: dict[str, str] = attrs.field(factory=dict)
     report_status: int = 200
+    late_s: float = 0.0
+    """Time in seconds that reports and answers to health checks take."""
     runner_id: str = ""
     """Id that answers to health checks name; without it the script answers them."""
     health: bytes | None = None
@@ -106,6 +108,7 @@
                 await reader.read()
                 writer.close()
                 return
+            await asyncio.sleep(self.late_s)
             writer.write(
                 _plain_answer(self.report_status, self.report_headers, self.report)
             )
@@ -115,6 +118,7 @@
             named = {"X-Runner-Id": self.runner_id} if self.runner_id else {}
             headers = named if self.health_headers is None else self.health_headers
             body = self.health or b""
+            await asyncio.sleep(self.late_s)
             writer.write(_plain_answer(self.health_status, headers, body))
             writer.close()
             return
