--- a/packages/placement/src/fordhatch/placement/_group_supervisor.py
+++ b/packages/placement/src/fordhatch/placement/_group_supervisor.py
@@ -2,23 +2,22 @@
 
 from __future__ import annotations
 
-import asyncio
-
 import attrs
 
-from fordhatch.adapter import RowKey, StoreClient
-from fordhatch.catalog import BackendServer, MemberState, ModelProfile
-from fordhatch.core import TaskSet, Timer, log_event
-from fordhatch.registry import SHARED_TABLE, ReplicaGroup, StoreView, suspicion_key
+from fordhatch.catalog import MemberState, ModelProfile
+from fordhatch.core import Timer, log_event
+from fordhatch.registry import ReplicaGroup, StoreView
 
 from ._crash_loops import CrashLoops
 from ._dissolutions import Dissolutions
 from ._draining import DrainPolicy
 from ._formations import LOAD_SLACK_FACTOR, Formations
 from ._group_status import GroupCondition, GroupStatus, assess_group
+from ._known_members import KnownMembers
 from ._layout import Layout
 from ._loss_check import LossCheck
 from ._lost_groups import LostGroups
+from ._suspicions import SuspicionCheck
 
 TAKEOVER_GRACE_S = 1.2
 """How long a new planner waits for groups that an earlier one was forming."""
@@ -35,9 +34,6 @@
 """A group with a member that is this many times slower is dissolved: at a third of the
 usual speed, the pauses of its streams exceed what callers accept once a few run."""
 
-WRITE_TIMEOUT_S = 1.0
-"""Timeout of the removal of a row; also the pause after a failed removal."""
-
 Key = tuple[str, int]
 
 
@@ -46,24 +42,18 @@
     """Keep the planner's state of each group and advance the group accordingly."""
 
     view: StoreView
-    store: StoreClient
     timer: Timer
     losses: LossCheck
     formations: Formations
     dissolutions: Dissolutions
     crash_loops: CrashLoops
     draining: DrainPolicy
+    members: KnownMembers
+    suspicions: SuspicionCheck
     lost_groups: LostGroups = attrs.field(factory=LostGroups)
-    _known_members: dict[Key, dict[int, BackendServer]] = attrs.field(factory=dict)
-    _restarted: set[Key] = attrs.field(factory=set)
-    """Groups in which a member has restarted. A late join order can give the later
-    start its place in the group, but the group is broken."""
     _leftover_since_s: dict[Key, float] = attrs.field(factory=dict)
-    _suspected_since_s: dict[Key, float] = attrs.field(factory=dict)
     _serving_since_s: dict[Key, float] = attrs.field(factory=dict)
     _headless_since_s: dict[Key, float] = attrs.field(factory=dict)
-    _clearing: set[Key] = attrs.field(factory=set)
-    _tasks: TaskSet = attrs.field(factory=TaskSet)
 
     def advance(self, layout: Layout, group: ReplicaGroup) -> bool:
         """Advance a group.
@@ -75,10 +65,10 @@
         if model is None:
             return self._advance_undeclared(layout, group)
         status = assess_group(group, model, self.losses.dead)
-        self._record_members(group)
+        self.members.record(group)
         if group.head is not None:
             self._headless_since_s.pop(group.key, None)
-        if group.key in self._restarted:
+        if self.members.has_restarted(group.key):
             self.dissolve(group, "member started again")
             return False
         match status.condition:
@@ -128,7 +118,7 @@
         serves = head is not None and head.membership.state is MemberState.OPEN
         if serves and layout.lacks_groups() and layout.profile.staged_models_kept:
             self._serving_since_s.setdefault(group.key, self.timer.now_s())
-            self._record_members(group)
+            self.members.record(group)
             return True
         reason = "model is not declared"
         self.dissolve(group, reason, finishes_work=True, is_lost=False)
@@ -155,16 +145,6 @@
         self.dissolve(group, "member drains")
         return False
 
-    def _record_members(self, group: ReplicaGroup) -> None:
-        known = self._known_members.get(group.key)
-        if known is None:
-            known = self._known_members[group.key] = self._recorded_members(group.key)
-        for rank, member in group.members.items():
-            previous = known.setdefault(rank, member)
-            if previous.backend_id != member.backend_id:
-                self._restarted.add(group.key)
-            known[rank] = member
-
     def _is_slowed_down(self, group: ReplicaGroup) -> bool:
         """Return whether a slow member makes a group useless.
 
@@ -183,15 +163,6 @@
             for h in heads
         )
 
-    def _recorded_members(self, key: Key) -> dict[int, BackendServer]:
-        """Return the members that an earlier planner has recorded, by rank.
-
-        Without them, the head of a group with one remaining member would be unknown,
-        and that member would wait until the head must have broken.
-        """
-        record = self.view.shared.records.get(key)
-        return dict(enumerate(record.members)) if record is not None else {}
-
     def _advance_incomplete(self, group: ReplicaGroup, status: GroupStatus) -> bool:
         """Dissolve a group with missing members, unless they are only unlisted."""
         if status.missing > 0 and self._is_only_unlisted(group):
@@ -208,7 +179,7 @@
         listed without its place has left the group. An unlisted head receives no new
         requests, so its group is dissolved once its streams have had time to end.
         """
-        known = self._known_members.get(group.key, {})
+        known = self.members.of(group.key)
         if any(m.backend_id in self.losses.dead for m in known.values()):
             return False
         absent = [m for rank, m in known.items() if rank not in group.members]
@@ -245,8 +216,7 @@
         is_lost = is_lost and all(m.zone not in zones for m in group.members.values())
         if is_lost and served and not self.dissolutions.is_dissolving(group.key):
             self.lost_groups.record_lost(group.model, self.timer.now_s())
-        members = {**self._known_members.get(group.key, {}), **group.members}
-        complete = ReplicaGroup(group.name, group.epoch, members)
+        complete = self.members.complete(group)
         self.dissolutions.begin(complete, reason, finishes_work=finishes_work)
         if self.formations.active.pop(group.key, None) is not None:
             self._record_failure(group)
@@ -316,60 +286,28 @@
     def serving(self) -> list[ReplicaGroup]:
         """Return the serving groups with all their known members."""
         return [
-            ReplicaGroup(*key, dict(self._known_members[key]))
+            ReplicaGroup(*key, dict(self.members.of(key)))
             for key in self._serving_since_s
-            if key in self._known_members and not self.dissolutions.is_dissolving(key)
+            if self.members.of(key) and not self.dissolutions.is_dissolving(key)
         ]
 
     def check_suspicions(self, groups: dict[Key, ReplicaGroup]) -> None:
-        """Probe the members of suspected groups, then dissolve or clear each group.
-
-        A group with a lost member is dissolved. A suspicion is cleared when every
-        member has answered a probe since, or when the group no longer exists.
+        """Dissolve the suspected groups that have lost a member.
 
         Args:
             groups: The groups as their members report them.
         """
-        for key, suspicion in list(self.view.shared.suspicions.items()):
-            group = groups.get(key)
-            if group is None or key in self.dissolutions.released:
-                self._clear_suspicion(key)
-                continue
-            if self.dissolutions.is_dissolving(key):
-                continue
-            members = list(group.members.values())
-            since_s = self._suspected_since_s.setdefault(key, self.timer.now_s())
-            for member in members:
-                self.losses.check(member, since_s)
-            if any(m.backend_id in self.losses.dead for m in members):
-                self.dissolve(group, f"suspected by {suspicion.node_name}")
-            elif all(self.losses.is_alive(m.backend_id, since_s) for m in members):
-                self._clear_suspicion(key)
-
-    def _clear_suspicion(self, key: Key) -> None:
-        if key in self._clearing:
-            return
-        self._clearing.add(key)
-        task = self._tasks.spawn(self._remove_suspicion(key), f"clear-{key[0]}")
-        task.add_done_callback(lambda _: self._clearing.discard(key))
-
-    async def _remove_suspicion(self, key: Key) -> None:
-        row = RowKey(SHARED_TABLE, suspicion_key(*key))
-        written = await self.store.write({}, {}, (row,), timeout_s=WRITE_TIMEOUT_S)
-        if written.is_err():
-            log_event("suspicion_kept", group=key[0], error=written.err().message)
-            await asyncio.sleep(WRITE_TIMEOUT_S)
-            return
-        self.view.shared.suspicions.pop(key, None)
+        for group, node_name in self.suspicions.find_lost(groups):
+            self.dissolve(group, f"suspected by {node_name}")
 
     def forget(self) -> None:
         """Clear the state from this node's time as the planner."""
         self.lost_groups.forget()
-        self._restarted.clear()
+        self.members.forget_restarts()
         self._leftover_since_s.clear()
         self._serving_since_s.clear()
         self._headless_since_s.clear()
-        self._suspected_since_s.clear()
+        self.suspicions.forget()
 
     def keep_only(self, keys: set[Key]) -> set[str]:
         """Drop the state of other groups.
@@ -377,23 +315,16 @@
         Returns:
             The ids of the members of the remaining groups.
         """
-        suspected = set(self.view.shared.suspicions)
-        for known, kept in (
-            (self._known_members, keys),
-            (self._leftover_since_s, keys),
-            (self._serving_since_s, keys),
-            (self._headless_since_s, keys),
-            (self._suspected_since_s, suspected),
+        for known in (
+            self._leftover_since_s,
+            self._serving_since_s,
+            self._headless_since_s,
         ):
-            for key in set(known) - kept:
+            for key in set(known) - keys:
                 del known[key]
-        self._restarted &= keys
-        return {
-            m.backend_id
-            for members in self._known_members.values()
-            for m in members.values()
-        }
+        self.suspicions.prune()
+        return self.members.keep_only(keys)
 
     async def close(self) -> None:
-        """Cancel pending removals."""
-        await self._tasks.close()
+        """Cancel pending removals of suspicions."""
+        await self.suspicions.close()
--- a/packages/placement/src/fordhatch/placement/_planner.py
+++ b/packages/placement/src/fordhatch/placement/_planner.py
@@ -35,6 +35,7 @@
 from ._group_builder import GroupBuilder
 from ._group_recorder import GroupRecorder
 from ._group_supervisor import GroupSupervisor
+from ._known_members import KnownMembers
 from ._layout import Layout
 from ._load_budget import LoadBudget
 from ._loss_check import LossCheck
@@ -44,6 +45,7 @@
 from ._release import Release, ReleaseDetector
 from ._slow_backends import SlowBackends
 from ._staging import Staging
+from ._suspicions import SuspicionCheck
 from ._usable_backends import UsableBackends
 
 STEP_INTERVAL_S = 0.05
@@ -129,13 +131,14 @@
         crash_loops = CrashLoops(timer)
         supervisor = GroupSupervisor(
             view,
-            store,
             timer,
             losses,
             formations,
             dissolutions,
             crash_loops,
             DrainPolicy(directory, formations),
+            KnownMembers(view.shared),
+            SuspicionCheck(view, store, timer, losses, dissolutions),
         )
         planner = cls(
             view,
