A link that comes back does not confirm the end of an answer

Callers saw: half of an answer without a length as a whole one (200), if its link broke and was back within some tenths of a second.

Cause: the second connection to its sender answers some milliseconds before the link breaks, and the new one does not open. Since a further new connection was then asked, and its answer counted, although the first one had shown the break.

Change: a further one is asked only if the second connection answers after the new one has failed: only then has the link kept its connections.

--- a/bench/hedge_guards.py
+++ b/bench/hedge_guards.py
@@ -7,6 +7,7 @@
 STREAMS = "packages/serving/tests/test_hedged_streams.py"
 CALLS = "packages/serving/tests/test_hedged_calls.py"
 ENDS = "packages/serving/tests/test_ends_of_answers.py"
+WAITS = "packages/serving/tests/test_waits_for_ends.py"
 
 HEDGE_GUARDS = [
     Guard(
@@ -47,8 +48,15 @@
     Guard(
         "LOST: a process that stands still at the end of its answer has not ended",
         "serving/exchange/_answer_end.py",
-        "reach_patiently(backend)\n            if _is_unreached(report) and",
-        "reach(backend)\n            if _is_unreached(report) and",
+        "reach_patiently(backend)\n            # A witness",
+        "reach(backend)\n            # A witness",
         f"{ENDS} -k stands_still_after",
     ),
+    Guard(
+        "MIXED: a witness that answers before a link breaks confirms no end",
+        "serving/exchange/_answer_end.py",
+        "is_witness_late = not witness.done()",
+        "is_witness_late = True",
+        f"{WAITS} -k link_that_comes_back",
+    ),
 ]
--- a/packages/serving/src/fordhatch/serving/exchange/_answer_end.py
+++ b/packages/serving/src/fordhatch/serving/exchange/_answer_end.py
@@ -102,7 +102,9 @@
             await asyncio.wait([witness], timeout=PROBE_TIMEOUT_S)
             # A link that breaks may end one connection before the other.
             report = await self.prober.reach_patiently(backend)
-            if _is_unreached(report) and await witness in _SENDER:
+            # A witness that answered before the probe failed says nothing on the link.
+            is_witness_late = not witness.done()
+            if _is_unreached(report) and is_witness_late and await witness in _SENDER:
                 # The link has lost what was sent, and has kept its connections.
                 report = await self.prober.reach_patiently(backend)
             if _is_unreached(report):
--- a/standins/src/fordhatch_standins/_scripted_backend.py
+++ b/standins/src/fordhatch_standins/_scripted_backend.py
@@ -143,6 +143,11 @@
         for writer in self._writers - {but}:
             writer.close()
 
+    async def start_again(self, address: str) -> None:
+        """Listen again at an address, after ``close``."""
+        host, port = address.rsplit(":", 1)
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+
     async def close(self) -> None:
         """Stop listening."""
         self._server.close()
