A refused connection ends the check of an answer's end at once

Callers saw: 502 about two seconds late, if a backend server refuses connections after its answer while the connection that it had accepted stays silent.

Change: only silence at the address is followed by that wait.

--- a/packages/serving/src/fordhatch/serving/exchange/_answer_end.py
+++ b/packages/serving/src/fordhatch/serving/exchange/_answer_end.py
@@ -104,7 +104,7 @@
             report = await self.prober.reach_patiently(backend)
             # A witness that answered before the probe failed says nothing on the link.
             is_witness_late = not witness.done()
-            if _is_unreached(report) and is_witness_late and await witness in _SENDER:
+            if _is_silent(report) and is_witness_late and await witness in _SENDER:
                 # The link has lost what was sent, and has kept its connections.
                 report = await self.prober.reach_patiently(backend)
             if _is_unreached(report):
@@ -145,6 +145,11 @@
     return failure is not None and failure.code is not ResultCode.PROBE_INCONCLUSIVE
 
 
+def _is_silent(report: Report) -> bool:
+    failure = report.err()
+    return failure is not None and failure.code is ResultCode.BACKEND_LOST
+
+
 def _responder(backend: BackendServer, report: Report) -> Responder:
     found = report.ok()
     return identify(backend, found) if found is not None else Responder.UNKNOWN
--- a/packages/serving/tests/test_waits_for_ends.py
+++ b/packages/serving/tests/test_waits_for_ends.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import time
 
 import pytest
 from test_answers_without_length import PLAIN_BODY, plain_head
@@ -71,6 +72,21 @@
     assert got.status == 502
 
 
+# Guards against callers that wait for what is known already.
+async def test_a_refusal_after_an_answer_needs_no_wait(site) -> None:
+    async def script(request, writer) -> None:
+        writer.write(plain_head(request) + PLAIN_BODY)
+        await writer.drain()
+        await asyncio.sleep(LASTS_S)
+        server.late_s = HUNG_S
+        await server.close()
+
+    server = await site.add_backend(script)
+    began_s = time.monotonic()
+    assert (await site.ask("/long/1")).status == 502
+    assert time.monotonic() - began_s < AT_ONCE_S
+
+
 # Guards against tasks and connections that outlive a check that nobody waits for.
 @pytest.mark.parametrize("path", ["/long/1", "/stream/1"])
 async def test_a_caller_that_leaves_ends_the_check(site, path) -> None:
