A stream goes on elsewhere while the end of a failure is checked

Callers saw: 504 for a stream whose head answered with a failure (500) without a length and then stood still, although another group was ready.

Change: every step of a run that has its answer's head is awaited in one place, which begins another attempt beside a silent run.

--- a/packages/serving/src/fordhatch/serving/streams/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/streams/_stream_run.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Coroutine
+from typing import TypeVar
 
 import aiohttp
 import attrs
@@ -46,6 +48,8 @@
 
 _OK, _SERVER_ERROR = 200, 500
 
+T = TypeVar("T")
+
 
 @attrs.define(eq=False, repr=False)
 class StreamRuns:
@@ -210,7 +214,8 @@
             detail = f"status {answer.status}, {held.excess}"
             raise RunFailed(SendProblem.BROKEN, detail)
         left_s = stream.request.left_s(self.timer.now_s())
-        if not await self.exchange.confirms_end(answer, left_s):
+        check = self.exchange.confirms_end(answer, left_s)
+        if not await self._watch(stream, answer, progress, check):
             raise RunFailed(SendProblem.CONNECTION_LOST, UNCONFIRMED_END)
         can_repeat = stream.hedging.has_others(progress) or stream.request.may_run(
             self.directory.backends, self.timer.now_s()
@@ -241,7 +246,9 @@
                 if len(part) == PART_BYTES:
                     await asyncio.sleep(0)
         if answer.ends_with_connection:
-            await self._check_ending(stream, answer, progress, splitter)
+            left_s = stream.request.left_s(self.timer.now_s())
+            check = check_ending(self.exchange, stream, answer, splitter, left_s)
+            await self._watch(stream, answer, progress, check)
         if splitter.has_partial_event:
             raise RunFailed(SendProblem.BROKEN, "ended within an event")
         self._lead(stream, progress)
@@ -249,23 +256,24 @@
             await stream.reply.begin(answer.status, answer_headers(answer.headers))
         await stream.reply.end()
 
-    async def _check_ending(
+    async def _watch(
         self,
         stream: Stream,
         answer: BackendAnswer,
         progress: RunProgress,
-        splitter: EventSplitter,
-    ) -> None:
-        """Check an end as of ``check_ending``; the run is silent meanwhile."""
-        left_s = stream.request.left_s(self.timer.now_s())
-        check = asyncio.ensure_future(
-            check_ending(self.exchange, stream, answer, splitter, left_s)
-        )
+        operation: Coroutine[object, object, T],
+    ) -> T:
+        """Return the result of a run's next step; the run is silent meanwhile.
+
+        Raises:
+            RunFailed: As of ``SilenceWatch.wait``.
+        """
+        step = asyncio.ensure_future(operation)
         try:
-            await self.silence.wait(stream, answer.backend, progress, check)
-            check.result()
+            await self.silence.wait(stream, answer.backend, progress, step)
+            return step.result()
         finally:
-            check.cancel()
+            step.cancel()
 
     def _record_pause(
         self, stream: Stream, head: BackendServer, last_s: float | None
@@ -356,11 +364,7 @@
     async def _next_piece(
         self, stream: Stream, answer: BackendAnswer, progress: RunProgress
     ) -> bytes:
-        read = asyncio.ensure_future(answer.read_piece())
         try:
-            await self.silence.wait(stream, answer.backend, progress, read)
-            return read.result()
+            return await self._watch(stream, answer, progress, answer.read_piece())
         except (aiohttp.ClientError, OSError) as error:
             raise RunFailed(connection_problem(error), repr(error)) from error
-        finally:
-            read.cancel()
--- a/packages/serving/tests/test_waits_for_ends.py
+++ b/packages/serving/tests/test_waits_for_ends.py
@@ -9,7 +9,7 @@
 import pytest
 from test_answers_without_length import PLAIN_BODY, plain_head
 from test_ends_of_answers import HUNG_S, LASTS_S, NAMELESS, OWN, OWN_REPORT
-from test_stream_calls import ALL, head
+from test_stream_calls import ALL, head, streams
 
 from fordhatch.registry import BackendProber
 
@@ -87,6 +87,22 @@
     assert time.monotonic() - began_s < AT_ONCE_S
 
 
+# Guards against a caller that waits for the end of a failure which it won't get.
+async def test_a_stream_goes_on_elsewhere_while_the_end_of_a_failure_is_checked(
+    site,
+) -> None:
+    async def fails_and_hangs(request, writer) -> None:
+        failure = head(request, chunked=False).replace(b"200 OK", b"500 X", 1)
+        writer.write(failure + b"failed")
+        await writer.drain()
+        server.late_s = HUNG_S
+
+    server = await site.add_backend(fails_and_hangs, group="small.1", zone="z1")
+    await site.add_backend(streams, group="small.2", zone="z2")
+    got = await site.ask("/stream/1")
+    assert (got.status, got.body) == (200, ALL)
+
+
 # Guards against tasks and connections that outlive a check that nobody waits for.
 @pytest.mark.parametrize("path", ["/long/1", "/stream/1"])
 async def test_a_caller_that_leaves_ends_the_check(site, path) -> None:
