A stream goes on elsewhere while the body of a failure does not end

Callers saw: 504 for a stream whose head answered with a failure (500) and sent only part of its body, although another group was ready.

Cause: the body of a failure was read until the request's deadline, without a watch for silence (by reading, since failures are read as a whole).

Change: it is awaited like every other step of a run.

Result: test_a_stream_goes_on_elsewhere_while_a_failure_does_not_end: 504 before the change, 200 now; 116 tests of streams, hedges and unexpected ends green.

--- a/packages/serving/src/fordhatch/serving/streams/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/streams/_stream_run.py
@@ -204,7 +204,7 @@
         """
         try:
             async with self.timer.timeout(stream.request.left_s(self.timer.now_s())):
-                held = await hold.read(answer)
+                held = await self._watch(stream, answer, progress, hold.read(answer))
         except TimeoutError as error:
             raise RunFailed(SendProblem.SILENT, repr(error)) from error
         except (aiohttp.ClientError, OSError) as error:
--- a/packages/serving/tests/test_waits_for_ends.py
+++ b/packages/serving/tests/test_waits_for_ends.py
@@ -12,6 +12,7 @@
 from test_stream_calls import ALL, head, streams
 
 from fordhatch.registry import BackendProber
+from fordhatch_standins import http_answer
 
 AT_ONCE_S = 1.0
 """Longer than what needs no wait takes, and shorter than the wait."""
@@ -103,6 +104,17 @@
     assert (got.status, got.body) == (200, ALL)
 
 
+async def test_a_stream_goes_on_elsewhere_while_a_failure_does_not_end(site) -> None:
+    async def fails_half(request, writer) -> None:
+        writer.write(http_answer(request, b"failed", status=500)[:-1])
+        await asyncio.sleep(HUNG_S)
+
+    await site.add_backend(fails_half, group="small.1", zone="z1")
+    await site.add_backend(streams, group="small.2", zone="z2")
+    got = await site.ask("/stream/1")
+    assert (got.status, got.body) == (200, ALL)
+
+
 # Guards against tasks and connections that outlive a check that nobody waits for.
 @pytest.mark.parametrize("path", ["/long/1", "/stream/1"])
 async def test_a_caller_that_leaves_ends_the_check(site, path) -> None:
