A stream goes on at a group where a run of it ended, if there is no other

Callers saw: streams cut although a sound group and attempts of the route were left: their only group broke off once, or a second run, begun beside a silent one, broke after its first event.

Cause: a head is tried once for each request.

Change: after 0.7 s without another group (a lost member has been found by then), a stream that has begun may ask heads again where its runs have ended. Each run counts towards the route's attempts, also a second one at the same head, which `counted_runs` counts once. Heads that refused are not asked again by this, nor is a stream without ids of its events continued by it.

--- a/packages/serving/src/fordhatch/serving/streams/_silence_watch.py
+++ b/packages/serving/src/fordhatch/serving/streams/_silence_watch.py
@@ -107,7 +107,7 @@
         request = stream.request
         if not (request.route.is_repeatable and stream.can_resume):
             return
-        if not request.may_run(self.directory.backends, self.timer.now_s()):
+        if not stream.may_run(self.directory.backends, self.timer.now_s()):
             return
         if not stream.hedging.wants_hedge(run):
             return
--- a/packages/serving/src/fordhatch/serving/streams/_stream.py
+++ b/packages/serving/src/fordhatch/serving/streams/_stream.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
+
 import attrs
 
 from fordhatch.catalog import EngineProfile
@@ -25,6 +27,10 @@
     """Heads that the request was sent to, in order."""
     refused_beside: list[str] = attrs.field(factory=list)
     """Those of them that refused it while another run was in progress."""
+    broken: list[str] = attrs.field(factory=list)
+    """Those of them whose runs have ended before the stream was complete."""
+    repeats: int = 0
+    """Number of runs at heads that had run it before."""
     sends: int = 0
     """Number of attempts so far."""
     last_problem: SendFailure | None = None
@@ -47,6 +53,30 @@
         self.tried = [h for h in self.tried if h not in self.refused_beside]
         self.refused_beside.clear()
 
+    def ask_again(self) -> None:
+        """Let heads be asked again at which runs have ended."""
+        self.tried = [h for h in self.tried if h not in self.broken]
+        self.broken.clear()
+
+    def record_send(self, head_id: str) -> None:
+        """Record that the request is sent to a head."""
+        self.tried.append(head_id)
+        self.sends += 1
+        self.repeats += head_id in self.request.ran_at
+
+    def may_run(self, listed: Container[str], now_s: float) -> bool:
+        """Return whether the route and the deadline allow an attempt or a retry.
+
+        Args:
+            listed: Registered backend servers.
+            now_s: Current time in monotonic seconds.
+        """
+        request = self.request
+        if not request.may_run(listed, now_s):
+            return False
+        # The request counts backend servers, each of them once.
+        return request.counted_runs(listed) + self.repeats < request.route.attempts
+
     @property
     def can_resume(self) -> bool:
         """Whether another run can go on after what the caller has received."""
--- a/packages/serving/src/fordhatch/serving/streams/_stream_call.py
+++ b/packages/serving/src/fordhatch/serving/streams/_stream_call.py
@@ -37,6 +37,10 @@
 """How long a stream that has begun may wait for another group: callers give up after
 a gap of two seconds."""
 
+ASK_AGAIN_AFTER_S = 0.7
+"""Time without another group after which a stream that has begun may go on at one where
+a run of it has ended. By then a lost member of that group has been found."""
+
 
 @attrs.define(eq=False, repr=False)
 class StreamCalls:
@@ -107,8 +111,7 @@
         head = await self._next_head(stream)
         if head is None:
             return None
-        stream.tried.append(head.backend_id)
-        stream.sends += 1
+        stream.record_send(head.backend_id)
         with request.attempt(head, self.admission.recheck_for_backend) as attempt:
             done = await self.runs.run(stream, attempt)
         if done.is_ok():
@@ -117,7 +120,9 @@
             self.demand.record_answer(request.route.name, stream.profile, stream.events)
             return done
         stream.last_problem = done.unwrap_err()
-        if not stream.last_problem.problem.may_have_run and stream.hedging.has_runs:
+        if stream.last_problem.problem.may_have_run:
+            stream.broken.append(head.backend_id)
+        elif stream.hedging.has_runs:
             stream.refused_beside.append(head.backend_id)
         if not await self.crashes.may_retry(request, head):
             stream.may_not_retry = True
@@ -127,7 +132,7 @@
 
     async def _next_head(self, stream: Stream) -> BackendServer | None:
         request = stream.request
-        if not request.may_run(self.directory.backends, self.timer.now_s()):
+        if not stream.may_run(self.directory.backends, self.timer.now_s()):
             return None
         began_s = self.timer.now_s()
         while self.admission.recheck(request) is None:
@@ -168,7 +173,21 @@
         if not stream.reply.has_begun:
             hold_s = self._group_wait(stream).hold_s
         left_s = min(began_s + hold_s, request.due_s) - now_s
-        return left_s > 0 and await self._wait_for_change(left_s)
+        if left_s <= 0:
+            return False
+        if not self._may_ask_again(stream):
+            return await self._wait_for_change(left_s)
+        again_s = began_s + ASK_AGAIN_AFTER_S - now_s
+        if again_s > 0:
+            await self._wait_for_change(min(again_s, left_s))
+        else:
+            stream.ask_again()
+        return True
+
+    def _may_ask_again(self, stream: Stream) -> bool:
+        """Return whether a stream that was broken off may go on at the same head."""
+        is_cut = stream.reply.has_begun and not stream.hedging.has_runs
+        return is_cut and stream.can_resume and bool(stream.broken)
 
     def _max_wait_s(self, stream: Stream, began_s: float) -> float:
         """Return how long a stream may wait for a blocked head, in seconds."""
--- a/packages/serving/src/fordhatch/serving/streams/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/streams/_stream_run.py
@@ -217,7 +217,7 @@
         check = self.exchange.confirms_end(answer, left_s)
         if not await self._watch(stream, answer, progress, check):
             raise RunFailed(SendProblem.CONNECTION_LOST, UNCONFIRMED_END)
-        can_repeat = stream.hedging.has_others(progress) or stream.request.may_run(
+        can_repeat = stream.hedging.has_others(progress) or stream.may_run(
             self.directory.backends, self.timer.now_s()
         )
         if stream.reply.has_begun or (answer.status >= _SERVER_ERROR and can_repeat):
