A stream without ids of its events is not begun again

Callers saw: events twice in a stream with status 200 and a regular end, on a resumable route whose engine sends events without ids: the first run broke off after some events, and the second one began with them again.

Cause: whether another run can go on after what the caller has was asked only before a run beside a silent one, not before one after a broken one.

Change: every further run asks it. Comments don't count as content, so that a stream of which only a comment has come is still begun again.

Result: test_a_stream_without_ids_is_not_begun_again: the second run was appended before, the stream is cut now. Such streams are therefore lost where they came twice before.

--- a/packages/serving/src/fordhatch/serving/streams/_silence_watch.py
+++ b/packages/serving/src/fordhatch/serving/streams/_silence_watch.py
@@ -105,7 +105,7 @@
         An attempt counts towards the route's attempts, even before its first event.
         """
         request = stream.request
-        if not (request.route.is_repeatable and stream.can_resume):
+        if not request.route.is_repeatable:
             return
         if not stream.may_run(self.directory.backends, self.timer.now_s()):
             return
--- a/packages/serving/src/fordhatch/serving/streams/_stream.py
+++ b/packages/serving/src/fordhatch/serving/streams/_stream.py
@@ -36,6 +36,8 @@
     last_problem: SendFailure | None = None
     events: int = 0
     """Number of events forwarded so far."""
+    has_content: bool = False
+    """Whether an event has been forwarded that is more than a comment."""
     may_not_retry: bool = False
     """Whether no further attempt is made, as it may crash its backend server."""
     hedging: Hedging = attrs.field(factory=Hedging)
@@ -65,14 +67,14 @@
         self.repeats += head_id in self.request.ran_at
 
     def may_run(self, listed: Container[str], now_s: float) -> bool:
-        """Return whether the route and the deadline allow an attempt or a retry.
+        """Return whether the route, the deadline and its events allow another run.
 
         Args:
             listed: Registered backend servers.
             now_s: Current time in monotonic seconds.
         """
         request = self.request
-        if not request.may_run(listed, now_s):
+        if not (self.can_resume and request.may_run(listed, now_s)):
             return False
         # The request counts backend servers, each of them once.
         return request.counted_runs(listed) + self.repeats < request.route.attempts
@@ -80,7 +82,7 @@
     @property
     def can_resume(self) -> bool:
         """Whether another run can go on after what the caller has received."""
-        return not self.events or self.order.last is not None
+        return not self.has_content or self.order.last is not None
 
     @property
     def need(self) -> MemoryNeed:
--- a/packages/serving/src/fordhatch/serving/streams/_stream_call.py
+++ b/packages/serving/src/fordhatch/serving/streams/_stream_call.py
@@ -187,7 +187,7 @@
     def _may_ask_again(self, stream: Stream) -> bool:
         """Return whether a stream that was broken off may go on at the same head."""
         is_cut = stream.reply.has_begun and not stream.hedging.has_runs
-        return is_cut and stream.can_resume and bool(stream.broken)
+        return is_cut and bool(stream.broken)
 
     def _max_wait_s(self, stream: Stream, began_s: float) -> float:
         """Return how long a stream may wait for a blocked head, in seconds."""
--- a/packages/serving/src/fordhatch/serving/streams/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/streams/_stream_run.py
@@ -340,6 +340,7 @@
             for event in events:
                 if stream.order.accept(event):
                     fresh.append(event.raw)
+                    stream.has_content |= not event.is_comment
         except StreamError as error:
             problem = error
         # Accepted events count as forwarded, even if the next event is malformed.
--- a/packages/serving/tests/test_heads_asked_again.py
+++ b/packages/serving/tests/test_heads_asked_again.py
@@ -104,3 +104,34 @@
     await three.add_backend(streams, group="small.3", zone="z2")
     got = await asked
     assert (got.status, got.body) == (200, ALL)
+
+
+# Guards against two runs of a stream that are mixed: without ids of its events, another
+# run begins with what the caller has already.
+async def test_a_stream_without_ids_is_not_begun_again(site) -> None:
+    async def breaks(request, writer) -> None:
+        writer.write(head(request) + chunk(b"data: a\n\n"))
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.transport.abort()
+
+    async def whole(request, writer) -> None:
+        writer.write(head(request) + chunk(b"data: a\n\ndata: b\n\n") + b"0\r\n\r\n")
+
+    await site.add_backend(breaks, group="small.1", zone="z1")
+    other = await site.add_backend(whole, group="small.2", zone="z2")
+    with pytest.raises(aiohttp.ClientPayloadError):
+        await site.ask("/stream/1")
+    assert not other.seen
+
+
+async def test_a_stream_of_which_only_a_comment_came_is_begun_again(site) -> None:
+    async def breaks(request, writer) -> None:
+        writer.write(head(request) + chunk(b": waits\n\n"))
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.transport.abort()
+
+    await site.add_backend(breaks, group="small.1", zone="z1")
+    await site.add_backend(streams, group="small.2", zone="z2")
+    assert (await site.ask("/stream/1")).body == b": waits\n\n" + ALL
