A run counts until its backend server is proven to have ended

Callers saw their idempotent requests and resumable streams run at three backend servers where the route allows two, when the first one had left the list without a report.

Cause: ServedRequest.counted_runs took the list for the proof that a run had ended. A backend server whose entry has gone works on for seconds. Plain calls, streams, relayed attempts and requests with a key asked the same count.

Change: every run that may have arrived counts, listed or not. One is taken off when its connection has broken and the crash watch finds that the process has ended (Responder.OTHER_PROCESS, or a refused connection; design 0020), as the published rule leaves out runners that ended. A request whose attempts are used up waits for that verdict. An end frees an attempt only where it is recorded against the request's content, so that the quarantine bounds how many servers one request ends. Runs no longer read the directory, so it is no part of theirs any more.

Callers lose: the third run after one at a server that left the list and is not proven to have ended; they get the last failure instead. A failure on used-up attempts waits for the probe of the crash watch. They gain a retry while a server that has ended is still listed.

--- a/bench/platform_guards.py
+++ b/bench/platform_guards.py
@@ -76,7 +76,7 @@
     Guard(
         "BUDGET: no more backend servers run a request than the route allows",
         "serving/_request.py",
-        "        return self.counted_runs(listed) < self.route.attempts\n",
+        "        return self.has_attempts_left\n",
         "        return True\n",
         f"{SERVING}/test_plain_calls.py -k no_more_backends",
     ),
--- a/packages/serving/src/fordhatch/serving/_request.py
+++ b/packages/serving/src/fordhatch/serving/_request.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Container, Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from typing import Protocol
 
@@ -80,6 +80,8 @@
     """Number of times it reached a backend server, including refusals."""
     ran_at: list[str] = attrs.field(factory=list)
     """Backend servers that may have run it."""
+    ended_at: set[str] = attrs.field(factory=set)
+    """Those of them that are proven to have ended before they had answered."""
     attempts: list[Attempt] = attrs.field(factory=list)
     """Attempts in progress; another one may be made beside one that is silent."""
     retry: UsedRetry | None = None
@@ -112,6 +114,14 @@
         if may_have_run:
             self.ran_at.append(backend_id)
 
+    def record_end(self, backend_id: str) -> None:
+        """Record the proof that a backend server has ended and its run with it.
+
+        Args:
+            backend_id: The start of a backend server whose connection has broken.
+        """
+        self.ended_at.add(backend_id)
+
     @contextmanager
     def attempt(
         self, backend: BackendServer, permission: Permission
@@ -158,29 +168,38 @@
         """Class that engines queue the request by; 0 is first."""
         return self.urgency if self.urgency_class is None else self.urgency_class
 
-    def counted_runs(self, listed: Container[str]) -> int:
-        """Return how many runs count towards the attempts that the route allows.
-
-        Those of attempts in progress count before it is known that they run.
+    @property
+    def counted_runs(self) -> int:
+        """Number of runs that count towards the attempts that the route allows.
 
-        Args:
-            listed: Registered backend servers; runs at other ones don't count.
+        Those of attempts in progress count before it is known that they run. A backend
+        server that is no longer listed may still work, so its run counts until its
+        process is proven to have ended.
         """
         running = {attempt.backend.backend_id for attempt in self.attempts}
-        return sum(b in listed for b in {*self.ran_at, *running})
+        return len({*self.ran_at, *running} - self.ended_at)
+
+    @property
+    def has_attempts_left(self) -> bool:
+        """Whether the route allows one more backend server to run it."""
+        return self.counted_runs < self.route.attempts
+
+    @property
+    def needs_freed_attempt(self) -> bool:
+        """Whether it may only run again once a backend server has ended."""
+        return self.route.is_repeatable and not self.has_attempts_left
 
-    def may_run(self, listed: Container[str], now_s: float) -> bool:
+    def may_run(self, now_s: float) -> bool:
         """Return whether the route and the deadline allow an attempt or a retry.
 
         Args:
-            listed: Registered backend servers.
             now_s: Current time in monotonic seconds.
         """
         if self.is_refused or self.left_s(now_s) <= 0:
             return False
         if self.ran_at and not self.route.is_repeatable:
             return False
-        return self.counted_runs(listed) < self.route.attempts
+        return self.has_attempts_left
 
     def left_s(self, now_s: float) -> float:
         """Return the time until the final answer is due, in seconds."""
--- a/packages/serving/src/fordhatch/serving/_request_path.py
+++ b/packages/serving/src/fordhatch/serving/_request_path.py
@@ -108,7 +108,6 @@
         held = HeldAnswers()
         silence = SilenceWatch(
             timer,
-            view.directory,
             progress,
             stalls,
             choice,
@@ -118,7 +117,6 @@
         )
         runs = StreamRuns(
             timer,
-            view.directory,
             health,
             progress,
             stalls,
@@ -149,7 +147,6 @@
         )
         plain_runs = PlainRuns(
             timer,
-            view.directory,
             health,
             routed,
             crashes,
--- a/packages/serving/src/fordhatch/serving/crashes/_crash_watch.py
+++ b/packages/serving/src/fordhatch/serving/crashes/_crash_watch.py
@@ -142,7 +142,11 @@
         next request with a part of its prompt may arrive at any node.
         """
         features = self.features(run.request)
-        if not features.names or run.request.was_answered:
+        if not features.names:
+            return
+        # The route allows another attempt for it, which only the quarantine bounds.
+        run.request.record_end(check.backend.backend_id)
+        if run.request.was_answered:
             return
         now_s = self.timer.now_s()
         suspects = [features.content, *self._unproven(features.parts, now_s)]
@@ -197,6 +201,7 @@
 
         If it is the likely cause of a crash, another backend server would crash. It is,
         if its answer had just begun, and a part of its prompt is not known to be sound.
+        A request whose attempts are used up waits for the proof that frees one.
 
         Args:
             request: The request.
@@ -208,7 +213,8 @@
         is_unproven = bool(
             self._unproven(self.part_digests(request), self.timer.now_s())
         )
-        if is_unproven or self.quarantine.is_suspect(request):
+        is_suspect = is_unproven or self.quarantine.is_suspect(request)
+        if is_suspect or request.needs_freed_attempt:
             try:
                 left_s = request.left_s(self.timer.now_s())
                 async with self.timer.timeout(max(left_s, 0.0)):
--- a/packages/serving/src/fordhatch/serving/plain/_plain_call.py
+++ b/packages/serving/src/fordhatch/serving/plain/_plain_call.py
@@ -126,7 +126,7 @@
         request = call.request
         if not request.route.is_repeatable or call.reply.has_begun:
             return
-        if not request.may_run(self.directory.backends, self.timer.now_s()):
+        if not request.may_run(self.timer.now_s()):
             return
         if not call.hedging.wants_hedge(run):
             return
@@ -172,7 +172,7 @@
             await self.timer.sleep(hold.free_s)
 
     async def _may_send(self, request: ServedRequest) -> bool:
-        if not request.may_run(self.directory.backends, self.timer.now_s()):
+        if not request.may_run(self.timer.now_s()):
             return False
         if self.admission.recheck(request) is not None:
             return False
--- a/packages/serving/src/fordhatch/serving/plain/_plain_run.py
+++ b/packages/serving/src/fordhatch/serving/plain/_plain_run.py
@@ -12,7 +12,7 @@
 
 from fordhatch.adapter import answer_headers
 from fordhatch.core import Timer, log_event, record_bound
-from fordhatch.registry import BackendDirectory, RunStage
+from fordhatch.registry import RunStage
 
 from .._request import Attempt, Reply, ServedRequest
 from ..crashes import CrashWatch
@@ -88,7 +88,6 @@
     """Sends plain calls to backend servers and reads their answers."""
 
     timer: Timer
-    directory: BackendDirectory
     health: BackendHealth
     exchange: BackendExchange
     crashes: CrashWatch
@@ -199,7 +198,7 @@
         is_failure = answer.status >= _SERVER_ERROR
         may_retry = (
             "Content-Length" not in CIMultiDict(answer.headers)
-            and request.may_run(self.directory.backends, self.timer.now_s())
+            and request.may_run(self.timer.now_s())
             and self.further.has_other(call)
         )
         if is_failure or may_retry:
--- a/packages/serving/src/fordhatch/serving/streams/_silence_watch.py
+++ b/packages/serving/src/fordhatch/serving/streams/_silence_watch.py
@@ -9,7 +9,6 @@
 
 from fordhatch.catalog import BackendServer
 from fordhatch.core import Failure, Timer, log_event
-from fordhatch.registry import BackendDirectory
 
 from .._request import ServedRequest
 from ..exchange import SendProblem
@@ -32,7 +31,6 @@
     """Waits for runs, each until its deadline; silence alone never ends one."""
 
     timer: Timer
-    directory: BackendDirectory
     progress: GroupProgress
     stalls: StallWatch
     choice: HeadChoice
@@ -107,7 +105,7 @@
         request = stream.request
         if not (request.route.is_repeatable and stream.can_resume):
             return
-        if not request.may_run(self.directory.backends, self.timer.now_s()):
+        if not request.may_run(self.timer.now_s()):
             return
         if not stream.hedging.wants_hedge(run):
             return
--- a/packages/serving/src/fordhatch/serving/streams/_stream_call.py
+++ b/packages/serving/src/fordhatch/serving/streams/_stream_call.py
@@ -127,7 +127,7 @@
 
     async def _next_head(self, stream: Stream) -> BackendServer | None:
         request = stream.request
-        if not request.may_run(self.directory.backends, self.timer.now_s()):
+        if not request.may_run(self.timer.now_s()):
             return None
         began_s = self.timer.now_s()
         while self.admission.recheck(request) is None:
--- a/packages/serving/src/fordhatch/serving/streams/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/streams/_stream_run.py
@@ -11,7 +11,6 @@
 from fordhatch.adapter import answer_headers
 from fordhatch.catalog import BackendServer
 from fordhatch.core import Timer, metrics, record_bound
-from fordhatch.registry import BackendDirectory
 
 from .._request import Attempt, ReplyTooLong
 from ..crashes import CrashWatch
@@ -52,7 +51,6 @@
     """Sends a stream's request to a group and forwards its events."""
 
     timer: Timer
-    directory: BackendDirectory
     health: BackendHealth
     progress: GroupProgress
     stalls: StallWatch
@@ -213,7 +211,7 @@
         if not await self.exchange.confirms_end(answer, left_s):
             raise RunFailed(SendProblem.CONNECTION_LOST, UNCONFIRMED_END)
         can_repeat = stream.hedging.has_others(progress) or stream.request.may_run(
-            self.directory.backends, self.timer.now_s()
+            self.timer.now_s()
         )
         if stream.reply.has_begun or (answer.status >= _SERVER_ERROR and can_repeat):
             raise RunFailed(SendProblem.BROKEN, f"status {answer.status}")
