A reply of an unknown kind doesn't prove that a relayed attempt was not sent

Callers of a node without links could have a request run twice: also one that may run once only.

Cause: _relay_client._failure read any reply that is neither a head nor a failure as PEER_REFUSED, the proof that the other node has sent nothing, and made the attempt through a second node.

Change: only a refusal that says so is that proof. Any other reply is BROKEN, and the request may have run.

Result: test_a_reply_of_another_kind_does_not_prove_that_nothing_arrived, red before (NOT_SENT), green now; test_relayed_requests.py 16 passed.

Callers lose: a further attempt through another node after such a reply; no node of this protocol version sends one.

--- a/packages/node/src/fordhatch/node/_relay_client.py
+++ b/packages/node/src/fordhatch/node/_relay_client.py
@@ -204,7 +204,8 @@
             is_unreachable=message.is_unreachable,
         )
     failure = received.err()
-    code = failure.code if failure is not None else ResultCode.PEER_REFUSED
+    # A reply of any other kind doesn't prove that the other node has sent nothing.
+    code = failure.code if failure is not None else ResultCode.FRAME_INVALID
     if code is ResultCode.PEER_REFUSED:
         return SendFailure(SendProblem.NOT_SENT, code.name, is_unreachable=True)
     request.record_arrival(backend.backend_id, may_have_run=True)
--- a/packages/node/tests/test_relayed_requests.py
+++ b/packages/node/tests/test_relayed_requests.py
@@ -18,7 +18,7 @@
 from fordhatch.node._relay_peers import RelayPeers
 from fordhatch.node._relay_server import MAX_RELAYED, ExchangeRelayServer
 from fordhatch.node._relayed_answer import PIECE_BYTES, WINDOW_PIECES
-from fordhatch.protocol.messages import QueryContact, RelayRequest
+from fordhatch.protocol.messages import QueryContact, RelayedEnd, RelayRequest
 from fordhatch.registry import NodeAddress
 from fordhatch.serving import (
     RequestsInProgress,
@@ -369,3 +369,24 @@
             assert request.arrivals == []
 
     simulate(scenario)
+
+
+# Guards against a second run of a request that may have arrived: only a node that says
+# that it knows no such message has certainly not sent it.
+def test_a_reply_of_another_kind_does_not_prove_that_nothing_arrived(
+    monkeypatch,
+) -> None:
+    async def replies_oddly(server, message, channel) -> None:
+        await channel.send(RelayedEnd())
+
+    monkeypatch.setattr(ExchangeRelayServer, "relay", replies_oddly)
+
+    async def scenario() -> None:
+        async with site_of(a=refuses, b=refuses) as site:
+            request = StubRequest()
+            got = await site.client.send(request, BACKEND, OPTIONS)
+            assert got.unwrap_err().problem is SendProblem.BROKEN
+            assert request.arrivals == [True]
+            assert sum("RelayRequest" in asked for asked in site.asked) == 1
+
+    simulate(scenario)
