--- a/packages/serving/src/fordhatch/serving/streams/_stream.py
+++ b/packages/serving/src/fordhatch/serving/streams/_stream.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Container
-
 import attrs
 
 from fordhatch.catalog import EngineProfile
@@ -66,18 +64,17 @@
         self.sends += 1
         self.repeats += head_id in self.request.ran_at
 
-    def may_run(self, listed: Container[str], now_s: float) -> bool:
+    def may_run(self, now_s: float) -> bool:
         """Return whether the route, the deadline and its events allow another run.
 
         Args:
-            listed: Registered backend servers.
             now_s: Current time in monotonic seconds.
         """
         request = self.request
-        if not (self.can_resume and request.may_run(listed, now_s)):
+        if not (self.can_resume and request.may_run(now_s)):
             return False
         # The request counts backend servers, each of them once.
-        return request.counted_runs(listed) + self.repeats < request.route.attempts
+        return request.counted_runs + self.repeats < request.route.attempts
 
     @property
     def can_resume(self) -> bool:
