A node that reads its tables from another node learns of a restore

Callers saw: a request with an idempotency key ran twice after the store was restored from a backup, without any load, in a site of seven nodes.

Cause: the node that holds a claim learned of a restore only from answers to its own calls to the store (_claim_restorer.py, _check_restore).

Change: the newest generation is that of the store client or of the node's copy of the system's own table, whichever is later.

--- a/packages/chat/src/fordhatch/chat/_claim_restorer.py
+++ b/packages/chat/src/fordhatch/chat/_claim_restorer.py
@@ -13,6 +13,7 @@
 
 from fordhatch.adapter import ABSENT, StoreClient
 from fordhatch.core import TaskSet, Timer, log_event
+from fordhatch.registry import TableCopy
 
 from ._claim_rows import Claim, ClaimKey, ClaimState
 
@@ -46,6 +47,8 @@
 
     store: StoreClient
     timer: Timer
+    shared: TableCopy
+    """This node's copy of the system's own table."""
     _claims: dict[ClaimKey, tuple[Claim, float]] = attrs.field(factory=dict)
     """Claims by key, each with the time of its last change."""
     _generation: int = 0
@@ -92,9 +95,11 @@
 
     def _check_restore(self) -> None:
         """Rewrite every retained claim if the store was restored from a backup."""
-        if self.store.generation == self._generation:
+        # A node that reads its tables from another node may not call the store itself.
+        generation = max(self.store.generation, self.shared.version.generation)
+        if generation <= self._generation:
             return
-        self._generation = self.store.generation
+        self._generation = generation
         self._restored_s = self.timer.now_s()
         for key, (claim, _) in self._claims.items():
             self._tasks.spawn(self._rewrite(key, claim), "keep-claim")
--- a/packages/chat/src/fordhatch/chat/_claims.py
+++ b/packages/chat/src/fordhatch/chat/_claims.py
@@ -17,7 +17,7 @@
 from fordhatch.core import Failure, Ran, ResultCode, TaskSet, Timer, log_event, metrics
 from fordhatch.protocol import PeerPool
 from fordhatch.protocol.messages import QueryStatus, StatusReply
-from fordhatch.registry import NodeAddress
+from fordhatch.registry import NodeAddress, TableCopy
 
 from ._claim_restorer import ClaimRestorer
 from ._claim_rows import (
@@ -82,13 +82,15 @@
     timer: Timer
     expiry_s: float
     row_bytes: int
+    shared: TableCopy = attrs.field(factory=TableCopy)
+    """This node's copy of the system's own table."""
     restorer: ClaimRestorer = attrs.field(init=False)
     _tasks: TaskSet = attrs.field(factory=TaskSet)
     _next_part: int = 0
 
     def __attrs_post_init__(self) -> None:
         """Create the restorer of this node's claims."""
-        self.restorer = ClaimRestorer(self.store, self.timer)
+        self.restorer = ClaimRestorer(self.store, self.timer, self.shared)
 
     # Acquiring.
 
--- a/packages/daemon/src/fordhatch/daemon/_daemon.py
+++ b/packages/daemon/src/fordhatch/daemon/_daemon.py
@@ -58,6 +58,7 @@
             timer,
             settings.limits.claim_expiry_s,
             settings.limits.row_bytes,
+            node.view.own.copy,
         )
         callers = ChatServer.create(node.path, claims, settings.limits, timer)
         operators = OperatorsApp.from_node(node, settings)
--- a/packages/daemon/tests/test_at_most_once.py
+++ b/packages/daemon/tests/test_at_most_once.py
@@ -10,6 +10,7 @@
 from in_process_site import (
     BILLING_PATH,
     OTHER_API_KEY,
+    InProcessNode,
     InProcessSite,
     Response,
     declared,
@@ -186,10 +187,14 @@
     assert site.model_runs() == 2
 
 
-async def retry_until_final(site: InProcessSite, node: int) -> Response:
+def _is_configured(site: InProcessSite, node: InProcessNode) -> bool:
+    return node.daemon.node.view.configuration.version >= site.revision
+
+
+async def retry_until_final(site: InProcessSite, node: int, key: str = "k") -> Response:
     """Retry as a caller does, as long as the request is refused as not run."""
     while True:
-        got = await site.post_bill(node=node)
+        got = await site.post_bill(key, node=node)
         if got.status == 200 or got.error["ran"] != Ran.NO:
             return got
         await asyncio.sleep(0.1)
@@ -219,6 +224,24 @@
     assert site.plain_runs() == 1
 
 
+async def test_claims_of_nodes_that_do_not_call_the_store_are_rewritten(site) -> None:
+    """Guards against holders that learn of a restore only by calls of their own.
+
+    Most nodes of a larger site read their tables from another node.
+    """
+    for index in range(3, 7):
+        await site.add_node(index)
+    await site.until(lambda: all(_is_configured(site, n) for n in site.nodes))
+    backup = site.model.copy()
+    keys = [f"k-{index}" for index in range(1, 7)]
+    for index, key in enumerate(keys, 1):
+        assert (await site.post_bill(key, node=index)).status == 200
+    site.model.restore(backup)
+    for key in keys:
+        assert (await retry_until_final(site, 0, key)).status == 200
+    assert site.plain_runs() == len(keys)
+
+
 async def test_file_lost_by_a_restored_store_is_active_again(site) -> None:
     """The operators' interface has acknowledged the file, so the nodes must rewrite it.
 
