An attempt of a stream at a stop needs the time of the rest, not of a whole answer

Cause: a node that stops begins no attempt that can't end in time, and took each to need as long as the longest whole answer of its route, also where the caller had most of the events. So a run that stalled had no other one beside it: an engine that sends nothing more, or a relaying node that stands still with the rest in its kernel. Direct streams are concerned as well as relayed ones; plain calls are not, as their answers begin once.

Change: the time in which the caller has had events, without the longest pause, is taken off what is expected.

--- a/packages/serving/src/fordhatch/serving/_request.py
+++ b/packages/serving/src/fordhatch/serving/_request.py
@@ -44,6 +44,13 @@
             self.longest_pause_s = max(self.longest_pause_s, pause_s)
         self.last_s = now_s
 
+    @property
+    def output_duration_s(self) -> float:
+        """Time in which events came, without the longest pause, in seconds."""
+        if self.first_s is None:
+            return 0.0
+        return self.last_s - self.first_s - self.longest_pause_s
+
 
 class UsedRetry(Protocol):
     """A retry of the budget that was used for the attempt in progress."""
--- a/packages/serving/src/fordhatch/serving/_requests_in_progress.py
+++ b/packages/serving/src/fordhatch/serving/_requests_in_progress.py
@@ -125,11 +125,15 @@
     def expected_s(self, request: ServedRequest) -> float:
         """Return how long a request may take once it is sent, in seconds.
 
-        Where no answer of its route is known, it may take all of its time.
+        An attempt after others only has to bring what the caller does not have. Where
+        no answer of its route is known, it may take all of its time.
         """
         longest_s = self.times.longest_s(request.route.name)
         left_s = request.left_s(self.timer.now_s())
-        return left_s if longest_s is None else min(longest_s, left_s)
+        if longest_s is None:
+            return left_s
+        rest_s = max(longest_s - request.timeline.output_duration_s, 0.0)
+        return min(rest_s, left_s)
 
     def refuse_waiting(self, until_s: float) -> None:
         """Refuse the requests that wait for a backend server and won't end in time.
