A node that is late to connect does not give an answer up

Cause: the connection on which a process that stands still is waited for had 0.15 s to open, by the clock. A node that is late itself doesn't see in time that it has opened, and the wait never began.

Change: it has 0.15 s in which this node was responsive, as a probe has, and 2 s by the clock; a node that is slower than that concludes nothing.

--- a/bench/entry_guards.py
+++ b/bench/entry_guards.py
@@ -52,7 +52,7 @@
     ),
     Guard(
         "PARTIAL: a later start is not its group's member by a late order",
-        "placement/_group_supervisor.py",
+        "placement/_known_members.py",
         "                self._restarted.add(group.key)\n",
         "                pass\n",
         f"{RESTARTS} -k new_planner_is_not_misled",
--- a/packages/registry/src/fordhatch/registry/_backend_prober.py
+++ b/packages/registry/src/fordhatch/registry/_backend_prober.py
@@ -15,13 +15,14 @@
 from ._backend_contact import MIN_FAILED_BACKENDS, BackendContact
 from ._liveness_probe import (
     MAX_STANDSTILL_S,
-    PROBE_TIMEOUT_S,
     SECOND_PROBE_AFTER_S,
     Report,
     probe,
     probe_on,
     probe_patiently,
+    wait_until_open,
 )
+from ._responsive_wait import MAX_WAIT_S, WaitEnd
 
 COMPARED = MIN_FAILED_BACKENDS - 1
 """Backend servers that are probed to compare, after another one was not reached."""
@@ -96,21 +97,24 @@
         """
         probing = asyncio.ensure_future(probe)
         query: HeldQuery | None = None
+        opening: asyncio.Future[WaitEnd] | None = None
         try:
             await asyncio.wait([probing], timeout=SECOND_PROBE_AFTER_S)
             if not probing.done():
                 # Opened beside the probe, so that a lost server is found no later.
                 query = self.hold(backend)
+                opening = asyncio.ensure_future(wait_until_open(query))
             found = await probing
             is_silent = found.is_err() and (
                 found.unwrap_err().code is ResultCode.BACKEND_LOST
             )
-            if query is None or not is_silent:
+            if query is None or opening is None or not is_silent:
                 return found
-            answer = await probe_patiently(query)
+            answer = await probe_patiently(query, opening)
         finally:
             probing.cancel()
-            if query is not None:
+            if query is not None and opening is not None:
+                opening.cancel()
                 query.close()
         if answer.is_ok():
             self.contact.record_reached(backend)
@@ -141,9 +145,13 @@
         return found
 
     def hold(self, backend: BackendServer) -> HeldQuery:
-        """Open a connection on which a backend server may be probed later."""
+        """Open a connection on which a backend server may be probed later.
+
+        It has ``MAX_WAIT_S`` to open: whoever waits for it tells a lost host from a
+        node that is late itself.
+        """
         return self.client.hold_report(
-            backend.address, backend.registered_id, connect_timeout_s=PROBE_TIMEOUT_S
+            backend.address, backend.registered_id, connect_timeout_s=MAX_WAIT_S
         )
 
     async def reach_on(self, query: HeldQuery, backend: BackendServer) -> Report:
--- a/packages/registry/src/fordhatch/registry/_liveness_probe.py
+++ b/packages/registry/src/fordhatch/registry/_liveness_probe.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
 
 from result import Err, Result
 
@@ -58,18 +59,38 @@
             request.cancel()
 
 
-async def probe_patiently(query: HeldQuery) -> Report:
+async def wait_until_open(query: HeldQuery) -> WaitEnd:
+    """Wait for the connection of a query.
+
+    Whether it opens is up to the host of the process, which answers while the process
+    itself does not.
+
+    Returns:
+        ``DONE`` if it is open or has failed; otherwise why the wait has ended, after
+        ``PROBE_TIMEOUT_S`` in which this node was responsive.
+    """
+    opening = asyncio.ensure_future(query.wait_until_open())
+    try:
+        return await wait_while_responsive([opening], PROBE_TIMEOUT_S)
+    finally:
+        opening.cancel()
+
+
+async def probe_patiently(query: HeldQuery, opening: Awaitable[WaitEnd]) -> Report:
     """Request a report from a process that may stand still.
 
     Args:
-        query: A connection that is being opened. Whether it opens is up to the host of
-            the process, which answers while the process itself does not.
+        query: A connection that is being opened.
+        opening: The wait for it; see ``wait_until_open``.
 
     Returns:
         The report; a failure if the connection did not open, was closed, or the process
         sent nothing for ``MAX_STANDSTILL_S``.
     """
-    if not await query.wait_until_open():
+    end = await opening
+    if end is WaitEnd.INCONCLUSIVE:
+        return Err(Failure.from_code(ResultCode.PROBE_INCONCLUSIVE))
+    if end is WaitEnd.TIMED_OUT or not query.is_open:
         return Err(Failure.from_code(ResultCode.BACKEND_LOST, ran=Ran.NO))
     return await probe_on(query, MAX_STANDSTILL_S)
 
--- a/packages/serving/tests/test_waits_for_ends.py
+++ b/packages/serving/tests/test_waits_for_ends.py
@@ -8,12 +8,22 @@
 
 import pytest
 from test_answers_without_length import PLAIN_BODY, plain_head
-from test_ends_of_answers import HUNG_S, LASTS_S, NAMELESS, OWN, OWN_REPORT
+from test_ends_of_answers import (
+    BORN_MS,
+    HUNG_S,
+    LASTS_S,
+    NAMELESS,
+    OWN,
+    OWN_REPORT,
+    STILL_S,
+)
 from test_stream_calls import ALL, head, streams
 
 from fordhatch.registry import BackendProber
 from fordhatch_standins import http_answer
 
+LATE_S = 0.25
+"""Time for which the node stands still, above the time-out of a probe."""
 AT_ONCE_S = 1.0
 """Longer than what needs no wait takes, and shorter than the wait."""
 
@@ -137,3 +147,30 @@
     kept += [t for t in asyncio.all_tasks() if "_held_query" in repr(t)]
     assert (kept, before) == ([], before)
     assert not site.backends._session.connector._acquired
+
+
+# Guards against a whole answer that is lost because the node itself is late: it then
+# doesn't see in time that the connection of its question has opened.
+async def test_a_node_that_is_late_to_connect_loses_no_answer(
+    site, monkeypatch
+) -> None:
+    hold = BackendProber.hold
+
+    def hold_late(prober, backend):
+        query = hold(prober, backend)
+        # The connection is being opened when the node stands still.
+        loop = asyncio.get_running_loop()
+        loop.call_soon(loop.call_soon, loop.call_soon, time.sleep, LATE_S)
+        return query
+
+    monkeypatch.setattr(BackendProber, "hold", hold_late)
+
+    async def script(request, writer) -> None:
+        writer.write(plain_head(request) + PLAIN_BODY)
+        await writer.drain()
+        server.late_s = STILL_S
+        OWN_REPORT.apply(server)
+
+    server = await site.add_backend(script, backend_id=OWN, born=BORN_MS)
+    got = await site.ask("/once/1")
+    assert (got.status, got.body) == (200, PLAIN_BODY)
