A claim that the backup has as running is settled again

Callers saw: retries of a request that had ended were refused with IN_PROGRESS after a restore whose backup was taken while the request ran.

Cause: a claim was rewritten only where the restored store had no row (_claim_restorer.py, _rewrite); an earlier state of the same claim was left.

Change: a row with an earlier state of the node's own claim is replaced. A claim of another node, which has not noticed the restore and releases it, is waited for; a claim that was settled or released during its rewrite is written or removed once more.

--- a/packages/chat/src/fordhatch/chat/_claim_restorer.py
+++ b/packages/chat/src/fordhatch/chat/_claim_restorer.py
@@ -8,10 +8,18 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Sequence
 
 import attrs
 
-from fordhatch.adapter import ABSENT, StoreClient
+from fordhatch.adapter import (
+    ABSENT,
+    DecodeError,
+    Row,
+    RowKey,
+    StoreClient,
+    StoreVersion,
+)
 from fordhatch.core import TaskSet, Timer, log_event
 from fordhatch.registry import TableCopy
 
@@ -101,22 +109,53 @@
             return
         self._generation = generation
         self._restored_s = self.timer.now_s()
-        for key, (claim, _) in self._claims.items():
-            self._tasks.spawn(self._rewrite(key, claim), "keep-claim")
+        for key in self._claims:
+            self._tasks.spawn(self._rewrite(key), "keep-claim")
 
-    async def _rewrite(self, key: ClaimKey, claim: Claim) -> None:
-        row = key.row_key
+    async def _rewrite(self, key: ClaimKey) -> None:
+        """Rewrite a claim unless the store has its newest value."""
+        row, version = key.row_key, ABSENT
         for _ in range(MAX_WRITE_ATTEMPTS):
+            if key not in self._claims:
+                return
+            claim, _ = self._claims[key]
             written = await self.store.write(
-                {row: ABSENT}, {row: claim.to_bytes()}, timeout_s=STORE_TIMEOUT_S
+                {row: version}, {row: claim.to_bytes()}, timeout_s=STORE_TIMEOUT_S
             )
-            if written.is_ok():
-                if written.unwrap().is_committed:
-                    log_event("claim_written_again", key=row.key, state=claim.state)
+            if written.is_ok() and written.unwrap().is_committed:
+                log_event("claim_written_again", key=row.key, state=claim.state)
+                version = written.unwrap().version
+                if key not in self._claims:
+                    await self._remove(row, version)
+                elif self._claims[key][0] is not claim:
+                    # It was settled meanwhile, and that write has met this one.
+                    continue
                 return
+            if written.is_ok():
+                found = _claim_in(written.unwrap().conflicts)
+                if found is not None and found.write_id == claim.write_id:
+                    return
+                if found is not None and found.start_id == claim.start_id:
+                    # The backup has an earlier state of the same claim.
+                    version = found.version
+                    continue
+                # Another node has not noticed the restore and releases its claim.
+                version = ABSENT
             await self.timer.sleep(self.timer.jittered(RETRY_PAUSE_S))
-        log_event("claim_not_written_again", key=row.key, state=claim.state)
+        log_event("claim_not_written_again", key=row.key)
+
+    async def _remove(self, row: RowKey, version: StoreVersion) -> None:
+        """Remove a row whose claim was released while it was rewritten."""
+        await self.store.write({row: version}, {}, (row,), timeout_s=STORE_TIMEOUT_S)
 
     async def close(self) -> None:
         """Stop pending rewrites."""
         await self._tasks.close()
+
+
+def _claim_in(conflicts: Sequence[Row]) -> Claim | None:
+    """Return the claim in a row that differs from the expected one."""
+    try:
+        return Claim.from_row(conflicts[0]) if conflicts else None
+    except DecodeError:
+        return None
--- a/packages/daemon/tests/test_at_most_once.py
+++ b/packages/daemon/tests/test_at_most_once.py
@@ -242,6 +242,20 @@
     assert site.plain_runs() == len(keys)
 
 
+async def test_settled_claim_that_a_backup_has_as_running_is_settled(site) -> None:
+    """Guards against an answer that a retry waits for though it is known."""
+    site.plain.work_s = 0.5
+    pending = asyncio.ensure_future(site.post_bill())
+    await site.until(lambda: site.plain_runs() == 1)
+    backup = site.model.copy()
+    first = await pending
+    await site.until(lambda: site.claims()[0].state is ClaimState.DONE)
+    site.model.restore(backup)
+    retried = await retry_until_final(site, 1)
+    assert retried.body == first.body
+    assert site.plain_runs() == 1
+
+
 async def test_file_lost_by_a_restored_store_is_active_again(site) -> None:
     """The operators' interface has acknowledged the file, so the nodes must rewrite it.
 
