New claims wait for every node's report after a restore of the store

Callers saw: a request with an idempotency key ran twice after the store was restored from a backup, if the node that held its claim was late.

Cause: a node made new claims 1 s after it had seen the restore itself (_claim_restorer.py, may_claim), whatever the holder of a lost claim had seen.

Change: each node reports in the system's own table up to which generation of the store its claims are rewritten. A node makes new claims once all nodes that have ever reported have done so for the present generation, and 1 s at least after it has seen the restore; one that does not reply for 10 s counts as gone, and after 60 s claims are made in any case. Until then requests with a key are refused as not run. A claim whose write spans a restore is released. A rewrite is tried for 60 s instead of five times.

--- a/packages/chat/src/fordhatch/chat/_claim_restorer.py
+++ b/packages/chat/src/fordhatch/chat/_claim_restorer.py
@@ -1,12 +1,13 @@
 """Rewriting of this node's claims after the store is restored from a backup.
 
 A backup may lack recent claims, and a retry of a request whose claim is lost would run
-again. Each node rewrites its claims as soon as it detects the restore, and no node
-makes new claims in the meantime.
+again. Each node rewrites its claims as soon as it detects the restore, and reports
+that. No node makes new claims until all nodes that are there have reported.
 """
 
 from __future__ import annotations
 
+import asyncio
 import math
 from collections.abc import Sequence
 
@@ -21,9 +22,9 @@
     StoreVersion,
 )
 from fordhatch.core import TaskSet, Timer, log_event
-from fordhatch.registry import TableCopy
 
 from ._claim_rows import Claim, ClaimKey, ClaimState
+from ._rewrite_reports import RewriteReports
 
 RETENTION_S = 60.0
 """Retention of settled claims. It covers the age of the backup, some seconds, and the
@@ -33,8 +34,12 @@
 """Limit of retained settled claims: their answers take at most 20 MB."""
 
 HOLD_OFF_S = 1.0
-"""Time without new claims after a restore. Nodes that hold claims call the store
-several times a second, so they have rewritten their claims by then."""
+"""Minimum time without new claims after a restore. The reports that the restored store
+has lost are back in every node's copy by then; nodes of an older build write none."""
+
+MAX_HOLD_OFF_S = RETENTION_S
+"""Maximum time without new claims after a restore, while a node that is there does not
+report. Such a node has dropped its settled claims by then."""
 
 CHECK_INTERVAL_S = 0.05
 """Interval of the check for a restore, which makes no call to the store."""
@@ -42,9 +47,6 @@
 STORE_TIMEOUT_S = 1.0
 """Timeout of a call to the store."""
 
-MAX_WRITE_ATTEMPTS = 5
-"""Attempts to rewrite a claim."""
-
 RETRY_PAUSE_S = 0.1
 """Pause before the next attempt."""
 
@@ -55,13 +57,17 @@
 
     store: StoreClient
     timer: Timer
-    shared: TableCopy
-    """This node's copy of the system's own table."""
+    reports: RewriteReports
+    generation: int = 0
+    """The newest generation of the store that this node has acted on."""
     _claims: dict[ClaimKey, tuple[Claim, float]] = attrs.field(factory=dict)
     """Claims by key, each with the time of its last change."""
-    _generation: int = 0
+    _rewritten: int = 0
+    """Newest generation in which this node's earlier claims are present again."""
     _restored_s: float = -math.inf
     """Monotonic time at which this node detected the last restore of the store."""
+    _is_open: bool = False
+    """Whether new claims may be made in this generation."""
     _tasks: TaskSet = attrs.field(factory=TaskSet)
 
     def remember(self, key: ClaimKey, claim: Claim) -> None:
@@ -88,34 +94,68 @@
                 del self._claims[key]
 
     def may_claim(self) -> bool:
-        """Return whether the hold-off after the last restore is over.
+        """Return whether new claims may be made.
 
-        All claims from before the restore are rewritten by then.
+        All claims from before the last restore are rewritten by then, except those of
+        nodes that are gone.
         """
         self._check_restore()
-        return self.timer.now_s() - self._restored_s >= HOLD_OFF_S
+        if not self._is_open and self._is_complete():
+            self._is_open = True
+            if self._restored_s > -math.inf:
+                held_off_s = round(self.timer.now_s() - self._restored_s, 3)
+                missing = self.reports.missing(self.generation, self._restored_s)
+                log_event("claims_resumed", held_off_s=held_off_s, missing=missing)
+            self._tasks.spawn(
+                self.reports.remove_gone(self.generation, self._restored_s),
+                "remove-reports",
+            )
+        return self._is_open
+
+    def _is_complete(self) -> bool:
+        """Return whether no claim from before the restore is still to be rewritten."""
+        if not self.reports.has_own(self.generation):
+            # The other nodes would not wait for this one after the next restore.
+            return False
+        held_off_s = self.timer.now_s() - self._restored_s
+        if held_off_s < HOLD_OFF_S:
+            return False
+        missing = self.reports.missing(self.generation, self._restored_s)
+        return not missing or held_off_s >= MAX_HOLD_OFF_S
 
     async def run(self) -> None:
-        """Check for restores of the store until cancelled."""
+        """Check for restores of the store, and report, until cancelled."""
         while True:
             self._check_restore()
+            if self._rewritten == self.generation:
+                await self.reports.write_own(self.generation)
+            if not self.may_claim() and self.reports.is_query_due():
+                for name in self.reports.missing(self.generation, self._restored_s):
+                    self._tasks.spawn(self.reports.query(name), f"query-{name}")
             await self.timer.sleep(CHECK_INTERVAL_S)
 
     def _check_restore(self) -> None:
         """Rewrite every retained claim if the store was restored from a backup."""
-        # A node that reads its tables from another node may not call the store itself.
-        generation = max(self.store.generation, self.shared.version.generation)
-        if generation <= self._generation:
+        generation = self.reports.generation()
+        if generation <= self.generation:
             return
-        self._generation = generation
+        self.generation = generation
         self._restored_s = self.timer.now_s()
-        for key in self._claims:
-            self._tasks.spawn(self._rewrite(key), "keep-claim")
+        self._is_open = False
+        self._tasks.spawn(self._rewrite_all(generation), "keep-claims")
+
+    async def _rewrite_all(self, generation: int) -> None:
+        """Rewrite the retained claims, until the next restore."""
+        keys = list(self._claims)
+        await asyncio.gather(*(self._rewrite(key, generation) for key in keys))
+        if self.generation == generation:
+            self._rewritten = generation
 
-    async def _rewrite(self, key: ClaimKey) -> None:
+    async def _rewrite(self, key: ClaimKey, generation: int) -> None:
         """Rewrite a claim unless the store has its newest value."""
         row, version = key.row_key, ABSENT
-        for _ in range(MAX_WRITE_ATTEMPTS):
+        ends_s = self.timer.now_s() + MAX_HOLD_OFF_S
+        while self.generation == generation and self.timer.now_s() < ends_s:
             if key not in self._claims:
                 return
             claim, _ = self._claims[key]
@@ -149,8 +189,9 @@
         await self.store.write({row: version}, {}, (row,), timeout_s=STORE_TIMEOUT_S)
 
     async def close(self) -> None:
-        """Stop pending rewrites."""
+        """Stop pending rewrites and withdraw the report."""
         await self._tasks.close()
+        await self.reports.withdraw()
 
 
 def _claim_in(conflicts: Sequence[Row]) -> Claim | None:
--- a/packages/chat/src/fordhatch/chat/_claims.py
+++ b/packages/chat/src/fordhatch/chat/_claims.py
@@ -28,6 +28,7 @@
     ClaimState,
     StoredAnswer,
 )
+from ._rewrite_reports import RewriteReports
 
 STORE_TIMEOUT_S = 1.0
 """Timeout of a call to the store, which normally answers within milliseconds."""
@@ -90,7 +91,10 @@
 
     def __attrs_post_init__(self) -> None:
         """Create the restorer of this node's claims."""
-        self.restorer = ClaimRestorer(self.store, self.timer, self.shared)
+        reports = RewriteReports(
+            self.node_name, self.store, self.pool, self.nodes, self.timer, self.shared
+        )
+        self.restorer = ClaimRestorer(self.store, self.timer, reports)
 
     # Acquiring.
 
@@ -109,6 +113,7 @@
         """
         if not self.restorer.may_claim():
             return Err(_claim_failure())
+        generation = self.restorer.generation
         claim = Claim(
             self._new_write_id(),
             ClaimState.RUNNING,
@@ -125,12 +130,13 @@
         if written.is_err() and written.unwrap_err().ran is Ran.NO:
             return Err(_claim_failure())
         if written.is_ok() and written.unwrap().is_committed:
-            return await self._issue_ticket(key, claim, written.unwrap().version)
+            version = written.unwrap().version
+            return self._issue_ticket(key, claim, version, generation)
         found = await self.look_up(key, due_s)
         if found.is_ok() and found.unwrap() is not None:
             present = found.unwrap()
             if present.write_id == claim.write_id:
-                return await self._issue_ticket(key, claim, present.version)
+                return self._issue_ticket(key, claim, present.version, generation)
             return Ok(present)
         if written.is_err():
             # The write may still take effect: release the claim if it does.
@@ -139,15 +145,16 @@
             )
         return Err(_claim_failure())
 
-    async def _issue_ticket(
-        self, key: ClaimKey, claim: Claim, version: StoreVersion
+    def _issue_ticket(
+        self, key: ClaimKey, claim: Claim, version: StoreVersion, generation: int
     ) -> Result[Ticket | Claim, Failure]:
-        """Return the ticket, unless the store was restored from a backup meanwhile.
+        """Return the ticket, unless the store was restored after ``generation``.
 
-        The response to the claim's own write may be the first sign of the restore.
+        The response to the claim's own write may be the first sign of the restore, or
+        come late, when new claims may be made again.
         """
         ticket = Ticket(key, attrs.evolve(claim, version=version))
-        if not self.restorer.may_claim():
+        if not self.restorer.may_claim() or self.restorer.generation != generation:
             self._tasks.spawn(self.release(ticket), "release-after-return")
             return Err(_claim_failure())
         metrics.CLAIMS.labels("taken").inc()
--- a/packages/chat/tests/test_claim_waits.py
+++ b/packages/chat/tests/test_claim_waits.py
@@ -50,7 +50,7 @@
         claims = ClaimService(
             "n", "s1", SilentStore(), StoppedHolder(), lambda: nodes, timer, 60.0, 9999
         )
-        claims.restorer = SimpleNamespace(may_claim=lambda: True)
+        claims.restorer = SimpleNamespace(may_claim=lambda: True, generation=1)
         began_s = timer.now_s()
         got = await claims.acquire(KEY, began_s + left_s)
         assert got.unwrap_err().ran is Ran.NO
--- a/packages/daemon/tests/test_at_most_once.py
+++ b/packages/daemon/tests/test_at_most_once.py
@@ -18,6 +18,7 @@
 )
 
 from fordhatch.chat import ClaimState
+from fordhatch.chat._claim_restorer import HOLD_OFF_S
 from fordhatch.config import DECLARED_TABLE, decode_declared
 from fordhatch.config._declared_configuration import HEAD_KEY
 from fordhatch.core import Ran, ResultCode
@@ -224,6 +225,27 @@
     assert site.plain_runs() == 1
 
 
+async def test_holder_that_reaches_a_restored_store_late_keeps_its_claims(site) -> None:
+    """Guards against claims made before the holder of a lost one has rewritten it.
+
+    The holder's link to the store fails from the restore until the others have had
+    twice the hold-off.
+    """
+    backup = site.model.copy()
+    first = await site.post_bill()
+    holder = site.claim_holder()
+    retrying = next(i for i, node in enumerate(site.nodes) if node is not holder)
+    holder.store.is_frozen = True
+    site.model.restore(backup)
+    pending = asyncio.ensure_future(retry_until_final(site, retrying))
+    await asyncio.sleep(2 * HOLD_OFF_S)
+    holder.store.is_frozen = False
+    retried = await pending
+    assert (first.status, retried.status) == (200, 200)
+    assert first.body == retried.body
+    assert site.plain_runs() == 1
+
+
 async def test_claims_of_nodes_that_do_not_call_the_store_are_rewritten(site) -> None:
     """Guards against holders that learn of a restore only by calls of their own.
 
