A retry at the holder does not end its lost claim

Callers saw: a request ran twice if its retry reached the node that held its claim before that node had noticed the restore of the store.

Cause: the retry's claim is released once the restore shows, and the release dropped the older, lost claim of the same key from those that the node rewrites (_claim_restorer.py, forget).

Change: a release drops only the claim that it releases.

--- a/packages/chat/src/fordhatch/chat/_claim_restorer.py
+++ b/packages/chat/src/fordhatch/chat/_claim_restorer.py
@@ -76,9 +76,13 @@
         self._claims[key] = claim, self.timer.now_s()
         self._evict()
 
-    def forget(self, key: ClaimKey) -> None:
-        """Drop a claim that was released."""
-        self._claims.pop(key, None)
+    def forget(self, key: ClaimKey, claim: Claim) -> None:
+        """Drop a claim that was released, but not an earlier one of the same key.
+
+        Before this node learns of a restore it may claim a key whose claim was lost.
+        """
+        if key in self._claims and self._claims[key][0].write_id == claim.write_id:
+            del self._claims[key]
 
     def _evict(self) -> None:
         """Drop settled claims beyond the retention period or the limit."""
--- a/packages/chat/src/fordhatch/chat/_claims.py
+++ b/packages/chat/src/fordhatch/chat/_claims.py
@@ -250,7 +250,7 @@
             puts[row_key] = new.to_bytes()
             self.restorer.remember(key, new)
         else:
-            self.restorer.forget(key)
+            self.restorer.forget(key, old)
         removes = () if new is not None else (row_key,)
         for attempt in range(MAX_WRITE_ATTEMPTS):
             await self._pause(attempt)
--- a/packages/chat/tests/test_claims_over_restores.py
+++ b/packages/chat/tests/test_claims_over_restores.py
@@ -142,3 +142,23 @@
         await pair.close()
 
     run_in_virtual_time(scenario())
+
+
+# Guards against a release that makes the holder drop the lost claim of the same key: it
+# may be asked to claim the key again before it has noticed the restore.
+def test_a_retry_at_the_holder_does_not_end_its_lost_claim() -> None:
+    async def scenario() -> None:
+        pair = Pair()
+        await pair.start()
+        holder = pair.services[0]
+        backup = pair.model.copy()
+        ticket = (await holder.acquire(KEY, math.inf)).unwrap()
+        pair.model.restore(backup)
+        assert (await holder.acquire(KEY, math.inf)).unwrap_err().ran is Ran.NO
+        await asyncio.sleep(2.0)
+        found = (await holder.look_up(KEY)).unwrap()
+        assert found is not None
+        assert found.write_id == ticket.claim.write_id
+        await pair.close()
+
+    run_in_virtual_time(scenario())
