A stop waits 0.25 s at most for the withdrawal of its report

Cause: the withdrawal had the timeout of other writes (_rewrite_reports.py). Change: a timeout of its own.

--- a/packages/chat/src/fordhatch/chat/_rewrite_reports.py
+++ b/packages/chat/src/fordhatch/chat/_rewrite_reports.py
@@ -29,6 +29,10 @@
 WRITE_TIMEOUT_S = 1.0
 """Timeout of a write to the store."""
 
+WITHDRAW_TIMEOUT_S = 0.25
+"""Timeout of the withdrawal, which a stop waits for. A report that stays behind costs
+callers ``GONE_AFTER_S`` at the next restore."""
+
 QUERY_TIMEOUT_S = 1.0
 """Timeout of a status query to a node whose report is missing."""
 
@@ -155,7 +159,7 @@
         """Remove this node's report: it makes no more claims and rewrites none."""
         row = RowKey(SHARED_TABLE, REPORT_PREFIX + self.node_name)
         if self.has_own(0):
-            await self.store.write({}, {}, (row,), timeout_s=WRITE_TIMEOUT_S)
+            await self.store.write({}, {}, (row,), timeout_s=WITHDRAW_TIMEOUT_S)
 
 
 def _fields(row: Row | None) -> Mapping[str, object]:
--- a/packages/chat/tests/test_claims_over_restores.py
+++ b/packages/chat/tests/test_claims_over_restores.py
@@ -162,3 +162,18 @@
         await pair.close()
 
     run_in_virtual_time(scenario())
+
+
+# Guards against a stop that uses up its grace period on a store that does not answer.
+def test_a_stop_waits_briefly_for_the_withdrawal_of_the_report() -> None:
+    async def scenario() -> None:
+        pair = Pair()
+        await pair.start()
+        service = pair.services[0]
+        service.store.is_frozen = True
+        began_s = asyncio.get_running_loop().time()
+        await service.close()
+        assert asyncio.get_running_loop().time() - began_s <= 0.3
+        await pair.close()
+
+    run_in_virtual_time(scenario())
