A request stays no longer than its write

Cause: while_caller_reads defined a function that refers to itself through a cell, a reference cycle with the caller's request for each write. The request and its response, with the answer's body, stayed until the garbage collector's oldest generation ran.

Change: the deadline of a write is extended by an object that drops its timer.

--- a/packages/serving/src/fordhatch/serving/_caller_writes.py
+++ b/packages/serving/src/fordhatch/serving/_caller_writes.py
@@ -15,6 +15,7 @@
 import termios
 from collections.abc import AsyncIterator
 
+import attrs
 from aiohttp import web
 
 from fordhatch.core import Timer
@@ -53,28 +54,47 @@
         ConnectionResetError: If the connection was broken.
     """
     limit_s = max(due_s - timer.now_s(), MIN_WRITE_S)
-    taken = _taken_bytes(http_request)
     try:
         async with asyncio.timeout(limit_s) as deadline:
-
-            def extend_for_reader() -> None:
-                nonlocal taken, check
-                before, taken = taken, _taken_bytes(http_request)
-                if taken > before:
-                    deadline.reschedule(loop.time() + MIN_WRITE_S)
-                    check = loop.call_later(0.9 * MIN_WRITE_S, extend_for_reader)
-
-            loop = asyncio.get_running_loop()
-            check = loop.call_later(0.9 * limit_s, extend_for_reader)
+            watch = _ReaderWatch(http_request, deadline, _taken_bytes(http_request))
+            watch.start(limit_s)
             try:
                 yield
             finally:
-                check.cancel()
+                watch.stop()
     except TimeoutError:
         reset(http_request)
         raise ConnectionResetError("the caller does not read") from None
 
 
+@attrs.define(eq=False, repr=False)
+class _ReaderWatch:
+    """Extends the deadline of a write while its caller takes bytes of it."""
+
+    http_request: web.BaseRequest
+    deadline: asyncio.Timeout
+    taken_bytes: int
+    """Bytes that the kernel had taken at the last check."""
+    _check: asyncio.TimerHandle | None = None
+
+    def start(self, limit_s: float) -> None:
+        """Check shortly before the end of a time."""
+        loop = asyncio.get_running_loop()
+        self._check = loop.call_later(0.9 * limit_s, self._extend_for_reader)
+
+    def _extend_for_reader(self) -> None:
+        before, self.taken_bytes = self.taken_bytes, _taken_bytes(self.http_request)
+        if self.taken_bytes > before:
+            loop = asyncio.get_running_loop()
+            self.deadline.reschedule(loop.time() + MIN_WRITE_S)
+            self.start(MIN_WRITE_S)
+
+    def stop(self) -> None:
+        """Check no more; a handle that isn't dropped would hold the request."""
+        self._check.cancel()
+        self._check = None
+
+
 def _taken_bytes(http_request: web.BaseRequest) -> int:
     """Return the bytes of an answer that the kernel has taken."""
     transport = http_request.transport
