A closed answer refers to neither its witness nor the frames of its error

Cause: an answer and its ProcessWitness refer to each other, also after close(). The library keeps the error of a body with the body; its traceback holds the frames that read the body, and those hold the answer, the attempt and the request.

Change: BackendAnswer.close() drops the witness and the traceback.

--- a/packages/serving/src/fordhatch/serving/exchange/_backend_answer.py
+++ b/packages/serving/src/fordhatch/serving/exchange/_backend_answer.py
@@ -131,4 +131,10 @@
         """Close the connection, which cancels an unfinished request."""
         if self.witness is not None:
             self.witness.close()
+            # It refers to this answer.
+            self.witness = None
         self._response.close()
+        error = self._response.content.exception()
+        if error is not None:
+            # The body keeps its error, and the frames of its traceback refer to it.
+            error.__traceback__ = None
