A run of a stream owns the task of its step

Cause: a task keeps the error that it raised, the error's traceback holds the frames that it passed through, and those referred to the task: by a local name in StreamRuns._open, _check_ending and _next_piece, and by RunProgress.step, which was never dropped.

Change: SilenceWatch.wait makes the task, returns its result and drops it; no frame has a name for it.

--- a/packages/serving/src/fordhatch/serving/streams/_silence_watch.py
+++ b/packages/serving/src/fordhatch/serving/streams/_silence_watch.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
+from typing import TypeVar
 
 import attrs
 
@@ -23,6 +24,8 @@
 """Multiple of the group's silence limit after which one silent stream is hedged while
 other streams of the group advance."""
 
+T = TypeVar("T")
+
 BeginAttempt = Callable[[Stream], Coroutine[object, object, AttemptEnd]]
 """Makes another attempt of a stream."""
 
@@ -49,27 +52,42 @@
         stream: Stream,
         head: BackendServer,
         run: RunProgress,
-        step: asyncio.Future[object],
-    ) -> None:
-        """Wait for the next step of a run; begin another attempt while it is silent.
+        work: Coroutine[object, object, T],
+    ) -> T:
+        """Return the result of the next step of a run, which ends with this call.
+
+        Begins another attempt while the run is silent. Only the run refers to the
+        step's task: one whose error has passed through a frame that refers to it, too,
+        would be a reference cycle with all that the frame holds.
 
         Raises:
             RunFailed: If the run was cancelled, another one has taken over, or the
                 deadline passed.
+            Exception: Whatever the step raises.
         """
+        run.step = asyncio.ensure_future(work)
+        try:
+            await self._until_done(stream, head, run)
+            return run.step.result()
+        finally:
+            run.step.cancel()
+            run.step = None
+
+    async def _until_done(
+        self, stream: Stream, head: BackendServer, run: RunProgress
+    ) -> None:
         limit_s = silence_s(stream.profile, stream.model)
         waiting_since_s = self.timer.now_s()
-        run.step = step
         while True:
             left_s = stream.request.left_s(self.timer.now_s())
-            await asyncio.wait([step], timeout=max(min(limit_s, left_s), 0.0))
+            await asyncio.wait([run.step], timeout=max(min(limit_s, left_s), 0.0))
             now_s = self.timer.now_s()
             if run.is_superseded:
                 silent_s = now_s - waiting_since_s
                 raise RunFailed(SendProblem.SILENT, f"silent for {silent_s:.3f}")
-            if step.cancelled():
+            if run.step.cancelled():
                 raise RunFailed(SendProblem.HELD_BACK, "it was quarantined meanwhile")
-            if step.done():
+            if run.step.done():
                 run.is_silent = False
                 return
             if stream.request.left_s(now_s) <= 0:
--- a/packages/serving/src/fordhatch/serving/streams/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/streams/_stream_run.py
@@ -160,21 +160,14 @@
         """
         request, head = stream.request, attempt.backend
         resumed = stream.order.last is not None
-        send = asyncio.ensure_future(
-            self.exchange.send(
-                attempt,
-                head,
-                head_timeout_s=max(request.left_s(self.timer.now_s()), 0.001),
-                urgency=RESUMED_URGENCY if resumed else request.wire_urgency,
-                last_event_id=str(stream.order.last) if resumed else None,
-            )
+        send = self.exchange.send(
+            attempt,
+            head,
+            head_timeout_s=max(request.left_s(self.timer.now_s()), 0.001),
+            urgency=RESUMED_URGENCY if resumed else request.wire_urgency,
+            last_event_id=str(stream.order.last) if resumed else None,
         )
-        try:
-            await self.silence.wait(stream, head, progress, send)
-        finally:
-            if not send.done():
-                send.cancel()
-        sent = send.result()
+        sent = await self.silence.wait(stream, head, progress, send)
         if sent.is_err():
             failure = sent.unwrap_err()
             if failure.problem is SendProblem.NOT_SENT:
@@ -258,14 +251,8 @@
     ) -> None:
         """Check an end as of ``check_ending``; the run is silent meanwhile."""
         left_s = stream.request.left_s(self.timer.now_s())
-        check = asyncio.ensure_future(
-            check_ending(self.exchange, stream, answer, splitter, left_s)
-        )
-        try:
-            await self.silence.wait(stream, answer.backend, progress, check)
-            check.result()
-        finally:
-            check.cancel()
+        check = check_ending(self.exchange, stream, answer, splitter, left_s)
+        await self.silence.wait(stream, answer.backend, progress, check)
 
     def _record_pause(
         self, stream: Stream, head: BackendServer, last_s: float | None
@@ -356,11 +343,8 @@
     async def _next_piece(
         self, stream: Stream, answer: BackendAnswer, progress: RunProgress
     ) -> bytes:
-        read = asyncio.ensure_future(answer.read_piece())
+        read = answer.read_piece()
         try:
-            await self.silence.wait(stream, answer.backend, progress, read)
-            return read.result()
+            return await self.silence.wait(stream, answer.backend, progress, read)
         except (aiohttp.ClientError, OSError) as error:
             raise RunFailed(connection_problem(error), repr(error)) from error
-        finally:
-            read.cancel()
