An attempt beside another one that raises keeps no request

Cause: Hedging.outcome had names for a task whose error passes through its frame: a reference cycle with the request. Found by reading; an unexpected error in the second attempt is needed for it.

Change: the result is taken in a function that drops its name for the task.

--- a/packages/serving/src/fordhatch/serving/hedging/_hedging.py
+++ b/packages/serving/src/fordhatch/serving/hedging/_hedging.py
@@ -126,12 +126,21 @@
             done, _ = await asyncio.wait(
                 self._hedges, return_when=asyncio.FIRST_COMPLETED
             )
-            for task in done:
-                self._hedges.pop(task, None)
-                if not task.cancelled() and (ended is None or ended.is_err()):
-                    ended = task.result() or ended
+            while done:
+                ended = self._end_of(done.pop(), ended)
         return ended
 
+    def _end_of(self, task: asyncio.Task[AttemptEnd], ended: AttemptEnd) -> AttemptEnd:
+        """Return how attempts ended, of which this is the newest one."""
+        try:
+            self._hedges.pop(task, None)
+            if not task.cancelled() and (ended is None or ended.is_err()):
+                ended = task.result() or ended
+            return ended
+        finally:
+            # An error that the task has raised refers to this frame.
+            del task
+
     async def end(self) -> None:
         """End the attempts that are left, as the answer is over."""
         if not self._hedges:
