A kept connection holds no body of its last request

Cause: the HTTP library refers to the last request and response on a connection until the next request, or the end of the connection. The body of the response, and what was not read of the request's body, stay with them.

Change: HttpReply drops both once the answer is sent.

--- a/packages/serving/src/fordhatch/serving/_http_reply.py
+++ b/packages/serving/src/fordhatch/serving/_http_reply.py
@@ -60,6 +60,18 @@
     async def _finish(self) -> None:
         await finish(self.http_request, self.response, self.state.timer, self.due_s)
         self.is_over = True
+        self._release()
+
+    def _release(self) -> None:
+        """Drop the answer's body and what was not read of the request's body.
+
+        The library refers to both until the next request on the connection.
+        """
+        if isinstance(self.response, web.Response):
+            self.response.body = None
+        content = self.http_request.content
+        if content.is_eof() and content.exception() is None:
+            content.read_nowait()
 
     async def abort(self) -> None:
         """Abort an answer so that the caller can't take it for a complete one."""
