--- a/packages/serving/src/fordhatch/serving/streams/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/streams/_stream_run.py
@@ -311,7 +311,7 @@
         piece: bytes,
     ) -> None:
         fresh: list[bytes] = []
-        problem: StreamError | None = None
+        problem: str | None = None
         try:
             events = splitter.feed(piece)
             if not self._leads_with(stream, progress, events):
@@ -320,14 +320,15 @@
                 if stream.order.accept(event):
                     fresh.append(event.raw)
         except StreamError as error:
-            problem = error
+            # Its text only: the error refers to this frame.
+            problem = str(error)
         # Accepted events count as forwarded, even if the next event is malformed.
         if fresh:
             await self._write(stream, answer, b"".join(fresh))
             stream.events += len(fresh)
             progress.events += len(fresh)
         if problem is not None:
-            raise RunFailed(SendProblem.BROKEN, str(problem)) from problem
+            raise RunFailed(SendProblem.BROKEN, problem)
 
     async def _write(
         self, stream: Stream, answer: BackendAnswer, events: bytes
