--- a/packages/serving/src/fordhatch/serving/streams/_stream_run.py
+++ b/packages/serving/src/fordhatch/serving/streams/_stream_run.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
-from typing import TypeVar
 
 import aiohttp
 import attrs
@@ -47,8 +45,6 @@
 
 _OK, _SERVER_ERROR = 200, 500
 
-T = TypeVar("T")
-
 
 @attrs.define(eq=False, repr=False)
 class StreamRuns:
@@ -162,21 +158,14 @@
         """
         request, head = stream.request, attempt.backend
         resumed = stream.order.last is not None
-        send = asyncio.ensure_future(
-            self.exchange.send(
-                attempt,
-                head,
-                head_timeout_s=max(request.left_s(self.timer.now_s()), 0.001),
-                urgency=RESUMED_URGENCY if resumed else request.wire_urgency,
-                last_event_id=str(stream.order.last) if resumed else None,
-            )
+        send = self.exchange.send(
+            attempt,
+            head,
+            head_timeout_s=max(request.left_s(self.timer.now_s()), 0.001),
+            urgency=RESUMED_URGENCY if resumed else request.wire_urgency,
+            last_event_id=str(stream.order.last) if resumed else None,
         )
-        try:
-            await self.silence.wait(stream, head, progress, send)
-        finally:
-            if not send.done():
-                send.cancel()
-        sent = send.result()
+        sent = await self.silence.wait(stream, head, progress, send)
         if sent.is_err():
             failure = sent.unwrap_err()
             if failure.problem is SendProblem.NOT_SENT:
@@ -202,7 +191,9 @@
         """
         try:
             async with self.timer.timeout(stream.request.left_s(self.timer.now_s())):
-                held = await self._watch(stream, answer, progress, hold.read(answer))
+                held = await self.silence.wait(
+                    stream, answer.backend, progress, hold.read(answer)
+                )
         except TimeoutError as error:
             raise RunFailed(SendProblem.SILENT, repr(error)) from error
         except (aiohttp.ClientError, OSError) as error:
@@ -213,7 +204,7 @@
             raise RunFailed(SendProblem.BROKEN, detail)
         left_s = stream.request.left_s(self.timer.now_s())
         check = self.exchange.confirms_end(answer, left_s)
-        if not await self._watch(stream, answer, progress, check):
+        if not await self.silence.wait(stream, answer.backend, progress, check):
             raise RunFailed(SendProblem.CONNECTION_LOST, UNCONFIRMED_END)
         can_repeat = stream.hedging.has_others(progress) or stream.may_run(
             self.timer.now_s()
@@ -246,7 +237,7 @@
         if answer.ends_with_connection:
             left_s = stream.request.left_s(self.timer.now_s())
             check = check_ending(self.exchange, stream, answer, splitter, left_s)
-            await self._watch(stream, answer, progress, check)
+            await self.silence.wait(stream, answer.backend, progress, check)
         if splitter.has_partial_event:
             raise RunFailed(SendProblem.BROKEN, "ended within an event")
         self._lead(stream, progress)
@@ -254,25 +245,6 @@
             await stream.reply.begin(answer.status, answer_headers(answer.headers))
         await stream.reply.end()
 
-    async def _watch(
-        self,
-        stream: Stream,
-        answer: BackendAnswer,
-        progress: RunProgress,
-        operation: Coroutine[object, object, T],
-    ) -> T:
-        """Return the result of a run's next step; the run is silent meanwhile.
-
-        Raises:
-            RunFailed: As of ``SilenceWatch.wait``.
-        """
-        step = asyncio.ensure_future(operation)
-        try:
-            await self.silence.wait(stream, answer.backend, progress, step)
-            return step.result()
-        finally:
-            step.cancel()
-
     def _record_pause(
         self, stream: Stream, head: BackendServer, last_s: float | None
     ) -> float:
@@ -330,7 +302,7 @@
         piece: bytes,
     ) -> None:
         fresh: list[bytes] = []
-        problem: StreamError | None = None
+        problem: str | None = None
         try:
             events = splitter.feed(piece)
             if not self._leads_with(stream, progress, events):
@@ -340,14 +312,15 @@
                     fresh.append(event.raw)
                     stream.has_content |= not event.is_comment
         except StreamError as error:
-            problem = error
+            # Its text only: the error refers to this frame.
+            problem = str(error)
         # Accepted events count as forwarded, even if the next event is malformed.
         if fresh:
             await self._write(stream, answer, b"".join(fresh))
             stream.events += len(fresh)
             progress.events += len(fresh)
         if problem is not None:
-            raise RunFailed(SendProblem.BROKEN, str(problem)) from problem
+            raise RunFailed(SendProblem.BROKEN, problem)
 
     async def _write(
         self, stream: Stream, answer: BackendAnswer, events: bytes
@@ -363,7 +336,8 @@
     async def _next_piece(
         self, stream: Stream, answer: BackendAnswer, progress: RunProgress
     ) -> bytes:
+        read = answer.read_piece()
         try:
-            return await self._watch(stream, answer, progress, answer.read_piece())
+            return await self.silence.wait(stream, answer.backend, progress, read)
         except (aiohttp.ClientError, OSError) as error:
             raise RunFailed(connection_problem(error), repr(error)) from error
