--- a/bench/store_guards.py
+++ b/bench/store_guards.py
@@ -126,14 +126,14 @@
     Guard(
         "return of an older store: a claim that it has lost is written again",
         "chat/_claim_restorer.py",
-        '            self._tasks.spawn(self._rewrite(key, claim), "keep-claim")\n',
-        "            pass\n",
+        '        self._tasks.spawn(self._rewrite_all(generation), "keep-claims")\n',
+        "        self._rewritten = generation\n",
         f"{CLAIMS} -k restored",
     ),
     Guard(
         "return of an older store: nothing is claimed before that",
         "chat/_claim_restorer.py",
-        "        return self.timer.now_s() - self._restored_s >= HOLD_OFF_S\n",
+        "        return self._is_open\n",
         "        return True\n",
         f"{CLAIMS} -k restored",
     ),
--- a/standins/tests/test_runs_of_requests.py
+++ b/standins/tests/test_runs_of_requests.py
@@ -45,7 +45,7 @@
         self.search.began(self.server, request_id)
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Search:
     """A site under load, its changes, and who has run what."""
 
