--- a/packages/serving/src/fordhatch/serving/streams/_stream_call.py
+++ b/packages/serving/src/fordhatch/serving/streams/_stream_call.py
@@ -178,10 +178,10 @@
         if not self._may_ask_again(stream):
             return await self._wait_for_change(left_s)
         again_s = began_s + ASK_AGAIN_AFTER_S - now_s
-        if again_s > 0:
-            await self._wait_for_change(min(again_s, left_s))
-        else:
-            stream.ask_again()
+        if again_s > 0 and await self._wait_for_change(min(again_s, left_s)):
+            return True
+        # The time is over; a rest of rounding isn't waited for again.
+        stream.ask_again()
         return True
 
     def _may_ask_again(self, stream: Stream) -> bool:
