One account bounds all that a node holds for others

Its class was open: each kind had a bound of its own and nothing added them up, and a byte was held up to three times (body kept while the answer is sent, joined with the head by the library, that copy kept by the connection).

Change: MemoryAccount with one capacity, a third of the node's memory. New work gives way (long bodies by their declared length, before they are sent), answers are passed on instead of held, begun work is never refused. A body is dropped once no attempt needs it; what is held of an answer is released as it is written; long bodies are written in slices. The two readers of callers' bodies are one now (read_body).

Tests that named the old constants or the old reader set the account's capacity instead; test_a_cycle_is_seen puts the body into its cycle, since a body is dropped before the request now.

--- a/packages/chat/src/fordhatch/chat/_caller_checks.py
+++ b/packages/chat/src/fordhatch/chat/_caller_checks.py
@@ -14,8 +14,8 @@
     ModelService,
     hash_key,
 )
-from fordhatch.core import Failure, Ran, ResultCode, record_bound
-from fordhatch.serving import RequestPath, send_continue
+from fordhatch.core import Failure, ResultCode
+from fordhatch.serving import RequestPath
 
 from ._chat_body import bad_request
 
@@ -41,7 +41,7 @@
 
 @attrs.define(eq=False, repr=False)
 class CallerChecks:
-    """Validates API key, headers, timeout, application and body length of a request."""
+    """Validates API key, headers, timeout and application of a request."""
 
     path: RequestPath
     limits: Limits
@@ -123,31 +123,6 @@
             return Err(Failure.from_code(ResultCode.UNKNOWN_MODEL, f"no {name!r}"))
         return Ok(application)
 
-    async def body(
-        self, http_request: web.BaseRequest, due_s: float
-    ) -> Result[bytes, Failure]:
-        """Return the complete body, or a failure if it is too long or too late.
-
-        Args:
-            http_request: The request.
-            due_s: When the final answer is due, in monotonic seconds.
-        """
-        body = bytearray()
-        send_continue(http_request)
-        timer = self.path.state.timer
-        try:
-            async with timer.timeout(max(due_s - timer.now_s(), 0.0)):
-                async for chunk in http_request.content.iter_any():
-                    body += chunk
-                    if len(body) > self.limits.max_body_bytes:
-                        return Err(Failure.from_code(ResultCode.BODY_TOO_LARGE))
-        except TimeoutError:
-            record_bound("request_body")
-            return Err(
-                Failure.from_code(ResultCode.DEADLINE_EXCEEDED, "body", ran=Ran.NO)
-            )
-        return Ok(bytes(body))
-
 
 _ANY_ROUTE = Route("", "", "/", RouteKind.NON_IDEMPOTENT, (), 0.0, 0.0, 1, 0)
 """Placeholder to authenticate with before the route is known: every route of this
--- a/packages/chat/src/fordhatch/chat/_chat_server.py
+++ b/packages/chat/src/fordhatch/chat/_chat_server.py
@@ -22,6 +22,7 @@
     ServedRequest,
     generate_request_id,
     linger,
+    read_body,
 )
 
 from ._caller_checks import CallerChecks, CallerContext, route_for
@@ -136,6 +137,12 @@
         kind = [("Content-Type", "application/json")]
         await accepted.reply.send_complete(200, kind, body)
 
+    async def _read_body(
+        self, accepted: AcceptedRequest, due_s: float
+    ) -> Result[bytes, Failure]:
+        limit_bytes = self.checks.limits.max_body_bytes
+        return await read_body(self.path.state, accepted, limit_bytes, due_s)
+
     # Chat completions.
 
     async def _chat(self, accepted: AcceptedRequest, reply: ChatReply) -> None:
@@ -144,6 +151,7 @@
             await self._refuse(accepted, built.unwrap_err())
             return
         accepted.served, context = built.unwrap()
+        reply.holding = accepted.holding
         await self._serve(accepted, context)
 
     async def _chat_request(
@@ -154,7 +162,7 @@
             return checked
         context = checked.unwrap()
         due_s = accepted.arrived_s + context.timeout_s
-        content = await self.checks.body(accepted.http_request, due_s)
+        content = await self._read_body(accepted, due_s)
         if content.is_err():
             return content
         parsed = ChatBody.from_json(content.unwrap())
@@ -225,7 +233,7 @@
         if found.is_err():
             return found
         due_s = accepted.arrived_s + context.timeout_s
-        body = await self.checks.body(http_request, due_s)
+        body = await self._read_body(accepted, due_s)
         if body.is_err():
             return body
         target = f"/{target}"
--- a/packages/chat/src/fordhatch/chat/_replies.py
+++ b/packages/chat/src/fordhatch/chat/_replies.py
@@ -12,7 +12,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from fordhatch.core import Failure, ResultCode, record_bound
+from fordhatch.core import Failure, Holding, ResultCode, record_bound
 from fordhatch.serving import HttpReply, Reply, ReplyTooLong
 
 from ._claim_rows import StoredAnswer
@@ -87,6 +87,8 @@
     pieces: list[str] = attrs.field(factory=list)
     """Text of the events so far, if it is sent in full; each counts as a completion
     token."""
+    holding: Holding | None = None
+    """Counts its text, once the request is accepted."""
     _text_bytes: int = 0
 
     @property
@@ -112,6 +114,8 @@
         if self._text_bytes > MAX_TEXT_BYTES:
             record_bound("chat_answer", request=self.request_id)
             raise ReplyTooLong(f"over {MAX_TEXT_BYTES} bytes")
+        if self.holding is not None:
+            self.holding.add(len(piece))
         self.pieces.extend(texts)
 
     async def end(self) -> None:
@@ -200,8 +204,7 @@
     ) -> None:
         """Answer with a backend server's complete answer."""
         self.outcome = f"status_{status}"
-        sent = _content_type(headers)
-        await self._send(web.Response(status=status, headers=sent, body=body))
+        await self._send_body(status, _content_type(headers), body)
         self.is_whole = True
 
 
--- a/packages/core/src/fordhatch/core/__init__.py
+++ b/packages/core/src/fordhatch/core/__init__.py
@@ -9,6 +9,7 @@
 from ._line_writer import LineWriter
 from ._log import configure_line_log, configure_logging, format_line, log_event
 from ._loop_watch import LoopWatch
+from ._memory_account import Holding, MemoryAccount
 from ._read_bound import record_bound
 from ._suspension import Suspension
 from ._timer import TaskSet, Timer
@@ -18,9 +19,11 @@
     "CallLimiter",
     "CodeInfo",
     "Failure",
+    "Holding",
     "InvariantGuard",
     "LineWriter",
     "LoopWatch",
+    "MemoryAccount",
     "Ran",
     "ResultCode",
     "Suspension",
--- a/packages/core/src/fordhatch/core/_metrics.py
+++ b/packages/core/src/fordhatch/core/_metrics.py
@@ -41,6 +41,13 @@
     ["outcome"],
     registry=REGISTRY,
 )
+HELD_BYTES = Gauge(
+    "fordhatch_held_bytes",
+    "Bytes that the node holds for others, by kind: bodies of requests, answers, "
+    "relayed requests, and buffers of connections to callers, nodes and the store.",
+    ["kind"],
+    registry=REGISTRY,
+)
 RETRY_BUDGET = Gauge(
     "fordhatch_retry_budget",
     "This node's part of the retry budget by service: retries spent (with those lent), "
--- a/packages/daemon/src/fordhatch/daemon/_daemon.py
+++ b/packages/daemon/src/fordhatch/daemon/_daemon.py
@@ -95,6 +95,7 @@
         callers = await HttpServer.listen(
             str(self.settings.callers), self.callers.handle
         )
+        self.node.state.memory.add_buffers("callers", callers.buffered_bytes)
         log_event("listening", callers=str(self.settings.callers))
         since_s = await stop.wait()
         await self.node.leave(
--- a/packages/node/src/fordhatch/node/_clients.py
+++ b/packages/node/src/fordhatch/node/_clients.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Mapping
+
 import attrs
 
 from fordhatch.adapter import BackendClient, StoreClient
@@ -19,15 +21,20 @@
     backends: BackendClient
     exchange: ExchangeClient
     pool: PeerPool
+    buffers: Mapping[str, Callable[[], int]] = attrs.field(factory=dict)
+    """Returns how many bytes of memory the connections of a client hold, by kind."""
 
     @classmethod
     def from_settings(cls, settings: NodeSettings, timer: Timer) -> Clients:
         """Return clients that use the network; a running event loop is required."""
+        store = StoreClient.from_address(settings.store.address)
+        pool = PeerPool(settings.node_name, b"", timer)
         return cls(
-            StoreClient.from_address(settings.store.address),
+            store,
             BackendClient.create(),
             ExchangeClient.from_timer(timer),
-            PeerPool(settings.node_name, b"", timer),
+            pool,
+            {"store": store.buffered_bytes, "nodes": pool.buffered_bytes},
         )
 
     async def close(self) -> None:
--- a/packages/node/src/fordhatch/node/_node.py
+++ b/packages/node/src/fordhatch/node/_node.py
@@ -117,6 +117,9 @@
         """
         view, relay = _view(settings, clients, timer, configuration_row)
         state = NodeState(settings.bounds, view, timer)
+        state.memory.set_memory(settings.memory_mb)
+        for kind, size_bytes in clients.buffers.items():
+            state.memory.add_buffers(kind, size_bytes)
         path = RequestPath.create(
             node_name=settings.node_name,
             zone=settings.zone,
@@ -289,6 +292,7 @@
         """Apply the bounds of new settings; addresses stay until the next start."""
         self.settings = settings
         self.state.bounds = settings.bounds
+        self.state.memory.set_memory(settings.memory_mb)
         self.path.budget.apply_bounds(settings.bounds)
         self.planner.apply_bounds(settings.bounds)
         log_event("settings_reloaded")
--- a/packages/node/src/fordhatch/node/_platform_edge.py
+++ b/packages/node/src/fordhatch/node/_platform_edge.py
@@ -45,6 +45,8 @@
         metrics_address = f"{settings.instance_address}:{METRICS_PORT}"
         await self._listen(metrics_address, self._answer_metrics)
         await self._listen(settings.caller_address, self.callers.handle, callers_socket)
+        memory = self.node.state.memory
+        memory.add_buffers("callers", self.callers_server.buffered_bytes)
         log_event(
             "listening",
             callers=settings.caller_address,
@@ -89,6 +91,8 @@
     view = node.view
     metrics.CONFIGURATION_VERSION.set(view.configuration.version)
     metrics.CONFIGURATION_AGE_SECONDS.set(view.configuration_age_s())
+    for kind, size_bytes in node.state.memory.by_kind().items():
+        metrics.HELD_BYTES.labels(kind).set(size_bytes)
     backends = view.directory.backends.values()
     in_use = view.evacuations.exclude(backends)
     metrics.OPEN_GROUPS.set(sum(b.is_open_head for b in in_use))
--- a/packages/node/src/fordhatch/node/_relay_server.py
+++ b/packages/node/src/fordhatch/node/_relay_server.py
@@ -133,17 +133,22 @@
         """Make one attempt and pass the answer on."""
         self.peers.record_asker(channel.peer_name)
         backend = self.path.state.view.directory.backends.get(message.backend_id)
-        if backend is None or not self._takes_requests():
+        memory = self.path.state.memory
+        has_room = self.path.state.memory_refusal(len(message.body)) is None
+        if backend is None or not self._takes_requests() or not has_room:
             reason = "unknown" if backend is None else "takes none"
             await self._refuse(channel, reason, is_unreachable=backend is not None)
             return
         request = RelayedRequest.from_message(message, self.path, self.timer.now_s())
+        holding = memory.hold("relayed requests")
+        holding.add(len(message.body))
         self._relayed += 1
         try:
             with self._logged(request, backend, channel):
                 await self._attempt(request, backend, message, channel)
         finally:
             self._relayed -= 1
+            holding.end()
 
     @contextlib.contextmanager
     def _logged(
--- a/packages/node/tests/ending_process.py
+++ b/packages/node/tests/ending_process.py
@@ -8,7 +8,7 @@
 import time
 from types import SimpleNamespace
 
-from fordhatch.core import Timer, log_event
+from fordhatch.core import MemoryAccount, Timer, log_event
 from fordhatch.node import ProcessEnd, run_logged
 from fordhatch.serving import AcceptedRequest, RequestsInProgress, StopPlan
 
@@ -27,7 +27,7 @@
 def stopping_state(in_progress: str = "") -> SimpleNamespace:
     """Return the state of a node that got its signal now."""
     timer = Timer()
-    requests = RequestsInProgress(timer, lambda: 1)
+    requests = RequestsInProgress(timer, lambda: 1, MemoryAccount(timer))
     if in_progress:
         writer = SimpleNamespace(output_size=0)
         http_request = SimpleNamespace(writer=writer, transport=None)
--- a/packages/node/tests/test_relayed_requests.py
+++ b/packages/node/tests/test_relayed_requests.py
@@ -13,7 +13,7 @@
 from result import Err, Ok
 
 from fordhatch.catalog import AnswerFields, BackendServer, BackendState, RefusalKind
-from fordhatch.core import Timer
+from fordhatch.core import MemoryAccount, Timer
 from fordhatch.node._relay_client import ExchangeRelayClient
 from fordhatch.node._relay_peers import RelayPeers
 from fordhatch.node._relay_server import MAX_RELAYED, ExchangeRelayServer
@@ -26,7 +26,7 @@
     SendOptions,
     SendProblem,
 )
-from fordhatch.serving.exchange import AnswerHold, HeldAnswers, HeldBody
+from fordhatch.serving.exchange import AnswerHold
 from fordhatch_lab import run_in_virtual_time
 from fordhatch_standins import MemoryNetwork
 
@@ -120,6 +120,7 @@
     ) -> None:
         self.nodes[name] = NodeAddress(name, f"{name}:1", "z1", can_relay=can_relay)
         peers = self._peers(name)
+        memory = MemoryAccount(peers.timer)
         directory = SimpleNamespace(
             backends={"b1": BACKEND},
             of_service=lambda _: [BACKEND],
@@ -129,7 +130,9 @@
             is_leaving=False,
             refusal=lambda: None,
             view=SimpleNamespace(directory=directory),
-            requests=RequestsInProgress(peers.timer, lambda: 1),
+            requests=RequestsInProgress(peers.timer, lambda: 1, memory),
+            memory=memory,
+            memory_refusal=lambda _: None,
         )
         path = SimpleNamespace(
             state=state,
@@ -148,6 +151,11 @@
         peers.pool.handler = handle
 
 
+def hold_answers() -> AnswerHold:
+    memory = MemoryAccount(Timer())
+    return AnswerHold(memory, memory.hold("answers"))
+
+
 def answers(answer: StubAnswer) -> Callable[..., Awaitable[object]]:
     async def send(request, *_: object) -> object:
         request.record_arrival("b1", may_have_run=True)
@@ -210,8 +218,8 @@
         async with site_of(a=answers(answer)) as site:
             request = StubRequest()
             got = (await site.client.send(request, BACKEND, OPTIONS)).unwrap()
-            held = await AnswerHold(HeldAnswers()).read(got)
-            assert held == HeldBody(b"ab" * WINDOW_PIECES, is_whole=True)
+            held = await hold_answers().read(got)
+            assert (held.data, held.is_whole) == (b"ab" * WINDOW_PIECES, True)
             assert request.arrivals == [True]
             got.close()
             await asyncio.sleep(0.1)
@@ -242,7 +250,7 @@
             got = (await site.client.send(StubRequest(), BACKEND, OPTIONS)).unwrap()
             await asyncio.sleep(1.0)
             assert answer.read <= 3
-            held = await AnswerHold(HeldAnswers()).read(got)
+            held = await hold_answers().read(got)
             assert set(held.data) == {0}
             got.close()
 
--- a/packages/protocol/src/fordhatch/protocol/_link.py
+++ b/packages/protocol/src/fordhatch/protocol/_link.py
@@ -128,6 +128,11 @@
     closed: asyncio.Event = attrs.field(factory=asyncio.Event)
     """Set when the peer closed the channel or the link broke."""
 
+    @property
+    def inbox_bytes(self) -> int:
+        """Bytes of the messages that wait to be received."""
+        return self._inbox_bytes
+
     @property
     def peer_name(self) -> str:
         """Name of the node at the other end."""
@@ -210,9 +215,19 @@
     _sent: int = 0
     _received: int = 0
     _next_channel: int = 1
+    _frame_bytes: int = 0
+    """Length of the frame that is being read."""
     _channels: dict[int, Channel] = attrs.field(factory=dict)
     _tasks: TaskSet = attrs.field(factory=TaskSet)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of messages that are being read, or wait to be received or sent."""
+        received = sum(c.inbox_bytes for c in self._channels.values())
+        return (
+            self._frame_bytes + received + self.writer.transport.get_write_buffer_size()
+        )
+
     @property
     def busy(self) -> bool:
         """Whether a request is in progress."""
@@ -264,7 +279,11 @@
         limit = MAX_FRAME_BYTES if self.alive else 1024
         if length > limit:
             raise FrameError("frame too long")
-        return await self.reader.readexactly(length)
+        self._frame_bytes = length
+        try:
+            return await self.reader.readexactly(length)
+        finally:
+            self._frame_bytes = 0
 
     def _write_raw(self, body: bytes) -> None:
         self.writer.write(len(body).to_bytes(LENGTH_BYTES, "big") + body)
--- a/packages/protocol/src/fordhatch/protocol/_pool.py
+++ b/packages/protocol/src/fordhatch/protocol/_pool.py
@@ -84,6 +84,11 @@
         finally:
             self._incoming.discard(link)
 
+    def buffered_bytes(self) -> int:
+        """Return how many bytes wait on all connections, to be received or sent."""
+        links = (*self._links.values(), *self._retired, *self._incoming)
+        return sum(link.buffered_bytes for link in links)
+
     async def open(
         self, address: str, message: object, timeout_s: float | None = None
     ) -> Result[Channel, Failure]:
--- a/packages/serving/src/fordhatch/serving/__init__.py
+++ b/packages/serving/src/fordhatch/serving/__init__.py
@@ -4,8 +4,9 @@
 
 from ._accepted_request import AcceptedRequest, EarlyRefusal, generate_request_id
 from ._admission import Admission
+from ._body_reading import read_body
 from ._caller_server import CallerServer
-from ._caller_writes import linger, send_continue
+from ._caller_writes import linger
 from ._dispatch import Dispatch
 from ._evacuated_zones import is_evacuated
 from ._http_reply import HttpReply
@@ -100,5 +101,5 @@
     "generate_request_id",
     "is_evacuated",
     "linger",
-    "send_continue",
+    "read_body",
 ]
--- a/packages/serving/src/fordhatch/serving/_accepted_request.py
+++ b/packages/serving/src/fordhatch/serving/_accepted_request.py
@@ -9,6 +9,8 @@
 import attrs
 from aiohttp import web
 
+from fordhatch.core import Holding
+
 from ._request import Reply, ServedRequest
 
 GENERATED_ID_BYTES = 10
@@ -60,8 +62,8 @@
     refusal: EarlyRefusal | None = None
     task: asyncio.Task[object] | None = None
     """The task that serves it; ending it ends the request."""
-    body_bytes: int = 0
-    """Bytes of its body that are kept."""
+    holding: Holding | None = None
+    """What the node holds of it and of its answer; set while it is in progress."""
     is_ended_by_stop: bool = False
     """Whether the node ends it because its process ends."""
 
--- a/packages/serving/src/fordhatch/serving/_caller_server.py
+++ b/packages/serving/src/fordhatch/serving/_caller_server.py
@@ -11,24 +11,18 @@
 from yarl import URL
 
 from fordhatch.adapter import caller_fields, client_headers, refusal_headers
-from fordhatch.core import Failure, Ran, ResultCode, Timer, record_bound
+from fordhatch.core import Failure, ResultCode, Timer
 
 from ._accepted_request import AcceptedRequest, EarlyRefusal, generate_request_id
 from ._admission import Admission, due_s
-from ._caller_writes import linger, send_continue
+from ._body_reading import read_body
+from ._caller_writes import linger
 from ._dispatch import Dispatch
 from ._http_reply import HttpReply
 from ._node_state import NodeState
 from ._request import ServedRequest
 from ._request_path import RequestPath
-from ._stop_plan import OTHER_NODE_RETRY_AFTER_S, shutting_down
-
-MAX_BODIES_BYTES = 96 * 1024 * 1024
-"""Most bytes of the bodies of all requests in progress, of the 300 MB of a node; they
-are kept for retries."""
-
-SMALL_BODY_BYTES = 64 * 1024
-"""Longest body that is accepted even then."""
+from ._stop_plan import shutting_down
 
 
 @attrs.define(eq=False, repr=False)
@@ -57,8 +51,7 @@
     ) -> None:
         """Answer with a backend server's complete answer."""
         self.outcome = f"status_{status}"
-        response = web.Response(status=status, headers=CIMultiDict(headers), body=body)
-        await self._send(response)
+        await self._send_body(status, CIMultiDict(headers), body)
         self.is_whole = True
 
     async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
@@ -85,8 +78,6 @@
     admission: Admission
     dispatch: Dispatch
     timer: Timer
-    _bodies_bytes: int = 0
-    """Bytes of the bodies of all requests in progress."""
 
     @classmethod
     def from_path(cls, path: RequestPath, timer: Timer) -> CallerServer:
@@ -104,10 +95,7 @@
             self.timer.now_s(),
         )
         async with self.state.accept(accepted):
-            try:
-                await self._serve(accepted, reply)
-            finally:
-                self._bodies_bytes -= accepted.body_bytes
+            await self._serve(accepted, reply)
         if reply.response is None:
             # The caller has left; an empty answer must not reach anyone.
             await reply.abort()
@@ -121,6 +109,7 @@
             await self._refuse(accepted, admitted.unwrap_err())
             return
         accepted.served = admitted.unwrap()
+        accepted.served.holding = accepted.holding
         reply.due_s = accepted.served.due_s
         await self.dispatch.serve(accepted.served, reply)
 
@@ -136,7 +125,12 @@
         if found.is_err():
             return found
         route = found.unwrap()
-        body = await self._read_body(accepted, due_s(route, fields, arrived_s))
+        body = await read_body(
+            self.state,
+            accepted,
+            self.admission.max_body_bytes(),
+            due_s(route, fields, arrived_s),
+        )
         if body.is_err():
             return body
         return self.admission.admit(
@@ -160,39 +154,6 @@
             return Err(shutting_down())
         return Ok(target)
 
-    async def _read_body(
-        self, accepted: AcceptedRequest, due: float
-    ) -> Result[bytes, Failure]:
-        http_request = accepted.http_request
-        if not http_request.can_read_body:
-            return Ok(b"")
-        send_continue(http_request)
-        limit = self.admission.max_body_bytes()
-        pieces: list[bytes] = []
-        try:
-            async with self.timer.timeout(max(due - self.timer.now_s(), 0.0)):
-                async for piece in http_request.content.iter_any():
-                    pieces.append(piece)
-                    accepted.body_bytes += len(piece)
-                    self._bodies_bytes += len(piece)
-                    if accepted.body_bytes > limit:
-                        return Err(Failure.from_code(ResultCode.BODY_TOO_LARGE))
-                    if self._is_full(accepted):
-                        return Err(_bodies_failure())
-        except TimeoutError:
-            record_bound("request_body", request=accepted.request_id)
-            return Err(
-                Failure.from_code(ResultCode.DEADLINE_EXCEEDED, "body", ran=Ran.NO)
-            )
-        except web.RequestPayloadError as error:
-            return Err(Failure.from_code(ResultCode.BAD_REQUEST, repr(error)))
-        return Ok(b"".join(pieces))
-
-    def _is_full(self, accepted: AcceptedRequest) -> bool:
-        if accepted.body_bytes <= SMALL_BODY_BYTES:
-            return False
-        return self._bodies_bytes > MAX_BODIES_BYTES
-
     async def _refuse(self, accepted: AcceptedRequest, failure: Failure) -> None:
         accepted.refusal = EarlyRefusal(
             failure.code.name,
@@ -200,12 +161,3 @@
             round(self.state.view.configuration_age_s(), 3),
         )
         await accepted.reply.refuse(failure)
-
-
-def _bodies_failure() -> Failure:
-    record_bound("request_bodies")
-    return Failure.from_code(
-        ResultCode.OVERLOADED,
-        "the bodies of other requests take the memory",
-        retry_after_s=OTHER_NODE_RETRY_AFTER_S,
-    )
--- a/packages/serving/src/fordhatch/serving/_http_reply.py
+++ b/packages/serving/src/fordhatch/serving/_http_reply.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 import attrs
 from aiohttp import HttpVersion11, web
 
 from ._caller_writes import finish, reset, while_caller_reads, write
 from ._node_state import NodeState
+from ._sliced_body import in_slices
 
 
 @attrs.define(eq=False, repr=False)
@@ -30,6 +33,14 @@
         """Whether any byte of the answer was sent."""
         return self.response is not None
 
+    async def _send_body(
+        self, status: int, headers: Mapping[str, str], body: bytes
+    ) -> None:
+        """Send a complete answer."""
+        await self._send(
+            web.Response(status=status, headers=headers, body=in_slices(body))
+        )
+
     async def _send(self, response: web.Response) -> None:
         """Send an answer of one piece."""
         await self._prepare(response)
--- a/packages/serving/src/fordhatch/serving/_http_server.py
+++ b/packages/serving/src/fordhatch/serving/_http_server.py
@@ -95,6 +95,11 @@
         """Number of open connections."""
         return len(self._server.connections)
 
+    def buffered_bytes(self) -> int:
+        """Return how many bytes of answers the connections hold in this process."""
+        transports = [c.transport for c in self._server.connections]
+        return sum(t.get_write_buffer_size() for t in transports if t is not None)
+
     def has_unread(self) -> bool:
         """Return whether the kernel still holds bytes of answers to be sent.
 
--- a/packages/serving/src/fordhatch/serving/_node_state.py
+++ b/packages/serving/src/fordhatch/serving/_node_state.py
@@ -7,7 +7,7 @@
 import attrs
 
 from fordhatch.catalog import SystemBounds
-from fordhatch.core import Failure, ResultCode, Timer
+from fordhatch.core import Failure, MemoryAccount, ResultCode, Timer, record_bound
 from fordhatch.registry import StoreView
 
 from ._accepted_request import AcceptedRequest
@@ -33,6 +33,19 @@
 the wait, they take about as long again."""
 
 
+SMALL_BODY_BYTES = 64 * 1024
+"""Longest body of a request that is taken on while longer ones are refused."""
+
+
+def _no_room() -> Failure:
+    record_bound("request_bodies")
+    return Failure.from_code(
+        ResultCode.OVERLOADED,
+        "other requests take the memory",
+        retry_after_s=OTHER_NODE_RETRY_AFTER_S,
+    )
+
+
 @attrs.define(eq=False, repr=False)
 class NodeState:
     """The node's own state."""
@@ -46,13 +59,16 @@
     """Whether any caller's request has arrived since the start."""
     requests: RequestsInProgress = attrs.field(init=False)
     """Requests that are being served, of this node's callers or through it."""
+    memory: MemoryAccount = attrs.field(init=False)
+    """What is held for these requests and for others."""
     _starting_since_s: float | None = None
     """When the first request arrived before the tables were loaded."""
 
     def __attrs_post_init__(self) -> None:
-        """Create the record of requests in progress."""
+        """Create the record of requests in progress, and of what they hold."""
+        self.memory = MemoryAccount(self.timer)
         self.requests = RequestsInProgress(
-            self.timer, lambda: self.view.configuration.version
+            self.timer, lambda: self.view.configuration.version, self.memory
         )
 
     @property
@@ -90,6 +106,25 @@
         ends_s = self.timer.now_s() + self.requests.expected_s(request)
         return shutting_down() if ends_s > self.stop.answers_until_s else None
 
+    def memory_refusal(self, body_bytes: int = 0) -> Failure | None:
+        """Return why a request can't be taken on for want of memory, or None.
+
+        Args:
+            body_bytes: Length of its body if that is known, or else 0.
+        """
+        if body_bytes > SMALL_BODY_BYTES:
+            return None if self.memory.has_room(body_bytes) else _no_room()
+        return _no_room() if self.memory.is_exhausted else None
+
+    def growth_refusal(self, body_bytes: int) -> Failure | None:
+        """Return why no more of a body can be held, or None.
+
+        Args:
+            body_bytes: What is held and counted of it, in bytes.
+        """
+        is_short = body_bytes <= SMALL_BODY_BYTES
+        return None if is_short or self.memory.has_room() else _no_room()
+
     def is_past_admission(self, arrived_s: float) -> bool:
         """Return whether a leaving node refuses all requests that arrive now."""
         if self.stop is None:
--- a/packages/serving/src/fordhatch/serving/_request.py
+++ b/packages/serving/src/fordhatch/serving/_request.py
@@ -9,7 +9,7 @@
 import attrs
 
 from fordhatch.catalog import BackendServer, CallFields, Route, Workspace
-from fordhatch.core import Failure, ResultCode
+from fordhatch.core import Failure, Holding, ResultCode
 
 from ._request_features import RequestFeatures
 
@@ -109,6 +109,10 @@
     """Whether its caller is told that it has not run and will not run."""
     is_quarantine_logged: bool = False
     """Whether the log says why it is not run any more."""
+    holding: Holding | None = None
+    """Counts its body; None if it isn't counted."""
+    is_body_released: bool = False
+    """Whether its body was dropped, as no attempt needs it any more."""
 
     def record_arrival(self, backend_id: str, *, may_have_run: bool) -> None:
         """Record that a backend server received the request.
@@ -121,6 +125,15 @@
         if may_have_run:
             self.ran_at.append(backend_id)
 
+    def release_body(self) -> None:
+        """Drop its body, once no further attempt will be made."""
+        if self.is_body_released:
+            return
+        self.is_body_released = True
+        if self.holding is not None:
+            self.holding.remove(len(self.body))
+        self.body = b""
+
     def record_end(self, backend_id: str) -> None:
         """Record the proof that a backend server has ended and its run with it.
 
--- a/packages/serving/src/fordhatch/serving/_request_path.py
+++ b/packages/serving/src/fordhatch/serving/_request_path.py
@@ -105,7 +105,7 @@
             zone, view.directory, health, stalls, pressure, timer.rng, node_count, load
         )
         progress = GroupProgress(timer)
-        held = HeldAnswers()
+        held = HeldAnswers(state.memory)
         silence = SilenceWatch(
             timer,
             progress,
--- a/packages/serving/src/fordhatch/serving/_requests_in_progress.py
+++ b/packages/serving/src/fordhatch/serving/_requests_in_progress.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from fordhatch.core import Failure, ResultCode, Timer, metrics
+from fordhatch.core import Failure, MemoryAccount, ResultCode, Timer, metrics
 
 from ._accepted_request import AcceptedRequest, EndedBy
 from ._answer_times import AnswerTimes
@@ -34,6 +34,8 @@
     timer: Timer
     version: Callable[[], int]
     """Returns the version of the configuration in effect."""
+    memory: MemoryAccount
+    """Counts what the requests hold."""
     accepted_count: int = 0
     """Number of callers' requests since the start."""
     is_stopping: bool = False
@@ -61,6 +63,7 @@
         accepted.task = task
         self._kept.add(task)
         task.add_done_callback(self._kept.discard)
+        task.add_done_callback(lambda _: accepted.holding.end())
 
     @contextlib.asynccontextmanager
     async def accept(self, accepted: AcceptedRequest) -> AsyncIterator[None]:
@@ -72,6 +75,7 @@
         self._accepted.add(accepted)
         self.accepted_count += 1
         accepted.task = asyncio.current_task()
+        accepted.holding = self.memory.hold("requests")
         accepted.is_ended_by_stop = self.is_stopping
         metrics.IN_FLIGHT.inc()
         ended_by, error = EndedBy.ERROR, ""
@@ -93,6 +97,8 @@
             await _answer_interrupted(accepted, ended_by)
         finally:
             self._record_end(accepted, ended_by, error, self.timer.now_s())
+            if accepted.task not in self._kept:
+                accepted.holding.end()
 
     def _record_end(
         self, accepted: AcceptedRequest, ended_by: EndedBy, error: str, now_s: float
--- a/packages/serving/src/fordhatch/serving/crashes/_crash_watch.py
+++ b/packages/serving/src/fordhatch/serving/crashes/_crash_watch.py
@@ -42,6 +42,10 @@
 """Maximum of parts of prompts named in one log line, the most suspicious ones first."""
 
 
+SHORT_BODY_BYTES = 64 * 1024
+"""Bodies up to this length are kept to the end of their requests."""
+
+
 @attrs.frozen
 class BrokenRun:
     """A run of a request whose connection has broken."""
@@ -259,10 +263,25 @@
     def features(self, request: ServedRequest) -> RequestFeatures:
         """Return the features of a request; none until nodes share a key."""
         secret = self.shared.secret
-        if request.features is None and secret:
+        is_known = request.features is not None or request.is_body_released
+        if secret and not is_known:
             request.features = request_features(request, secret)
         return request.features or RequestFeatures()
 
+    def release_body(self, request: ServedRequest, *, is_answered: bool) -> None:
+        """Drop the body of a request that no further attempt will be made for.
+
+        Args:
+            request: The request.
+            is_answered: Whether it has its complete answer, so that it can't crash its
+                backend server any more; else its features are kept.
+        """
+        if len(request.body) <= SHORT_BODY_BYTES:
+            return
+        if self.quarantine.has_crashes() or not is_answered:
+            self.features(request)
+        request.release_body()
+
     def part_digests(self, request: ServedRequest) -> tuple[str, ...]:
         """Return the digests of the shared parts of a request's prompt."""
         secret = self.shared.secret
--- a/packages/serving/src/fordhatch/serving/exchange/_exchange.py
+++ b/packages/serving/src/fordhatch/serving/exchange/_exchange.py
@@ -21,6 +21,7 @@
 )
 from fordhatch.core import Failure, Timer
 
+from .._sliced_body import in_slices
 from ._backend_answer import BackendAnswer, TrackedResponse
 
 CONNECT_TIMEOUT_S = 0.25
@@ -277,7 +278,7 @@
             request.method,
             url,
             headers=headers,
-            data=request.body or None,
+            data=in_slices(request.body) or None,
             allow_redirects=False,
             trace_request_ctx=send,
         )
--- a/packages/serving/src/fordhatch/serving/exchange/_held_answers.py
+++ b/packages/serving/src/fordhatch/serving/exchange/_held_answers.py
@@ -8,18 +8,23 @@
 
 import attrs
 
+from fordhatch.core import Holding, MemoryAccount
+
 HELD_ANSWER_BYTES = 4 * 1024 * 1024
 """Most bytes of one answer that are held: the usual longest body of a request. A
 failed answer of that length can be retried; a longer one is passed on as it comes."""
 
-HELD_ANSWERS_BYTES = 64 * 1024 * 1024
-"""Most bytes of all answers that are held together, of the 300 MB of a node: what is
-held is copied once on its way, and a node without any takes 55 MB."""
+ANSWERS_FRACTION = 0.5
+"""Part of the room for what is held that answers may take: the rest is left to bodies,
+without which no work begins."""
 
 SMALL_ANSWER_BYTES = 64 * 1024
 """Bytes of each answer that are held even then, so that failures of backend servers
 stay complete."""
 
+ANSWERS = "answers"
+"""Kind under which they are counted."""
+
 _ANSWER = "a body of more than {} bytes"
 
 
@@ -31,45 +36,52 @@
         ...
 
 
-@attrs.frozen
+@attrs.define
 class HeldBody:
     """The body of an answer, or its beginning."""
 
-    data: bytes
+    pieces: list[bytes]
     is_whole: bool
     """Whether the end of the body was read; else there is more."""
 
+    @property
+    def data(self) -> bytes:
+        """All pieces together."""
+        return b"".join(self.pieces)
+
+    @property
+    def size_bytes(self) -> int:
+        """Length of all pieces together."""
+        return sum(map(len, self.pieces))
+
     @property
     def excess(self) -> str:
         """What the log says of a body that is too long to be held."""
-        return _ANSWER.format(len(self.data))
+        return _ANSWER.format(self.size_bytes)
 
 
 @attrs.define(eq=False, repr=False)
 class HeldAnswers:
     """Counts the bytes of answers that are held."""
 
-    held_bytes: int = 0
+    memory: MemoryAccount
 
     @contextmanager
     def hold(self) -> Iterator[AnswerHold]:
         """Hold answers to one request until the reply to its caller is final."""
-        hold = AnswerHold(self)
+        holding = self.memory.hold(ANSWERS)
         try:
-            yield hold
+            yield AnswerHold(self.memory, holding)
         finally:
-            hold.is_over = True
-            self.held_bytes -= hold.held_bytes
+            holding.end()
 
 
 @attrs.define(eq=False, repr=False)
 class AnswerHold:
     """What is held for one request, of all its attempts."""
 
-    answers: HeldAnswers
-    held_bytes: int = 0
-    is_over: bool = False
-    """Whether the reply is final; what is still read is not held any more."""
+    memory: MemoryAccount
+    holding: Holding
 
     async def read(self, answer: PiecewiseAnswer) -> HeldBody:
         """Return the body of an answer, or its beginning if it is too long.
@@ -82,16 +94,15 @@
         while self._may_hold(size_bytes):
             piece = await answer.read_piece()
             if not piece:
-                return HeldBody(b"".join(pieces), is_whole=True)
+                return HeldBody(pieces, is_whole=True)
             pieces.append(piece)
             size_bytes += len(piece)
-            if not self.is_over:
-                self.held_bytes += len(piece)
-                self.answers.held_bytes += len(piece)
-        return HeldBody(b"".join(pieces), is_whole=False)
+            self.holding.add(len(piece))
+        return HeldBody(pieces, is_whole=False)
 
     def _may_hold(self, size_bytes: int) -> bool:
         if size_bytes <= SMALL_ANSWER_BYTES:
             return True
-        is_free = self.answers.held_bytes <= HELD_ANSWERS_BYTES
-        return is_free and size_bytes <= HELD_ANSWER_BYTES
+        limit_bytes = ANSWERS_FRACTION * self.memory.capacity_bytes
+        is_free = self.memory.held_bytes[ANSWERS] <= limit_bytes
+        return is_free and self.memory.has_room() and size_bytes <= HELD_ANSWER_BYTES
--- a/packages/serving/src/fordhatch/serving/plain/_plain_call.py
+++ b/packages/serving/src/fordhatch/serving/plain/_plain_call.py
@@ -107,6 +107,7 @@
             return
         call.request.timeline.record_output(self.timer.now_s())
         answer = call.answer
+        self.crashes.release_body(call.request, is_answered=True)
         await call.reply.send_complete(answer.status, answer.headers, answer.body)
 
     # Attempts beside one that takes long.
--- a/packages/serving/src/fordhatch/serving/plain/_plain_run.py
+++ b/packages/serving/src/fordhatch/serving/plain/_plain_run.py
@@ -208,7 +208,10 @@
         if run.is_superseded:
             return _superseded()
         call.hedging.lead(run)
-        passed = await self.passing.pass_on(request, call.reply, answer, held)
+        self.crashes.release_body(request, is_answered=False)
+        passed = await self.passing.pass_on(
+            request, call.reply, answer, held, call.hold.holding
+        )
         request.was_answered = request.has_output = passed.is_ok()
         failure = passed.err()
         if failure is not None and failure.problem is SendProblem.CONNECTION_LOST:
--- a/packages/serving/tests/test_ends_of_requests.py
+++ b/packages/serving/tests/test_ends_of_requests.py
@@ -11,7 +11,7 @@
 import pytest
 from serving_site import CALL_HEADERS, ServingSite
 
-from fordhatch.core import Timer
+from fordhatch.core import MemoryAccount, Timer
 from fordhatch.serving import (
     AcceptedRequest,
     Dispatch,
@@ -149,7 +149,7 @@
         logged.append(accepted)
 
     monkeypatch.setattr(_requests_in_progress, "log_end", log_slowly)
-    requests = RequestsInProgress(Timer(), lambda: 1)
+    requests = RequestsInProgress(Timer(), lambda: 1, MemoryAccount(Timer()))
     reply = SimpleNamespace(is_over=True, is_whole=False, outcome="complete")
     accepted = AcceptedRequest("r-1", None, reply, 0.0)
     requests._accepted.add(accepted)
--- a/packages/serving/tests/test_hedges_at_one_moment.py
+++ b/packages/serving/tests/test_hedges_at_one_moment.py
@@ -22,9 +22,10 @@
     streams,
 )
 
+from fordhatch.core import MemoryAccount, Timer
 from fordhatch.serving import Dispatch, PlainCalls, StreamCalls
 from fordhatch.serving.exchange import SendFailure, SendProblem
-from fordhatch.serving.exchange._held_answers import HELD_ANSWERS_BYTES, HeldAnswers
+from fordhatch.serving.exchange._held_answers import ANSWERS, HeldAnswers
 from fordhatch.serving.hedging import Hedging
 from fordhatch_standins import SIGNATURE
 
@@ -83,7 +84,8 @@
 # Guards against a long answer that is cut by another one, and looks whole.
 @pytest.mark.parametrize("first_is_long", [False, True])
 async def test_a_long_answer_that_comes_with_another_one(site, first_is_long) -> None:
-    site.callers.dispatch.plain.held.held_bytes = HELD_ANSWERS_BYTES + 1
+    memory = site.state.memory
+    memory.held_bytes[ANSWERS] = int(memory.capacity_bytes)
     both = asyncio.Event()
 
     async def short(request, writer) -> None:
@@ -215,7 +217,8 @@
 
 # Guards against bytes that count as held for ever.
 async def test_bytes_that_are_read_after_the_reply_are_not_held() -> None:
-    held, more = HeldAnswers(), asyncio.Event()
+    memory = MemoryAccount(Timer())
+    held, more = HeldAnswers(memory), asyncio.Event()
 
     class Answer:
         async def read_piece(self) -> bytes:
@@ -230,7 +233,7 @@
     for _ in range(3):
         await asyncio.sleep(0)
     reading.cancel()
-    assert held.held_bytes == 0
+    assert memory.held_bytes[ANSWERS] == 0
 
 
 # Guards against bodies that stay in memory until the garbage collector runs.
--- a/packages/serving/tests/test_long_answers.py
+++ b/packages/serving/tests/test_long_answers.py
@@ -64,7 +64,7 @@
     may_hold = held_answers.AnswerHold._may_hold
 
     def record(self, size_bytes: int) -> bool:
-        most[0] = max(most[0], self.answers.held_bytes)
+        most[0] = max(most[0], self.memory.held_bytes[held_answers.ANSWERS])
         return may_hold(self, size_bytes)
 
     monkeypatch.setattr(held_answers.AnswerHold, "_may_hold", record)
@@ -121,13 +121,15 @@
 
 # Guards against many answers that are each short enough, and too much together.
 async def test_many_answers_share_what_may_be_held(site, monkeypatch) -> None:
-    monkeypatch.setattr(held_answers, "HELD_ANSWERS_BYTES", len(LONG) // 2)
+    limit_bytes = len(LONG) // 2
+    fraction = held_answers.ANSWERS_FRACTION
+    site.state.memory.capacity_bytes = limit_bytes / fraction
     most = held_at_most(monkeypatch)
     for _ in range(4):
         await site.add_backend(with_length)
     got = await asyncio.gather(*(site.ask("/once/1") for _ in range(12)))
     assert all(answer.body == LONG for answer in got)
-    assert most[0] < len(LONG) // 2 + 12 * 2**20
+    assert most[0] < limit_bytes + 12 * 2**20
 
 
 async def repeats_an_event(request, writer) -> None:
--- a/packages/serving/tests/test_memory_of_requests.py
+++ b/packages/serving/tests/test_memory_of_requests.py
@@ -257,8 +257,9 @@
     serve = Dispatch.serve
 
     async def holds_itself(self, request, reply) -> None:
+        body = request.body
         await serve(self, request, reply)
-        request.retry = [request]
+        request.retry = [request, body]
 
     monkeypatch.setattr(Dispatch, "serve", holds_itself)
     await site.add_backend(answers)
--- a/packages/serving/tests/test_slow_callers.py
+++ b/packages/serving/tests/test_slow_callers.py
@@ -85,10 +85,8 @@
 
 
 # Guards against bodies that are each short enough, and too much together.
-async def test_long_bodies_are_refused_while_others_take_the_memory(
-    site, monkeypatch
-) -> None:
-    monkeypatch.setattr("fordhatch.serving._caller_server.MAX_BODIES_BYTES", 150_000)
+async def test_long_bodies_are_refused_while_others_take_the_memory(site) -> None:
+    site.state.memory.capacity_bytes = 150_000
     may_end = asyncio.Event()
 
     async def waits(request, writer) -> None:
--- a/packages/serving/tests/test_waits.py
+++ b/packages/serving/tests/test_waits.py
@@ -17,7 +17,8 @@
 from fordhatch.scheduling import Refuse
 from fordhatch.serving import AcceptedRequest, NodeState, SendFailure, SendProblem
 from fordhatch.serving._admission_control import AdmissionControl
-from fordhatch.serving._caller_server import CallerReply, CallerServer
+from fordhatch.serving._body_reading import read_body
+from fordhatch.serving._caller_server import CallerReply
 from fordhatch.serving._caller_writes import MIN_WRITE_S
 from fordhatch.serving._node_state import START_POLL_INTERVAL_S
 from fordhatch.serving.crashes import CrashWatch
@@ -152,13 +153,14 @@
         yield b""
 
 
-def caller(timer: Timer, left_s: float) -> tuple[CallerServer, CallerReply, list]:
-    """Return a server, and the reply to a caller that neither sends nor reads."""
+def caller(timer: Timer, left_s: float) -> tuple[CallerReply, list]:
+    """Return the reply to a caller that neither sends nor reads."""
     aborted: list[bool] = []
     request = SimpleNamespace(
         can_read_body=True,
         headers={},
         content=Silent(),
+        content_length=None,
         transport=SimpleNamespace(
             abort=lambda: aborted.append(True),
             get_write_buffer_size=lambda: 1,
@@ -168,11 +170,12 @@
         ),
         writer=SimpleNamespace(output_size=1),
     )
-    state = SimpleNamespace(timer=timer, is_leaving=False)
+    state = SimpleNamespace(
+        timer=timer, is_leaving=False, memory_refusal=lambda _: None
+    )
     reply = CallerReply(request, state, Silent())
     reply.due_s = timer.now_s() + left_s
-    admission = SimpleNamespace(max_body_bytes=lambda: 1)
-    return CallerServer(reply.state, admission, None, timer), reply, aborted
+    return reply, aborted
 
 
 # Guards against requests of callers that stop in the middle of a body, or don't read
@@ -181,9 +184,9 @@
 def test_a_caller_that_stands_still_is_given_up_at_its_deadline(left_s) -> None:
     async def scenario() -> None:
         timer = Timer.from_seed(1)
-        server, reply, aborted = caller(timer, left_s)
+        reply, aborted = caller(timer, left_s)
         accepted = AcceptedRequest("r1", reply.http_request, reply, 0.0)
-        reading = server._read_body(accepted, reply.due_s)
+        reading = read_body(reply.state, accepted, 1, reply.due_s)
         got, took = await took_s(timer, reading)
         assert (got.unwrap_err().code, got.unwrap_err().ran) == (
             ResultCode.DEADLINE_EXCEEDED,
