A formation whose head has not joined yet is not given up

What callers saw: a group is formed 6 s later. If the join of a head gets no answer and the other members, which need 0.2 s, are ready before it is sent again (0.6 s), the formation looked like a group that lacks a member: it was dissolved, and without a known head its members waited for the stall time (6 s).

Change: a formation of this planner that has never served isn't incomplete but forming; its own deadline bounds it.

--- a/packages/placement/src/fordhatch/placement/_group_supervisor.py
+++ b/packages/placement/src/fordhatch/placement/_group_supervisor.py
@@ -84,9 +84,9 @@
                 return self._open_own(group)
             case GroupCondition.LEAVING:
                 return self._advance_draining(layout, group, model)
-            case GroupCondition.INCOMPLETE:
+            case GroupCondition.INCOMPLETE if not self._lacks_joins(group):
                 return self._advance_incomplete(group, status)
-            case GroupCondition.FORMING:
+            case GroupCondition.FORMING | GroupCondition.INCOMPLETE:
                 if self.draining.loses_member(layout, group):
                     return self._give_up_formation(group)
                 return self._advance_forming(group, status, model)
@@ -94,6 +94,15 @@
                 return self._may_complete(group.key)
         return True
 
+    def _lacks_joins(self, group: ReplicaGroup) -> bool:
+        """Return whether the members that a group lacks may only not have joined yet.
+
+        Those of a formation whose orders got no answer join when the orders are sent
+        again, after the others are ready.
+        """
+        is_own = group.key in self.formations.active
+        return is_own and group.key not in self._serving_since_s
+
     def _open_own(self, group: ReplicaGroup) -> bool:
         """Open a complete group if this planner still forms it, or else dissolve it.
 
--- a/packages/placement/tests/test_unanswered_orders.py
+++ b/packages/placement/tests/test_unanswered_orders.py
@@ -3,16 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 
-import attrs
 import pytest
-from planning_site import PlanningNode, Site, SiteShape, run_scenario
-from result import Err, Result
+from order_fates import Fate, add_fateful_node, add_staged, carry_out, replace
+from planning_site import Site, SiteShape, run_scenario
 
-from fordhatch.adapter import GroupOrder, OrderKind, OrderReply
-from fordhatch.core import Failure, Ran, ResultCode
-from fordhatch_standins import EngineModel, MemoryBackendClient, ModelTimes
+from fordhatch.adapter import GroupOrder, OrderKind
+from fordhatch_standins import EngineModel, ModelTimes
 
 SMALL_ONLY = SiteShape({"small": ModelTimes(2, 12.0, 0.2)})
 """Groups of two that are ready before an order is sent again."""
@@ -23,43 +20,6 @@
 DRAIN_S = 2.5
 """Time from the draining of an engine until it ends."""
 
-IsLate = Callable[[str, GroupOrder], bool]
-"""Returns whether an order to a backend server gets no answer for now."""
-
-
-@attrs.define(eq=False, repr=False)
-class LateOrders:
-    """A node's client that leaves some orders unanswered until they are released."""
-
-    client: MemoryBackendClient
-    is_late: IsLate
-    held: list[tuple[str, GroupOrder]]
-
-    async def order(
-        self, address: str, registered_id: str, order: GroupOrder, *, timeout_s: float
-    ) -> Result[OrderReply, Failure]:
-        """Send an order, or keep it."""
-        if not self.is_late(registered_id, order):
-            return await self.client.order(
-                address, registered_id, order, timeout_s=timeout_s
-            )
-        self.held.append((registered_id, order))
-        await asyncio.sleep(timeout_s)
-        return Err(Failure.from_code(ResultCode.BACKEND_LOST, ran=Ran.MAYBE))
-
-
-def carry_out(site: Site, held: tuple[str, GroupOrder]) -> None:
-    """Carry out an order that was kept."""
-    backend_id, order = held
-    site.fleet._carry_out(site.fleet.engines[backend_id], order)
-
-
-def add_staged(site: Site, domain: str) -> None:
-    """Start an engine on a host that keeps the weights of the model."""
-    engine = site.fleet.add(domain)
-    engine.staged.append("small")
-    site.fleet.make_cold(engine, 0.0)
-
 
 def replace_engine(site: Site, engine: EngineModel) -> None:
     """Kill an engine, unless it has ended, and start another one in its domain."""
@@ -68,13 +28,6 @@
         add_staged(site, engine.domain)
 
 
-async def replace(site: Site, node: PlanningNode) -> None:
-    """Kill the planner and wait for the next one."""
-    del site.nodes[node.name]
-    await node.kill()
-    await site.until(lambda: site.planner() is not None, 10)
-
-
 # Guards against a group that is opened while a member may still take an earlier
 # unanswered join of a newer group.
 def test_a_group_is_not_opened_while_a_member_may_join_a_newer_one() -> None:
@@ -82,21 +35,18 @@
         held: list[tuple[str, GroupOrder]] = []
         unanswered: set[tuple[str, int]] = set()
 
-        def is_late(backend_id: str, order: GroupOrder) -> bool:
+        def decide(backend_id: str, order: GroupOrder) -> Fate:
             """Keep one engine's first join of each of the first two groups."""
             key = order.group, order.epoch
             late = held[0][0] if held else order.members[-1:]
             is_kept = order.kind is OrderKind.JOIN and backend_id in late
             if not is_kept or key in unanswered or len(held) == 2:
-                return False
+                return Fate.ANSWERED
             unanswered.add(key)
-            return True
+            return Fate.KEPT
 
         for name in ("a", "b", "c"):
-            node = site.add_node(name)
-            node.planner.order_sender.backends = LateOrders(
-                node.backends, is_late, held
-            )
+            add_fateful_node(site, name, decide, held)
         await site.until(lambda: site.planner() is not None, 10)
         await site.watch(3.0)
         for _ in range(3):
@@ -115,6 +65,27 @@
     run_scenario(scenario, shape=SMALL_ONLY)
 
 
+# Guards against a formation that is given up because its head's join got no answer and
+# the other members, which joined at once, were ready.
+def test_a_formation_waits_for_a_join_that_got_no_answer() -> None:
+    async def scenario(site: Site) -> None:
+        kept: list[tuple[str, GroupOrder]] = []
+
+        def decide(backend_id: str, order: GroupOrder) -> Fate:
+            is_head = backend_id == order.members[:1][0] if order.members else False
+            return Fate.KEPT if is_head and not kept else Fate.ANSWERED
+
+        add_fateful_node(site, "a", decide, kept)
+        await site.until(lambda: site.planner() is not None, 10)
+        await site.watch(3.0)
+        for _ in range(2):
+            add_staged(site, "d0")
+        await site.until(lambda: kept, 10)
+        assert await site.until(lambda: site.working() == 1, 10) < MIN_LATE_S
+
+    run_scenario(scenario, shape=SMALL_ONLY)
+
+
 # Guards against planners that open groups which they do not form: with late orders,
 # lost engines and killed planners, a member of an open group takes another join.
 @pytest.mark.parametrize("seed", [35, 64, 95, 151])
