A head that may join its group again is opened under a condition

Cause: a join without an answer is sent again and answered; the first one is still on its way. The group is opened, and that order gets no answer either. The group is dissolved, its head leaves, its members are free. Then the first join and the open are carried out: the head is back in its group and open, while it and its members join another one. No planner can know of it, and epochs don't help before the newer join has arrived.

Change: where a join of the head got no answer, the open names the number of orders that the head has begun (expected-rev, from its report). Whatever it begins after that, the late join above all, voids the open. A rule that needs no memory: the formation's planner is the only one that opens it, and knows its own joins. All other opens are as before. The stand-ins keep the count, with the lag of reports.

--- a/packages/placement/src/fordhatch/placement/_formations.py
+++ b/packages/placement/src/fordhatch/placement/_formations.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import attrs
+from result import Result
 
-from fordhatch.adapter import GroupOrder, OrderKind
-from fordhatch.catalog import MemberState, group_name
-from fordhatch.core import Timer, log_event, metrics
+from fordhatch.adapter import GroupOrder, OrderKind, OrderReply
+from fordhatch.catalog import group_name
+from fordhatch.core import Failure, Ran, Timer, log_event, metrics
 from fordhatch.registry import BackendDirectory, ReplicaGroup
 
+from ._formation import Formation
+from ._head_opener import HeadOpener
 from ._layout import GroupPlan
 from ._order_sender import OrderSender
 
@@ -23,20 +26,6 @@
 Key = tuple[str, int]
 
 
-@attrs.define(eq=False, repr=False)
-class Formation:
-    """A group that is being formed."""
-
-    plan: GroupPlan
-    began_s: float
-    deadline_s: float
-
-    @property
-    def member_ids(self) -> tuple[str, ...]:
-        """Ids of the members by rank."""
-        return tuple(m.backend_id for m in self.plan.members)
-
-
 @attrs.define(eq=False, repr=False)
 class Formations:
     """Sends join orders until every member is ready, then opens the head."""
@@ -44,8 +33,17 @@
     order_sender: OrderSender
     directory: BackendDirectory
     timer: Timer
+    opener: HeadOpener
     active: dict[Key, Formation] = attrs.field(factory=dict)
 
+    @classmethod
+    def create(
+        cls, order_sender: OrderSender, directory: BackendDirectory, timer: Timer
+    ) -> Formations:
+        """Return a set of formations without any."""
+        opener = HeadOpener(order_sender, timer)
+        return cls(order_sender, directory, timer, opener)
+
     def has_room(self) -> bool:
         """Return whether the orders of another formation would be sent at once."""
         return self.order_sender.has_room()
@@ -97,15 +95,19 @@
             model=formation.plan.model.name,
             members=tuple(m.registered_id for m in formation.plan.members),
         )
-        for member in formation.plan.members:
+
+        def on_reply_of_head(reply: Result[OrderReply, Failure]) -> None:
+            if reply.is_err() and reply.unwrap_err().ran is not Ran.NO:
+                formation.may_head_join_again = True
+
+        for rank, member in enumerate(formation.plan.members):
             if member.backend_id not in joined:
-                self.order_sender.send(member, order)
+                on_reply = on_reply_of_head if rank == 0 else None
+                self.order_sender.send(member, order, on_reply)
 
     def open(self, group: ReplicaGroup) -> None:
-        """Order the head of a complete group to serve."""
-        head = group.head
-        if head.membership.state is MemberState.READY:
-            self.order_sender.send(head, GroupOrder(OrderKind.OPEN, *group.key))
+        """Order the head of a complete group of an active formation to serve."""
+        self.opener.open(group, self.active[group.key])
 
     def mark_opened(self, key: Key) -> bool:
         """Complete a formation whose group serves; return whether it was active."""
@@ -120,3 +122,7 @@
     def member_ids(self) -> set[str]:
         """Return the backend servers that are members of a formation."""
         return {m for f in self.active.values() for m in f.member_ids}
+
+    async def close(self) -> None:
+        """Cancel the openings in progress."""
+        await self.opener.close()
--- a/packages/placement/src/fordhatch/placement/_planner.py
+++ b/packages/placement/src/fordhatch/placement/_planner.py
@@ -124,7 +124,7 @@
         losses = LossCheck(prober, timer)
         directory = view.directory
         loads = LoadBudget(timer, bounds.load_window_s)
-        formations = Formations(order_sender, directory, timer)
+        formations = Formations.create(order_sender, directory, timer)
         dissolutions = Dissolutions(
             order_sender, losses, directory, timer, bounds.stall_s
         )
@@ -386,6 +386,7 @@
     async def close(self) -> None:
         """Cancel pending tasks."""
         await self.order_sender.close()
+        await self.formations.close()
         await self.losses.close()
         await self.supervisor.close()
         await self.recorder.close()
--- a/packages/placement/tests/test_unanswered_orders.py
+++ b/packages/placement/tests/test_unanswered_orders.py
@@ -65,6 +65,61 @@
     run_scenario(scenario, shape=SMALL_ONLY)
 
 
+# Guards against a head that has left its group and takes it up again, by a join and an
+# open that come late: it is open when it joins the next group.
+@pytest.mark.parametrize("is_replaced", [True, False])
+def test_a_head_that_joins_again_late_does_not_open(is_replaced: bool) -> None:
+    async def scenario(site: Site) -> None:
+        kept: list[tuple[str, GroupOrder]] = []
+        next_joins: list[tuple[str, GroupOrder]] = []
+        seen: set[tuple[str, OrderKind, int]] = set()
+
+        def decide(backend_id: str, order: GroupOrder) -> Fate:
+            """Keep the head's first join and open, and all joins of the next group."""
+            key = backend_id, order.kind, order.epoch
+            is_first, _ = key not in seen, seen.add(key)
+            epoch = kept[0][1].epoch if kept else order.epoch
+            if order.kind is OrderKind.JOIN and order.epoch > epoch:
+                next_joins.append((backend_id, order))
+                return Fate.KEPT
+            is_head = backend_id == (order.members or (kept and kept[0][0],))[0]
+            if is_first and order.kind is OrderKind.JOIN and is_head:
+                return Fate.KEPT
+            is_open = order.kind is OrderKind.OPEN
+            return Fate.KEPT if is_open and is_first else Fate.ANSWERED
+
+        for name in ("a", "b", "c"):
+            add_fateful_node(site, name, decide, kept)
+        await site.until(lambda: site.planner() is not None, 10)
+        await site.watch(3.0)
+        for _ in range(2):
+            add_staged(site, "d0")
+
+        def has(kind: OrderKind) -> bool:
+            return any(order.kind is kind for _, order in kept)
+
+        await site.until(lambda: has(OrderKind.OPEN), 10)
+        planner = site.planner()
+        if is_replaced:
+            await replace(site, planner)
+        else:
+            await site.until(lambda: site.working() == 1, 10)
+            group = next(iter(planner.view.directory.groups("llm").values()))
+            planner.planner.supervisor.dissolve(group, "test")
+        await site.until(lambda: next_joins, 10)
+        head = site.fleet.engines[kept[0][0]]
+        assert head.place is None
+        carry_out(site, kept[0])
+        await site.until(lambda: head.place.state == "ready", 10)
+        carry_out(site, next(k for k in kept if k[1].kind is OrderKind.OPEN))
+        await site.watch(1.0)
+        for late in list(next_joins):
+            carry_out(site, late)
+        await site.watch(3.0)
+
+    run_scenario(scenario, shape=SMALL_ONLY)
+
+
 # Guards against a formation that is given up because its head's join got no answer and
 # the other members, which joined at once, were ready.
 def test_a_formation_waits_for_a_join_that_got_no_answer() -> None:
--- a/standins/src/fordhatch_standins/_backend_http.py
+++ b/standins/src/fordhatch_standins/_backend_http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -101,7 +102,7 @@
         if request.path in (REPORT_PATH, HEALTH_PATH):
             await stand_still.wait_to_answer_probe()
         if request.path == REPORT_PATH:
-            return web.json_response({"busy": False, "seq": 1}, headers=cold)
+            return web.json_response(_report(work), headers=cold)
         if request.path == HEALTH_PATH:
             return web.Response(headers={"X-Runner-Id": own_id, **cold})
         if request.path == ORDER_PATH:
@@ -171,6 +172,14 @@
         return web.Response(status=status or _UNAVAILABLE)
 
 
+def _report(work: EngineWork | None) -> dict[str, Any]:
+    if work is None:
+        return {"busy": False, "seq": 0}
+    entry = json.loads(work.engine.entry())
+    orders = work.engine.reported_orders()
+    return {"busy": False, "seq": orders, "group": entry["group"]}
+
+
 def _cold_headers(backends: Backends, work: EngineWork) -> dict[str, str]:
     left_s = backends.cold_left_s(work.engine)
     return {} if left_s is None else {"X-Cold-Ms": str(round(1000.0 * left_s))}
@@ -184,6 +193,7 @@
         str(body.get("model", "")),
         tuple(body.get("members", ())),
         fencing_token=int(body.get("fence", 0)),
+        expected_orders=body.get("expected-rev"),
     )
 
 
--- a/standins/src/fordhatch_standins/_engine_model.py
+++ b/standins/src/fordhatch_standins/_engine_model.py
@@ -16,6 +16,9 @@
 from ._stand_still import StandStill
 
 REJOIN_S = 0.2
+REPORT_LAG_S = 0.2
+"""How old the values of a report are."""
+
 BEGUN, DONE, CONFLICT, OUTDATED = 202, 200, 409, 412
 
 
@@ -73,6 +76,8 @@
     checks_fencing: bool = False
     """Whether orders with a fencing token below the highest one seen are refused."""
     highest_token: int = 0
+    orders: int = 0
+    """Number of orders that it has begun."""
     born_ms: int = 0
     """Start time in Unix milliseconds; 0 if the engine does not report it."""
     ready_before: set[tuple[str, int, tuple[str, ...]]] = attrs.field(factory=set)
@@ -89,6 +94,7 @@
     version: str = "v1"
     """Version of the engine's software."""
     stand_still: StandStill = attrs.field(factory=StandStill)
+    _order_times_s: list[float] = attrs.field(factory=list)
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def stop_reading(self, for_s: float) -> None:
@@ -148,6 +154,20 @@
         if self.checks_fencing and order.fencing_token < self.highest_token:
             return OUTDATED
         self.highest_token = max(self.highest_token, order.fencing_token)
+        if order.expected_orders not in (None, self.orders):
+            return CONFLICT
+        status = self._carry_out(order)
+        if status == BEGUN:
+            self.orders += 1
+            self._order_times_s.append(asyncio.get_running_loop().time())
+        return status
+
+    def reported_orders(self) -> int:
+        """Return the number of orders begun, as a report has it some time later."""
+        until_s = asyncio.get_running_loop().time() - REPORT_LAG_S
+        return sum(begun_s <= until_s for begun_s in self._order_times_s)
+
+    def _carry_out(self, order: GroupOrder) -> int:
         match order.kind:
             case OrderKind.JOIN:
                 return self._join(order)
--- a/standins/src/fordhatch_standins/_memory_clients.py
+++ b/standins/src/fordhatch_standins/_memory_clients.py
@@ -316,6 +316,7 @@
             engine.born_ms,
             Backpressure(cold_left_s=self.cold_left_s(engine)),
             membership=engine.membership() if is_expected else None,
+            orders=engine.reported_orders() if is_expected else None,
         )
         for call in self.report_subscribers:
             call(address, registered_id, report)
