Search of runs: hedged completions, with a key and relayed, stay within their attempts

No logic changes here: the search now shows that it begins second runs beside silent ones, and chat completions are searched with a key, relayed, and both, at engines that leave the list and fall silent.

--- a/packages/daemon/tests/in_process_site.py
+++ b/packages/daemon/tests/in_process_site.py
@@ -137,7 +137,7 @@
             await site.add_node(index)
         await site.apply(declared())
         await site.until(lambda: len(fleet.check_serving()) == 2)
-        await site.until(lambda: all(_sees_groups(n) for n in site.nodes))
+        await site.until(lambda: all(sees_groups(n) for n in site.nodes))
         return site
 
     async def add_node(self, index: int) -> InProcessNode:
@@ -240,9 +240,9 @@
     return "".join(answer_text(body, index) for index in range(events))
 
 
-def _sees_groups(node: InProcessNode) -> bool:
+def sees_groups(node: InProcessNode, count: int = 2) -> bool:
     directory = node.daemon.node.view.directory
-    return len(list(directory.open_heads("a100", MODEL))) == 2
+    return len(list(directory.open_heads("a100", MODEL))) == count
 
 
 def _as_row(stored: StoredRow) -> Row:
--- a/standins/tests/test_runs_of_requests.py
+++ b/standins/tests/test_runs_of_requests.py
@@ -195,9 +195,11 @@
     seed, relayed_share, monkeypatch
 ) -> None:
     relayed = metrics.RELAYED_REQUESTS.labels("sender", "sent")._value
-    before = relayed.get()
+    hedged = metrics.HEDGES.labels("begun")._value
+    before, hedged_before = relayed.get(), hedged.get()
     found = search(seed, 8.0, relayed_share, monkeypatch)
     several = [r for r, ran in found.ran_at.items() if len(ran) >= ATTEMPTS]
     assert len(several) >= 10, "the search moves too few requests"
     assert relayed.get() - before > relayed_share * len(found.ran_at) / 2
+    assert hedged.get() - hedged_before >= 10, "the search hedges too few requests"
     assert found.over == set()
