--- a/bench/guards.py
+++ b/bench/guards.py
@@ -19,6 +19,7 @@
 from entry_guards import ENTRY_GUARDS
 from guards_types import Guard
 from hedge_guards import HEDGE_GUARDS
+from order_guards import ORDER_GUARDS
 from own_guards import OWN_GUARDS
 from platform_guards import PLATFORM_GUARDS
 from pressure_guards import PRESSURE_GUARDS
@@ -80,6 +81,7 @@
             *ZONE_GUARDS,
             *SCARCITY_GUARDS,
             *HEDGE_GUARDS,
+            *ORDER_GUARDS,
             *RETRY_GUARDS,
         ]
         if wanted in f"{g.promise} {g.module}"
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -9,6 +9,7 @@
 from entry_guards import ENTRY_GUARDS
 from guards_types import Guard
 from hedge_guards import HEDGE_GUARDS
+from order_guards import ORDER_GUARDS
 from own_guards import OWN_GUARDS
 from platform_guards import PLATFORM_GUARDS
 from pressure_guards import PRESSURE_GUARDS
@@ -33,6 +34,7 @@
         *RETRY_GUARDS,
         *SCARCITY_GUARDS,
         *HEDGE_GUARDS,
+        *ORDER_GUARDS,
     ],
     ids=lambda g: g.promise,
 )
