The soak's cut of links resets connections, and a clean end is a kind of its own

The cut ended connections by a shutdown of the node's own socket, which reads as an end by the peer (test_an_ended_link_looks_closed_by_the_peer): a whole answer, if the link is back before the node asks. The cut dissolves the association now, which resets both ends (test_a_cut_link_resets_both_ends; red with the shutdown). The clean end stays as LinkCut.END; what is promised for it is in its docstring.

--- a/bench/cut_links.py
+++ b/bench/cut_links.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import ctypes
 import socket
 import sys
 import threading
@@ -21,6 +23,11 @@
 
 from fordhatch.daemon.main import app
 
+_LIBC = ctypes.CDLL(None)
+
+_UNSPECIFIED = bytes(16)
+"""Address of the family AF_UNSPEC."""
+
 POLL_INTERVAL_S = 0.05
 """Time between looks at the file, for open connections."""
 
@@ -34,7 +41,11 @@
     REFUSE = "refuse"
     """New connections are refused; open ones go on."""
     RESET = "reset"
-    """New connections are refused; open ones break."""
+    """New connections are refused; open ones are reset, as links that break are."""
+    END = "end"
+    """New connections are refused; open ones end as if the peer had closed them. Half
+    of an answer without a length can't be told from a whole one then, if the link is
+    back before the node asks."""
 
 
 @attrs.define(eq=False, repr=False)
@@ -62,7 +73,7 @@
             match self.kind:
                 case LinkCut.HANG:
                     await asyncio.Event().wait()
-                case LinkCut.REFUSE | LinkCut.RESET:
+                case LinkCut.REFUSE | LinkCut.RESET | LinkCut.END:
                     raise ConnectionRefusedError("the link is cut")
             opened = await original(addr_infos, **options)
             self._open.add(opened)
@@ -78,18 +89,31 @@
 
     def _watch(self) -> None:
         while True:
-            if self.kind is LinkCut.RESET:
-                for connection in list(self._open):
-                    self._break(connection)
+            end = _ENDS.get(self.kind)
+            for connection in list(self._open) if end is not None else ():
+                self._open.discard(connection)
+                end(connection)
             time.sleep(POLL_INTERVAL_S)
 
-    def _break(self, connection: socket.socket) -> None:
-        self._open.discard(connection)
-        try:
-            connection.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            # The connection has ended meanwhile.
-            return
+
+def reset(connection: socket.socket) -> None:
+    """Reset an open connection, in the kernels of both ends.
+
+    Dissolving the association of a connected socket does that; a shutdown would look
+    like an end by the peer.
+    """
+    if connection.fileno() >= 0:
+        _LIBC.connect(connection.fileno(), _UNSPECIFIED, len(_UNSPECIFIED))
+
+
+def end(connection: socket.socket) -> None:
+    """End an open connection as if its peer had closed it."""
+    # The connection may have ended meanwhile.
+    with contextlib.suppress(OSError):
+        connection.shutdown(socket.SHUT_RDWR)
+
+
+_ENDS = {LinkCut.RESET: reset, LinkCut.END: end}
 
 
 def main() -> None:
