--- a/packages/node/tests/test_node_memory.py
+++ b/packages/node/tests/test_node_memory.py
@@ -30,8 +30,9 @@
 BOUND_BYTES = 150e6
 """Most memory that a node may have used: half of that of the users' machines."""
 
-FULL_BYTES = 225e6
-"""The same while requests for more than the node's room come: three quarters of it."""
+FULL_BYTES = 210e6
+"""The same while requests for more than the node's room have come: a third of it for
+others, above a node without any."""
 
 CALLERS = 44
 WAVE = 4
--- a/packages/node/tests/test_relayed_requests.py
+++ b/packages/node/tests/test_relayed_requests.py
@@ -20,12 +20,7 @@
 from fordhatch.node._relayed_answer import PIECE_BYTES, WINDOW_PIECES
 from fordhatch.protocol.messages import QueryContact, RelayedEnd, RelayRequest
 from fordhatch.registry import NodeAddress
-from fordhatch.serving import (
-    RequestsInProgress,
-    SendFailure,
-    SendOptions,
-    SendProblem,
-)
+from fordhatch.serving import RequestsInProgress, SendFailure, SendOptions, SendProblem
 from fordhatch.serving.exchange import AnswerHold
 from fordhatch_lab import run_in_virtual_time
 from fordhatch_standins import MemoryNetwork
@@ -152,6 +147,7 @@
 
 
 def hold_answers() -> AnswerHold:
+    """Return a hold that counts in an account of its own."""
     memory = MemoryAccount(Timer())
     return AnswerHold(memory, memory.hold("answers"))
 
