An answer's first line passes a check of our own, whoever reads it

Callers saw: an answer whose status was 000, with the backend server's signature; with the header that says "not run", a 503 that promised it for a request that may have run.

Cause: the HTTP library's parsers decided what an answer is. Both accept any three digits as a status (000, 600, 999), the compiled one the versions 0.9 and 2.0, the one in Python two blanks, a tab or a blank before the line; nothing behind them looked at the status but to compare it with 200, 400 and 500.

Change: the bytes of a head pass HeadReader before the library's parser gets them, line by line: line ends, the form of the first line, a status from 100 to 599 but 101. What breaks a rule is a failed attempt that may have run (BROKEN; WRONG_ANSWER for an order, STORE_OUTCOME_UNKNOWN for a write), counted and logged with its rule. A report with such a head says nothing: its sender has answered, so it is not taken for ended (PROBE_INCONCLUSIVE).

Why it works: neither parser sees a head that has not passed, so that they can't differ on it; every reader of answers but the command line uses this connector.

Sound odd first lines (no reason, HTTP/1.0, obs-text, interim answers) pass.

--- a/bench/guards.py
+++ b/bench/guards.py
@@ -18,6 +18,7 @@
 from crash_guards import CRASH_GUARDS
 from entry_guards import ENTRY_GUARDS
 from guards_types import Guard
+from head_guards import HEAD_GUARDS
 from hedge_guards import HEDGE_GUARDS
 from order_guards import ORDER_GUARDS
 from own_guards import OWN_GUARDS
@@ -81,6 +82,7 @@
             *ZONE_GUARDS,
             *SCARCITY_GUARDS,
             *HEDGE_GUARDS,
+            *HEAD_GUARDS,
             *ORDER_GUARDS,
             *RETRY_GUARDS,
         ]
--- /dev/null
+++ b/bench/head_guards.py
@@ -0,0 +1,39 @@
+"""Guards on heads and ends of answers."""
+
+from __future__ import annotations
+
+from guards_types import Guard
+
+HEADS = "packages/serving/tests/test_broken_heads.py"
+OTHER_READERS = "tests/adapter/test_invalid_heads.py"
+
+HEAD_GUARDS = [
+    Guard(
+        "MIXED: a status out of range is none",
+        "adapter/_answer_head.py",
+        "    is_valid = _FIRST_STATUS <= status <= _LAST_STATUS\n",
+        "    is_valid = True\n",
+        f"{HEADS} -k plain_call_with_a_broken",
+    ),
+    Guard(
+        "MIXED: a first line has the form of the protocol",
+        "adapter/_answer_head.py",
+        "    if found is None:\n        raise InvalidHead(HeadRule.STATUS_LINE, line)\n",
+        "    if found is None:\n        return StatusLine(line, 1, 200)\n",
+        f"{HEADS} -k plain_call_with_a_broken",
+    ),
+    Guard(
+        "MIXED: lines end as the protocol says",
+        "adapter/_answer_head.py",
+        '    if b"\\n" in line or b"\\r" in line:\n',
+        "    if False:\n",
+        f"{HEADS} -k plain_call_with_a_broken",
+    ),
+    Guard(
+        "TWO: a sender whose reports are none has not ended",
+        "adapter/_backend_client.py",
+        "            return Err(_query_failure(answer.unwrap_err()))\n",
+        "            return answer\n",
+        f"{OTHER_READERS} -k invalid_head_is_none",
+    ),
+]
--- a/packages/core/src/fordhatch/core/_codes.py
+++ b/packages/core/src/fordhatch/core/_codes.py
@@ -128,7 +128,9 @@
         503, Ran.NO, "The backend server refused the request before running it."
     ),
     ResultCode.WRONG_ANSWER: _info(
-        502, Ran.MAYBE, "The answer named another request, group or epoch."
+        502,
+        Ran.MAYBE,
+        "The answer named another request, group or epoch, or its head was invalid.",
     ),
     ResultCode.BACKEND_ERROR: _info(
         502, Ran.MAYBE, "The backend server failed while running the request."
--- a/packages/core/src/fordhatch/core/_metrics.py
+++ b/packages/core/src/fordhatch/core/_metrics.py
@@ -113,6 +113,12 @@
     ["evidence"],
     registry=REGISTRY,
 )
+INVALID_HEADS = Counter(
+    "fordhatch_invalid_heads_total",
+    "Answers whose head was refused, by the rule that it breaks.",
+    ["rule"],
+    registry=REGISTRY,
+)
 READS_BOUNDED = Counter(
     "fordhatch_reads_bounded_total",
     "Reads from callers, backend servers, the store or nodes that a bound has ended.",
--- /dev/null
+++ b/packages/serving/tests/test_broken_heads.py
@@ -0,0 +1,190 @@
+"""Answers whose head is none, on every path of a request, with both parsers."""
+
+from __future__ import annotations
+
+import asyncio
+
+import attrs
+import pytest
+from broken_answers import Parts, as_stream, ask_once, is_own_failure, parser, sends
+from test_long_answers import LONG
+from test_stream_calls import ALL, chunk, events, head
+from test_unexpected_ends import about, log
+
+from fordhatch.core import metrics
+from fordhatch_standins import http_answer
+
+__all__ = ["log", "parser"]
+
+BODY = b"whole body"
+
+PAUSE_S = 0.02
+"""Time in which a node reads what has been sent."""
+
+FIRST_LINES = {
+    "status 000": b"HTTP/1.1 000 Nothing",
+    "status 099": b"HTTP/1.1 099 X",
+    "status 101": b"HTTP/1.1 101 Switching Protocols",
+    "status 600": b"HTTP/1.1 600 X",
+    "status 999": b"HTTP/1.1 999 X",
+    "two digits": b"HTTP/1.1 20 OK",
+    "four digits": b"HTTP/1.1 2000 OK",
+    "signed": b"HTTP/1.1 +20 OK",
+    "other digits": b"HTTP/1.1 \xb2\xb2\xb2 OK",
+    "version 2": b"HTTP/2.0 200 OK",
+    "version 0": b"HTTP/0.9 200 OK",
+    "version 1.2": b"HTTP/1.2 200 OK",
+    "lower case": b"http/1.1 200 OK",
+    "other protocol": b"ICY 200 OK",
+    "no blank": b"HTTP/1.1 200OK",
+    "two blanks": b"HTTP/1.1  200 OK",
+    "tab": b"HTTP/1.1\t200 OK",
+    "blank first": b" HTTP/1.1 200 OK",
+    "empty line first": b"\r\nHTTP/1.1 200 OK",
+    "control in the reason": b"HTTP/1.1 200 O\x01K",
+    "carriage return in the reason": b"HTTP/1.1 200 O\rK",
+    "bytes": b"\x00\x01\xff\xfe",
+}
+BROKEN = {kind: Parts(first=line) for kind, line in FIRST_LINES.items()}
+BROKEN["line feeds only"] = Parts(line_end=b"\n")
+
+SOUND_FIRST_LINES = {
+    "usual": b"HTTP/1.1 200 OK",
+    "no reason": b"HTTP/1.1 200 ",
+    "no blank after the status": b"HTTP/1.1 200",
+    "earlier version": b"HTTP/1.0 200 OK",
+    "odd reason": b"HTTP/1.1 200 \t caf\xe9 ",
+    "other success": b"HTTP/1.1 299 X",
+    "refused by the backend server": b"HTTP/1.1 422 X",
+    "after an interim answer": b"HTTP/1.1 103 X\r\nLink: x\r\n\r\nHTTP/1.1 200 OK",
+}
+SOUND = {kind: Parts(first=line) for kind, line in SOUND_FIRST_LINES.items()}
+
+NOT_RUN = {
+    kind: attrs.evolve(parts, fields=(*parts.fields, b"X-Not-Executed: 1"))
+    for kind, parts in BROKEN.items()
+}
+"""The same heads, which say that the request has not run."""
+
+
+async def ask_all(site, path: str, cases: dict[str, Parts], body: bytes, **options):
+    """Return what callers got of each answer, from one backend server."""
+    scripts = {f"r-{n}": sends(p, body) for n, p in enumerate(cases.values())}
+
+    async def script(request, writer) -> None:
+        await scripts[request.request_id](request, writer)
+
+    await site.add_backend(script, **options)
+    asked = zip(cases, scripts, strict=True)
+    return {kind: await ask_once(site, path, name) for kind, name in asked}
+
+
+# Guards against an answer that is believed though its head is none: the caller gets it,
+# or is told that the request has not run.
+@pytest.mark.parametrize("cases", [BROKEN, NOT_RUN], ids=["signed", "not run"])
+async def test_a_plain_call_with_a_broken_head_may_have_run(
+    site, log, parser, cases
+) -> None:
+    got = await ask_all(site, "/once/1", cases, BODY)
+    assert {k: a.seen for k, a in got.items()} == dict.fromkeys(cases, (502, "whole"))
+    assert [k for k, a in got.items() if not is_own_failure(a)] == []
+    refused = [m for m in log if m["message_type"] == "answer_head_invalid"]
+    assert len(refused) == len(cases)
+    assert all(about(log, f"r-{n}") for n in range(len(cases)))
+
+
+# Guards against sound answers that are lost to the check.
+async def test_a_plain_call_with_an_odd_and_sound_head_is_answered(
+    site, parser
+) -> None:
+    got = await ask_all(site, "/once/1", SOUND, BODY)
+    statuses = {k: 299 if k == "other success" else 200 for k in SOUND}
+    statuses["refused by the backend server"] = 422
+    assert {k: a.seen for k, a in got.items()} == {
+        k: (status, "whole") for k, status in statuses.items()
+    }
+    assert [k for k, a in got.items() if a.body != BODY] == []
+
+
+async def test_a_refused_head_is_counted_by_its_rule(site) -> None:
+    counter = metrics.INVALID_HEADS.labels("status")
+    before = counter._value.get()
+    await ask_all(site, "/once/1", {"status": BROKEN["status 000"]}, BODY)
+    assert counter._value.get() == before + 1
+
+
+async def test_a_long_answer_with_a_broken_head_is_a_failure(site, parser) -> None:
+    got = await ask_all(site, "/once/1", BROKEN, LONG)
+    assert [k for k, a in got.items() if not is_own_failure(a)] == []
+
+
+async def test_a_stream_with_a_broken_head_is_a_failure(site, parser) -> None:
+    cases = {kind: as_stream(parts) for kind, parts in BROKEN.items()}
+    place = {"group": "small.1"}
+    got = await ask_all(site, "/single/1", cases, ALL, **place)
+    assert {k: a.seen for k, a in got.items()} == dict.fromkeys(cases, (502, "whole"))
+    assert [k for k, a in got.items() if not is_own_failure(a)] == []
+
+
+async def test_a_stream_with_an_odd_and_sound_head_is_passed_on(site, parser) -> None:
+    cases = {k: as_stream(p) for k, p in SOUND.items() if "200" in str(p.first)}
+    del cases["earlier version"]
+    got = await ask_all(site, "/single/1", cases, ALL, group="small.1")
+    assert [
+        k for k, a in got.items() if (a.seen, a.body) != ((200, "whole"), ALL)
+    ] == []
+
+
+def begins_and_breaks(cases: dict[str, Parts]):
+    """Return a script whose first run of a request breaks, and whose second is bad."""
+    scripts = [sends(as_stream(parts), ALL) for parts in cases.values()]
+
+    async def script(request, writer) -> None:
+        if "last-event-id" in request.headers:
+            number = int(request.request_id.partition("-")[2])
+            await scripts[number](request, writer)
+            return
+        writer.write(head(request) + chunk(events(1, 2)))
+        await writer.drain()
+        await asyncio.sleep(PAUSE_S)
+        writer.transport.abort()
+
+    return script
+
+
+# Guards against a resumed stream that goes on with the events of such an answer.
+async def test_a_resumed_run_with_a_broken_head_ends_its_stream(site, parser) -> None:
+    script = begins_and_breaks(BROKEN)
+    await site.add_backend(script, group="small.1", zone="z1")
+    await site.add_backend(script, group="small.2", zone="z2")
+    got = {
+        kind: await ask_once(site, "/stream/1", f"r-{number}")
+        for number, kind in enumerate(BROKEN)
+    }
+    assert [k for k, a in got.items() if a.is_whole] == []
+    assert [k for k, a in got.items() if a.body != events(1, 2)] == []
+
+
+async def answers_late(request, writer) -> None:
+    await asyncio.sleep(0.5)
+    writer.write(http_answer(request, BODY))
+
+
+# Guards against a hedged call that takes such an answer for the first one.
+@pytest.mark.parametrize("kind", ["status 000", "version 2", "bytes"])
+async def test_a_hedge_with_a_broken_head_leaves_the_first_run(
+    site, parser, kind
+) -> None:
+    first = await site.add_backend(answers_late, zone="z1")
+    second = await site.add_backend(sends(BROKEN[kind], BODY), zone="z2")
+    got = await ask_once(site, "/get/1", "r1")
+    assert (got.seen, got.body) == ((200, "whole"), BODY)
+    assert (len(first.seen), len(second.seen)) == (1, 1)
+
+
+async def test_an_idempotent_call_is_retried_after_a_broken_head(site, parser) -> None:
+    bad = await site.add_backend(sends(BROKEN["status 000"], BODY), zone="z1")
+    good = await site.add_backend(sends(Parts(), BODY), zone="z2")
+    got = await ask_once(site, "/get/1", "r1")
+    assert (got.seen, got.body) == ((200, "whole"), BODY)
+    assert (len(bad.seen), len(good.seen)) == (1, 1)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -8,6 +8,7 @@
 from crash_guards import CRASH_GUARDS
 from entry_guards import ENTRY_GUARDS
 from guards_types import Guard
+from head_guards import HEAD_GUARDS
 from hedge_guards import HEDGE_GUARDS
 from order_guards import ORDER_GUARDS
 from own_guards import OWN_GUARDS
@@ -34,6 +35,7 @@
         *RETRY_GUARDS,
         *SCARCITY_GUARDS,
         *HEDGE_GUARDS,
+        *HEAD_GUARDS,
         *ORDER_GUARDS,
     ],
     ids=lambda g: g.promise,
