A body without a length ends with its sender's end alone

Callers saw: a 200 without a length to a long upload, cut by a reset while the upload was still being written, as a complete answer.

Cause: the reader asked the connection for its error at the end of the body. While the request's body is still being sent, the HTTP library cancels that sending, and two turns of the event loop later releases the connection, which drops the error. A reader that came later than that found a clean end, and the check of the process (design 0020) found it alive.

Change: connection_lost without the sender's end fails the body itself; eof_received ends it at once. Whoever reads late finds either in the body.

Why it works: only a FIN reaches eof_received, and nothing between the connection and the reader can drop what the body itself says.

Evidence: test_early_answers.py.

--- a/bench/head_guards.py
+++ b/bench/head_guards.py
@@ -6,6 +6,7 @@
 
 HEADS = "packages/serving/tests/test_broken_heads.py"
 OTHER_READERS = "tests/adapter/test_invalid_heads.py"
+EARLY = "packages/serving/tests/test_early_answers.py"
 
 HEAD_GUARDS = [
     Guard(
@@ -36,4 +37,18 @@
         "            return answer\n",
         f"{OTHER_READERS} -k invalid_head_is_none",
     ),
+    Guard(
+        "MIXED: a reset ends no body, whoever reads its end late",
+        "adapter/_bounded_http.py",
+        '            payload.set_exception(aiohttp.ClientPayloadError(f"reset: {exc!r}"))\n',
+        "            pass\n",
+        f"{EARLY} -k reset_during",
+    ),
+    Guard(
+        "MIXED: a whole answer outlasts the rest of its request",
+        "adapter/_bounded_http.py",
+        "        self._has_ended = True\n        super().connection_lost(None)\n",
+        "        return\n",
+        f"{EARLY} -k gets_an_early",
+    ),
 ]
--- a/bench/platform_guards.py
+++ b/bench/platform_guards.py
@@ -26,8 +26,8 @@
     ),
     Guard(
         "MIXED: a reset does not end an answer without length",
-        "serving/exchange/_backend_answer.py",
-        "        if isinstance(error, OSError):\n",
+        "adapter/_bounded_http.py",
+        "        if payload is not None and not payload.is_eof() and not payload.exception():\n",
         "        if False:\n",
         f"{SERVING}/test_plain_calls.py -k resets_without_length",
     ),
--- a/packages/serving/src/fordhatch/serving/exchange/_backend_answer.py
+++ b/packages/serving/src/fordhatch/serving/exchange/_backend_answer.py
@@ -115,17 +115,7 @@
         Raises:
             aiohttp.ClientError, OSError: If the body is incomplete.
         """
-        piece = await self._response.content.readany()
-        if not piece:
-            self._check_end()
-        return piece
-
-    def _check_end(self) -> None:
-        # The library takes the end of a connection for the end of a body without
-        # a length, even if the connection was reset.
-        error = self._response.protocol.exception()
-        if isinstance(error, OSError):
-            raise aiohttp.ClientPayloadError(f"reset: {error!r}")
+        return await self._response.content.readany()
 
     def close(self) -> None:
         """Close the connection, which cancels an unfinished request."""
