Fields of an answer's head are checked, names and values

Callers saw (other operators' systems): an answer in whose head the name of a field held a blank or a control byte.

Cause: the parsers let controls in values pass, and the library's writer refuses them, after the reply was taken to have begun. What the parsers check of names is theirs to change.

--- a/bench/head_guards.py
+++ b/bench/head_guards.py
@@ -51,4 +51,25 @@
         "        return\n",
         f"{EARLY} -k gets_an_early",
     ),
+    Guard(
+        "MIXED: the name of a field is a token",
+        "adapter/_answer_head.py",
+        "    if not colon or _TOKEN.fullmatch(name) is None:\n",
+        "    if False:\n",
+        f"{HEADS} -k plain_call_with_a_broken",
+    ),
+    Guard(
+        "LOST: the value of a field can be written",
+        "adapter/_answer_head.py",
+        "    if _VALUE.fullmatch(value) is None:\n",
+        "    if False:\n",
+        f"{HEADS} -k plain_call_with_a_broken",
+    ),
+    Guard(
+        "MIXED: a folded line continues a field, and none of them is lost",
+        "adapter/_answer_head.py",
+        '            self._lines[-1] += b" " + line.strip(_BLANKS)\n',
+        "            pass\n",
+        f"{HEADS} -k odd_and_sound_fields",
+    ),
 ]
--- a/packages/serving/tests/test_broken_heads.py
+++ b/packages/serving/tests/test_broken_heads.py
@@ -48,6 +48,43 @@
 BROKEN = {kind: Parts(first=line) for kind, line in FIRST_LINES.items()}
 BROKEN["line feeds only"] = Parts(line_end=b"\n")
 
+FIELDS = {
+    "blank in a name": b"X Field: x",
+    "blank behind a name": b"X-Field : x",
+    "tab behind a name": b"X-Field\t: x",
+    "blank before the first name": b" X-Field: x",
+    "control byte in a name": b"X\x01Field: x",
+    "zero in a name": b"X\x00Field: x",
+    "delete in a name": b"X\x7fField: x",
+    "byte above ASCII in a name": b"X-F\xe9ld: x",
+    "separator in a name": b"X(Field): x",
+    "no name": b": x",
+    "no colon": b"X-Field",
+    "control byte in a value": b"X-Field: a\x01b",
+    "escape in a value": b"X-Field: a\x1bb",
+    "zero in a value": b"X-Field: a\x00b",
+    "delete in a value": b"X-Field: a\x7fb",
+    "carriage return in a value": b"X-Field: a\rb",
+    "line feed in a value": b"X-Field: a\nX-Other: b",
+    "control byte in a folded line": b"X-Field: a\r\n \x02b",
+    "blank in the name of the length": b"Content Length: 3",
+}
+BROKEN |= {kind: Parts(fields=(line,)) for kind, line in FIELDS.items()}
+# A field before the first one: it can't continue another.
+BROKEN["blank before the first name"] = Parts(first=b"HTTP/1.1 200 OK\r\n X-Field: x")
+
+SOUND_FIELDS = {
+    "odd name": (b"!#$%&'*+-.^_`|~09aZ: x", ("!#$%&'*+-.^_`|~09az", "x")),
+    "empty value": (b"X-Field:", ("x-field", "")),
+    "no blank": (b"X-Field:x", ("x-field", "x")),
+    "many blanks": (b"X-Field: \t x \t ", ("x-field", "x")),
+    "tab in a value": (b"X-Field: a\tb", ("x-field", "a\tb")),
+    "UTF-8": ("X-Field: caf\xe9".encode(), ("x-field", "caf\xc3\xa9")),
+    "folded": (b"X-Field: a\r\n  b\r\n\tc", ("x-field", "a b c")),
+    "colons": (b"X-Field: a:b: c", ("x-field", "a:b: c")),
+    "quoted": (b'X-Field: "a, \\"b"', ("x-field", 'a, \\"b'.join('""'))),
+}
+
 SOUND_FIRST_LINES = {
     "usual": b"HTTP/1.1 200 OK",
     "no reason": b"HTTP/1.1 200 ",
@@ -106,6 +143,16 @@
     assert [k for k, a in got.items() if a.body != BODY] == []
 
 
+# Guards against fields that don't arrive, or not as they were sent.
+async def test_a_plain_call_with_odd_and_sound_fields_is_answered(site, parser) -> None:
+    cases = {kind: Parts(fields=(line,)) for kind, (line, _) in SOUND_FIELDS.items()}
+    got = await ask_all(site, "/once/1", cases, BODY)
+    for kind, (_, (name, value)) in SOUND_FIELDS.items():
+        answer = got[kind]
+        assert (answer.seen, answer.body) == ((200, "whole"), BODY), kind
+        assert answer.headers[name] == value, kind
+
+
 async def test_a_refused_head_is_counted_by_its_rule(site) -> None:
     counter = metrics.INVALID_HEADS.labels("status")
     before = counter._value.get()
--- a/tests/adapter/test_invalid_heads.py
+++ b/tests/adapter/test_invalid_heads.py
@@ -26,6 +26,10 @@
     "status 101": b"HTTP/1.1 101 X\r\n" + LENGTH,
     "version 2": b"HTTP/2.0 200 OK\r\n" + LENGTH,
     "control in the reason": b"HTTP/1.1 200 \x01\r\n" + LENGTH,
+    "blank in a name": b"HTTP/1.1 200 OK\r\nX Field: x\r\n" + LENGTH,
+    "control in a name": b"HTTP/1.1 200 OK\r\nX\x01Field: x\r\n" + LENGTH,
+    "control in a value": b"HTTP/1.1 200 OK\r\nX-Field: \x01\r\n" + LENGTH,
+    "blank before the colon": b"HTTP/1.1 200 OK\r\nStore-Era : 9\r\n" + LENGTH,
 }
 SOUND = b"HTTP/1.1 200 OK\r\n" + LENGTH
 
