An answer that can't be written becomes a 502, never a closed connection

Callers saw: a closed connection without an answer, for a value of a field that the HTTP library's writer refuses (a control character).

Cause: the reply was taken to have begun before its head was written. When that raised an error, the answer was aborted as one that breaks off.

Change: a reply has begun once its head was handed to the connection; an error of the writer before that is UnwritableHead, and the caller gets WRONG_ANSWER.

Why it works: the check of heads keeps such values away from replies; whatever else can't be written (a stored answer, another version's relayed one) has sent nothing yet, so that another answer fits.

Evidence: test_unexpected_ends.py, an answer of one piece and a streamed one: 2 of 2 red before.

--- a/bench/head_guards.py
+++ b/bench/head_guards.py
@@ -72,4 +72,11 @@
         "            pass\n",
         f"{HEADS} -k odd_and_sound_fields",
     ),
+    Guard(
+        "LOST: a head that can't be written leaves room for another answer",
+        "serving/_http_reply.py",
+        "                self.response = None\n",
+        "                pass\n",
+        "packages/serving/tests/test_unexpected_ends.py -k cannot_be_written",
+    ),
 ]
--- a/packages/serving/src/fordhatch/serving/_http_reply.py
+++ b/packages/serving/src/fordhatch/serving/_http_reply.py
@@ -9,6 +9,7 @@
 
 from ._caller_writes import finish, reset, while_caller_reads, write
 from ._node_state import NodeState
+from ._reply_heads import UnwritableHead
 from ._sliced_body import in_slices
 
 
@@ -61,7 +62,12 @@
         if self.state.is_leaving:
             response.force_close()
         async with while_caller_reads(self.http_request, self.state.timer, self.due_s):
-            await response.prepare(self.http_request)
+            try:
+                await response.prepare(self.http_request)
+            except ValueError as error:
+                # The caller gets another answer.
+                self.response = None
+                raise UnwritableHead(repr(error)) from error
 
     async def _write(self, piece: bytes) -> None:
         await write(
--- a/packages/serving/src/fordhatch/serving/_requests_in_progress.py
+++ b/packages/serving/src/fordhatch/serving/_requests_in_progress.py
@@ -13,6 +13,7 @@
 
 from ._accepted_request import AcceptedRequest, EndedBy
 from ._answer_times import AnswerTimes
+from ._reply_heads import UnwritableHead
 from ._request import ServedRequest
 from ._request_log import log_end
 from ._stop_plan import shutting_down
@@ -94,7 +95,7 @@
             await _answer_interrupted(accepted, ended_by)
         except Exception as raised:
             ended_by, error = _who_interrupted(accepted), repr(raised)
-            await _answer_interrupted(accepted, ended_by)
+            await _answer_interrupted(accepted, ended_by, raised)
         finally:
             self._record_end(accepted, ended_by, error, self.timer.now_s())
             if accepted.task not in self._kept:
@@ -203,7 +204,9 @@
     return EndedBy.ERROR if accepted.is_connected else EndedBy.CALLER
 
 
-async def _answer_interrupted(accepted: AcceptedRequest, ended_by: EndedBy) -> None:
+async def _answer_interrupted(
+    accepted: AcceptedRequest, ended_by: EndedBy, raised: Exception | None = None
+) -> None:
     """Give the final answer to a request whose serving was interrupted."""
     reply = accepted.reply
     if ended_by is EndedBy.CALLER or reply.is_over:
@@ -212,7 +215,9 @@
         if reply.has_begun:
             await reply.abort()
         elif ended_by is EndedBy.ERROR:
-            await reply.refuse(Failure.from_code(ResultCode.INTERNAL))
+            is_unwritable = isinstance(raised, UnwritableHead)
+            code = ResultCode.WRONG_ANSWER if is_unwritable else ResultCode.INTERNAL
+            await reply.refuse(Failure.from_code(code))
         elif accepted.may_have_run:
             await reply.refuse(Failure.from_code(ResultCode.NODE_STOPPED))
         else:
--- a/packages/serving/tests/test_unexpected_ends.py
+++ b/packages/serving/tests/test_unexpected_ends.py
@@ -75,6 +75,38 @@
     assert len(lines) == 1, lines
 
 
+@attrs.define
+class UnwritableCalls:
+    """Answers with a field that the HTTP library refuses to write."""
+
+    is_streamed: bool
+
+    async def serve(self, _: object, reply: object) -> None:
+        """Answer with a control character in a value."""
+        headers = [("X-Field", "a\x01b")]
+        if not self.is_streamed:
+            await reply.send_complete(200, headers, b"body")
+            return
+        await reply.begin(200, headers)
+        await reply.end()
+
+
+# Guards against a connection that is closed without an answer because the answer can't
+# be written.
+@pytest.mark.parametrize("is_streamed", [False, True], ids=["whole", "streamed"])
+async def test_an_answer_that_cannot_be_written_is_a_failure(
+    site, log, is_streamed
+) -> None:
+    site.callers.dispatch.plain = UnwritableCalls(is_streamed)
+    caller = await Caller.connect(site)
+    answer = await caller.ask("/once/1", "r1")
+    caller.close()
+    assert answer.seen == (502, "whole")
+    assert "x-field" not in answer.headers
+    lines = [line for line in about(log, "r1") if "ended_by" in line]
+    assert len(lines) == 1
+
+
 async def runs_on(request, writer) -> None:
     await asyncio.sleep(60)
 
