Bytes above ASCII in a value reach callers as they were sent

Callers saw: a sound answer without the bytes of a field's value that are no UTF-8 ("caf" for "caf\xe9"); through another node, no answer at all.

Cause: the HTTP library reads such bytes as surrogates, its compiled writer drops those, its writer in Python raises an error; msgpack refuses them between nodes.

Change: answers to callers write such fields themselves; messages between nodes keep the bytes on both sides. Valid text is encoded as before: no new version.

Why it works: what was read with surrogateescape is written with it.

Evidence: test_broken_heads.py (one piece, long, stream; both parsers) 4 red before, test_protocol.py 1.

--- a/bench/head_guards.py
+++ b/bench/head_guards.py
@@ -79,4 +79,18 @@
         "                pass\n",
         "packages/serving/tests/test_unexpected_ends.py -k cannot_be_written",
     ),
+    Guard(
+        "MIXED: bytes of a value that are no UTF-8 are not dropped",
+        "serving/_reply_heads.py",
+        "        undecoded = take_undecoded(self.headers)\n",
+        "        undecoded = []\n",
+        f"{HEADS} -k fields",
+    ),
+    Guard(
+        "LOST: bytes that are no UTF-8 pass between nodes",
+        "protocol/_codec.py",
+        'UNDECODED_BYTES = "surrogateescape"\n',
+        'UNDECODED_BYTES = "strict"\n',
+        "packages/protocol/tests/test_protocol.py -k no_text",
+    ),
 ]
--- a/packages/chat/src/fordhatch/chat/_replies.py
+++ b/packages/chat/src/fordhatch/chat/_replies.py
@@ -13,7 +13,7 @@
 from multidict import CIMultiDict
 
 from fordhatch.core import Failure, Holding, ResultCode, record_bound
-from fordhatch.serving import HttpReply, Reply, ReplyTooLong
+from fordhatch.serving import ExactStream, HttpReply, Reply, ReplyTooLong
 
 from ._claim_rows import StoredAnswer
 
@@ -186,7 +186,7 @@
 
     async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Begin a reply that is sent as it comes."""
-        response = web.StreamResponse(status=status, headers=_content_type(headers))
+        response = ExactStream(status=status, headers=_content_type(headers))
         await self._begin_stream(response)
 
     async def write(self, piece: bytes) -> None:
--- a/packages/node/tests/raw_caller.py
+++ b/packages/node/tests/raw_caller.py
@@ -69,6 +69,8 @@
     body: bytes
     end: str
     """``whole``, or how the connection ended before: ``closed`` or ``reset``."""
+    head: bytes = b""
+    """The head as received."""
 
     @property
     def seen(self) -> tuple[int, str]:
@@ -151,9 +153,11 @@
         status = int(first.split(" ")[1])
         body, used = _body(headers, rest)
         if used is None:
-            return Answer(status, headers, body, self._end) if self._end else None
+            if not self._end:
+                return None
+            return Answer(status, headers, body, self._end, head)
         self._buffer = rest[used:]
-        return Answer(status, headers, body, "whole")
+        return Answer(status, headers, body, "whole", head)
 
     def is_closed(self) -> bool:
         """Return whether the connection has ended, as far as it is known here."""
--- a/packages/protocol/src/fordhatch/protocol/_codec.py
+++ b/packages/protocol/src/fordhatch/protocol/_codec.py
@@ -26,6 +26,9 @@
 MAC_BYTES = 16
 """Length of a frame's authentication code."""
 
+UNDECODED_BYTES = "surrogateescape"
+"""How text keeps bytes that are no UTF-8: values of HTTP fields may have them."""
+
 
 def derive_key(shared_key: bytes, *parts: bytes) -> bytes:
     """Derive a key for one purpose or connection from the shared key."""
@@ -48,7 +51,7 @@
     fields = attrs.astuple(message, recurse=False)  # type: ignore[arg-type]
     parts = [channel, TAG_BY_MESSAGE[type(message)], fields]
     # Only nested messages are converted, which is four times faster for long lists.
-    return msgpack.packb(parts, default=attrs.astuple)
+    return msgpack.packb(parts, default=attrs.astuple, unicode_errors=UNDECODED_BYTES)
 
 
 def decode(body: bytes) -> tuple[int, Any]:
@@ -61,7 +64,7 @@
         FrameError: If the body is not a well-formed message.
     """
     try:
-        channel, tag, fields = msgpack.unpackb(body)
+        channel, tag, fields = msgpack.unpackb(body, unicode_errors=UNDECODED_BYTES)
         return int(channel), MESSAGE_BY_TAG[tag](*fields)
     except (*UNPACK_ERRORS, KeyError, TypeError, ValueError) as error:
         raise FrameError(repr(error)) from error
--- a/packages/protocol/tests/test_protocol.py
+++ b/packages/protocol/tests/test_protocol.py
@@ -26,6 +26,7 @@
     LoadReport,
     LoadTotals,
     QueryStatus,
+    RelayedHead,
     StatusReply,
     TableChanges,
     TablesChanged,
@@ -49,6 +50,13 @@
     assert decode(encode(7, answer)) == (7, answer)
 
 
+# Guards against a relayed answer that is lost to a byte that is no UTF-8.
+def test_bytes_that_are_no_text_round_trip() -> None:
+    value = b"caf\xe9 \xff".decode(errors="surrogateescape")
+    head = RelayedHead(200, [("X-Field", value)])
+    assert decode(encode(7, head)) == (7, head)
+
+
 def test_long_tables_are_compressed_and_round_trip() -> None:
     rows = [(f"i-{n}", 1, n, b'{"service": "llm"}' * 9, False) for n in range(200)]
     body = pack_rows(rows)
--- a/packages/serving/src/fordhatch/serving/__init__.py
+++ b/packages/serving/src/fordhatch/serving/__init__.py
@@ -12,6 +12,7 @@
 from ._http_reply import HttpReply
 from ._http_server import HttpHandler, HttpServer
 from ._node_state import NodeState
+from ._reply_heads import ExactStream
 from ._request import Reply, ReplyTooLong, ServedRequest
 from ._request_path import RequestPath
 from ._requests_in_progress import RequestsInProgress
@@ -67,6 +68,7 @@
     "DemandMeter",
     "Dispatch",
     "EarlyRefusal",
+    "ExactStream",
     "ExchangeClient",
     "GroupProgress",
     "HeadChoice",
--- a/packages/serving/src/fordhatch/serving/_caller_server.py
+++ b/packages/serving/src/fordhatch/serving/_caller_server.py
@@ -20,6 +20,7 @@
 from ._dispatch import Dispatch
 from ._http_reply import HttpReply
 from ._node_state import NodeState
+from ._reply_heads import ExactStream
 from ._request import ServedRequest
 from ._request_path import RequestPath
 from ._stop_plan import shutting_down
@@ -56,7 +57,7 @@
 
     async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Start an answer whose body is streamed."""
-        response = web.StreamResponse(status=status, headers=CIMultiDict(headers))
+        response = ExactStream(status=status, headers=CIMultiDict(headers))
         await self._begin_stream(response)
 
     async def write(self, piece: bytes) -> None:
--- a/packages/serving/src/fordhatch/serving/_http_reply.py
+++ b/packages/serving/src/fordhatch/serving/_http_reply.py
@@ -9,7 +9,7 @@
 
 from ._caller_writes import finish, reset, while_caller_reads, write
 from ._node_state import NodeState
-from ._reply_heads import UnwritableHead
+from ._reply_heads import ExactResponse, UnwritableHead
 from ._sliced_body import in_slices
 
 
@@ -39,7 +39,7 @@
     ) -> None:
         """Send a complete answer."""
         await self._send(
-            web.Response(status=status, headers=headers, body=in_slices(body))
+            ExactResponse(status=status, headers=headers, body=in_slices(body))
         )
 
     async def _send(self, response: web.Response) -> None:
--- a/packages/serving/tests/test_broken_heads.py
+++ b/packages/serving/tests/test_broken_heads.py
@@ -79,6 +79,10 @@
     "no blank": (b"X-Field:x", ("x-field", "x")),
     "many blanks": (b"X-Field: \t x \t ", ("x-field", "x")),
     "tab in a value": (b"X-Field: a\tb", ("x-field", "a\tb")),
+    "bytes above ASCII": (
+        b"X-Field: caf\xe9 \xff\x80",
+        ("x-field", "caf\xe9 \xff\x80"),
+    ),
     "UTF-8": ("X-Field: caf\xe9".encode(), ("x-field", "caf\xc3\xa9")),
     "folded": (b"X-Field: a\r\n  b\r\n\tc", ("x-field", "a b c")),
     "colons": (b"X-Field: a:b: c", ("x-field", "a:b: c")),
@@ -153,6 +157,21 @@
         assert answer.headers[name] == value, kind
 
 
+async def test_streams_and_long_answers_keep_their_fields(site, parser) -> None:
+    line, (name, value) = SOUND_FIELDS["bytes above ASCII"]
+    parts = Parts(fields=(line, b"X-Other: y", b"x-field: again"))
+    long = await ask_all(site, "/once/1", {"long": parts}, LONG)
+    stream = await ask_all(
+        site, "/single/1", {"stream": as_stream(parts)}, ALL, group="small.1"
+    )
+    for answer in (long["long"], stream["stream"]):
+        assert answer.seen == (200, "whole")
+        assert answer.headers["x-other"] == "y"
+        # The last one of a name that occurs twice.
+        assert answer.headers[name] == "again"
+        assert value.encode("latin-1") in answer.head
+
+
 async def test_a_refused_head_is_counted_by_its_rule(site) -> None:
     counter = metrics.INVALID_HEADS.labels("status")
     before = counter._value.get()
