Lengths and codings of an answer are checked, and bytes behind its body

Cause: the library decides how a body ends, each parser in its way; what it can't read as chunks it reads to the end of the connection.

Change: rules for the number and length of fields, what is believed once, the length, the coding, answers without content, and bytes behind a body with a length. Another answer behind one still takes nothing from it.

Why it works: after these rules a body has one length, chunks, or its sender's end, for either parser.

Sound framings (odd case, zeros, long lines, many fields, no content, HEAD) pass.

--- a/packages/serving/src/fordhatch/serving/exchange/_exchange.py
+++ b/packages/serving/src/fordhatch/serving/exchange/_exchange.py
@@ -196,8 +196,6 @@
             response_class=TrackedResponse,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
             read_bufsize=READ_BUFFER_BYTES,
-            max_line_size=32 * 1024,
-            max_field_size=32 * 1024,
         )
         # The library must never retry a request on its own.
         session._retry_connection = False
--- a/packages/serving/tests/test_broken_heads.py
+++ b/packages/serving/tests/test_broken_heads.py
@@ -4,9 +4,17 @@
 
 import asyncio
 
-import attrs
 import pytest
 from broken_answers import Parts, as_stream, ask_once, is_own_failure, parser, sends
+from head_cases import (
+    BODY,
+    BROKEN,
+    EMPTY,
+    NOT_RUN,
+    SOUND,
+    SOUND_FIELDS,
+    SOUND_FRAMINGS,
+)
 from test_long_answers import LONG
 from test_stream_calls import ALL, chunk, events, head
 from test_unexpected_ends import about, log
@@ -16,97 +24,9 @@
 
 __all__ = ["log", "parser"]
 
-BODY = b"whole body"
-
 PAUSE_S = 0.02
 """Time in which a node reads what has been sent."""
 
-FIRST_LINES = {
-    "status 000": b"HTTP/1.1 000 Nothing",
-    "status 099": b"HTTP/1.1 099 X",
-    "status 101": b"HTTP/1.1 101 Switching Protocols",
-    "status 600": b"HTTP/1.1 600 X",
-    "status 999": b"HTTP/1.1 999 X",
-    "two digits": b"HTTP/1.1 20 OK",
-    "four digits": b"HTTP/1.1 2000 OK",
-    "signed": b"HTTP/1.1 +20 OK",
-    "other digits": b"HTTP/1.1 \xb2\xb2\xb2 OK",
-    "version 2": b"HTTP/2.0 200 OK",
-    "version 0": b"HTTP/0.9 200 OK",
-    "version 1.2": b"HTTP/1.2 200 OK",
-    "lower case": b"http/1.1 200 OK",
-    "other protocol": b"ICY 200 OK",
-    "no blank": b"HTTP/1.1 200OK",
-    "two blanks": b"HTTP/1.1  200 OK",
-    "tab": b"HTTP/1.1\t200 OK",
-    "blank first": b" HTTP/1.1 200 OK",
-    "empty line first": b"\r\nHTTP/1.1 200 OK",
-    "control in the reason": b"HTTP/1.1 200 O\x01K",
-    "carriage return in the reason": b"HTTP/1.1 200 O\rK",
-    "bytes": b"\x00\x01\xff\xfe",
-}
-BROKEN = {kind: Parts(first=line) for kind, line in FIRST_LINES.items()}
-BROKEN["line feeds only"] = Parts(line_end=b"\n")
-
-FIELDS = {
-    "blank in a name": b"X Field: x",
-    "blank behind a name": b"X-Field : x",
-    "tab behind a name": b"X-Field\t: x",
-    "blank before the first name": b" X-Field: x",
-    "control byte in a name": b"X\x01Field: x",
-    "zero in a name": b"X\x00Field: x",
-    "delete in a name": b"X\x7fField: x",
-    "byte above ASCII in a name": b"X-F\xe9ld: x",
-    "separator in a name": b"X(Field): x",
-    "no name": b": x",
-    "no colon": b"X-Field",
-    "control byte in a value": b"X-Field: a\x01b",
-    "escape in a value": b"X-Field: a\x1bb",
-    "zero in a value": b"X-Field: a\x00b",
-    "delete in a value": b"X-Field: a\x7fb",
-    "carriage return in a value": b"X-Field: a\rb",
-    "line feed in a value": b"X-Field: a\nX-Other: b",
-    "control byte in a folded line": b"X-Field: a\r\n \x02b",
-    "blank in the name of the length": b"Content Length: 3",
-}
-BROKEN |= {kind: Parts(fields=(line,)) for kind, line in FIELDS.items()}
-# A field before the first one: it can't continue another.
-BROKEN["blank before the first name"] = Parts(first=b"HTTP/1.1 200 OK\r\n X-Field: x")
-
-SOUND_FIELDS = {
-    "odd name": (b"!#$%&'*+-.^_`|~09aZ: x", ("!#$%&'*+-.^_`|~09az", "x")),
-    "empty value": (b"X-Field:", ("x-field", "")),
-    "no blank": (b"X-Field:x", ("x-field", "x")),
-    "many blanks": (b"X-Field: \t x \t ", ("x-field", "x")),
-    "tab in a value": (b"X-Field: a\tb", ("x-field", "a\tb")),
-    "bytes above ASCII": (
-        b"X-Field: caf\xe9 \xff\x80",
-        ("x-field", "caf\xe9 \xff\x80"),
-    ),
-    "UTF-8": ("X-Field: caf\xe9".encode(), ("x-field", "caf\xc3\xa9")),
-    "folded": (b"X-Field: a\r\n  b\r\n\tc", ("x-field", "a b c")),
-    "colons": (b"X-Field: a:b: c", ("x-field", "a:b: c")),
-    "quoted": (b'X-Field: "a, \\"b"', ("x-field", 'a, \\"b'.join('""'))),
-}
-
-SOUND_FIRST_LINES = {
-    "usual": b"HTTP/1.1 200 OK",
-    "no reason": b"HTTP/1.1 200 ",
-    "no blank after the status": b"HTTP/1.1 200",
-    "earlier version": b"HTTP/1.0 200 OK",
-    "odd reason": b"HTTP/1.1 200 \t caf\xe9 ",
-    "other success": b"HTTP/1.1 299 X",
-    "refused by the backend server": b"HTTP/1.1 422 X",
-    "after an interim answer": b"HTTP/1.1 103 X\r\nLink: x\r\n\r\nHTTP/1.1 200 OK",
-}
-SOUND = {kind: Parts(first=line) for kind, line in SOUND_FIRST_LINES.items()}
-
-NOT_RUN = {
-    kind: attrs.evolve(parts, fields=(*parts.fields, b"X-Not-Executed: 1"))
-    for kind, parts in BROKEN.items()
-}
-"""The same heads, which say that the request has not run."""
-
 
 async def ask_all(site, path: str, cases: dict[str, Parts], body: bytes, **options):
     """Return what callers got of each answer, from one backend server."""
@@ -172,6 +92,47 @@
         assert value.encode("latin-1") in answer.head
 
 
+async def test_a_plain_call_with_an_odd_and_sound_framing_is_answered(
+    site, parser
+) -> None:
+    got = await ask_all(site, "/once/1", SOUND_FRAMINGS, BODY)
+    assert [
+        k for k, a in got.items() if (a.seen, a.body) != ((200, "whole"), BODY)
+    ] == []
+    got = await ask_all(site, "/once/1", EMPTY, BODY)
+    statuses = {k: int(parts.first.split()[1]) for k, parts in EMPTY.items()}
+    assert {k: a.seen for k, a in got.items()} == {
+        k: (status, "whole") for k, status in statuses.items()
+    }
+
+
+async def test_the_answer_to_a_head_request_has_a_length_and_no_body(
+    site, parser
+) -> None:
+    await site.add_backend(sends(Parts(sent_body=b""), BODY))
+    got = await site.ask("/once/1", method="HEAD")
+    assert (got.status, got.body) == (200, b"")
+
+
+# Guards against the beginning of a body as a whole one, by a length that is too short.
+@pytest.mark.parametrize("body", [BODY, LONG], ids=["short", "long"])
+async def test_bytes_behind_a_body_make_it_none(site, parser, body) -> None:
+    parts = Parts(framing=(b"Content-Length: %d" % (len(body) - 3),))
+
+    async def in_two_pieces(request, writer) -> None:
+        answer = parts.encode(request.request_id, body)
+        head, rest = answer[: -len(body)], answer[-len(body) :]
+        writer.write(head)
+        await writer.drain()
+        await asyncio.sleep(PAUSE_S)
+        writer.write(rest)
+        await writer.drain()
+
+    await site.add_backend(in_two_pieces)
+    got = await ask_once(site, "/once/1", "r1")
+    assert not got.is_whole or is_own_failure(got)
+
+
 async def test_a_refused_head_is_counted_by_its_rule(site) -> None:
     counter = metrics.INVALID_HEADS.labels("status")
     before = counter._value.get()
--- a/tests/adapter/test_invalid_heads.py
+++ b/tests/adapter/test_invalid_heads.py
@@ -30,6 +30,10 @@
     "control in a name": b"HTTP/1.1 200 OK\r\nX\x01Field: x\r\n" + LENGTH,
     "control in a value": b"HTTP/1.1 200 OK\r\nX-Field: \x01\r\n" + LENGTH,
     "blank before the colon": b"HTTP/1.1 200 OK\r\nStore-Era : 9\r\n" + LENGTH,
+    "two lengths": b"HTTP/1.1 200 OK\r\n" + LENGTH + b"Content-Length: 3\r\n",
+    "too short": b"HTTP/1.1 200 OK\r\n" + JSON + b"Content-Length: 3\r\n",
+    "unknown coding": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: x\r\n" + JSON,
+    "two ids": b"HTTP/1.1 200 OK\r\n" + 2 * b"X-Runner-Id: i-1\r\n" + LENGTH,
 }
 SOUND = b"HTTP/1.1 200 OK\r\n" + LENGTH
 
