The head of a relayed answer passes the check at the node that gets it, too

Callers would see: an answer with a status of 000, or a field that can't be written, through a node of another version, which has checked less.

Cause: the receiving node took status and fields of a RelayedHead as they came; only their types were checked.

Why it works: both sides use the same rules, and nothing else builds an answer from another node's message.

Evidence: test_relayed_requests.py, seven heads: 7 red before.

--- a/bench/head_guards.py
+++ b/bench/head_guards.py
@@ -135,4 +135,11 @@
         "    if False:\n",
         f"{HEADS} -k plain_call_with_a_broken",
     ),
+    Guard(
+        "MIXED: a head that another node has passed on is checked",
+        "node/_relayed_answer.py",
+        "        check_relayed_head(head.status, head.headers)\n",
+        "",
+        "packages/node/tests/test_relayed_requests.py -k invalid_head",
+    ),
 ]
--- a/packages/node/src/fordhatch/node/_relayed_answer.py
+++ b/packages/node/src/fordhatch/node/_relayed_answer.py
@@ -8,6 +8,7 @@
 import attrs
 from multidict import CIMultiDict
 
+from fordhatch.adapter import check_relayed_head
 from fordhatch.catalog import AnswerFields, BackendServer, Backpressure, RefusalKind
 from fordhatch.protocol import Channel
 from fordhatch.protocol.messages import (
@@ -79,7 +80,14 @@
         channel: Channel,
         end: Callable[[], None],
     ) -> RelayedAnswer:
-        """Return the answer with a received head, which the other node has checked."""
+        """Return the answer with a received head.
+
+        The other node, perhaps of another version, has checked whose answer it is.
+
+        Raises:
+            InvalidHead: If the head breaks a rule of heads.
+        """
+        check_relayed_head(head.status, head.headers)
         fields = AnswerFields(
             request_id,
             RefusalKind.NONE,
--- a/packages/node/tests/test_relayed_requests.py
+++ b/packages/node/tests/test_relayed_requests.py
@@ -282,6 +282,46 @@
 
 
 # Guards against "not run" for a request that the other node may have sent.
+HEADS = {
+    "status": (0, []),
+    "interim": (103, []),
+    "name": (200, [("X Field", "x")]),
+    "value": (200, [("X-Field", "a\x01b")]),
+    "line": (200, [("X-Field", "a\r\nX-Server-Seal: s")]),
+    "lengths": (200, [("Content-Length", "1"), ("Content-Length", "2")]),
+    "coding": (200, [("Transfer-Encoding", "x")]),
+}
+
+
+# Guards against the head of another version's node, which checked less.
+@pytest.mark.parametrize("kind", HEADS)
+def test_a_relayed_answer_with_an_invalid_head_may_have_run(kind: str) -> None:
+    async def scenario() -> None:
+        status, headers = HEADS[kind]
+        answer = StubAnswer([b"x"], status=status, headers=headers)
+        async with site_of(a=answers(answer)) as site:
+            request = StubRequest()
+            got = await site.client.send(request, BACKEND, OPTIONS)
+            assert got.unwrap_err().problem is SendProblem.BROKEN
+            assert request.arrivals == [True]
+            await asyncio.sleep(0.1)
+            assert answer.is_closed
+
+    simulate(scenario)
+
+
+def test_a_relayed_answer_keeps_odd_and_sound_fields() -> None:
+    async def scenario() -> None:
+        headers = [("X-Field", "caf\udce9"), ("!x", ""), ("Content-Length", "1")]
+        answer = StubAnswer([b"x"], status=299, headers=headers)
+        async with site_of(a=answers(answer)) as site:
+            got = await site.client.send(StubRequest(), BACKEND, OPTIONS)
+            assert (got.unwrap().status, got.unwrap().headers) == (299, headers)
+            got.unwrap().close()
+
+    simulate(scenario)
+
+
 def test_a_request_without_a_reply_may_have_run() -> None:
     async def scenario() -> None:
         async with site_of(a=never_answers) as site:
