--- a/bench/head_guards.py
+++ b/bench/head_guards.py
@@ -149,4 +149,18 @@
         "    is_number = port.isascii() and port.isdigit()\n    port = port[:6]\n",
         "packages/serving/tests/test_odd_entries.py",
     ),
+    Guard(
+        "store: an odd row leaves the others",
+        "adapter/_store_answer.py",
+        "        if not isinstance(item, dict):\n",
+        "        if False:\n",
+        "tests/adapter/test_store_bodies.py -k odd_row",
+    ),
+    Guard(
+        "store: a version is a number",
+        "adapter/_store_answer.py",
+        "        if type(number) is not int or not 0 <= number <= MAX_INTEGER:\n",
+        "        if False:\n",
+        "tests/adapter/test_store_bodies.py -k malformed_answer",
+    ),
 ]
