The command line reads answers with the same check, and within a bound

Cause: OperatorClient read answers with the HTTP library alone, without a bound, and looked at the body only.

Change: it uses the connector that checks heads; a malformed answer is WRONG_ANSWER with ran=maybe, and a status of 300 or more is no success.

Why it works: it was the last reader of answers with a connection of its own.

Evidence: test_odd_answers.py 18 of 19 red before (both parsers; the code was PEER_UNREACHABLE in some, a success or an error in others).

--- a/bench/head_guards.py
+++ b/bench/head_guards.py
@@ -163,4 +163,11 @@
         "        if False:\n",
         "tests/adapter/test_store_bodies.py -k malformed_answer",
     ),
+    Guard(
+        "operators: a failed status is no success",
+        "cli/_client.py",
+        "    if status >= _FIRST_FAILURE:\n",
+        "    if False:\n",
+        "packages/cli/tests/test_odd_answers.py -k failed_status",
+    ),
 ]
--- a/packages/cli/src/fordhatch/cli/_client.py
+++ b/packages/cli/src/fordhatch/cli/_client.py
@@ -2,17 +2,24 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any
 
 import aiohttp
 import attrs
 from result import Err, Ok, Result
 
+from fordhatch.adapter import InvalidHead, bounded_connector, read_bounded
 from fordhatch.core import Failure, Ran, ResultCode
 
 TIMEOUT_S = 30.0
 """Timeout of one call."""
 
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+"""Longest answer; the state of the largest system takes a few megabytes."""
+
+_FIRST_FAILURE = 300
+
 
 @attrs.frozen
 class OperatorClient:
@@ -46,9 +53,12 @@
         headers = {"Authorization": f"Bearer {self.token}"}
         timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
         query_params = {name: str(value) for name, value in query.items()}
+        connector = bounded_connector(force_close=True)
         try:
             async with (
-                aiohttp.ClientSession(timeout=timeout, headers=headers) as session,
+                aiohttp.ClientSession(
+                    timeout=timeout, headers=headers, connector=connector
+                ) as session,
                 session.request(
                     method,
                     self.url.rstrip("/") + path,
@@ -56,23 +66,45 @@
                     data=content,
                 ) as reply,
             ):
-                body = await reply.json()
+                body = await read_bounded(reply, MAX_ANSWER_BYTES)
+                return _decode(reply.status, body)
         except aiohttp.ClientConnectorError as error:
             return Err(Failure.from_code(ResultCode.PEER_UNREACHABLE, str(error)))
+        except InvalidHead as error:
+            return Err(_wrong_answer(str(error)))
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             failure = Failure.from_code(
                 ResultCode.PEER_UNREACHABLE, repr(error), ran=Ran.MAYBE
             )
             return Err(failure)
-        if "error" in body:
-            return Err(_to_failure(body["error"]))
-        return Ok(body)
-
-
-def _to_failure(error: dict[str, Any]) -> Failure:
-    return Failure(
-        ResultCode(error["code"]),
-        error["message"],
-        Ran(error["ran"]),
-        error.get("retry_after_s"),
-    )
+
+
+def _decode(status: int, body: bytes) -> Result[dict[str, Any], Failure]:
+    """Return what an answer says; one that is malformed says nothing."""
+    try:
+        fields = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        return Err(_wrong_answer(f"not valid JSON: {error!r:.100}"))
+    if not isinstance(fields, dict):
+        return Err(_wrong_answer("expected a JSON object"))
+    if "error" in fields:
+        return Err(_to_failure(fields["error"]))
+    if status >= _FIRST_FAILURE:
+        return Err(_wrong_answer(f"status {status}"))
+    return Ok(fields)
+
+
+def _to_failure(error: Any) -> Failure:
+    try:
+        return Failure(
+            ResultCode(error["code"]),
+            str(error["message"]),
+            Ran(error["ran"]),
+            error.get("retry_after_s"),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as reason:
+        return _wrong_answer(f"failure without {reason!r:.100}")
+
+
+def _wrong_answer(detail: str) -> Failure:
+    return Failure.from_code(ResultCode.WRONG_ANSWER, detail, ran=Ran.MAYBE)
