--- a/bench/head_guards.py
+++ b/bench/head_guards.py
@@ -170,4 +170,18 @@
         "    if False:\n",
         "packages/cli/tests/test_odd_answers.py -k failed_status",
     ),
+    Guard(
+        "MIXED: an end before the request was taken ends no body",
+        "adapter/_bounded_http.py",
+        "        if is_open_ended and not self._is_request_taken():\n",
+        "        if False:\n",
+        f"{EARLY} -k before_the_request",
+    ),
+    Guard(
+        "MIXED: a reset behind its sender's end is seen",
+        "adapter/_bounded_http.py",
+        "        if is_reset(self.transport):\n",
+        "        if False:\n",
+        f"{EARLY} -k before_the_request",
+    ),
 ]
--- a/packages/core/src/fordhatch/core/__init__.py
+++ b/packages/core/src/fordhatch/core/__init__.py
@@ -11,6 +11,7 @@
 from ._loop_watch import LoopWatch
 from ._memory_account import Holding, MemoryAccount
 from ._read_bound import record_bound
+from ._socket_state import is_reset, unacknowledged_bytes, unread_bytes
 from ._suspension import Suspension
 from ._timer import TaskSet, Timer
 
@@ -33,7 +34,10 @@
     "configure_line_log",
     "configure_logging",
     "format_line",
+    "is_reset",
     "log_event",
     "metrics",
     "record_bound",
+    "unacknowledged_bytes",
+    "unread_bytes",
 ]
--- a/packages/serving/src/fordhatch/serving/_caller_connection.py
+++ b/packages/serving/src/fordhatch/serving/_caller_connection.py
@@ -8,9 +8,7 @@
 
 from aiohttp import web
 
-from fordhatch.core import record_bound
-
-from ._caller_writes import unread_bytes
+from fordhatch.core import record_bound, unread_bytes
 
 HEAD_TIMEOUT_S = 10.0
 """Longest time from the first byte of a head to its last, where the configuration names
--- a/packages/serving/src/fordhatch/serving/_caller_writes.py
+++ b/packages/serving/src/fordhatch/serving/_caller_writes.py
@@ -9,16 +9,14 @@
 
 import asyncio
 import contextlib
-import fcntl
 import socket
 import struct
-import termios
 from collections.abc import AsyncIterator
 
 import attrs
 from aiohttp import web
 
-from fordhatch.core import Timer
+from fordhatch.core import Timer, unacknowledged_bytes
 
 MIN_WRITE_S = 5.0
 """Time in which a caller has at least to take a byte of what is written, also after its
@@ -191,24 +189,3 @@
         before, left = left, unacknowledged_bytes(transport)
         if left != before:
             changed_s = timer.now_s()
-
-
-def unacknowledged_bytes(transport: asyncio.Transport) -> int:
-    """Return the bytes that this node's kernel still keeps to send; 0 if unknown."""
-    return _kernel_bytes(transport, termios.TIOCOUTQ)
-
-
-def unread_bytes(transport: asyncio.Transport) -> int:
-    """Return the bytes that the kernel has received and not passed on; 0 if unknown."""
-    return _kernel_bytes(transport, termios.FIONREAD)
-
-
-def _kernel_bytes(transport: asyncio.Transport, request: int) -> int:
-    connection = transport.get_extra_info("socket")
-    found = bytearray(struct.calcsize("i"))
-    try:
-        fcntl.ioctl(connection.fileno(), request, found)
-    except (OSError, ValueError):
-        # Closed meanwhile, or the system does not tell.
-        return 0
-    return struct.unpack("i", found)[0]
--- a/packages/serving/src/fordhatch/serving/_http_server.py
+++ b/packages/serving/src/fordhatch/serving/_http_server.py
@@ -10,8 +10,9 @@
 import attrs
 from aiohttp import web
 
+from fordhatch.core import unacknowledged_bytes
+
 from ._caller_connection import HEAD_TIMEOUT_S, KEEP_ALIVE_S, CallerConnections
-from ._caller_writes import unacknowledged_bytes
 
 MAX_HEADER_BYTES = 32 * 1024
 """Longest line of a request's head: twice the most that a configuration allows, so
