"Not run" counts only with a status that may say so

Cause: the header counted beside any status but 421, which counts alone.

Change: it counts with 400, 421, 429 and 503, which the protocol names. Beside another status the two contradict each other: a failed attempt that may have run, nothing of it passed on.

Why it works: a request is made again as not run only after a whole valid head whose status and header agree.

--- a/bench/head_guards.py
+++ b/bench/head_guards.py
@@ -184,4 +184,11 @@
         "        if False:\n",
         f"{EARLY} -k before_the_request",
     ),
+    Guard(
+        "TWICE: not run beside another status proves nothing",
+        "adapter/_headers.py",
+        "        is_stated = status in _STATUSES_NOT_RUN\n",
+        "        is_stated = True\n",
+        f"{HEADS} -k not_run_beside",
+    ),
 ]
--- a/bench/platform_guards.py
+++ b/bench/platform_guards.py
@@ -13,15 +13,15 @@
     Guard(
         "MIXED: an answer must bear the request's own id",
         "serving/exchange/_exchange.py",
-        "        if foreign or fields.has_encoding or not fields.is_signed:\n",
-        "        if fields.has_encoding or not fields.is_signed:\n",
+        "        if foreign or is_contradicted or fields.has_encoding or not fields.is_signed:\n",
+        "        if is_contradicted or fields.has_encoding or not fields.is_signed:\n",
         f"{SERVING}/test_plain_calls.py -k answers_another",
     ),
     Guard(
         "MIXED: an answer must be signed and not encoded",
         "serving/exchange/_exchange.py",
-        "        if foreign or fields.has_encoding or not fields.is_signed:\n",
-        "        if foreign:\n",
+        "        if foreign or is_contradicted or fields.has_encoding or not fields.is_signed:\n",
+        "        if foreign or is_contradicted:\n",
         f"{SERVING}/test_plain_calls.py -k encodes",
     ),
     Guard(
--- a/packages/catalog/src/fordhatch/catalog/_calls.py
+++ b/packages/catalog/src/fordhatch/catalog/_calls.py
@@ -40,6 +40,8 @@
     NOT_EXECUTED = "not_executed"
     OTHER_BACKEND = "other_backend"
     """The address now belongs to another backend server or another member."""
+    CONTRADICTED = "contradicted"
+    """Reported beside a status that says otherwise: the request may have run."""
 
 
 class PressureKind(StrEnum):
--- a/packages/serving/src/fordhatch/serving/exchange/_exchange.py
+++ b/packages/serving/src/fordhatch/serving/exchange/_exchange.py
@@ -289,7 +289,8 @@
     ) -> Result[BackendAnswer, SendFailure]:
         fields = decode_answer(response.status, response.headers)
         foreign = fields.request_id != request.fields.request_id
-        if fields.refusal is not RefusalKind.NONE:
+        is_contradicted = fields.refusal is RefusalKind.CONTRADICTED
+        if fields.refusal is not RefusalKind.NONE and not is_contradicted:
             response.close()
             request.record_arrival(backend.backend_id, may_have_run=False)
             other = fields.refusal is RefusalKind.OTHER_BACKEND
@@ -298,7 +299,7 @@
             backpressure = fields.backpressure if is_own else None
             return Err(SendFailure(problem, fields.backend_at_fault, backpressure))
         request.record_arrival(backend.backend_id, may_have_run=True)
-        if foreign or fields.has_encoding or not fields.is_signed:
+        if foreign or is_contradicted or fields.has_encoding or not fields.is_signed:
             response.close()
             return Err(SendFailure(SendProblem.BROKEN, "not the answer that is due"))
         return Ok(BackendAnswer(backend, fields, response))
--- a/packages/serving/tests/test_broken_heads.py
+++ b/packages/serving/tests/test_broken_heads.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 
 import pytest
 from broken_answers import Parts, as_stream, ask_once, is_own_failure, parser, sends
@@ -54,6 +55,39 @@
     assert all(about(log, f"r-{n}") for n in range(len(cases)))
 
 
+CONTRADICTED = {
+    str(status): Parts(first=b"HTTP/1.1 %d X" % status, fields=(b"X-Not-Executed: 1",))
+    for status in (200, 206, 299, 302, 404, 408, 500, 502, 504)
+}
+
+
+# Guards against a request that runs again, since its first run reports a success that
+# it says it hasn't brought about.
+async def test_not_run_beside_another_status_proves_nothing(site, log, parser) -> None:
+    scripts = [sends(parts, BODY) for parts in CONTRADICTED.values()]
+    runs: Counter[str] = Counter()
+
+    async def script(request, writer) -> None:
+        runs[request.request_id] += 1
+        await scripts[int(request.request_id)](request, writer)
+
+    for zone in ("z1", "z2"):
+        await site.add_backend(script, zone=zone)
+    got = [await ask_once(site, "/twice/1", str(n)) for n in range(len(scripts))]
+    assert [a.seen for a in got] == len(scripts) * [(502, "whole")]
+    assert set(runs.values()) == {1}
+
+
+@pytest.mark.parametrize("status", [400, 421, 429, 503])
+async def test_not_run_beside_its_status_is_believed(site, parser, status) -> None:
+    parts = Parts(first=b"HTTP/1.1 %d X" % status, fields=(b"X-Not-Executed: 1",))
+    refusing = await site.add_backend(sends(parts, BODY), zone="z1")
+    good = await site.add_backend(sends(Parts(), BODY), zone="z2")
+    got = await ask_once(site, "/twice/1", "r1")
+    assert (got.seen, got.body) == ((200, "whole"), BODY)
+    assert (len(refusing.seen), len(good.seen)) == (1, 1)
+
+
 # Guards against sound answers that are lost to the check.
 async def test_a_plain_call_with_an_odd_and_sound_head_is_answered(
     site, parser
--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -102,6 +102,10 @@
     ("status", "headers", "refusal"),
     [
         (503, {"X-Not-Executed": "1"}, RefusalKind.NOT_EXECUTED),
+        (400, {"X-Not-Executed": "1"}, RefusalKind.NOT_EXECUTED),
+        (429, {"X-Not-Executed": "1"}, RefusalKind.NOT_EXECUTED),
+        (200, {"X-Not-Executed": "1"}, RefusalKind.CONTRADICTED),
+        (500, {"X-Not-Executed": "1"}, RefusalKind.CONTRADICTED),
         (421, {}, RefusalKind.OTHER_BACKEND),
         (503, {}, RefusalKind.NONE),
         (500, {"X-Server-Seal": "s"}, RefusalKind.NONE),
