Chunks of an answer are checked and framed anew, for either parser

Callers saw (the users' runs, the HTTP library without its compiled parser): answers whose chunks are malformed as whole ones: a blank before a size, bare line feeds, a control byte in an extension, bytes behind the last chunk. The compiled parser refuses them.

Cause: the library decided what delimits chunks, each parser in its way.

Change: ChunkReader follows the chunks of a body, checks sizes, line ends and trailers, and frames the data anew; the library's parser sees no framing of the sender's. A malformed chunk is an answer that may have run and is broken, not a lost connection. What follows a body is judged in one place, for lengths and chunks; another answer there is dropped, and its connection used no more.

Why it works: both parsers get the same well-formed chunks, or none.

--- a/bench/head_guards.py
+++ b/bench/head_guards.py
@@ -19,7 +19,7 @@
     Guard(
         "MIXED: a first line has the form of the protocol",
         "adapter/_answer_head.py",
-        "    if found is None:\n        raise InvalidHead(HeadRule.STATUS_LINE, line)\n",
+        "    if found is None:\n        raise InvalidAnswer(AnswerRule.STATUS_LINE, line)\n",
         "    if found is None:\n        return StatusLine(line, 1, 200)\n",
         f"{HEADS} -k plain_call_with_a_broken",
     ),
@@ -191,4 +191,18 @@
         "        is_stated = True\n",
         f"{HEADS} -k not_run_beside",
     ),
+    Guard(
+        "MIXED: a line of chunks ends as the protocol says",
+        "adapter/_chunk_reader.py",
+        '        if not line.endswith(b"\\r") or b"\\r" in line[:-1]:\n',
+        "        if False:\n",
+        "tests/adapter/test_chunk_reader.py -k malformed",
+    ),
+    Guard(
+        "MIXED: a chunk has the size that it announces",
+        "adapter/_chunk_reader.py",
+        "            case _Expected.DATA_END if line:\n",
+        "            case _Expected.DATA_END if False:\n",
+        "tests/adapter/test_chunk_reader.py -k malformed",
+    ),
 ]
--- a/packages/cli/src/fordhatch/cli/_client.py
+++ b/packages/cli/src/fordhatch/cli/_client.py
@@ -9,7 +9,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from fordhatch.adapter import InvalidHead, bounded_connector, read_bounded
+from fordhatch.adapter import InvalidAnswer, bounded_connector, read_bounded
 from fordhatch.core import Failure, Ran, ResultCode
 
 TIMEOUT_S = 30.0
@@ -70,7 +70,7 @@
                 return _decode(reply.status, body)
         except aiohttp.ClientConnectorError as error:
             return Err(Failure.from_code(ResultCode.PEER_UNREACHABLE, str(error)))
-        except InvalidHead as error:
+        except InvalidAnswer as error:
             return Err(_wrong_answer(str(error)))
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             failure = Failure.from_code(
--- a/packages/core/src/fordhatch/core/_metrics.py
+++ b/packages/core/src/fordhatch/core/_metrics.py
@@ -113,9 +113,9 @@
     ["evidence"],
     registry=REGISTRY,
 )
-INVALID_HEADS = Counter(
-    "fordhatch_invalid_heads_total",
-    "Answers whose head was refused, by the rule that it breaks.",
+INVALID_ANSWERS = Counter(
+    "fordhatch_invalid_answers_total",
+    "Answers refused by their head or framing, by the rule that they break.",
     ["rule"],
     registry=REGISTRY,
 )
--- a/packages/node/src/fordhatch/node/_relay_client.py
+++ b/packages/node/src/fordhatch/node/_relay_client.py
@@ -7,7 +7,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from fordhatch.adapter import InvalidHead, record_invalid_head
+from fordhatch.adapter import InvalidAnswer, record_invalid_answer
 from fordhatch.catalog import BackendServer
 from fordhatch.core import Failure, Ran, ResultCode, TaskSet, Timer, log_event, metrics
 from fordhatch.protocol import Channel, PeerPool
@@ -118,8 +118,8 @@
                 )
                 return Ok(answer)
             return Err(_failure(request, backend, received))
-        except InvalidHead as error:
-            record_invalid_head(error, node.name)
+        except InvalidAnswer as error:
+            record_invalid_answer(error, node.name)
             return Err(SendFailure(SendProblem.BROKEN, str(error)))
         finally:
             if answer is None:
--- a/packages/node/src/fordhatch/node/_relayed_answer.py
+++ b/packages/node/src/fordhatch/node/_relayed_answer.py
@@ -85,7 +85,7 @@
         The other node, perhaps of another version, has checked whose answer it is.
 
         Raises:
-            InvalidHead: If the head breaks a rule of heads.
+            InvalidAnswer: If the head breaks a rule of heads.
         """
         check_relayed_head(head.status, head.headers)
         fields = AnswerFields(
--- a/packages/serving/tests/head_cases.py
+++ b/packages/serving/tests/head_cases.py
@@ -107,11 +107,27 @@
     "too many fields": Parts(fields=126 * (b"X-Field: x",)),
 }
 
+CHUNKS_THAT_ARE_NONE = {
+    "blank before a size": b" a\r\nwhole body\r\n0\r\n\r\n",
+    "bare line feeds": b"a\nwhole body\n0\n\n",
+    "control byte in an extension": b"a;\x01\r\nwhole body\r\n0\r\n\r\n",
+    "no line end behind a chunk": b"a\r\nwhole body0\r\n\r\n",
+    "malformed trailer": b"a\r\nwhole body\r\n0\r\nX Y: z\r\n\r\n",
+    "bytes behind the last chunk": IN_CHUNKS + b"more",
+}
+BROKEN |= {
+    kind: Parts(framing=CHUNKS["framing"], sent_body=body)
+    for kind, body in CHUNKS_THAT_ARE_NONE.items()
+}
+
 SOUND_FRAMINGS = {
     "chunks": Parts(**CHUNKS),
     "chunks in another case": Parts(
         framing=(b"transfer-encoding: CHUNKED",), sent_body=IN_CHUNKS
     ),
+    "chunks with extensions": Parts(
+        framing=CHUNKS["framing"], sent_body=b"a;x=y\r\nwhole body\r\n0\r\nX: y\r\n\r\n"
+    ),
     "length with zeros": Parts(framing=(b"Content-Length: 0010",)),
     "long line": Parts(fields=(b"X-Field: " + 32000 * b"x",)),
     "many fields": Parts(fields=125 * (b"X-Field: x",)),
--- a/packages/serving/tests/test_broken_heads.py
+++ b/packages/serving/tests/test_broken_heads.py
@@ -50,7 +50,7 @@
     got = await ask_all(site, "/once/1", cases, BODY)
     assert {k: a.seen for k, a in got.items()} == dict.fromkeys(cases, (502, "whole"))
     assert [k for k, a in got.items() if not is_own_failure(a)] == []
-    refused = [m for m in log if m["message_type"] == "answer_head_invalid"]
+    refused = [m for m in log if m["message_type"] == "answer_invalid"]
     assert len(refused) == len(cases)
     assert all(about(log, f"r-{n}") for n in range(len(cases)))
 
@@ -133,6 +133,9 @@
     assert [
         k for k, a in got.items() if (a.seen, a.body) != ((200, "whole"), BODY)
     ] == []
+
+
+async def test_a_plain_call_is_answered_without_a_body(site, parser) -> None:
     got = await ask_all(site, "/once/1", EMPTY, BODY)
     statuses = {k: int(parts.first.split()[1]) for k, parts in EMPTY.items()}
     assert {k: a.seen for k, a in got.items()} == {
@@ -168,7 +171,7 @@
 
 
 async def test_a_refused_head_is_counted_by_its_rule(site) -> None:
-    counter = metrics.INVALID_HEADS.labels("status")
+    counter = metrics.INVALID_ANSWERS.labels("status")
     before = counter._value.get()
     await ask_all(site, "/once/1", {"status": BROKEN["status 000"]}, BODY)
     assert counter._value.get() == before + 1
