--- a/bench/head_guards.py
+++ b/bench/head_guards.py
@@ -110,8 +110,8 @@
     Guard(
         "MIXED: what is believed is said once",
         "adapter/_answer_framing.py",
-        "    if len(names) > len(set(names)):\n",
-        "    if False:\n",
+        "        if len(head.values(name)) > 1:\n",
+        "        if False:\n",
         f"{HEADS} -k plain_call_with_a_broken",
     ),
     Guard(
