--- a/packages/serving/tests/broken_answers.py
+++ b/packages/serving/tests/broken_answers.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import contextlib
+from collections.abc import Callable, Iterator
 
 import attrs
 import pytest
@@ -21,13 +22,21 @@
 """Parsers of the HTTP library; the first one is used where it has been built."""
 
 
+@contextlib.contextmanager
+def reading_with(parser: str) -> Iterator[None]:
+    """Read answers with one of the library's parsers."""
+    with pytest.MonkeyPatch.context() as patch:
+        if parser == "python":
+            python = http_parser.HttpResponseParserPy
+            patch.setattr(client_proto, "HttpResponseParser", python)
+        yield
+
+
 @pytest.fixture(params=PARSERS)
-def parser(request, monkeypatch) -> str:
+def parser(request) -> Iterator[str]:
     """Read answers with one of the library's parsers."""
-    if request.param == "python":
-        python = http_parser.HttpResponseParserPy
-        monkeypatch.setattr(client_proto, "HttpResponseParser", python)
-    return request.param
+    with reading_with(request.param):
+        yield request.param
 
 
 @attrs.frozen
--- a/packages/serving/tests/same_answer.py
+++ b/packages/serving/tests/same_answer.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import AsyncIterator, Callable
 
 import attrs
@@ -22,6 +24,10 @@
     """A server that answers each request with the same bytes."""
 
     answer: bytes = b""
+    closes: bool = False
+    """Whether it ends its connections itself."""
+    resets_after_s: float | None = None
+    """Time after which it resets them; None if it doesn't."""
     address: str = ""
     _server: asyncio.Server | None = None
 
@@ -34,7 +40,14 @@
             await reader.readuntil(b"\r\n\r\n")
             writer.write(self.answer)
             await writer.drain()
-            await reader.read()
+            if self.resets_after_s is not None:
+                await asyncio.sleep(self.resets_after_s)
+                reset = struct.pack("ii", 1, 0)
+                connection = writer.get_extra_info("socket")
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+                writer.transport.abort()
+            elif not self.closes:
+                await reader.read()
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
