The soak plays answers that are none, in every run

Change: the stand-ins send twelve kinds of answers that are none (status 000 and 600, "not run" beside 000, another version, a name with a blank, a value with a control character, two lengths, a short one, an unknown coding, a chunk without a size, noise, a reset without a length), to requests, probes, orders and calls of the store. The soak lets 1 to 10 % of answers be such for 0.5 to 2 s, again and again; it draws apart, so that the other faults of a seed stay. What they contain is what no caller may get; a refusal as not run after one is a violation of its own.

One excuse is wider: a whole answer without a length that is given up while answers are broken. Answers with a length, broken spans later and attempts in progress are not excused (test_soak_checks.py).

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -22,6 +22,7 @@
 from cyclopts import App, Parameter
 from fleet import Fleet, NodeProcess
 from loopback_proxy import LoopbackProxy
+from soak_broken_faults import FAULT_NAME, BrokenFaults
 from soak_callers import Callers
 from soak_dialects import OwnDialect, PlatformDialect
 from soak_endless_faults import EndlessFaults
@@ -99,6 +100,7 @@
     engines: EngineFaults
     links: LinkFaults
     nodes: NodeFaults
+    broken: BrokenFaults
     timeline: Timeline
     ledger: Ledger
     operator: Operator | PlatformOperator
@@ -244,6 +246,9 @@
         work += [asyncio.ensure_future(kept.run(n)) for n in range(kept_count)]
         monitor = asyncio.ensure_future(self.timeline.monitor())
         work.append(asyncio.ensure_future(self.operator.run(lambda: self.is_stopping)))
+        if not self.options.only or FAULT_NAME in self.options.only:
+            broken = self.broken.run(lambda: self.is_stopping)
+            work.append(asyncio.ensure_future(broken))
         faults = asyncio.ensure_future(self.faults())
         await asyncio.sleep(duration_s)
         self.is_stopping = True
@@ -264,6 +269,8 @@
         await self.fleet.act("shed", share=0.0)
         await self.fleet.act("endless", share=0.0)
         await self.fleet.act("endless", of="store", share=0.0)
+        await self.fleet.act("broken", share=0.0)
+        await self.fleet.act("broken", of="store", share=0.0)
 
     async def _check(self) -> None:
         try:
@@ -338,8 +345,18 @@
             if chosen.on_platform
             else Operator(fleet, rng, ledger, nodes.choose_healthy, groups)
         )
+        broken = BrokenFaults.from_seed(seed, fleet, ledger.faults, timeline)
         run = Soak(
-            fleet, rng, engine_faults, links, nodes, timeline, ledger, operator, chosen
+            fleet,
+            rng,
+            engine_faults,
+            links,
+            nodes,
+            broken,
+            timeline,
+            ledger,
+            operator,
+            chosen,
         )
         await run.start()
         try:
--- a/bench/soak_exchange_checks.py
+++ b/bench/soak_exchange_checks.py
@@ -90,7 +90,7 @@
         if any(pause.overlaps(from_s, to_s) for pause in exchange.life.pauses):
             return "frozen"
         ends = {attempt["end"] for attempt in self.attempts_of(exchange)}
-        if ends & {"broken", "endless"}:
+        if ends & {"broken", "endless", "invalid"}:
             return "broken off"
         cuts = self.timeline.link_cuts.get(exchange.node, ())
         if any(cut.overlaps(from_s - SLACK_S, to_s) for cut in cuts):
@@ -122,6 +122,9 @@
         if self.outcome(exchange) == "answer cut":
             runs = describe(self.attempts_of(exchange), exchange)
             found.append(f"answer cut: {exchange}; attempts {runs}")
+        if exchange.says_not_run and "invalid" in ends:
+            # What is none proves nothing.
+            found.append(f"refused as not run after an answer that is none: {exchange}")
         if exchange.says_not_run and self._has_run(exchange):
             found.append(f"ran though refused as not run: {exchange}")
         return found
--- a/bench/soak_timeline.py
+++ b/bench/soak_timeline.py
@@ -125,6 +125,8 @@
     """Processes by node, in order of their start."""
     link_cuts: dict[str, list[Span]] = attrs.field(factory=dict)
     """Times in which a node had no links to backend servers."""
+    broken_answers: list[Span] = attrs.field(factory=list)
+    """Times in which some answers of backend servers were none, those to probes too."""
     lateness_s: float = 0.0
     """How late the event loop of the soak itself has been at the most."""
 
--- a/standins/src/fordhatch_standins/__init__.py
+++ b/standins/src/fordhatch_standins/__init__.py
@@ -5,6 +5,7 @@
 from ._attempt_log import Attempt, AttemptEnd, AttemptLog
 from ._backend_links import BackendLinks, CutKind
 from ._backends import Backends
+from ._broken_answers import BrokenAnswers, BrokenKind
 from ._calls import BackendCall, CutOff, NotExecuted, answer_text, event_bytes
 from ._cold_starts import ColdStarts
 from ._crashing_parts import KNOWN_CRASHES, SETTLED_S, CrashingParts
@@ -34,6 +35,8 @@
     "BackendCall",
     "BackendLinks",
     "Backends",
+    "BrokenAnswers",
+    "BrokenKind",
     "ColdStarts",
     "CrashingParts",
     "CutKind",
--- a/standins/src/fordhatch_standins/_attempt_log.py
+++ b/standins/src/fordhatch_standins/_attempt_log.py
@@ -23,6 +23,8 @@
     """The request was refused without being run."""
     BROKEN = "broken"
     """The backend server broke the answer off, by a crash for example."""
+    INVALID = "invalid"
+    """The backend server sent an answer that is none."""
     ENDLESS = "endless"
     """The backend server sent bytes without end."""
     LEFT = "left"
--- a/standins/src/fordhatch_standins/_backend_http.py
+++ b/standins/src/fordhatch_standins/_backend_http.py
@@ -14,6 +14,7 @@
 
 from ._attempt_log import Attempt, AttemptEnd
 from ._backends import Backends
+from ._broken_answers import BrokenKind
 from ._calls import BackendCall, CutOff, NotExecuted
 from ._crashing_parts import message_parts
 from ._engine_work import EngineWork
@@ -99,6 +100,9 @@
             fields = {"X-Runner-Id": own_id, **cold}
             await self.backends.endless.send(kind, request.transport, fields)
             return web.Response()
+        broken = self.backends.broken.choose()
+        if broken is not None:
+            return self._answer_brokenly(broken, address, request, own_id)
         if request.path in (REPORT_PATH, HEALTH_PATH):
             await stand_still.wait_to_answer_probe()
         if request.path == REPORT_PATH:
@@ -129,6 +133,21 @@
         attempt.finish(AttemptEnd.WHOLE)
         return response
 
+    def _answer_brokenly(
+        self, kind: BrokenKind, address: str, request: web.BaseRequest, own_id: str
+    ) -> web.Response:
+        """Send an answer that is none; nothing has been run for it."""
+        fields = {"X-Runner-Id": own_id}
+        if request.path not in (REPORT_PATH, HEALTH_PATH, ORDER_PATH):
+            attempt = self.backends.attempts.begin(
+                _build_call(request, own_id, b""), address
+            )
+            attempt.finish(AttemptEnd.INVALID)
+            answers = _ResponseBuilder(request, self.backends.pressure, own_id)
+            fields = answers.signed()
+        self.backends.broken.send(kind, request.transport, fields)
+        return web.Response()
+
     async def _answer(
         self,
         plain: PlainService | None,
--- a/standins/src/fordhatch_standins/_backends.py
+++ b/standins/src/fordhatch_standins/_backends.py
@@ -12,6 +12,7 @@
 from fordhatch.adapter import BACKENDS_TABLE
 
 from ._attempt_log import AttemptLog
+from ._broken_answers import BrokenAnswers
 from ._calls import BackendCall, SlotQueue
 from ._cold_starts import ColdStarts
 from ._crashing_parts import CrashingParts
@@ -82,13 +83,19 @@
     """Answers without end, which a test may bring about."""
     endless_store: EndlessAnswers = attrs.field(init=False)
     """The same for the store's answers."""
+    broken: BrokenAnswers = attrs.field(init=False)
+    """Answers that are none, which a test may bring about."""
+    broken_store: BrokenAnswers = attrs.field(init=False)
+    """The same for the store's answers."""
     _work_by_id: dict[str, EngineWork] = attrs.field(factory=dict)
     _plain_count: int = 0
 
     def __attrs_post_init__(self) -> None:
-        """Draw the endless answers apart, so that other draws stay the same."""
+        """Draw odd answers apart, so that other draws stay the same."""
         self.endless = EndlessAnswers(random.Random(0))
         self.endless_store = EndlessAnswers(random.Random(0))
+        self.broken = BrokenAnswers(random.Random(0))
+        self.broken_store = BrokenAnswers(random.Random(0))
 
     def add_engine(self, domain: str, zone: str, address: str = "") -> EngineModel:
         """Start an empty engine."""
--- a/standins/src/fordhatch_standins/_store_http.py
+++ b/standins/src/fordhatch_standins/_store_http.py
@@ -12,18 +12,24 @@
 
 from fordhatch.adapter import GENERATION_HEADER
 
+from ._broken_answers import BrokenAnswers
 from ._endless_answers import EndlessAnswers
 from ._store_model import Name, StoredRow, StoreModel
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
-def store_handler(model: StoreModel, endless: EndlessAnswers | None = None) -> Handler:
+def store_handler(
+    model: StoreModel,
+    endless: EndlessAnswers | None = None,
+    broken: BrokenAnswers | None = None,
+) -> Handler:
     """Return a handler that serves a store model over HTTP.
 
     Args:
         model: The store.
         endless: Says which answers have no end; none if it is absent.
+        broken: Says which answers are none; all are sound if it is absent.
     """
 
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
@@ -33,6 +39,11 @@
             fields = {GENERATION_HEADER: str(model.generation)}
             await endless.send(kind, request.transport, fields)
             return web.Response()
+        broken_kind = broken.choose() if broken is not None else None
+        if broken_kind is not None:
+            fields = {GENERATION_HEADER: str(model.generation)}
+            broken.send(broken_kind, request.transport, fields)
+            return web.Response()
         if model.faults.is_silent:
             await asyncio.sleep(3600)
         answer = await _dispatch(model, request)
--- a/standins/src/fordhatch_standins/main.py
+++ b/standins/src/fordhatch_standins/main.py
@@ -90,7 +90,8 @@
 
     async def serve() -> None:
         listeners = BackendListeners(backends, HOST)
-        await _listen(store_handler(store, backends.endless_store), store_port)
+        handler = store_handler(store, backends.endless_store, backends.broken_store)
+        await _listen(handler, store_port)
         port = first_port
         for index in range(domains * per_domain):
             domain = index // per_domain
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 import signal
 import sys
@@ -171,6 +172,36 @@
     assert checks(runs, cuts=[cut]).live_runs(exchange) == runs
 
 
+# Guards against an excuse that is too wide for answers beside broken ones.
+@pytest.mark.parametrize(
+    ("fields", "span", "is_live"),
+    [
+        ({"is_lengthless": True}, Span(102.5, 103.5), False),
+        ({}, Span(102.5, 103.5), True),
+        ({"is_lengthless": True}, Span(104.1, 105.0), True),
+        ({"is_lengthless": True, "end": "left"}, Span(102.5, 103.5), True),
+    ],
+    ids=["end not confirmed", "has a length", "broken later", "was in progress"],
+)
+def test_an_end_is_not_confirmed_by_broken_answers(life, fields, span, is_live) -> None:
+    runs = [attempt(**{"end": "whole", "ended_s": 103.0, **fields})]
+    found = checks(runs)
+    found.timeline.broken_answers.append(span)
+    exchange = cut_exchange(life, ended_s=104.0)
+    assert found.live_runs(exchange) == (runs if is_live else [])
+
+
+@pytest.mark.parametrize(("end", "count"), [("invalid", 1), ("refused", 0)])
+def test_not_run_after_an_answer_that_is_none_is_a_violation(life, end, count) -> None:
+    body = json.dumps({"error": {"ran": "no"}}).encode()
+    exchange = cut_exchange(
+        life, ended_s=101.2, status=503, is_complete=True, body=bytearray(body)
+    )
+    found = checks([attempt(end=end, ended_s=101.1)])
+    texts = [v for v in found.violations(exchange) if "that is none" in v]
+    assert len(texts) == count
+
+
 @pytest.mark.parametrize(
     ("began_s", "ended_s", "event_s"),
     [(102.0, 103.9, None), (102.0, 103.9, 103.1), (101.0, 103.9, 101.05),
