--- a/tests/adapter/test_store_client.py
+++ b/tests/adapter/test_store_client.py
@@ -6,14 +6,18 @@
 import time
 from collections.abc import AsyncIterator
 
+import pytest
 import pytest_asyncio
 from aiohttp import web
+from broken_answers import parser
 from loopback_proxy import LoopbackProxy
 
 from fordhatch.adapter import ABSENT, RowKey, StoreClient, StoreVersion
 from fordhatch.core import Ran, ResultCode
 from fordhatch_standins import StoreModel, store_handler
 
+__all__ = ["parser"]
+
 KEY = RowKey("own", "k")
 
 
@@ -162,3 +166,47 @@
     block_event_loop(0.05)
     found = await watch
     assert [row.value for row in found] == [b"2"]
+
+
+def answer_of_version(number: int) -> bytes:
+    body = b'{"ver": %d, "rows": []}' % number
+    head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+    return head + b"Content-Length: %d\r\n\r\n" % len(body) + body
+
+
+LATE_S = 0.02
+EXTRA_VERSION = 99
+
+
+# Guards against an answer behind another one that is taken for that of the next call.
+@pytest.mark.parametrize("is_late", [False, True])
+@pytest.mark.parametrize("cut", [None, 3, 40])
+async def test_another_answer_behind_one_is_none_of_the_next_call(
+    parser, is_late: bool, cut: int | None
+) -> None:
+    calls = 0
+
+    async def serve(reader, writer) -> None:
+        nonlocal calls
+        extra = answer_of_version(EXTRA_VERSION)
+        try:
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                calls += 1
+                writer.write(answer_of_version(calls))
+                if is_late:
+                    await asyncio.sleep(LATE_S)
+                writer.write(extra[:cut])
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            writer.close()
+
+    listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = listener.sockets[0].getsockname()
+    client = StoreClient.from_address(f"{host}:{port}")
+    for number in (1, 2, 3):
+        found = await client.read("own", timeout_s=2)
+        assert found.unwrap().version == version_at(number)
+        await asyncio.sleep(2 * LATE_S)
+    await client.close()
+    listener.close()
