Soak: attempts of broken answers have their text; a cut for probes is named

Change: the text is read, the reset sends an event without its end, and a cut beside broken answers is "probes" if the attempt has no length and the times overlap (test_soak_checks.py: neither with a length nor for a later span).

--- a/bench/soak_exchange_checks.py
+++ b/bench/soak_exchange_checks.py
@@ -95,7 +95,18 @@
         cuts = self.timeline.link_cuts.get(exchange.node, ())
         if any(cut.overlaps(from_s - SLACK_S, to_s) for cut in cuts):
             return "links"
-        return ""
+        return "probes" if self._had_broken_probes(exchange) else ""
+
+    def _had_broken_probes(self, exchange: Exchange) -> bool:
+        """Return whether an end may not have been confirmed for broken answers."""
+        ends_s = [
+            a["ended_s"] for a in self.attempts_of(exchange) if a["is_lengthless"]
+        ]
+        return any(
+            span.overlaps(ended_s - SLACK_S, exchange.ended_s)
+            for span in self.timeline.broken_answers
+            for ended_s in ends_s
+        )
 
     def _was_grace_over(self, exchange: Exchange) -> bool:
         if not exchange.life.stop_signals_s:
--- a/standins/src/fordhatch_standins/_backend_http.py
+++ b/standins/src/fordhatch_standins/_backend_http.py
@@ -102,7 +102,7 @@
             return web.Response()
         broken = self.backends.broken.choose()
         if broken is not None:
-            return self._answer_brokenly(broken, address, request, own_id)
+            return await self._answer_brokenly(broken, address, request, own_id)
         if request.path in (REPORT_PATH, HEALTH_PATH):
             await stand_still.wait_to_answer_probe()
         if request.path == REPORT_PATH:
@@ -133,15 +133,14 @@
         attempt.finish(AttemptEnd.WHOLE)
         return response
 
-    def _answer_brokenly(
+    async def _answer_brokenly(
         self, kind: BrokenKind, address: str, request: web.BaseRequest, own_id: str
     ) -> web.Response:
         """Send an answer that is none; nothing has been run for it."""
         fields = {"X-Runner-Id": own_id}
         if request.path not in (REPORT_PATH, HEALTH_PATH, ORDER_PATH):
-            attempt = self.backends.attempts.begin(
-                _build_call(request, own_id, b""), address
-            )
+            call = _build_call(request, own_id, await request.read())
+            attempt = self.backends.attempts.begin(call, address)
             attempt.finish(AttemptEnd.INVALID)
             answers = _ResponseBuilder(request, self.backends.pressure, own_id)
             fields = answers.signed()
--- a/standins/src/fordhatch_standins/_broken_answers.py
+++ b/standins/src/fordhatch_standins/_broken_answers.py
@@ -13,6 +13,9 @@
 BODY = b'id: 0\ndata: {"text": "not an answer"}\n\n'
 """What no caller may get as the body of an answer, or as a part of it."""
 
+_PART = BODY.rstrip()
+"""The same without the end of its event: events are passed on as they come."""
+
 _LENGTH = b"Content-Length: %d\r\n" % len(BODY)
 _CLOSE = b"Connection: close\r\n"
 
@@ -80,7 +83,7 @@
         case BrokenKind.NOISE:
             return bytes(range(256)) * 16
         case BrokenKind.RESET:
-            return ok + _CLOSE + b"\r\n" + BODY
+            return ok + _CLOSE + b"\r\n" + _PART
 
 
 @attrs.define(eq=False, repr=False)
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -191,6 +191,22 @@
     assert found.live_runs(exchange) == (runs if is_live else [])
 
 
+@pytest.mark.parametrize(
+    ("is_lengthless", "span", "outcome"),
+    [
+        (True, Span(102.5, 103.5), "cut, probes"),
+        (False, Span(102.5, 103.5), "answer cut"),
+        (True, Span(105.0, 106.0), "answer cut"),
+    ],
+)
+def test_a_stream_is_cut_for_an_end_that_is_not_confirmed(
+    life, is_lengthless, span, outcome
+) -> None:
+    found = checks([attempt("whole", 103.0, is_lengthless=is_lengthless)])
+    found.timeline.broken_answers.append(span)
+    assert found.outcome(cut_exchange(life, ended_s=104.0)) == outcome
+
+
 @pytest.mark.parametrize(("end", "count"), [("invalid", 1), ("refused", 0)])
 def test_not_run_after_an_answer_that_is_none_is_a_violation(life, end, count) -> None:
     body = json.dumps({"error": {"ran": "no"}}).encode()
