--- a/bench/soak.py
+++ b/bench/soak.py
@@ -136,7 +136,7 @@
     async def faults(self) -> None:
         """Inject random faults, which may overlap, until the run stops."""
         shares = ProcessShares(self.nodes.lives, self.rng)
-        endless = EndlessFaults(self.fleet, self.rng)
+        endless = EndlessFaults(self.fleet, self.rng, self.timeline)
         store = StoreFaults(self.fleet, self.rng, self.nodes)
         kinds = [
             self.nodes.kill_node,
--- a/bench/soak_timeline.py
+++ b/bench/soak_timeline.py
@@ -8,6 +8,7 @@
 import signal
 import threading
 import time
+from collections.abc import Iterator
 from pathlib import Path
 
 import attrs
@@ -130,6 +131,16 @@
     lateness_s: float = 0.0
     """How late the event loop of the soak itself has been at the most."""
 
+    @contextlib.contextmanager
+    def recorded_broken_answers(self) -> Iterator[None]:
+        """Record that some answers of backend servers are none for a while."""
+        span = Span(time.monotonic())
+        self.broken_answers.append(span)
+        try:
+            yield
+        finally:
+            span.ended_s = time.monotonic()
+
     def record_start(self, node: NodeProcess) -> ProcessLife:
         """Record that a node's process was started."""
         life = ProcessLife(node.name, node.process)
