Tests of broken answers leave time on a busy machine, and take less of it

Cause: some waited for their outcome with deadlines of 0.9 to 2 s, which a busy machine may pass for other reasons; one told requests before a stop from later ones by counting. Sites of relayed attempts were started for each head.

Change: deadlines of 5 and 20 s where the outcome comes at once, requests are told by the line node_leaving, one site for all heads. Nothing is expected of fewer cases; no logic changes.

--- a/packages/node/tests/test_late_requests_at_a_stop.py
+++ b/packages/node/tests/test_late_requests_at_a_stop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import pytest
 from raw_caller import Answer, Caller, request_bytes
@@ -23,7 +24,7 @@
 
 
 async def ask_until_the_end(
-    node: StoppingNode, path: str, is_kept: bool
+    node: StoppingNode, path: str, is_kept: bool, sent_s: dict[str, float]
 ) -> dict[str, Answer]:
     """Send requests at an interval until the process is gone; returns the answers."""
     kept = [await Caller.connect(node) for _ in range(50)] if is_kept else []
@@ -42,6 +43,7 @@
 
     while node.process.returncode is None and len(asked) < 50:
         name = f"{path.strip('/').replace('/', '-')}-{is_kept}-{len(asked)}"
+        sent_s[name] = time.monotonic()
         asked[name] = asyncio.create_task(ask(name))
         await asyncio.sleep(INTERVAL_S)
     return {name: await task for name, task in asked.items()}
@@ -57,12 +59,15 @@
         if USUAL[path] < GRACE_S:
             first = await Caller.connect(node)
             assert (await first.ask(path, "first")).status == 200
+        sent_s: dict[str, float] = {}
         asking = [
-            asyncio.create_task(ask_until_the_end(node, path, is_kept))
+            asyncio.create_task(ask_until_the_end(node, path, is_kept, sent_s))
             for is_kept in (False, True)
         ]
         await asyncio.sleep(0.2)
         node.stop()
+        await node.until_logged("node_leaving")
+        leaving_s = time.monotonic()
         got = {
             k: a for found in await asyncio.gather(*asking) for k, a in found.items()
         }
@@ -70,8 +75,8 @@
     run = {request.request_id for request in backend.seen}
     ends = {name: outcome(answer) for name, answer in got.items()}
     assert {ends[n] for n in run & ends.keys()} <= {"whole", "may have run"}, ends
-    # What was sent after the signal and can't be finished has not run.
+    # What a leaving node gets and can't finish has not run.
     may_have_run = [n for n in run & ends.keys() if ends[n] == "may have run"]
-    assert all(int(n.rpartition("-")[2]) <= 3 for n in may_have_run), ends
+    assert all(sent_s[n] <= leaving_s for n in may_have_run), ends
     not_answered = [n for n in ends if got[n].end == "reset"]
     assert not_answered == []
--- a/packages/node/tests/test_relayed_heads.py
+++ b/packages/node/tests/test_relayed_heads.py
@@ -55,20 +55,17 @@
 
     found = {}
     try:
-        for kind, script in scripts.items():
-            backend.script = script
-            async with site_of(a=send) as site:
+        async with site_of(a=send) as site:
+            for kind, script in scripts.items():
+                backend.script = script
                 request = SignedRequest()
                 got = await site.client.send(request, BACKEND, OPTIONS)
-                if got.is_ok():
-                    found[kind] = (
-                        got.unwrap().headers,
-                        await body_of_answer(got.unwrap()),
-                    )
-                    got.unwrap().close()
-                else:
+                answer = got.ok()
+                if answer is None:
                     found[kind] = got.unwrap_err().problem, request.arrivals
-        await asyncio.sleep(0)
+                    continue
+                found[kind] = answer.headers, await body_of_answer(answer)
+                answer.close()
         return found
     finally:
         await exchange.close()
--- a/packages/serving/tests/broken_answers.py
+++ b/packages/serving/tests/broken_answers.py
@@ -96,6 +96,8 @@
     """Send a request on a connection of its own."""
     caller = await Caller.connect(site)
     try:
-        return await caller.ask(path, request_id, **{"X-Deadline-Ms": "900", **headers})
+        return await caller.ask(
+            path, request_id, **{"X-Deadline-Ms": "5000", **headers}
+        )
     finally:
         caller.close()
--- a/packages/serving/tests/early_server.py
+++ b/packages/serving/tests/early_server.py
@@ -110,7 +110,9 @@
         if self.end in (End.RESETS, End.ENDS_AND_RESETS, End.CLOSES):
             connection.close()
         self.ended.set()
-        while self.end is End.READS_ON and await self._loop.sock_recv(connection, 4096):
+        while self.end is End.READS_ON and await self._loop.sock_recv(
+            connection, 65536
+        ):
             pass
         if self.end in (End.STAYS, End.STAYS_OPEN):
             await asyncio.Event().wait()
--- a/packages/serving/tests/test_early_answers.py
+++ b/packages/serving/tests/test_early_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 import aiohttp
 import attrs
@@ -26,6 +27,8 @@
 LONG_BODY = bytes(8_000_000)
 """More than the kernels hold of a request that nobody reads."""
 
+ROUTE_TIMEOUT_MS, SHORT_MS = 20_000, 1500
+
 WITHOUT_LENGTH = b"Connection: close\r\n\r\nhalf"
 WHOLE = {
     "length": b"Content-Length: 5\r\n\r\nwhole",
@@ -142,11 +145,21 @@
             assert await read_late(server, turns) == b"whole"
 
 
-async def ask(server, path: str, body: bytes = LONG_BODY) -> Answer:
+def roomy_configuration() -> bytes:
+    """Return a configuration with long bodies, and with time to send them."""
+    data = json.loads(configuration(2))
+    data["limits"] = {"max-body-bytes": 2 * len(LONG_BODY)}
+    for found in data["routes"]:
+        found["timeout-ms"] = ROUTE_TIMEOUT_MS
+    return json.dumps(data).encode()
+
+
+async def ask(
+    server, path: str, body: bytes = LONG_BODY, deadline_ms: int = ROUTE_TIMEOUT_MS
+) -> Answer:
     """Return what a caller with a long body gets of a server, through a node."""
     site = await ServingSite.start()
-    limits = {"max-body-bytes": 2 * len(LONG_BODY)}
-    site.model.put(OPERATOR_TABLE, CONFIGURATION_KEY, configuration(2, limits=limits))
+    site.model.put(OPERATOR_TABLE, CONFIGURATION_KEY, roomy_configuration())
     is_stream = path.startswith("/s")
     entry = entry_fields("llm" if is_stream else "app", server.address)
     if is_stream:
@@ -155,7 +168,7 @@
     await site.register("i-1", entry)
     await site.until(lambda: site.callers.admission.max_body_bytes() > len(body))
     caller = await Caller.connect(site)
-    fields = {"X-Deadline-Ms": "1800"}
+    fields = {"X-Deadline-Ms": str(deadline_ms)}
     sending = asyncio.ensure_future(
         caller.send(request_bytes(path, "r1", body, **fields))
     )
@@ -202,5 +215,5 @@
 # Nothing shows whether a server that has stopped reading, and stays, has finished.
 async def test_an_end_that_stays_unproven_is_a_failure_in_time(parser) -> None:
     async with early_server(WHOLE["no length"], End.STAYS) as server:
-        got = await ask(server, "/once/1")
+        got = await ask(server, "/once/1", deadline_ms=SHORT_MS)
         assert is_own_failure(got)
