--- a/bench/soak_exchange_checks.py
+++ b/bench/soak_exchange_checks.py
@@ -6,7 +6,7 @@
 
 import attrs
 from soak_exchanges import PATIENCE_S, SLACK_S, Exchange
-from soak_runs import LiveRuns, describe
+from soak_runs import LiveRuns, describe, was_sent_for
 from soak_timeline import Timeline
 
 LATE_REQUEST_S = 3.0
@@ -133,13 +133,20 @@
         if self.outcome(exchange) == "answer cut":
             runs = describe(self.attempts_of(exchange), exchange)
             found.append(f"answer cut: {exchange}; attempts {runs}")
-        if exchange.says_not_run and "invalid" in ends:
+        if exchange.says_not_run and self._got_invalid_answer(exchange):
             # What is none proves nothing.
             found.append(f"refused as not run after an answer that is none: {exchange}")
         if exchange.says_not_run and self._has_run(exchange):
             found.append(f"ran though refused as not run: {exchange}")
         return found
 
+    def _got_invalid_answer(self, exchange: Exchange) -> bool:
+        """Return whether an answer to this try of a request was none."""
+        return any(
+            attempt["end"] == "invalid" and was_sent_for(exchange, attempt)
+            for attempt in self.attempts_of(exchange)
+        )
+
     def _never_ended(self, exchange: Exchange) -> bool:
         took_s = exchange.ended_s - exchange.sent_s
         if exchange.reads_slowly or took_s < exchange.timeout_s + PATIENCE_S - SLACK_S:
--- a/bench/soak_runs.py
+++ b/bench/soak_runs.py
@@ -34,7 +34,7 @@
             attempt
             for attempt in attempts
             if attempt["end"] in _MAY_GO_ON
-            and _was_sent_for(exchange, attempt)
+            and was_sent_for(exchange, attempt)
             and not self._was_lost(exchange, attempt)
             and not self._was_cut(exchange, attempt)
             and not self._is_unconfirmed(exchange, attempt)
@@ -108,7 +108,7 @@
     return was_open and any(from_s <= at_s <= to_s for at_s in other["event_times_s"])
 
 
-def _was_sent_for(exchange: Exchange, attempt: dict[str, Any]) -> bool:
+def was_sent_for(exchange: Exchange, attempt: dict[str, Any]) -> bool:
     """Return whether an attempt is of this exchange, not of one with equal text."""
     if exchange.request_id:
         return attempt["request_id"] == exchange.request_id
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -207,13 +207,18 @@
     assert found.outcome(cut_exchange(life, ended_s=104.0)) == outcome
 
 
-@pytest.mark.parametrize(("end", "count"), [("invalid", 1), ("refused", 0)])
-def test_not_run_after_an_answer_that_is_none_is_a_violation(life, end, count) -> None:
+@pytest.mark.parametrize(
+    ("end", "request_id", "count"),
+    [("invalid", ID, 1), ("refused", ID, 0), ("invalid", "an earlier try", 0)],
+)
+def test_not_run_after_an_answer_that_is_none_is_a_violation(
+    life, end, request_id, count
+) -> None:
     body = json.dumps({"error": {"ran": "no"}}).encode()
     exchange = cut_exchange(
         life, ended_s=101.2, status=503, is_complete=True, body=bytearray(body)
     )
-    found = checks([attempt(end=end, ended_s=101.1)])
+    found = checks([attempt(end=end, ended_s=101.1, request_id=request_id)])
     texts = [v for v in found.violations(exchange) if "that is none" in v]
     assert len(texts) == count
 
